--- /dev/null
+++ b/cmd/cardamomyoke-bench/main.go
@@ -0,0 +1,14 @@
+// Command cardamomyoke-bench measures the system: load, policies and experiments, each with a seed and a table.
+package main
+
+import (
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+func main() {
+	app := kingpin.New("cardamomyoke-bench", "Load and experiments for cardamomyoke.")
+	// Each experiment lives in its own package below internal/bench and adds its command here with Register(app).
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,82 @@
+// Package config turns the operators' configuration into immutable lookups for traffic.
+package config
+
+import (
+	"fmt"
+	"time"
+
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+// FieldError says which field of a configuration cannot be accepted.
+type FieldError struct {
+	// Field is the path of the field, for example "services[2].class".
+	Field string
+	// Want says what was expected.
+	Want string
+}
+
+// Error implements error.
+func (e *FieldError) Error() string { return fmt.Sprintf("%s: want %s", e.Field, e.Want) }
+
+// Snapshot is one configuration with its indexes. It is immutable and safe for concurrent use.
+type Snapshot struct {
+	// Proto is the configuration itself; it must not be changed.
+	Proto    *cardamomyokev1.Configuration
+	services map[ids.Service]*cardamomyokev1.Service
+	clients  map[ids.Client]*cardamomyokev1.ClientAccount
+	groups   map[ids.Group]*cardamomyokev1.ModelGroup
+	classes  map[string]*cardamomyokev1.PriorityClass
+}
+
+// NewSnapshot checks c and indexes it; it returns *FieldError for the first field that is wrong.
+func NewSnapshot(c *cardamomyokev1.Configuration) (*Snapshot, error) {
+	if err := Check(c); err != nil {
+		return nil, err
+	}
+	s := &Snapshot{
+		Proto:    c,
+		services: make(map[ids.Service]*cardamomyokev1.Service, len(c.GetServices())),
+		clients:  make(map[ids.Client]*cardamomyokev1.ClientAccount, len(c.GetClients())),
+		groups:   make(map[ids.Group]*cardamomyokev1.ModelGroup, len(c.GetGroups())),
+		classes:  make(map[string]*cardamomyokev1.PriorityClass, len(c.GetClasses())),
+	}
+	for _, v := range c.GetServices() {
+		s.services[ids.Service(v.GetName())] = v
+	}
+	for _, v := range c.GetClients() {
+		s.clients[ids.Client(v.GetName())] = v
+	}
+	for _, v := range c.GetGroups() {
+		s.groups[ids.Group(v.GetName())] = v
+	}
+	for _, v := range c.GetClasses() {
+		s.classes[v.GetName()] = v
+	}
+	return s, nil
+}
+
+// Revision returns the configuration's number.
+func (s *Snapshot) Revision() ids.Revision { return ids.Revision(s.Proto.GetRevision()) }
+
+// Service returns the service of that name, or nil.
+func (s *Snapshot) Service(name ids.Service) *cardamomyokev1.Service { return s.services[name] }
+
+// Client returns the client account of that name, or nil.
+func (s *Snapshot) Client(name ids.Client) *cardamomyokev1.ClientAccount { return s.clients[name] }
+
+// Group returns the model group of that name, or nil.
+func (s *Snapshot) Group(name ids.Group) *cardamomyokev1.ModelGroup { return s.groups[name] }
+
+// Class returns the priority class of that name, or nil.
+func (s *Snapshot) Class(name string) *cardamomyokev1.PriorityClass { return s.classes[name] }
+
+// Deadline returns how long a request to v may take: what the caller asks for, but no more than the service allows.
+func Deadline(v *cardamomyokev1.Service, asked time.Duration) time.Duration {
+	limit := time.Duration(v.GetDeadlineMs()) * time.Millisecond
+	if asked <= 0 || asked > limit {
+		return limit
+	}
+	return asked
+}
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,43 @@
+package logging_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/logging"
+)
+
+func TestLevelAndFormat(t *testing.T) {
+	var out bytes.Buffer
+	l := logging.New(&out, logging.Options{Format: logging.FormatJSON, Level: "warn"})
+	_ = level.Info(l).Log("msg", "hidden")
+	_ = level.Warn(l).Log("msg", "shown")
+	line := map[string]string{}
+	if err := json.Unmarshal(out.Bytes(), &line); err != nil {
+		t.Fatalf("%v in %q", err, out.String())
+	}
+	if line["msg"] != "shown" || line["level"] != "warn" || line["ts"] == "" {
+		t.Fatalf("got %v", line)
+	}
+	if strings.Contains(out.String(), "hidden") {
+		t.Fatal("a line below the level was written")
+	}
+}
+
+func TestCheckNamesTheOption(t *testing.T) {
+	var typed *logging.OptionError
+	if err := (logging.Options{Format: "xml"}).Check(); !errors.As(err, &typed) || typed.Option != "format" {
+		t.Fatalf("got %v", err)
+	}
+	if err := (logging.Options{Level: "loud"}).Check(); !errors.As(err, &typed) || typed.Option != "level" {
+		t.Fatalf("got %v", err)
+	}
+	if err := (logging.Options{}).Check(); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,122 @@
+// Package settings reads the static YAML settings of a process.
+//
+// Static settings are what a process must know before it can reach anything: its addresses, its data centre, its
+// peers, the platform. All else is dynamic configuration and comes through the operators' RPC. Reading is strict:
+// an unknown key, a wrong unit or a missing value is refused with file, line, key and what was expected.
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+
+	"github.com/goccy/go-yaml"
+)
+
+// Checker is a settings value that can say which key is wrong.
+type Checker interface {
+	// Check returns nil, or an error built by Invalid for the first wrong key.
+	Check() error
+}
+
+// KeyError says that a key has a value that cannot be used.
+type KeyError struct {
+	// Path is the key in YAML path form, for example "$.http.address".
+	Path string
+	// Want says what was expected.
+	Want string
+	// Got is the value found, as text; empty if the key is missing.
+	Got string
+}
+
+// Error implements error.
+func (e *KeyError) Error() string {
+	if e.Got == "" {
+		return fmt.Sprintf("key %s is missing: want %s", e.Path, e.Want)
+	}
+	return fmt.Sprintf("key %s: got %q, want %s", e.Path, e.Got, e.Want)
+}
+
+// FileError says where in a settings file the first fault is.
+type FileError struct {
+	File  string
+	Line  int
+	Cause error
+}
+
+// Error implements error.
+func (e *FileError) Error() string {
+	if e.Line == 0 {
+		return fmt.Sprintf("%s: %v", e.File, e.Cause)
+	}
+	return fmt.Sprintf("%s:%d: %v", e.File, e.Line, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *FileError) Unwrap() error { return e.Cause }
+
+// Read fills out from the file; it returns *FileError.
+func Read(file string, out Checker) error {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return &FileError{File: file, Cause: err}
+	}
+	return Parse(file, text, out)
+}
+
+// Parse fills out from text; file is used in errors only. It returns *FileError.
+func Parse(file string, text []byte, out Checker) error {
+	err := yaml.UnmarshalWithOptions(text, out, yaml.Strict())
+	if err == nil {
+		err = out.Check()
+	}
+	if err != nil {
+		return &FileError{File: file, Line: lineOf(text, err), Cause: err}
+	}
+	return nil
+}
+
+func lineOf(text []byte, err error) int {
+	var ye yaml.Error
+	if errors.As(err, &ye) && ye.GetToken() != nil {
+		return ye.GetToken().Position.Line
+	}
+	return lineOfKey(text, err)
+}
+
+// lineOfKey finds the line of the key that a KeyError names; 0 if the key is missing from the text.
+func lineOfKey(text []byte, err error) int {
+	var ke *KeyError
+	if !errors.As(err, &ke) {
+		return 0
+	}
+	path, perr := yaml.PathString(ke.Path)
+	if perr != nil {
+		return 0
+	}
+	node, nerr := path.ReadNode(bytes.NewReader(text))
+	if nerr != nil || node == nil {
+		return 0
+	}
+	return node.GetToken().Position.Line
+}
+
+// CheckAddress returns *KeyError unless value is IP:PORT with both parts set.
+func CheckAddress(path, value string) error {
+	const want = "IP:PORT, for example 127.0.0.1:8080"
+	ap, err := netip.ParseAddrPort(value)
+	if err != nil || ap.Port() == 0 {
+		return &KeyError{path, want, value}
+	}
+	return nil
+}
+
+// CheckName returns *KeyError if value is empty.
+func CheckName(path, value, want string) error {
+	if value == "" {
+		return &KeyError{path, want, value}
+	}
+	return nil
+}
