--- /dev/null
+++ b/internal/routing/leastrequests/leastrequests.go
@@ -0,0 +1,32 @@
+// Package leastrequests is a baseline: the upstream where this entry has the fewest requests in flight.
+package leastrequests
+
+import (
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/routing"
+)
+
+// Picker implements routing.Picker.
+type Picker struct{ upstreams []*routing.Upstream }
+
+// New returns a picker.
+func New(upstreams []*routing.Upstream) *Picker { return &Picker{upstreams: upstreams} }
+
+// Pick implements routing.Picker. Ties are broken at random, so that several entries do not fall on the same one.
+func (p *Picker) Pick(req *routing.Request, _ time.Time) (routing.Choice, error) {
+	usable, err := routing.Usable(p.upstreams, req, nil)
+	if err != nil {
+		return routing.Choice{}, err
+	}
+	offset := int(req.Rand % uint64(len(usable)))
+	best := usable[offset]
+	fewest := best.Work.Counts().Requests()
+	for i := 1; i < len(usable); i++ {
+		u := usable[(offset+i)%len(usable)]
+		if n := u.Work.Counts().Requests(); n < fewest {
+			best, fewest = u, n
+		}
+	}
+	return routing.Plain(best, req), nil
+}
