--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,206 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+// Class is a priority class of the configuration.
+type Class struct {
+	Name string
+	// Rank 0 goes first.
+	Rank int
+	// QueueLimit is the most requests that may wait.
+	QueueLimit int
+}
+
+// Capacity is what an entry may use of a pool of upstreams.
+type Capacity struct {
+	// Places is how many requests the entry may have started at once.
+	Places int
+	// TokensPerSecond is the work that the pool is expected to do for this entry; it is used until the queue has
+	// measured its own rate.
+	TokensPerSecond float64
+}
+
+// Options are the settings of a Queue.
+type Options struct {
+	Classes []Class
+	// Reserve is the fraction of the places that only the first class may use.
+	Reserve float64
+	// RateWindow is the time over which the rate of started work is measured.
+	RateWindow time.Duration
+	// Share returns a client's weight; nil means 1 for all.
+	Share func(ids.Client) int
+}
+
+// DefaultReserve leaves one place in ten to the first class, so that it finds one free even if all others are taken.
+const DefaultReserve = 0.1
+
+// DefaultRateWindow is long enough to even out single long requests.
+const DefaultRateWindow = 2 * time.Second
+
+// Request is what admission must know about a request.
+type Request struct {
+	// ID is unique within the entry's life.
+	ID     uint64
+	Client ids.Client
+	Class  string
+	// Tokens is the estimated work, prompt and output together.
+	Tokens float64
+	// Run is the expected time from the start to what the deadline is about.
+	Run      time.Duration
+	Deadline time.Time
+}
+
+// Outcome is what became of a request.
+type Outcome struct {
+	Request Request
+	// Err is nil if the request may start now, else *failure.Error of a "not run" code.
+	Err error
+}
+
+type item struct {
+	req     Request
+	offered time.Time
+}
+
+// Queue admits the requests of one entry to one pool of upstreams. It belongs to one goroutine.
+type Queue struct {
+	opts     Options
+	capacity Capacity
+	classes  []*classQueue
+	started  map[uint64]startedItem
+	rate     rateMeter
+}
+
+type startedItem struct {
+	req   Request
+	class *classQueue
+}
+
+// NewQueue returns an empty queue. Classes are served by rank.
+func NewQueue(opts Options, capacity Capacity) *Queue {
+	if opts.RateWindow <= 0 {
+		opts.RateWindow = DefaultRateWindow
+	}
+	q := &Queue{opts: opts, capacity: capacity, started: make(map[uint64]startedItem)}
+	q.rate.window = opts.RateWindow
+	sorted := slices.SortedFunc(slices.Values(opts.Classes), func(a, b Class) int { return cmp.Compare(a.Rank, b.Rank) })
+	for _, c := range sorted {
+		q.classes = append(q.classes, newClassQueue(c))
+	}
+	return q
+}
+
+// SetCapacity changes the capacity, for example when upstreams leave or other entries need more.
+func (q *Queue) SetCapacity(c Capacity) { q.capacity = c }
+
+// Waiting returns how many requests wait.
+func (q *Queue) Waiting() int {
+	n := 0
+	for _, c := range q.classes {
+		n += c.waiting
+	}
+	return n
+}
+
+// Started returns how many requests were started and are not done.
+func (q *Queue) Started() int { return len(q.started) }
+
+// Offer takes in a request. It returns the outcomes that follow at once: the request's own, if it may start or is
+// refused, and none if it waits.
+func (q *Queue) Offer(req Request, now time.Time) []Outcome {
+	c := q.class(req.Class)
+	if c == nil {
+		return []Outcome{{req, failure.New(failure.CodeInternal, &ClassError{req.Class})}}
+	}
+	it := &item{req: req, offered: now}
+	if err := q.refusal(c, it, now); err != nil {
+		return []Outcome{{req, err}}
+	}
+	c.push(it, q.share(req.Client))
+	return q.start(now)
+}
+
+// Done frees the place of a request that was started. used is the work that it really took, in tokens; what was
+// estimated wrongly is settled with the client's share.
+func (q *Queue) Done(id uint64, used float64, now time.Time) []Outcome {
+	s, ok := q.started[id]
+	if !ok {
+		return nil
+	}
+	delete(q.started, id)
+	s.class.settle(s.req.Client, used-s.req.Tokens, q.share(s.req.Client))
+	return q.start(now)
+}
+
+// Cancel takes back a request whose caller went away; it reports whether the request was waiting.
+func (q *Queue) Cancel(id uint64) bool {
+	for _, c := range q.classes {
+		if c.remove(id) {
+			return true
+		}
+	}
+	return false
+}
+
+// Tick starts what can be started and refuses whatever can no longer be done in time.
+func (q *Queue) Tick(now time.Time) []Outcome {
+	outcomes := q.start(now)
+	for _, c := range q.classes {
+		outcomes = append(outcomes, q.sweep(c, now)...)
+	}
+	return outcomes
+}
+
+func (q *Queue) class(name string) *classQueue {
+	for _, c := range q.classes {
+		if c.class.Name == name {
+			return c
+		}
+	}
+	return nil
+}
+
+func (q *Queue) share(client ids.Client) float64 {
+	if q.opts.Share == nil {
+		return 1
+	}
+	return float64(max(1, q.opts.Share(client)))
+}
+
+// start takes requests out of the queue, best class first, as long as there is a place for them.
+func (q *Queue) start(now time.Time) []Outcome {
+	var outcomes []Outcome
+	for i, c := range q.classes {
+		for c.waiting > 0 && len(q.started) < q.places(i) {
+			it := c.pop()
+			q.started[it.req.ID] = startedItem{it.req, c}
+			q.rate.add(it.req.Tokens, now)
+			c.rate.window = q.opts.RateWindow
+			c.rate.add(it.req.Tokens, now)
+			outcomes = append(outcomes, Outcome{Request: it.req})
+		}
+	}
+	return outcomes
+}
+
+// places is how many places a class may fill. All but the first leave the reserve free: if they filled the pool, a
+// request of the first class would wait for a whole answer to end, however high its priority.
+func (q *Queue) places(index int) int {
+	if index == 0 {
+		return q.capacity.Places
+	}
+	return q.capacity.Places - int(q.opts.Reserve*float64(q.capacity.Places))
+}
+
+// ClassError says that a request names a class that is not configured.
+type ClassError struct{ Class string }
+
+// Error implements error.
+func (e *ClassError) Error() string { return "priority class " + e.Class + " is not configured" }
