--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -34,8 +34,8 @@
 	Reserve float64
 	// RateWindow is the time over which the rate of started work is measured.
 	RateWindow time.Duration
-	// Share returns a client's weight; nil means 1 for all.
-	Share func(ids.Client) int
+	// Share returns a client's weight at this entry, above 0; nil means 1 for all.
+	Share func(ids.Client) float64
 }
 
 // DefaultReserve leaves one place in ten to the first class, so that it finds one free even if all others are taken.
@@ -171,7 +171,7 @@
 	if q.opts.Share == nil {
 		return 1
 	}
-	return float64(max(1, q.opts.Share(client)))
+	return q.opts.Share(client)
 }
 
 // start takes requests out of the queue, best class first, as long as there is a place for them.
--- /dev/null
+++ b/internal/bench/policy/clock.go
@@ -0,0 +1,71 @@
+package policy
+
+import (
+	"container/heap"
+	"time"
+)
+
+// epoch is the virtual time at which every run starts.
+var epoch = time.Unix(1_000_000_000, 0)
+
+// clock runs callbacks in the order of their time.
+type clock struct {
+	now     time.Time
+	pending timers
+	seq     uint64
+}
+
+type timer struct {
+	at  time.Time
+	seq uint64
+	do  func()
+}
+
+func newClock() *clock { return &clock{now: epoch} }
+
+func (c *clock) at(t time.Time, do func()) {
+	c.seq++
+	heap.Push(&c.pending, timer{t, c.seq, do})
+}
+
+func (c *clock) after(d time.Duration, do func()) { c.at(c.now.Add(d), do) }
+
+// every calls do at once and then periodically.
+func (c *clock) every(d time.Duration, do func()) {
+	do()
+	c.after(d, func() { c.every(d, do) })
+}
+
+func (c *clock) run(until time.Time) {
+	for len(c.pending) > 0 && c.pending[0].at.Before(until) {
+		t := heap.Pop(&c.pending).(timer)
+		c.now = t.at
+		t.do()
+	}
+	c.now = until
+}
+
+type timers []timer
+
+func (h timers) Len() int { return len(h) }
+
+func (h timers) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].seq < h[j].seq
+}
+
+func (h timers) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *timers) Push(x any) { *h = append(*h, x.(timer)) }
+
+// Pop implements heap.Interface.
+func (h *timers) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = timer{}
+	*h = old[:len(old)-1]
+	return t
+}
--- /dev/null
+++ b/internal/bench/policy/trace.go
@@ -0,0 +1,154 @@
+package policy
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/routing"
+)
+
+// The trace. It was fixed before any policy was tuned; a change makes all earlier figures incomparable.
+const (
+	blockTokens   = 64
+	prefixBlocks  = 32
+	suffixBlocks  = 2
+	promptTokens  = (prefixBlocks + suffixBlocks) * blockTokens
+	families      = 48
+	zipfExponent  = 1.0
+	driftEvery    = 5 * time.Second
+	outputMean    = 96
+	outputSigma   = 0.6
+	outputMost    = 400
+	firstFraction = 0.2
+	deadline      = 10 * time.Second
+	addressKept   = 5 * time.Second
+)
+
+const (
+	classFirst  = "first"
+	classSecond = "second"
+)
+
+// account is a client of the trace: its part of all requests and the number of its callers, each of which keeps an
+// entry's address for a while.
+type account struct {
+	name    ids.Client
+	part    float64
+	callers int
+}
+
+const (
+	flooder    ids.Client = "flooder"
+	smallCount            = 7
+)
+
+func accounts() []account {
+	list := []account{{flooder, 0.5, 60}, {"large-1", 0.125, 30}, {"large-2", 0.125, 30}}
+	for i := range smallCount {
+		list = append(list, account{ids.Client("small-" + string(rune('1'+i))), 0.25 / smallCount, 12})
+	}
+	return list
+}
+
+func isSmall(c ids.Client) bool { return c[0] == 's' }
+
+// arrival is one request of the trace.
+type arrival struct {
+	id     uint64
+	at     time.Time
+	client ids.Client
+	class  string
+	blocks []uint64
+	output int
+	// caller decides, with the time, which entry the request comes to.
+	caller uint64
+}
+
+// source draws arrivals one after the other, as a Poisson stream.
+type source struct {
+	rng      *rand.Rand
+	accounts []account
+	weights  []float64
+	shared   bool
+	next     uint64
+}
+
+func newSource(seed uint64, shared bool) *source {
+	s := &source{rng: rand.New(rand.NewPCG(seed, 1)), accounts: accounts(), shared: shared}
+	for i := range families {
+		s.weights = append(s.weights, 1/math.Pow(float64(i+1), zipfExponent))
+	}
+	return s
+}
+
+// draw returns the arrival that follows at a mean rate per second.
+func (s *source) draw(after time.Time, rate float64) arrival {
+	at := after.Add(time.Duration(s.rng.ExpFloat64() / rate * float64(time.Second)))
+	s.next++
+	a := arrival{id: s.next, at: at, class: classSecond, output: s.output()}
+	acc := s.account()
+	a.client = acc.name
+	a.caller = routing.Mix(uint64(len(acc.name))<<8|uint64(acc.name[len(acc.name)-1]), s.rng.Uint64N(uint64(acc.callers)))
+	if s.rng.Float64() < firstFraction {
+		a.class = classFirst
+	}
+	a.blocks = s.blocks(at)
+	return a
+}
+
+func (s *source) account() account {
+	x := s.rng.Float64()
+	for _, a := range s.accounts {
+		if x < a.part {
+			return a
+		}
+		x -= a.part
+	}
+	return s.accounts[len(s.accounts)-1]
+}
+
+func (s *source) output() int {
+	mu := math.Log(outputMean) - outputSigma*outputSigma/2
+	n := int(math.Exp(mu + outputSigma*s.rng.NormFloat64()))
+	return min(max(n, 1), outputMost)
+}
+
+// blocks returns the hashes of a prompt: the prefix of a family, whose popularity drifts, and a part of its own. In
+// the trace without sharing, each request is a family of its own.
+func (s *source) blocks(at time.Time) []uint64 {
+	family := s.family(at)
+	if !s.shared {
+		family = 1<<32 + s.next
+	}
+	blocks := make([]uint64, 0, prefixBlocks+suffixBlocks)
+	for i := range prefixBlocks {
+		blocks = append(blocks, routing.Mix(family, uint64(i)))
+	}
+	for i := range suffixBlocks {
+		blocks = append(blocks, routing.Mix(s.next, 1<<40+uint64(i)))
+	}
+	return blocks
+}
+
+func (s *source) family(at time.Time) uint64 {
+	total := 0.0
+	for _, w := range s.weights {
+		total += w
+	}
+	x := s.rng.Float64() * total
+	rank := 0
+	for rank < families-1 && x >= s.weights[rank] {
+		x -= s.weights[rank]
+		rank++
+	}
+	shift := int(at.Sub(epoch) / driftEvery)
+	return uint64((rank + shift) % families)
+}
+
+// entryOf returns which of n entries a caller uses at a time: it draws a new one each time its address answer expires.
+func (a *arrival) entryOf(n int) int {
+	period := uint64(a.at.Sub(epoch)/addressKept) + a.caller%97
+	return int(routing.Mix(a.caller, period) % uint64(n))
+}
