Routing by expected wait that does not herd; admission with a reserve and a bounded wait

Ruled out: distance and the wait for a place. Found: the reported time per prompt token differs by what is in the batch, and following it moves all entries together; waits that differ less than they are known must count as equal. Admission keeps a quarter of the places for the first class and queues for a second at most.

--- a/internal/admission/classqueue.go
+++ b/internal/admission/classqueue.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"slices"
+	"time"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 )
@@ -16,11 +17,18 @@
 	backlog float64
 	// served is the work that the client was given, divided by its share. The flow with the least goes next.
 	served float64
-	index  int
+	// rate is the work that the client was given per second, and since is when it last began to wait without a pause.
+	rate  rateMeter
+	since time.Time
+	index int
 }
 
-// classQueue shares the places of one class among clients. A client that comes back from being idle starts at the
-// level of the one that is served next, so that it can neither save up a claim to the past nor is it held back.
+// creditRequests is how many requests a client that comes back from being idle may be served ahead of the others. A
+// small client often has nothing waiting for a moment; without a credit it would lose its turn each time, and get
+// less than its share although it asks for more. With it, it can never be ahead by more than so many requests.
+const creditRequests = 4
+
+// classQueue shares the places of one class among clients.
 type classQueue struct {
 	class   Class
 	flows   map[ids.Client]*flow
@@ -31,33 +39,38 @@
 	level float64
 }
 
-func newClassQueue(c Class) *classQueue {
-	return &classQueue{class: c, flows: make(map[ids.Client]*flow)}
+func newClassQueue(c Class, window time.Duration) *classQueue {
+	return &classQueue{class: c, flows: make(map[ids.Client]*flow), rate: rateMeter{window: window}}
 }
 
 func (c *classQueue) push(it *item, share float64) {
 	f := c.flows[it.req.Client]
 	if f == nil {
-		f = &flow{client: it.req.Client, index: -1}
+		f = &flow{client: it.req.Client, index: -1, rate: rateMeter{window: c.rate.window}}
 		c.flows[it.req.Client] = f
 	}
 	f.share = share
+	if len(f.items) == 0 {
+		f.since = it.offered
+	}
 	f.items = append(f.items, it)
 	f.backlog += it.req.Tokens
 	c.waiting++
 	if f.index < 0 {
-		f.served = max(f.served, c.level)
+		f.served = max(f.served, c.level-creditRequests*it.req.Tokens/share)
 		heap.Push(&c.backlog, f)
 	}
 }
 
 // pop takes the next request of the client that has had least. There must be one.
-func (c *classQueue) pop() *item {
+func (c *classQueue) pop(now time.Time) *item {
 	f := c.backlog[0]
 	c.level = f.served
 	it := f.items[0]
 	f.items = f.items[1:]
 	f.served += it.req.Tokens / f.share
+	f.rate.add(it.req.Tokens, now)
+	c.rate.add(it.req.Tokens, now)
 	c.taken(f, it)
 	return it
 }
@@ -86,17 +99,22 @@
 	f.backlog = 0
 	heap.Remove(&c.backlog, f.index)
 	f.items = nil
-	c.forget(f)
 }
 
-// forget drops a flow that has nothing waiting and no claim either way, so that memory follows the clients that are
-// active and not all that ever were.
-func (c *classQueue) forget(f *flow) {
-	if f.served <= c.level {
-		delete(c.flows, f.client)
+// forget drops flows that have nothing waiting and are not ahead of the others any more, so that memory follows the
+// clients that are active and not all that ever were.
+func (c *classQueue) forget(now time.Time) {
+	for client, f := range c.flows {
+		idle := f.index < 0 && now.Sub(f.since) > idleAfter
+		if idle || f.index < 0 && f.served <= c.level {
+			delete(c.flows, client)
+		}
 	}
 }
 
+// idleAfter is how long a client that sends nothing is remembered for what it had too much.
+const idleAfter = time.Minute
+
 // settle charges a client for work that was estimated wrongly.
 func (c *classQueue) settle(client ids.Client, tokens, share float64) {
 	f := c.flows[client]
--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -46,14 +46,16 @@
 		return nil
 	}
 	s := q.schedule(c, now)
-	ahead := 0.0
+	wait := time.Duration(0)
 	if f := c.flows[it.req.Client]; f != nil {
-		ahead = f.backlog
+		wait = q.wait(s, f, f.backlog, now)
 	}
-	wait := s.wait(ahead, q.share(it.req.Client))
 	if c.waiting >= c.class.QueueLimit {
 		return failure.New(failure.CodeOverloaded, nil).WithRetryAfter(atLeastSecond(wait))
 	}
+	if excess := wait - q.opts.MostWait; q.opts.MostWait > 0 && excess > 0 {
+		return failure.New(failure.CodeOverloaded, nil).WithRetryAfter(atLeastSecond(excess))
+	}
 	if late := lateBy(it, wait, now); late > 0 {
 		return failure.New(failure.CodeDeadlineUnmet, nil).WithRetryAfter(atLeastSecond(late))
 	}
@@ -70,7 +72,7 @@
 	for _, f := range slices.Clone(c.backlog) {
 		ahead := 0.0
 		for _, it := range slices.Clone(f.items) {
-			late := lateBy(it, s.wait(ahead, f.share), now)
+			late := lateBy(it, q.wait(s, f, ahead, now), now)
 			if late <= 0 {
 				ahead += it.req.Tokens
 				continue
@@ -83,6 +85,17 @@
 	return outcomes
 }
 
+// wait is the time until a client's work is served that has this much of its own ahead. The schedule is too hopeful
+// while the other clients go on sending; a client that has waited for long knows its pace from what it was given.
+func (q *Queue) wait(s schedule, f *flow, ahead float64, now time.Time) time.Duration {
+	wait := s.wait(ahead, f.share)
+	if f.index < 0 || now.Sub(f.since) < q.opts.RateWindow {
+		return wait
+	}
+	pace := max(leastRate, f.rate.perSecond(now))
+	return max(wait, time.Duration(ahead/pace*float64(time.Second)))
+}
+
 func lateBy(it *item, wait time.Duration, now time.Time) time.Duration {
 	return now.Add(wait + it.req.Run).Sub(it.req.Deadline)
 }
@@ -144,7 +157,7 @@
 // rateFor is the work per second that is left to a class by those before it.
 func (q *Queue) rateFor(c *classQueue, now time.Time) float64 {
 	rate := q.capacity.TokensPerSecond
-	if q.rate.last > 0 && q.Waiting() > 0 {
+	if !q.busySince.IsZero() && now.Sub(q.busySince) >= q.opts.RateWindow {
 		rate = q.rate.perSecond(now)
 	}
 	for _, before := range q.classes {
--- a/internal/admission/limits/limiter.go
+++ b/internal/admission/limits/limiter.go
@@ -20,22 +20,29 @@
 	Burst time.Duration
 	// Window is the time over which demand is measured.
 	Window time.Duration
-	// Hold is for how long the others' last known demand is counted when nothing is heard any more.
+	// Fresh is how long a report of an entry that is still heard counts; three reports may be lost.
+	Fresh time.Duration
+	// Hold is how long the others' last demand counts when they, or the aggregator, are not heard any more.
 	Hold time.Duration
+	// MostRecords bounds a report; the clients with most demand are told.
+	MostRecords int
 }
 
 // Defaults returns the settings in use.
 func Defaults() Options {
-	return Options{Burst: time.Second, Window: 2 * time.Second, Hold: 30 * time.Second}
+	return Options{
+		Burst: time.Second, Window: 2 * time.Second, Fresh: 3500 * time.Millisecond, Hold: 30 * time.Second,
+		MostRecords: 64,
+	}
 }
 
 // Usage is an amount of both kinds, or a rate of them per second.
 type Usage struct{ Requests, Tokens float64 }
 
-// Record is one client's demand per second.
-type Record struct {
-	Client ids.Client
-	Demand Usage
+func (u Usage) plus(v Usage) Usage { return Usage{u.Requests + v.Requests, u.Tokens + v.Tokens} }
+
+func (u Usage) minus(v Usage) Usage {
+	return Usage{max(0, u.Requests-v.Requests), max(0, u.Tokens-v.Tokens)}
 }
 
 // Limiter holds the limits in one entry. It is safe for concurrent use; a mutex is held for well under a microsecond.
@@ -45,7 +52,7 @@
 	entries  int
 	limits   map[ids.Client]Limit
 	accounts map[ids.Client]*account
-	gathered map[ids.Client]map[ids.Node]gathered
+	book     book
 }
 
 // New returns a limiter for one of the given number of entries.
@@ -55,7 +62,7 @@
 		entries:  max(1, entries),
 		limits:   make(map[ids.Client]Limit),
 		accounts: make(map[ids.Client]*account),
-		gathered: make(map[ids.Client]map[ids.Node]gathered),
+		book:     newBook(opts),
 	}
 }
 
@@ -66,8 +73,8 @@
 	l.limits = limits
 }
 
-// SetEntries tells how many entries there are; a client that is new here gets that part of its limit until the
-// aggregator has answered.
+// SetEntries tells how many entries there are, those that are cut off included; a client that is new here gets that
+// part of its limit until the others' demand is known.
 func (l *Limiter) SetEntries(n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -75,18 +82,16 @@
 }
 
 // Take counts a request of the given size in tokens; it returns *failure.Error with CodeOverLimit and the time after
-// which the client has allowance again.
+// which the client has allowance again. It counts the demand of clients without a limit too, for fair sharing.
 func (l *Limiter) Take(client ids.Client, tokens float64, now time.Time) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	limit, ok := l.limits[client]
-	if !ok || limit == (Limit{}) {
-		return nil
-	}
+	limit := l.limits[client]
 	a := l.account(client, limit, now)
-	a.refill(l.part(a, now), limit, l.opts, now)
 	a.demand.add(Usage{1, tokens}, l.opts.Window, now)
-	if wait := a.shortage(limit, l.part(a, now)); wait > 0 {
+	part := l.part(client, a, now)
+	a.refill(part, limit, l.opts, now)
+	if wait := a.shortage(limit, part); wait > 0 {
 		return failure.New(failure.CodeOverLimit, nil).WithRetryAfter(wait)
 	}
 	a.allowance.Requests--
@@ -103,11 +108,22 @@
 	}
 }
 
+// Part returns which part of a client's demand, in tokens, comes to this entry.
+func (l *Limiter) Part(client ids.Client, now time.Time) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accounts[client]
+	if a == nil {
+		return 1 / float64(l.entries)
+	}
+	return l.part(client, a, now).Tokens
+}
+
 func (l *Limiter) account(client ids.Client, limit Limit, now time.Time) *account {
 	a := l.accounts[client]
 	if a == nil {
 		part := 1 / float64(l.entries)
-		a = &account{refilled: now, allowance: Usage{
+		a = &account{born: now, refilled: now, allowance: Usage{
 			max(1, part*limit.RequestsPerSecond*l.opts.Burst.Seconds()),
 			part * limit.TokensPerSecond * l.opts.Burst.Seconds(),
 		}}
@@ -116,16 +132,15 @@
 	return a
 }
 
-// part returns which part of each limit this entry may grant.
-func (l *Limiter) part(a *account, now time.Time) Usage {
-	if a.heardAt.IsZero() && l.entries > 1 && now.Sub(a.demand.born) < l.opts.Window {
+// part returns which part of each limit this entry may grant. A client that is new here has not been told of by the
+// others yet, so an even part is granted until a report could have come.
+func (l *Limiter) part(client ids.Client, a *account, now time.Time) Usage {
+	others, known := l.book.others(client, a, now)
+	if !known && l.entries > 1 && now.Sub(a.born) < l.opts.Window {
 		return Usage{1 / float64(l.entries), 1 / float64(l.entries)}
 	}
-	if now.Sub(a.heardAt) > l.opts.Hold {
-		return Usage{1, 1}
-	}
 	own := a.demand.rate(l.opts.Window, now)
-	return Usage{fraction(own.Requests, a.others.Requests), fraction(own.Tokens, a.others.Tokens)}
+	return Usage{fraction(own.Requests, others.Requests), fraction(own.Tokens, others.Tokens)}
 }
 
 func fraction(own, others float64) float64 {
@@ -137,11 +152,13 @@
 
 // account is what one entry knows of one client.
 type account struct {
+	born      time.Time
 	demand    meter
 	allowance Usage
 	refilled  time.Time
-	others    Usage
-	heardAt   time.Time
+	// sum is the demand at the other entries as the aggregator told it.
+	sum   Usage
+	sumAt time.Time
 }
 
 func (a *account) refill(part Usage, limit Limit, opts Options, now time.Time) {
@@ -157,6 +174,9 @@
 	return min(level+rate*past, max(1, rate*burst))
 }
 
+// minRate keeps waiting times finite.
+const minRate = 0.01
+
 // shortage returns how long the client must wait, 0 if it may go on. A token allowance may be overdrawn by the last
 // request, which is paid back before the next one; otherwise a request larger than a burst could never run.
 func (a *account) shortage(limit Limit, part Usage) time.Duration {
@@ -170,25 +190,21 @@
 	return time.Duration(math.Ceil(wait)) * time.Second
 }
 
-const minRate = 0.01
-
 // meter measures demand per second with exponential decay.
 type meter struct {
-	sum  Usage
-	at   time.Time
-	born time.Time
+	sum Usage
+	at  time.Time
 }
 
 func (m *meter) add(u Usage, window time.Duration, now time.Time) {
-	if m.born.IsZero() {
-		m.born, m.at = now, now
-	}
 	m.decay(window, now)
-	m.sum.Requests += u.Requests
-	m.sum.Tokens += u.Tokens
+	m.sum = m.sum.plus(u)
 }
 
 func (m *meter) decay(window time.Duration, now time.Time) {
+	if m.at.IsZero() {
+		m.at = now
+	}
 	if now.After(m.at) {
 		k := math.Exp(-now.Sub(m.at).Seconds() / window.Seconds())
 		m.sum.Requests *= k
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -34,12 +34,19 @@
 	Reserve float64
 	// RateWindow is the time over which the rate of started work is measured.
 	RateWindow time.Duration
+	// MostWait is the longest expected wait that a request is queued for; 0 means until its deadline. A queue takes up
+	// bursts; under lasting overload a longer one serves no more requests, it only makes each of them wait.
+	MostWait time.Duration
 	// Share returns a client's weight at this entry, above 0; nil means 1 for all.
 	Share func(ids.Client) float64
 }
 
-// DefaultReserve leaves one place in ten to the first class, so that it finds one free even if all others are taken.
-const DefaultReserve = 0.1
+// DefaultReserve leaves one place in four to the first class. It costs up to a tenth of the goodput under overload and
+// keeps the first class's time to the first token near what it is without; docs/measurements.md has the figures.
+const DefaultReserve = 0.25
+
+// DefaultMostWait takes up bursts of a second, which is what a first token may take at all.
+const DefaultMostWait = time.Second
 
 // DefaultRateWindow is long enough to even out single long requests.
 const DefaultRateWindow = 2 * time.Second
@@ -76,6 +83,8 @@
 	classes  []*classQueue
 	started  map[uint64]startedItem
 	rate     rateMeter
+	// busySince is when requests last began to wait without a pause; zero if none waits.
+	busySince time.Time
 }
 
 type startedItem struct {
@@ -92,7 +101,7 @@
 	q.rate.window = opts.RateWindow
 	sorted := slices.SortedFunc(slices.Values(opts.Classes), func(a, b Class) int { return cmp.Compare(a.Rank, b.Rank) })
 	for _, c := range sorted {
-		q.classes = append(q.classes, newClassQueue(c))
+		q.classes = append(q.classes, newClassQueue(c, opts.RateWindow))
 	}
 	return q
 }
@@ -124,7 +133,9 @@
 		return []Outcome{{req, err}}
 	}
 	c.push(it, q.share(req.Client))
-	return q.start(now)
+	outcomes := q.start(now)
+	q.markBusy(now)
+	return outcomes
 }
 
 // Done frees the place of a request that was started. used is the work that it really took, in tokens; what was
@@ -154,10 +165,21 @@
 	outcomes := q.start(now)
 	for _, c := range q.classes {
 		outcomes = append(outcomes, q.sweep(c, now)...)
+		c.forget(now)
 	}
+	q.markBusy(now)
 	return outcomes
 }
 
+func (q *Queue) markBusy(now time.Time) {
+	switch {
+	case q.Waiting() == 0:
+		q.busySince = time.Time{}
+	case q.busySince.IsZero():
+		q.busySince = now
+	}
+}
+
 func (q *Queue) class(name string) *classQueue {
 	for _, c := range q.classes {
 		if c.class.Name == name {
@@ -179,11 +201,9 @@
 	var outcomes []Outcome
 	for i, c := range q.classes {
 		for c.waiting > 0 && len(q.started) < q.places(i) {
-			it := c.pop()
+			it := c.pop(now)
 			q.started[it.req.ID] = startedItem{it.req, c}
 			q.rate.add(it.req.Tokens, now)
-			c.rate.window = q.opts.RateWindow
-			c.rate.add(it.req.Tokens, now)
 			outcomes = append(outcomes, Outcome{Request: it.req})
 		}
 	}
--- a/internal/bench/policy/admit.go
+++ b/internal/bench/policy/admit.go
@@ -5,6 +5,7 @@
 
 	"github.com/cardamomyoke/cardamomyoke/internal/admission"
 	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 )
 
 // The ways of admission of the tables.
@@ -97,10 +98,19 @@
 
 func newFairQueue(e *entry) *fairQueue {
 	classes := []admission.Class{{Name: classFirst, Rank: 0, QueueLimit: queueLimit}, {Name: classSecond, Rank: 1, QueueLimit: queueLimit}}
-	opts := admission.Options{Classes: classes, Reserve: admission.DefaultReserve}
-	return &fairQueue{entry: e, queue: admission.NewQueue(opts, admission.Capacity{Places: places, TokensPerSecond: 10_000})}
+	share := func(c ids.Client) float64 { return max(leastShare, e.usage.Part(c, e.world.clock.now)) }
+	opts := admission.Options{Classes: classes, Reserve: admission.DefaultReserve, MostWait: admission.DefaultMostWait, Share: share}
+
+	return &fairQueue{entry: e, queue: admission.NewQueue(opts, admission.Capacity{Places: places, TokensPerSecond: expectedRate})}
 }
 
+const (
+	// expectedRate stands in until the queue has measured its own, in tokens a second.
+	expectedRate = 10_000
+	// leastShare keeps the weight of a client above 0 where next to none of its demand was seen.
+	leastShare = 0.01
+)
+
 func (f *fairQueue) offer(req *request, now time.Time) {
 	f.settle(f.queue.Offer(admission.Request{
 		ID: req.id, Client: req.client, Class: req.class, Tokens: workOf(outputMean),
@@ -113,7 +123,15 @@
 	f.settle(f.queue.Done(req.id, workOf(req.stream.Delivered()), now))
 }
 
-func (f *fairQueue) tick(now time.Time) { f.settle(f.queue.Tick(now)) }
+func (f *fairQueue) tick(now time.Time) {
+	even := func(ids.Client) float64 { return 1 }
+	quota := f.entry.usage.Quota(entries*expectedRate, even, now)
+	f.queue.SetCapacity(admission.Capacity{
+		Places:          int(quota * float64(f.entry.places())),
+		TokensPerSecond: expectedRate,
+	})
+	f.settle(f.queue.Tick(now))
+}
 
 func (f *fairQueue) settle(outcomes []admission.Outcome) {
 	for _, o := range outcomes {
--- a/internal/bench/policy/entry.go
+++ b/internal/bench/policy/entry.go
@@ -2,9 +2,11 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"sync/atomic"
 	"time"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/admission/limits"
 	"github.com/cardamomyoke/cardamomyoke/internal/failure"
 	"github.com/cardamomyoke/cardamomyoke/internal/health"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
@@ -49,6 +51,8 @@
 	runner    *runner
 	job       *job
 	over      bool
+	// overtaken counts how often a slot sent the request back because others' work came first.
+	overtaken int
 }
 
 // entry is the model of one entry process: the pure packages, wired as in the process.
@@ -65,6 +69,7 @@
 	turn    atomic.Uint64
 	budget  *retry.Budget
 	admit   admitter
+	usage   *limits.Limiter
 	waiting map[uint64]*request
 }
 
@@ -75,6 +80,7 @@
 		loads:   make([]routing.Load, runners),
 		health:  health.New(health.Defaults(), epoch),
 		budget:  retry.NewBudget(retryPercent),
+		usage:   limits.New(limits.Defaults(), entries),
 		waiting: make(map[uint64]*request),
 	}
 	for range runners {
@@ -129,6 +135,18 @@
 	}
 }
 
+// name is the entry's name in the exchange of usage.
+func (e *entry) name() ids.Node { return ids.Node("entry-" + strconv.Itoa(e.index)) }
+
+// places returns how many requests all entries together may have started, as this entry sees the upstreams.
+func (e *entry) places() int {
+	total := 0.0
+	for _, s := range e.health.Statuses(e.world.clock.now) {
+		total += s.Weight * batchPlaces
+	}
+	return int(total)
+}
+
 func (e *entry) distance(r *runner) time.Duration {
 	if r.dc == e.dc {
 		return distanceNear
@@ -139,6 +157,7 @@
 // offer takes in a request from its caller.
 func (e *entry) offer(req *request) {
 	e.world.result.offered(req)
+	_ = e.usage.Take(req.client, workOf(outputMean), e.world.clock.now) // No client of the trace has a limit.
 	e.waiting[req.id] = req
 	e.admit.offer(req, e.world.clock.now)
 }
@@ -180,7 +199,7 @@
 func (e *entry) attempt(req *request, exclude []ids.Upstream) {
 	now := e.world.clock.now
 	choice, err := e.picker.Pick(&routing.Request{
-		Blocks: req.blocks, BlockTokens: blockTokens, PromptTokens: promptTokens, OutputTokens: outputMean,
+		Rank: rankOf(req.class), Blocks: req.blocks, BlockTokens: blockTokens, PromptTokens: promptTokens, OutputTokens: outputMean,
 		Exclude: exclude, Rand: e.rng.Uint64(),
 	}, now)
 	if err != nil {
@@ -205,11 +224,33 @@
 		e.failed(req, retry.Attempt{Upstream: req.runner.id, Err: failure.New(failure.CodeUpstreamFailed, nil)})
 	}
 	req.job = j
-	e.world.clock.after(choice.Upstream.Distance, func() {
-		if !j.ended {
-			req.runner.submit(j)
-		}
-	})
+	e.world.clock.after(choice.Upstream.Distance, func() { e.arrive(req, choice, exclude) })
+}
+
+// arrive is the slot's side: it hands the request to the runner or sends it back before its start.
+func (e *entry) arrive(req *request, choice routing.Choice, exclude []ids.Upstream) {
+	rank := rankOf(req.class)
+	switch {
+	case req.job.ended:
+	case e.world.setup.policy == policyExpectedWait &&
+		routing.Overtaken(rank, choice.Ahead, req.runner.counts(everyEntry).PromptAhead(rank), req.overtaken):
+		req.overtaken++
+		req.job.ended = true
+		req.flight.End()
+		e.world.answerReport(e, req.runner)
+		e.world.clock.after(choice.Upstream.Distance, func() { e.again(req, exclude) })
+	default:
+		req.runner.submit(req.job)
+	}
+}
+
+// again picks anew with the report that came with the refusal.
+func (e *entry) again(req *request, exclude []ids.Upstream) {
+	if req.over {
+		return
+	}
+	e.picker = e.build(e.world.clock.now)
+	e.attempt(req, exclude)
 }
 
 func (e *entry) indexOf(id ids.Upstream) int {
@@ -230,6 +271,7 @@
 	}
 	if first == j.from {
 		e.health.Apply(health.Answered{Upstream: req.runner.id}, now)
+		e.world.answerReport(e, req.runner)
 		e.world.result.hit(req, cached, choice.Estimate.CachedTokens)
 	}
 	if req.firstAt.IsZero() {
@@ -245,6 +287,7 @@
 	req.over = true
 	req.flight.End()
 	now := e.world.clock.now
+	e.world.answerReport(e, req.runner)
 	e.world.result.answered(req, now)
 	e.admit.done(req, now)
 }
--- a/internal/bench/policy/runner.go
+++ b/internal/bench/policy/runner.go
@@ -94,15 +94,21 @@
 	tokens, computing := r.chunk()
 	decoding := len(r.batch) - computing
 	d := time.Duration(r.slow * float64(stepBase+time.Duration(decoding)*stepPerSeq+time.Duration(tokens)*stepPerToken))
-	r.observe(d)
+	r.observe(d, tokens)
 	r.clock.after(d, r.endStep)
 }
 
-const observeWeight = 0.1
+const (
+	observeWeight = 0.1
+	prefillWeight = 0.02
+)
 
-func (r *runner) observe(d time.Duration) {
+// observe is what the slot beside the runner measures: time per step, and per prompt token in steps that compute many.
+func (r *runner) observe(d time.Duration, tokens int) {
 	r.stepTime += time.Duration(observeWeight * float64(d-r.stepTime))
-	r.prefill = time.Duration(r.slow * float64(stepPerToken+stepBase/chunkTokens))
+	if tokens >= chunkTokens/2 {
+		r.prefill += time.Duration(prefillWeight * float64(d/time.Duration(tokens)-r.prefill))
+	}
 }
 
 func (r *runner) fill() {
@@ -167,14 +173,17 @@
 	}
 }
 
-// counts returns what the slot beside the runner knows of the work of one entry, or of all with -1. It cannot know
+// everyEntry asks counts for the work of all entries.
+const everyEntry = -1
+
+// counts returns what the slot beside the runner knows of the work of one entry, or of everyEntry. It cannot know
 // how long an answer will be; it expects the mean.
 func (r *runner) counts(entry int) routing.Counts {
 	var c routing.Counts
 	for _, j := range r.waiting {
 		if entry < 0 || j.entry == entry {
-			c.Waiting++
-			c.PromptTokens += max(0, j.prompt-r.cache.peek(j.blocks)*blockTokens)
+			c.Waiting[j.rank]++
+			c.PromptTokens[j.rank] += max(0, j.prompt-r.cache.peek(j.blocks)*blockTokens)
 			c.OutputTokens += outputMean
 		}
 	}
@@ -182,9 +191,9 @@
 		if entry >= 0 && j.entry != entry {
 			continue
 		}
-		if j.left > 0 {
-			c.Waiting++
-			c.PromptTokens += j.left
+		if j.done == j.from {
+			c.Waiting[j.rank]++
+			c.PromptTokens[j.rank] += j.left
 		} else {
 			c.Running++
 		}
--- a/internal/bench/policy/world.go
+++ b/internal/bench/policy/world.go
@@ -43,6 +43,8 @@
 	eventsLagMax = time.Second
 	eventsLoss   = 0.1
 
+	usageEvery = time.Second
+
 	controlEvery = 50 * time.Millisecond
 
 	distanceNear = 100 * time.Microsecond
@@ -82,6 +84,7 @@
 	for _, e := range w.entries {
 		w.clock.every(controlEvery, e.control)
 	}
+	w.clock.every(usageEvery, w.exchangeUsage)
 	w.arrive(w.source.draw(epoch, s.rate))
 	w.clock.run(epoch.Add(s.run))
 	return w.result
@@ -98,12 +101,9 @@
 // report sends the load of a runner to all entries, each of which gets it late or never.
 func (w *world) report(i int) {
 	r := w.runners[i]
-	total := r.counts(-1)
+	total := r.counts(everyEntry)
 	for _, e := range w.entries {
-		load := routing.Load{
-			TakenAt: w.clock.now, Total: total, Yours: r.counts(e.index),
-			StepTime: r.stepTime, PromptTokenTime: r.prefill,
-		}
+		load := w.load(r, e, total)
 		steps, running := r.steps, len(r.batch)
 		if w.rng.Float64() < reportLoss {
 			continue
@@ -112,6 +112,21 @@
 	}
 }
 
+// load is what the slot beside a runner reports to an entry.
+func (w *world) load(r *runner, e *entry, total routing.Counts) routing.Load {
+	return routing.Load{
+		TakenAt: w.clock.now, Total: total, Yours: r.counts(e.index),
+		StepTime: r.stepTime, PromptTokenTime: r.prefill,
+	}
+}
+
+// answerReport delivers the report that rides on an answer, which is as fast as the answer.
+func (w *world) answerReport(e *entry, r *runner) {
+	load := w.load(r, e, r.counts(everyEntry))
+	steps, running := r.steps, len(r.batch)
+	w.clock.after(e.distance(r), func() { e.heard(e.indexOf(r.id), load, steps, running) })
+}
+
 // publish sends the cache events of a runner to all entries, late and with gaps.
 func (w *world) publish(i int) {
 	stored, evicted := w.runners[i].cache.events()
@@ -130,6 +145,19 @@
 	return low + time.Duration(w.rng.Float64()*float64(high-low))
 }
 
+// exchangeUsage has each entry tell the others what its clients ask for.
+func (w *world) exchangeUsage() {
+	for _, from := range w.entries {
+		report := from.usage.Report(w.clock.now)
+		for _, to := range w.entries {
+			if to == from {
+				continue
+			}
+			w.clock.after(w.lag(reportLagMin, reportLagMax), func() { to.usage.Gather(from.name(), report, w.clock.now) })
+		}
+	}
+}
+
 // breakRunners makes some runners fail requests: half of these at the first token, half of them somewhere in the
 // answer.
 func (w *world) breakRunners() {
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -14,6 +14,8 @@
 
 // Request is what a policy may know about a request.
 type Request struct {
+	// Rank is the rank of its priority class; engines serve a lower one first.
+	Rank int
 	// Blocks are the chained hashes of the prompt's leading blocks, from prefix.Hash; empty without a prompt.
 	Blocks []uint64
 	// BlockTokens is how many prompt tokens one block stands for.
@@ -30,15 +32,38 @@
 	Rand uint64
 }
 
+// Estimate returns the sizes for Work.Start, with the part of the prompt that is believed to be cached.
+func (r *Request) Estimate(cached int) Estimate {
+	return Estimate{Rank: r.Rank, PromptTokens: r.PromptTokens, CachedTokens: cached, OutputTokens: r.OutputTokens}
+}
+
 // Choice is where a request goes.
 type Choice struct {
 	Upstream *Upstream
 	// Wait is the expected time to the first token; zero if the policy does not estimate it.
 	Wait time.Duration
+	// Ahead is the prompt tokens that the policy believes to be ahead at the request's rank; see Overtaken.
+	Ahead int
 	// Estimate is what Work.Start takes; its CachedTokens is the part of the prompt believed to be cached.
 	Estimate Estimate
 }
 
+// The rule by which a slot sends a request of the first rank back.
+const (
+	// OvertakenTokens is how many more prompt tokens than believed may be ahead.
+	OvertakenTokens = 500
+	// MostOvertaken is how often one request may be sent back.
+	MostOvertaken = 2
+)
+
+// Overtaken reports whether a slot should refuse a request before its start, with a fresh report, because other
+// entries' work came first. Entries learn of each other's requests after tens of milliseconds, about as long as a
+// prompt takes, so two of them often send to the same idle upstream; one more way to another is shorter than the wait.
+// believed is the Choice's Ahead, actual what the slot counts, times how often the request was sent back already.
+func Overtaken(rank, believed, actual, times int) bool {
+	return rank == 0 && times < MostOvertaken && actual > believed+OvertakenTokens
+}
+
 // Picker chooses an upstream for each request. It is immutable and safe for concurrent use.
 type Picker interface {
 	// Pick returns *failure.Error with CodeNoUpstream, wrapping *NoUpstreamError, if nothing is usable.
@@ -126,5 +151,5 @@
 
 // Plain returns the choice of u by a policy that neither estimates a wait nor looks at caches.
 func Plain(u *Upstream, req *Request) Choice {
-	return Choice{Upstream: u, Estimate: Estimate{PromptTokens: req.PromptTokens, OutputTokens: req.OutputTokens}}
+	return Choice{Upstream: u, Estimate: req.Estimate(0)}
 }
--- a/internal/routing/upstream.go
+++ b/internal/routing/upstream.go
@@ -33,18 +33,53 @@
 	Cached *prefix.Table
 }
 
+// Ranks is how many ranks of priority are told apart; rank 0 goes first and all above the last count as the last.
+const Ranks = 4
+
+// RankOf returns the index of a class's rank.
+func RankOf(rank int) int { return min(max(rank, 0), Ranks-1) }
+
 // Counts is a number of requests, split by what they are doing, and the work that they still need.
 type Counts struct {
-	// Waiting requests have no token yet; Running ones have their first.
-	Waiting, Running int
-	// PromptTokens are the prompt tokens of the waiting requests that are not cached and not yet computed.
-	PromptTokens int
+	// Waiting requests, by rank, have no token yet.
+	Waiting [Ranks]int
+	// PromptTokens, by rank, are the prompt tokens of the waiting requests that are not cached and not yet computed.
+	PromptTokens [Ranks]int
+	// Running requests have their first token.
+	Running int
 	// OutputTokens are the tokens that all requests are still expected to generate.
 	OutputTokens int
 }
 
 // Requests returns all requests in flight.
-func (c Counts) Requests() int { return c.Waiting + c.Running }
+func (c Counts) Requests() int { return c.WaitingAhead(Ranks-1) + c.Running }
+
+// WaitingAhead returns the waiting requests that an engine which honours priorities serves before a new one of rank.
+func (c Counts) WaitingAhead(rank int) int { return sumUpTo(c.Waiting, rank) }
+
+// PromptAhead returns the prompt tokens of the requests that WaitingAhead counts.
+func (c Counts) PromptAhead(rank int) int { return sumUpTo(c.PromptTokens, rank) }
+
+func sumUpTo(a [Ranks]int, rank int) int {
+	total := 0
+	for i := range RankOf(rank) + 1 {
+		total += a[i]
+	}
+	return total
+}
+
+// combine applies f to each pair of counts.
+func combine(a, b Counts, f func(a, b int) int) Counts {
+	c := Counts{Running: f(a.Running, b.Running), OutputTokens: f(a.OutputTokens, b.OutputTokens)}
+	for i := range Ranks {
+		c.Waiting[i] = f(a.Waiting[i], b.Waiting[i])
+		c.PromptTokens[i] = f(a.PromptTokens[i], b.PromptTokens[i])
+	}
+	return c
+}
+
+func add(a, b int) int       { return a + b }
+func remainder(a, b int) int { return max(0, a-b) }
 
 // Load is what a slot reports about its upstream to one entry.
 type Load struct {
@@ -62,26 +97,10 @@
 }
 
 // Others returns the part of the report that other entries sent.
-func (l Load) Others() Counts {
-	return Counts{
-		Waiting:      max(0, l.Total.Waiting-l.Yours.Waiting),
-		Running:      max(0, l.Total.Running-l.Yours.Running),
-		PromptTokens: max(0, l.Total.PromptTokens-l.Yours.PromptTokens),
-		OutputTokens: max(0, l.Total.OutputTokens-l.Yours.OutputTokens),
-	}
-}
+func (l Load) Others() Counts { return combine(l.Total, l.Yours, remainder) }
 
 // Now returns the load with the live count of this entry in place of the reported one.
-func (u *Upstream) Now() Counts {
-	own := u.Work.Counts()
-	others := u.Load.Others()
-	return Counts{
-		Waiting:      own.Waiting + others.Waiting,
-		Running:      own.Running + others.Running,
-		PromptTokens: own.PromptTokens + others.PromptTokens,
-		OutputTokens: own.OutputTokens + others.OutputTokens,
-	}
-}
+func (u *Upstream) Now() Counts { return combine(u.Work.Counts(), u.Load.Others(), add) }
 
 // HasAdapter reports whether the named adapter is loaded; the empty name always is.
 func (u *Upstream) HasAdapter(name string) bool {
--- a/internal/routing/work.go
+++ b/internal/routing/work.go
@@ -4,6 +4,8 @@
 
 // Estimate is the size of one request as known when it is sent.
 type Estimate struct {
+	// Rank is the rank of the request's priority class.
+	Rank         int
 	PromptTokens int
 	// CachedTokens is the part of PromptTokens that the upstream is believed to have cached.
 	CachedTokens int
@@ -13,25 +15,28 @@
 // Work counts what one entry has in flight at one upstream. All methods are safe for concurrent use. The entry keeps
 // one for each upstream for as long as it knows it, whatever pickers come and go.
 type Work struct {
-	waiting, running atomic.Int64
-	prompt, output   atomic.Int64
+	waiting, prompt [Ranks]atomic.Int64
+	running, output atomic.Int64
 }
 
 // Counts returns the present counts. They are read one by one, so they may be a request apart from each other.
 func (w *Work) Counts() Counts {
-	return Counts{
-		Waiting:      int(w.waiting.Load()),
-		Running:      int(w.running.Load()),
-		PromptTokens: int(w.prompt.Load()),
-		OutputTokens: int(w.output.Load()),
+	c := Counts{Running: int(w.running.Load()), OutputTokens: int(w.output.Load())}
+	for i := range Ranks {
+		c.Waiting[i] = int(w.waiting[i].Load())
+		c.PromptTokens[i] = int(w.prompt[i].Load())
 	}
+	return c
 }
 
 // Start counts a request that is about to be sent. The Flight must be ended, whatever becomes of the request.
 func (w *Work) Start(e Estimate) *Flight {
-	f := &Flight{work: w, prompt: int64(max(0, e.PromptTokens-e.CachedTokens)), output: int64(max(0, e.OutputTokens))}
-	w.waiting.Add(1)
-	w.prompt.Add(f.prompt)
+	f := &Flight{
+		work: w, rank: RankOf(e.Rank),
+		prompt: int64(max(0, e.PromptTokens-e.CachedTokens)), output: int64(max(0, e.OutputTokens)),
+	}
+	w.waiting[f.rank].Add(1)
+	w.prompt[f.rank].Add(f.prompt)
 	w.output.Add(f.output)
 	return f
 }
@@ -39,6 +44,7 @@
 // Flight is one request in flight. It belongs to the goroutine that owns the attempt.
 type Flight struct {
 	work           *Work
+	rank           int
 	prompt, output int64
 	started, ended bool
 }
@@ -50,9 +56,9 @@
 	}
 	if !f.started {
 		f.started = true
-		f.work.waiting.Add(-1)
+		f.work.waiting[f.rank].Add(-1)
 		f.work.running.Add(1)
-		f.work.prompt.Add(-f.prompt)
+		f.work.prompt[f.rank].Add(-f.prompt)
 		f.prompt = 0
 	}
 	done := min(f.output, int64(n))
@@ -69,8 +75,8 @@
 	if f.started {
 		f.work.running.Add(-1)
 	} else {
-		f.work.waiting.Add(-1)
+		f.work.waiting[f.rank].Add(-1)
 	}
-	f.work.prompt.Add(-f.prompt)
+	f.work.prompt[f.rank].Add(-f.prompt)
 	f.work.output.Add(-f.output)
 }
