--- /dev/null
+++ b/internal/attempt/header.go
@@ -0,0 +1,146 @@
+package attempt
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+// Paths that a slot serves to entries.
+const (
+	PathRun   = "/v1/run"
+	PathFence = "/v1/fence"
+)
+
+// Names of the header fields.
+const (
+	HeaderAttempt     = "Cardamomyoke-Attempt"
+	HeaderIncarnation = "Cardamomyoke-Slot-Incarnation"
+	HeaderService     = "Cardamomyoke-Service"
+	HeaderClient      = "Cardamomyoke-Client"
+	HeaderRevision    = "Cardamomyoke-Revision"
+	HeaderRemaining   = "Cardamomyoke-Remaining-Ms"
+	HeaderRank        = "Cardamomyoke-Class-Rank"
+	HeaderKey         = "Idempotency-Key"
+	HeaderResume      = "Cardamomyoke-Resume-Tokens"
+	HeaderAlone       = "Cardamomyoke-Run-Alone"
+	HeaderMethod      = "Cardamomyoke-Method"
+	HeaderTarget      = "Cardamomyoke-Target"
+	HeaderTrace       = "Traceparent"
+)
+
+// Header is what an entry tells a slot about an attempt.
+type Header struct {
+	Attempt ids.Attempt
+	// Incarnation is the life of the slot that the attempt is meant for: a slot that restarted has forgotten what it
+	// promised, so it refuses what was meant for its earlier life.
+	Incarnation ids.Incarnation
+	Service     ids.Service
+	Client      ids.Client
+	// Revision is the configuration that the entry acted on.
+	Revision ids.Revision
+	// Remaining is the time left until the caller's deadline. A length and not a time of day, since clocks differ.
+	Remaining time.Duration
+	// Rank is the rank of the priority class; 0 goes first.
+	Rank uint32
+	// Key is the caller's idempotency key; empty for repeatable requests.
+	Key string
+	// Resume is how many tokens the caller already has.
+	Resume int
+	// Alone asks the slot to run nothing else on its upstream at the same time.
+	Alone bool
+	// Method and Target are the caller's own, for plain services.
+	Method string
+	Target string
+	// Trace is the W3C trace context.
+	Trace string
+}
+
+// FieldError says which header field of an attempt is wrong.
+type FieldError struct {
+	Field string
+	Value string
+	Cause error
+}
+
+// Error implements error.
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("field %s: %q is not valid", e.Field, e.Value)
+}
+
+// Unwrap returns the cause, if there is one.
+func (e *FieldError) Unwrap() error { return e.Cause }
+
+// Set writes h into a request.
+func (h Header) Set(out *fasthttp.RequestHeader) {
+	out.Set(HeaderAttempt, h.Attempt.String())
+	out.Set(HeaderIncarnation, string(h.Incarnation))
+	out.Set(HeaderService, string(h.Service))
+	out.Set(HeaderClient, string(h.Client))
+	out.Set(HeaderRevision, strconv.FormatUint(uint64(h.Revision), 10))
+	out.Set(HeaderRemaining, strconv.FormatInt(h.Remaining.Milliseconds(), 10))
+	out.Set(HeaderRank, strconv.FormatUint(uint64(h.Rank), 10))
+	out.Set(HeaderResume, strconv.Itoa(h.Resume))
+	setIf(out, HeaderKey, h.Key)
+	setIf(out, HeaderMethod, h.Method)
+	setIf(out, HeaderTarget, h.Target)
+	setIf(out, HeaderTrace, h.Trace)
+	if h.Alone {
+		out.Set(HeaderAlone, "1")
+	}
+}
+
+func setIf(out *fasthttp.RequestHeader, name, value string) {
+	if value != "" {
+		out.Set(name, value)
+	}
+}
+
+// Read reads what Set wrote. Errors: *FieldError, *ids.AttemptError.
+func Read(in *fasthttp.RequestHeader) (Header, error) {
+	r := fieldReader{in: in}
+	h := Header{
+		Incarnation: ids.Incarnation(r.text(HeaderIncarnation)),
+		Service:     ids.Service(r.text(HeaderService)),
+		Client:      ids.Client(r.text(HeaderClient)),
+		Revision:    ids.Revision(r.number(HeaderRevision)),
+		Remaining:   time.Duration(r.number(HeaderRemaining)) * time.Millisecond,
+		Rank:        uint32(r.number(HeaderRank)),
+		Resume:      int(r.number(HeaderResume)),
+		Key:         r.text(HeaderKey),
+		Method:      r.text(HeaderMethod),
+		Target:      r.text(HeaderTarget),
+		Trace:       r.text(HeaderTrace),
+		Alone:       r.text(HeaderAlone) != "",
+	}
+	if r.err != nil {
+		return Header{}, r.err
+	}
+	id, err := ids.ParseAttempt(r.text(HeaderAttempt))
+	if err != nil {
+		return Header{}, err
+	}
+	h.Attempt = id
+	return h, nil
+}
+
+// fieldReader keeps the first error.
+type fieldReader struct {
+	in  *fasthttp.RequestHeader
+	err error
+}
+
+func (r *fieldReader) text(name string) string { return string(r.in.Peek(name)) }
+
+func (r *fieldReader) number(name string) uint64 {
+	text := r.text(name)
+	n, err := strconv.ParseUint(text, 10, 63)
+	if err != nil && r.err == nil {
+		r.err = &FieldError{name, text, err}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/attempt/table.go
@@ -0,0 +1,113 @@
+package attempt
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/charts"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+// KeptFor is how long a finished or fenced attempt is remembered. It is longer than any deadline that a service may
+// have, so that a copy of the attempt that arrives later is past its own deadline.
+const KeptFor = 15 * time.Minute
+
+var chart = charts.MustLoad("attempt")
+
+// Events and actions of the attempt chart.
+const (
+	eventBegin   charts.Event  = "begin"
+	eventFence   charts.Event  = "fence"
+	eventFinish  charts.Event  = "finish"
+	actionStart  charts.Action = "start"
+	actionFenced charts.Action = "promise"
+)
+
+// RefusedError says that an attempt was not started by this call.
+type RefusedError struct {
+	Attempt ids.Attempt
+	// State is the attempt's state: fenced, running or finished.
+	State charts.State
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string { return fmt.Sprintf("attempt %s is %s", e.Attempt, e.State) }
+
+// Table remembers the attempts that a slot started or promised never to start. It is safe for concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	records map[ids.Attempt]*record
+	// aged is the earlier of two generations of KeptFor each, so that forgetting costs one map a quarter of an hour.
+	aged    map[ids.Attempt]*record
+	rotated time.Time
+}
+
+type record struct{ machine charts.Machine }
+
+// NewTable returns an empty table.
+func NewTable(now time.Time) *Table {
+	return &Table{records: map[ids.Attempt]*record{}, aged: map[ids.Attempt]*record{}, rotated: now}
+}
+
+// Begin marks an attempt as started. It returns *RefusedError, and the attempt must not be started, if it was seen
+// before or fenced.
+func (t *Table) Begin(a ids.Attempt, now time.Time) error {
+	actions, state := t.fire(a, eventBegin, now)
+	if !contains(actions, actionStart) {
+		return &RefusedError{a, state}
+	}
+	return nil
+}
+
+// Fence promises never to start the attempt and returns true, or returns false if it was started before.
+func (t *Table) Fence(a ids.Attempt, now time.Time) bool {
+	actions, _ := t.fire(a, eventFence, now)
+	return contains(actions, actionFenced)
+}
+
+// Finish marks a started attempt as ended.
+func (t *Table) Finish(a ids.Attempt, now time.Time) { t.fire(a, eventFinish, now) }
+
+func (t *Table) fire(a ids.Attempt, ev charts.Event, now time.Time) ([]charts.Action, charts.State) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rotate(now)
+	r := t.find(a)
+	actions, err := r.machine.Fire(ev)
+	if err != nil {
+		return nil, r.machine.State()
+	}
+	return actions, r.machine.State()
+}
+
+// find returns the record of a, new or moved to the young generation.
+func (t *Table) find(a ids.Attempt) *record {
+	if r, ok := t.records[a]; ok {
+		return r
+	}
+	r, ok := t.aged[a]
+	if !ok {
+		r = &record{chart.Start()}
+	}
+	t.records[a] = r
+	return r
+}
+
+func (t *Table) rotate(now time.Time) {
+	if now.Sub(t.rotated) < KeptFor {
+		return
+	}
+	t.rotated = now
+	t.aged = t.records
+	t.records = map[ids.Attempt]*record{}
+}
+
+func contains(list []charts.Action, a charts.Action) bool {
+	for _, v := range list {
+		if v == a {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/httpserver/exchange.go
@@ -0,0 +1,193 @@
+package httpserver
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+)
+
+// Header names of typed failures; docs/api.md lists them.
+const (
+	HeaderFailure = "Cardamomyoke-Failure"
+	HeaderProof   = "Cardamomyoke-Proof"
+)
+
+// GoneError says that the caller closed its connection, or left an answer unread for too long.
+type GoneError struct{ Reason string }
+
+// Error implements error.
+func (e *GoneError) Error() string { return "caller gone: " + e.Reason }
+
+// Header is one header line of an answer.
+type Header struct{ Name, Value string }
+
+// Exchange is one request with the means to answer it. It is used by one goroutine.
+type Exchange struct {
+	// Req is valid until the handler returns.
+	Req      *fasthttp.Request
+	conn     *conn
+	close    bool
+	answered bool
+	stream   bool
+}
+
+// Close makes the connection end after this answer.
+func (x *Exchange) Close() { x.close = true }
+
+// Answered reports whether an answer was begun.
+func (x *Exchange) Answered() bool { return x.answered }
+
+// FailureBody is the JSON body of a typed failure.
+type FailureBody struct {
+	Error FailureDetail `json:"error"`
+}
+
+// FailureDetail is what FailureBody holds; NotRun promises that the request did not start anywhere.
+type FailureDetail struct {
+	Code         failure.Code  `json:"code"`
+	NotRun       bool          `json:"not_run"`
+	Proof        failure.Proof `json:"proof,omitempty"`
+	Resend       bool          `json:"resend"`
+	RetryAfterMS int64         `json:"retry_after_ms,omitempty"`
+	Message      string        `json:"message"`
+}
+
+// DetailOf returns the JSON form of a failure.
+func DetailOf(e *failure.Error) FailureDetail {
+	m := e.Code.Meaning()
+	return FailureDetail{
+		Code:         e.Code,
+		NotRun:       m.NotRun,
+		Proof:        e.Proof,
+		Resend:       m.Resend,
+		RetryAfterMS: e.RetryAfter.Milliseconds(),
+		Message:      e.Error(),
+	}
+}
+
+// Fail answers with a typed failure: status, headers and JSON body.
+func (x *Exchange) Fail(e *failure.Error, extra ...Header) {
+	body, err := json.Marshal(FailureBody{DetailOf(e)})
+	if err != nil {
+		body = nil
+	}
+	headers := append([]Header{{HeaderFailure, string(e.Code)}, {"Content-Type", "application/json"}}, extra...)
+	if e.Proof != failure.ProofNone {
+		headers = append(headers, Header{HeaderProof, string(e.Proof)})
+	}
+	if e.RetryAfter > 0 {
+		seconds := (e.RetryAfter + time.Second - 1) / time.Second
+		headers = append(headers, Header{"Retry-After", strconv.Itoa(int(seconds))})
+	}
+	_ = x.Respond(e.Code.Meaning().Status, headers, body)
+}
+
+// Respond answers with a whole body. Errors: *GoneError.
+func (x *Exchange) Respond(status int, headers []Header, body []byte) error {
+	x.answered = true
+	out := x.head(status, headers, len(body))
+	return x.write(append(out, body...))
+}
+
+// Stream begins an answer whose body is sent in pieces. Errors: *GoneError.
+func (x *Exchange) Stream(status int, headers []Header) error {
+	x.answered = true
+	x.stream = true
+	return x.write(x.head(status, headers, chunked))
+}
+
+// Write sends one piece of a streamed body; it waits while the caller leaves too much unread. Errors: *GoneError.
+func (x *Exchange) Write(ctx context.Context, piece []byte) error {
+	if len(piece) == 0 {
+		return nil
+	}
+	if err := x.waitForReader(ctx); err != nil {
+		return err
+	}
+	out := make([]byte, 0, len(piece)+chunkOverhead)
+	out = strconv.AppendInt(out, int64(len(piece)), 16)
+	out = append(out, '\r', '\n')
+	out = append(out, piece...)
+	out = append(out, '\r', '\n')
+	return x.write(out)
+}
+
+// End completes a streamed body. A stream that is not ended is cut off, which the caller sees.
+func (x *Exchange) End() error {
+	x.stream = false
+	return x.write([]byte("0\r\n\r\n"))
+}
+
+const (
+	// chunked stands for a body of unknown length, as fasthttp encodes it.
+	chunked = -1
+	// chunkOverhead is room for a chunk's length line and its two line ends, in bytes.
+	chunkOverhead = 16
+	// unreadPoll is how often a stream that waits for its reader looks again.
+	unreadPoll = 5 * time.Millisecond
+)
+
+func (x *Exchange) head(status int, headers []Header, length int) []byte {
+	h := &fasthttp.ResponseHeader{}
+	h.SetNoDefaultContentType(true)
+	h.SetStatusCode(status)
+	h.SetContentLength(length)
+	for _, v := range headers {
+		h.Set(v.Name, v.Value)
+	}
+	if x.close || x.conn.srv.closing.Load() {
+		x.close = true
+		h.SetConnectionClose()
+	}
+	return h.AppendBytes(nil)
+}
+
+// abandon closes a connection whose handler returned without a whole answer. The caller must see the cut: a
+// connection left open would make it wait, and the next answer on it would be taken for this one.
+func (x *Exchange) abandon() {
+	if !x.answered {
+		x.Fail(failure.New(failure.CodeInternal, nil))
+	}
+	if x.stream {
+		x.close = true
+	}
+}
+
+func (x *Exchange) write(out []byte) error {
+	if x.conn.gone.Load() {
+		return &GoneError{"connection closed"}
+	}
+	err := x.conn.gc.AsyncWrite(out, x.wrote)
+	if err != nil {
+		return fmt.Errorf("write answer: %w", &GoneError{err.Error()})
+	}
+	return nil
+}
+
+// wrote runs on the event loop after each write.
+func (x *Exchange) wrote(gc gnet.Conn, err error) error {
+	if err == nil && gc != nil {
+		x.conn.noteUnread(gc.OutboundBuffered())
+	}
+	return nil
+}
+
+func (x *Exchange) waitForReader(ctx context.Context) error {
+	limit := int64(x.conn.srv.limits.MaxUnreadBytes)
+	for x.conn.unread.Load() > limit {
+		select {
+		case <-ctx.Done():
+			return &GoneError{"cancelled while the caller left the answer unread"}
+		case <-time.After(unreadPoll):
+		}
+		_ = x.conn.gc.Wake(nil)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/httpserver/parse.go
@@ -0,0 +1,83 @@
+package httpserver
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+)
+
+var (
+	headerEnd  = []byte("\r\n\r\n")
+	interimRes = []byte("HTTP/1.1 100 Continue\r\n\r\n")
+)
+
+// parsed is what cut found at the start of a connection's bytes.
+type parsed struct {
+	// req is the whole request, or nil if more bytes are needed.
+	req *fasthttp.Request
+	// used is how many bytes the request took.
+	used int
+	// need is how many bytes there must be before another try is worth it.
+	need int
+	// interim says that the caller waits for "100 Continue" before it sends the body.
+	interim bool
+}
+
+// cut reads one request from the start of buf. It returns *failure.Error for bytes that can never become one.
+func cut(buf []byte, l Limits) (parsed, error) {
+	end := bytes.Index(buf, headerEnd)
+	if end < 0 && len(buf) > l.MaxHeaderBytes || end > l.MaxHeaderBytes {
+		return parsed{}, tooLarge("header", l.MaxHeaderBytes)
+	}
+	if end < 0 {
+		return parsed{need: len(buf) + 1}, nil
+	}
+	end += len(headerEnd)
+	source := bytes.NewReader(buf)
+	reader := bufio.NewReaderSize(source, max(end, minReadBuffer))
+	req := fasthttp.AcquireRequest()
+	p, err := cutRequest(req, reader, buf, end, l)
+	if err != nil || p.need > 0 {
+		fasthttp.ReleaseRequest(req)
+		return p, err
+	}
+	return parsed{req: req, used: len(buf) - source.Len() - reader.Buffered()}, nil
+}
+
+// minReadBuffer is the smallest buffer that fasthttp's body reader is given, in bytes.
+const minReadBuffer = 4096
+
+func cutRequest(req *fasthttp.Request, r *bufio.Reader, buf []byte, end int, l Limits) (parsed, error) {
+	if err := req.Header.Read(r); err != nil {
+		return parsed{}, failure.New(failure.CodeMalformed, fmt.Errorf("header: %w", err))
+	}
+	length := req.Header.ContentLength()
+	if length > l.MaxBodyBytes {
+		return parsed{}, tooLarge("body", l.MaxBodyBytes)
+	}
+	if length > 0 && len(buf) < end+length {
+		return parsed{need: end + length, interim: req.MayContinue()}, nil
+	}
+	err := req.ContinueReadBody(r, l.MaxBodyBytes, false)
+	switch {
+	case err == nil:
+		return parsed{}, nil
+	case errors.Is(err, fasthttp.ErrBodyTooLarge) || len(buf) > end+2*l.MaxBodyBytes+minReadBuffer:
+		return parsed{}, tooLarge("body", l.MaxBodyBytes)
+	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+		return parsed{need: len(buf) + 1, interim: req.MayContinue()}, nil
+	}
+	return parsed{}, failure.New(failure.CodeMalformed, fmt.Errorf("body: %w", err))
+}
+
+func tooLarge(part string, limit int) error {
+	e := failure.New(failure.CodeTooLarge, nil)
+	e.Field = fmt.Sprintf("%s over %d bytes", part, limit)
+	return e
+}
