Model-check runner: make model runs every specification and its mutants

Cause: the specifications of three subsystems need one convention and a check that cannot pass by accident.

--- /dev/null
+++ b/internal/modelcheck/search.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Limits bound one search.
+type Limits struct {
+	// MemoryMB is the most memory that a search may take.
+	MemoryMB int
+	// Time is the most time that a search may take.
+	Time time.Duration
+}
+
+// defaultDepth is the longest path that a search follows unless its run says otherwise.
+const defaultDepth = 200_000
+
+// Result is what one search found.
+type Result struct {
+	Verdict Verdict
+	States  uint64
+	// Elapsed is the time of all three commands.
+	Elapsed time.Duration
+	// Log is what the commands printed, for a verdict that was not expected.
+	Log string
+	// Trace is what the specification printed along the counterexample, empty if there is none.
+	Trace string
+}
+
+// Check runs one search in a folder of its own below tmp.
+func Check(ctx context.Context, p Plan, r Run, lim Limits, tmp string) (Result, error) {
+	dir, err := os.MkdirTemp(tmp, p.Name+"-")
+	if err != nil {
+		return Result{}, fmt.Errorf("make a folder for %s: %w", r.Name, err)
+	}
+	defer os.RemoveAll(dir)
+	text, err := os.ReadFile(p.Source)
+	if err != nil {
+		return Result{}, fmt.Errorf("read %s: %w", p.Source, err)
+	}
+	file := filepath.Base(p.Source)
+	if err := os.WriteFile(filepath.Join(dir, file), text, 0o600); err != nil {
+		return Result{}, fmt.Errorf("copy %s: %w", p.Source, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, lim.Time)
+	defer cancel()
+	start := time.Now()
+	res := searchIn(ctx, dir, file, r, lim)
+	res.Elapsed = time.Since(start)
+	return res, nil
+}
+
+func searchIn(ctx context.Context, dir, file string, r Run, lim Limits) Result {
+	macros := defines(r)
+	out, err := command(ctx, dir, "spin", append(append([]string{"-a"}, macros...), file)...)
+	if err != nil || strings.Contains(out, "Error:") {
+		return Result{Verdict: VerdictBroken, Log: out}
+	}
+	gcc := []string{"-O2", "-w", "-o", "pan", "pan.c", fmt.Sprintf("-DMEMLIM=%d", lim.MemoryMB)}
+	built, err := command(ctx, dir, "gcc", append(gcc, compileFlags(r)...)...)
+	if err != nil {
+		return Result{Verdict: VerdictBroken, Log: out + built}
+	}
+	found, err := command(ctx, dir, "./pan", searchFlags(r)...)
+	res := judge(found)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		res.Verdict = VerdictTruncated
+	} else if err != nil && res.Verdict == VerdictHolds {
+		res.Verdict = VerdictBroken
+	}
+	res.Log = found
+	if _, err := os.Stat(filepath.Join(dir, file+".trail")); err == nil {
+		res.Trace, _ = command(ctx, dir, "spin", append(append([]string{"-t", "-T"}, macros...), file)...)
+	}
+	return res
+}
+
+func command(ctx context.Context, dir, name string, args ...string) (string, error) {
+	cmd := exec.CommandContext(ctx, name, args...)
+	cmd.Dir = dir
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		return string(out), fmt.Errorf("%s: %w", name, err)
+	}
+	return string(out), nil
+}
+
+func defines(r Run) []string {
+	var flags []string
+	if r.Mutant != "" {
+		flags = append(flags, "-D"+r.Mutant)
+	}
+	for _, d := range r.Define {
+		flags = append(flags, "-D"+d)
+	}
+	return flags
+}
+
+// compileFlags picks the search: breadth first for the mutants' safety, since it gives the shortest counterexample.
+func compileFlags(r Run) []string {
+	switch {
+	case r.Search == SearchProgress:
+		return []string{"-DNP", "-DCOLLAPSE", "-DVECTORSZ=4096"}
+	case r.Search == SearchLTL:
+		return []string{"-DCOLLAPSE", "-DVECTORSZ=4096"}
+	case r.Mutant != "":
+		return []string{"-DSAFETY", "-DBFS", "-DVECTORSZ=4096"}
+	}
+	return []string{"-DSAFETY", "-DCOLLAPSE", "-DVECTORSZ=4096"}
+}
+
+func searchFlags(r Run) []string {
+	depth := r.Depth
+	if depth == 0 {
+		depth = defaultDepth
+	}
+	flags := []string{fmt.Sprintf("-m%d", depth), "-n"}
+	switch r.Search {
+	case SearchProgress:
+		flags = append(flags, "-l", "-f")
+	case SearchLTL:
+		flags = append(flags, "-a", "-f")
+	}
+	return flags
+}
+
+var (
+	storedStates = regexp.MustCompile(`(\d+) states, stored`)
+	errorCount   = regexp.MustCompile(`errors: (\d+)`)
+)
+
+// truncations are what the search prints when it gave up somewhere.
+var truncations = []string{
+	"max search depth too small", "out of memory", "MEMLIM bound", "memory exhausted", "hash table full", "VECTORSZ",
+}
+
+// judge reads a search's output. An error that was found counts even if the search gave up elsewhere; a search that
+// found none counts as holding only if it was complete.
+func judge(out string) Result {
+	res := Result{Verdict: VerdictBroken}
+	if m := storedStates.FindStringSubmatch(out); m != nil {
+		res.States, _ = strconv.ParseUint(m[1], 10, 64)
+	}
+	switch {
+	case strings.Contains(out, "assertion violated"):
+		res.Verdict = VerdictAssertion
+		return res
+	case strings.Contains(out, "invalid end state (at depth"):
+		res.Verdict = VerdictEndState
+		return res
+	case strings.Contains(out, "non-progress cycle (at depth"), strings.Contains(out, "acceptance cycle (at depth"):
+		res.Verdict = VerdictCycle
+		return res
+	}
+	for _, t := range truncations {
+		if strings.Contains(out, t) {
+			res.Verdict = VerdictTruncated
+			return res
+		}
+	}
+	if m := errorCount.FindStringSubmatch(out); m != nil && m[1] == "0" {
+		res.Verdict = VerdictHolds
+	}
+	return res
+}
--- /dev/null
+++ b/mk/model.mk
@@ -0,0 +1,9 @@
+.PHONY: model model-traces
+
+## model: run every specification in spec/ and each of its mutants through Spin
+model:
+	$(GO) run ./internal/modelcheck --dir spec
+
+## model-traces: write the counterexamples of the mutants to the folders of the Go tests that replay them
+model-traces:
+	$(GO) run ./internal/modelcheck --dir spec --only expertmap --traces internal/expertmap/testdata
