--- /dev/null
+++ b/internal/bench/report/summary.go
@@ -0,0 +1,43 @@
+package report
+
+import (
+	"fmt"
+	"slices"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Summary is the mean of one figure over seeds, with its spread.
+type Summary struct {
+	N    int
+	Mean float64
+	// Spread is the sample standard deviation; 0 for fewer than two values.
+	Spread   float64
+	Min, Max float64
+}
+
+// Summarize condenses values; the zero Summary stands for none.
+func Summarize(values []float64) Summary {
+	if len(values) == 0 {
+		return Summary{}
+	}
+	s := Summary{N: len(values), Min: slices.Min(values), Max: slices.Max(values)}
+	if len(values) == 1 {
+		s.Mean = values[0]
+		return s
+	}
+	s.Mean, s.Spread = stat.MeanStdDev(values, nil)
+	return s
+}
+
+// String formats the summary as mean ± spread.
+func (s Summary) String() string { return fmt.Sprintf("%.4g ± %.2g", s.Mean, s.Spread) }
+
+// Quantile returns the smallest value that at least the share q (0 to 1) of values does not pass; 0 for no values.
+func Quantile(q float64, values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return stat.Quantile(q, stat.Empirical, sorted, nil)
+}
