Platform: stand-in with fault switches, HTTP client, retries and circuit

The stand-in holds table, objects, host list and weight rate in memory, in process or over HTTP; each part can be switched off, delayed, lose answers or apply writes late, and one node's way to it can be cut. The client sends a write again with its operation id; once an outcome is unknown, a later try that was refused does not turn it into "unavailable" (test: a write applied a minute later).

--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,188 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	standin "github.com/cardamomyoke/cardamomyoke/internal/standin/platform"
+)
+
+func put(op, key, value string, version uint64) platform.Txn {
+	return platform.Txn{
+		Operation: ids.Operation(op),
+		Checks:    []platform.Check{{Key: key, Version: version}},
+		Puts:      []platform.Put{{Key: key, Value: []byte(value)}},
+	}
+}
+
+// The caller sees one successful write. Its first answer is lost after the write took effect; the client sends the
+// same operation again, and the platform returns the first result instead of a conflict with the caller's own write.
+func TestLostAnswerIsSettledByItsOperation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore(standin.Limits{})
+		c := platform.NewClient(s, platform.Options{})
+		s.SetFaults(standin.PartTable, standin.Faults{LoseAnswers: 2})
+		res, err := c.Commit(t.Context(), put("op", "k", "v", 0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff([]uint64{1}, res.Versions); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+// The caller is told that the outcome is unknown, never "unavailable": the first try may still take effect after the
+// platform has gone down for the later ones, and here it does.
+func TestLateWriteIsNeverCalledUnavailable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore(standin.Limits{})
+		c := platform.NewClient(s, platform.Options{FirstWait: 100 * time.Millisecond})
+		s.SetFaults(standin.PartTable, standin.Faults{LateWrites: 1, LateBy: time.Minute})
+		time.AfterFunc(10*time.Millisecond, func() { s.SetFaults(standin.PartTable, standin.Faults{Outage: true}) })
+		_, err := c.Commit(t.Context(), put("op", "k", "v", 0))
+		var unknown *platform.UnknownOutcomeError
+		if !errors.As(err, &unknown) || unknown.Operation != "op" {
+			t.Fatalf("got %v", err)
+		}
+		time.Sleep(2 * time.Minute)
+		s.SetFaults(standin.PartTable, standin.Faults{})
+		rows, err := s.Get(t.Context(), "k")
+		if err != nil || rows[0].Version != 1 {
+			t.Fatalf("rows %v, err %v", rows, err)
+		}
+	})
+}
+
+// During a long outage a node asks about once a second, not with every call, and finds the platform again by itself.
+func TestCircuitBoundsCallsDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore(standin.Limits{})
+		c := platform.NewClient(s, platform.Options{})
+		var reached int
+		s.SetFaults(standin.PartTable, standin.Faults{Outage: true})
+		for range 600 {
+			_, err := c.Get(t.Context(), "k")
+			var down *platform.UnavailableError
+			if !errors.As(err, &down) {
+				t.Fatalf("got %v", err)
+			}
+			var off *standin.OutageError
+			if errors.As(err, &off) {
+				reached++
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if reached < 30 || reached > 70 {
+			t.Fatalf("reached the platform %d times in a minute", reached)
+		}
+		s.SetFaults(standin.PartTable, standin.Faults{})
+		time.Sleep(1100 * time.Millisecond)
+		if _, err := c.Get(t.Context(), "k"); err != nil || !c.Up() {
+			t.Fatalf("after the outage: %v, up %v", err, c.Up())
+		}
+	})
+}
+
+func TestConflictIsNotTriedAgain(t *testing.T) {
+	s := standin.NewStore(standin.Limits{})
+	c := platform.NewClient(s, platform.Options{})
+	if _, err := c.Commit(t.Context(), put("a", "k", "v", 0)); err != nil {
+		t.Fatal(err)
+	}
+	_, err := c.Commit(t.Context(), put("b", "k", "w", 0))
+	var conflict *platform.ConflictError
+	if !errors.As(err, &conflict) || conflict.Rows[0].Version != 1 {
+		t.Fatalf("got %v", err)
+	}
+	if n := s.Usage().Writes; n != 2 {
+		t.Fatalf("%d writes", n)
+	}
+}
+
+func serve(t *testing.T, s *standin.Store) *platform.HTTP {
+	srv := httptest.NewServer(standin.Handler(s))
+	t.Cleanup(srv.Close)
+	return platform.NewHTTP(strings.TrimPrefix(srv.URL, "http://"), time.Minute)
+}
+
+func TestHTTPCarriesEachCall(t *testing.T) {
+	s := standin.NewStore(standin.Limits{WeightBytesPerSecond: 7})
+	h := serve(t, s)
+	ctx := t.Context()
+	if _, err := h.Commit(ctx, put("a", "p/1", "", 0)); err != nil {
+		t.Fatal(err)
+	}
+	rows, err := h.List(ctx, "p/", "", 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]platform.Row{{Key: "p/1", Version: 1, Value: []byte{}}}, rows); diff != "" {
+		t.Fatal(diff)
+	}
+	if err := h.PutObject(ctx, "maps/a", []byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	var conflict *platform.ConflictError
+	if err := h.PutObject(ctx, "maps/a", []byte("y")); !errors.As(err, &conflict) {
+		t.Fatalf("overwrite: %v", err)
+	}
+	if data, err := h.GetObject(ctx, "maps/a"); err != nil || string(data) != "x" {
+		t.Fatalf("object %q, %v", data, err)
+	}
+	var missing *platform.NotFoundError
+	if _, err := h.GetObject(ctx, "maps/b"); !errors.As(err, &missing) {
+		t.Fatalf("missing: %v", err)
+	}
+	want := []platform.Host{{Name: "a", Role: "entry", DataCentre: "vallejo", State: platform.HostLive}}
+	s.SetHosts(want, 0)
+	hosts, _, err := h.Hosts(ctx)
+	if diff := cmp.Diff(want, hosts); err != nil || diff != "" {
+		t.Fatal(err, diff)
+	}
+	if bps, err := h.Rate(ctx, "g"); err != nil || bps != 7 {
+		t.Fatal(bps, err)
+	}
+}
+
+func TestHTTPTellsNeverSentFromUnknown(t *testing.T) {
+	s := standin.NewStore(standin.Limits{})
+	h := serve(t, s)
+	var unknown *platform.UnknownOutcomeError
+	var down *platform.UnavailableError
+	var conflict *platform.ConflictError
+
+	s.SetFaults(standin.PartTable, standin.Faults{LoseAnswers: 1})
+	if _, err := h.Commit(t.Context(), put("a", "k", "v", 0)); !errors.As(err, &unknown) {
+		t.Fatalf("lost answer: %v", err)
+	}
+	if _, err := h.Commit(t.Context(), put("b", "k", "v", 0)); !errors.As(err, &conflict) || conflict.Rows[0].Version != 1 {
+		t.Fatalf("conflict: %v", err)
+	}
+	s.SetFaults(standin.PartTable, standin.Faults{Outage: true})
+	if _, err := h.Commit(t.Context(), put("c", "k", "v", 1)); !errors.As(err, &down) {
+		t.Fatalf("outage: %v", err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	nobody := platform.NewHTTP(addr, time.Minute)
+	if _, err := nobody.Commit(context.Background(), put("d", "k", "v", 1)); !errors.As(err, &down) {
+		t.Fatalf("no listener: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/platform/http.go
@@ -0,0 +1,222 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+const (
+	dialTimeout     = 500 * time.Millisecond
+	maxConns        = 64
+	maxIdleConn     = 30 * time.Second
+	maxResponseBody = 64 << 20
+)
+
+// HTTP speaks the platform's protocol, one attempt for each call: see Client for retries. It implements Service.
+type HTTP struct {
+	client *fasthttp.HostClient
+	// limit bounds an attempt whose context has no earlier deadline.
+	limit time.Duration
+}
+
+var _ Service = (*HTTP)(nil)
+
+// NewHTTP returns a client of the platform at address, which is IP:PORT; limit bounds each attempt.
+func NewHTTP(address string, limit time.Duration) *HTTP {
+	return &HTTP{
+		limit: limit,
+		client: &fasthttp.HostClient{
+			Addr:                address,
+			Name:                "cardamomyoke",
+			MaxConns:            maxConns,
+			MaxIdleConnDuration: maxIdleConn,
+			MaxResponseBodySize: maxResponseBody,
+			Dial:                dial,
+			// The library would send a request twice without saying so; only Client decides about that.
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		},
+	}
+}
+
+// notSentError says that no byte of a request left this process.
+type notSentError struct{ cause error }
+
+func (e *notSentError) Error() string { return fmt.Sprintf("not sent: %v", e.cause) }
+func (e *notSentError) Unwrap() error { return e.cause }
+
+// StatusError is an answer that the protocol does not know.
+type StatusError struct {
+	Status int
+	Body   string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Body) }
+
+func dial(addr string) (net.Conn, error) {
+	conn, err := fasthttp.DialTimeout(addr, dialTimeout)
+	if err != nil {
+		return nil, &notSentError{err}
+	}
+	return conn, nil
+}
+
+type reply struct {
+	status int
+	body   []byte
+}
+
+func (h *HTTP) do(ctx context.Context, method, path string, body []byte) (reply, error) {
+	if err := ctx.Err(); err != nil {
+		return reply{}, &notSentError{err}
+	}
+	deadline := time.Now().Add(h.limit)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	req := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + h.client.Addr + path)
+	req.SetBody(body)
+	if err := h.client.DoDeadline(req, resp, deadline); err != nil {
+		if errors.Is(err, fasthttp.ErrNoFreeConns) {
+			return reply{}, &notSentError{err}
+		}
+		return reply{}, err
+	}
+	return reply{resp.StatusCode(), append([]byte(nil), resp.Body()...)}, nil
+}
+
+// call sends in as JSON and reads the answer into out. A 409 is returned as *ConflictError, any other status but 200
+// as *StatusError.
+func (h *HTTP) call(ctx context.Context, method, path string, in, out any) error {
+	var body []byte
+	if in != nil {
+		text, err := json.Marshal(in)
+		if err != nil {
+			return &notSentError{err}
+		}
+		body = text
+	}
+	r, err := h.do(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	switch r.status {
+	case http.StatusOK:
+		return json.Unmarshal(r.body, out)
+	case http.StatusConflict:
+		var rows RowsAnswer
+		if err := json.Unmarshal(r.body, &rows); err != nil {
+			return err
+		}
+		return &ConflictError{rows.Rows}
+	}
+	return &StatusError{r.status, string(r.body)}
+}
+
+// writeError sorts the failure of a write into applied never, or not known.
+func writeError(op string, id ids.Operation, err error) error {
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		return conflict
+	}
+	var notSent *notSentError
+	if errors.As(err, &notSent) {
+		return &UnavailableError{op, err}
+	}
+	var status *StatusError
+	refused := errors.As(err, &status) && (status.Status == http.StatusServiceUnavailable || status.Status < http.StatusInternalServerError)
+	if refused {
+		return &UnavailableError{op, err}
+	}
+	return &UnknownOutcomeError{id, err}
+}
+
+// Get implements Table.
+func (h *HTTP) Get(ctx context.Context, keys ...string) ([]Row, error) {
+	var out RowsAnswer
+	if err := h.call(ctx, http.MethodPost, PathGet, GetRequest{keys}, &out); err != nil {
+		return nil, &UnavailableError{"get", err}
+	}
+	return out.Rows, nil
+}
+
+// List implements Table.
+func (h *HTTP) List(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
+	var out RowsAnswer
+	if err := h.call(ctx, http.MethodPost, PathList, ListRequest{prefix, after, limit}, &out); err != nil {
+		return nil, &UnavailableError{"list", err}
+	}
+	return out.Rows, nil
+}
+
+// Commit implements Table.
+func (h *HTTP) Commit(ctx context.Context, t Txn) (Result, error) {
+	var out Result
+	if err := h.call(ctx, http.MethodPost, PathCommit, t, &out); err != nil {
+		return Result{}, writeError("commit", t.Operation, err)
+	}
+	return out, nil
+}
+
+// PutObject implements Objects.
+func (h *HTTP) PutObject(ctx context.Context, name string, data []byte) error {
+	r, err := h.do(ctx, http.MethodPut, PathObjects+name, data)
+	if err == nil {
+		switch r.status {
+		case http.StatusNoContent, http.StatusOK:
+			return nil
+		case http.StatusConflict:
+			return &ConflictError{[]Row{{Key: name, Version: 1}}}
+		}
+		err = &StatusError{r.status, string(r.body)}
+	}
+	return writeError("put object", ids.Operation(name), err)
+}
+
+// GetObject implements Objects.
+func (h *HTTP) GetObject(ctx context.Context, name string) ([]byte, error) {
+	r, err := h.do(ctx, http.MethodGet, PathObjects+name, nil)
+	if err != nil {
+		return nil, &UnavailableError{"get object", err}
+	}
+	switch r.status {
+	case http.StatusOK:
+		return r.body, nil
+	case http.StatusNotFound:
+		return nil, &NotFoundError{name}
+	}
+	return nil, &UnavailableError{"get object", &StatusError{r.status, string(r.body)}}
+}
+
+// Hosts implements HostList.
+func (h *HTTP) Hosts(ctx context.Context) ([]Host, time.Duration, error) {
+	var out HostsAnswer
+	if err := h.call(ctx, http.MethodGet, PathHosts, nil, &out); err != nil {
+		return nil, 0, &UnavailableError{"hosts", err}
+	}
+	return out.Hosts, time.Duration(out.AgeMS) * time.Millisecond, nil
+}
+
+// Rate implements Weights.
+func (h *HTTP) Rate(ctx context.Context, group ids.Group) (uint64, error) {
+	var out RateAnswer
+	if err := h.call(ctx, http.MethodGet, PathWeights+string(group), nil, &out); err != nil {
+		return 0, &UnavailableError{"rate", err}
+	}
+	return out.BytesPerSecond, nil
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -14,34 +14,34 @@
 
 // Row is one row of the table. Version 0 means that the row does not exist; each write raises it by one.
 type Row struct {
-	Key     string
-	Version uint64
-	Value   []byte
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value"`
 }
 
 // Check is a condition of a transaction: the row's version must be exactly this one, 0 for a row that must not exist.
 type Check struct {
-	Key     string
-	Version uint64
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
 }
 
 // Put writes one row; a nil Value deletes it.
 type Put struct {
-	Key   string
-	Value []byte
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
 }
 
 // Txn is applied whole or not at all. A transaction whose Operation was applied before is not applied again and
 // returns the first result, so that a lost answer can be settled by sending it once more.
 type Txn struct {
-	Operation ids.Operation
-	Checks    []Check
-	Puts      []Put
+	Operation ids.Operation `json:"operation"`
+	Checks    []Check       `json:"checks"`
+	Puts      []Put         `json:"puts"`
 }
 
 // Result tells what a transaction did: the new version of each row put, in the order of Txn.Puts.
 type Result struct {
-	Versions []uint64
+	Versions []uint64 `json:"versions"`
 }
 
 // Table is the platform's transactional table. All methods honour the context's deadline.
@@ -94,6 +94,14 @@
 	Rate(ctx context.Context, group ids.Group) (bytesPerSecond uint64, err error)
 }
 
+// Service is everything that the platform gives.
+type Service interface {
+	Table
+	Objects
+	HostList
+	Weights
+}
+
 // ConflictError says that a transaction was not applied because a row had another version than its check.
 type ConflictError struct {
 	// Rows are the rows as they are, for the checks that failed.
--- /dev/null
+++ b/internal/standin/platform/client.go
@@ -0,0 +1,100 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	api "github.com/cardamomyoke/cardamomyoke/internal/platform"
+)
+
+// Client is one node's way to the store; cutting it isolates this node only. It implements platform.Service.
+type Client struct {
+	store *Store
+	name  string
+	cut   atomic.Bool
+	usage struct{ reads, writes atomic.Uint64 }
+}
+
+var _ api.Service = (*Client)(nil)
+
+// CutError is the cause of calls over a client that is cut off.
+type CutError struct{ Client string }
+
+// Error implements error.
+func (e *CutError) Error() string { return fmt.Sprintf("%s cannot reach the platform", e.Client) }
+
+// Client returns a way to the store for one node.
+func (s *Store) Client(name string) *Client { return &Client{store: s, name: name} }
+
+// SetCut cuts the way or mends it; calls under way still end.
+func (c *Client) SetCut(cut bool) { c.cut.Store(cut) }
+
+// Usage returns this client's calls.
+func (c *Client) Usage() Usage { return Usage{c.usage.reads.Load(), c.usage.writes.Load()} }
+
+func (c *Client) open(op string, counter *atomic.Uint64) error {
+	if c.cut.Load() {
+		return &api.UnavailableError{Op: op, Cause: &CutError{c.name}}
+	}
+	counter.Add(1)
+	return nil
+}
+
+// Get implements platform.Table.
+func (c *Client) Get(ctx context.Context, keys ...string) ([]api.Row, error) {
+	if err := c.open("get", &c.usage.reads); err != nil {
+		return nil, err
+	}
+	return c.store.Get(ctx, keys...)
+}
+
+// List implements platform.Table.
+func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]api.Row, error) {
+	if err := c.open("list", &c.usage.reads); err != nil {
+		return nil, err
+	}
+	return c.store.List(ctx, prefix, after, limit)
+}
+
+// Commit implements platform.Table.
+func (c *Client) Commit(ctx context.Context, t api.Txn) (api.Result, error) {
+	if err := c.open("commit", &c.usage.writes); err != nil {
+		return api.Result{}, err
+	}
+	return c.store.Commit(ctx, t)
+}
+
+// PutObject implements platform.Objects.
+func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
+	if err := c.open("put object", &c.usage.writes); err != nil {
+		return err
+	}
+	return c.store.PutObject(ctx, name, data)
+}
+
+// GetObject implements platform.Objects.
+func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
+	if err := c.open("get object", &c.usage.reads); err != nil {
+		return nil, err
+	}
+	return c.store.GetObject(ctx, name)
+}
+
+// Hosts implements platform.HostList.
+func (c *Client) Hosts(ctx context.Context) ([]api.Host, time.Duration, error) {
+	if err := c.open("hosts", &c.usage.reads); err != nil {
+		return nil, 0, err
+	}
+	return c.store.Hosts(ctx)
+}
+
+// Rate implements platform.Weights.
+func (c *Client) Rate(ctx context.Context, group ids.Group) (uint64, error) {
+	if err := c.open("rate", &c.usage.reads); err != nil {
+		return 0, err
+	}
+	return c.store.Rate(ctx, group)
+}
--- /dev/null
+++ b/internal/standin/platform/store.go
@@ -0,0 +1,229 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	api "github.com/cardamomyoke/cardamomyoke/internal/platform"
+)
+
+// Limits are what the platform can carry; a call over the limit waits. Zero means no limit.
+type Limits struct {
+	ReadsPerSecond  float64
+	WritesPerSecond float64
+	// WeightBytesPerSecond is shared by all groups that load weights.
+	WeightBytesPerSecond uint64
+}
+
+// Usage counts calls since the start.
+type Usage struct {
+	Reads  uint64 `json:"reads"`
+	Writes uint64 `json:"writes"`
+}
+
+// Store is the platform in memory. It is safe for concurrent use and implements platform.Service.
+type Store struct {
+	limits Limits
+	reads  *rate.Limiter
+	writes *rate.Limiter
+
+	mu      sync.Mutex
+	faults  map[Part]Faults
+	usage   Usage
+	rows    map[string]api.Row
+	keys    []string // sorted
+	applied map[ids.Operation]api.Result
+	objects map[string][]byte
+	hosts   hostList
+}
+
+var _ api.Service = (*Store)(nil)
+
+// NewStore returns an empty store.
+func NewStore(l Limits) *Store {
+	return &Store{
+		limits:  l,
+		reads:   limiter(l.ReadsPerSecond),
+		writes:  limiter(l.WritesPerSecond),
+		faults:  map[Part]Faults{},
+		rows:    map[string]api.Row{},
+		applied: map[ids.Operation]api.Result{},
+		objects: map[string][]byte{},
+	}
+}
+
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond/10)))
+}
+
+// pace counts a call and holds it back while the platform is at its limit.
+func (s *Store) pace(ctx context.Context, p Part, write bool) error {
+	l := s.reads
+	s.mu.Lock()
+	if write {
+		l = s.writes
+		s.usage.Writes++
+	} else {
+		s.usage.Reads++
+	}
+	s.mu.Unlock()
+	if p == PartHosts || p == PartWeights {
+		return nil
+	}
+	return l.Wait(ctx)
+}
+
+// Usage returns the calls counted so far.
+func (s *Store) Usage() Usage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.usage
+}
+
+// Get implements platform.Table.
+func (s *Store) Get(ctx context.Context, keys ...string) ([]api.Row, error) {
+	rest, err := s.admitRead(ctx, PartTable)
+	if err != nil {
+		return nil, &api.UnavailableError{Op: "get", Cause: err}
+	}
+	rows := s.snapshot(keys)
+	if err := sleep(ctx, rest); err != nil {
+		return nil, &api.UnavailableError{Op: "get", Cause: err}
+	}
+	return rows, nil
+}
+
+func (s *Store) snapshot(keys []string) []api.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]api.Row, len(keys))
+	for i, k := range keys {
+		out[i] = copyRow(k, s.rows[k])
+	}
+	return out
+}
+
+func copyRow(key string, r api.Row) api.Row {
+	return api.Row{Key: key, Version: r.Version, Value: bytes.Clone(r.Value)}
+}
+
+// List implements platform.Table.
+func (s *Store) List(ctx context.Context, prefix, after string, limit int) ([]api.Row, error) {
+	rest, err := s.admitRead(ctx, PartTable)
+	if err != nil {
+		return nil, &api.UnavailableError{Op: "list", Cause: err}
+	}
+	rows := s.scan(prefix, after, limit)
+	if err := sleep(ctx, rest); err != nil {
+		return nil, &api.UnavailableError{Op: "list", Cause: err}
+	}
+	return rows, nil
+}
+
+func (s *Store) scan(prefix, after string, limit int) []api.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []api.Row
+	i, _ := slices.BinarySearch(s.keys, max(prefix, after))
+	for ; i < len(s.keys) && len(out) < limit; i++ {
+		key := s.keys[i]
+		if !strings.HasPrefix(key, prefix) {
+			break
+		}
+		if key > after {
+			out = append(out, copyRow(key, s.rows[key]))
+		}
+	}
+	return out
+}
+
+// Commit implements platform.Table.
+func (s *Store) Commit(ctx context.Context, t api.Txn) (api.Result, error) {
+	f, err := s.admitWrite(ctx, PartTable)
+	if err != nil {
+		return api.Result{}, &api.UnavailableError{Op: "commit", Cause: err}
+	}
+	t = cloneTxn(t)
+	unknown := func(cause error) (api.Result, error) {
+		return api.Result{}, &api.UnknownOutcomeError{Operation: t.Operation, Cause: cause}
+	}
+	if f.late > 0 {
+		time.AfterFunc(f.late, func() { _, _ = s.apply(t) })
+		return unknown(&LostAnswerError{PartTable})
+	}
+	if err := sleep(ctx, f.delay); err != nil {
+		// The caller has gone but its message is on the way: the write takes effect all the same.
+		time.AfterFunc(f.delay, func() { _, _ = s.apply(t) })
+		return unknown(err)
+	}
+	res, err := s.apply(t)
+	if f.lose {
+		return unknown(&LostAnswerError{PartTable})
+	}
+	if late := sleep(ctx, f.delay); late != nil {
+		return unknown(late)
+	}
+	return res, err
+}
+
+func cloneTxn(t api.Txn) api.Txn {
+	t.Checks = slices.Clone(t.Checks)
+	t.Puts = slices.Clone(t.Puts)
+	for i := range t.Puts {
+		t.Puts[i].Value = bytes.Clone(t.Puts[i].Value)
+	}
+	return t
+}
+
+// apply does the whole transaction in one step. An operation that was applied before returns its first result.
+func (s *Store) apply(t api.Txn) (api.Result, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if res, done := s.applied[t.Operation]; done && t.Operation != "" {
+		return res, nil
+	}
+	var failed []api.Row
+	for _, c := range t.Checks {
+		if s.rows[c.Key].Version != c.Version {
+			failed = append(failed, copyRow(c.Key, s.rows[c.Key]))
+		}
+	}
+	if len(failed) > 0 {
+		return api.Result{}, &api.ConflictError{Rows: failed}
+	}
+	res := api.Result{Versions: make([]uint64, len(t.Puts))}
+	for i, p := range t.Puts {
+		res.Versions[i] = s.put(p)
+	}
+	if t.Operation != "" {
+		s.applied[t.Operation] = res
+	}
+	return res, nil
+}
+
+func (s *Store) put(p api.Put) uint64 {
+	i, found := slices.BinarySearch(s.keys, p.Key)
+	if p.Value == nil {
+		if found {
+			s.keys = slices.Delete(s.keys, i, i+1)
+			delete(s.rows, p.Key)
+		}
+		return 0
+	}
+	if !found {
+		s.keys = slices.Insert(s.keys, i, p.Key)
+	}
+	row := api.Row{Key: p.Key, Version: s.rows[p.Key].Version + 1, Value: p.Value}
+	s.rows[p.Key] = row
+	return row.Version
+}
