--- /dev/null
+++ b/internal/tracing/tracing.go
@@ -0,0 +1,125 @@
+// Package tracing makes a span for each hop of a request and carries the W3C trace context between processes.
+package tracing
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+)
+
+// Options are the static settings of traces. Without an exporter no span is made.
+type Options struct {
+	// OTLP is the URL of a collector that takes OTLP over HTTP, for example http://127.0.0.1:4318/v1/traces.
+	OTLP string `yaml:"otlp"`
+	// File gets one JSON object a span.
+	File string `yaml:"file"`
+	// Ratio is the part of new traces that is kept, 0 to 1; default 1. A caller's own decision is followed.
+	Ratio *float64 `yaml:"ratio"`
+}
+
+// headerName is the field of the W3C trace context.
+const headerName = "traceparent"
+
+// Tracer makes the spans of one process.
+type Tracer struct {
+	tracer trace.Tracer
+	prop   propagation.TraceContext
+	close  func(context.Context) error
+}
+
+// New returns the tracer of the named process.
+func New(ctx context.Context, process string, o Options) (*Tracer, error) {
+	exporters, err := exportersOf(ctx, o)
+	if err != nil {
+		return nil, err
+	}
+	if len(exporters) == 0 {
+		return &Tracer{tracer: noop.NewTracerProvider().Tracer(process), close: func(context.Context) error { return nil }}, nil
+	}
+	opts := []sdktrace.TracerProviderOption{
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(ratioOf(o)))),
+		sdktrace.WithResource(resource.NewSchemaless(attribute.String("service.name", process))),
+	}
+	for _, e := range exporters {
+		opts = append(opts, sdktrace.WithBatcher(e))
+	}
+	provider := sdktrace.NewTracerProvider(opts...)
+	return &Tracer{tracer: provider.Tracer(process), close: provider.Shutdown}, nil
+}
+
+func ratioOf(o Options) float64 {
+	if o.Ratio == nil {
+		return 1
+	}
+	return *o.Ratio
+}
+
+func exportersOf(ctx context.Context, o Options) ([]sdktrace.SpanExporter, error) {
+	var list []sdktrace.SpanExporter
+	if o.OTLP != "" {
+		e, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(o.OTLP))
+		if err != nil {
+			return nil, fmt.Errorf("trace exporter: %w", err)
+		}
+		list = append(list, e)
+	}
+	if o.File != "" {
+		f, err := os.OpenFile(o.File, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+		if err != nil {
+			return nil, fmt.Errorf("trace file: %w", err)
+		}
+		e, err := stdouttrace.New(stdouttrace.WithWriter(f))
+		if err != nil {
+			return nil, fmt.Errorf("trace exporter: %w", err)
+		}
+		list = append(list, e)
+	}
+	return list, nil
+}
+
+// Close sends what is still kept.
+func (t *Tracer) Close(ctx context.Context) error { return t.close(ctx) }
+
+// Span is one hop of a request.
+type Span struct {
+	span   trace.Span
+	parent string
+}
+
+// Start begins the span of a hop; parent is the traceparent that came in, and may be empty.
+func (t *Tracer) Start(ctx context.Context, name, parent string, attrs ...attribute.KeyValue) (context.Context, Span) {
+	if parent != "" && !trace.SpanContextFromContext(ctx).IsValid() {
+		ctx = t.prop.Extract(ctx, propagation.MapCarrier{headerName: parent})
+	}
+	ctx, span := t.tracer.Start(ctx, name, trace.WithAttributes(attrs...))
+	return ctx, Span{span, parent}
+}
+
+// Header returns the traceparent for the next hop.
+func (s Span) Header() string {
+	sc := s.span.SpanContext()
+	if !sc.IsValid() {
+		return s.parent
+	}
+	return fmt.Sprintf("00-%s-%s-%s", sc.TraceID(), sc.SpanID(), sc.TraceFlags())
+}
+
+// Note adds an attribute.
+func (s Span) Note(attrs ...attribute.KeyValue) { s.span.SetAttributes(attrs...) }
+
+// End ends the span; err may be nil.
+func (s Span) End(err error) {
+	if err != nil {
+		s.span.RecordError(err)
+	}
+	s.span.End()
+}
