--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,231 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/admission/limits"
+	"github.com/cardamomyoke/cardamomyoke/internal/charts"
+	"github.com/cardamomyoke/cardamomyoke/internal/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/control"
+	"github.com/cardamomyoke/cardamomyoke/internal/digest"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
+)
+
+// Deps are the parts that an entry uses.
+type Deps struct {
+	Config config.Source
+	Logger log.Logger
+	Tracer *tracing.Tracer
+}
+
+// Entry is one running entry.
+type Entry struct {
+	settings    *Settings
+	incarnation ids.Incarnation
+	config      config.Source
+	logger      log.Logger
+	tracer      *tracing.Tracer
+	metrics     *entryMetrics
+	client      *httpclient.Client
+	limits      *limits.Limiter
+	sequence    atomic.Uint64
+	view        atomic.Pointer[view]
+	// withdrawn is set once callers are no longer sent here.
+	withdrawn atomic.Bool
+	server    *httpserver.Server
+	loop      *control.Loop
+	state     *state
+	life      charts.Machine
+	receiver  *digest.Receiver
+	sender    *digest.Sender
+	digests   uint64
+	nextSend  time.Time
+	cancel    context.CancelFunc
+}
+
+const (
+	// defaultLoops is the number of event loops of the callers' listener.
+	defaultLoops = 2
+	// tickEvery is how often the control loop judges health and publishes a view.
+	tickEvery = 25 * time.Millisecond
+	// defaultDigestEvery is the time between two digests of this entry.
+	defaultDigestEvery = 250 * time.Millisecond
+)
+
+// Events and actions of the entry chart.
+const (
+	eventConfigured   charts.Event = "configured"
+	eventStale        charts.Event = "stale"
+	eventFresh        charts.Event = "fresh"
+	eventLeave        charts.Event = "leave"
+	eventHandoverOver charts.Event = "handover-over"
+	eventDrained      charts.Event = "drained"
+
+	actionWithdraw charts.Action = "withdraw-address"
+
+	stateServing charts.State = "serving"
+	stateLeaving charts.State = "leaving"
+)
+
+// Start opens the entry's listeners. It serves once the configuration is known.
+func Start(set *Settings, d Deps) (*Entry, error) {
+	now := time.Now()
+	e := &Entry{
+		settings:    set,
+		incarnation: ids.NewIncarnation(),
+		config:      d.Config,
+		logger:      log.With(d.Logger, "node", set.Name),
+		tracer:      d.Tracer,
+		metrics:     newEntryMetrics(),
+		client:      httpclient.New(httpclient.Options{}),
+		limits:      limits.New(limits.Defaults(), 1),
+		loop:        control.New(),
+		life:        charts.MustLoad("entry").Start(),
+	}
+	e.state = newState(set, d.Config, e.logger, now)
+	e.view.Store(&view{})
+	if err := e.listen(); err != nil {
+		return nil, fmt.Errorf("entry %s: %w", set.Name, err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	go e.loop.Run(ctx, tickEvery, e.tick)
+	_ = level.Info(e.logger).Log("msg", "entry listens", "http", set.HTTP.Address, "incarnation", e.incarnation)
+	return e, nil
+}
+
+func (e *Entry) listen() error {
+	var err error
+	e.sender, err = digest.NewSender()
+	if err != nil {
+		return err
+	}
+	e.receiver, err = digest.Receive(e.settings.Digests.Address, func(d *cardamomyokev1.Digest) {
+		e.loop.Post(func(now time.Time) { e.state.hear(d, now) })
+	})
+	if err != nil {
+		_ = e.sender.Close()
+		return err
+	}
+	loops := e.settings.HTTP.Loops
+	if loops == 0 {
+		loops = defaultLoops
+	}
+	e.server, err = httpserver.Start(e.settings.HTTP.Address, loops, e.settings.HTTP.Limits, e.serve)
+	if err != nil {
+		_ = e.receiver.Stop(context.Background())
+		_ = e.sender.Close()
+	}
+	return err
+}
+
+// tick runs on the control loop.
+func (e *Entry) tick(now time.Time) {
+	e.adoptConfig(now)
+	e.state.tick(now)
+	e.publish(now)
+	for _, p := range e.view.Load().pools {
+		p.gate.Tick(now)
+	}
+	if now.After(e.nextSend) {
+		e.nextSend = now.Add(e.settings.Digests.Every.Or(defaultDigestEvery))
+		e.sendDigests(now)
+	}
+}
+
+// adoptConfig follows the configuration in force and whether this entry can know it.
+func (e *Entry) adoptConfig(now time.Time) {
+	snap := e.config.Current()
+	if snap == nil {
+		return
+	}
+	if snap != e.state.snapshot {
+		e.state.adopt(snap)
+		e.limits.SetLimits(limitsOf(snap))
+		_ = level.Info(e.logger).Log("msg", "configuration in force", "revision", snap.Revision())
+	}
+	e.limits.SetEntries(len(e.state.peers) + 1)
+	e.fire(eventConfigured)
+	if e.config.Fresh(now) {
+		e.fire(eventFresh)
+	} else {
+		e.fire(eventStale)
+	}
+}
+
+func limitsOf(snap *config.Snapshot) map[ids.Client]limits.Limit {
+	out := map[ids.Client]limits.Limit{}
+	for _, c := range snap.Proto.GetClients() {
+		l := limits.Limit{RequestsPerSecond: float64(c.GetRequestsPerS()), TokensPerSecond: float64(c.GetTokensPerS())}
+		if l != (limits.Limit{}) {
+			out[ids.Client(c.GetName())] = l
+		}
+	}
+	return out
+}
+
+// fire applies an event to the entry's life; it runs on the control loop.
+func (e *Entry) fire(ev charts.Event) {
+	before := e.life.State()
+	actions, err := e.life.Fire(ev)
+	if err != nil {
+		_ = level.Error(e.logger).Log("msg", "entry chart", "err", err)
+		return
+	}
+	for _, a := range actions {
+		if a == actionWithdraw {
+			e.withdrawn.Store(true)
+		}
+	}
+	if after := e.life.State(); after != before {
+		_ = level.Info(e.logger).Log("msg", "entry changed", "from", before, "to", after)
+	}
+}
+
+func (e *Entry) publish(now time.Time) {
+	life := e.life.State()
+	e.view.Store(e.state.build(life == stateServing || life == stateLeaving, now))
+}
+
+// sendDigests tells all other entries and all slots of this entry.
+func (e *Entry) sendDigests(now time.Time) {
+	e.digests++
+	d := e.ownDigest()
+	for _, address := range e.state.digestTargets() {
+		if _, err := e.sender.Send(address, d); err != nil {
+			_ = level.Debug(e.logger).Log("msg", "digest not sent", "to", address, "err", err)
+		}
+	}
+}
+
+func (e *Entry) ownDigest() *cardamomyokev1.Digest {
+	state := cardamomyokev1.NodeState_NODE_STATE_LIVE
+	if e.withdrawn.Load() || e.life.State() != stateServing {
+		state = cardamomyokev1.NodeState_NODE_STATE_LEAVING
+	}
+	d := &cardamomyokev1.Digest{
+		Node:           e.settings.Name,
+		Incarnation:    string(e.incarnation),
+		Sequence:       e.digests,
+		Role:           cardamomyokev1.NodeRole_NODE_ROLE_ENTRY,
+		State:          state,
+		DataCentre:     string(e.settings.DataCentre),
+		HttpAddress:    e.settings.HTTP.Address,
+		ControlAddress: e.settings.Control.Address,
+		DigestAddress:  e.settings.Digests.Address,
+	}
+	if e.state.snapshot != nil {
+		d.Revision = uint64(e.state.snapshot.Revision())
+	}
+	return d
+}
--- /dev/null
+++ b/internal/entry/model.go
@@ -0,0 +1,172 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/attempt"
+	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/routing"
+)
+
+// modelAnswer follows one caller's answer over all attempts.
+type modelAnswer struct {
+	x       *httpserver.Exchange
+	r       *request
+	text    strings.Builder
+	tokens  int
+	finish  string
+	begun   bool
+	started time.Time
+	last    time.Time
+	metrics *entryMetrics
+}
+
+// tryModel runs one attempt and delivers its tokens. It returns nil once the answer is whole.
+func (e *Entry) tryModel(ctx context.Context, v *view, c routing.Choice, m *modelAnswer, trace string) error {
+	body, err := m.body()
+	if err != nil {
+		return err
+	}
+	t := e.newTry(m.r, v, c, body, m.tokens, trace)
+	defer t.flight.End()
+	answer, err := e.send(ctx, t)
+	if err != nil {
+		return err
+	}
+	whole := false
+	defer func() { answer.Release(whole) }()
+	err = e.follow(ctx, t, m, answer)
+	whole = err == nil
+	if whole {
+		c.Upstream.Cached.Add(m.r.blocks...)
+	}
+	return err
+}
+
+// body is the caller's body, and after a broken attempt also what was delivered, so that the engine can go on from it.
+func (m *modelAnswer) body() ([]byte, error) {
+	if m.tokens == 0 {
+		return m.r.body, nil
+	}
+	fields := map[string]json.RawMessage{}
+	if err := json.Unmarshal(m.r.body, &fields); err != nil {
+		return nil, failure.New(failure.CodeInternal, err)
+	}
+	text, err := json.Marshal(m.text.String())
+	if err != nil {
+		return nil, failure.New(failure.CodeInternal, err)
+	}
+	fields["resume_text"] = text
+	body, err := json.Marshal(fields)
+	if err != nil {
+		return nil, failure.New(failure.CodeInternal, err)
+	}
+	return body, nil
+}
+
+// follow delivers the tokens of one attempt. Errors: *failure.Error, *httpserver.GoneError.
+func (e *Entry) follow(ctx context.Context, t *try, m *modelAnswer, answer *httpclient.Answer) error {
+	f := attempt.NewFollower(t.id, m.tokens)
+	for ev, err := range sse.Read(answer.Body, nil) {
+		if err != nil {
+			return failure.New(afterEnd(ctx), err)
+		}
+		event, err := f.Accept([]byte(ev.Data))
+		if err != nil {
+			e.metrics.mismatches.Inc()
+			return failure.New(failure.CodeUpstreamFailed, err)
+		}
+		if event.Failure != "" {
+			return failure.New(failure.CodeUpstreamFailed, nil)
+		}
+		if event.Last() {
+			m.finish = event.Finish
+			return nil
+		}
+		t.flight.Token(1)
+		if err := m.deliver(ctx, event.Text); err != nil {
+			return err
+		}
+	}
+	return failure.New(afterEnd(ctx), &CutError{m.tokens})
+}
+
+// CutError says that an answer ended before its last token.
+type CutError struct{ Tokens int }
+
+// Error implements error.
+func (e *CutError) Error() string { return fmt.Sprintf("answer cut off after %d tokens", e.Tokens) }
+
+// deliver gives one token to the caller.
+func (m *modelAnswer) deliver(ctx context.Context, text string) error {
+	m.note(time.Now())
+	m.text.WriteString(text)
+	m.tokens++
+	if !m.r.chat.Stream {
+		return nil
+	}
+	if err := m.begin(); err != nil {
+		return err
+	}
+	return m.x.Write(ctx, m.chunk(text, ""))
+}
+
+func (m *modelAnswer) note(now time.Time) {
+	if m.tokens == 0 {
+		m.metrics.firstToken.Update(now.Sub(m.started).Seconds())
+	} else {
+		m.metrics.betweenTokens.Update(now.Sub(m.last).Seconds())
+	}
+	m.last = now
+}
+
+func (m *modelAnswer) begin() error {
+	if m.begun {
+		return nil
+	}
+	m.begun = true
+	return m.x.Stream(fasthttp.StatusOK, []httpserver.Header{
+		{Name: "Content-Type", Value: "text/event-stream"},
+		{Name: "Cache-Control", Value: "no-store"},
+		{Name: headerRequest, Value: m.r.id},
+	})
+}
+
+// complete ends a whole answer.
+func (m *modelAnswer) complete(ctx context.Context) error {
+	if !m.r.chat.Stream {
+		return m.x.Respond(fasthttp.StatusOK, []httpserver.Header{
+			{Name: "Content-Type", Value: "application/json"},
+			{Name: headerRequest, Value: m.r.id},
+		}, m.document())
+	}
+	if err := m.begin(); err != nil {
+		return err
+	}
+	last := append(m.chunk("", m.finish), attempt.Frame([]byte("[DONE]"))...)
+	if err := m.x.Write(ctx, last); err != nil {
+		return err
+	}
+	return m.x.End()
+}
+
+// fail ends a stream that was begun with a typed error in place of the end marker, so that nobody takes the part for
+// the whole.
+func (m *modelAnswer) fail(ctx context.Context, f *failure.Error) {
+	body, err := json.Marshal(httpserver.FailureBody{Error: httpserver.DetailOf(f)})
+	if err != nil {
+		return
+	}
+	if err := m.x.Write(ctx, attempt.Frame(body)); err == nil {
+		_ = m.x.End()
+	}
+}
--- /dev/null
+++ b/internal/entry/plain.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"context"
+	"io"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/routing"
+)
+
+// plainAnswer is a plain service's whole answer.
+type plainAnswer struct {
+	status int
+	mime   string
+	body   []byte
+}
+
+// tryPlain runs one attempt at a plain service and returns its answer once it is whole.
+func (e *Entry) tryPlain(ctx context.Context, v *view, c routing.Choice, r *request, trace string) (*plainAnswer, error) {
+	t := e.newTry(r, v, c, r.body, 0, trace)
+	defer t.flight.End()
+	answer, err := e.send(ctx, t)
+	if err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		answer.Release(false)
+		return nil, failure.New(afterEnd(ctx), err)
+	}
+	out := &plainAnswer{answer.Header.StatusCode(), string(answer.Header.ContentType()), body}
+	answer.Release(true)
+	return out, nil
+}
+
+func (a *plainAnswer) respond(x *httpserver.Exchange, r *request) error {
+	return x.Respond(a.status, []httpserver.Header{
+		{Name: "Content-Type", Value: a.mime},
+		{Name: headerRequest, Value: r.id},
+	}, a.body)
+}
--- /dev/null
+++ b/internal/entry/state.go
@@ -0,0 +1,327 @@
+package entry
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/admission"
+	"github.com/cardamomyoke/cardamomyoke/internal/config"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/health"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/retry"
+	"github.com/cardamomyoke/cardamomyoke/internal/routing"
+	"github.com/cardamomyoke/cardamomyoke/internal/routing/expectedwait"
+	"github.com/cardamomyoke/cardamomyoke/internal/routing/prefix"
+)
+
+// state is what the control loop owns. Nothing else touches it.
+type state struct {
+	settings  *Settings
+	config    config.Source
+	logger    log.Logger
+	tracker   *health.Tracker
+	upstreams map[ids.Upstream]*upstream
+	peers     map[ids.Node]*peer
+	pools     map[ids.Service]*pool
+	snapshot  *config.Snapshot
+}
+
+// upstream is the newest digest of a slot with what outlives it.
+type upstream struct {
+	digest  *cardamomyokev1.Digest
+	heardAt time.Time
+	work    *routing.Work
+	cached  *prefix.Table
+}
+
+// peer is the newest digest of another entry.
+type peer struct {
+	digest  *cardamomyokev1.Digest
+	heardAt time.Time
+}
+
+const (
+	// cachedBlocks is how many prompt blocks are remembered for one upstream.
+	cachedBlocks = 8192
+	// peerSilentAfter is how long another entry may be silent before callers are no longer sent to it.
+	peerSilentAfter = 2 * time.Second
+	// farAway stands for the distance to a data centre that the settings do not name.
+	farAway = 40 * time.Millisecond
+)
+
+func newState(set *Settings, source config.Source, logger log.Logger, now time.Time) *state {
+	return &state{
+		settings:  set,
+		config:    source,
+		logger:    logger,
+		tracker:   health.New(health.Defaults(), now),
+		upstreams: map[ids.Upstream]*upstream{},
+		peers:     map[ids.Node]*peer{},
+		pools:     map[ids.Service]*pool{},
+	}
+}
+
+// hear takes in a digest; older ones of the same life are dropped.
+func (s *state) hear(d *cardamomyokev1.Digest, now time.Time) {
+	switch d.GetRole() {
+	case cardamomyokev1.NodeRole_NODE_ROLE_SLOT:
+		s.hearSlot(d, now)
+	case cardamomyokev1.NodeRole_NODE_ROLE_ENTRY:
+		s.hearEntry(d, now)
+	}
+}
+
+func (s *state) hearSlot(d *cardamomyokev1.Digest, now time.Time) {
+	id := ids.Upstream(d.GetNode())
+	u, ok := s.upstreams[id]
+	if !ok {
+		u = &upstream{work: &routing.Work{}, cached: prefix.NewTable(cachedBlocks)}
+		s.upstreams[id] = u
+	}
+	if !newer(u.digest, d) {
+		return
+	}
+	if u.digest.GetIncarnation() != d.GetIncarnation() {
+		u.cached.Clear()
+	}
+	u.digest = d
+	u.heardAt = now
+	s.tracker.Apply(heardOf(d), now)
+}
+
+func heardOf(d *cardamomyokev1.Digest) health.Heard {
+	return health.Heard{
+		Upstream:    ids.Upstream(d.GetNode()),
+		Service:     ids.Service(d.GetSlot().GetService()),
+		Incarnation: ids.Incarnation(d.GetIncarnation()),
+		Leaving:     d.GetState() == cardamomyokev1.NodeState_NODE_STATE_LEAVING,
+		Steps:       d.GetSlot().GetSteps(),
+		Running:     int(d.GetSlot().GetTotal().GetRunning()),
+		StepTime:    time.Duration(d.GetSlot().GetStepTimeUs()) * time.Microsecond,
+	}
+}
+
+func (s *state) hearEntry(d *cardamomyokev1.Digest, now time.Time) {
+	if d.GetNode() == s.settings.Name {
+		return
+	}
+	id := ids.Node(d.GetNode())
+	if p, ok := s.peers[id]; ok && !newer(p.digest, d) {
+		return
+	}
+	s.peers[id] = &peer{d, now}
+}
+
+// newer orders digests. Incarnations sort by time of birth, so a late digest of an earlier life never replaces one of
+// a later life.
+func newer(old, d *cardamomyokev1.Digest) bool {
+	if old.GetIncarnation() != d.GetIncarnation() {
+		return old.GetIncarnation() < d.GetIncarnation()
+	}
+	return d.GetSequence() > old.GetSequence()
+}
+
+// adopt takes over a configuration. Pools live on with their queues, unless the classes changed; what waits in an old
+// queue is still answered from there.
+func (s *state) adopt(snap *config.Snapshot) {
+	old := s.snapshot
+	s.snapshot = snap
+	s.tracker.SetEjectionPercent(int(snap.Proto.GetPolicies().GetEjectionPercent()))
+	if old != nil && !sameClasses(old, snap) {
+		clear(s.pools)
+	}
+}
+
+func sameClasses(a, b *config.Snapshot) bool {
+	return slices.EqualFunc(a.Proto.GetClasses(), b.Proto.GetClasses(), func(x, y *cardamomyokev1.PriorityClass) bool {
+		return proto.Equal(x, y)
+	})
+}
+
+// digestTargets are the digest addresses of all that this entry tells of itself.
+func (s *state) digestTargets() []string {
+	targets := map[string]bool{}
+	for _, seed := range s.settings.Digests.Seeds {
+		targets[seed] = true
+	}
+	for _, p := range s.peers {
+		targets[p.digest.GetDigestAddress()] = true
+	}
+	for _, u := range s.upstreams {
+		targets[u.digest.GetDigestAddress()] = true
+	}
+	delete(targets, s.settings.Digests.Address)
+	return slices.Sorted(maps.Keys(targets))
+}
+
+// tick judges health and forgets who is long silent.
+func (s *state) tick(now time.Time) {
+	for _, c := range s.tracker.Evaluate(now) {
+		_ = level.Info(s.logger).Log("msg", "upstream changed", "upstream", c.Upstream, "from", c.From, "to", c.To, "reason", c.Reason)
+	}
+	for id := range s.upstreams {
+		if _, known := s.tracker.Status(id, now); !known {
+			delete(s.upstreams, id)
+		}
+	}
+	for id, p := range s.peers {
+		if now.Sub(p.heardAt) > 10*peerSilentAfter {
+			delete(s.peers, id)
+		}
+	}
+}
+
+// build makes the view from the present state.
+func (s *state) build(serving bool, now time.Time) *view {
+	v := &view{
+		config:       s.snapshot,
+		serving:      serving && s.snapshot != nil,
+		pools:        map[ids.Service]*pool{},
+		addresses:    s.addresses(now),
+		incarnations: map[ids.Upstream]ids.Incarnation{},
+	}
+	if s.snapshot == nil {
+		return v
+	}
+	for id, u := range s.upstreams {
+		v.incarnations[id] = ids.Incarnation(u.digest.GetIncarnation())
+	}
+	for _, service := range s.snapshot.Proto.GetServices() {
+		v.pools[ids.Service(service.GetName())] = s.pool(service, now)
+	}
+	return v
+}
+
+// pool returns the service's pool with a new picker and capacity; gate and budget live on from view to view.
+func (s *state) pool(service *cardamomyokev1.Service, now time.Time) *pool {
+	name := ids.Service(service.GetName())
+	list := s.routes(name, now)
+	old, ok := s.pools[name]
+	if !ok {
+		old = s.newPool(service)
+		s.pools[name] = old
+	}
+	next := &pool{
+		picker:   expectedwait.New(list, expectedwait.Defaults()),
+		gate:     old.gate,
+		budget:   old.budget,
+		stepTime: meanStepTime(list),
+	}
+	next.budget.SetPercent(int(service.GetRetryBudgetPercent()))
+	next.gate.SetCapacity(s.capacity(list, next.stepTime))
+	s.pools[name] = next
+	return next
+}
+
+func (s *state) newPool(service *cardamomyokev1.Service) *pool {
+	return &pool{
+		gate:   admission.NewGate(admission.NewQueue(s.queueOptions(), admission.Capacity{})),
+		budget: retry.NewBudget(int(service.GetRetryBudgetPercent())),
+	}
+}
+
+func (s *state) queueOptions() admission.Options {
+	share := func(c ids.Client) int { return int(s.config.Current().Client(c).GetShare()) }
+	o := admission.Options{Reserve: admission.DefaultReserve, Share: share}
+	for _, c := range s.snapshot.Proto.GetClasses() {
+		o.Classes = append(o.Classes, admission.Class{
+			Name: c.GetName(), Rank: int(c.GetRank()), QueueLimit: int(c.GetQueueLimit()),
+		})
+	}
+	return o
+}
+
+// routes returns the service's upstreams, sorted by name.
+func (s *state) routes(service ids.Service, now time.Time) []*routing.Upstream {
+	var list []*routing.Upstream
+	for _, id := range slices.Sorted(maps.Keys(s.upstreams)) {
+		u := s.upstreams[id]
+		if ids.Service(u.digest.GetSlot().GetService()) == service {
+			list = append(list, s.route(id, u, now))
+		}
+	}
+	return list
+}
+
+func (s *state) route(id ids.Upstream, u *upstream, now time.Time) *routing.Upstream {
+	status, _ := s.tracker.Status(id, now)
+	load := u.digest.GetSlot()
+	return &routing.Upstream{
+		ID:         id,
+		DataCentre: ids.DataCentre(u.digest.GetDataCentre()),
+		Address:    u.digest.GetHttpAddress(),
+		Weight:     status.Weight,
+		Batch:      int(load.GetBatch()),
+		Distance:   s.distance(ids.DataCentre(u.digest.GetDataCentre())),
+		Load: routing.Load{
+			TakenAt:         u.heardAt,
+			Total:           countsOf(load.GetTotal()),
+			Yours:           countsOf(load.GetYours()),
+			StepTime:        time.Duration(load.GetStepTimeUs()) * time.Microsecond,
+			PromptTokenTime: time.Duration(load.GetPromptTokenNs()),
+		},
+		Versions: load.GetVersions(),
+		Adapters: load.GetAdapters(),
+		Work:     u.work,
+		Cached:   u.cached,
+	}
+}
+
+func countsOf(c *cardamomyokev1.WorkCounts) routing.Counts {
+	return routing.Counts{
+		Waiting:      int(c.GetWaiting()),
+		Running:      int(c.GetRunning()),
+		PromptTokens: int(c.GetPromptTokens()),
+		OutputTokens: int(c.GetOutputTokens()),
+	}
+}
+
+func (s *state) distance(dc ids.DataCentre) time.Duration {
+	if dc == s.settings.DataCentre {
+		return 0
+	}
+	d, ok := s.settings.DataCentres[dc]
+	if !ok {
+		return farAway
+	}
+	return d.Std()
+}
+
+func meanStepTime(list []*routing.Upstream) float64 {
+	sum := 0.0
+	n := 0
+	for _, u := range list {
+		if u.Load.StepTime > 0 {
+			sum += u.Load.StepTime.Seconds()
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / float64(n)
+}
+
+// capacity is what this entry may have started at once: the places that other entries leave free, but at least its
+// even part, so that an entry is never starved by the others.
+func (s *state) capacity(list []*routing.Upstream, stepTime float64) admission.Capacity {
+	entries := float64(len(s.peers) + 1)
+	total, free := 0.0, 0.0
+	for _, u := range list {
+		usable := u.Weight * float64(u.Batch)
+		total += usable
+		free += max(0, usable-float64(u.Load.Others().Requests()))
+	}
+	places := max(1, int(max(free, total/entries)))
+	c := admission.Capacity{Places: places}
+	if stepTime > 0 {
+		c.TokensPerSecond = float64(places) / stepTime
+	}
+	return c
+}
--- /dev/null
+++ b/internal/entry/view.go
@@ -0,0 +1,31 @@
+package entry
+
+import (
+	"github.com/cardamomyoke/cardamomyoke/internal/admission"
+	"github.com/cardamomyoke/cardamomyoke/internal/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/retry"
+	"github.com/cardamomyoke/cardamomyoke/internal/routing"
+)
+
+// view is what requests see of the entry's control state. It is immutable, but for the gates and budgets that its
+// pools point to, which have locks of their own.
+type view struct {
+	config *config.Snapshot
+	// serving says that new work is taken.
+	serving bool
+	pools   map[ids.Service]*pool
+	// addresses are those that callers may use, best first; see addresses.go.
+	addresses []string
+	// incarnations name the life of each slot that the view was built from.
+	incarnations map[ids.Upstream]ids.Incarnation
+}
+
+// pool is what one service's requests go through.
+type pool struct {
+	picker routing.Picker
+	gate   *admission.Gate
+	budget *retry.Budget
+	// stepTime is the mean time of a step in the pool, in seconds; 0 if it is not known.
+	stepTime float64
+}
--- /dev/null
+++ b/internal/slot/handler.go
@@ -0,0 +1,165 @@
+package slot
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/attempt"
+	"github.com/cardamomyoke/cardamomyoke/internal/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+// job is one attempt on its way through the slot.
+type job struct {
+	attempt.Header
+	service *cardamomyokev1.Service
+	body    []byte
+	mime    string
+}
+
+func (s *Slot) serve(ctx context.Context, x *httpserver.Exchange) {
+	switch string(x.Req.URI().Path()) {
+	case attempt.PathRun:
+		s.serveRun(ctx, x)
+	case attempt.PathFence:
+		s.serveFence(x)
+	default:
+		x.Fail(failure.New(failure.CodeUnknownService, nil).WithProof(failure.ProofRefusedBeforeStart))
+	}
+}
+
+func (s *Slot) serveFence(x *httpserver.Exchange) {
+	id, err := ids.ParseAttempt(string(x.Req.Header.Peek(attempt.HeaderAttempt)))
+	if err != nil {
+		x.Fail(failure.New(failure.CodeMalformed, err))
+		return
+	}
+	// An earlier life of this slot may have started the attempt and forgotten it, so only this life's attempts can be
+	// promised. Otherwise the caller would be told "not run" of a request that ran before the restart.
+	mine := string(x.Req.Header.Peek(attempt.HeaderIncarnation)) == string(s.incarnation)
+	code := fasthttp.StatusConflict
+	if mine && s.table.Fence(id, time.Now()) {
+		code = fasthttp.StatusOK
+	}
+	s.metrics.fences.Inc()
+	_ = x.Respond(code, []httpserver.Header{{Name: attempt.HeaderAttempt, Value: id.String()}}, nil)
+}
+
+func (s *Slot) serveRun(ctx context.Context, x *httpserver.Exchange) {
+	h, err := attempt.Read(&x.Req.Header)
+	if err != nil {
+		x.Fail(failure.New(failure.CodeMalformed, err).WithProof(failure.ProofRefusedBeforeStart))
+		return
+	}
+	ctx, span := s.tracer.Start(ctx, "slot run", h.Trace, attribute.String("attempt", h.Attempt.String()))
+	h.Trace = span.Header()
+	ctx, cancel := context.WithTimeout(ctx, h.Remaining)
+	defer cancel()
+	j := &job{Header: h, body: x.Req.Body(), mime: string(x.Req.Header.ContentType())}
+	err = s.run(ctx, x, j)
+	span.End(err)
+	s.metrics.answered(err)
+	if err != nil && !x.Answered() {
+		x.Fail(failure.From(err), own(h.Attempt))
+	}
+}
+
+// own is the header field that marks an answer as the one to its attempt.
+func own(a ids.Attempt) httpserver.Header {
+	return httpserver.Header{Name: attempt.HeaderAttempt, Value: a.String()}
+}
+
+// run refuses before the start or runs; everything before table.Begin is a refusal with proof.
+func (s *Slot) run(ctx context.Context, x *httpserver.Exchange, j *job) error {
+	if err := s.admit(j, time.Now()); err != nil {
+		return err
+	}
+	if !j.service.GetRepeatable() {
+		return s.runOnce(ctx, x, j)
+	}
+	if err := s.begin(j); err != nil {
+		return err
+	}
+	defer func() { s.table.Finish(j.Attempt, time.Now()) }()
+	return s.forward(ctx, x, j)
+}
+
+// begin marks the attempt as started; a fenced or doubled one is refused.
+func (s *Slot) begin(j *job) error {
+	err := s.table.Begin(j.Attempt, time.Now())
+	if err == nil {
+		return nil
+	}
+	return refuse(failure.CodeNoUpstream, fmt.Errorf("begin: %w", err))
+}
+
+func (s *Slot) forward(ctx context.Context, x *httpserver.Exchange, j *job) error {
+	if s.settings.Upstream.Kind == KindModel {
+		return s.forwardModel(ctx, x, j)
+	}
+	return s.forwardPlain(ctx, x, j)
+}
+
+// refuse is a refusal of an attempt that this slot has not handed to its upstream.
+func refuse(code failure.Code, cause error) *failure.Error {
+	return failure.New(code, cause).WithProof(failure.ProofRefusedBeforeStart)
+}
+
+// IncarnationError says that an attempt was meant for an earlier life of this slot.
+type IncarnationError struct{ Got, Want ids.Incarnation }
+
+// Error implements error.
+func (e *IncarnationError) Error() string {
+	return fmt.Sprintf("meant for incarnation %s, this is %s", e.Got, e.Want)
+}
+
+// RevisionError says that an entry acted on another configuration than the one in force here.
+type RevisionError struct{ Got, InForce ids.Revision }
+
+// Error implements error.
+func (e *RevisionError) Error() string {
+	return fmt.Sprintf("decided on revision %d, in force is %d", e.Got, e.InForce)
+}
+
+// admit checks all that must hold before an attempt may start.
+func (s *Slot) admit(j *job, now time.Time) error {
+	if s.leaving.Load() {
+		return refuse(failure.CodeStopping, nil)
+	}
+	// A slot that restarted has forgotten which attempts it fenced; one meant for its earlier life may be among them.
+	if j.Incarnation != s.incarnation {
+		return refuse(failure.CodeNoUpstream, &IncarnationError{j.Incarnation, s.incarnation})
+	}
+	snap, err := s.configFor(j.Revision, now)
+	if err != nil {
+		return err
+	}
+	j.service = snap.Service(j.Service)
+	if j.service == nil || j.Service != s.settings.Service {
+		return refuse(failure.CodeUnknownService, nil)
+	}
+	if j.Remaining <= 0 {
+		return refuse(failure.CodeDeadlineUnmet, nil)
+	}
+	return nil
+}
+
+// configFor returns the configuration in force. Work decided on an older one is refused: a paused entry that wakes up
+// may still act on what an operator has already replaced, and the caller would get an answer under the old decision.
+func (s *Slot) configFor(r ids.Revision, now time.Time) (*config.Snapshot, error) {
+	snap := s.config.Current()
+	if snap == nil || !s.config.Fresh(now) {
+		return nil, refuse(failure.CodeStaleRevision, nil)
+	}
+	if r < snap.Revision() {
+		return nil, refuse(failure.CodeStaleRevision, &RevisionError{r, snap.Revision()})
+	}
+	return snap, nil
+}
--- /dev/null
+++ b/internal/slot/metrics.go
@@ -0,0 +1,28 @@
+package slot
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+)
+
+// slotMetrics are the counters of one slot; docs/operations.md explains them.
+type slotMetrics struct {
+	set    *metrics.Set
+	fences *metrics.Counter
+}
+
+func newSlotMetrics() *slotMetrics {
+	set := metrics.NewSet()
+	return &slotMetrics{set: set, fences: set.NewCounter("cardamomyoke_slot_fences_total")}
+}
+
+func (m *slotMetrics) answered(err error) {
+	code := "ok"
+	if err != nil {
+		code = string(failure.CodeOf(err))
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_slot_attempts_total{code=%q}", code)).Inc()
+}
--- /dev/null
+++ b/internal/slot/model.go
@@ -0,0 +1,259 @@
+package slot
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/attempt"
+	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/routing"
+)
+
+// The engine's protocol: an OpenAI-style completion with these header fields besides.
+const (
+	enginePath         = "/v1/chat/completions"
+	engineHeaderID     = "X-Request-Id"
+	engineHeaderRank   = "X-Priority"
+	engineHeaderResume = "X-Resume-Tokens"
+	engineDone         = "[DONE]"
+	bytesPerToken      = 4
+	defaultStopAfter   = 2 * time.Second
+)
+
+// engineChunk is one event of an engine's answer.
+type engineChunk struct {
+	ID      string `json:"id"`
+	Index   int    `json:"token_index"`
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+}
+
+// StalledError says that the engine sent nothing for too long.
+type StalledError struct{ After time.Duration }
+
+// Error implements error.
+func (e *StalledError) Error() string { return fmt.Sprintf("engine sent nothing for %v", e.After) }
+
+// forwardModel runs an attempt on the engine and passes its tokens on. The context of the engine's request ends when
+// the entry goes away, which closes the connection, which cancels the request in the engine.
+func (s *Slot) forwardModel(ctx context.Context, x *httpserver.Exchange, j *job) error {
+	flight := s.work.start(j.Attempt.Entry, estimateOf(j), time.Now())
+	defer flight.End()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	sent := time.Now()
+	answer, err := s.client.Do(ctx, s.settings.Upstream.Address, engineRequest(j))
+	if err != nil {
+		return s.upstreamError(ctx, err)
+	}
+	trusted := false
+	defer func() { answer.Release(trusted) }()
+	if code := answer.Header.StatusCode(); code != fasthttp.StatusOK {
+		return engineStatus(code)
+	}
+	relay := &modelRelay{x: x, job: j, flight: flight, speed: &s.speed, steps: &s.steps, last: sent, after: s.settings.Upstream.StopAfter.Or(defaultStopAfter)}
+	relay.watch = relay.stallTimer(cancel)
+	defer relay.watch.Stop()
+	err = relay.all(ctx, answer)
+	trusted = err == nil
+	if err != nil {
+		err = errors.Join(err, context.Cause(ctx))
+	}
+	return err
+}
+
+// stallTimer ends an answer whose engine sends nothing for too long; it starts with the first token, since before it
+// the request may be waiting for its place.
+func (r *modelRelay) stallTimer(cancel context.CancelCauseFunc) *time.Timer {
+	t := time.AfterFunc(r.after, func() { cancel(&StalledError{r.after}) })
+	t.Stop()
+	return t
+}
+
+func estimateOf(j *job) routing.Estimate {
+	return routing.Estimate{PromptTokens: len(j.body) / bytesPerToken}
+}
+
+func engineRequest(j *job) *fasthttp.Request {
+	req := &fasthttp.Request{}
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI(enginePath)
+	req.Header.SetHost("engine")
+	req.Header.SetContentType("application/json")
+	req.Header.Set(engineHeaderID, j.Attempt.String())
+	req.Header.Set(engineHeaderRank, strconv.Itoa(int(j.Rank)))
+	req.Header.Set(engineHeaderResume, strconv.Itoa(j.Resume))
+	if j.Trace != "" {
+		req.Header.Set(attempt.HeaderTrace, j.Trace)
+	}
+	req.SetBodyRaw(j.body)
+	return req
+}
+
+// engineStatus is the failure for an engine's answer that is no stream. A 4xx is the engine's word that the request is
+// wrong; it did not run.
+func engineStatus(code int) error {
+	cause := &StatusError{code}
+	if code == fasthttp.StatusServiceUnavailable || code == fasthttp.StatusTooManyRequests {
+		return refuse(failure.CodeOverloaded, cause)
+	}
+	if code >= 400 && code < 500 {
+		return refuse(failure.CodeMalformed, cause)
+	}
+	return failure.New(failure.CodeUpstreamFailed, cause)
+}
+
+// StatusError is an upstream's answer with a status that is no success.
+type StatusError struct{ Status int }
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("upstream answered with status %d", e.Status)
+}
+
+// upstreamError tells whether the upstream can have begun to run the request.
+func (s *Slot) upstreamError(ctx context.Context, err error) error {
+	var dial *httpclient.DialError
+	if errors.As(err, &dial) {
+		return refuse(failure.CodeNoUpstream, err)
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return failure.New(failure.CodeDeadlinePassed, err)
+	}
+	return failure.New(failure.CodeUpstreamFailed, err)
+}
+
+// modelRelay passes the events of one engine answer on to the entry.
+type modelRelay struct {
+	x      *httpserver.Exchange
+	job    *job
+	flight *routing.Flight
+	speed  *speed
+	steps  *atomic.Uint64
+	last   time.Time
+	watch  *time.Timer
+	after  time.Duration
+	next   int
+	begun  bool
+}
+
+func (r *modelRelay) all(ctx context.Context, answer *httpclient.Answer) error {
+	r.next = r.job.Resume
+	for ev, err := range sse.Read(answer.Body, nil) {
+		if err != nil {
+			return r.broken(err)
+		}
+		if ev.Data == engineDone {
+			return r.broken(nil)
+		}
+		last, err := r.one(ctx, []byte(ev.Data))
+		if err != nil {
+			return r.broken(err)
+		}
+		if last {
+			return r.finish(answer)
+		}
+	}
+	return r.broken(&CutError{r.next})
+}
+
+// CutError says that an engine's answer ended before its last token.
+type CutError struct{ Tokens int }
+
+// Error implements error.
+func (e *CutError) Error() string { return fmt.Sprintf("answer cut off after %d tokens", e.Tokens) }
+
+// one passes one token on; it reports whether that was the end.
+func (r *modelRelay) one(ctx context.Context, data []byte) (bool, error) {
+	var c engineChunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return false, fmt.Errorf("engine event: %w", err)
+	}
+	out, err := r.check(&c)
+	if err != nil {
+		return false, err
+	}
+	if !out.Last() {
+		r.count()
+		r.next++
+	}
+	return out.Last(), r.send(ctx, out)
+}
+
+// check matches an engine's event against the attempt: a late or crossed answer carries another id or index.
+func (r *modelRelay) check(c *engineChunk) (attempt.Event, error) {
+	id := r.job.Attempt.String()
+	if c.ID != id {
+		return attempt.Event{}, &attempt.MismatchError{Attempt: r.job.Attempt, Want: "its own id", Got: c.ID}
+	}
+	if c.Index != r.next || len(c.Choices) != 1 {
+		return attempt.Event{}, &attempt.MismatchError{
+			Attempt: r.job.Attempt,
+			Want:    fmt.Sprintf("token %d", r.next),
+			Got:     fmt.Sprintf("token %d in %d choices", c.Index, len(c.Choices)),
+		}
+	}
+	choice := c.Choices[0]
+	return attempt.Event{Attempt: id, Index: c.Index, Text: choice.Delta.Content, Finish: choice.FinishReason}, nil
+}
+
+func (r *modelRelay) count() {
+	now := time.Now()
+	if r.next > r.job.Resume {
+		r.speed.step.add(now.Sub(r.last))
+	}
+	r.last = now
+	r.flight.Token(1)
+	r.watch.Reset(r.after)
+	r.steps.Add(1)
+}
+
+func (r *modelRelay) send(ctx context.Context, e attempt.Event) error {
+	if !r.begun {
+		r.begun = true
+		headers := []httpserver.Header{own(r.job.Attempt), {Name: "Content-Type", Value: "text/event-stream"}}
+		if err := r.x.Stream(fasthttp.StatusOK, headers); err != nil {
+			return err
+		}
+	}
+	data, err := e.Encode()
+	if err != nil {
+		return err
+	}
+	return r.x.Write(ctx, data)
+}
+
+// finish reads the engine's end marker, without which the connection may not be used again.
+func (r *modelRelay) finish(answer *httpclient.Answer) error {
+	if err := r.x.End(); err != nil {
+		return err
+	}
+	return drain(answer)
+}
+
+// broken tells the entry that the answer breaks off, so that it can resume elsewhere at once.
+func (r *modelRelay) broken(cause error) error {
+	e := failure.New(failure.CodeUpstreamFailed, cause)
+	if !r.begun {
+		return e
+	}
+	last := attempt.Event{Attempt: r.job.Attempt.String(), Index: r.next, Failure: string(e.Code)}
+	if err := r.send(context.Background(), last); err == nil {
+		_ = r.x.End()
+	}
+	return e
+}
--- /dev/null
+++ b/internal/slot/work.go
@@ -0,0 +1,74 @@
+package slot
+
+import (
+	"sync"
+	"time"
+
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/routing"
+)
+
+// work counts what runs, for each entry that sent it, so that an entry can tell its own part from the others'.
+type work struct {
+	mu      sync.Mutex
+	entries map[ids.Incarnation]*entryWork
+}
+
+type entryWork struct {
+	routing.Work
+	seen time.Time
+}
+
+// entryKept is how long an entry that sends nothing is remembered.
+const entryKept = 10 * time.Minute
+
+func newWork() *work { return &work{entries: map[ids.Incarnation]*entryWork{}} }
+
+func (w *work) start(entry ids.Incarnation, e routing.Estimate, now time.Time) *routing.Flight {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ew, ok := w.entries[entry]
+	if !ok {
+		ew = &entryWork{}
+		w.entries[entry] = ew
+	}
+	ew.seen = now
+	return ew.Start(e)
+}
+
+// counts returns the work of all entries and that of one of them, and forgets entries that are long silent.
+func (w *work) counts(entry ids.Incarnation, now time.Time) (total, yours routing.Counts) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, ew := range w.entries {
+		c := ew.Counts()
+		if c.Requests() == 0 && now.Sub(ew.seen) > entryKept {
+			delete(w.entries, id)
+			continue
+		}
+		total = add(total, c)
+		if id == entry {
+			yours = c
+		}
+	}
+	return total, yours
+}
+
+func add(a, b routing.Counts) routing.Counts {
+	return routing.Counts{
+		Waiting:      a.Waiting + b.Waiting,
+		Running:      a.Running + b.Running,
+		PromptTokens: a.PromptTokens + b.PromptTokens,
+		OutputTokens: a.OutputTokens + b.OutputTokens,
+	}
+}
+
+func countsProto(c routing.Counts) *cardamomyokev1.WorkCounts {
+	return &cardamomyokev1.WorkCounts{
+		Waiting:      uint32(max(0, c.Waiting)),
+		Running:      uint32(max(0, c.Running)),
+		PromptTokens: uint32(max(0, c.PromptTokens)),
+		OutputTokens: uint32(max(0, c.OutputTokens)),
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,291 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/routing/prefix"
+)
+
+const (
+	blockBytes    = 256
+	bytesPerToken = 4
+	maxTokens     = 1 << 16
+)
+
+// Engine is one running stand-in.
+type Engine struct {
+	opts   Options
+	batch  *batch
+	server *httpserver.Server
+	cancel context.CancelFunc
+	// stalled holds every step back, as an engine that hangs does.
+	stalled atomic.Bool
+	// cutAfter breaks each answer off after so many tokens; 0 for never.
+	cutAfter atomic.Int64
+	// crossed makes each answer carry another request's id.
+	crossed atomic.Bool
+	runs    sync.Map // request id → *atomic.Int64
+	mu      sync.Mutex
+	events  []cacheEvent
+	reports []load
+}
+
+// cacheEvent says that blocks were stored.
+type cacheEvent struct {
+	Seq    uint64   `json:"seq"`
+	Blocks []uint64 `json:"stored"`
+	at     time.Time
+}
+
+// load is one load report.
+type load struct {
+	Waiting int    `json:"waiting"`
+	Running int    `json:"running"`
+	Steps   uint64 `json:"steps"`
+	at      time.Time
+}
+
+// Start serves the engine on address (IP:PORT).
+func Start(address string, o Options) (*Engine, error) {
+	e := &Engine{opts: o, batch: newBatch(o)}
+	server, err := httpserver.Start(address, 1, httpserver.Limits{}, e.serve)
+	if err != nil {
+		return nil, fmt.Errorf("engine: %w", err)
+	}
+	e.server = server
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	go e.run(ctx)
+	return e, nil
+}
+
+// Stop ends the engine at once, as a crash would.
+func (e *Engine) Stop() {
+	e.cancel()
+	_ = e.server.Stop(context.Background())
+}
+
+// SetStalled makes the engine hang, or go on.
+func (e *Engine) SetStalled(on bool) { e.stalled.Store(on) }
+
+// SetCutAfter breaks each answer off after n tokens; 0 for never.
+func (e *Engine) SetCutAfter(n int) { e.cutAfter.Store(int64(n)) }
+
+// SetCrossed makes answers carry another request's id.
+func (e *Engine) SetCrossed(on bool) { e.crossed.Store(on) }
+
+// Runs returns how often each request id was started.
+func (e *Engine) Runs() map[string]int {
+	out := map[string]int{}
+	e.runs.Range(func(k, v any) bool {
+		out[k.(string)] = int(v.(*atomic.Int64).Load())
+		return true
+	})
+	return out
+}
+
+// run takes steps while there is work.
+func (e *Engine) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		waiting, running, _ := e.batch.counts()
+		if waiting+running == 0 || e.stalled.Load() {
+			e.idle(ctx)
+			continue
+		}
+		e.step(ctx)
+	}
+}
+
+// idlePoll is how often an engine without work or one that hangs looks again.
+const idlePoll = 5 * time.Millisecond
+
+func (e *Engine) idle(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-e.batch.wake:
+	case <-time.After(idlePoll):
+	}
+	e.report()
+}
+
+func (e *Engine) step(ctx context.Context) {
+	e.batch.mu.Lock()
+	tokens, stored := e.batch.fill()
+	e.batch.mu.Unlock()
+	e.publish(stored)
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(e.opts.Step + time.Duration(tokens)*e.opts.PromptToken):
+	}
+	e.batch.mu.Lock()
+	e.batch.step()
+	e.batch.mu.Unlock()
+	e.report()
+}
+
+// publish keeps a cache event, unless it falls into a gap.
+func (e *Engine) publish(stored []uint64) {
+	if len(stored) == 0 {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	seq := uint64(1)
+	if n := len(e.events); n > 0 {
+		seq = e.events[n-1].Seq + 1
+	}
+	if e.opts.CacheGap > 0 && seq%uint64(e.opts.CacheGap) == 0 {
+		stored = nil
+	}
+	e.events = append(e.events, cacheEvent{seq, stored, time.Now()})
+	if len(e.events) > 1000 {
+		e.events = e.events[500:]
+	}
+}
+
+func (e *Engine) report() {
+	waiting, running, steps := e.batch.counts()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.reports = append(e.reports, load{waiting, running, steps, now})
+	for len(e.reports) > 1 && now.Sub(e.reports[1].at) >= e.opts.LoadLag {
+		e.reports = e.reports[1:]
+	}
+}
+
+func (e *Engine) serve(ctx context.Context, x *httpserver.Exchange) {
+	switch string(x.Req.URI().Path()) {
+	case "/v1/chat/completions":
+		e.serveChat(ctx, x)
+	case "/v1/load":
+		e.mu.Lock()
+		reports := e.reports
+		e.mu.Unlock()
+		if len(reports) == 0 {
+			reports = []load{{}}
+		}
+		respondJSON(x, reports[0])
+	case "/v1/cache-events":
+		respondJSON(x, e.eventsAfter(x.Req.URI().QueryArgs().GetUintOrZero("after")))
+	default:
+		_ = x.Respond(fasthttp.StatusNotFound, nil, nil)
+	}
+}
+
+func (e *Engine) eventsAfter(seq int) []cacheEvent {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := []cacheEvent{}
+	for _, ev := range e.events {
+		if ev.Seq > uint64(seq) && ev.Blocks != nil && time.Since(ev.at) >= e.opts.CacheLag {
+			out = append(out, ev)
+		}
+	}
+	return out
+}
+
+func respondJSON(x *httpserver.Exchange, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		_ = x.Respond(fasthttp.StatusInternalServerError, nil, nil)
+		return
+	}
+	_ = x.Respond(fasthttp.StatusOK, []httpserver.Header{{Name: "Content-Type", Value: "application/json"}}, body)
+}
+
+type chatBody struct {
+	Messages   json.RawMessage `json:"messages"`
+	MaxTokens  int             `json:"max_tokens"`
+	ResumeText string          `json:"resume_text"`
+}
+
+func (e *Engine) serveChat(ctx context.Context, x *httpserver.Exchange) {
+	var body chatBody
+	if err := json.Unmarshal(x.Req.Body(), &body); err != nil || body.MaxTokens < 0 || body.MaxTokens > maxTokens {
+		_ = x.Respond(fasthttp.StatusBadRequest, nil, nil)
+		return
+	}
+	if body.MaxTokens == 0 {
+		body.MaxTokens = 256
+	}
+	id := string(x.Req.Header.Peek("X-Request-Id"))
+	rank, _ := strconv.Atoi(string(x.Req.Header.Peek("X-Priority")))
+	resume, _ := strconv.Atoi(string(x.Req.Header.Peek("X-Resume-Tokens")))
+	if body.ResumeText != Answer(body.Messages, resume) {
+		_ = x.Respond(fasthttp.StatusUnprocessableEntity, nil, nil)
+		return
+	}
+	n, _ := e.runs.LoadOrStore(id, &atomic.Int64{})
+	n.(*atomic.Int64).Add(1)
+	s := &sequence{
+		rank:   rank,
+		blocks: prefix.Hash(body.Messages, blockBytes),
+		prompt: len(body.Messages) / bytesPerToken,
+		next:   resume,
+		total:  max(body.MaxTokens, resume+1),
+		tokens: make(chan int, max(body.MaxTokens, resume+1)),
+	}
+	e.batch.add(s)
+	defer e.batch.cancel(s)
+	e.stream(ctx, x, id, body.Messages, s)
+}
+
+// stream writes the sequence's tokens as they are made.
+func (e *Engine) stream(ctx context.Context, x *httpserver.Exchange, id string, prompt []byte, s *sequence) {
+	if e.crossed.Load() {
+		id = "another/1"
+	}
+	if err := x.Stream(fasthttp.StatusOK, []httpserver.Header{{Name: "Content-Type", Value: "text/event-stream"}}); err != nil {
+		return
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case i, ok := <-s.tokens:
+			if !ok {
+				end := append(event(id, s.total, "", "length"), "data: [DONE]\n\n"...)
+				if err := x.Write(ctx, end); err == nil {
+					_ = x.End()
+				}
+				return
+			}
+			if cut := e.cutAfter.Load(); cut > 0 && int64(i) >= cut {
+				return
+			}
+			if err := x.Write(ctx, event(id, i, Token(prompt, i), "")); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func event(id string, i int, text, finish string) []byte {
+	type delta struct {
+		Content string `json:"content"`
+	}
+	type choice struct {
+		Delta  delta  `json:"delta"`
+		Finish string `json:"finish_reason,omitempty"`
+	}
+	body, err := json.Marshal(struct {
+		ID      string   `json:"id"`
+		Index   int      `json:"token_index"`
+		Choices []choice `json:"choices"`
+	}{id, i, []choice{{delta{text}, finish}}})
+	if err != nil {
+		return nil
+	}
+	return fmt.Appendf(nil, "data: %s\n\n", body)
+}
