--- a/internal/claims/batch.go
+++ b/internal/claims/batch.go
@@ -115,15 +115,15 @@
 	}
 }
 
-// prune forgets refused attempts whose copies are refused by their deadline alone.
+// prune forgets attempts whose copies are refused by their deadline alone.
 func (l *Ledger) prune(now time.Time) {
 	if now.Before(l.pruneAt) {
 		return
 	}
 	l.pruneAt = now.Add(pruneInterval)
-	for a, r := range l.refused {
+	for a, r := range l.past {
 		if now.After(r.until) {
-			delete(l.refused, a)
+			delete(l.past, a)
 		}
 	}
 }
--- a/internal/claims/ledger.go
+++ b/internal/claims/ledger.go
@@ -124,15 +124,15 @@
 	batches      map[ids.Operation]*batch
 	order        []ids.Operation
 	lastSent     time.Time
-	// refused holds attempts that were refused as not run, until their deadline has passed for every clock.
-	refused map[ids.Attempt]refusedAttempt
+	// past holds what a late copy of an answered attempt gets, until the attempt's deadline has passed for every clock.
+	past    map[ids.Attempt]pastAttempt
 	pruneAt time.Time
 	// deadlines holds each claim once; those that no longer expire are dropped when they come up.
 	deadlines byDeadline
 	effects   []Effect
 }
 
-type refusedAttempt struct {
+type pastAttempt struct {
 	code  failure.Code
 	until time.Time
 }
@@ -144,7 +144,7 @@
 		byAttempt: map[ids.Attempt]*claim{},
 		byRow:     map[string]*claim{},
 		batches:   map[ids.Operation]*batch{},
-		refused:   map[ids.Attempt]refusedAttempt{},
+		past:      map[ids.Attempt]pastAttempt{},
 	}
 }
 
@@ -172,9 +172,16 @@
 	if !utf8.ValidString(string(r.Client) + string(r.Service) + string(r.Attempt.Entry)) {
 		return refusal(failure.CodeMalformed, nil), true
 	}
-	if old, ok := l.refused[r.Attempt]; ok {
+	if other := l.byRow[RowKey(r.Client, r.Key)]; other != nil && other.req.Attempt == r.Attempt {
+		return l.judgeLive(r, other), true
+	}
+	if old, ok := l.past[r.Attempt]; ok {
 		return refusal(old.code, nil), true
 	}
+	if !now.Before(r.Deadline.Add(l.opts.Margin)) {
+		// Too late to remember whether this is a copy of an attempt that ran, so nothing is promised.
+		return refusal(failure.CodeDeadlinePassed, nil), true
+	}
 	if other := l.byRow[RowKey(r.Client, r.Key)]; other != nil {
 		return l.judgeLive(r, other), true
 	}
@@ -211,6 +218,7 @@
 	}
 	switch other.machine.State() {
 	case stateAbandoned, stateReleasing:
+		// Not started and never to be, but the row is not free yet.
 		return refusal(failure.CodeStoreUnavailable, nil)
 	case stateStoring:
 		if other.row.GetState() == cardamomyokev1.ClaimState_CLAIM_STATE_UNKNOWN {
@@ -266,7 +274,7 @@
 	if c == nil || c.machine.State() != stateRunning {
 		return l.flush(now)
 	}
-	l.refuseCopies(c.req, failure.CodeNoUpstream)
+	l.remember(c.req, failure.CodeNoUpstream)
 	l.fire(now, c, evNotStarted)
 	return l.flush(now)
 }
@@ -317,16 +325,19 @@
 }
 
 func (l *Ledger) answer(r Request, v Verdict) {
+	if v.Start {
+		l.remember(r, failure.CodeOutcomeUnknown)
+	}
 	if v.Refusal != nil && v.Refusal.Code.Meaning().NotRun {
-		l.refuseCopies(r, v.Refusal.Code)
+		l.remember(r, v.Refusal.Code)
 	}
 	l.effects = append(l.effects, Answer{r.Attempt, v})
 }
 
-// refuseCopies remembers that an attempt was said not to have run. A copy of it may arrive late; it must stay
-// refused, or "not run" was false.
-func (l *Ledger) refuseCopies(r Request, code failure.Code) {
-	l.refused[r.Attempt] = refusedAttempt{code: code, until: r.Deadline.Add(l.opts.Margin)}
+// remember keeps what a copy of an attempt gets that arrives late. Without it the copy of a refused attempt could
+// start, or that of a started one be refused as past its deadline: either way "not run" would have been false.
+func (l *Ledger) remember(r Request, code failure.Code) {
+	l.past[r.Attempt] = pastAttempt{code: code, until: r.Deadline.Add(l.opts.Margin)}
 }
 
 func (l *Ledger) forget(c *claim) {
--- a/internal/claims/ledger_test.go
+++ b/internal/claims/ledger_test.go
@@ -273,8 +273,9 @@
 	})
 }
 
-// The caller has its answer; a copy of the attempt that arrives late gets the stored answer and does not run. The row
-// names the very attempt, which must not be taken for leave to start.
+// The caller has its answer; a copy of the attempt that arrives late does not run. At first the slot remembers the
+// attempt; a copy that was given a new deadline and comes after that finds the row, which names the very attempt and
+// must not be taken for leave to start.
 func TestLateCopyOfAFinishedAttemptDoesNotStart(t *testing.T) {
 	b := newBench(t, memtable.NewMemory(), "s1")
 	b.arrive(request(1, "k", "a"))
@@ -283,9 +284,12 @@
 	b.pass(time.Second)
 	b.serve()
 	b.arrive(request(1, "k", "a"))
-	b.pass(time.Second)
+	b.pass(time.Minute)
+	late := request(1, "k", "a")
+	late.Deadline = b.now.Add(time.Second)
+	b.arrive(late)
 	b.serve()
-	b.want(map[uint64][]string{1: {"start", "outcome x"}})
+	b.want(map[uint64][]string{1: {"start", "outcome-unknown", "outcome x"}})
 }
 
 // The caller whose slot died in the middle asks again: "running" until the deadline, "outcome unknown" after it, and
@@ -343,3 +347,13 @@
 		t.Fatalf("%d transactions for 300 claims", b.mem.Writes)
 	}
 }
+
+// The caller is told "not run", and that holds although the claim was written: the process was paused while the answer
+// of the table was on its way and woke up after the deadline, with the answer the first thing it read.
+func TestPausedSlotDoesNotStartAfterTheDeadline(t *testing.T) {
+	b := newBench(t, memtable.NewMemory(), "s1")
+	b.arrive(request(1, "k", "a"))
+	b.now = b.now.Add(11 * time.Second)
+	b.serve()
+	b.want(map[uint64][]string{1: {"deadline-cannot-be-met"}})
+}
