--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -18,6 +18,7 @@
 	maxShare          = 1000
 	maxPercent        = 100
 	maxOutcomeKeptSec = 7 * 24 * 3600
+	maxText           = 500
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
@@ -38,6 +39,9 @@
 	if err := checkClients(c.GetClients(), services); err != nil {
 		return err
 	}
+	if err := checkUpstreams(c.GetUpstreams()); err != nil {
+		return err
+	}
 	return checkPolicies(c.GetPolicies())
 }
 
@@ -172,6 +176,16 @@
 	return nil
 }
 
+func checkUpstreams(list []*cardamomyokev1.UpstreamOverride) error {
+	seen := names{}
+	for i, v := range list {
+		if err := seen.add(fmt.Sprintf("upstreams[%d]", i), v.GetName()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func checkPolicies(p *cardamomyokev1.Policies) error {
 	if err := checkRange("policies.address_keep_ms", uint64(p.GetAddressKeepMs()), 100, 600_000); err != nil {
 		return err
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -28,6 +28,7 @@
 	clients  map[ids.Client]*cardamomyokev1.ClientAccount
 	groups   map[ids.Group]*cardamomyokev1.ModelGroup
 	classes  map[string]*cardamomyokev1.PriorityClass
+	drained  map[ids.Upstream]bool
 }
 
 // NewSnapshot checks c and indexes it; it returns *FieldError for the first field that is wrong.
@@ -41,6 +42,7 @@
 		clients:  make(map[ids.Client]*cardamomyokev1.ClientAccount, len(c.GetClients())),
 		groups:   make(map[ids.Group]*cardamomyokev1.ModelGroup, len(c.GetGroups())),
 		classes:  make(map[string]*cardamomyokev1.PriorityClass, len(c.GetClasses())),
+		drained:  make(map[ids.Upstream]bool, len(c.GetUpstreams())),
 	}
 	for _, v := range c.GetServices() {
 		s.services[ids.Service(v.GetName())] = v
@@ -54,6 +56,9 @@
 	for _, v := range c.GetClasses() {
 		s.classes[v.GetName()] = v
 	}
+	for _, v := range c.GetUpstreams() {
+		s.drained[ids.Upstream(v.GetName())] = v.GetDrained()
+	}
 	return s, nil
 }
 
@@ -72,6 +77,9 @@
 // Class returns the priority class of that name, or nil.
 func (s *Snapshot) Class(name string) *cardamomyokev1.PriorityClass { return s.classes[name] }
 
+// Drained reports whether an operator took new work from the upstream.
+func (s *Snapshot) Drained(name ids.Upstream) bool { return s.drained[name] }
+
 // Deadline returns how long a request to v may take: what the caller asks for, but no more than the service allows.
 func Deadline(v *cardamomyokev1.Service, asked time.Duration) time.Duration {
 	limit := time.Duration(v.GetDeadlineMs()) * time.Millisecond
