--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,157 @@
+// Package daemon is what the mains of entry and slot share: commands, settings, signals and the control listener.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/config"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/settings"
+)
+
+// Exit codes of all programs; scripts compare them.
+const (
+	ExitOK = 0
+	// ExitFailed: the program met an error while it ran.
+	ExitFailed = 1
+	// ExitUsage: the command line or the settings are wrong.
+	ExitUsage = 2
+)
+
+// Program is one daemon.
+type Program struct {
+	Name string
+	Help string
+	// Settings returns an empty settings value.
+	Settings func() settings.Checker
+	// Run runs until ctx ends and then shuts down in order.
+	Run func(ctx context.Context, set settings.Checker, o Options) error
+}
+
+// Options are the command line's.
+type Options struct {
+	// Fixed is a configuration that never changes, in place of the platform's; nil in production.
+	Fixed *config.Snapshot
+	// Grace bounds an orderly shutdown.
+	Grace time.Duration
+}
+
+// Main parses the command line and runs the program; it returns the exit code.
+func Main(p Program, args []string) int {
+	app := kingpin.New(p.Name, p.Help)
+	run := app.Command("run", "Run the daemon until SIGTERM or SIGINT; then shut down without cutting anything off.")
+	runFile := run.Flag("settings", "Settings file (YAML).").Required().ExistingFile()
+	fixed := run.Flag("configuration", "Configuration file (JSON) that never changes, for measurements.").ExistingFile()
+	grace := run.Flag("grace", "Longest time for an orderly shutdown.").Default("60s").Duration()
+	check := app.Command("check-settings", "Check a settings file and say where its first fault is.")
+	checkFile := check.Arg("file", "Settings file (YAML).").Required().ExistingFile()
+	command, err := app.Parse(args)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", p.Name, err)
+		return ExitUsage
+	}
+	if command == check.FullCommand() {
+		return checkSettings(p, *checkFile)
+	}
+	set := p.Settings()
+	if err := settings.Read(*runFile, set); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitUsage
+	}
+	o := Options{Grace: *grace}
+	if *fixed != "" {
+		if o.Fixed, err = ReadConfiguration(*fixed); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return ExitUsage
+		}
+	}
+	return runUntilSignal(p, set, o)
+}
+
+func checkSettings(p Program, file string) int {
+	if err := settings.Read(file, p.Settings()); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitUsage
+	}
+	fmt.Printf("%s: ok\n", file)
+	return ExitOK
+}
+
+func runUntilSignal(p Program, set settings.Checker, o Options) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := p.Run(ctx, set, o); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", p.Name, err)
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+// ReadConfiguration reads a configuration from a JSON file and checks it.
+func ReadConfiguration(file string) (*config.Snapshot, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c := &cardamomyokev1.Configuration{}
+	if err := protojson.Unmarshal(text, c); err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", file, err)
+	}
+	snap, err := config.NewSnapshot(c)
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", file, err)
+	}
+	return snap, nil
+}
+
+// Control is the listener for RPC, metrics and health of a daemon.
+type Control struct {
+	Mux    *http.ServeMux
+	server *http.Server
+}
+
+// controlTimeout bounds the reading of a request's header on the control listener.
+const controlTimeout = 5 * time.Second
+
+// StartControl serves on address: /metrics with the given set and the process's own, /healthz, and what is added to
+// Mux before.
+func StartControl(address string, mux *http.ServeMux, set *metrics.Set, logger log.Logger) (*Control, error) {
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("control listener: %w", err)
+	}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	c := &Control{Mux: mux, server: &http.Server{Handler: mux, ReadHeaderTimeout: controlTimeout, Protocols: protocols}}
+	go func() {
+		if err := c.server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			_ = level.Error(logger).Log("msg", "control listener ended", "err", err)
+		}
+	}()
+	return c, nil
+}
+
+// Stop closes the listener.
+func (c *Control) Stop() { _ = c.server.Close() }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -35,3 +35,6 @@
 	}
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_entry_requests_total{service=%q,code=%q}", service, code)).Inc()
 }
+
+// Metrics returns the entry's counters.
+func (e *Entry) Metrics() *metrics.Set { return e.metrics.set }
--- a/internal/slot/metrics.go
+++ b/internal/slot/metrics.go
@@ -26,3 +26,6 @@
 	}
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_slot_attempts_total{code=%q}", code)).Inc()
 }
+
+// Metrics returns the slot's counters.
+func (s *Slot) Metrics() *metrics.Set { return s.metrics.set }
