--- a/cmd/cardamomyoke-bench/main.go
+++ b/cmd/cardamomyoke-bench/main.go
@@ -5,10 +5,13 @@
 	"os"
 
 	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/rebalance"
 )
 
 func main() {
 	app := kingpin.New("cardamomyoke-bench", "Load and experiments for cardamomyoke.")
 	// Each experiment lives in its own package below internal/bench and adds its command here with Register(app).
+	rebalance.Register(app)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 }
--- /dev/null
+++ b/internal/bench/rebalance/contender.go
@@ -0,0 +1,126 @@
+package rebalance
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/placement"
+	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
+)
+
+// The names of the contenders in the tables.
+const (
+	NameStatic = "static"
+	NameRepack = "full-repack"
+	NameGreedy = "greedy"
+	NamePolicy = "policy"
+	NameBound  = "bound"
+)
+
+// contender is a way to decide on maps. It hears the reports of the group that runs on its own map.
+type contender interface {
+	observe(now time.Time, r placement.Report) error
+	// decide returns the next map and the moves to it, or nil to stay.
+	decide(now time.Time, current *expert.Map) (*change, error)
+}
+
+// change is a new map on its way.
+type change struct {
+	next  *expert.Map
+	moves []expert.Move
+	// paced says that loads keep to the slack of the steps; else they run at the store's rate.
+	paced bool
+}
+
+// group returns what the policy has to know of the deployment.
+func (d Deployment) group() placement.Group {
+	return placement.Group{Shape: d.Shape, Slots: d.SlotsPerRank, ExpertBytes: d.ExpertBytes, StoreRate: d.StoreRate}
+}
+
+// static never moves anything.
+type static struct{}
+
+func (static) observe(time.Time, placement.Report) error      { return nil }
+func (static) decide(time.Time, *expert.Map) (*change, error) { return nil, nil }
+
+// policy is the product's own.
+type policy struct {
+	*placement.Policy
+	options placement.Options
+}
+
+func (p policy) observe(now time.Time, r placement.Report) error { return p.Observe(now, r) }
+
+func (p policy) decide(now time.Time, current *expert.Map) (*change, error) {
+	plan := p.Decide(now, p.options, current).Plan
+	if plan == nil {
+		return nil, nil
+	}
+	return &change{plan.Map, plan.Moves, true}, nil
+}
+
+// repack packs all experts anew in each period, with the estimates of the product's policy.
+type repack struct {
+	*placement.Policy
+	d Deployment
+}
+
+func (p repack) observe(now time.Time, r placement.Report) error { return p.Observe(now, r) }
+
+func (p repack) decide(now time.Time, current *expert.Map) (*change, error) {
+	pop := p.Popularity()
+	if pop == nil {
+		return nil, nil
+	}
+	next, err := placement.Pack(p.d.group(), p.d.MapSlotsPerRank, pop, p.Speeds(now), current.Version()+1)
+	if err != nil {
+		return nil, fmt.Errorf("full re-pack: %w", err)
+	}
+	return changeTo(current, next), nil
+}
+
+// greedy takes every improvement that it sees, whatever it costs and however small it is.
+type greedy struct {
+	*placement.Policy
+	d Deployment
+}
+
+func (p greedy) observe(now time.Time, r placement.Report) error { return p.Observe(now, r) }
+
+func (p greedy) decide(now time.Time, current *expert.Map) (*change, error) {
+	pop := p.Popularity()
+	if pop == nil {
+		return nil, nil
+	}
+	free := placement.Options{Horizon: time.Hour, MaxBytesPerMinute: math.MaxUint64}
+	better, err := placement.Improve(p.d.group(), free, current, pop, p.Speeds(now))
+	if err != nil {
+		return nil, fmt.Errorf("greedy: %w", err)
+	}
+	if better.After >= better.Before {
+		return nil, nil
+	}
+	return changeTo(current, better.Map), nil
+}
+
+func changeTo(current, next *expert.Map) *change {
+	moves := expert.Diff(current, next)
+	if len(moves) == 0 {
+		return nil
+	}
+	return &change{next, moves, false}
+}
+
+// newContender returns the contender of that name.
+func newContender(name string, d Deployment) contender {
+	switch name {
+	case NameRepack:
+		return repack{placement.NewPolicy(d.group()), d}
+	case NameGreedy:
+		return greedy{placement.NewPolicy(d.group()), d}
+	case NamePolicy:
+		return policy{placement.NewPolicy(d.group()), d.Options}
+	}
+	return static{}
+}
--- a/internal/bench/rebalance/scenario.go
+++ b/internal/bench/rebalance/scenario.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/placement"
 	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
 )
 
@@ -49,6 +50,8 @@
 	BatchPerRank float64
 	// RequestsPerRank is the number of independent requests that one rank serves in a window at full load.
 	RequestsPerRank float64
+	// Options are the operator's settings of the policy.
+	Options placement.Options
 	// load is the share of full load, 0 to 1, at an hour of the day.
 	load func(hour float64) float64
 	// swing is the amplitude of the topics' daily rise and fall, in logarithms of their weight.
@@ -74,11 +77,17 @@
 		RequestsPerRank: 60,
 		load:            func(h float64) float64 { return 0.25 + 0.2*bump(h, 13, 4) + 0.75*bump(h, 5, 1) },
 		swing:           0.35,
+		Options: placement.Options{
+			MoveWeight: 10, Horizon: 30 * time.Minute, Hysteresis: 0.02, MaxBytesPerMinute: 8e9,
+		},
 	}
 	sjodastofa := arriaga
 	sjodastofa.Name = "sjodastofa"
 	sjodastofa.load = func(h float64) float64 { return 0.3 + 0.4*bump(h, 12, 3.5) }
 	sjodastofa.swing = 0.2
+	sjodastofa.Options = placement.Options{
+		MoveWeight: 200, Horizon: 4 * time.Hour, Hysteresis: 0.05, MaxBytesPerMinute: 2e9,
+	}
 	return []Deployment{arriaga, sjodastofa}
 }
 
--- /dev/null
+++ b/internal/placement/policy.go
@@ -0,0 +1,129 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"gonum.org/v1/gonum/floats"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
+)
+
+// noiseMargin is how many times what noise alone would show a plan must save.
+const noiseMargin = 1.5
+
+// Policy decides on the map of one group. It is not safe for concurrent use.
+type Policy struct {
+	group      Group
+	popularity *popularity
+	speeds     *speeds
+	stalls     *stalls
+	noise      *noise
+	current    *expert.Map
+}
+
+// NewPolicy returns a policy that has heard nothing yet.
+func NewPolicy(g Group) *Policy {
+	return &Policy{
+		group:      g,
+		popularity: newPopularity(g.Shape),
+		speeds:     newSpeeds(g.Shape.Ranks),
+		stalls:     newStalls(g.Shape.Ranks),
+		noise:      &noise{shape: g.Shape},
+	}
+}
+
+// Observe takes in a report that arrives at now; it returns *ReportError for one that does not fit the group.
+func (p *Policy) Observe(now time.Time, r Report) error {
+	if err := p.group.checkReport(r); err != nil {
+		return err
+	}
+	p.stalls.observe(now, r)
+	p.speeds.observe(r)
+	for _, shares := range p.popularity.observe(r) {
+		p.noise.observe(p.current, shares)
+	}
+	return nil
+}
+
+// Popularity returns the estimated share of each cell in its layer's tokens, or nil before the first window.
+func (p *Policy) Popularity() []float64 { return p.popularity.best().value }
+
+// Speeds returns each rank's estimated speed over the median; 0 for a stalled one.
+func (p *Policy) Speeds(now time.Time) []float64 { return p.speeds.relative(p.stalls.find(now)) }
+
+// Decide weighs whether the map that is in force should be replaced. The caller must not ask while a plan is being
+// carried out. The map of a plan has the version after current's.
+func (p *Policy) Decide(now time.Time, o Options, current *expert.Map) Decision {
+	p.current = current
+	stalled := p.stalls.find(now)
+	d := Decision{Stalled: indices(stalled)}
+	if o.Paused {
+		d.Stay = ReasonPaused
+		return d
+	}
+	speed := p.speeds.relative(stalled)
+	pop := p.Popularity()
+	if holdsAny(current, d.Stalled) {
+		return p.drain(d, current, speed, pop)
+	}
+	if pop == nil {
+		d.Stay = ReasonNoData
+		return d
+	}
+	return p.rebalance(d, o, pop, speed)
+}
+
+func (p *Policy) rebalance(d Decision, o Options, pop, speed []float64) Decision {
+	d.Noise = p.noise.skew(p.popularity.best().noiseFactor())
+	better, err := Improve(p.group, o, p.current, pop, speed)
+	if err != nil {
+		d.Stay = ReasonNoGain
+		return d
+	}
+	d.Skew, d.Target = better.Before, better.After
+	bytes := uint64(expert.Loads(better.Moves)) * p.group.ExpertBytes
+	d.Stay = weigh(o, d, bytes)
+	if d.Stay == "" {
+		d.Plan = &Plan{CauseSkew, better.Map, better.Moves, bytes}
+	}
+	return d
+}
+
+// weigh returns the reason not to take the best map found, or none.
+func weigh(o Options, d Decision, bytes uint64) Reason {
+	gain := d.Skew - d.Target
+	switch {
+	case gain <= 0:
+		return ReasonNoGain
+	case gain < o.Hysteresis:
+		return ReasonHysteresis
+	case gain < noiseMargin*d.Noise:
+		return ReasonNoise
+	case gain*o.Horizon.Seconds() < o.MoveWeight*float64(bytes)/gigabyte:
+		return ReasonPayback
+	}
+	return ""
+}
+
+func holdsAny(m *expert.Map, ranks []int) bool {
+	used := m.Used()
+	return slices.ContainsFunc(ranks, func(r int) bool { return used[r] > 0 })
+}
+
+func indices(set []bool) []int {
+	var out []int
+	for i, v := range set {
+		if v {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// usualPopularity is assumed where nothing is known: each expert of a layer takes as many tokens.
+func usualPopularity(shape expert.Shape) []float64 {
+	pop := make([]float64, shape.Cells())
+	floats.AddConst(1/float64(shape.Experts), pop)
+	return pop
+}
