Requests that arrive in pieces: a chunked body cut in mid-chunk was refused as malformed

Cause: the parser's error for a chunk whose rest is on its way is not io.ErrUnexpectedEOF but only reads like it. Change: cut notes whether the parser asked for more bytes than there are, and waits in that case.

--- a/internal/httpserver/parse.go
+++ b/internal/httpserver/parse.go
@@ -39,10 +39,10 @@
 		return parsed{need: len(buf) + 1}, nil
 	}
 	end += len(headerEnd)
-	source := bytes.NewReader(buf)
+	source := &endNoter{Reader: bytes.NewReader(buf)}
 	reader := bufio.NewReaderSize(source, max(end, minReadBuffer))
 	req := fasthttp.AcquireRequest()
-	p, err := cutRequest(req, reader, buf, end, l)
+	p, err := cutRequest(req, reader, source, end, l)
 	if err != nil || p.need > 0 {
 		fasthttp.ReleaseRequest(req)
 		return p, err
@@ -50,10 +50,27 @@
 	return parsed{req: req, used: len(buf) - source.Len() - reader.Buffered()}, nil
 }
 
+// endNoter notes that more bytes were asked for than there are. The parser's own error does not say so in all cases,
+// and a request whose rest is still on its way must not be refused as malformed.
+type endNoter struct {
+	*bytes.Reader
+	ended bool
+}
+
+// Read implements io.Reader.
+func (n *endNoter) Read(p []byte) (int, error) {
+	got, err := n.Reader.Read(p)
+	if err == io.EOF {
+		n.ended = true
+	}
+	return got, err
+}
+
 // minReadBuffer is the smallest buffer that fasthttp's body reader is given, in bytes.
 const minReadBuffer = 4096
 
-func cutRequest(req *fasthttp.Request, r *bufio.Reader, buf []byte, end int, l Limits) (parsed, error) {
+func cutRequest(req *fasthttp.Request, r *bufio.Reader, source *endNoter, end int, l Limits) (parsed, error) {
+	have := int(source.Size())
 	if err := req.Header.Read(r); err != nil {
 		return parsed{}, failure.New(failure.CodeMalformed, fmt.Errorf("header: %w", err))
 	}
@@ -61,17 +78,17 @@
 	if length > l.MaxBodyBytes {
 		return parsed{}, tooLarge("body", l.MaxBodyBytes)
 	}
-	if length > 0 && len(buf) < end+length {
+	if length > 0 && have < end+length {
 		return parsed{need: end + length, interim: req.MayContinue()}, nil
 	}
 	err := req.ContinueReadBody(r, l.MaxBodyBytes, false)
 	switch {
 	case err == nil:
 		return parsed{}, nil
-	case errors.Is(err, fasthttp.ErrBodyTooLarge) || len(buf) > end+2*l.MaxBodyBytes+minReadBuffer:
+	case errors.Is(err, fasthttp.ErrBodyTooLarge) || have > end+2*l.MaxBodyBytes+minReadBuffer:
 		return parsed{}, tooLarge("body", l.MaxBodyBytes)
-	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
-		return parsed{need: len(buf) + 1, interim: req.MayContinue()}, nil
+	case source.ended:
+		return parsed{need: have + 1, interim: req.MayContinue()}, nil
 	}
 	return parsed{}, failure.New(failure.CodeMalformed, fmt.Errorf("body: %w", err))
 }
