--- /dev/null
+++ b/internal/revision/accept.go
@@ -0,0 +1,156 @@
+package revision
+
+import (
+	"time"
+
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+)
+
+// pending is an entry that is held but not known to be accepted.
+type pending struct {
+	state *State
+	since time.Time
+	// held says since when this node knows that a member, by index, holds the entry.
+	held map[int]time.Time
+}
+
+// bits returns the members that held the entry at the given time.
+func (p *pending) bits(at time.Time) bitset {
+	out := newBitset(len(p.state.Roster.members))
+	for i, since := range p.held {
+		if !since.After(at) {
+			out.set(i)
+		}
+	}
+	return out
+}
+
+// credit notes which members hold the entry seq, and with it all entries before.
+func (n *Node) credit(held bitset, seq uint64, now time.Time) {
+	s := n.at(seq)
+	if s == nil {
+		return
+	}
+	for _, p := range n.pending {
+		if p.state.Seq > seq {
+			continue
+		}
+		bits := translate(held, s.Roster, p.state.Roster)
+		for i := range p.state.Roster.members {
+			if _, known := p.held[i]; !known && bits.has(i) {
+				p.held[i] = now
+			}
+		}
+	}
+}
+
+// accept has the newest entry that may be accepted written so. Only a node that hears from nobody does this, as it is
+// the one that the acknowledgements reach.
+func (n *Node) accept() {
+	if !n.isOrigin() {
+		return
+	}
+	if !n.accepting.IsZero() && n.now.Sub(n.accepting) < readLimit {
+		return
+	}
+	if n.oldestPending() == nil {
+		return
+	}
+	for _, c := range n.children {
+		n.credit(c.holds, c.staged, n.now)
+	}
+	for i := len(n.pending) - 1; i >= 0; i-- {
+		p := n.pending[i]
+		if p.state.Seq <= n.accepted || !n.acceptable(p) {
+			continue
+		}
+		n.accepting = n.now
+		n.do(&Accept{p.state})
+		return
+	}
+	n.collect()
+}
+
+// acceptable reports whether no node can act on what was before the entry, now or later.
+//
+// Each member that holds the entry puts it in force in time by itself. A member that is missing has stopped if it
+// cannot be fresh: a read of the table, begun after the entry was committed, would have shown the entry to it; and a
+// majority without it is impossible if the members that hold the entry leave too few others, in each roster that the
+// missing one may go by. What it knew before that has run out once Stale has passed since the last of them got hold
+// of the entry.
+func (n *Node) acceptable(p *pending) bool {
+	if len(p.held) == len(p.state.Roster.members) {
+		return true
+	}
+	if n.now.Sub(p.since) < n.options.wait() {
+		return false
+	}
+	held := p.bits(n.now.Add(-n.options.wait()))
+	var missing []*Member
+	for i, m := range p.state.Roster.members {
+		if _, ok := p.held[i]; !ok {
+			missing = append(missing, m)
+		}
+	}
+	for _, s := range n.states {
+		if s.Seq <= p.state.Seq && !s.Roster.excludes(translate(held, p.state.Roster, s.Roster), missing) {
+			return false
+		}
+	}
+	return true
+}
+
+// collect uses the table to put together the acknowledgements of nodes that do not reach each other.
+func (n *Node) collect() {
+	p := n.oldestPending()
+	if p == nil || n.now.Sub(p.since) < holdsAfter || n.now.Sub(n.holdsAt) < n.options.Beat {
+		return
+	}
+	held := n.holds()
+	if n.staged() == p.state.Seq {
+		held.or(p.bits(n.now))
+	}
+	if held.count() == n.holdsCount {
+		return
+	}
+	n.holdsAt, n.holdsCount = n.now, held.count()
+	n.do(&WriteHolds{&cardamomyokev1.Holds{Seq: n.staged(), Holds: held, From: n.self.GetName()}})
+}
+
+func (n *Node) oldestPending() *pending {
+	for _, p := range n.pending {
+		if p.state.Seq > n.accepted {
+			return p
+		}
+	}
+	n.holdsCount = 0
+	return nil
+}
+
+// missingBits returns the members that hold acceptance back, for the nodes that hear from this one.
+func (n *Node) missingBits() []byte {
+	names := n.pendingNames()
+	if len(names) == 0 {
+		return nil
+	}
+	r := n.roster()
+	out := newBitset(len(r.members))
+	for _, name := range names {
+		if i, ok := r.index[name]; ok {
+			out.set(i)
+		}
+	}
+	return out
+}
+
+// pendingNames returns the members that hold acceptance back, as far as this node knows.
+func (n *Node) pendingNames() []string {
+	if n.staged() <= n.accepted || len(n.pending) == 0 {
+		return nil
+	}
+	if !n.isOrigin() {
+		return n.missing
+	}
+	p := n.pending[len(n.pending)-1]
+	return p.state.Roster.missing(p.bits(n.now))
+}
--- /dev/null
+++ b/internal/revision/agent/agent.go
@@ -0,0 +1,356 @@
+// Package agent runs a revision.Node in a process: it carries out the node's effects against the platform and the other
+// nodes, and publishes the node's views to traffic.
+//
+// Wiring, in an entry and a slot alike:
+//
+//	a := agent.New(agent.Config{Self: member, Incarnation: inc, Seeds: peers, Platform: client, Transport: agent.NewRPC(), Loop: loop, ...})
+//	mux.Handle(agent.Handler(a))          // revision service, on the address that member names
+//	loop.Run(ctx, 50*time.Millisecond, a.Tick)
+//	v := a.View()                          // for each request: v.Fresh(now), v.Current(), v.Admits(rev, now)
+//	a.Leave(ctx)                           // last step of a graceful shutdown, when nothing is in flight
+//
+// All state of the node is touched on the control loop only; everything that waits runs on goroutines of its own and
+// posts what came of it.
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/control"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision/store"
+)
+
+const (
+	tableTimeout = 2 * time.Second
+	sendTimeout  = 2 * time.Second
+	fetchTimeout = 10 * time.Second
+	hostsPeriod  = 10 * time.Second
+	// sendsToOne bounds the messages under way to one node, so that a silent one costs a few goroutines, not many.
+	sendsToOne = 4
+)
+
+// Transport carries messages to other nodes.
+type Transport interface {
+	Push(ctx context.Context, to *revision.Member, m *revision.Push) error
+	Acknowledge(ctx context.Context, to *revision.Member, m *revision.Ack) error
+	CatchUp(ctx context.Context, to *revision.Member) (*cardamomyokev1.CatchUpResponse, error)
+}
+
+// Config is what an agent is built from.
+type Config struct {
+	Self        *revision.Member
+	Incarnation ids.Incarnation
+	// Seeds are other nodes, from the settings, to ask while the table is down.
+	Seeds     []*revision.Member
+	Options   revision.Options
+	Platform  store.Platform
+	Hosts     platform.HostList // nil: the host list is not asked
+	Transport Transport
+	Loop      *control.Loop
+	Rand      *rand.Rand
+	Logger    log.Logger
+	// Clock is time.Now, or nil for that.
+	Clock func() time.Time
+}
+
+// Agent runs one node. Its methods are safe for concurrent use, but Tick must be called on the loop.
+type Agent struct {
+	config  Config
+	store   *store.Store
+	node    *revision.Node // on the loop only
+	view    atomic.Pointer[revision.View]
+	hostsAt time.Time // on the loop only
+	ctx     context.Context
+	cancel  context.CancelFunc
+
+	mu      sync.Mutex
+	changed chan struct{}
+	sending map[string]int
+}
+
+// New returns an agent; it works while its loop runs, until Close.
+func New(c Config) *Agent {
+	if c.Clock == nil {
+		c.Clock = time.Now
+	}
+	if c.Logger == nil {
+		c.Logger = log.NewNopLogger()
+	}
+	a := &Agent{
+		config:  c,
+		store:   store.New(c.Platform, c.Clock),
+		node:    revision.NewNode(c.Self, c.Incarnation, c.Seeds, c.Options, c.Rand, c.Clock()),
+		changed: make(chan struct{}),
+		sending: map[string]int{},
+	}
+	a.ctx, a.cancel = context.WithCancel(context.Background())
+	a.view.Store(&revision.View{})
+	return a
+}
+
+// Close gives up what is under way.
+func (a *Agent) Close() { a.cancel() }
+
+// View returns the newest view; it is never nil.
+func (a *Agent) View() *revision.View { return a.view.Load() }
+
+// Current returns the configuration in force, or nil.
+func (a *Agent) Current() *config.Snapshot { return a.View().Current() }
+
+// Fresh reports whether this node may take new work at the given time.
+func (a *Agent) Fresh(now time.Time) bool { return a.View().Fresh(now) }
+
+// Store returns the log.
+func (a *Agent) Store() *store.Store { return a.store }
+
+// Changed returns a channel that is closed when the next view is published.
+func (a *Agent) Changed() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.changed
+}
+
+// Tick lets time pass; the control loop calls it.
+func (a *Agent) Tick(now time.Time) {
+	a.run(a.node.Tick(now))
+	if a.config.Hosts != nil && now.Sub(a.hostsAt) >= hostsPeriod {
+		a.hostsAt = now
+		go a.readHosts()
+	}
+}
+
+func (a *Agent) post(f func(now time.Time) []revision.Effect) {
+	a.config.Loop.Post(func(now time.Time) { a.run(f(now)) })
+}
+
+// ReceivePush takes a beat from another node.
+func (a *Agent) ReceivePush(m *revision.Push) {
+	a.post(func(now time.Time) []revision.Effect { return a.node.OnPush(now, m) })
+}
+
+// ReceiveAck takes an acknowledgement from another node.
+func (a *Agent) ReceiveAck(m *revision.Ack) {
+	a.post(func(now time.Time) []revision.Effect { return a.node.OnAck(now, m) })
+}
+
+// NotReadyError says that this node has no state to give.
+type NotReadyError struct{ Node string }
+
+// Error implements error.
+func (e *NotReadyError) Error() string { return e.Node + " holds no configuration yet" }
+
+// AnswerCatchUp returns the whole state for another node. Errors: *NotReadyError, the context's.
+func (a *Agent) AnswerCatchUp(ctx context.Context) (*cardamomyokev1.CatchUpResponse, error) {
+	out := make(chan *cardamomyokev1.CatchUpResponse, 1)
+	a.config.Loop.Post(func(time.Time) { out <- a.node.CatchUpAnswer() })
+	select {
+	case r := <-out:
+		if r == nil {
+			return nil, &NotReadyError{a.config.Self.GetName()}
+		}
+		return r, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Change commits an operator's change; see store.Change. It returns before the entry is accepted: see Wait.
+func (a *Agent) Change(ctx context.Context, meta *cardamomyokev1.ChangeMeta, build store.Build) (*revision.Entry, error) {
+	e, err := a.store.Change(ctx, a.View().Newest, meta, build)
+	if err == nil {
+		a.committed(e)
+	}
+	return e, err
+}
+
+// RemoveMembers commits the removal of nodes that an operator names as gone.
+func (a *Agent) RemoveMembers(ctx context.Context, meta *cardamomyokev1.ChangeMeta, names []string) (*revision.Entry, error) {
+	e, err := a.store.EditRoster(ctx, a.View().Newest, &cardamomyokev1.RosterEdit{Remove: names}, meta)
+	if err == nil {
+		a.committed(e)
+	}
+	return e, err
+}
+
+func (a *Agent) committed(e *revision.Entry) {
+	a.post(func(now time.Time) []revision.Effect { return a.node.OnCommitted(now, e) })
+}
+
+// Wait returns the first view in which the entry is accepted, or the newest one when ctx ends.
+func (a *Agent) Wait(ctx context.Context, seq uint64) *revision.View {
+	for {
+		changed := a.Changed()
+		v := a.View()
+		if v.Accepted >= seq {
+			return v
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return v
+		}
+	}
+}
+
+// Leave has this node removed from the roster and returns when that is committed, or when ctx ends: then others find
+// out by its silence. New work is refused from the start.
+func (a *Agent) Leave(ctx context.Context) {
+	a.post(a.node.Leave)
+	for {
+		changed := a.Changed()
+		v := a.View()
+		if v.Newest == nil || v.Newest.Roster.Member(a.config.Self.GetName()) == nil {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (a *Agent) publish(v *revision.View) {
+	a.view.Store(v)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// run carries out effects; it does not wait for any of them.
+func (a *Agent) run(effects []revision.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case *revision.Publish:
+			a.publish(e.View)
+		case *revision.SendPush:
+			a.send(e.To, func(ctx context.Context) error { return a.config.Transport.Push(ctx, e.To, e.Msg) })
+		case *revision.SendAck:
+			a.send(e.To, func(ctx context.Context) error { return a.config.Transport.Acknowledge(ctx, e.To, e.Msg) })
+		case *revision.ReadHead:
+			go a.readHead(e)
+		case *revision.Accept:
+			go a.accept(e)
+		case *revision.WriteHolds:
+			go a.writeHolds(e)
+		case *revision.CatchUp:
+			go a.catchUp(e)
+		case *revision.EditRoster:
+			go a.editRoster(e)
+		}
+	}
+}
+
+// send hands a message to the transport; a message too many to a node that does not take them is dropped, as the
+// network might.
+func (a *Agent) send(to *revision.Member, do func(context.Context) error) {
+	if !a.enter(to.GetName()) {
+		return
+	}
+	go func() {
+		defer a.exit(to.GetName())
+		ctx, cancel := context.WithTimeout(a.ctx, sendTimeout)
+		defer cancel()
+		if err := do(ctx); err != nil {
+			_ = level.Debug(a.config.Logger).Log("msg", "message lost", "to", to.GetName(), "err", err)
+		}
+	}()
+}
+
+func (a *Agent) enter(to string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.sending[to] >= sendsToOne {
+		return false
+	}
+	a.sending[to]++
+	return true
+}
+
+func (a *Agent) exit(to string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sending[to]--
+	if a.sending[to] == 0 {
+		delete(a.sending, to)
+	}
+}
+
+func (a *Agent) readHead(e *revision.ReadHead) {
+	limit := tableTimeout
+	if e.Whole {
+		limit = fetchTimeout
+	}
+	ctx, cancel := context.WithTimeout(a.ctx, limit)
+	defer cancel()
+	rd := a.store.ReadHead(ctx, e.After, e.Whole, e.Holds)
+	a.post(func(now time.Time) []revision.Effect { return a.node.OnHead(now, rd) })
+}
+
+func (a *Agent) accept(e *revision.Accept) {
+	ctx, cancel := context.WithTimeout(a.ctx, tableTimeout)
+	defer cancel()
+	seq, err := a.store.Accept(ctx, e.State)
+	if err != nil {
+		_ = level.Warn(a.config.Logger).Log("msg", "cannot write that an entry is accepted", "seq", e.State.Seq, "err", err)
+	}
+	a.post(func(now time.Time) []revision.Effect { return a.node.OnAccepted(now, seq) })
+}
+
+func (a *Agent) writeHolds(e *revision.WriteHolds) {
+	ctx, cancel := context.WithTimeout(a.ctx, tableTimeout)
+	defer cancel()
+	if err := a.store.WriteHolds(ctx, e.Row); err != nil {
+		_ = level.Warn(a.config.Logger).Log("msg", "cannot write acknowledgements", "err", err)
+	}
+}
+
+func (a *Agent) catchUp(e *revision.CatchUp) {
+	ctx, cancel := context.WithTimeout(a.ctx, fetchTimeout)
+	defer cancel()
+	var st *revision.State
+	r, err := a.config.Transport.CatchUp(ctx, e.From)
+	if err == nil {
+		st, err = revision.FromProto(r.GetState())
+	}
+	if err != nil {
+		_ = level.Warn(a.config.Logger).Log("msg", "cannot catch up", "from", e.From.GetName(), "err", err)
+	}
+	a.post(func(now time.Time) []revision.Effect {
+		return a.node.OnCatchUp(now, st, r.GetEntries(), r.GetAccepted())
+	})
+}
+
+func (a *Agent) editRoster(e *revision.EditRoster) {
+	ctx, cancel := context.WithTimeout(a.ctx, tableTimeout)
+	defer cancel()
+	entry, err := a.store.EditRoster(ctx, a.View().Newest, e.Edit, &cardamomyokev1.ChangeMeta{Reason: e.Reason})
+	if err != nil {
+		_ = level.Warn(a.config.Logger).Log("msg", "cannot change the roster", "err", err)
+		return
+	}
+	a.committed(entry)
+}
+
+func (a *Agent) readHosts() {
+	ctx, cancel := context.WithTimeout(a.ctx, tableTimeout)
+	defer cancel()
+	hosts, _, err := a.config.Hosts.Hosts(ctx)
+	if err != nil {
+		return // its silence proves nothing
+	}
+	a.post(func(now time.Time) []revision.Effect { return a.node.OnHosts(now, hosts) })
+}
--- /dev/null
+++ b/internal/revision/agent/agent_test.go
@@ -0,0 +1,25 @@
+package agent_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func TestChangeIsInForceEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1)
+		c.startAll(3, "a", "b", "c")
+		time.Sleep(10 * time.Second)
+		e := c.change("a-0", 0)
+		took := c.accepted("a-0", e, 5*time.Second)
+		if took > time.Second {
+			t.Fatalf("took %v", took)
+		}
+		time.Sleep(time.Second)
+		c.wantFresh(true, c.names("a")...)
+		c.wantFresh(true, c.names("b")...)
+		c.wantFresh(true, c.names("c")...)
+		c.wantInForce(1)
+	})
+}
--- /dev/null
+++ b/internal/revision/agent/cluster_test.go
@@ -0,0 +1,211 @@
+package agent_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/control"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision/agent"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision/memnet"
+	standin "github.com/cardamomyoke/cardamomyoke/internal/standin/platform"
+)
+
+const (
+	tick  = 50 * time.Millisecond
+	stale = 4 * time.Second
+)
+
+// member is one process of the cluster under test.
+type member struct {
+	name   string
+	agent  *agent.Agent
+	table  *standin.Client
+	cancel context.CancelFunc
+	ended  chan struct{}
+	paused chan chan struct{}
+}
+
+// cluster runs agents over a stand-in of the platform, within a synctest bubble.
+type cluster struct {
+	t       *testing.T
+	store   *standin.Store
+	net     *memnet.Net
+	rng     *rand.Rand
+	members map[string]*member
+	ops     int
+}
+
+func newCluster(t *testing.T, seed uint64) *cluster {
+	delay := func(from, to string) time.Duration {
+		if dataCentre(from) == dataCentre(to) {
+			return 200 * time.Microsecond
+		}
+		return 1500 * time.Microsecond
+	}
+	c := &cluster{
+		t: t, store: standin.NewStore(standin.Limits{}), net: memnet.New(delay),
+		rng: rand.New(rand.NewPCG(seed, 1)), members: map[string]*member{},
+	}
+	c.store.SetFaults(standin.PartTable, standin.Faults{Delay: 4 * time.Millisecond})
+	t.Cleanup(c.stop)
+	return c
+}
+
+// dataCentre reads it from a node's name, such as "a-3".
+func dataCentre(name string) string { return name[:1] }
+
+func (c *cluster) describe(name string) *revision.Member {
+	return &revision.Member{Name: name, DataCentre: dataCentre(name), Address: name + ":1", Role: cardamomyokev1.NodeRole_NODE_ROLE_ENTRY}
+}
+
+func (c *cluster) start(name string, seeds ...string) *member {
+	m := &member{name: name, table: c.store.Client(name), ended: make(chan struct{}), paused: make(chan chan struct{}, 1)}
+	var peers []*revision.Member
+	for _, s := range seeds {
+		peers = append(peers, c.describe(s))
+	}
+	loop := control.New()
+	m.agent = agent.New(agent.Config{
+		Self: c.describe(name), Incarnation: ids.NewIncarnation(), Seeds: peers,
+		Platform: platform.NewClient(m.table, platform.Options{}), Transport: c.net.Transport(name), Loop: loop,
+		Rand: rand.New(rand.NewPCG(c.rng.Uint64(), 2)),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	go func() {
+		defer close(m.ended)
+		loop.Run(ctx, tick, func(now time.Time) {
+			select {
+			case resume := <-m.paused:
+				<-resume
+				now = time.Now()
+			default:
+			}
+			m.agent.Tick(now)
+		})
+	}()
+	c.members[name] = m
+	c.net.Attach(name, m.agent)
+	return m
+}
+
+// startAll starts n nodes in each data centre.
+func (c *cluster) startAll(n int, centres ...string) {
+	for _, dc := range centres {
+		for i := range n {
+			c.start(fmt.Sprintf("%s-%d", dc, i))
+		}
+	}
+}
+
+func (c *cluster) kill(name string) {
+	m := c.members[name]
+	c.net.Attach(name, nil)
+	m.agent.Close()
+	m.cancel()
+	<-m.ended
+	delete(c.members, name)
+}
+
+func (c *cluster) stop() {
+	for name := range c.members {
+		c.kill(name)
+	}
+	time.Sleep(time.Minute) // lets messages and late writes that are under way end
+}
+
+// pause stops a node's control loop; its process still answers with the views that it has.
+func (m *member) pause() (resume func()) {
+	ch := make(chan struct{})
+	m.paused <- ch
+	return func() { close(ch) }
+}
+
+// isolate cuts the named nodes off from the others and, if table is set, from the platform.
+func (c *cluster) isolate(table bool, names ...string) {
+	in := map[string]bool{}
+	for _, name := range names {
+		in[name] = true
+	}
+	c.net.Cut(func(from, to string) bool { return in[from] != in[to] })
+	for name, m := range c.members {
+		m.table.SetCut(table && in[name])
+	}
+}
+
+func (c *cluster) heal() { c.isolate(false) }
+
+func (c *cluster) meta(base uint64) *cardamomyokev1.ChangeMeta {
+	c.ops++
+	return &cardamomyokev1.ChangeMeta{Operator: "op", Reason: "test", OperationId: fmt.Sprintf("op-%d", c.ops), BaseRevision: base}
+}
+
+// change commits a new keep time for addresses, which is the simplest change there is.
+func (c *cluster) change(at string, base uint64) *revision.Entry {
+	c.t.Helper()
+	e, err := c.members[at].agent.Change(context.Background(), c.meta(base), keep(1000+uint32(base)))
+	if err != nil {
+		c.t.Fatalf("change based on %d at %s: %v", base, at, err)
+	}
+	return e
+}
+
+func keep(ms uint32) func(*revision.State) ([]*cardamomyokev1.Edit, error) {
+	return func(*revision.State) ([]*cardamomyokev1.Edit, error) {
+		p := &cardamomyokev1.Policies{AddressKeepMs: ms, EjectionPercent: 30, QuarantineS: 60}
+		return []*cardamomyokev1.Edit{{
+			Action: cardamomyokev1.EditAction_EDIT_ACTION_CHANGE,
+			Object: &cardamomyokev1.Edit_Policies{Policies: p},
+		}}, nil
+	}
+}
+
+// accepted waits for acceptance as seen at a node and returns how long it took.
+func (c *cluster) accepted(at string, e *revision.Entry, limit time.Duration) time.Duration {
+	c.t.Helper()
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	v := c.members[at].agent.Wait(ctx, e.GetSeq())
+	if v.Accepted < e.GetSeq() {
+		c.t.Fatalf("entry %d is not accepted after %v, pending %v", e.GetSeq(), limit, v.Pending)
+	}
+	return time.Since(start)
+}
+
+// wantInForce checks that each node that takes new work does so on at least the given revision.
+func (c *cluster) wantInForce(rev uint64) {
+	c.t.Helper()
+	for name, m := range c.members {
+		v := m.agent.View()
+		if v.Fresh(time.Now()) && v.InForce.Revision() < rev {
+			c.t.Fatalf("%s takes work on revision %d, want %d", name, v.InForce.Revision(), rev)
+		}
+	}
+}
+
+func (c *cluster) wantFresh(want bool, names ...string) {
+	c.t.Helper()
+	for _, name := range names {
+		if got := c.members[name].agent.Fresh(time.Now()); got != want {
+			c.t.Fatalf("%s: fresh %v, want %v; view %+v", name, got, want, c.members[name].agent.View())
+		}
+	}
+}
+
+func (c *cluster) names(dc string) []string {
+	var out []string
+	for name := range c.members {
+		if dataCentre(name) == dc {
+			out = append(out, name)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/revision/beat.go
@@ -0,0 +1,223 @@
+package revision
+
+import (
+	"slices"
+	"time"
+)
+
+// round is one beat as this node saw it: who answered it.
+type round struct {
+	origin    string
+	beat      uint64
+	start     time.Time
+	alive     bitset
+	roster    *Roster
+	maxStaged uint64
+	answered  map[string]bool // nodes that hear from this one
+}
+
+// isOrigin reports whether this node hears from nobody, so that beats start here.
+func (n *Node) isOrigin() bool { return n.parent == "" }
+
+// dropSilent gives up a parent and children that have been silent for too long, and looks for a parent.
+func (n *Node) dropSilent() {
+	for name, c := range n.children {
+		if n.now.Sub(c.seenAt) > n.options.forget() {
+			delete(n.children, name)
+		}
+	}
+	if n.parent != "" && n.now.Sub(n.parentAt) > n.options.silence() {
+		n.parent = ""
+		n.originAt = n.now
+		n.joinNext = 0
+		n.joinAt = time.Time{}
+		n.beatAt = n.now
+	}
+	n.join()
+}
+
+// join asks nodes that come before this one for beats: the next few each time, from the best one on, until one
+// answers. A node that hears from another one than the best asks the best again now and then.
+func (n *Node) join() {
+	if n.now.Before(n.joinAt) || len(n.states) == 0 {
+		return
+	}
+	parents := n.roster().parents(n.self.GetName(), n.options.Fanout)
+	if len(parents) == 0 {
+		n.joinAt = n.now.Add(n.options.Beat)
+		return
+	}
+	if n.parent != "" {
+		n.joinAt = n.now.Add(4*n.options.Beat + n.jitter(n.options.Beat))
+		if best := parents[0]; n.parent != best {
+			n.sendAck(best)
+		}
+		return
+	}
+	n.joinAt = n.now.Add(joinPause)
+	for range min(joinWidth, len(parents)) {
+		n.sendAck(parents[n.joinNext%len(parents)])
+		n.joinNext++
+	}
+}
+
+// better reports whether a is a better node to hear from than the present one.
+func (n *Node) better(a string) bool {
+	parents := n.roster().parents(n.self.GetName(), n.options.Fanout)
+	i, j := slices.Index(parents, a), slices.Index(parents, n.parent)
+	return i >= 0 && (j < 0 || i < j)
+}
+
+// OnPush takes a beat.
+func (n *Node) OnPush(now time.Time, m *Push) []Effect {
+	n.begin(now)
+	if r := n.roster(); m.GetFrom() == n.self.GetName() || r.before(n.self.GetName(), m.GetFrom()) {
+		return n.finish()
+	}
+	n.learn(m.GetEntries(), m.GetCommitted(), m.GetAccepted())
+	n.catchUp(m.GetFrom(), m.GetStaged())
+	n.trust(m)
+	n.follow(m)
+	return n.finish()
+}
+
+// trust takes what the beat says about freshness. The sender's ages count from when it sent the beat, which is not
+// before this node's acknowledgement, echoed in the beat, plus the time that it lay at the sender; so a beat that was
+// long on its way makes what it says older, never younger.
+func (n *Node) trust(m *Push) {
+	i := slices.IndexFunc(n.nonces, func(v nonce) bool { return v.n == m.GetEcho() })
+	if i < 0 || m.GetEchoAgeUs() < 0 {
+		return
+	}
+	sent := n.nonces[i].at.Add(time.Duration(m.GetEchoAgeUs()) * time.Microsecond)
+	if sent.After(n.now) {
+		sent = n.now
+	}
+	if m.GetTableAgeUs() >= 0 {
+		n.covered(sent.Add(-time.Duration(m.GetTableAgeUs())*time.Microsecond), m.GetStaged())
+	}
+	if v := m.GetVouch(); v != nil && v.GetAgeUs() >= 0 {
+		n.vouched(vouch{
+			seq: v.GetSeq(), basis: sent.Add(-time.Duration(v.GetAgeUs()) * time.Microsecond),
+			all: v.GetAll(), centres: v.GetDataCentres(),
+		})
+	}
+}
+
+// follow makes the sender the parent if it is the best at hand, and passes its beat on.
+func (n *Node) follow(m *Push) {
+	if n.parent != m.GetFrom() && n.parent != "" && !n.better(m.GetFrom()) {
+		return
+	}
+	n.parent = m.GetFrom()
+	n.parentAt = n.now
+	n.parentHi = m.GetStaged()
+	n.missing = n.namesOf(m.GetMissing(), m.GetStaged())
+	last := n.lastRound()
+	if last != nil && last.origin == m.GetOrigin() && last.beat >= m.GetBeat() {
+		n.scheduleAck(0)
+		return
+	}
+	n.startRound(m.GetOrigin(), m.GetBeat())
+	n.news = true
+	n.pushedAt = time.Time{}
+	n.scheduleAck(n.ackDelay())
+}
+
+func (n *Node) namesOf(bits []byte, seq uint64) []string {
+	s := n.at(seq)
+	if len(bits) == 0 || s == nil {
+		return nil
+	}
+	var out []string
+	for i, m := range s.Roster.members {
+		if bitset(bits).has(i) {
+			out = append(out, m.GetName())
+		}
+	}
+	return out
+}
+
+func (n *Node) lastRound() *round {
+	if len(n.rounds) == 0 {
+		return nil
+	}
+	return n.rounds[len(n.rounds)-1]
+}
+
+func (n *Node) startRound(origin string, beat uint64) {
+	r := &round{origin: origin, beat: beat, start: n.now, roster: n.roster(), answered: map[string]bool{}}
+	r.alive = newBitset(len(r.roster.members))
+	n.rounds = append(n.rounds, r)
+	if len(n.rounds) > roundsKept {
+		n.rounds = n.rounds[1:]
+	}
+}
+
+// spread starts a beat when it is time, or passes on what has just come in.
+func (n *Node) spread() {
+	if n.isOrigin() && (!n.now.Before(n.beatAt) || n.news) && n.rested() {
+		n.beats++
+		n.startRound(n.self.GetName(), n.beats)
+		n.count(n.lastRound())
+		if !n.now.Before(n.beatAt) {
+			n.beatAt = n.now.Add(n.options.Beat)
+		}
+		n.news = true
+	}
+	if !n.news || !n.rested() || n.lastRound() == nil {
+		return
+	}
+	n.news = false
+	n.pushedAt = n.now
+	for _, name := range n.childNames() {
+		n.sendPush(n.children[name])
+	}
+}
+
+func (n *Node) rested() bool { return n.now.Sub(n.pushedAt) >= newsPause }
+
+func (n *Node) childNames() []string {
+	names := make([]string, 0, len(n.children))
+	for name := range n.children {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (n *Node) sendPush(c *child) {
+	last := n.lastRound()
+	if last == nil {
+		return
+	}
+	m := &Push{
+		From: n.self.GetName(), Incarnation: n.incarnation, Origin: last.origin, Beat: last.beat,
+		Committed: n.committed, Accepted: n.accepted, Staged: n.staged(),
+		TableAgeUs: -1, Echo: c.nonce, EchoAgeUs: n.now.Sub(c.nonceAt).Microseconds(),
+		Entries: n.entriesAfter(c.staged), Missing: n.missingBits(),
+	}
+	if !n.tableBasis.IsZero() {
+		m.TableAgeUs = ageOf(n.now, n.tableBasis)
+	}
+	if !n.vouch.basis.IsZero() {
+		m.Vouch = n.vouch.proto(n.now)
+	}
+	n.do(&SendPush{c.member, m})
+}
+
+// ageOf rounds up, so that nothing looks younger than it is.
+func ageOf(now, then time.Time) int64 { return now.Sub(then).Microseconds() + 1 }
+
+// catchUp asks a node for the whole state if entries alone cannot lead to what it holds.
+func (n *Node) catchUp(from string, theirs uint64) {
+	if n.staged() >= theirs || n.now.Sub(n.catching) < n.options.Beat {
+		return
+	}
+	m := n.roster().Member(from)
+	if m == nil {
+		return
+	}
+	n.catching = n.now
+	n.do(&CatchUp{m})
+}
--- /dev/null
+++ b/internal/revision/join.go
@@ -0,0 +1,156 @@
+package revision
+
+import (
+	"slices"
+	"time"
+
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+)
+
+const (
+	editPause  = 100 * time.Millisecond // between two changes of the roster
+	wantKept   = 5 * time.Second        // after which a wish that is not repeated is dropped
+	goneAfter  = 30 * time.Second       // of silence, before a member is removed
+	goneListed = 15 * time.Second       // of silence, if the host list does not name it either
+)
+
+// want is a node's wish to become a member, or to be none any more if member is nil.
+type want struct {
+	member *Member
+	at     time.Time
+}
+
+// ownWish notes what this node itself wants.
+func (n *Node) ownWish() {
+	name := n.self.GetName()
+	m := n.roster().Member(name)
+	if n.leaving {
+		if m != nil {
+			n.wanted[name] = want{nil, n.now}
+		}
+		return
+	}
+	if m == nil || m.GetAddress() != n.self.GetAddress() || m.GetDataCentre() != n.self.GetDataCentre() {
+		n.wanted[name] = want{n.self, n.now}
+	}
+}
+
+// wish takes the wishes of nodes that hear from this one.
+func (n *Node) wish(e *cardamomyokev1.RosterEdit) {
+	for _, m := range e.GetAdd() {
+		n.wanted[m.GetName()] = want{m, n.now}
+	}
+	for _, name := range e.GetRemove() {
+		n.wanted[name] = want{nil, n.now}
+	}
+	if len(e.GetAdd())+len(e.GetRemove()) > 0 {
+		n.scheduleAck(0)
+	}
+}
+
+// wishes returns what nodes want that the roster does not show yet; nil if there is nothing.
+func (n *Node) wishes() *cardamomyokev1.RosterEdit {
+	n.ownWish()
+	e := &cardamomyokev1.RosterEdit{}
+	for name, w := range n.wanted {
+		m := n.roster().Member(name)
+		met := m == nil && w.member == nil
+		met = met || m != nil && w.member != nil && m.GetAddress() == w.member.GetAddress() && m.GetDataCentre() == w.member.GetDataCentre()
+		switch {
+		case met || n.now.Sub(w.at) > wantKept:
+			delete(n.wanted, name)
+		case w.member == nil:
+			e.Remove = append(e.Remove, name)
+		default:
+			e.Add = append(e.Add, w.member)
+		}
+	}
+	if len(e.Add)+len(e.Remove) == 0 {
+		return nil
+	}
+	slices.Sort(e.Remove)
+	slices.SortFunc(e.Add, func(a, b *Member) int { return compareHash(a.GetName(), b.GetName()) })
+	return e
+}
+
+// editRoster has the wishes committed as one entry. Only a node that hears from nobody does so, else a thousand nodes
+// that start together would race for the head row.
+func (n *Node) editRoster() {
+	if !n.isOrigin() || len(n.states) == 0 || n.staged() < n.committed || n.now.Sub(n.editing) < editPause {
+		return
+	}
+	if n.now.Sub(n.tableBasis) > n.options.Stale {
+		return // the table does not answer
+	}
+	e := n.wishes()
+	reason := "nodes join or leave"
+	if e == nil {
+		e = n.gone(goneAfter, nil)
+		reason = "silent, and too few to serve on their own"
+	}
+	if e == nil {
+		return
+	}
+	n.editing = n.now
+	n.do(&EditRoster{e, reason})
+}
+
+// hear notes who has answered a beat that started here.
+func (n *Node) hear(r *round) {
+	for i, m := range r.roster.members {
+		if r.alive.has(i) {
+			n.heard[m.GetName()] = n.now
+		}
+	}
+}
+
+// gone returns the removal of members that have been silent for long. A member that restarts joins again; one that is
+// alive and cut off is not removed, unless the host list does not name it: while it may belong to a part that serves on
+// its own, acceptance must wait for it.
+func (n *Node) gone(after time.Duration, listed map[string]bool) *cardamomyokev1.RosterEdit {
+	r := n.roster()
+	if n.now.Sub(n.originAt) < after {
+		return nil
+	}
+	alive := newBitset(len(r.members))
+	var silent []*Member
+	for i, m := range r.members {
+		switch {
+		case m.GetName() == n.self.GetName() || n.now.Sub(n.heard[m.GetName()]) < after:
+			alive.set(i)
+		case listed == nil || n.listed[m.GetName()] && !listed[m.GetName()]:
+			silent = append(silent, m)
+		}
+	}
+	if len(silent) == 0 || listed == nil && !r.excludes(alive, silent) {
+		return nil
+	}
+	e := &cardamomyokev1.RosterEdit{}
+	for _, m := range silent {
+		e.Remove = append(e.Remove, m.GetName())
+		delete(n.heard, m.GetName())
+	}
+	return e
+}
+
+// OnHosts takes the platform's host list. A host that it no longer names is gone, once the member has been silent for a
+// while too. A host that it has never named says nothing, since the list lags behind new hosts: a new one that is cut
+// off and serves must not be taken for gone.
+func (n *Node) OnHosts(now time.Time, hosts []platform.Host) []Effect {
+	n.begin(now)
+	listed := make(map[string]bool, len(hosts))
+	for _, h := range hosts {
+		listed[h.Name] = true
+	}
+	if n.isOrigin() && len(hosts) > 0 {
+		if e := n.gone(goneListed, listed); e != nil {
+			n.editing = n.now
+			n.do(&EditRoster{e, "silent, and no longer in the host list"})
+		}
+	}
+	for name := range listed {
+		n.listed[name] = true
+	}
+	return n.finish()
+}
--- /dev/null
+++ b/internal/revision/node.go
@@ -0,0 +1,419 @@
+package revision
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/charts"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+var chart = charts.MustLoad("revision")
+
+// Events of the chart.
+const (
+	evRecovered charts.Event = "recovered"
+	evStaged    charts.Event = "staged"
+	evInForce   charts.Event = "in-force"
+	evStale     charts.Event = "stale"
+	evFresh     charts.Event = "fresh"
+)
+
+const stateStarting charts.State = "starting"
+
+// Node is the state of one node. It does no I/O, reads no clock and is not safe for concurrent use: its owner calls
+// Tick often (each 50 ms) and the On methods with what arrives, and carries out the effects they return.
+type Node struct {
+	options     Options
+	self        *Member
+	incarnation string
+	rng         *rand.Rand
+	born        time.Time
+	machine     charts.Machine
+	leaving     bool
+	seeds       []*Member
+
+	// states are those of the entries from the older of accepted and in force up to the newest held.
+	states     []*State
+	inForce    *State
+	log        []*Entry
+	committed  uint64
+	accepted   uint64
+	floors     []floor
+	missing    []string // as the last beat says
+	tableBasis time.Time
+	vouch      vouch
+	vouchBasis time.Time
+
+	parent   string
+	parentAt time.Time
+	parentHi uint64 // newest entry that the parent holds
+	joinAt   time.Time
+	joinNext int
+	children map[string]*child
+	nonces   []nonce
+	rounds   []*round
+	beats    uint64
+	beatAt   time.Time // when the next beat starts here, if this node hears from nobody
+	pushedAt time.Time
+	news     bool
+	ackAt    time.Time // zero: nothing to acknowledge
+	ackedAt  time.Time
+
+	pending    []*pending
+	pollAt     time.Time
+	reading    time.Time // zero: no read under way
+	accepting  time.Time
+	catching   time.Time
+	editing    time.Time
+	wanted     map[string]want
+	heard      map[string]time.Time
+	listed     map[string]bool // names that the host list has shown
+	originAt   time.Time
+	holdsAt    time.Time
+	holdsCount int
+
+	now  time.Time
+	out  []Effect
+	view *View
+}
+
+// child is a node that hears from this one.
+type child struct {
+	member  *Member
+	seenAt  time.Time
+	life    string
+	nonce   uint64
+	nonceAt time.Time
+	staged  uint64
+	holds   bitset
+}
+
+// nonce remembers when an acknowledgement was sent.
+type nonce struct {
+	n  uint64
+	at time.Time
+}
+
+// vouch certifies that a majority held no entry after seq at some time after basis.
+type vouch struct {
+	seq     uint64
+	basis   time.Time
+	all     bool
+	centres []string
+}
+
+// NewNode returns a node that starts now and holds nothing. seeds are nodes to ask while the table is down.
+func NewNode(self *Member, life ids.Incarnation, seeds []*Member, o Options, rng *rand.Rand, now time.Time) *Node {
+	n := &Node{
+		options:     o.withDefaults(),
+		self:        self,
+		incarnation: string(life),
+		rng:         rng,
+		born:        now,
+		machine:     chart.Start(),
+		children:    map[string]*child{},
+		seeds:       seeds,
+		wanted:      map[string]want{},
+		heard:       map[string]time.Time{},
+		listed:      map[string]bool{},
+		originAt:    now,
+	}
+	n.beatAt = now.Add(n.jitter(n.options.Beat))
+	n.nonces = []nonce{{rng.Uint64() >> 1, now}}
+	return n
+}
+
+func (n *Node) jitter(d time.Duration) time.Duration {
+	return time.Duration(n.rng.Int64N(int64(d) + 1))
+}
+
+func (n *Node) head() *State {
+	if len(n.states) == 0 {
+		return nil
+	}
+	return n.states[len(n.states)-1]
+}
+
+func (n *Node) staged() uint64 {
+	if s := n.head(); s != nil {
+		return s.Seq
+	}
+	return 0
+}
+
+// at returns the state after an entry, or nil if it is not kept.
+func (n *Node) at(seq uint64) *State {
+	for _, s := range n.states {
+		if s.Seq == seq {
+			return s
+		}
+	}
+	return nil
+}
+
+func (n *Node) roster() *Roster {
+	if s := n.head(); s != nil {
+		return s.Roster
+	}
+	return NewRoster(nil)
+}
+
+func (n *Node) isMember() bool { return n.roster().Member(n.self.GetName()) != nil }
+
+func (n *Node) recovered() bool { return n.machine.State() != stateStarting }
+
+func (n *Node) begin(now time.Time) {
+	if now.After(n.now) {
+		n.now = now
+	}
+	n.out = nil
+}
+
+func (n *Node) do(e Effect) { n.out = append(n.out, e) }
+
+func (n *Node) fire(ev charts.Event) {
+	// The chart declares each of these events, so Fire cannot fail; charts_test and the chart's own check hold that.
+	_, _ = n.machine.Fire(ev)
+}
+
+// finish settles what follows from an event and returns the effects.
+func (n *Node) finish() []Effect {
+	n.dropSilent()
+	n.editRoster()
+	n.accept()
+	n.advance()
+	n.spread()
+	n.acknowledge()
+	n.poll()
+	n.publish()
+	return n.out
+}
+
+// Tick lets time pass.
+func (n *Node) Tick(now time.Time) []Effect {
+	n.begin(now)
+	return n.finish()
+}
+
+// Leave makes the node take no new work any more and ask to be removed from the roster. Its owner calls it when its
+// work is finished, and may end once the view's newest roster lacks it.
+func (n *Node) Leave(now time.Time) []Effect {
+	n.begin(now)
+	n.leaving = true
+	n.scheduleAck(0)
+	return n.finish()
+}
+
+// OnCommitted takes an entry that this node itself has committed in the table.
+func (n *Node) OnCommitted(now time.Time, e *Entry) []Effect {
+	n.begin(now)
+	n.learn([]*Entry{e}, e.GetSeq(), 0)
+	return n.finish()
+}
+
+// OnAccepted takes the outcome of Accept: the newest entry that is accepted, 0 if that could not be written.
+func (n *Node) OnAccepted(now time.Time, seq uint64) []Effect {
+	n.begin(now)
+	n.accepting = time.Time{}
+	n.learn(nil, 0, seq)
+	return n.finish()
+}
+
+// learn takes committed entries, wherever they come from, and stages those that follow what is held.
+func (n *Node) learn(entries []*Entry, committed, accepted uint64) {
+	before := [3]uint64{n.staged(), n.committed, n.accepted}
+	for _, e := range entries {
+		if len(n.states) > 0 && e.GetSeq() == n.staged()+1 {
+			n.stage(e)
+		}
+	}
+	n.committed = max(n.committed, committed, n.staged())
+	n.accepted = max(n.accepted, accepted)
+	if before != [3]uint64{n.staged(), n.committed, n.accepted} {
+		n.news = true
+		n.scheduleAck(n.ackDelay())
+	}
+}
+
+// stage holds e from now on. An entry that this node cannot apply is not held, so it is never accepted while the node
+// is a member, and `pending` names the node.
+func (n *Node) stage(e *Entry) {
+	next, err := n.head().Apply(e)
+	if err != nil {
+		return
+	}
+	n.states = append(n.states, next)
+	n.log = append(n.log, e)
+	if len(n.log) > logKept {
+		n.log = slices.Clone(n.log[len(n.log)-logKept:])
+	}
+	n.fire(evStaged)
+	p := &pending{state: next, since: n.now, held: map[int]time.Time{}}
+	if i, ok := next.Roster.index[n.self.GetName()]; ok {
+		p.held[i] = n.now
+	}
+	n.pending = append(n.pending, p)
+}
+
+// reset replaces all that is held by a later state.
+func (n *Node) reset(s *State) {
+	if len(n.states) > 0 && s.Seq <= n.staged() {
+		return
+	}
+	n.states = []*State{s}
+	n.log = nil
+	n.pending = nil
+	n.committed = max(n.committed, s.Seq)
+	n.news = true
+	n.scheduleAck(n.ackDelay())
+}
+
+// entriesAfter returns what another node lacks, or nil if this one does not keep it.
+func (n *Node) entriesAfter(seq uint64) []*Entry {
+	if len(n.log) == 0 || n.log[0].GetSeq() > seq+1 || seq >= n.staged() {
+		return nil
+	}
+	return n.log[seq+1-n.log[0].GetSeq():]
+}
+
+// advance puts in force what is accepted. It also puts in force what is held when the newest read of the table that
+// this node heard of is older than Force: otherwise a node that is cut off just before an entry is accepted would go
+// on without it for as long as it is cut off. A committed entry is never taken back, so this is early but not wrong.
+func (n *Node) advance() {
+	if len(n.states) == 0 || !n.recovered() {
+		return
+	}
+	target := min(n.accepted, n.staged())
+	if n.now.Sub(n.tableBasis) > n.options.Force {
+		target = n.staged()
+	}
+	if s := n.at(target); s != nil && (n.inForce == nil || s.Seq > n.inForce.Seq) {
+		n.putInForce(s)
+	}
+	keep := min(n.inForceSeq(), max(n.accepted, n.states[0].Seq))
+	n.states = slices.DeleteFunc(n.states, func(s *State) bool { return s.Seq < keep })
+	n.pending = slices.DeleteFunc(n.pending, func(p *pending) bool { return p.state.Seq <= n.accepted })
+}
+
+func (n *Node) inForceSeq() uint64 {
+	if n.inForce == nil {
+		return 0
+	}
+	return n.inForce.Seq
+}
+
+func (n *Node) putInForce(s *State) {
+	if n.inForce == nil || s.Revision() != n.inForce.Revision() {
+		n.floors = append(slices.Clip(n.floors), floor{ids.Revision(s.Revision()), n.now.Add(n.options.Force)})
+	}
+	if len(n.floors) > floorsKept {
+		n.floors = n.floors[len(n.floors)-floorsKept:]
+	}
+	n.inForce = s
+	if s.Seq == n.staged() {
+		n.fire(evInForce)
+	}
+}
+
+// freshUntil returns the deadline for new work.
+func (n *Node) freshUntil() time.Time {
+	if !n.recovered() || !n.isMember() || n.leaving || n.inForce == nil {
+		return time.Time{}
+	}
+	basis := n.tableBasis
+	if n.vouchBasis.After(basis) {
+		basis = n.vouchBasis
+	}
+	return basis.Add(n.options.Stale)
+}
+
+// covered takes a moment at which nothing after `seq` was committed, as far as a read of the table tells.
+func (n *Node) covered(basis time.Time, seq uint64) {
+	if n.staged() < seq || len(n.states) == 0 {
+		return // the node knows that it lacks something
+	}
+	if basis.After(n.tableBasis) {
+		n.tableBasis = basis
+	}
+	n.recover(basis)
+}
+
+// vouched takes a certificate of a majority.
+func (n *Node) vouched(v vouch) {
+	if v.basis.After(n.vouch.basis) {
+		n.vouch = v
+	}
+	mine := v.all || slices.Contains(v.centres, n.self.GetDataCentre())
+	if !mine || len(n.states) == 0 || n.staged() < v.seq {
+		return
+	}
+	if v.basis.After(n.vouchBasis) {
+		n.vouchBasis = v.basis
+	}
+	n.recover(v.basis)
+}
+
+// recover ends the time in which a restarted node has forgotten what it acknowledged. Only knowledge from after its
+// start counts: an entry that its former life acknowledged was committed before that, so a read of the table shows it,
+// and a majority holds one of the nodes that acknowledged it too.
+func (n *Node) recover(basis time.Time) {
+	if basis.Before(n.born) {
+		return
+	}
+	n.fire(evRecovered)
+}
+
+func (n *Node) publish() {
+	until := n.freshUntil()
+	if n.now.Before(until) {
+		n.fire(evFresh)
+	} else {
+		n.fire(evStale)
+	}
+	v := &View{
+		InForce:    n.inForce,
+		FreshUntil: until,
+		TableAt:    n.tableBasis,
+		Committed:  n.committed,
+		Accepted:   n.accepted,
+		Staged:     n.staged(),
+		Pending:    n.pendingNames(),
+		Newest:     n.head(),
+		floors:     n.floors,
+	}
+	if n.view != nil && sameView(v, n.view) {
+		return
+	}
+	n.view = v
+	n.do(&Publish{v})
+}
+
+func sameView(a, b *View) bool {
+	same := a.InForce == b.InForce && a.FreshUntil.Equal(b.FreshUntil) && a.TableAt.Equal(b.TableAt)
+	same = same && a.Committed == b.Committed && a.Accepted == b.Accepted && a.Staged == b.Staged
+	return same && a.Newest == b.Newest && slices.Equal(a.Pending, b.Pending)
+}
+
+// CatchUpAnswer is what another node gets that asks for the whole state; nil if this node has none to give.
+func (n *Node) CatchUpAnswer() *cardamomyokev1.CatchUpResponse {
+	if n.inForce == nil {
+		return nil
+	}
+	return &cardamomyokev1.CatchUpResponse{
+		State: n.inForce.Proto(), Entries: n.entriesAfter(n.inForce.Seq), Accepted: n.accepted,
+	}
+}
+
+// OnCatchUp takes the answer of another node, nil if it failed.
+func (n *Node) OnCatchUp(now time.Time, s *State, entries []*Entry, accepted uint64) []Effect {
+	n.begin(now)
+	n.catching = time.Time{}
+	if s != nil {
+		n.reset(s)
+		n.learn(entries, 0, accepted)
+	}
+	return n.finish()
+}
--- /dev/null
+++ b/internal/revision/options.go
@@ -0,0 +1,63 @@
+package revision
+
+import "time"
+
+// Options are the times and sizes of a Node; a zero value stands for the default.
+type Options struct {
+	// Beat is the time between beats, and between reads of the table by a poller; default 1s.
+	Beat time.Duration
+	// Stale is for how long a node takes new work on what it knew at a moment; default 4s.
+	Stale time.Duration
+	// Force is for how long a node leaves an entry that it holds out of force when it does not hear that it is not
+	// accepted yet; default 2s. It is also the grace for work on the revision before.
+	Force time.Duration
+	// Fanout is how many nodes hear from one; default 4.
+	Fanout int
+	// Pollers is how many nodes of a data centre read the table at each beat; default 2.
+	Pollers int
+}
+
+func (o Options) withDefaults() Options {
+	if o.Beat == 0 {
+		o.Beat = time.Second
+	}
+	if o.Stale == 0 {
+		o.Stale = 4 * time.Second
+	}
+	if o.Force == 0 {
+		o.Force = 2 * time.Second
+	}
+	if o.Fanout == 0 {
+		o.Fanout = 4
+	}
+	if o.Pollers == 0 {
+		o.Pollers = 2
+	}
+	return o
+}
+
+// wait is how long after the last acknowledgement a node that is missing has stopped; it is longer than Stale because
+// clocks may run at slightly different rates.
+func (o Options) wait() time.Duration { return o.Stale + o.Stale/8 }
+
+// silence is how long a node may be silent before another is asked in its place.
+func (o Options) silence() time.Duration { return o.Beat * 8 / 5 }
+
+// forget is how long a node that is silent is still sent beats.
+func (o Options) forget() time.Duration { return o.Beat * 16 / 5 }
+
+// Times that do not depend on the deployment.
+const (
+	newsPause  = 20 * time.Millisecond  // between two pushes of news
+	ackPause   = 100 * time.Millisecond // between two acknowledgements of one beat
+	ackWait    = 250 * time.Millisecond // for the nodes that hear from this one, before it acknowledges
+	joinPause  = 300 * time.Millisecond // between two tries to find a node to hear from
+	joinWidth  = 2                      // nodes tried at once
+	pollLead   = 200 * time.Millisecond // of the table's read before the beat that carries it
+	readLimit  = 3 * time.Second        // after which a read of the table counts as lost
+	holdsAfter = 700 * time.Millisecond // without acceptance, before the table is used to collect acknowledgements
+	logKept    = 256                    // entries kept for nodes that lack some
+	noncesKept = 64
+	floorsKept = 8
+	roundsKept = 4
+)
--- /dev/null
+++ b/internal/revision/roster.go
@@ -0,0 +1,213 @@
+package revision
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+)
+
+// Member is a node that must hold each revision.
+type Member = cardamomyokev1.Member
+
+// Roster is the set of members after one entry of the log, with the order in which nodes hear from each other. It is
+// immutable and shared by all states between two changes of the roster.
+//
+// Data centres are ordered by the hash of their names, and the members of a data centre by the hash of theirs. In a
+// data centre the order makes a heap: the member at position i hears from the one at (i-1)/fanout, the first of a data
+// centre hears from the first of an earlier data centre. A node hears only from nodes before it, so no loop can form,
+// whatever fails and whoever is asked instead.
+type Roster struct {
+	members []*Member // sorted by name
+	index   map[string]int
+	centres []centre // in order
+	rank    []int    // of each member, by index
+}
+
+// centre is one data centre's members, as indexes, in order.
+type centre struct {
+	name  string
+	order []int
+}
+
+// NewRoster returns the roster of the given members.
+func NewRoster(members []*Member) *Roster {
+	r := &Roster{members: slices.Clone(members), index: make(map[string]int, len(members))}
+	slices.SortFunc(r.members, func(a, b *Member) int { return cmp.Compare(a.GetName(), b.GetName()) })
+	byName := map[string][]int{}
+	for i, m := range r.members {
+		r.index[m.GetName()] = i
+		byName[m.GetDataCentre()] = append(byName[m.GetDataCentre()], i)
+	}
+	for name, order := range byName {
+		slices.SortFunc(order, func(a, b int) int { return compareHash(r.members[a].GetName(), r.members[b].GetName()) })
+		r.centres = append(r.centres, centre{name, order})
+	}
+	slices.SortFunc(r.centres, func(a, b centre) int { return compareHash(a.name, b.name) })
+	r.rank = make([]int, len(members))
+	next := 0
+	for _, c := range r.centres {
+		for _, i := range c.order {
+			r.rank[i] = next
+			next++
+		}
+	}
+	return r
+}
+
+func compareHash(a, b string) int {
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+}
+
+// Members returns the members sorted by name; the slice must not be changed.
+func (r *Roster) Members() []*Member { return r.members }
+
+// Member returns the member of that name, or nil.
+func (r *Roster) Member(name string) *Member {
+	i, ok := r.index[name]
+	if !ok {
+		return nil
+	}
+	return r.members[i]
+}
+
+// missing returns the names of the members whose bit is not set in held.
+func (r *Roster) missing(held bitset) []string {
+	var out []string
+	for i, m := range r.members {
+		if !held.has(i) {
+			out = append(out, m.GetName())
+		}
+	}
+	return out
+}
+
+// before reports whether a comes before b in the order; unknown members do for nobody.
+func (r *Roster) before(a, b string) bool {
+	i, ok := r.index[a]
+	j, known := r.index[b]
+	return ok && known && r.rank[i] < r.rank[j]
+}
+
+// position returns the place of a member in its data centre, and that data centre's place in the order.
+func (r *Roster) position(name string) (at, centreAt int) {
+	i, ok := r.index[name]
+	if !ok {
+		return -1, -1
+	}
+	centreAt = slices.IndexFunc(r.centres, func(c centre) bool { return c.name == r.members[i].GetDataCentre() })
+	return slices.Index(r.centres[centreAt].order, i), centreAt
+}
+
+// parents returns whom a member may hear from, best first: the members above it in the heap, then the others before it
+// in its data centre, then those of earlier data centres.
+func (r *Roster) parents(name string, fanout int) []string {
+	at, centreAt := r.position(name)
+	if at < 0 {
+		return r.firsts()
+	}
+	var out []string
+	seen := map[int]bool{}
+	add := func(i int) {
+		if !seen[i] {
+			seen[i] = true
+			out = append(out, r.members[i].GetName())
+		}
+	}
+	own := r.centres[centreAt].order
+	for p := at; p > 0; {
+		p = (p - 1) / fanout
+		add(own[p])
+	}
+	for p := range at {
+		add(own[p])
+	}
+	for _, c := range r.centres[:centreAt] {
+		for _, i := range c.order {
+			add(i)
+		}
+	}
+	return out
+}
+
+// firsts returns the first members of all data centres, whom a node that is no member may hear from.
+func (r *Roster) firsts() []string {
+	var out []string
+	for _, c := range r.centres {
+		out = append(out, r.members[c.order[0]].GetName())
+	}
+	return out
+}
+
+// majorities returns whether the given members are more than half of all, and of which data centres.
+func (r *Roster) majorities(b bitset) (all bool, centres []string) {
+	total := 0
+	for _, c := range r.centres {
+		n := 0
+		for _, i := range c.order {
+			if b.has(i) {
+				n++
+			}
+		}
+		total += n
+		if 2*n > len(c.order) {
+			centres = append(centres, c.name)
+		}
+	}
+	return 2*total > len(r.members), centres
+}
+
+// excludes reports whether the given members leave too few others for a majority of all, or of a data centre that one
+// of the missing members is in.
+func (r *Roster) excludes(held bitset, missing []*Member) bool {
+	total := 0
+	for _, c := range r.centres {
+		n := 0
+		for _, i := range c.order {
+			if held.has(i) {
+				n++
+			}
+		}
+		total += n
+		lacks := slices.ContainsFunc(missing, func(m *Member) bool { return m.GetDataCentre() == c.name })
+		if lacks && 2*n < len(c.order) {
+			return false
+		}
+	}
+	return 2*total >= len(r.members)
+}
+
+// translate carries bits from one roster to another, by name.
+func translate(b bitset, from, to *Roster) bitset {
+	if from == to {
+		return b
+	}
+	out := newBitset(len(to.members))
+	for i, m := range from.members {
+		if j, ok := to.index[m.GetName()]; ok && b.has(i) {
+			out.set(j)
+		}
+	}
+	return out
+}
+
+// edit returns the roster after e.
+func (r *Roster) edit(e *cardamomyokev1.RosterEdit) *Roster {
+	next := map[string]*Member{}
+	for _, m := range r.members {
+		next[m.GetName()] = m
+	}
+	for _, name := range e.GetRemove() {
+		delete(next, name)
+	}
+	for _, m := range e.GetAdd() {
+		next[m.GetName()] = m
+	}
+	list := make([]*Member, 0, len(next))
+	for _, m := range next {
+		list = append(list, m)
+	}
+	return NewRoster(list)
+}
--- /dev/null
+++ b/internal/revision/state.go
@@ -0,0 +1,79 @@
+package revision
+
+import (
+	"fmt"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/config"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+)
+
+// Entry is one step of the log.
+type Entry = cardamomyokev1.LogEntry
+
+// State is everything that the log says up to one entry. It is immutable.
+type State struct {
+	Seq    uint64
+	Config *config.Snapshot // nil before the first operator's change
+	Roster *Roster
+}
+
+// SequenceError says that an entry does not follow the state it was applied to.
+type SequenceError struct{ State, Entry uint64 }
+
+// Error implements error.
+func (e *SequenceError) Error() string {
+	return fmt.Sprintf("entry %d does not follow state %d", e.Entry, e.State)
+}
+
+// Empty returns the state before the first entry.
+func Empty() *State { return &State{Roster: NewRoster(nil)} }
+
+// Revision returns the number of the configuration; 0 if there is none.
+func (s *State) Revision() uint64 { return s.Configuration().GetRevision() }
+
+// Configuration returns the configuration, or nil; it must not be changed.
+func (s *State) Configuration() *cardamomyokev1.Configuration {
+	if s == nil || s.Config == nil {
+		return nil
+	}
+	return s.Config.Proto
+}
+
+// Apply returns the state after e. Errors: *SequenceError, *config.FieldError.
+func (s *State) Apply(e *Entry) (*State, error) {
+	if e.GetSeq() != s.Seq+1 {
+		return nil, fmt.Errorf("apply: %w", &SequenceError{s.Seq, e.GetSeq()})
+	}
+	next := &State{Seq: e.GetSeq(), Config: s.Config, Roster: s.Roster}
+	if e.GetRoster() != nil {
+		next.Roster = s.Roster.edit(e.GetRoster())
+	}
+	if len(e.GetEdits()) == 0 {
+		return next, nil
+	}
+	c, err := config.Apply(s.Configuration(), e.GetEdits(), e.GetRevision())
+	if err != nil {
+		return nil, err
+	}
+	next.Config, err = config.NewSnapshot(c)
+	return next, err
+}
+
+// Proto returns the state as it is kept in the object store and sent to nodes that catch up.
+func (s *State) Proto() *cardamomyokev1.State {
+	return &cardamomyokev1.State{Seq: s.Seq, Configuration: s.Configuration(), Members: s.Roster.members}
+}
+
+// FromProto reads what Proto wrote. Errors: *config.FieldError.
+func FromProto(p *cardamomyokev1.State) (*State, error) {
+	s := &State{Seq: p.GetSeq(), Roster: NewRoster(p.GetMembers())}
+	if p.GetConfiguration() == nil {
+		return s, nil
+	}
+	c, err := config.NewSnapshot(p.GetConfiguration())
+	if err != nil {
+		return nil, err
+	}
+	s.Config = c
+	return s, nil
+}
--- /dev/null
+++ b/internal/revision/store/change.go
@@ -0,0 +1,252 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/config"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision"
+)
+
+// maxPending is how many entries may wait for acceptance before operators' changes are refused.
+const maxPending = 64
+
+// systemOperator is the operator of changes that the system makes by itself.
+const systemOperator = "cardamomyoke"
+
+// RaceError says that another operator's change was committed after the revision that this one is based on.
+type RaceError struct{ Base, Committed uint64 }
+
+// Error implements error.
+func (e *RaceError) Error() string {
+	return fmt.Sprintf("the change is based on revision %d, but %d is committed", e.Base, e.Committed)
+}
+
+// PendingError says that too many changes wait for acceptance.
+type PendingError struct{ Committed, Accepted uint64 }
+
+// Error implements error.
+func (e *PendingError) Error() string {
+	return fmt.Sprintf("%d entries wait to be accepted", e.Committed-e.Accepted)
+}
+
+// ReusedError says that an operation id was used for another change.
+type ReusedError struct{ Operation string }
+
+// Error implements error.
+func (e *ReusedError) Error() string {
+	return fmt.Sprintf("operation %s was used for another change", e.Operation)
+}
+
+// UnknownError says that a change may or may not be committed, or may still be.
+type UnknownError struct {
+	Operation string
+	Cause     error
+}
+
+// Error implements error.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("operation %s may or may not be committed: %v", e.Operation, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Cause }
+
+// Build returns the edits of a change, given the committed state that it is applied to.
+type Build func(*revision.State) ([]*cardamomyokev1.Edit, error)
+
+// Change commits an operator's change and returns its entry. have is a state to start from, as new as the caller has.
+// A change sent again with the same operation id returns the entry of the first time. Errors: *config.FieldError,
+// *RaceError, *PendingError, *ReusedError (nothing was committed); *platform.UnavailableError (nothing was committed
+// by this call); *UnknownError.
+func (s *Store) Change(ctx context.Context, have *revision.State, meta *cardamomyokev1.ChangeMeta, build Build) (*revision.Entry, error) {
+	if err := config.CheckMeta(meta); err != nil {
+		return nil, err
+	}
+	return s.propose(ctx, have, meta, func(st *revision.State, h *cardamomyokev1.Head) (*revision.Entry, error) {
+		if st.Revision() != meta.GetBaseRevision() {
+			return nil, &RaceError{meta.GetBaseRevision(), st.Revision()}
+		}
+		if h.GetCommitted()-h.GetAccepted() >= maxPending {
+			return nil, &PendingError{h.GetCommitted(), h.GetAccepted()}
+		}
+		edits, err := build(st)
+		if err != nil {
+			return nil, err
+		}
+		return &revision.Entry{Revision: st.Revision() + 1, Edits: edits}, nil
+	})
+}
+
+// EditRoster commits a change of the roster and returns its entry. Errors as of Change.
+func (s *Store) EditRoster(ctx context.Context, have *revision.State, e *cardamomyokev1.RosterEdit, meta *cardamomyokev1.ChangeMeta) (*revision.Entry, error) {
+	if meta.GetOperator() == "" {
+		meta = &cardamomyokev1.ChangeMeta{
+			Operator: systemOperator, Reason: meta.GetReason(), OperationId: string(ids.NewOperation()),
+		}
+	}
+	return s.propose(ctx, have, meta, func(st *revision.State, _ *cardamomyokev1.Head) (*revision.Entry, error) {
+		return &revision.Entry{Revision: st.Revision(), Roster: e}, nil
+	})
+}
+
+// propose writes the entry that make returns after all that is committed. Losing the head row to another write is no
+// conflict by itself: make decides again on the newer state.
+func (s *Store) propose(ctx context.Context, have *revision.State, meta *cardamomyokev1.ChangeMeta,
+	make func(*revision.State, *cardamomyokev1.Head) (*revision.Entry, error)) (*revision.Entry, error) {
+	var last error
+	for range tries {
+		h, done, err := s.headAndOperation(ctx, meta.GetOperationId())
+		if err != nil {
+			return nil, orUnknown(meta, last, err)
+		}
+		if done != nil {
+			return sameChange(done, meta)
+		}
+		if have, err = s.forward(ctx, have, h.Head); err != nil {
+			return nil, orUnknown(meta, last, err)
+		}
+		// A refusal here is final, also after a try whose answer was lost: that try names the head's version, so it can
+		// only still be applied on the very state that make accepted then.
+		e, err := make(have, h.Head)
+		if err != nil {
+			return nil, err
+		}
+		e, err = s.write(ctx, have, h, meta, e)
+		if err == nil && last == nil {
+			return e, nil
+		}
+		if err != nil && !again(err) {
+			return nil, orUnknown(meta, last, err)
+		}
+		last = errors.Join(last, err)
+	}
+	return nil, &UnknownError{meta.GetOperationId(), last}
+}
+
+// headAndOperation reads the head, and the entry of the operation if it is committed, as of one moment.
+func (s *Store) headAndOperation(ctx context.Context, id string) (head, *revision.Entry, error) {
+	rows, err := s.platform.Get(ctx, keyHead, prefixOp+id)
+	if err != nil {
+		return head{}, nil, err
+	}
+	h := head{&cardamomyokev1.Head{}, rows[0].Version}
+	if err := decode(keyHead, rows[0].Value, h.Head); err != nil || rows[1].Version == 0 {
+		return h, nil, err
+	}
+	e, err := s.entry(ctx, rows[1])
+	return h, e, err
+}
+
+// orUnknown returns err, or *UnknownError if an earlier try may have been applied or may still be.
+func orUnknown(meta *cardamomyokev1.ChangeMeta, earlier, err error) error {
+	var unknown *platform.UnknownOutcomeError
+	if errors.As(earlier, &unknown) {
+		return &UnknownError{meta.GetOperationId(), err}
+	}
+	return err
+}
+
+func sameChange(e *revision.Entry, meta *cardamomyokev1.ChangeMeta) (*revision.Entry, error) {
+	if !proto.Equal(e.GetMeta(), meta) {
+		return nil, &ReusedError{meta.GetOperationId()}
+	}
+	return e, nil
+}
+
+// forward returns the state at what is committed, from have on.
+func (s *Store) forward(ctx context.Context, have *revision.State, h *cardamomyokev1.Head) (*revision.State, error) {
+	if have == nil {
+		have = revision.Empty()
+	}
+	if have.Seq < h.GetCheckpoint() {
+		st, err := s.checkpoint(ctx, h.GetCheckpoint())
+		if err != nil {
+			return nil, err
+		}
+		have = st
+	}
+	entries, err := s.Entries(ctx, have.Seq, h.GetCommitted())
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range entries {
+		if have, err = have.Apply(e); err != nil {
+			return nil, &CorruptError{logKey(e.GetSeq()), err}
+		}
+	}
+	return have, nil
+}
+
+func (s *Store) write(ctx context.Context, st *revision.State, h head, meta *cardamomyokev1.ChangeMeta, e *revision.Entry) (*revision.Entry, error) {
+	e.Seq = st.Seq + 1
+	e.Meta = meta
+	e.CommittedAtUnixMs = s.clock().UnixMilli()
+	if _, err := st.Apply(e); err != nil {
+		return nil, err // nothing half-valid is stored
+	}
+	value, err := proto.Marshal(e)
+	if err != nil {
+		return nil, &CorruptError{logKey(e.GetSeq()), err}
+	}
+	h.Committed, h.Revision = e.GetSeq(), e.GetRevision()
+	_, err = s.commit(ctx, ids.Operation("config-"+meta.GetOperationId()), h, []platform.Put{
+		{Key: logKey(e.GetSeq()), Value: value},
+		{Key: prefixOp + meta.GetOperationId(), Value: []byte(seqOf(logKey(e.GetSeq())))},
+	})
+	return e, err
+}
+
+// Operation returns the entry of an operation, or nil if none is committed.
+func (s *Store) Operation(ctx context.Context, id string) (*revision.Entry, error) {
+	_, e, err := s.headAndOperation(ctx, id)
+	return e, err
+}
+
+// entry reads the entry that an operation's row names.
+func (s *Store) entry(ctx context.Context, op platform.Row) (*revision.Entry, error) {
+	key := prefixLog + string(op.Value)
+	rows, err := s.platform.Get(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	e := &revision.Entry{}
+	return e, decode(key, rows[0].Value, e)
+}
+
+// Head returns the head row.
+func (s *Store) Head(ctx context.Context) (*cardamomyokev1.Head, error) {
+	h, err := s.head(ctx)
+	return h.Head, err
+}
+
+// StateAt returns the state after the newest entry of a revision. Errors: *config.FieldError if there is none.
+func (s *Store) StateAt(ctx context.Context, rev uint64) (*revision.State, error) {
+	h, err := s.head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if rev > h.GetRevision() || rev == 0 {
+		return nil, &config.FieldError{Field: "to_revision", Want: fmt.Sprintf("1 to %d", h.GetRevision())}
+	}
+	entries, err := s.Entries(ctx, 0, h.GetCommitted())
+	if err != nil {
+		return nil, err
+	}
+	st := revision.Empty()
+	for _, e := range entries {
+		if e.GetRevision() > rev {
+			break
+		}
+		if st, err = st.Apply(e); err != nil {
+			return nil, &CorruptError{logKey(e.GetSeq()), err}
+		}
+	}
+	return st, nil
+}
--- /dev/null
+++ b/internal/revision/store/store.go
@@ -0,0 +1,239 @@
+// Package store keeps the log of the configuration in the platform's table and object store.
+//
+// Rows: `config/head` says which entries are committed and accepted; `config/log/SEQ` is an entry, written once in the
+// same transaction as the head; `config/op/ID` tells what became of an operation; `config/holds/NODE` collects
+// acknowledgements of nodes that do not reach each other. Object `config/state/SEQ` is a checkpoint of an accepted
+// entry. A read of the head that begins after a commit shows it, and every rule of acceptance rests on that.
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision"
+)
+
+const (
+	keyHead     = "config/head"
+	prefixLog   = "config/log/"
+	prefixOp    = "config/op/"
+	prefixHolds = "config/holds/"
+	prefixState = "config/state/"
+
+	pageSize        = 500
+	checkpointEvery = 64
+	tries           = 20
+)
+
+// Platform is what the store needs of the platform.
+type Platform interface {
+	platform.Table
+	platform.Objects
+}
+
+// Store reads and writes the log. It is safe for concurrent use.
+type Store struct {
+	platform Platform
+	clock    func() time.Time
+}
+
+// New returns a store; clock dates entries, for people only.
+func New(p Platform, clock func() time.Time) *Store { return &Store{p, clock} }
+
+func logKey(seq uint64) string    { return fmt.Sprintf("%s%020d", prefixLog, seq) }
+func stateName(seq uint64) string { return fmt.Sprintf("%s%020d", prefixState, seq) }
+
+// CorruptError says that a row or object cannot be read.
+type CorruptError struct {
+	Key   string
+	Cause error
+}
+
+// Error implements error.
+func (e *CorruptError) Error() string { return fmt.Sprintf("%s cannot be read: %v", e.Key, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *CorruptError) Unwrap() error { return e.Cause }
+
+func decode(key string, value []byte, out proto.Message) error {
+	if err := proto.Unmarshal(value, out); err != nil {
+		return &CorruptError{key, err}
+	}
+	return nil
+}
+
+// head is the head row and its version.
+type head struct {
+	*cardamomyokev1.Head
+	version uint64
+}
+
+func (s *Store) head(ctx context.Context) (head, error) {
+	rows, err := s.platform.Get(ctx, keyHead)
+	if err != nil {
+		return head{}, err
+	}
+	h := head{&cardamomyokev1.Head{}, rows[0].Version}
+	return h, decode(keyHead, rows[0].Value, h.Head)
+}
+
+// ReadHead reads the head row and the entries after `after`. With whole it starts at the newest checkpoint, with holds
+// it reads the acknowledgements kept in the table too.
+func (s *Store) ReadHead(ctx context.Context, after uint64, whole, holds bool) revision.HeadRead {
+	rd := revision.HeadRead{Started: s.clock()}
+	rd.Err = s.readHead(ctx, &rd, after, whole)
+	if rd.Err == nil && holds {
+		rd.Holds, rd.Err = s.holds(ctx)
+	}
+	return rd
+}
+
+func (s *Store) readHead(ctx context.Context, rd *revision.HeadRead, after uint64, whole bool) error {
+	h, err := s.head(ctx)
+	if err != nil {
+		return err
+	}
+	rd.Head = h.Head
+	if whole && h.GetCheckpoint() > after {
+		if rd.State, err = s.checkpoint(ctx, h.GetCheckpoint()); err != nil {
+			return err
+		}
+		after = rd.State.Seq
+	}
+	rd.Entries, err = s.Entries(ctx, after, h.GetCommitted())
+	return err
+}
+
+func (s *Store) checkpoint(ctx context.Context, seq uint64) (*revision.State, error) {
+	data, err := s.platform.GetObject(ctx, stateName(seq))
+	if err != nil {
+		return nil, err
+	}
+	p := &cardamomyokev1.State{}
+	if err := decode(stateName(seq), data, p); err != nil {
+		return nil, err
+	}
+	return revision.FromProto(p)
+}
+
+// Entries returns the entries after the first number, up to and with the second.
+func (s *Store) Entries(ctx context.Context, after, last uint64) ([]*revision.Entry, error) {
+	var out []*revision.Entry
+	for after < last {
+		rows, err := s.platform.List(ctx, prefixLog, logKey(after), int(min(pageSize, last-after)))
+		if err != nil {
+			return nil, err
+		}
+		if len(rows) == 0 {
+			return nil, &CorruptError{logKey(after + 1), &platform.NotFoundError{Name: logKey(after + 1)}}
+		}
+		for _, r := range rows {
+			e := &revision.Entry{}
+			if err := decode(r.Key, r.Value, e); err != nil {
+				return nil, err
+			}
+			out = append(out, e)
+			after = e.GetSeq()
+		}
+	}
+	return out, nil
+}
+
+func (s *Store) holds(ctx context.Context) ([]*cardamomyokev1.Holds, error) {
+	rows, err := s.platform.List(ctx, prefixHolds, "", pageSize)
+	if err != nil {
+		return nil, err
+	}
+	var out []*cardamomyokev1.Holds
+	for _, r := range rows {
+		h := &cardamomyokev1.Holds{}
+		if err := decode(r.Key, r.Value, h); err != nil {
+			return nil, err
+		}
+		out = append(out, h)
+	}
+	return out, nil
+}
+
+// WriteHolds replaces this node's row of acknowledgements.
+func (s *Store) WriteHolds(ctx context.Context, h *cardamomyokev1.Holds) error {
+	value, err := proto.Marshal(h)
+	if err != nil {
+		return &CorruptError{prefixHolds + h.GetFrom(), err}
+	}
+	_, err = s.platform.Commit(ctx, platform.Txn{
+		Operation: ids.NewOperation(),
+		Puts:      []platform.Put{{Key: prefixHolds + h.GetFrom(), Value: value}},
+	})
+	return err
+}
+
+// Accept writes that the entry of st is accepted, unless a later one is, and returns the newest that is.
+func (s *Store) Accept(ctx context.Context, st *revision.State) (uint64, error) {
+	var last error
+	for range tries {
+		h, err := s.head(ctx)
+		if err != nil {
+			return 0, err
+		}
+		if h.GetAccepted() >= st.Seq {
+			return h.GetAccepted(), nil
+		}
+		h.Accepted = st.Seq
+		if st.Seq-h.GetCheckpoint() >= checkpointEvery && s.keep(ctx, st) == nil {
+			h.Checkpoint = st.Seq
+		}
+		_, last = s.commit(ctx, ids.NewOperation(), h, nil)
+		if last == nil {
+			return st.Seq, nil
+		}
+		if !again(last) {
+			return 0, last
+		}
+	}
+	return 0, last
+}
+
+// keep writes a checkpoint. One that is there already was made from the same log.
+func (s *Store) keep(ctx context.Context, st *revision.State) error {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(st.Proto())
+	if err != nil {
+		return &CorruptError{stateName(st.Seq), err}
+	}
+	return s.platform.PutObject(ctx, stateName(st.Seq), data)
+}
+
+// commit writes the head, and the other rows, none of which may exist yet, on condition that the head is unchanged.
+func (s *Store) commit(ctx context.Context, op ids.Operation, h head, fresh []platform.Put) (platform.Result, error) {
+	value, err := proto.Marshal(h.Head)
+	if err != nil {
+		return platform.Result{}, &CorruptError{keyHead, err}
+	}
+	t := platform.Txn{
+		Operation: op,
+		Checks:    []platform.Check{{Key: keyHead, Version: h.version}},
+		Puts:      append([]platform.Put{{Key: keyHead, Value: value}}, fresh...),
+	}
+	for _, p := range fresh {
+		t.Checks = append(t.Checks, platform.Check{Key: p.Key})
+	}
+	return s.platform.Commit(ctx, t)
+}
+
+// again reports whether a write may be tried once more after reading the head anew.
+func again(err error) bool {
+	var conflict *platform.ConflictError
+	var unknown *platform.UnknownOutcomeError
+	return errors.As(err, &conflict) || errors.As(err, &unknown)
+}
+
+// seqOf reads the number from a key of the log.
+func seqOf(key string) string { return strings.TrimPrefix(key, prefixLog) }
