Load bench: what entry and slot add to a request, beside the straight path

Cause: the overhead of the path was not known. Change: cardamomyoke-bench load; gnet's own information lines no longer mix with the structured log.

--- a/cmd/cardamomyoke-bench/main.go
+++ b/cmd/cardamomyoke-bench/main.go
@@ -7,6 +7,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/demo"
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/load"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/rebalance"
 )
 
@@ -15,5 +16,6 @@
 	// Each experiment lives in its own package below internal/bench and adds its command here with Register(app).
 	demo.Register(app)
 	rebalance.Register(app)
+	load.Register(app)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 }
--- /dev/null
+++ b/internal/bench/load/bed.go
@@ -0,0 +1,197 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/attempt"
+	"github.com/cardamomyoke/cardamomyoke/internal/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/entry"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/slot"
+	"github.com/cardamomyoke/cardamomyoke/internal/standin/engine"
+	"github.com/cardamomyoke/cardamomyoke/internal/standin/plain"
+	"github.com/cardamomyoke/cardamomyoke/internal/standin/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
+)
+
+// Services of the measurement, and names of the paths.
+const (
+	serviceModel = "model"
+	servicePlain = "plain"
+	serviceStub  = "stub"
+
+	nameStraight = "straight to the stand-in"
+	nameEntry    = "entry, stub in place of the slot"
+	nameBoth     = "entry and slot"
+)
+
+// bed is everything that runs.
+type bed struct {
+	entryAddr, engineAddr, plainAddr string
+	stops                            []func()
+}
+
+func (b *bed) stop() {
+	for i := len(b.stops) - 1; i >= 0; i-- {
+		b.stops[i]()
+	}
+}
+
+func snapshot() (*config.Snapshot, error) {
+	service := func(name string, kind cardamomyokev1.ServiceKind) *cardamomyokev1.Service {
+		return &cardamomyokev1.Service{
+			Name: name, Kind: kind, Class: "all", Repeatable: true, DeadlineMs: 30_000, MaxBodyBytes: 1 << 20, RetryBudgetPercent: 10,
+		}
+	}
+	return config.NewSnapshot(&cardamomyokev1.Configuration{
+		Revision: 1,
+		Classes:  []*cardamomyokev1.PriorityClass{{Name: "all", QueueLimit: 10_000}},
+		Services: []*cardamomyokev1.Service{
+			service(serviceModel, cardamomyokev1.ServiceKind_SERVICE_KIND_MODEL),
+			service(servicePlain, cardamomyokev1.ServiceKind_SERVICE_KIND_PLAIN),
+			service(serviceStub, cardamomyokev1.ServiceKind_SERVICE_KIND_PLAIN),
+		},
+		Clients:  []*cardamomyokev1.ClientAccount{{Name: "load", Share: 1}},
+		Policies: &cardamomyokev1.Policies{AddressKeepMs: 100, QuarantineS: 60},
+	})
+}
+
+// startBed starts stand-ins, slots and one entry.
+func startBed(o Options) (*bed, error) {
+	b := &bed{}
+	if err := b.start(o); err != nil {
+		b.stop()
+		return nil, err
+	}
+	return b, nil
+}
+
+func (b *bed) start(o Options) error {
+	snap, err := snapshot()
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	ports := make([]string, 16)
+	for i := range ports {
+		if ports[i], err = freePort(); err != nil {
+			return err
+		}
+	}
+	b.entryAddr, b.engineAddr, b.plainAddr = ports[0], ports[1], ports[2]
+	if err := b.startStandins(o); err != nil {
+		return err
+	}
+	tracer, err := tracing.New(context.Background(), "load", tracing.Options{})
+	if err != nil {
+		return fmt.Errorf("tracing: %w", err)
+	}
+	source := config.Static{Snapshot: snap}
+	deps := slot.Deps{Config: source, Table: platform.NewStore(platform.Limits{}), Logger: log.NewNopLogger(), Tracer: tracer}
+	if err := b.startSlot(serviceModel, slot.KindModel, b.engineAddr, ports[3:6], ports[6], o, deps); err != nil {
+		return err
+	}
+	if err := b.startSlot(servicePlain, slot.KindPlain, b.plainAddr, ports[7:10], ports[6], o, deps); err != nil {
+		return err
+	}
+	if err := b.startStub(ports[10:13], ports[6], o); err != nil {
+		return err
+	}
+	return b.startEntry(ports[6], ports[13], source, tracer)
+}
+
+func (b *bed) startStandins(o Options) error {
+	e, err := engine.Start(b.engineAddr, engine.Options{Batch: o.Workers, CacheBlocks: 64})
+	if err != nil {
+		return err
+	}
+	b.stops = append(b.stops, e.Stop)
+	p, err := plain.Start(b.plainAddr, 0)
+	if err != nil {
+		return err
+	}
+	b.stops = append(b.stops, p.Stop)
+	return nil
+}
+
+func (b *bed) startSlot(name string, kind slot.Kind, upstream string, ports []string, digests string, o Options, d slot.Deps) error {
+	set := &slot.Settings{Name: name, DataCentre: "here", Service: ids.Service(name), Platform: digests}
+	set.HTTP.Address = ports[0]
+	set.Control.Address = ports[1]
+	set.Digests.Address = ports[2]
+	set.Digests.Seeds = []string{digests}
+	set.Upstream.Kind = kind
+	set.Upstream.Address = upstream
+	set.Upstream.Batch = 4 * o.Workers
+	s, err := slot.Start(set, d)
+	if err != nil {
+		return err
+	}
+	b.stops = append(b.stops, s.Kill)
+	return nil
+}
+
+// startStub answers attempts at once, in place of a slot with its upstream.
+func (b *bed) startStub(ports []string, digests string, o Options) error {
+	stub, err := httpserver.Start(ports[0], 1, httpserver.Limits{}, func(_ context.Context, x *httpserver.Exchange) {
+		id := string(x.Req.Header.Peek(attempt.HeaderAttempt))
+		_ = x.Respond(fasthttp.StatusOK, []httpserver.Header{{Name: attempt.HeaderAttempt, Value: id}}, []byte("{}"))
+	})
+	if err != nil {
+		return err
+	}
+	b.stops = append(b.stops, func() { _ = stub.Stop(context.Background()) })
+	stop, err := announce(ports[0], ports[2], digests, o)
+	if err != nil {
+		return err
+	}
+	b.stops = append(b.stops, stop)
+	return nil
+}
+
+func (b *bed) startEntry(digests, control string, source config.Source, tracer *tracing.Tracer) error {
+	set := &entry.Settings{Name: "entry", DataCentre: "here", Platform: control}
+	set.HTTP.Address = b.entryAddr
+	set.Control.Address = control
+	set.Digests.Address = digests
+	e, err := entry.Start(set, entry.Deps{Config: source, Logger: log.NewNopLogger(), Tracer: tracer})
+	if err != nil {
+		return err
+	}
+	b.stops = append(b.stops, e.Kill)
+	const warm = 12 * time.Second // upstreams return gradually
+	time.Sleep(warm)
+	return nil
+}
+
+// paths lists what is measured; the straight path of each kind comes first.
+func (b *bed) paths(o Options) []path {
+	chat := chatBody(o.Tokens)
+	body := []byte(`{"slip":1}`)
+	return []path{
+		{nameStraight, servicePlain, b.plainAddr, post("/slips", body)},
+		{nameEntry, servicePlain, b.entryAddr, post("/v1/services/"+serviceStub+"/slips", body)},
+		{nameBoth, servicePlain, b.entryAddr, post("/v1/services/"+servicePlain+"/slips", body)},
+		{nameStraight, serviceModel, b.engineAddr, post("/v1/chat/completions", chat)},
+		{nameBoth, serviceModel, b.entryAddr, post("/v1/chat/completions", chat)},
+	}
+}
+
+func post(uri string, body []byte) func() *fasthttp.Request {
+	return func() *fasthttp.Request {
+		req := &fasthttp.Request{}
+		req.Header.SetMethod(fasthttp.MethodPost)
+		req.SetRequestURI(uri)
+		req.Header.SetHost("load")
+		req.Header.SetContentType("application/json")
+		req.Header.Set("Authorization", "Bearer load")
+		req.SetBodyRaw(body)
+		return req
+	}
+}
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -11,10 +11,11 @@
 	"net/netip"
 
 	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
+
 	"google.golang.org/protobuf/proto"
 
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/gnetlog"
 )
 
 // MaxBytes is the largest datagram that is sent or taken; it fits one packet on any network in use.
@@ -75,7 +76,7 @@
 	r := &Receiver{take: take, booted: make(chan struct{})}
 	ended := make(chan error, 1)
 	go func() {
-		ended <- gnet.Run(r, "udp://"+address, gnet.WithReuseAddr(true), gnet.WithLogLevel(logging.ErrorLevel))
+		ended <- gnet.Run(r, "udp://"+address, gnet.WithReuseAddr(true), gnet.WithLogger(gnetlog.New()))
 	}()
 	select {
 	case <-r.booted:
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -227,7 +227,7 @@
 }
 
 func (s *state) queueOptions() admission.Options {
-	share := func(c ids.Client) int { return int(s.config.Current().Client(c).GetShare()) }
+	share := func(c ids.Client) float64 { return float64(s.config.Current().Client(c).GetShare()) }
 	o := admission.Options{Reserve: admission.DefaultReserve, Share: share}
 	for _, c := range s.snapshot.Proto.GetClasses() {
 		o.Classes = append(o.Classes, admission.Class{
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -8,10 +8,11 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
+
 	"github.com/valyala/fasthttp"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/gnetlog"
 )
 
 // Handler answers one request. It must call Respond once, or Stream and then End; ctx ends when the caller goes away.
@@ -61,7 +62,7 @@
 			gnet.WithTicker(true),
 			gnet.WithReuseAddr(true),
 			gnet.WithTCPNoDelay(gnet.TCPNoDelay),
-			gnet.WithLogLevel(logging.ErrorLevel),
+			gnet.WithLogger(gnetlog.New()),
 		)
 	}()
 	select {
