spec: the expert map switch in Promela, with a mutant for each safeguard

Three ranks in lock-step, two proposers, messages that may be read late, never, twice or in any order, slots that restart with nothing while their engines live on, any proposer dying or waking late. Absence of invalid end states is progress, since every transition makes something true that stays true.

--- /dev/null
+++ b/spec/expertmap.pml
@@ -0,0 +1,396 @@
+/*
+ * Expert map switch: three ranks in lock-step, two proposers, slots that restart with nothing.
+ *
+ * What is modelled
+ *  - Each rank has an engine, which lives on when its slot dies, and a slot, which forgets everything.
+ *  - Messages are facts that stay readable for ever once sent: reading one late, never, twice or in any order covers
+ *    loss, copies and reordering. What a slot sent before it died may be lost as a whole (CRASH).
+ *  - A proposer proposes at any time, with incarnations that it saw at any earlier time, or never: this covers the
+ *    proposer that dies or is paused at each point and comes back with a lapsed lease. It sends nothing but Cap;
+ *    slots pass on everything else themselves, so no step of the protocol needs the proposer again.
+ *  - Every transition makes something true that stays true, so each run is finite. A run that ends before all ranks
+ *    ran all steps is an invalid end state: absence of those is progress.
+ *
+ * Left out: staging of weights (a slot refuses at will, which covers weights that are not there), the loss of an
+ * engine, more than one Recover in flight from one incarnation.
+ *
+ * Configurations: RIVALS (default): proposals 0 and 1 both start from map 0. ROW: proposal 1 starts from the map of
+ * proposal 0. ONE: proposal 0 alone. Map 0 is the first one; the map of proposal p is p+1.
+ */
+#ifndef CRASHES
+#define CRASHES 2
+#endif
+#define N 3
+#ifdef ROW
+#define STEPS 3
+#else
+#define STEPS 2
+#endif
+#define NONE 9
+
+/* Steps are 0..STEPS-1; proposal 0 starts at step 1, proposal 1 at step 2 (ROW) or 1 (RIVALS). */
+#ifdef ROW
+#define START(p) ((p) + 1)
+#define FROM(p) (p)
+#else
+#define START(p) 1
+#define FROM(p) 0
+#endif
+
+/* Engines. done[i]: steps that rank i has started. */
+byte done[N];
+byte limit[N] = NONE;	/* runs no step >= limit */
+byte have[N];		/* bit p: ordered to switch by proposal p */
+byte used[STEPS] = NONE;	/* the map that the step's first rank used */
+
+/* Slots. */
+byte inc[N];
+bool rec[N];		/* recovering */
+byte held[N] = NONE;	/* the proposal capped */
+bool acked[N];		/* held was acknowledged */
+bool pend[N];		/* certificate seen, engine not yet switched */
+byte refused[N];	/* bit p */
+byte known[9];		/* known[i*N+k]: newest incarnation of k that i knows */
+byte answered[N];	/* bit k: the recovering slot i has k's answer */
+byte told[N];		/* what those answers say was committed */
+
+/* Messages. */
+byte proposed;		/* bit p */
+byte roster[6];		/* roster[p*N+i] */
+byte acks[2];		/* bit i */
+byte refusal[2];	/* bit i, from the incarnation in the roster */
+byte aborted;		/* bit p: a recovered slot said so */
+byte crashes;
+
+#define mapof(i)	((have[i] & 2) -> 2 : ((have[i] & 1) -> 1 : 0))
+#define mapat(i, t)	(((have[i] & 2) && t >= START(1)) -> 2 : (((have[i] & 1) && t >= START(0)) -> 1 : 0))
+#define bit(p)		(1 << (p))
+#define others(i)	(7 & ~bit(i))
+
+inline step(i) {
+	d_step {
+		done[i] < STEPS && done[i] < limit[i] &&
+		done[0] >= done[i] && done[1] >= done[i] && done[2] >= done[i] ->
+		if
+		:: used[done[i]] == NONE -> used[done[i]] = mapat(i, done[i])
+		:: else -> assert(used[done[i]] == mapat(i, done[i]))
+		fi;
+		printf("EV step %d\n", i);
+		done[i]++
+	}
+}
+
+/* Rivals are alike but for their names, so the first to be made is number 0. */
+#ifdef ROW
+#define turn(p) true
+#else
+#define turn(p) (p == 0 || (proposed & 1))
+#endif
+
+/* A proposer sees each rank's incarnation at some time, not all at the same time. */
+inline propose(p, a, b, c) {
+	d_step {
+		!(proposed & bit(p)) && turn(p) && a <= inc[0] && b <= inc[1] && c <= inc[2] ->
+		roster[p*N] = a; roster[p*N+1] = b; roster[p*N+2] = c;
+		proposed = proposed | bit(p);
+		printf("EV propose %d %d %d %d\n", p, a, b, c)
+	}
+}
+
+#define same(p, i, k) (roster[(p)*N+k] == known[i*N+k])
+#ifdef MUTANT_NO_ROSTER
+#define named(p, i) true
+#define current(p, i) ((i == 0 || same(p, i, 0)) && (i == 1 || same(p, i, 1)) && (i == 2 || same(p, i, 2)))
+#else
+#define named(p, i) (roster[(p)*N+i] == inc[i])
+#ifdef MUTANT_NO_PROMISE
+#define current(p, i) true
+#else
+#define current(p, i) (same(p, i, 0) && same(p, i, 1) && same(p, i, 2))
+#endif
+#endif
+#ifdef MUTANT_TWO_HELD
+#define free(i) (!pend[i])
+#else
+#define free(i) (held[i] == NONE)
+#endif
+#ifdef MUTANT_NO_FROM
+#define rightmap(p, i) true
+#else
+#define rightmap(p, i) (FROM(p) == mapof(i))
+#endif
+#ifdef MUTANT_NO_PASSED
+#define passed(p, i) false
+#else
+#define passed(p, i) (done[i] > START(p))
+#endif
+#ifdef MUTANT_NO_MEMORY
+#define remembers(p, i) false
+#else
+#define remembers(p, i) (refused[i] & bit(p))
+#endif
+
+#define mayanswer(p, i) ((proposed & bit(p)) && !rec[i] && named(p, i) && held[i] != p && !(have[i] & bit(p)) && !remembers(p, i))
+
+inline cap(p, i) {
+	d_step {
+		mayanswer(p, i) && free(i) && current(p, i) && rightmap(p, i) && !passed(p, i) ->
+		held[i] = p;
+		acked[i] = false;
+#ifndef MUTANT_ACK_FIRST
+		limit[i] = START(p);
+#endif
+		printf("EV cap %d %d\n", i, p)
+	}
+}
+
+inline ack(i) {
+	d_step {
+		held[i] != NONE && !acked[i] && !pend[i] ->
+		acked[i] = true;
+		acks[held[i]] = acks[held[i]] | bit(i);
+		printf("EV ack %d %d\n", i, held[i])
+	}
+}
+
+#ifdef MUTANT_ACK_FIRST
+inline latecap(i) {
+	d_step {
+		held[i] != NONE && acked[i] && limit[i] == NONE && done[i] <= START(held[i]) ->
+		limit[i] = START(held[i]);
+		printf("EV latecap %d\n", i)
+	}
+}
+#endif
+
+/* For a reason of the protocol or at will: the weights are not there. */
+inline refuse(p, i) {
+	d_step {
+		mayanswer(p, i) && !(refused[i] & bit(p)) ->
+		refused[i] = refused[i] | bit(p);
+		refusal[p] = refusal[p] | bit(i);
+		printf("EV refuse %d %d\n", i, p)
+	}
+}
+
+#ifdef MUTANT_REFUSE_DONE
+/* A late copy of Cap is answered by a refusal though the switch was made. */
+inline refusedone(p, i) {
+	d_step {
+		(proposed & bit(p)) && !rec[i] && (have[i] & bit(p)) && !(refused[i] & bit(p)) ->
+		refused[i] = refused[i] | bit(p);
+		refusal[p] = refusal[p] | bit(i);
+		printf("EV refusedone %d %d\n", i, p)
+	}
+}
+#endif
+
+#ifdef MUTANT_NO_FREEZE
+#define frozen(i) false
+#else
+#define frozen(i) (!current(held[i], i))
+#endif
+#ifdef MUTANT_NO_CERTIFICATE
+#define certified(p) (acks[p] & (acks[p] - 1))
+#else
+#define certified(p) (acks[p] == 7)
+#endif
+
+inline certificate(i) {
+	d_step {
+		held[i] != NONE && acked[i] && !pend[i] && certified(held[i]) && !frozen(i) ->
+		pend[i] = true;
+		printf("EV certificate %d\n", i)
+	}
+}
+
+/* The engine carries the order out. */
+inline switched(i) {
+	d_step {
+		pend[i] ->
+		assert(mapof(i) == FROM(held[i]));
+		have[i] = have[i] | bit(held[i]);
+		limit[i] = NONE;
+		held[i] = NONE; acked[i] = false; pend[i] = false;
+		printf("EV switched %d\n", i)
+	}
+}
+
+#ifdef MUTANT_NO_CONFIRM
+#define says(k, p) ((have[k] & bit(p)) || (pend[k] && held[k] == p))
+#else
+#define says(k, p) (have[k] & bit(p))
+#endif
+
+/* A peer says that the switch was made, which it does only once its own engine confirmed it. */
+inline committed(i) {
+	d_step {
+		held[i] != NONE && !pend[i] &&
+		(says(0, held[i]) || says(1, held[i]) || says(2, held[i])) ->
+		pend[i] = true;
+		printf("EV committed %d\n", i)
+	}
+}
+
+inline abort(i) {
+	d_step {
+		held[i] != NONE && !pend[i] && (refusal[held[i]] || (aborted & bit(held[i]))) ->
+		refused[i] = refused[i] | bit(held[i]);
+		printf("EV abort %d %d\n", i, held[i]);
+		limit[i] = NONE;
+		held[i] = NONE; acked[i] = false
+	}
+}
+
+inline crash(i) {
+	d_step {
+		crashes < CRASHES ->
+		crashes++;
+		inc[i]++;
+		rec[i] = true; held[i] = NONE; acked[i] = false; pend[i] = false; refused[i] = 0;
+		known[i*N] = 0; known[i*N+1] = 0; known[i*N+2] = 0;
+		known[i*N+i] = inc[i];
+		answered[i] = 0; told[i] = 0;
+		printf("EV crash %d\n", i)
+	}
+	if
+	:: true
+	:: d_step {
+		(acks[0] | acks[1] | refusal[0] | refusal[1]) & bit(i) ->
+		acks[0] = acks[0] & ~bit(i); acks[1] = acks[1] & ~bit(i);
+		refusal[0] = refusal[0] & ~bit(i); refusal[1] = refusal[1] & ~bit(i);
+		printf("EV lost %d\n", i)
+	   }
+	fi
+}
+
+#ifdef MUTANT_SILENT
+#define canspeak(k) (!rec[k])
+#else
+#define canspeak(k) true
+#endif
+#ifdef MUTANT_NO_CONFIRM
+#define settled(k) true
+#define sum(k) (have[k] | (pend[k] -> bit(held[k]) : 0))
+#else
+#define settled(k) (!pend[k])
+#define sum(k) have[k]
+#endif
+
+/*
+ * k answers the recovering slot i, and thereby promises to refuse each roster with an older incarnation of i. The
+ * answer stays good if k restarts before i has heard all: what k had not switched then, its next life does not switch
+ * either unless someone had, who then says so.
+ */
+inline answer(k, i) {
+	d_step {
+		rec[i] && !(answered[i] & bit(k)) && canspeak(k) && settled(k) ->
+		known[k*N+i] = inc[i];
+		answered[i] = answered[i] | bit(k);
+		told[i] = told[i] | sum(k);
+		known[i*N+k] = inc[k];
+		printf("EV answer %d %d\n", k, i)
+	}
+}
+
+#ifdef MUTANT_NO_PEERS
+#define heard(i) (answered[i] != 0)
+#else
+#define heard(i) (answered[i] == others(i))
+#endif
+
+/* With every peer's answer the slot knows the outcome of each proposal that its older incarnations voted on. */
+inline recovered(i) {
+	d_step {
+		rec[i] && heard(i) ->
+		rec[i] = false;
+		have[i] = have[i] | told[i];
+#ifndef MUTANT_NO_LIFT
+		limit[i] = NONE;
+#endif
+		answered[i] = 0; told[i] = 0;
+		printf("EV recovered %d\n", i)
+	}
+}
+
+#ifdef MUTANT_EARLY_ABORT
+#define mayabort(i) true
+#else
+#define mayabort(i) (!rec[i])
+#endif
+
+/* A recovered slot speaks for its older incarnations: what nobody had switched by then never will be. */
+inline resolve(p, i) {
+	d_step {
+		(proposed & bit(p)) && mayabort(i) && roster[(p)*N+i] < inc[i] && !(have[i] & bit(p)) && !(aborted & bit(p)) ->
+		aborted = aborted | bit(p);
+		printf("EV resolve %d %d\n", i, p)
+	}
+}
+
+proctype Rank(byte i) {
+end:	do
+	:: step(i)
+	:: cap(0, i)
+	:: cap(1, i)
+	:: ack(i)
+#ifdef MUTANT_ACK_FIRST
+	:: latecap(i)
+#endif
+	:: refuse(0, i)
+	:: refuse(1, i)
+#ifdef MUTANT_REFUSE_DONE
+	:: refusedone(0, i)
+	:: refusedone(1, i)
+#endif
+	:: certificate(i)
+	:: switched(i)
+	:: committed(i)
+	:: abort(i)
+	:: atomic { crash(i) }
+	:: answer((i + 1) % N, i)
+	:: answer((i + 2) % N, i)
+	:: recovered(i)
+#ifndef MUTANT_NO_ARBITER
+	:: resolve(0, i)
+	:: resolve(1, i)
+#endif
+	od
+}
+
+proctype Proposer(byte p) {
+	byte a, b, c;
+	atomic {
+		if :: a = 0 :: inc[0] > 0 -> a = 1 :: inc[0] > 1 -> a = 2 fi;
+		if :: b = 0 :: inc[1] > 0 -> b = 1 :: inc[1] > 1 -> b = 2 fi;
+		if :: c = 0 :: inc[2] > 0 -> c = 1 :: inc[2] > 1 -> c = 2 fi;
+		if
+		:: propose(p, a, b, c)
+		:: skip
+		fi;
+		a = 0; b = 0; c = 0
+	}
+}
+
+/* Crashes end at some time: without this the next crash could free a group that waits for ever. */
+proctype Calm() {
+end:	crashes < CRASHES -> crashes = CRASHES
+}
+
+/* The group must not wait for ever: when nothing more can happen, every rank has run every step. */
+proctype Progress() {
+	timeout -> printf("EV stuck\n");
+	done[0] == STEPS && done[1] == STEPS && done[2] == STEPS
+}
+
+init {
+	atomic {
+		run Rank(0); run Rank(1); run Rank(2);
+		run Proposer(0);
+#ifndef ONE
+		run Proposer(1);
+#endif
+		run Calm();
+		run Progress()
+	}
+}
