--- a/internal/claims/ledger_test.go
+++ b/internal/claims/ledger_test.go
@@ -357,3 +357,34 @@
 	b.serve()
 	b.want(map[uint64][]string{1: {"deadline-cannot-be-met"}})
 }
+
+// Two callers share a transaction whose answer is lost, and the key of one is taken meanwhile. The other runs once;
+// when the taken key is free again and the lost transaction arrives at last, it claims nothing. Without the fence it
+// would hold both keys for attempts that never start.
+func TestConflictAfterALostAnswerIsFenced(t *testing.T) {
+	mem := memtable.NewMemory()
+	b := newBench(t, mem, "s1")
+	b.arrive(request(1, "warm-up", "a"))
+	b.arrive(request(2, "k1", "a"))
+	b.arrive(request(3, "k2", "a"))
+	b.serve()
+	b.pass(time.Second)
+	late := b.lose()
+	other := newBench(t, mem, "s2")
+	other.arrive(request(10, "k1", "a"))
+	other.serve()
+	b.settle()
+	b.want(map[uint64][]string{1: {"start"}, 2: {"running"}, 3: {"start"}})
+	for seq, side := range map[uint64]*bench{3: b, 10: other} {
+		side.take(side.ledger.NotStarted(side.now, ids.Attempt{Entry: "e", Seq: seq}))
+		side.settle()
+	}
+	if _, err := mem.Apply(late); err != nil {
+		t.Fatal(err)
+	}
+	for _, key := range []string{"k1", "k2"} {
+		if row := mem.Row(RowKey("arriaga", key)); row.Version != 0 {
+			t.Errorf("the late transaction claimed %s", key)
+		}
+	}
+}
