--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -1,7 +1,9 @@
 package attempt_test
 
 import (
+	"bytes"
 	"errors"
+	"io"
 	"testing"
 	"time"
 
@@ -72,40 +74,85 @@
 }
 
 func TestFollowerTakesOnlyItsOwnAnswerInOrder(t *testing.T) {
-	event := func(id string, i int, finish string) []byte {
-		data, err := attempt.Event{Attempt: id, Index: i, Text: "x", Finish: finish}.Encode()
-		if err != nil {
-			t.Fatal(err)
-		}
-		return data[len("data: "):]
+	event := func(seq uint64, i uint32, finish string) *attempt.Event {
+		return &attempt.Event{Attempt: seq, Index: i, Text: "x", Finish: finish}
 	}
 	tests := map[string]struct {
-		before [][]byte
-		data   []byte
-		ok     bool
+		events []*attempt.Event
+		good   int
 	}{
-		"first":        {nil, event("e1/1", 3, ""), true},
-		"crossed":      {nil, event("e1/2", 3, ""), false},
-		"gap":          {nil, event("e1/1", 4, ""), false},
-		"doubled":      {[][]byte{event("e1/1", 3, "")}, event("e1/1", 3, ""), false},
-		"end":          {[][]byte{event("e1/1", 3, "")}, event("e1/1", 4, "stop"), true},
-		"end too soon": {nil, event("e1/1", 9, "stop"), false},
-		"after end":    {[][]byte{event("e1/1", 3, "stop")}, event("e1/1", 3, ""), false},
-		"not json":     {nil, []byte("{"), false},
+		"in order":     {[]*attempt.Event{event(1, 3, ""), event(1, 4, ""), event(1, 5, "stop")}, 3},
+		"crossed":      {[]*attempt.Event{event(2, 3, "")}, 0},
+		"gap":          {[]*attempt.Event{event(1, 4, "")}, 0},
+		"doubled":      {[]*attempt.Event{event(1, 3, ""), event(1, 3, "")}, 1},
+		"end too soon": {[]*attempt.Event{event(1, 9, "stop")}, 0},
+		"after end":    {[]*attempt.Event{event(1, 3, "stop"), event(1, 3, "")}, 1},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			f := attempt.NewFollower(one, 3)
-			for _, data := range tc.before {
-				if _, err := f.Accept(data); err != nil {
+			var wire bytes.Buffer
+			for _, e := range tc.events {
+				if err := attempt.Write(&wire, e); err != nil {
 					t.Fatal(err)
 				}
 			}
-			_, err := f.Accept(tc.data)
+			f := attempt.NewFollower(one, 3, &wire)
+			for range tc.good {
+				if _, err := f.Next(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			_, err := f.Next()
 			var typed *attempt.MismatchError
-			if tc.ok != (err == nil) || err != nil && !errors.As(err, &typed) {
-				t.Fatalf("got %v, want ok %t", err, tc.ok)
+			if tc.good == len(tc.events) {
+				if !errors.Is(err, io.EOF) {
+					t.Fatalf("got %v, want the end", err)
+				}
+			} else if !errors.As(err, &typed) {
+				t.Fatalf("got %v, want *MismatchError", err)
 			}
 		})
 	}
 }
+
+// The caller would get half an answer that looks whole: the slot's host died in mid-stream, so the stream just ends.
+// Without its last event a stream is cut, wherever in an event it breaks.
+func TestAStreamWithoutItsLastEventIsCut(t *testing.T) {
+	var wire bytes.Buffer
+	if err := attempt.Write(&wire, &attempt.Event{Attempt: 1, Index: 0, Text: "abc"}); err != nil {
+		t.Fatal(err)
+	}
+	for n := range wire.Len() + 1 {
+		f := attempt.NewFollower(one, 0, bytes.NewReader(wire.Bytes()[:n]))
+		_, err := f.Next()
+		if n == wire.Len() {
+			_, err = f.Next()
+		}
+		var cut *attempt.CutError
+		if !errors.As(err, &cut) {
+			t.Fatalf("cut after %d bytes: got %v", n, err)
+		}
+	}
+}
+
+func FuzzFollower(f *testing.F) {
+	f.Add([]byte{0})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 1})
+	f.Add([]byte{11, 9, 1, 0, 0, 0, 0, 0, 0, 0, 0x1a, 0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		follower := attempt.NewFollower(one, 0, bytes.NewReader(data))
+		for range len(data) + 2 {
+			_, err := follower.Next()
+			if err == nil {
+				continue
+			}
+			var cut *attempt.CutError
+			var mismatch *attempt.MismatchError
+			if !errors.Is(err, io.EOF) && !errors.As(err, &cut) && !errors.As(err, &mismatch) {
+				t.Fatalf("untyped error %v", err)
+			}
+			return
+		}
+		t.Fatal("more events than bytes")
+	})
+}
--- a/internal/attempt/event.go
+++ b/internal/attempt/event.go
@@ -1,44 +1,35 @@
 package attempt
 
 import (
-	"encoding/json"
+	"bufio"
+	"errors"
 	"fmt"
+	"io"
 
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 )
 
-// Event is one server-sent event of a model's answer, from slot to entry.
-type Event struct {
-	// Attempt is the id that every answer must carry.
-	Attempt string `json:"a"`
-	// Index is the token's place in the whole answer, from 0; in the last event, the number of tokens.
-	Index int `json:"i"`
-	// Text is the token.
-	Text string `json:"t,omitempty"`
-	// Finish is set in the last event only: stop or length.
-	Finish string `json:"f,omitempty"`
-	// Failure is set in the last event only, in place of Finish, when the answer breaks off.
-	Failure string `json:"e,omitempty"`
-}
+// Event is one token of a model's answer, or its end.
+type Event = cardamomyokev1.AttemptEvent
 
-// Last reports whether no event follows.
-func (e Event) Last() bool { return e.Finish != "" || e.Failure != "" }
+// ContentType is that of a stream of events.
+const ContentType = "application/vnd.cardamomyoke.attempt"
 
-// Encode returns the event with its framing.
-func (e Event) Encode() ([]byte, error) {
-	body, err := json.Marshal(e)
-	if err != nil {
-		return nil, fmt.Errorf("encode event: %w", err)
-	}
-	return Frame(body), nil
-}
+// maxEventBytes bounds one event on the wire.
+const maxEventBytes = 256 << 10
 
-// Frame returns data as a server-sent event; data must hold no line break.
-func Frame(data []byte) []byte {
-	out := make([]byte, 0, len(data)+8)
-	out = append(out, "data: "...)
-	out = append(out, data...)
-	return append(out, '\n', '\n')
+// Last reports whether no event follows e.
+func Last(e *Event) bool { return e.GetFinish() != "" || e.GetFailure() != "" }
+
+// Write writes e to w, length-delimited.
+func Write(w io.Writer, e *Event) error {
+	if _, err := protodelim.MarshalTo(w, e); err != nil {
+		return fmt.Errorf("write event: %w", err)
+	}
+	return nil
 }
 
 // MismatchError says that an answer is not the one to this attempt. Its connection must be closed, never reused.
@@ -53,41 +44,61 @@
 	return fmt.Sprintf("attempt %s: answer has %s, want %s", e.Attempt, e.Got, e.Want)
 }
 
-// Follower checks that the events of one answer belong to it and come in order, each once.
+// CutError says that a stream ended before its last event.
+type CutError struct {
+	Attempt ids.Attempt
+	Tokens  int
+	Cause   error
+}
+
+// Error implements error.
+func (e *CutError) Error() string {
+	return fmt.Sprintf("attempt %s: answer cut off after %d tokens", e.Attempt, e.Tokens)
+}
+
+// Unwrap returns the cause.
+func (e *CutError) Unwrap() error { return e.Cause }
+
+// Follower reads the events of one answer and checks that they belong to it and come in order, each once.
 type Follower struct {
 	id    ids.Attempt
-	text  string
+	r     *bufio.Reader
+	event Event
 	next  int
 	ended bool
 }
 
-// NewFollower expects the answer to attempt a from token index next on.
-func NewFollower(a ids.Attempt, next int) *Follower {
-	return &Follower{id: a, text: a.String(), next: next}
+// NewFollower reads the answer to attempt a from r; token index next is expected first.
+func NewFollower(a ids.Attempt, next int, r io.Reader) *Follower {
+	return &Follower{id: a, r: bufio.NewReader(r), next: next}
 }
 
-// Next returns how many tokens the caller has, counting those from earlier attempts.
-func (f *Follower) Next() int { return f.next }
-
-// Ended reports whether the last event was accepted.
-func (f *Follower) Ended() bool { return f.ended }
-
-// Accept takes the next event from the wire. Errors: *MismatchError for an event of another answer, a gap, a double or
-// an event after the last.
-func (f *Follower) Accept(data []byte) (Event, error) {
-	var e Event
-	if err := json.Unmarshal(data, &e); err != nil {
-		return Event{}, &MismatchError{f.id, "an event", fmt.Sprintf("%.40q", data)}
+// Next returns the next event, which is valid until the following call, and io.EOF after the last one. Errors:
+// *CutError if the stream ends before its last event, *MismatchError for an event of another answer, a gap, a double,
+// or an event after the last.
+func (f *Follower) Next() (*Event, error) {
+	f.event.Reset()
+	err := protodelim.UnmarshalOptions{MaxSize: maxEventBytes}.UnmarshalFrom(f.r, &f.event)
+	if errors.Is(err, io.EOF) && f.ended {
+		return nil, io.EOF
+	}
+	if err != nil {
+		return nil, &CutError{f.id, f.next, err}
 	}
-	if e.Attempt != f.text {
-		return Event{}, &MismatchError{f.id, "its own id", e.Attempt}
+	return &f.event, f.check(&f.event)
+}
+
+func (f *Follower) check(e *Event) error {
+	if e.GetAttempt() != f.id.Seq {
+		return &MismatchError{f.id, "its own id", fmt.Sprintf("sequence %d", e.GetAttempt())}
 	}
-	if f.ended || e.Failure == "" && e.Index != f.next {
-		return Event{}, &MismatchError{f.id, fmt.Sprintf("index %d", f.next), fmt.Sprintf("index %d (ended %t)", e.Index, f.ended)}
+	if f.ended || e.GetFailure() == "" && int(e.GetIndex()) != f.next {
+		got := fmt.Sprintf("index %d (ended %t)", e.GetIndex(), f.ended)
+		return &MismatchError{f.id, fmt.Sprintf("index %d", f.next), got}
 	}
-	f.ended = e.Last()
+	f.ended = Last(e)
 	if !f.ended {
 		f.next++
 	}
-	return e, nil
+	return nil
 }
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
+	"errors"
+	"io"
 	"strings"
 	"time"
 
-	"github.com/tmaxmax/go-sse"
 	"github.com/valyala/fasthttp"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/attempt"
@@ -28,6 +28,8 @@
 	started time.Time
 	last    time.Time
 	metrics *entryMetrics
+	// before and after are the parts of a chunk around its text; out is the chunk being written.
+	before, after, out []byte
 }
 
 // tryModel runs one attempt and delivers its tokens. It returns nil once the answer is whole.
@@ -75,36 +77,43 @@
 
 // follow delivers the tokens of one attempt. Errors: *failure.Error, *httpserver.GoneError.
 func (e *Entry) follow(ctx context.Context, t *try, m *modelAnswer, answer *httpclient.Answer) error {
-	f := attempt.NewFollower(t.id, m.tokens)
-	for ev, err := range sse.Read(answer.Body, nil) {
+	f := attempt.NewFollower(t.id, m.tokens, answer.Body)
+	for {
+		event, err := f.Next()
 		if err != nil {
-			return failure.New(afterEnd(ctx), err)
+			return e.broken(ctx, err)
 		}
-		event, err := f.Accept([]byte(ev.Data))
-		if err != nil {
-			e.metrics.mismatches.Inc()
-			return failure.New(failure.CodeUpstreamFailed, err)
-		}
-		if event.Failure != "" {
+		if event.GetFailure() != "" {
 			return failure.New(failure.CodeUpstreamFailed, nil)
 		}
-		if event.Last() {
-			m.finish = event.Finish
-			return nil
+		if attempt.Last(event) {
+			m.finish = event.GetFinish()
+			return readEnd(f)
 		}
 		t.flight.Token(1)
-		if err := m.deliver(ctx, event.Text); err != nil {
+		if err := m.deliver(ctx, event.GetText()); err != nil {
 			return err
 		}
 	}
-	return failure.New(afterEnd(ctx), &CutError{m.tokens})
 }
 
-// CutError says that an answer ended before its last token.
-type CutError struct{ Tokens int }
+// broken is the failure of a stream that does not go on; a foreign event is counted, since it should never happen.
+func (e *Entry) broken(ctx context.Context, err error) error {
+	var foreign *attempt.MismatchError
+	if errors.As(err, &foreign) {
+		e.metrics.mismatches.Inc()
+		return failure.New(failure.CodeUpstreamFailed, err)
+	}
+	return failure.New(afterEnd(ctx), err)
+}
 
-// Error implements error.
-func (e *CutError) Error() string { return fmt.Sprintf("answer cut off after %d tokens", e.Tokens) }
+// readEnd reads the end of a stream whose last event was taken, without which its connection must not be reused.
+func readEnd(f *attempt.Follower) error {
+	if _, err := f.Next(); err != io.EOF {
+		return failure.New(failure.CodeUpstreamFailed, err)
+	}
+	return nil
+}
 
 // deliver gives one token to the caller.
 func (m *modelAnswer) deliver(ctx context.Context, text string) error {
@@ -117,7 +126,7 @@
 	if err := m.begin(); err != nil {
 		return err
 	}
-	return m.x.Write(ctx, m.chunk(text, ""))
+	return m.x.Write(ctx, m.chunk(text))
 }
 
 func (m *modelAnswer) note(now time.Time) {
@@ -152,7 +161,7 @@
 	if err := m.begin(); err != nil {
 		return err
 	}
-	last := append(m.chunk("", m.finish), attempt.Frame([]byte("[DONE]"))...)
+	last := append(m.lastChunk(), sseFrame([]byte("[DONE]"))...)
 	if err := m.x.Write(ctx, last); err != nil {
 		return err
 	}
@@ -166,7 +175,7 @@
 	if err != nil {
 		return
 	}
-	if err := m.x.Write(ctx, attempt.Frame(body)); err == nil {
+	if err := m.x.Write(ctx, sseFrame(body)); err == nil {
 		_ = m.x.End()
 	}
 }
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -30,6 +30,7 @@
 	unread      atomic.Int64
 	unreadSince atomic.Int64
 	gone        atomic.Bool
+	out         outbox
 	mu          sync.Mutex
 	cancel      context.CancelFunc
 }
--- a/internal/httpserver/exchange.go
+++ b/internal/httpserver/exchange.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"strconv"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
 	"github.com/valyala/fasthttp"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/failure"
@@ -36,6 +34,7 @@
 	close    bool
 	answered bool
 	stream   bool
+	size     [sizeBytes]byte
 }
 
 // Close makes the connection end after this answer.
@@ -92,18 +91,18 @@
 // Respond answers with a whole body. Errors: *GoneError.
 func (x *Exchange) Respond(status int, headers []Header, body []byte) error {
 	x.answered = true
-	out := x.head(status, headers, len(body))
-	return x.write(append(out, body...))
+	return x.conn.write(x.head(status, headers, len(body)), body)
 }
 
 // Stream begins an answer whose body is sent in pieces. Errors: *GoneError.
 func (x *Exchange) Stream(status int, headers []Header) error {
 	x.answered = true
 	x.stream = true
-	return x.write(x.head(status, headers, chunked))
+	return x.conn.write(x.head(status, headers, chunked))
 }
 
-// Write sends one piece of a streamed body; it waits while the caller leaves too much unread. Errors: *GoneError.
+// Write sends one piece of a streamed body, which may be reused when Write returns; it waits while the caller leaves
+// too much unread. Errors: *GoneError.
 func (x *Exchange) Write(ctx context.Context, piece []byte) error {
 	if len(piece) == 0 {
 		return nil
@@ -111,29 +110,30 @@
 	if err := x.waitForReader(ctx); err != nil {
 		return err
 	}
-	out := make([]byte, 0, len(piece)+chunkOverhead)
-	out = strconv.AppendInt(out, int64(len(piece)), 16)
-	out = append(out, '\r', '\n')
-	out = append(out, piece...)
-	out = append(out, '\r', '\n')
-	return x.write(out)
+	size := append(strconv.AppendInt(x.size[:0], int64(len(piece)), 16), lineEnd...)
+	return x.conn.write(size, piece, lineEnd)
 }
 
 // End completes a streamed body. A stream that is not ended is cut off, which the caller sees.
 func (x *Exchange) End() error {
 	x.stream = false
-	return x.write([]byte("0\r\n\r\n"))
+	return x.conn.write(lastChunk)
 }
 
 const (
 	// chunked stands for a body of unknown length, as fasthttp encodes it.
 	chunked = -1
-	// chunkOverhead is room for a chunk's length line and its two line ends, in bytes.
-	chunkOverhead = 16
+	// sizeBytes is room for a chunk's length in hexadecimal and its line end.
+	sizeBytes = 18
 	// unreadPoll is how often a stream that waits for its reader looks again.
 	unreadPoll = 5 * time.Millisecond
 )
 
+var (
+	lineEnd   = []byte("\r\n")
+	lastChunk = []byte("0\r\n\r\n")
+)
+
 func (x *Exchange) head(status int, headers []Header, length int) []byte {
 	h := &fasthttp.ResponseHeader{}
 	h.SetNoDefaultContentType(true)
@@ -160,25 +160,6 @@
 	}
 }
 
-func (x *Exchange) write(out []byte) error {
-	if x.conn.gone.Load() {
-		return &GoneError{"connection closed"}
-	}
-	err := x.conn.gc.AsyncWrite(out, x.wrote)
-	if err != nil {
-		return fmt.Errorf("write answer: %w", &GoneError{err.Error()})
-	}
-	return nil
-}
-
-// wrote runs on the event loop after each write.
-func (x *Exchange) wrote(gc gnet.Conn, err error) error {
-	if err == nil && gc != nil {
-		x.conn.noteUnread(gc.OutboundBuffered())
-	}
-	return nil
-}
-
 func (x *Exchange) waitForReader(ctx context.Context) error {
 	limit := int64(x.conn.srv.limits.MaxUnreadBytes)
 	for x.conn.unread.Load() > limit {
--- a/internal/slot/model.go
+++ b/internal/slot/model.go
@@ -1,6 +1,7 @@
 package slot
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -65,7 +66,7 @@
 	if code := answer.Header.StatusCode(); code != fasthttp.StatusOK {
 		return engineStatus(code)
 	}
-	relay := &modelRelay{x: x, job: j, flight: flight, speed: &s.speed, steps: &s.steps, last: sent, after: s.settings.Upstream.StopAfter.Or(defaultStopAfter)}
+	relay := &modelRelay{x: x, job: j, id: j.Attempt.String(), flight: flight, speed: &s.speed, steps: &s.steps, last: sent, after: s.settings.Upstream.StopAfter.Or(defaultStopAfter)}
 	relay.watch = relay.stallTimer(cancel)
 	defer relay.watch.Stop()
 	err = relay.all(ctx, answer)
@@ -149,6 +150,11 @@
 	after  time.Duration
 	next   int
 	begun  bool
+	id     string
+	// in, out and wire are used for one event after the other.
+	in   engineChunk
+	out  attempt.Event
+	wire bytes.Buffer
 }
 
 func (r *modelRelay) all(ctx context.Context, answer *httpclient.Answer) error {
@@ -179,36 +185,38 @@
 
 // one passes one token on; it reports whether that was the end.
 func (r *modelRelay) one(ctx context.Context, data []byte) (bool, error) {
-	var c engineChunk
-	if err := json.Unmarshal(data, &c); err != nil {
+	r.in = engineChunk{Choices: r.in.Choices[:0]}
+	if err := json.Unmarshal(data, &r.in); err != nil {
 		return false, fmt.Errorf("engine event: %w", err)
 	}
-	out, err := r.check(&c)
-	if err != nil {
+	if err := r.check(&r.in); err != nil {
 		return false, err
 	}
-	if !out.Last() {
+	choice := r.in.Choices[0]
+	r.out = attempt.Event{
+		Attempt: r.job.Attempt.Seq, Index: uint32(r.in.Index), Text: choice.Delta.Content, Finish: choice.FinishReason,
+	}
+	last := attempt.Last(&r.out)
+	if !last {
 		r.count()
 		r.next++
 	}
-	return out.Last(), r.send(ctx, out)
+	return last, r.send(ctx)
 }
 
 // check matches an engine's event against the attempt: a late or crossed answer carries another id or index.
-func (r *modelRelay) check(c *engineChunk) (attempt.Event, error) {
-	id := r.job.Attempt.String()
-	if c.ID != id {
-		return attempt.Event{}, &attempt.MismatchError{Attempt: r.job.Attempt, Want: "its own id", Got: c.ID}
+func (r *modelRelay) check(c *engineChunk) error {
+	if c.ID != r.id {
+		return &attempt.MismatchError{Attempt: r.job.Attempt, Want: "its own id", Got: c.ID}
 	}
 	if c.Index != r.next || len(c.Choices) != 1 {
-		return attempt.Event{}, &attempt.MismatchError{
+		return &attempt.MismatchError{
 			Attempt: r.job.Attempt,
 			Want:    fmt.Sprintf("token %d", r.next),
 			Got:     fmt.Sprintf("token %d in %d choices", c.Index, len(c.Choices)),
 		}
 	}
-	choice := c.Choices[0]
-	return attempt.Event{Attempt: id, Index: c.Index, Text: choice.Delta.Content, Finish: choice.FinishReason}, nil
+	return nil
 }
 
 func (r *modelRelay) count() {
@@ -222,19 +230,20 @@
 	r.steps.Add(1)
 }
 
-func (r *modelRelay) send(ctx context.Context, e attempt.Event) error {
+// send passes r.out on.
+func (r *modelRelay) send(ctx context.Context) error {
 	if !r.begun {
 		r.begun = true
-		headers := []httpserver.Header{own(r.job.Attempt), {Name: "Content-Type", Value: "text/event-stream"}}
+		headers := []httpserver.Header{own(r.job.Attempt), {Name: "Content-Type", Value: attempt.ContentType}}
 		if err := r.x.Stream(fasthttp.StatusOK, headers); err != nil {
 			return err
 		}
 	}
-	data, err := e.Encode()
-	if err != nil {
+	r.wire.Reset()
+	if err := attempt.Write(&r.wire, &r.out); err != nil {
 		return err
 	}
-	return r.x.Write(ctx, data)
+	return r.x.Write(ctx, r.wire.Bytes())
 }
 
 // finish reads the engine's end marker, without which the connection may not be used again.
@@ -251,8 +260,8 @@
 	if !r.begun {
 		return e
 	}
-	last := attempt.Event{Attempt: r.job.Attempt.String(), Index: r.next, Failure: string(e.Code)}
-	if err := r.send(context.Background(), last); err == nil {
+	r.out = attempt.Event{Attempt: r.job.Attempt.Seq, Index: uint32(r.next), Failure: string(e.Code)}
+	if err := r.send(context.Background()); err == nil {
 		_ = r.x.End()
 	}
 	return e
