--- a/cmd/cardamomyoke-bench/main.go
+++ b/cmd/cardamomyoke-bench/main.go
@@ -6,6 +6,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/claims"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/demo"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/rebalance"
 )
@@ -13,6 +14,7 @@
 func main() {
 	app := kingpin.New("cardamomyoke-bench", "Load and experiments for cardamomyoke.")
 	// Each experiment lives in its own package below internal/bench and adds its command here with Register(app).
+	claims.Register(app)
 	demo.Register(app)
 	rebalance.Register(app)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
