--- /dev/null
+++ b/internal/httpclient/client_test.go
@@ -0,0 +1,209 @@
+package httpclient_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
+)
+
+// peer is a server that answers each connection's requests by script: one text for each request, "" to hang up.
+type peer struct {
+	address string
+	conns   atomic.Int64
+}
+
+func startPeer(t *testing.T, script ...string) *peer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	p := &peer{address: l.Addr().String()}
+	var next atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p.conns.Add(1)
+			go answer(c, script, &next)
+		}
+	}()
+	return p
+}
+
+func answer(c net.Conn, script []string, next *atomic.Int64) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		text := script[min(int(next.Add(1)), len(script))-1]
+		if text == "" {
+			return
+		}
+		if _, err := io.WriteString(c, text); err != nil {
+			return
+		}
+	}
+}
+
+func get(t *testing.T, c *httpclient.Client, p *peer) (string, error) {
+	t.Helper()
+	req := &fasthttp.Request{}
+	req.SetRequestURI("/")
+	req.Header.SetHost("peer")
+	a, err := c.Do(context.Background(), p.address, req)
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(a.Body)
+	a.Release(err == nil)
+	return string(body), err
+}
+
+const (
+	answerA       = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nA"
+	answerB       = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nB"
+	answerChunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nA\r\n0\r\n\r\n"
+)
+
+func TestAWholeAnswerLetsItsConnectionBeReused(t *testing.T) {
+	for name, text := range map[string]string{"length": answerA, "chunked": answerChunked} {
+		t.Run(name, func(t *testing.T) {
+			p := startPeer(t, text)
+			c := httpclient.New(httpclient.Options{})
+			defer c.Close()
+			for range 3 {
+				if body, err := get(t, c, p); err != nil || body != "A" {
+					t.Fatalf("got %q, %v", body, err)
+				}
+			}
+			if n := p.conns.Load(); n != 1 {
+				t.Fatalf("%d connections for three requests", n)
+			}
+		})
+	}
+}
+
+// A caller would get the answer to another's request: the upstream sends one answer twice, and the copy waits on the
+// connection for whoever uses it next. The connection is closed instead, whether the copy is already read or not.
+func TestADoubledAnswerNeverReachesTheNextRequest(t *testing.T) {
+	p := startPeer(t, answerA+answerA, answerB)
+	c := httpclient.New(httpclient.Options{})
+	defer c.Close()
+	if body, err := get(t, c, p); err != nil || body != "A" {
+		t.Fatalf("got %q, %v", body, err)
+	}
+	if body, err := get(t, c, p); err != nil || body != "B" {
+		t.Fatalf("the next request got %q, %v", body, err)
+	}
+	if n := p.conns.Load(); n != 2 {
+		t.Fatalf("%d connections", n)
+	}
+}
+
+// A caller would wait on a dead connection: the upstream closed it while it was idle. It is not used again.
+func TestAnIdleConnectionThatWasClosedIsNotUsed(t *testing.T) {
+	p := startPeer(t, answerA, "", answerB)
+	c := httpclient.New(httpclient.Options{})
+	defer c.Close()
+	if _, err := get(t, c, p); err != nil {
+		t.Fatal(err)
+	}
+	// The peer hangs up on the second request, whose fate is then unknown to the client.
+	var broken *httpclient.BrokenError
+	if _, err := get(t, c, p); !errors.As(err, &broken) {
+		t.Fatalf("got %v", err)
+	}
+	if body, err := get(t, c, p); err != nil || body != "B" {
+		t.Fatalf("got %q, %v", body, err)
+	}
+}
+
+// The caller sees a failure and not a short answer: the connection broke in mid-answer.
+func TestACutAnswerIsAnError(t *testing.T) {
+	tests := map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nA",
+		"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nA",
+		"no end":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nA\r\n",
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				_, _ = io.WriteString(c, text)
+				_ = c.Close()
+			}()
+			c := httpclient.New(httpclient.Options{})
+			defer c.Close()
+			if body, err := get(t, c, &peer{address: l.Addr().String()}); err == nil {
+				t.Fatalf("took %q for a whole answer", body)
+			}
+		})
+	}
+}
+
+// Nothing was sent, and the error says so: only then may the caller be told "not run" without asking anybody.
+func TestNoConnectionIsADialError(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	c := httpclient.New(httpclient.Options{})
+	var dial *httpclient.DialError
+	if _, err := get(t, c, &peer{address: address}); !errors.As(err, &dial) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// The caller went away while the answer was being read: the read ends at once and the connection is not kept.
+func TestTheEndOfTheContextEndsTheAnswer(t *testing.T) {
+	p := startPeer(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nA\r\n", answerB)
+	c := httpclient.New(httpclient.Options{})
+	defer c.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	req := &fasthttp.Request{}
+	req.SetRequestURI("/")
+	req.Header.SetHost("peer")
+	a, err := c.Do(ctx, p.address, req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(a.Body, make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	if _, err := io.ReadAll(a.Body); err == nil {
+		t.Fatal("read on after the end of the context")
+	}
+	a.Release(true)
+	if body, err := get(t, c, p); err != nil || body != "B" {
+		t.Fatalf("got %q, %v", body, err)
+	}
+}
