--- a/internal/revision/accept.go
+++ b/internal/revision/accept.go
@@ -47,13 +47,7 @@
 // accept has the newest entry that may be accepted written so. Only a node that hears from nobody does this, as it is
 // the one that the acknowledgements reach.
 func (n *Node) accept() {
-	if !n.isOrigin() {
-		return
-	}
-	if !n.accepting.IsZero() && n.now.Sub(n.accepting) < readLimit {
-		return
-	}
-	if n.oldestPending() == nil {
+	if !n.isOrigin() || n.now.Before(n.acceptAt) || n.oldestPending() == nil {
 		return
 	}
 	for _, c := range n.children {
@@ -64,7 +58,7 @@
 		if p.state.Seq <= n.accepted || !n.acceptable(p) {
 			continue
 		}
-		n.accepting = n.now
+		n.acceptAt = n.now.Add(readLimit)
 		n.do(&Accept{p.state})
 		return
 	}
--- a/internal/revision/agent/agent_test.go
+++ b/internal/revision/agent/agent_test.go
@@ -9,6 +9,7 @@
 func TestChangeIsInForceEverywhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 1)
+		defer c.stop()
 		c.startAll(3, "a", "b", "c")
 		time.Sleep(10 * time.Second)
 		e := c.change("a-0", 0)
--- a/internal/revision/node.go
+++ b/internal/revision/node.go
@@ -65,7 +65,7 @@
 	pending    []*pending
 	pollAt     time.Time
 	reading    time.Time // zero: no read under way
-	accepting  time.Time
+	acceptAt   time.Time // not before this
 	catching   time.Time
 	editing    time.Time
 	wanted     map[string]want
@@ -217,7 +217,11 @@
 // OnAccepted takes the outcome of Accept: the newest entry that is accepted, 0 if that could not be written.
 func (n *Node) OnAccepted(now time.Time, seq uint64) []Effect {
 	n.begin(now)
-	n.accepting = time.Time{}
+	n.acceptAt = n.now
+	if seq == 0 {
+		// An open circuit fails at once; asking again at once would never end.
+		n.acceptAt = n.now.Add(n.options.Beat/2 + n.jitter(n.options.Beat))
+	}
 	n.learn(nil, 0, seq)
 	return n.finish()
 }
@@ -343,7 +347,10 @@
 
 // vouched takes a certificate of a majority.
 func (n *Node) vouched(v vouch) {
-	if v.basis.After(n.vouch.basis) {
+	// Answers come in one by one, so the first certificate of a beat covers less than the last of the beat before;
+	// passed on too early, it would leave the other data centres without one.
+	wider := (v.all || !n.vouch.all) && len(v.centres) >= len(n.vouch.centres)
+	if v.basis.Sub(n.vouch.basis) > n.options.silence() || wider && !v.basis.Before(n.vouch.basis) {
 		n.vouch = v
 	}
 	mine := v.all || slices.Contains(v.centres, n.self.GetDataCentre())
@@ -410,7 +417,6 @@
 // OnCatchUp takes the answer of another node, nil if it failed.
 func (n *Node) OnCatchUp(now time.Time, s *State, entries []*Entry, accepted uint64) []Effect {
 	n.begin(now)
-	n.catching = time.Time{}
 	if s != nil {
 		n.reset(s)
 		n.learn(entries, 0, accepted)
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -227,3 +227,6 @@
 	s.rows[p.Key] = row
 	return row.Version
 }
+
+// Peek returns a row past all faults and limits, for checks in tests.
+func (s *Store) Peek(key string) api.Row { return s.snapshot([]string{key})[0] }
