--- a/internal/daemon/entrymain/entrymain.go
+++ b/internal/daemon/entrymain/entrymain.go
@@ -4,15 +4,15 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"os"
 
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/config"
 	"github.com/cardamomyoke/cardamomyoke/internal/daemon"
 	"github.com/cardamomyoke/cardamomyoke/internal/entry"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/logging"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision"
 	"github.com/cardamomyoke/cardamomyoke/internal/settings"
 	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
 )
@@ -35,21 +35,36 @@
 		return fmt.Errorf("tracing: %w", err)
 	}
 	defer func() { _ = tracer.Close(context.Background()) }()
-	e, err := entry.Start(set, entry.Deps{Config: config.Static{Snapshot: o.Fixed}, Logger: logger, Tracer: tracer})
+	node := daemon.NewNode(daemon.NodeOptions{
+		Self: &revision.Member{
+			Name:       set.Name,
+			DataCentre: string(set.DataCentre),
+			Role:       cardamomyokev1.NodeRole_NODE_ROLE_ENTRY,
+			Address:    set.Control.Address,
+		},
+		Seeds:    set.Control.Seeds,
+		Platform: set.Platform,
+		Fixed:    o.Fixed,
+		Logger:   logger,
+	})
+	e, err := entry.Start(set, entry.Deps{
+		Config: node.Config, Loop: node.Loop, Incarnation: node.Incarnation, Logger: logger, Tracer: tracer,
+	})
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
-	control, err := daemon.StartControl(set.Control.Address, http.NewServeMux(), e.Metrics(), logger)
-	if err != nil {
+	if err := node.Run(e.Metrics(), e.Tick); err != nil {
 		e.Kill()
 		return fmt.Errorf("start: %w", err)
 	}
-	defer control.Stop()
+	defer node.Stop()
 	<-ctx.Done()
 	_ = level.Info(logger).Log("msg", "shutting down")
 	grace, cancel := context.WithTimeout(context.Background(), o.Grace)
 	defer cancel()
-	if err := e.Shutdown(grace); err != nil {
+	err = e.Shutdown(grace)
+	node.Leave(grace)
+	if err != nil {
 		return fmt.Errorf("shutdown: %w", err)
 	}
 	return nil
--- a/internal/daemon/slotmain/slotmain.go
+++ b/internal/daemon/slotmain/slotmain.go
@@ -4,16 +4,15 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"os"
 	"time"
 
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/config"
 	"github.com/cardamomyoke/cardamomyoke/internal/daemon"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/logging"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision"
 	"github.com/cardamomyoke/cardamomyoke/internal/settings"
 	"github.com/cardamomyoke/cardamomyoke/internal/slot"
 	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
@@ -29,9 +28,6 @@
 	}
 }
 
-// httpTimeout bounds one call to the platform.
-const httpTimeout = 2 * time.Second
-
 func run(ctx context.Context, checked settings.Checker, o daemon.Options) error {
 	set := checked.(*slot.Settings)
 	logger := logging.New(os.Stderr, set.Log)
@@ -40,22 +36,36 @@
 		return fmt.Errorf("tracing: %w", err)
 	}
 	defer func() { _ = tracer.Close(context.Background()) }()
-	table := platform.NewClient(platform.NewHTTP(set.Platform, httpTimeout), platform.Options{})
-	s, err := slot.Start(set, slot.Deps{Config: config.Static{Snapshot: o.Fixed}, Table: table, Logger: logger, Tracer: tracer})
+	node := daemon.NewNode(daemon.NodeOptions{
+		Self: &revision.Member{
+			Name:       set.Name,
+			DataCentre: string(set.DataCentre),
+			Role:       cardamomyokev1.NodeRole_NODE_ROLE_SLOT,
+			Address:    set.Control.Address,
+		},
+		Seeds:    set.Control.Seeds,
+		Platform: set.Platform,
+		Fixed:    o.Fixed,
+		Logger:   logger,
+	})
+	s, err := slot.Start(set, slot.Deps{
+		Config: node.Config, Incarnation: node.Incarnation, Table: node.Platform, Logger: logger, Tracer: tracer,
+	})
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
-	control, err := daemon.StartControl(set.Control.Address, http.NewServeMux(), s.Metrics(), logger)
-	if err != nil {
+	if err := node.Run(s.Metrics(), func(time.Time) {}); err != nil {
 		s.Kill()
 		return fmt.Errorf("start: %w", err)
 	}
-	defer control.Stop()
+	defer node.Stop()
 	<-ctx.Done()
 	_ = level.Info(logger).Log("msg", "shutting down")
 	grace, cancel := context.WithTimeout(context.Background(), o.Grace)
 	defer cancel()
-	if err := s.Shutdown(grace); err != nil {
+	err = s.Shutdown(grace)
+	node.Leave(grace)
+	if err != nil {
 		return fmt.Errorf("shutdown: %w", err)
 	}
 	return nil
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,8 +24,12 @@
 // Deps are the parts that an entry uses.
 type Deps struct {
 	Config config.Source
-	Logger log.Logger
-	Tracer *tracing.Tracer
+	// Loop is the process's control loop, on which Tick must be called; nil lets the entry run one of its own.
+	Loop *control.Loop
+	// Incarnation is this life of the process; empty lets the entry draw one.
+	Incarnation ids.Incarnation
+	Logger      log.Logger
+	Tracer      *tracing.Tracer
 }
 
 // Entry is one running entry.
@@ -82,16 +86,22 @@
 	now := time.Now()
 	e := &Entry{
 		settings:    set,
-		incarnation: ids.NewIncarnation(),
+		incarnation: d.Incarnation,
 		config:      d.Config,
 		logger:      log.With(d.Logger, "node", set.Name),
 		tracer:      d.Tracer,
 		metrics:     newEntryMetrics(),
 		client:      httpclient.New(httpclient.Options{}),
 		limits:      limits.New(limits.Defaults(), 1),
-		loop:        control.New(),
+		loop:        d.Loop,
 		life:        charts.MustLoad("entry").Start(),
 	}
+	if e.incarnation == "" {
+		e.incarnation = ids.NewIncarnation()
+	}
+	if e.loop == nil {
+		e.loop = control.New()
+	}
 	e.state = newState(set, d.Config, e.logger, now)
 	e.view.Store(&view{})
 	if err := e.listen(); err != nil {
@@ -99,7 +109,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
-	go e.loop.Run(ctx, tickEvery, e.tick)
+	if d.Loop == nil {
+		go e.loop.Run(ctx, tickEvery, e.Tick)
+	}
 	_ = level.Info(e.logger).Log("msg", "entry listens", "http", set.HTTP.Address, "incarnation", e.incarnation)
 	return e, nil
 }
@@ -129,8 +141,8 @@
 	return err
 }
 
-// tick runs on the control loop.
-func (e *Entry) tick(now time.Time) {
+// Tick lets time pass; it runs on the control loop.
+func (e *Entry) Tick(now time.Time) {
 	e.adoptConfig(now)
 	e.state.tick(now)
 	e.publish(now)
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -28,6 +28,8 @@
 	Control struct {
 		// Address to listen on, IP:PORT.
 		Address string `yaml:"address"`
+		// Seeds are control addresses of other nodes, IP:PORT, to ask for the configuration while the platform is down.
+		Seeds []string `yaml:"seeds"`
 	} `yaml:"control"`
 	// Digests says where the entry hears of slots and other entries.
 	Digests struct {
@@ -65,10 +67,11 @@
 			return err
 		}
 	}
-	for i, seed := range s.Digests.Seeds {
-		if err := settings.CheckAddress(fmt.Sprintf("$.digests.seeds[%d]", i), seed); err != nil {
-			return err
-		}
+	if err := settings.CheckAddresses("$.digests.seeds", s.Digests.Seeds); err != nil {
+		return err
+	}
+	if err := settings.CheckAddresses("$.control.seeds", s.Control.Seeds); err != nil {
+		return err
 	}
 	if err := s.Log.Check(); err != nil {
 		return fmt.Errorf("settings: %w", err)
--- a/internal/revision/agent/agent.go
+++ b/internal/revision/agent/agent.go
@@ -112,6 +112,9 @@
 // Fresh reports whether this node may take new work at the given time.
 func (a *Agent) Fresh(now time.Time) bool { return a.View().Fresh(now) }
 
+// Admits reports whether work that was decided on the given revision may start here.
+func (a *Agent) Admits(r ids.Revision, now time.Time) bool { return a.View().Admits(r, now) }
+
 // Store returns the log.
 func (a *Agent) Store() *store.Store { return a.store }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -113,6 +113,16 @@
 	return nil
 }
 
+// CheckAddresses returns *KeyError for the first value that CheckAddress refuses.
+func CheckAddresses(path string, values []string) error {
+	for i, value := range values {
+		if err := CheckAddress(fmt.Sprintf("%s[%d]", path, i), value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // CheckName returns *KeyError if value is empty.
 func CheckName(path, value, want string) error {
 	if value == "" {
--- a/internal/slot/handler.go
+++ b/internal/slot/handler.go
@@ -158,7 +158,7 @@
 	if snap == nil || !s.config.Fresh(now) {
 		return nil, refuse(failure.CodeStaleRevision, nil)
 	}
-	if r < snap.Revision() {
+	if !s.config.Admits(r, now) {
 		return nil, refuse(failure.CodeStaleRevision, &RevisionError{r, snap.Revision()})
 	}
 	return snap, nil
--- a/internal/slot/settings.go
+++ b/internal/slot/settings.go
@@ -39,6 +39,8 @@
 	Control struct {
 		// Address to listen on, IP:PORT.
 		Address string `yaml:"address"`
+		// Seeds are control addresses of other nodes, IP:PORT, to ask for the configuration while the platform is down.
+		Seeds []string `yaml:"seeds"`
 	} `yaml:"control"`
 	// Upstream is the engine or plain service beside the slot.
 	Upstream struct {
@@ -85,14 +87,17 @@
 		{"$.digests.address", s.Digests.Address},
 		{"$.platform", s.Platform},
 	}
-	for i, seed := range s.Digests.Seeds {
-		addresses = append(addresses, struct{ path, value string }{fmt.Sprintf("$.digests.seeds[%d]", i), seed})
-	}
 	for _, a := range addresses {
 		if err := settings.CheckAddress(a.path, a.value); err != nil {
 			return err
 		}
 	}
+	if err := settings.CheckAddresses("$.digests.seeds", s.Digests.Seeds); err != nil {
+		return err
+	}
+	if err := settings.CheckAddresses("$.control.seeds", s.Control.Seeds); err != nil {
+		return err
+	}
 	return s.checkUpstream()
 }
 
--- a/internal/slot/slot.go
+++ b/internal/slot/slot.go
@@ -26,6 +26,8 @@
 // Deps are the parts that a slot uses.
 type Deps struct {
 	Config config.Source
+	// Incarnation is this life of the process; empty lets the slot draw one.
+	Incarnation ids.Incarnation
 	// Table keeps the claims of requests that may not be repeated.
 	Table  platform.Table
 	Logger log.Logger
@@ -63,7 +65,7 @@
 func Start(set *Settings, d Deps) (*Slot, error) {
 	s := &Slot{
 		settings:    set,
-		incarnation: ids.NewIncarnation(),
+		incarnation: d.Incarnation,
 		config:      d.Config,
 		logger:      log.With(d.Logger, "node", set.Name),
 		tracer:      d.Tracer,
@@ -72,6 +74,9 @@
 		client:      httpclient.New(httpclient.Options{}),
 		work:        newWork(),
 	}
+	if s.incarnation == "" {
+		s.incarnation = ids.NewIncarnation()
+	}
 	s.claims = claims.NewStore(d.Table, claims.DefaultOptions(s.incarnation), claimTimeout)
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stopClaims = cancel
