Nothing moves on noise: paired test for shorter memories, honest noise in the first windows

Two things led there. The first windows were weighed as if the memory were full already, so the estimate was noisier than its predicted noise; and the shortest memory was believed whenever its last forecasts happened to be best. Change: the first windows count evenly and the variance of the average is tracked; a shorter memory must forecast better than the longest one by three standard deviations of the paired difference; ten pairs of windows before any plan; a plan must save 2.5 times what noise would show. Also: a rank that holds nothing and completes no steps gets no experts (a drained rank would have got its own back).

--- a/internal/bench/rebalance/run.go
+++ b/internal/bench/rebalance/run.go
@@ -50,19 +50,27 @@
 	result  Result
 }
 
-// Run drives a contender through a trace from the map of the day before.
-func Run(d Deployment, t *Trace, name string) (Result, error) {
+// newSimulation starts a contender on the map of the day before.
+func newSimulation(d Deployment, t *Trace, c contender) (*simulation, error) {
 	even := make([]float64, d.Shape.Ranks)
 	floats.AddConst(1, even)
 	first, err := placement.Pack(d.group(), d.MapSlotsPerRank, t.Before, even, 1)
 	if err != nil {
-		return Result{}, fmt.Errorf("pack the first map: %w", err)
+		return nil, fmt.Errorf("pack the first map: %w", err)
 	}
-	s := &simulation{
-		d: d, trace: t, c: newContender(name, d), current: first,
+	return &simulation{
+		d: d, trace: t, c: c, current: first,
 		rng:     rand.New(rand.NewPCG(t.Seed, scenarioStream(t.Scenario)+100)),
 		mail:    map[int][]placement.Report{},
 		staging: newStage(d),
+	}, nil
+}
+
+// Run drives a contender through a trace from the map of the day before.
+func Run(d Deployment, t *Trace, name string) (Result, error) {
+	s, err := newSimulation(d, t, newContender(name, d))
+	if err != nil {
+		return Result{}, err
 	}
 	for w := range t.Windows {
 		if err := s.window(w); err != nil {
--- a/internal/bench/rebalance/scenario.go
+++ b/internal/bench/rebalance/scenario.go
@@ -86,7 +86,7 @@
 	sjodastofa.load = func(h float64) float64 { return 0.3 + 0.4*bump(h, 12, 3.5) }
 	sjodastofa.swing = 0.2
 	sjodastofa.Options = placement.Options{
-		MoveWeight: 200, Horizon: 4 * time.Hour, Hysteresis: 0.05, MaxBytesPerMinute: 2e9,
+		MoveWeight: 200, Horizon: 4 * time.Hour, Hysteresis: 0.04, MaxBytesPerMinute: 2e9,
 	}
 	return []Deployment{arriaga, sjodastofa}
 }
--- a/internal/placement/decision.go
+++ b/internal/placement/decision.go
@@ -9,7 +9,7 @@
 const (
 	// ReasonPaused: the operator has paused rebalancing.
 	ReasonPaused Reason = "paused"
-	// ReasonNoData: no window of tokens is complete yet.
+	// ReasonNoData: too few windows of tokens are complete to tell gain from noise.
 	ReasonNoData Reason = "no-data"
 	// ReasonNoGain: no better map was found.
 	ReasonNoGain Reason = "no-gain"
--- a/internal/placement/noise.go
+++ b/internal/placement/noise.go
@@ -8,8 +8,12 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
 )
 
-// noiseForget is the time, in windows, over which noise is averaged.
-const noiseForget = 30.0
+const (
+	// noiseForget is the time, in windows, over which noise is averaged.
+	noiseForget = 30.0
+	// noisePairs is the least number of pairs of windows that an estimate of noise rests on.
+	noisePairs = 10
+)
 
 // noise measures by how much the load of a rank in a layer differs from one window to the next under one map. Drift is
 // slow against a window, so what differs is noise.
@@ -18,8 +22,13 @@
 	m        *expert.Map
 	last     []float64
 	variance float64
+	// pairs is the number of pairs of windows that were compared.
+	pairs int
 }
 
+// known reports whether enough windows were compared to tell noise from drift.
+func (n *noise) known() bool { return n.pairs >= noisePairs }
+
 // observe takes in a window, as shares by cell. The first window after a change of the map only sets the start.
 func (n *noise) observe(m *expert.Map, shares []float64) {
 	if m == nil {
@@ -33,10 +42,8 @@
 	}
 	d := floats.Distance(loads, n.last, 2) * float64(n.shape.Ranks)
 	v := d * d / 2 / float64(len(loads))
-	if n.variance == 0 {
-		n.variance = v
-	}
-	n.variance += (v - n.variance) / noiseForget
+	n.pairs++
+	n.variance += (v - n.variance) / min(float64(n.pairs), noiseForget)
 	n.last = loads
 }
 
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,255 @@
+package placement_test
+
+import (
+	"errors"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"gonum.org/v1/gonum/floats"
+	"pgregory.net/rapid"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/placement"
+	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
+)
+
+var (
+	epoch = time.Unix(1_800_000_000, 0)
+	small = placement.Group{
+		Shape: expert.Shape{Ranks: 4, Experts: 8, Layers: 2}, Slots: 6, ExpertBytes: 1e6, StoreRate: 1e9,
+	}
+	eager = placement.Options{MoveWeight: 1, Horizon: time.Hour, Hysteresis: 0.01, MaxBytesPerMinute: 1e9}
+)
+
+// zipf returns a popularity in which expert (hot + i) mod experts is the i-th.
+func zipf(shape expert.Shape, hot int) []float64 {
+	pop := make([]float64, shape.Cells())
+	for l := range shape.Layers {
+		layer := pop[l*shape.Experts : (l+1)*shape.Experts]
+		for i := range layer {
+			layer[(hot+i)%shape.Experts] = 1 / float64(i+1)
+		}
+		floats.Scale(1/floats.Sum(layer), layer)
+	}
+	return pop
+}
+
+func ones(n int) []float64 {
+	v := make([]float64, n)
+	floats.AddConst(1, v)
+	return v
+}
+
+func packed(t interface{ Fatal(...any) }, g placement.Group, pop []float64) *expert.Map {
+	slots := g.Shape.Cells()/g.Shape.Ranks + g.Shape.Layers/2
+	m, err := placement.Pack(g, slots, pop, ones(g.Shape.Ranks), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+// feed reports windows from to to of a group that steps along.
+func feed(t interface{ Fatal(...any) }, p *placement.Policy, g placement.Group, pop, speed []float64, from, to int) {
+	for w := from; w < to; w++ {
+		for r := range g.Shape.Ranks {
+			tokens := make([]uint32, len(pop))
+			for c, v := range pop {
+				tokens[c] = uint32(v * 1e6)
+			}
+			rep := placement.Report{
+				Rank: r, Window: uint64(w), Tokens: tokens, Processed: 1e6, Step: uint64(w + 1),
+				Busy: time.Duration(float64(time.Second) / speed[r]),
+			}
+			if err := p.Observe(at(w), rep); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
+
+func at(w int) time.Time { return epoch.Add(time.Duration(w) * time.Minute) }
+
+func TestDecideNamesItsReasonToStay(t *testing.T) {
+	balanced, skewed := zipf(small.Shape, 0), zipf(small.Shape, 4)
+	change := func(f func(*placement.Options)) placement.Options {
+		o := eager
+		f(&o)
+		return o
+	}
+	tests := map[string]struct {
+		options placement.Options
+		pop     []float64
+		windows int
+		want    placement.Reason
+	}{
+		"a drift is followed": {eager, skewed, 40, ""},
+		"paused":              {change(func(o *placement.Options) { o.Paused = true }), skewed, 40, placement.ReasonPaused},
+		"nothing heard":       {eager, skewed, 0, placement.ReasonNoData},
+		"too little heard":    {eager, skewed, 6, placement.ReasonNoData},
+		"hysteresis":          {change(func(o *placement.Options) { o.Hysteresis = 5 }), skewed, 40, placement.ReasonHysteresis},
+		"no drift":            {eager, balanced, 40, placement.ReasonNoGain},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := placement.NewPolicy(small)
+			start, err := placement.Improve(small, eager, packed(t, small, balanced), balanced, ones(4))
+			if err != nil {
+				t.Fatal(err)
+			}
+			m := start.Map
+			p.Decide(epoch, tc.options, m)
+			feed(t, p, small, tc.pop, ones(4), 0, tc.windows)
+			d := p.Decide(at(tc.windows), tc.options, m)
+			if d.Stay != tc.want || (d.Plan == nil) != (tc.want != "") {
+				t.Fatalf("stay %q, plan %v, want %q", d.Stay, d.Plan, tc.want)
+			}
+		})
+	}
+}
+
+func TestMoveWeightAndBudgetHoldLoadsBack(t *testing.T) {
+	pop := zipf(small.Shape, 4)
+	m := packed(t, small, zipf(small.Shape, 0))
+	loads := func(f func(*placement.Options)) int {
+		o := eager
+		f(&o)
+		better, err := placement.Improve(small, o, m, pop, ones(4))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return expert.Loads(better.Moves)
+	}
+	if n := loads(func(*placement.Options) {}); n < 2 {
+		t.Fatalf("%d loads without a limit", n)
+	}
+	if n := loads(func(o *placement.Options) { o.MoveWeight = 1e9 }); n != 0 {
+		t.Errorf("%d loads that cannot pay back", n)
+	}
+	if n := loads(func(o *placement.Options) { o.MaxBytesPerMinute = 0 }); n != 0 {
+		t.Errorf("%d loads without a budget", n)
+	}
+	if n := loads(func(o *placement.Options) { o.Horizon = 0 }); n != 0 {
+		t.Errorf("%d loads without a time to pay back", n)
+	}
+	if n := loads(func(o *placement.Options) { o.MaxBytesPerMinute = 333_334 }); n != 1 {
+		t.Errorf("%d loads with a budget for one", n)
+	}
+}
+
+func TestStragglerGetsWorkInProportionToItsSpeed(t *testing.T) {
+	p := placement.NewPolicy(small)
+	pop := zipf(small.Shape, 0)
+	m := packed(t, small, pop)
+	speed := []float64{1, 0.5, 1, 1}
+	p.Decide(epoch, eager, m)
+	for w := range 40 {
+		feed(t, p, small, pop, speed, w, w+1)
+		if plan := p.Decide(at(w), eager, m).Plan; plan != nil {
+			m = plan.Map
+		}
+	}
+	if diff := cmp.Diff(speed, p.Speeds(at(40))); diff != "" {
+		t.Errorf("estimated speeds: %s", diff)
+	}
+	work := make([]float64, 4)
+	for c, v := range pop {
+		for _, r := range m.At(c/8, c%8) {
+			work[r.Rank] += v * float64(r.Share) / expert.ShareUnit / 2
+		}
+	}
+	want := 0.5 / 3.5
+	if math.Abs(work[1]-want) > 0.15*want {
+		t.Errorf("the straggler does %.3f of the work, want about %.3f", work[1], want)
+	}
+}
+
+func TestPackRefusesTooLittleRoom(t *testing.T) {
+	var typed *placement.RoomError
+	if _, err := placement.Pack(small, 3, zipf(small.Shape, 0), ones(4), 1); !errors.As(err, &typed) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestObserveRefusesReportsOfAnotherGroup(t *testing.T) {
+	p := placement.NewPolicy(small)
+	for _, r := range []placement.Report{{Rank: 4}, {Rank: -1}, {Tokens: make([]uint32, 3)}} {
+		var typed *placement.ReportError
+		if err := p.Observe(epoch, r); !errors.As(err, &typed) {
+			t.Errorf("%+v: got %v", r, err)
+		}
+	}
+}
+
+// checkPlan holds what every plan must keep.
+func checkPlan(t *rapid.T, g placement.Group, o placement.Options, old *expert.Map, d placement.Decision) {
+	plan := d.Plan
+	got, err := old.Apply(plan.Map.Version(), plan.Moves)
+	if err != nil || got.Hash() != plan.Map.Hash() {
+		t.Fatalf("the moves lead to another map (%v)", err)
+	}
+	if plan.Map.Version() != old.Version()+1 {
+		t.Fatalf("version %d after %d", plan.Map.Version(), old.Version())
+	}
+	need := plan.Map.Used()
+	if plan.Cause == placement.CauseSkew {
+		need = old.Used()
+		for _, mv := range plan.Moves {
+			if mv.Op == expert.OpLoad {
+				need[mv.Rank]++
+			}
+		}
+		if plan.Bytes > 3*o.MaxBytesPerMinute {
+			t.Fatalf("%d bytes with a limit of %d a minute", plan.Bytes, o.MaxBytesPerMinute)
+		}
+	}
+	for r, n := range need {
+		if n > g.Slots {
+			t.Fatalf("rank %d needs %d of %d slots", r, n, g.Slots)
+		}
+	}
+	for _, r := range d.Stalled {
+		if n := plan.Map.Used()[r]; n > 0 {
+			t.Fatalf("stalled rank %d still holds %d experts", r, n)
+		}
+	}
+	if want := uint64(expert.Loads(plan.Moves)) * g.ExpertBytes; plan.Bytes != want {
+		t.Fatalf("%d bytes, want %d", plan.Bytes, want)
+	}
+}
+
+func TestEveryPlanKeepsTheRules(t *testing.T) {
+	plans := 0
+	rapid.Check(t, func(t *rapid.T) {
+		o := eager
+		o.MaxBytesPerMinute = rapid.Uint64Range(0, 4e6).Draw(t, "limit")
+		a, b := placement.NewPolicy(small), placement.NewPolicy(small)
+		m := packed(t, small, zipf(small.Shape, 0))
+		pop, speed := zipf(small.Shape, 0), ones(4)
+		for w := range 30 {
+			if w%10 == 0 {
+				pop = zipf(small.Shape, rapid.IntRange(0, 7).Draw(t, "hot"))
+				speed[rapid.IntRange(0, 3).Draw(t, "rank")] = rapid.Float64Range(0.3, 1).Draw(t, "speed")
+			}
+			feed(t, a, small, pop, speed, w, w+1)
+			feed(t, b, small, pop, speed, w, w+1)
+			d := a.Decide(at(w), o, m)
+			if diff := cmp.Diff(d.Stay, b.Decide(at(w), o, m).Stay); diff != "" {
+				t.Fatalf("equal inputs, different decisions: %s", diff)
+			}
+			if d.Plan == nil {
+				continue
+			}
+			if again := b.Decide(at(w), o, m); again.Plan.Map.Hash() != d.Plan.Map.Hash() {
+				t.Fatal("equal inputs, different maps")
+			}
+			plans++
+			checkPlan(t, small, o, m, d)
+			m = d.Plan.Map
+		}
+	})
+	if plans == 0 {
+		t.Fatal("no plan was made")
+	}
+}
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -10,7 +10,7 @@
 )
 
 // noiseMargin is how many times what noise alone would show a plan must save.
-const noiseMargin = 1.5
+const noiseMargin = 2.5
 
 // Policy decides on the map of one group. It is not safe for concurrent use.
 type Policy struct {
@@ -62,12 +62,15 @@
 		d.Stay = ReasonPaused
 		return d
 	}
+	for r, idle := range p.stalls.idle(now, current.Used()) {
+		stalled[r] = stalled[r] || idle
+	}
 	speed := p.speeds.relative(stalled)
 	pop := p.Popularity()
 	if holdsAny(current, d.Stalled) {
 		return p.drain(d, current, speed, pop)
 	}
-	if pop == nil {
+	if pop == nil || !p.noise.known() {
 		d.Stay = ReasonNoData
 		return d
 	}
--- a/internal/placement/popularity.go
+++ b/internal/placement/popularity.go
@@ -11,12 +11,16 @@
 const (
 	// openWindows is for how many windows a late report still counts.
 	openWindows = 3
-	// errorForget is the time, in windows, over which the averages' forecast errors are compared.
-	errorForget = 8.0
+	// leadForget is the time, in windows, over which the averages' forecast errors are compared.
+	leadForget = 12.0
+	// leadDeviations is how clearly a shorter average's forecasts must be better than the longest one's, in standard
+	// deviations of their mean, to be believed. Failure: by chance a short one is best for some windows of pure noise,
+	// its estimate swings, and experts move. Three deviations are rare, and the gain must pass the test of noise too.
+	leadDeviations = 3.0
 )
 
-// memories are the lengths, in windows, of the moving averages that compete to forecast the next window.
-var memories = []float64{2, 8, 32}
+// memories are the lengths, in windows, of the moving averages that compete to forecast the next window, longest first.
+var memories = []float64{32, 8, 2}
 
 // popularity estimates the share of each cell in its layer's tokens. Short averages follow drift and long ones quiet
 // noise; which is better changes with load and hour, so the one whose recent forecasts were best is believed.
@@ -27,7 +31,6 @@
 	next uint64
 	// newest is the newest window that was heard of.
 	newest   uint64
-	closed   int
 	averages []average
 }
 
@@ -37,11 +40,16 @@
 	seen   map[int]bool
 }
 
-// average is one exponential moving average with the error of its forecasts.
+// average is one exponential moving average.
 type average struct {
 	memory float64
 	value  []float64
-	err    float64
+	// seen is the number of windows taken in, and variance that of the value over the variance of one window.
+	seen     int
+	variance float64
+	// lead is by how much its squared forecast error was smaller than that of the longest average, on average over
+	// windows, and leadSquare the average of the squares of that.
+	lead, leadSquare float64
 }
 
 func newPopularity(shape expert.Shape) *popularity {
@@ -70,12 +78,13 @@
 	return done
 }
 
-// skip moves on to the next window, over a gap at once if no window is open.
+// skip moves on to the next window that is open, over gaps at once.
 func (p *popularity) skip() {
-	p.next++
-	if len(p.open) == 0 && p.newest > openWindows {
-		p.next = max(p.next, p.newest-openWindows+1)
+	next := p.newest - openWindows + 1
+	for number := range p.open {
+		next = min(next, number)
 	}
+	p.next = max(next, p.next+1)
 }
 
 func (p *popularity) add(r Report) {
@@ -100,9 +109,11 @@
 	if w == nil || !shares(p.shape, w.tokens) {
 		return nil
 	}
-	p.closed++
+	longest := p.averages[0].miss(w.tokens)
 	for i := range p.averages {
-		p.averages[i].add(w.tokens)
+		a := &p.averages[i]
+		a.compare(longest - a.miss(w.tokens))
+		a.add(w.tokens)
 	}
 	return w.tokens
 }
@@ -120,14 +131,35 @@
 	return true
 }
 
+// miss returns the squared error of the average as a forecast of the window; 0 before the first one.
+func (a *average) miss(shares []float64) float64 {
+	if a.value == nil {
+		return 0
+	}
+	d := floats.Distance(shares, a.value, 2)
+	return d * d
+}
+
+func (a *average) compare(lead float64) {
+	a.lead += (lead - a.lead) / leadForget
+	a.leadSquare += (lead*lead - a.leadSquare) / leadForget
+}
+
+// leads reports whether the average forecasts clearly better than the longest one.
+func (a *average) leads() bool {
+	spread := math.Sqrt(max(0, a.leadSquare-a.lead*a.lead) / (2*leadForget - 1))
+	return a.lead > leadDeviations*spread
+}
+
+// add takes in a window. The first ones count evenly, as in a plain mean, until the memory is full.
 func (a *average) add(shares []float64) {
+	a.seen++
+	gain := max(1/a.memory, 1/float64(a.seen))
+	a.variance = (1-gain)*(1-gain)*a.variance + gain*gain
 	if a.value == nil {
 		a.value = append([]float64(nil), shares...)
 		return
 	}
-	miss := floats.Distance(shares, a.value, 2)
-	a.err += (miss*miss - a.err) / errorForget
-	gain := 1 / a.memory
 	for c, v := range shares {
 		a.value[c] += gain * (v - a.value[c])
 	}
@@ -137,12 +169,13 @@
 func (p *popularity) best() *average {
 	best := &p.averages[0]
 	for i := range p.averages {
-		if p.averages[i].err < best.err {
-			best = &p.averages[i]
+		a := &p.averages[i]
+		if a.leads() && a.lead > best.lead {
+			best = a
 		}
 	}
 	return best
 }
 
 // noiseFactor is the noise of the average over that of one window.
-func (a *average) noiseFactor() float64 { return 1 / math.Sqrt(2*a.memory-1) }
+func (a *average) noiseFactor() float64 { return math.Sqrt(a.variance) }
--- a/internal/placement/report.go
+++ b/internal/placement/report.go
@@ -17,7 +17,8 @@
 	Busy      time.Duration
 	// Step is the last step that the rank completed.
 	Step uint64
-	// Waiting says that the rank stands at the barrier of the next step and waits for others.
+	// Waiting says that the rank stands at the barrier of the next step and waits for others. While it does, a report is
+	// due at least every third of StallAfter, also between windows; the window's tokens may be left out of it.
 	Waiting bool
 }
 
