Leases: pure holder, keeper against the table, fencing by the version of a row of its own

A held duty is counted from before the renewal was sent; a taker waits from when it saw the row. Guard lets the table refuse a paused holder's write, Gate lets a slot refuse its order. A renewal whose answer is lost or conflicts is read back before anything is given up.

--- /dev/null
+++ b/internal/lease/keeper/keeper.go
@@ -0,0 +1,218 @@
+// Package keeper runs lease holders against the platform's table.
+package keeper
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/control"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/lease"
+	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+)
+
+// DefaultLength is the length of a lease: a lost holder is replaced after it and an eighth.
+const DefaultLength = 10 * time.Second
+
+const listLimit = 1000
+
+// Config is what a Keeper is built from.
+type Config struct {
+	Name        string
+	Incarnation ids.Incarnation
+	Length      time.Duration
+	Table       platform.Table
+	Loop        *control.Loop
+	Rand        *rand.Rand
+	Logger      log.Logger
+	// Taken is called on the loop when this node has taken a duty, for the audit; it may be nil.
+	Taken func(now time.Time, h lease.Held)
+}
+
+// Keeper holds duties for one process. Want and Tick are called on the control loop; Held from anywhere.
+type Keeper struct {
+	config  Config
+	holders map[lease.Duty]*lease.Holder
+	view    atomic.Pointer[map[lease.Duty]lease.Held]
+}
+
+// New returns a keeper that wants nothing yet.
+func New(c Config) *Keeper {
+	if c.Length == 0 {
+		c.Length = DefaultLength
+	}
+	if c.Logger == nil {
+		c.Logger = log.NewNopLogger()
+	}
+	k := &Keeper{config: c, holders: map[lease.Duty]*lease.Holder{}}
+	k.view.Store(&map[lease.Duty]lease.Held{})
+	return k
+}
+
+// Held returns what this node holds of a duty. Ask its At before each deed, and name lease.Guard in each write.
+func (k *Keeper) Held(d lease.Duty) lease.Held { return (*k.view.Load())[d] }
+
+// Want says whether this node wants a duty; see lease.Candidates.
+func (k *Keeper) Want(now time.Time, d lease.Duty, want bool) {
+	h := k.holders[d]
+	if h == nil {
+		h = lease.NewHolder(d, k.config.Name, k.config.Incarnation, k.config.Length, k.config.Rand)
+		k.holders[d] = h
+	}
+	k.run(now, d, h, h.Want(now, want))
+}
+
+// Tick lets time pass; the control loop calls it.
+func (k *Keeper) Tick(now time.Time) {
+	for d, h := range k.holders {
+		k.run(now, d, h, h.Tick(now))
+	}
+}
+
+func (k *Keeper) run(now time.Time, d lease.Duty, h *lease.Holder, effects []lease.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case *lease.Read:
+			go k.read(d, h, h.Call())
+		case *lease.Write:
+			go k.write(d, h, h.Call(), e)
+		}
+	}
+	k.publish(now, d, h.Held())
+}
+
+func (k *Keeper) publish(now time.Time, d lease.Duty, held lease.Held) {
+	old := *k.view.Load()
+	if old[d] == held {
+		return
+	}
+	next := make(map[lease.Duty]lease.Held, len(old)+1)
+	for key, v := range old {
+		next[key] = v
+	}
+	next[d] = held
+	k.view.Store(&next)
+	if held.Fence == old[d].Fence {
+		return
+	}
+	_ = level.Info(k.config.Logger).Log("msg", "lease changed", "duty", d, "fence", held.Fence, "held", held.At(now))
+	if held.At(now) && k.config.Taken != nil {
+		k.config.Taken(now, held)
+	}
+}
+
+func (k *Keeper) read(d lease.Duty, h *lease.Holder, call uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), k.config.Length/2)
+	defer cancel()
+	row, err := readRow(ctx, k.config.Table, d)
+	k.config.Loop.Post(func(now time.Time) { k.run(now, d, h, h.OnRead(now, call, row, err == nil)) })
+}
+
+func readRow(ctx context.Context, table platform.Table, d lease.Duty) (lease.Row, error) {
+	rows, err := table.Get(ctx, d.Key(), d.FenceKey())
+	if err != nil {
+		return lease.Row{}, err
+	}
+	l := &cardamomyokev1.Lease{}
+	if err := proto.Unmarshal(rows[0].Value, l); err != nil {
+		return lease.Row{}, &RowError{d, err}
+	}
+	return lease.Row{Lease: l, Version: rows[0].Version, Fence: rows[1].Version}, nil
+}
+
+// RowError says that the row of a duty cannot be read.
+type RowError struct {
+	Duty  lease.Duty
+	Cause error
+}
+
+// Error implements error.
+func (e *RowError) Error() string { return "lease " + string(e.Duty) + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *RowError) Unwrap() error { return e.Cause }
+
+func (k *Keeper) write(d lease.Duty, h *lease.Holder, call uint64, w *lease.Write) {
+	ctx, cancel := context.WithTimeout(context.Background(), k.config.Length/2)
+	defer cancel()
+	out := commit(ctx, k.config.Table, d, w)
+	k.config.Loop.Post(func(now time.Time) { k.run(now, d, h, h.OnWrite(now, call, out)) })
+}
+
+func commit(ctx context.Context, table platform.Table, d lease.Duty, w *lease.Write) lease.Written {
+	value, err := proto.Marshal(w.Lease)
+	if err != nil {
+		return lease.Written{Conflict: true}
+	}
+	t := platform.Txn{
+		Operation: ids.NewOperation(),
+		Checks:    []platform.Check{{Key: d.Key(), Version: w.Version}, {Key: d.FenceKey(), Version: w.Fence}},
+		Puts:      []platform.Put{{Key: d.Key(), Value: value}},
+	}
+	if w.NewFence {
+		t.Puts = append(t.Puts, platform.Put{Key: d.FenceKey(), Value: []byte(w.Lease.GetHolder())})
+	}
+	res, err := table.Commit(ctx, t)
+	var conflict *platform.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		return lease.Written{Conflict: true}
+	case err != nil:
+		return lease.Written{}
+	}
+	out := lease.Written{OK: true, Version: res.Versions[0], Fence: w.Fence}
+	if w.NewFence {
+		out.Fence = res.Versions[1]
+	}
+	return out
+}
+
+// Release lets another node take a duty at once, on an operator's word. The fencing number is raised, so that the old
+// holder's writes and orders are refused from then on, even if it is alive and does not know.
+func Release(ctx context.Context, table platform.Table, d lease.Duty, op ids.Operation) (ids.Fence, error) {
+	row, err := readRow(ctx, table, d)
+	if err != nil {
+		return 0, err
+	}
+	value, err := proto.Marshal(&cardamomyokev1.Lease{LengthMs: row.Lease.GetLengthMs()})
+	if err != nil {
+		return 0, &RowError{d, err}
+	}
+	res, err := table.Commit(ctx, platform.Txn{
+		Operation: op,
+		Checks:    []platform.Check{{Key: d.FenceKey(), Version: row.Fence}},
+		Puts:      []platform.Put{{Key: d.Key(), Value: value}, {Key: d.FenceKey(), Value: []byte(op)}},
+	})
+	if err != nil {
+		return 0, err
+	}
+	return ids.Fence(res.Versions[1]), nil
+}
+
+// List returns the state of all duties for operators.
+func List(ctx context.Context, table platform.Table) ([]*cardamomyokev1.LeaseStatus, error) {
+	rows, err := table.List(ctx, lease.Duty("").Key(), "", listLimit)
+	if err != nil {
+		return nil, err
+	}
+	var out []*cardamomyokev1.LeaseStatus
+	for _, r := range rows {
+		d := lease.Duty(r.Key[len(lease.Duty("").Key()):])
+		row, err := readRow(ctx, table, d)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, &cardamomyokev1.LeaseStatus{
+			Duty: string(d), Holder: row.Lease.GetHolder(), Fence: row.Fence, LengthMs: row.Lease.GetLengthMs(),
+		})
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/lease/keeper/keeper_test.go
@@ -0,0 +1,221 @@
+package keeper_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/control"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/lease"
+	"github.com/cardamomyoke/cardamomyoke/internal/lease/keeper"
+	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	standin "github.com/cardamomyoke/cardamomyoke/internal/standin/platform"
+)
+
+const duty lease.Duty = "map/desk-model"
+
+type process struct {
+	keeper *keeper.Keeper
+	client *standin.Client
+	paused chan chan struct{}
+	stop   func()
+}
+
+func start(s *standin.Store, name string, seed uint64) *process {
+	p := &process{client: s.Client(name), paused: make(chan chan struct{}, 1)}
+	loop := control.New()
+	p.keeper = keeper.New(keeper.Config{
+		Name: name, Incarnation: ids.NewIncarnation(), Table: platform.NewClient(p.client, platform.Options{}), Loop: loop,
+		Rand: rand.New(rand.NewPCG(seed, 3)),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		loop.Run(ctx, 50*time.Millisecond, func(now time.Time) {
+			select {
+			case resume := <-p.paused:
+				<-resume
+				now = time.Now()
+			default:
+			}
+			p.keeper.Tick(now)
+		})
+	}()
+	loop.Post(func(now time.Time) { p.keeper.Want(now, duty, true) })
+	p.stop = func() { cancel(); <-ended }
+	return p
+}
+
+func (p *process) held() lease.Held { return p.keeper.Held(duty) }
+
+// run lets three processes want one duty while f makes trouble. At each moment at most one holds it, and its fencing
+// number is larger than that of each other holder before.
+// With forced, an operator takes the duty from a live holder, which may believe for one renewal that it still holds it;
+// then only the numbers' growth is checked, as its deeds are refused by them.
+func run(t *testing.T, seed uint64, forced bool, f func(s *standin.Store, ps []*process, rng *rand.Rand)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore(standin.Limits{})
+		s.SetFaults(standin.PartTable, standin.Faults{Delay: 4 * time.Millisecond})
+		var ps []*process
+		for i := range 3 {
+			ps = append(ps, start(s, fmt.Sprintf("n%d", i), seed+uint64(i)))
+		}
+		done := make(chan struct{})
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			watch(t, ps, forced, done)
+		}()
+		f(s, ps, rand.New(rand.NewPCG(seed, 4)))
+		close(done)
+		<-ended
+		for _, p := range ps {
+			p.stop()
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+func watch(t *testing.T, ps []*process, forced bool, done chan struct{}) {
+	var newest ids.Fence
+	owner := -1
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+		holders := 0
+		for i, p := range ps {
+			h := p.held()
+			if !h.At(time.Now()) {
+				continue
+			}
+			holders++
+			if !forced && h.Fence < newest || h.Fence == newest && owner != i {
+				t.Errorf("n%d holds fence %d, but n%d had %d", i, h.Fence, owner, newest)
+			}
+			if h.Fence > newest {
+				newest, owner = h.Fence, i
+			}
+		}
+		if holders > 1 && !forced {
+			t.Errorf("%d nodes hold the duty", holders)
+		}
+	}
+}
+
+func wait(t *testing.T, ps []*process, except *process) *process {
+	t.Helper()
+	for range 600 {
+		for _, p := range ps {
+			if p != except && p.held().At(time.Now()) {
+				return p
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Fatal("nobody holds the duty after a minute")
+	return nil
+}
+
+// The holder is paused in the middle of a deed and wakes up after another node has taken the duty. Its own check fails;
+// the write that was under way is refused by the table, and its order by the slot's gate.
+func TestPausedHolderDoesNoHarm(t *testing.T) {
+	run(t, 1, false, func(s *standin.Store, ps []*process, _ *rand.Rand) {
+		old := wait(t, ps, nil)
+		before := old.held()
+		resume := make(chan struct{})
+		old.paused <- resume
+		next := wait(t, ps, old)
+		after := next.held()
+		if before.At(time.Now()) {
+			t.Fatal("the old holder's check passes")
+		}
+		var conflict *platform.ConflictError
+		_, err := s.Commit(context.Background(), platform.Txn{
+			Operation: "late", Checks: []platform.Check{lease.Guard(duty, before.Fence)},
+			Puts: []platform.Put{{Key: "maps/1", Value: []byte("old")}},
+		})
+		if !errors.As(err, &conflict) {
+			t.Fatalf("the table takes the old holder's write: %v", err)
+		}
+		var gate lease.Gate
+		var late *lease.OldFenceError
+		if err := gate.Admit(after.Fence); err != nil {
+			t.Fatal(err)
+		}
+		if err := gate.Admit(before.Fence); !errors.As(err, &late) {
+			t.Fatalf("the gate takes the old holder's order: %v", err)
+		}
+		close(resume)
+		time.Sleep(time.Minute)
+	})
+}
+
+// Answers are lost, writes land late, nodes are cut off and the table goes down, again and again: never two holders, and
+// somebody holds the duty within a minute of the end.
+func TestOneHolderUnderFaults(t *testing.T) {
+	for seed := range uint64(8) {
+		run(t, 10+seed, false, func(s *standin.Store, ps []*process, rng *rand.Rand) {
+			for range 60 {
+				f := standin.Faults{Delay: time.Duration(rng.IntN(400)) * time.Millisecond}
+				f.Outage = rng.IntN(5) == 0
+				f.LoseAnswers = rng.IntN(4)
+				f.LateWrites, f.LateBy = rng.IntN(3), time.Duration(rng.IntN(20))*time.Second
+				s.SetFaults(standin.PartTable, f)
+				for _, p := range ps {
+					p.client.SetCut(rng.IntN(4) == 0)
+				}
+				time.Sleep(time.Duration(rng.IntN(8)) * time.Second)
+			}
+			s.SetFaults(standin.PartTable, standin.Faults{})
+			for _, p := range ps {
+				p.client.SetCut(false)
+			}
+			wait(t, ps, nil)
+		})
+	}
+}
+
+// The table is down for long: the holder's duty lapses and nobody takes it, so control decisions wait while traffic
+// goes on. After the outage one node has it again.
+func TestLeaseLapsesDuringOutage(t *testing.T) {
+	run(t, 2, false, func(s *standin.Store, ps []*process, _ *rand.Rand) {
+		wait(t, ps, nil)
+		s.SetFaults(standin.PartTable, standin.Faults{Outage: true})
+		time.Sleep(time.Minute)
+		for _, p := range ps {
+			if p.held().At(time.Now()) {
+				t.Fatal("held without the table")
+			}
+		}
+		s.SetFaults(standin.PartTable, standin.Faults{})
+		wait(t, ps, nil)
+	})
+}
+
+// An operator releases a duty by force while its holder is alive: the holder's number is old at once.
+func TestForcedReleaseRaisesFence(t *testing.T) {
+	run(t, 3, true, func(s *standin.Store, ps []*process, _ *rand.Rand) {
+		before := wait(t, ps, nil).held()
+		fence, err := keeper.Release(context.Background(), s, duty, "op-1")
+		if err != nil || fence <= before.Fence {
+			t.Fatalf("fence %d, err %v", fence, err)
+		}
+		time.Sleep(time.Minute)
+		if after := wait(t, ps, nil).held(); after.Fence <= fence {
+			t.Fatalf("fence %d after %d", after.Fence, fence)
+		}
+		list, err := keeper.List(context.Background(), s)
+		if err != nil || len(list) != 1 || list[0].GetDuty() != string(duty) || list[0].GetHolder() == "" {
+			t.Fatalf("list %v, err %v", list, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,309 @@
+package lease
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/charts"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+)
+
+var chart = charts.MustLoad("lease")
+
+const (
+	evWanted   charts.Event = "wanted"
+	evUnwanted charts.Event = "unwanted"
+	evExpired  charts.Event = "expired"
+	evTaken    charts.Event = "taken"
+	evRefused  charts.Event = "refused"
+	evLapsed   charts.Event = "lapsed"
+
+	stateIdle      charts.State = "idle"
+	stateWatching  charts.State = "watching"
+	stateAcquiring charts.State = "acquiring"
+	stateHeld      charts.State = "held"
+)
+
+const (
+	prefixLease = "leases/"
+	prefixFence = "fences/"
+	// renewals are the tries that fit into one length.
+	renewals = 3
+	// marginPart is the part of the length by which the holder stops early, and others wait longer.
+	marginPart = 8
+	// answerLimit is after which part of the length a call counts as lost.
+	answerLimit = 2
+)
+
+// Duty names what is to be done by one node at a time.
+type Duty string
+
+// Key returns the key of the lease's row.
+func (d Duty) Key() string { return prefixLease + string(d) }
+
+// FenceKey returns the key of the row whose version is the fencing number.
+func (d Duty) FenceKey() string { return prefixFence + string(d) }
+
+// Guard returns the check that a table write of the duty must name: it fails once there is a later holder.
+func Guard(d Duty, f ids.Fence) platform.Check {
+	return platform.Check{Key: d.FenceKey(), Version: uint64(f)}
+}
+
+// Candidates returns the n names that should want a duty, best first. Each node works it out for itself; they need not
+// agree, as only the table decides.
+func Candidates(d Duty, names []string, n int) []string {
+	out := slices.Clone(names)
+	weight := func(name string) uint64 { return xxhash.Sum64String(string(d) + "/" + name) }
+	slices.SortFunc(out, func(a, b string) int { return cmp.Or(cmp.Compare(weight(a), weight(b)), cmp.Compare(a, b)) })
+	return out[:min(n, len(out))]
+}
+
+// Row is the lease as a read shows it. Version 0 of either row means that it does not exist.
+type Row struct {
+	Lease   *cardamomyokev1.Lease
+	Version uint64
+	Fence   uint64
+}
+
+// Effect is what the owner of a Holder must do; the pointer types below are all there are.
+type Effect interface{ effect() }
+
+// Read reads both rows and calls OnRead.
+type Read struct{}
+
+// Write commits Lease on condition that the rows have these versions, and calls OnWrite. With NewFence it also writes
+// the row of the fencing number, whose new version is the number.
+type Write struct {
+	Lease    *cardamomyokev1.Lease
+	Version  uint64
+	Fence    uint64
+	NewFence bool
+}
+
+func (*Read) effect()  {}
+func (*Write) effect() {}
+
+// Held is a duty that a node holds. The zero value is none.
+type Held struct {
+	Duty  Duty
+	Fence ids.Fence
+	// Until is the deadline on the node's own monotonic clock.
+	Until time.Time
+}
+
+// At reports whether the duty is held at the given time. It is asked before each deed.
+func (h Held) At(now time.Time) bool { return now.Before(h.Until) }
+
+// Holder is one node's part in one lease. It does no I/O, reads no clock, and is not safe for concurrent use.
+type Holder struct {
+	duty    Duty
+	name    string
+	life    ids.Incarnation
+	length  time.Duration
+	rng     *rand.Rand
+	machine charts.Machine
+	wanted  bool
+
+	row    Row
+	seenAt time.Time // when row was first seen as it is
+	held   Held
+	count  uint64
+
+	callAt   time.Time // when the call under way began; zero if none is
+	nextAt   time.Time
+	call     uint64 // counts calls, so that an answer given up on is known
+	released bool   // the call under way gives the duty back
+}
+
+// NewHolder returns a holder that does not want the duty yet.
+func NewHolder(d Duty, name string, life ids.Incarnation, length time.Duration, rng *rand.Rand) *Holder {
+	return &Holder{duty: d, name: name, life: life, length: length, rng: rng, machine: chart.Start()}
+}
+
+// Held returns what this node holds; ask its At with the time of each deed.
+func (h *Holder) Held() Held { return h.held }
+
+// State returns the state in the chart.
+func (h *Holder) State() charts.State { return h.machine.State() }
+
+func (h *Holder) fire(ev charts.Event) {
+	// The chart declares each of these events, so Fire cannot fail.
+	_, _ = h.machine.Fire(ev)
+}
+
+// Want says whether this node wants the duty. A duty that is held is given back at once.
+func (h *Holder) Want(now time.Time, want bool) []Effect {
+	if want == h.wanted {
+		return nil
+	}
+	h.wanted = want
+	if want {
+		h.fire(evWanted)
+		return h.Tick(now)
+	}
+	wasHeld := h.machine.State() == stateHeld
+	h.fire(evUnwanted)
+	h.held = Held{}
+	if !wasHeld {
+		return nil
+	}
+	return h.write(now, &Write{Lease: &cardamomyokev1.Lease{LengthMs: h.length.Milliseconds()}, Version: h.row.Version, Fence: h.row.Fence})
+}
+
+// Tick lets time pass.
+func (h *Holder) Tick(now time.Time) []Effect {
+	if h.machine.State() == stateHeld && !h.held.At(now) {
+		h.lapse()
+	}
+	if !h.callAt.IsZero() && now.Sub(h.callAt) < h.length/answerLimit {
+		return nil
+	}
+	if now.Before(h.nextAt) {
+		return nil
+	}
+	switch h.machine.State() {
+	case stateHeld:
+		h.count++
+		return h.write(now, &Write{Lease: h.ownLease(), Version: h.row.Version, Fence: h.row.Fence})
+	case stateWatching:
+		if h.expired(now) {
+			h.fire(evExpired)
+			h.count = 0
+			return h.write(now, &Write{Lease: h.ownLease(), Version: h.row.Version, Fence: h.row.Fence, NewFence: true})
+		}
+		return h.read(now)
+	case stateAcquiring:
+		return h.read(now) // the answer is lost: the row tells
+	}
+	return nil
+}
+
+func (h *Holder) lapse() {
+	h.held = Held{}
+	h.seenAt = time.Time{}
+	h.fire(evLapsed)
+}
+
+func (h *Holder) ownLease() *cardamomyokev1.Lease {
+	return &cardamomyokev1.Lease{
+		Holder: h.name, Incarnation: string(h.life), LengthMs: h.length.Milliseconds(), Renewals: h.count,
+	}
+}
+
+// expired reports whether the holder that the row names has stopped, by this node's own clock.
+func (h *Holder) expired(now time.Time) bool {
+	if h.seenAt.IsZero() {
+		return false // not read yet
+	}
+	if h.row.Lease.GetHolder() == "" {
+		return true
+	}
+	length := time.Duration(h.row.Lease.GetLengthMs()) * time.Millisecond
+	return now.Sub(h.seenAt) > length+length/marginPart
+}
+
+func (h *Holder) start(now time.Time) {
+	h.callAt = now
+	h.call++
+	h.nextAt = now.Add(h.length/renewals - time.Duration(h.rng.Int64N(int64(h.length/renewals/marginPart)+1)))
+}
+
+func (h *Holder) read(now time.Time) []Effect {
+	h.start(now)
+	return []Effect{&Read{}}
+}
+
+func (h *Holder) write(now time.Time, w *Write) []Effect {
+	h.start(now)
+	h.released = w.Lease.GetHolder() == ""
+	return []Effect{w}
+}
+
+// Call identifies the call that the last effect asked for; its answer must bring it back.
+func (h *Holder) Call() uint64 { return h.call }
+
+// OnRead takes the rows; ok is false if they could not be read.
+func (h *Holder) OnRead(now time.Time, call uint64, row Row, ok bool) []Effect {
+	if call != h.call {
+		return nil
+	}
+	h.callAt = time.Time{}
+	if !ok {
+		return nil
+	}
+	if h.seenAt.IsZero() || row.Version != h.row.Version || row.Fence != h.row.Fence {
+		h.seenAt = now
+	}
+	h.row = row
+	switch h.machine.State() {
+	case stateAcquiring:
+		// A takeover whose answer was lost counts as refused, even if the row names this very life: it is not known
+		// when the write took effect. The row expires like any other's, and is taken over again.
+		h.fire(evRefused)
+	case stateHeld:
+		h.confirm()
+		return nil
+	}
+	if h.machine.State() == stateWatching && h.expired(now) {
+		h.nextAt = now
+		return h.Tick(now)
+	}
+	return nil
+}
+
+// confirm gives the duty up if the rows name another holder.
+func (h *Holder) confirm() {
+	mine := h.row.Lease.GetHolder() == h.name && h.row.Lease.GetIncarnation() == string(h.life)
+	if mine && h.row.Fence == uint64(h.held.Fence) {
+		return
+	}
+	h.held = Held{}
+	h.fire(evRefused)
+}
+
+// Written is the outcome of Write.
+type Written struct {
+	// OK: the write took effect, and these are the versions of the rows now.
+	OK             bool
+	Version, Fence uint64
+	// Conflict: it did not and never will, as the rows have changed.
+	Conflict bool
+}
+
+// OnWrite takes the outcome of a Write. Neither OK nor Conflict means that it is not known.
+func (h *Holder) OnWrite(now time.Time, call uint64, w Written) []Effect {
+	if call != h.call {
+		return nil
+	}
+	started := h.callAt
+	h.callAt = time.Time{}
+	if h.released {
+		return nil
+	}
+	switch {
+	case w.OK:
+		h.row = Row{h.ownLease(), w.Version, w.Fence}
+		h.seenAt = now
+		h.fire(evTaken)
+		// From before the write was sent: the others count from when they see it, which is later.
+		h.held = Held{h.duty, ids.Fence(w.Fence), started.Add(h.length - h.length/marginPart)}
+		if !h.held.At(now) {
+			h.lapse()
+		}
+	case h.machine.State() == stateHeld:
+		// Whether it conflicts or is not known, an earlier write of this node may be what changed the row. What is held
+		// stays held until its deadline, which rests on the last write that is known; a read tells who holds it now.
+		return h.read(now)
+	case w.Conflict:
+		h.seenAt = time.Time{}
+		h.fire(evRefused)
+		h.nextAt = now
+	}
+	return nil
+}
--- a/internal/revision/roster.go
+++ b/internal/revision/roster.go
@@ -179,10 +179,10 @@
 	return 2*total >= len(r.members)
 }
 
-// translate carries bits from one roster to another, by name.
+// translate carries bits from one roster to another, by name. The result is a copy, as messages outlive the call.
 func translate(b bitset, from, to *Roster) bitset {
 	if from == to {
-		return b
+		return slices.Clone(b)
 	}
 	out := newBitset(len(to.members))
 	for i, m := range from.members {
