--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -148,8 +148,13 @@
 	if m.GetReason() == "" || len(m.GetReason()) > maxText {
 		return &FieldError{"meta.reason", "1 to 500 bytes"}
 	}
-	if len(m.GetOperationId()) > maxNameLength || !namePattern.MatchString(m.GetOperationId()) {
-		return &FieldError{"meta.operation_id", "1 to 63 of a-z, 0-9 and - (not at the ends)"}
+	return CheckName("meta.operation_id", m.GetOperationId())
+}
+
+// CheckName returns *FieldError unless name is fit to be the name of an object.
+func CheckName(field, name string) error {
+	if len(name) > maxNameLength || !namePattern.MatchString(name) {
+		return &FieldError{field, wantName}
 	}
 	return nil
 }
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -21,6 +21,8 @@
 	maxText           = 500
 )
 
+const wantName = "1 to 63 of a-z, 0-9 and - (not at the ends)"
+
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
 
 // Check returns *FieldError for the first field of c that is wrong, or nil.
@@ -49,8 +51,8 @@
 type names map[string]bool
 
 func (n names) add(field, name string) error {
-	if len(name) > maxNameLength || !namePattern.MatchString(name) {
-		return &FieldError{field + ".name", "1 to 63 of a-z, 0-9 and - (not at the ends)"}
+	if err := CheckName(field+".name", name); err != nil {
+		return err
 	}
 	if n[name] {
 		return &FieldError{field + ".name", fmt.Sprintf("a name that is not taken (%q is)", name)}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,238 @@
+package operator_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/testing/protocmp"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/control"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/operator"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision/agent"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision/memnet"
+	standin "github.com/cardamomyoke/cardamomyoke/internal/standin/platform"
+)
+
+type fixture struct {
+	cardamomyokev1connect.OperatorServiceClient
+	store *standin.Store
+	ops   int
+}
+
+func serve(t *testing.T) *fixture {
+	s := standin.NewStore(standin.Limits{})
+	loop := control.New()
+	a := agent.New(agent.Config{
+		Self:        &revision.Member{Name: "e1", DataCentre: "vallejo", Address: "127.0.0.1:1"},
+		Incarnation: ids.NewIncarnation(), Platform: s, Transport: memnet.New(nil).Transport("e1"), Loop: loop,
+		Rand: rand.New(rand.NewPCG(1, 1)),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		loop.Run(ctx, 5*time.Millisecond, a.Tick)
+	}()
+	mux := http.NewServeMux()
+	mux.Handle(operator.Handler(operator.New(operator.Options{Node: "e1", Agent: a, Table: s})))
+	srv := httptest.NewUnstartedServer(mux)
+	srv.Config.Protocols = new(http.Protocols)
+	srv.Config.Protocols.SetUnencryptedHTTP2(true)
+	srv.Start()
+	t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+		a.Close()
+		cancel()
+		<-ended
+	})
+	return &fixture{OperatorServiceClient: cardamomyokev1connect.NewOperatorServiceClient(agent.HTTP2(), srv.URL), store: s}
+}
+
+func (f *fixture) meta(base uint64) *cardamomyokev1.ChangeMeta {
+	f.ops++
+	return &cardamomyokev1.ChangeMeta{
+		Operator: "ana", Reason: "test", OperationId: "op-" + string(rune('a'+f.ops)), BaseRevision: base,
+	}
+}
+
+func put(o proto.Message) *cardamomyokev1.Edit {
+	e := &cardamomyokev1.Edit{Action: cardamomyokev1.EditAction_EDIT_ACTION_CREATE}
+	switch o := o.(type) {
+	case *cardamomyokev1.PriorityClass:
+		e.Object = &cardamomyokev1.Edit_Class{Class: o}
+	case *cardamomyokev1.Service:
+		e.Object = &cardamomyokev1.Edit_Service{Service: o}
+	case *cardamomyokev1.ModelGroup:
+		e.Object = &cardamomyokev1.Edit_Group{Group: o}
+	case *cardamomyokev1.Policies:
+		e.Action = cardamomyokev1.EditAction_EDIT_ACTION_CHANGE
+		e.Object = &cardamomyokev1.Edit_Policies{Policies: o}
+	}
+	return e
+}
+
+func first() []*cardamomyokev1.Edit {
+	return []*cardamomyokev1.Edit{
+		put(&cardamomyokev1.PriorityClass{Name: "first", QueueLimit: 10}),
+		put(&cardamomyokev1.Service{
+			Name: "desk-model", Kind: cardamomyokev1.ServiceKind_SERVICE_KIND_MODEL, Class: "first", Repeatable: true,
+			DeadlineMs: 1000, MaxBodyBytes: 1000,
+		}),
+		put(&cardamomyokev1.ModelGroup{Name: "g", Service: "desk-model", Ranks: 4, Experts: 8, Layers: 1}),
+		put(&cardamomyokev1.Policies{AddressKeepMs: 5000, EjectionPercent: 30, QuarantineS: 60}),
+	}
+}
+
+const wait = 60_000 // a bound for a test that would otherwise hang, not a measurement
+
+// accepted fails unless the change is accepted as the given revision.
+func accepted(t *testing.T, o *cardamomyokev1.Outcome, err error, rev uint64) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o.GetRevision() != rev || o.GetState() != cardamomyokev1.ChangeState_CHANGE_STATE_ACCEPTED {
+		t.Fatalf("outcome %v, want revision %d accepted", o, rev)
+	}
+}
+
+// refused fails unless err has the code and, if detail is not nil, carries a detail equal to it.
+func refused(t *testing.T, err error, code connect.Code, detail proto.Message) {
+	t.Helper()
+	var ce *connect.Error
+	if !errors.As(err, &ce) || ce.Code() != code {
+		t.Fatalf("got %v, want %v", err, code)
+	}
+	if detail == nil {
+		return
+	}
+	for _, d := range ce.Details() {
+		v, err := d.Value()
+		if err == nil && cmp.Diff(detail, v, protocmp.Transform(), protocmp.IgnoreFields(&cardamomyokev1.FieldViolation{}, "want")) == "" {
+			return
+		}
+	}
+	t.Fatalf("%v has no detail %v", err, detail)
+}
+
+func TestChangeAndRollForward(t *testing.T) {
+	f := serve(t)
+	ctx := t.Context()
+	meta := f.meta(0)
+	r, err := f.Change(ctx, &cardamomyokev1.ChangeRequest{Meta: meta, Edits: first(), WaitMs: wait})
+	accepted(t, r.GetOutcome(), err, 1)
+	again, err := f.Change(ctx, &cardamomyokev1.ChangeRequest{Meta: meta, Edits: first(), WaitMs: wait})
+	accepted(t, again.GetOutcome(), err, 1)
+	drain := &cardamomyokev1.ActRequest_DrainUpstream{DrainUpstream: &cardamomyokev1.DrainUpstream{Upstream: "u1", Drained: true}}
+	act, err := f.Act(ctx, &cardamomyokev1.ActRequest{Meta: f.meta(1), Action: drain, WaitMs: wait})
+	accepted(t, act.GetOutcome(), err, 2)
+	pause := &cardamomyokev1.ActRequest_PauseRebalancing{PauseRebalancing: &cardamomyokev1.PauseRebalancing{Group: "g", Paused: true}}
+	act, err = f.Act(ctx, &cardamomyokev1.ActRequest{Meta: f.meta(2), Action: pause, WaitMs: wait})
+	accepted(t, act.GetOutcome(), err, 3)
+
+	back, err := f.RollForward(ctx, &cardamomyokev1.RollForwardRequest{Meta: f.meta(3), ToRevision: 1, WaitMs: wait})
+	accepted(t, back.GetOutcome(), err, 4)
+	list, err := f.List(ctx, &cardamomyokev1.ListRequest{InForce: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := list.GetConfiguration()
+	if c.GetRevision() != 4 || len(c.GetUpstreams()) != 0 || c.GetGroups()[0].GetRebalancing().GetPaused() {
+		t.Fatalf("after the roll forward: %v", c)
+	}
+	c.GetPolicies().QuarantineS = 61
+	diff, err := f.Diff(ctx, &cardamomyokev1.DiffRequest{Wanted: c})
+	if err != nil || len(diff.GetEdits()) != 1 || diff.GetBaseRevision() != 4 {
+		t.Fatalf("diff %v, %v", diff, err)
+	}
+	log, err := f.ListRevisions(ctx, &cardamomyokev1.ListRevisionsRequest{Limit: 2})
+	if err != nil || len(log.GetEntries()) != 2 || log.GetEntries()[0].GetRevision() != 4 {
+		t.Fatalf("log %v, %v", log, err)
+	}
+	op, err := f.GetOperation(ctx, &cardamomyokev1.GetOperationRequest{OperationId: meta.GetOperationId()})
+	if err != nil || !op.GetFound() || op.GetOutcome().GetRevision() != 1 {
+		t.Fatalf("operation %v, %v", op, err)
+	}
+}
+
+func TestRefusalsAreTyped(t *testing.T) {
+	f := serve(t)
+	ctx := t.Context()
+	r, err := f.Change(ctx, &cardamomyokev1.ChangeRequest{Meta: f.meta(0), Edits: first(), WaitMs: wait})
+	accepted(t, r.GetOutcome(), err, 1)
+
+	bad := &cardamomyokev1.Policies{AddressKeepMs: 1}
+	_, err = f.Change(ctx, &cardamomyokev1.ChangeRequest{Meta: f.meta(1), Edits: []*cardamomyokev1.Edit{put(bad)}})
+	refused(t, err, connect.CodeInvalidArgument, &cardamomyokev1.FieldViolation{Field: "edits[0].policies.address_keep_ms"})
+	_, err = f.Change(ctx, &cardamomyokev1.ChangeRequest{Meta: &cardamomyokev1.ChangeMeta{}})
+	refused(t, err, connect.CodeInvalidArgument, &cardamomyokev1.FieldViolation{Field: "meta.operator"})
+	_, err = f.RollForward(ctx, &cardamomyokev1.RollForwardRequest{Meta: f.meta(1), ToRevision: 9})
+	refused(t, err, connect.CodeInvalidArgument, &cardamomyokev1.FieldViolation{Field: "to_revision"})
+
+	late := &cardamomyokev1.ChangeRequest{Meta: f.meta(0), Edits: []*cardamomyokev1.Edit{put(&cardamomyokev1.PriorityClass{Name: "b", QueueLimit: 1})}}
+	_, err = f.Change(ctx, late)
+	refused(t, err, connect.CodeAborted, &cardamomyokev1.ConflictDetail{CommittedRevision: 1, BaseRevision: 0})
+
+	reused := f.meta(1)
+	reused.OperationId = "op-b" // the first change's
+	late.Meta = reused
+	_, err = f.Change(ctx, late)
+	refused(t, err, connect.CodeAlreadyExists, nil)
+
+	f.store.SetFaults(standin.PartTable, standin.Faults{Outage: true})
+	late.Meta = f.meta(1)
+	_, err = f.Change(ctx, late)
+	refused(t, err, connect.CodeUnavailable, nil)
+	s, err := f.GetStatus(ctx, &cardamomyokev1.GetStatusRequest{})
+	if err != nil || len(s.GetUnavailable()) != 1 || len(s.GetNodes()) != 1 || s.GetRevisions().GetInForceRevision() != 1 {
+		t.Fatalf("status %v, %v", s, err)
+	}
+}
+
+func TestOrdersCarryGrowingFences(t *testing.T) {
+	f := serve(t)
+	o := &cardamomyokev1.EngineOrder{Upstream: "u1", Order: &cardamomyokev1.EngineOrder_LoadModel{
+		LoadModel: &cardamomyokev1.LoadModel{Model: "m", Version: "v1"},
+	}}
+	meta := f.meta(0)
+	for i, want := range []uint64{1, 1, 2} {
+		if i == 2 {
+			meta = f.meta(0)
+		}
+		r, err := f.Order(t.Context(), &cardamomyokev1.OrderRequest{Meta: meta, Order: o})
+		if err != nil || r.GetFence() != want {
+			t.Fatalf("order %d: fence %d, err %v", i, r.GetFence(), err)
+		}
+	}
+	_, err := f.Order(t.Context(), &cardamomyokev1.OrderRequest{Meta: f.meta(0), Order: &cardamomyokev1.EngineOrder{Upstream: "u1"}})
+	refused(t, err, connect.CodeInvalidArgument, &cardamomyokev1.FieldViolation{Field: "order.order"})
+}
+
+func TestWatchSendsEachChange(t *testing.T) {
+	f := serve(t)
+	stream, err := f.Watch(t.Context(), &cardamomyokev1.WatchRequest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := f.Change(t.Context(), &cardamomyokev1.ChangeRequest{Meta: f.meta(0), Edits: first(), WaitMs: wait})
+	accepted(t, r.GetOutcome(), err, 1)
+	for stream.Receive() {
+		if stream.Msg().GetRevisions().GetInForceRevision() == 1 {
+			return
+		}
+	}
+	t.Fatalf("the stream ended before it showed the change: %v", stream.Err())
+}
--- a/internal/revision/store/change.go
+++ b/internal/revision/store/change.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -250,3 +251,30 @@
 	}
 	return st, nil
 }
+
+// Committed returns the newest committed state; have is a state to start from, or nil.
+func (s *Store) Committed(ctx context.Context, have *revision.State) (*revision.State, error) {
+	h, err := s.head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return s.forward(ctx, have, h.Head)
+}
+
+// Before returns up to limit entries before a number, newest first; 0 starts with the newest.
+func (s *Store) Before(ctx context.Context, seq, limit uint64) ([]*revision.Entry, error) {
+	if seq == 0 {
+		h, err := s.head(ctx)
+		if err != nil {
+			return nil, err
+		}
+		seq = h.GetCommitted() + 1
+	}
+	first := uint64(0)
+	if seq > limit+1 {
+		first = seq - limit - 1
+	}
+	entries, err := s.Entries(ctx, first, seq-1)
+	slices.Reverse(entries)
+	return entries, err
+}
