Membership: subsets of whom to tell, suspicion and refutation, the roster of the log

Cause: an entry that replaced another was in no slot's seeds, and nobody told it of slots. Change: package membership decides whom each node tells: slots a few entries by rendezvous hash, entries their neighbours on a ring; suspicion is refuted by any newer digest; lost nodes that the roster names are probed, so that parted regions find each other again. Time between digests grows to keep 2 KB/s.

--- a/internal/daemon/entrymain/entrymain.go
+++ b/internal/daemon/entrymain/entrymain.go
@@ -41,6 +41,8 @@
 			DataCentre: string(set.DataCentre),
 			Role:       cardamomyokev1.NodeRole_NODE_ROLE_ENTRY,
 			Address:    set.Control.Address,
+
+			DigestAddress: set.Digests.Address,
 		},
 		Seeds:    set.Control.Seeds,
 		Platform: set.Platform,
@@ -48,7 +50,7 @@
 		Logger:   logger,
 	})
 	e, err := entry.Start(set, entry.Deps{
-		Config: node.Config, Loop: node.Loop, Incarnation: node.Incarnation, Logger: logger, Tracer: tracer,
+		Config: node.Config, Loop: node.Loop, Incarnation: node.Incarnation, Roster: node.Roster, Logger: logger, Tracer: tracer,
 	})
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -109,6 +109,14 @@
 	return nil
 }
 
+// Roster returns the newest members that this node knows of, or nil.
+func (n *Node) Roster() *revision.Roster {
+	if n.Agent == nil || n.Agent.View().Newest == nil {
+		return nil
+	}
+	return n.Agent.View().Newest.Roster
+}
+
 // Leave takes the node out of the roster, as the last step of an orderly shutdown: from then on no change waits for it.
 func (n *Node) Leave(ctx context.Context) {
 	if n.Agent != nil {
--- a/internal/daemon/slotmain/slotmain.go
+++ b/internal/daemon/slotmain/slotmain.go
@@ -42,6 +42,8 @@
 			DataCentre: string(set.DataCentre),
 			Role:       cardamomyokev1.NodeRole_NODE_ROLE_SLOT,
 			Address:    set.Control.Address,
+
+			DigestAddress: set.Digests.Address,
 		},
 		Seeds:    set.Control.Seeds,
 		Platform: set.Platform,
@@ -49,7 +51,7 @@
 		Logger:   logger,
 	})
 	s, err := slot.Start(set, slot.Deps{
-		Config: node.Config, Incarnation: node.Incarnation, Table: node.Platform, Logger: logger, Tracer: tracer,
+		Config: node.Config, Incarnation: node.Incarnation, Roster: node.Roster, Table: node.Platform, Logger: logger, Tracer: tracer,
 	})
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -9,7 +9,6 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
 )
 
@@ -21,23 +20,13 @@
 	KeepMS uint32 `json:"keep_ms"`
 }
 
-// addresses lists the entries that callers may use, this one first, those of its own data centre before others.
-func (s *state) addresses(now time.Time) []string {
-	var near, far []string
-	for _, p := range s.peers {
-		silent := now.Sub(p.heardAt) > peerSilentAfter
-		if silent || p.digest.GetState() != cardamomyokev1.NodeState_NODE_STATE_LIVE {
-			continue
-		}
-		if p.digest.GetDataCentre() == string(s.settings.DataCentre) {
-			near = append(near, p.digest.GetHttpAddress())
-		} else {
-			far = append(far, p.digest.GetHttpAddress())
-		}
+// addresses lists the other entries that callers may use: those of this data centre, and if there is none, others.
+func (s *state) addresses() []string {
+	near, far := s.members.Addresses("")
+	if len(near) == 0 {
+		return far
 	}
-	slices.Sort(near)
-	slices.Sort(far)
-	return append(near, far...)
+	return near
 }
 
 // serveAddresses answers which addresses to use. They are shuffled for each answer: callers use the first one, and
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
 	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision"
 	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
 )
 
@@ -28,8 +29,10 @@
 	Loop *control.Loop
 	// Incarnation is this life of the process; empty lets the entry draw one.
 	Incarnation ids.Incarnation
-	Logger      log.Logger
-	Tracer      *tracing.Tracer
+	// Roster returns the members that the configuration log names; nil if there is no log.
+	Roster func() *revision.Roster
+	Logger log.Logger
+	Tracer *tracing.Tracer
 }
 
 // Entry is one running entry.
@@ -39,6 +42,7 @@
 	config      config.Source
 	logger      log.Logger
 	tracer      *tracing.Tracer
+	roster      func() *revision.Roster
 	metrics     *entryMetrics
 	client      *httpclient.Client
 	limits      *limits.Limiter
@@ -53,7 +57,6 @@
 	receiver  *digest.Receiver
 	sender    *digest.Sender
 	digests   uint64
-	nextSend  time.Time
 	cancel    context.CancelFunc
 }
 
@@ -62,8 +65,6 @@
 	defaultLoops = 2
 	// tickEvery is how often the control loop judges health and publishes a view.
 	tickEvery = 25 * time.Millisecond
-	// defaultDigestEvery is the time between two digests of this entry.
-	defaultDigestEvery = 250 * time.Millisecond
 )
 
 // Events and actions of the entry chart.
@@ -90,6 +91,7 @@
 		config:      d.Config,
 		logger:      log.With(d.Logger, "node", set.Name),
 		tracer:      d.Tracer,
+		roster:      d.Roster,
 		metrics:     newEntryMetrics(),
 		client:      httpclient.New(httpclient.Options{}),
 		limits:      limits.New(limits.Defaults(), 1),
@@ -144,15 +146,15 @@
 // Tick lets time pass; it runs on the control loop.
 func (e *Entry) Tick(now time.Time) {
 	e.adoptConfig(now)
+	if e.roster != nil {
+		e.state.adoptRoster(e.roster(), now)
+	}
 	e.state.tick(now)
 	e.publish(now)
 	for _, p := range e.view.Load().pools {
 		p.gate.Tick(now)
 	}
-	if now.After(e.nextSend) {
-		e.nextSend = now.Add(e.settings.Digests.Every.Or(defaultDigestEvery))
-		e.sendDigests(now)
-	}
+	e.sendDigests(now, false)
 }
 
 // adoptConfig follows the configuration in force and whether this entry can know it.
@@ -166,7 +168,7 @@
 		e.limits.SetLimits(limitsOf(snap))
 		_ = level.Info(e.logger).Log("msg", "configuration in force", "revision", snap.Revision())
 	}
-	e.limits.SetEntries(len(e.state.peers) + 1)
+	e.limits.SetEntries(e.state.members.Entries())
 	e.fire(eventConfigured)
 	if e.config.Fresh(now) {
 		e.fire(eventFresh)
@@ -209,13 +211,19 @@
 	e.view.Store(e.state.build(life == stateServing || life == stateLeaving, now))
 }
 
-// sendDigests tells all other entries and all slots of this entry.
-func (e *Entry) sendDigests(now time.Time) {
+// sendDigests tells those who are due, or everybody at once if there is news that cannot wait.
+func (e *Entry) sendDigests(now time.Time, all bool) {
+	due := e.state.members.Due(e.settings.Digests.Seeds, now, all)
+	if len(due) == 0 {
+		return
+	}
 	e.digests++
 	d := e.ownDigest()
-	for _, address := range e.state.digestTargets() {
-		if _, err := e.sender.Send(address, d); err != nil {
-			_ = level.Debug(e.logger).Log("msg", "digest not sent", "to", address, "err", err)
+	for _, to := range due {
+		n, err := e.sender.Send(to.Address, d)
+		e.metrics.digestBytes.Add(n)
+		if err != nil {
+			_ = level.Debug(e.logger).Log("msg", "digest not sent", "to", to.Address, "err", err)
 		}
 	}
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -13,6 +13,7 @@
 	set           *metrics.Set
 	retries       *metrics.Counter
 	mismatches    *metrics.Counter
+	digestBytes   *metrics.Counter
 	firstToken    *metrics.Histogram
 	betweenTokens *metrics.Histogram
 }
@@ -23,6 +24,7 @@
 		set:           set,
 		retries:       set.NewCounter("cardamomyoke_entry_retries_total"),
 		mismatches:    set.NewCounter("cardamomyoke_entry_mismatched_answers_total"),
+		digestBytes:   set.NewCounter("cardamomyoke_entry_digest_bytes_total"),
 		firstToken:    set.NewHistogram("cardamomyoke_entry_first_token_seconds"),
 		betweenTokens: set.NewHistogram("cardamomyoke_entry_between_tokens_seconds"),
 	}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -37,8 +37,6 @@
 		Address string `yaml:"address"`
 		// Seeds are digest addresses of other entries, IP:PORT.
 		Seeds []string `yaml:"seeds"`
-		// Every is the time between two digests of this entry; default 250ms.
-		Every settings.Duration `yaml:"every"`
 	} `yaml:"digests"`
 	// Platform is the address of the platform's service, IP:PORT.
 	Platform string `yaml:"platform"`
--- a/internal/entry/shutdown.go
+++ b/internal/entry/shutdown.go
@@ -30,7 +30,7 @@
 	e.post(func(now time.Time) {
 		e.fire(eventLeave)
 		e.publish(now)
-		e.sendDigests(now)
+		e.sendDigests(now, true)
 	})
 }
 
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -14,7 +14,9 @@
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/health"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/membership"
 	"github.com/cardamomyoke/cardamomyoke/internal/retry"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision"
 	"github.com/cardamomyoke/cardamomyoke/internal/routing"
 	"github.com/cardamomyoke/cardamomyoke/internal/routing/expectedwait"
 	"github.com/cardamomyoke/cardamomyoke/internal/routing/prefix"
@@ -27,7 +29,8 @@
 	logger    log.Logger
 	tracker   *health.Tracker
 	upstreams map[ids.Upstream]*upstream
-	peers     map[ids.Node]*peer
+	members   *membership.Table
+	roster    *revision.Roster
 	pools     map[ids.Service]*pool
 	snapshot  *config.Snapshot
 }
@@ -40,17 +43,9 @@
 	cached  *prefix.Table
 }
 
-// peer is the newest digest of another entry.
-type peer struct {
-	digest  *cardamomyokev1.Digest
-	heardAt time.Time
-}
-
 const (
 	// cachedBlocks is how many prompt blocks are remembered for one upstream.
 	cachedBlocks = 8192
-	// peerSilentAfter is how long another entry may be silent before callers are no longer sent to it.
-	peerSilentAfter = 2 * time.Second
 	// farAway stands for the distance to a data centre that the settings do not name.
 	farAway = 40 * time.Millisecond
 )
@@ -62,18 +57,25 @@
 		logger:    logger,
 		tracker:   health.New(health.Defaults(), now),
 		upstreams: map[ids.Upstream]*upstream{},
-		peers:     map[ids.Node]*peer{},
+		members:   membership.New(selfOf(set), membership.Defaults(), now),
 		pools:     map[ids.Service]*pool{},
 	}
 }
 
-// hear takes in a digest; older ones of the same life are dropped.
+func selfOf(set *Settings) membership.Self {
+	return membership.Self{
+		Name:       ids.Node(set.Name),
+		Role:       cardamomyokev1.NodeRole_NODE_ROLE_ENTRY,
+		DataCentre: set.DataCentre,
+		Digests:    set.Digests.Address,
+	}
+}
+
+// hear takes in a digest, unless it is late or doubled.
 func (s *state) hear(d *cardamomyokev1.Digest, now time.Time) {
-	switch d.GetRole() {
-	case cardamomyokev1.NodeRole_NODE_ROLE_SLOT:
+	news := s.members.Hear(d, now)
+	if news && d.GetRole() == cardamomyokev1.NodeRole_NODE_ROLE_SLOT {
 		s.hearSlot(d, now)
-	case cardamomyokev1.NodeRole_NODE_ROLE_ENTRY:
-		s.hearEntry(d, now)
 	}
 }
 
@@ -84,9 +86,6 @@
 		u = &upstream{work: &routing.Work{}, cached: prefix.NewTable(cachedBlocks)}
 		s.upstreams[id] = u
 	}
-	if !newer(u.digest, d) {
-		return
-	}
 	if u.digest.GetIncarnation() != d.GetIncarnation() {
 		u.cached.Clear()
 	}
@@ -107,26 +106,6 @@
 	}
 }
 
-func (s *state) hearEntry(d *cardamomyokev1.Digest, now time.Time) {
-	if d.GetNode() == s.settings.Name {
-		return
-	}
-	id := ids.Node(d.GetNode())
-	if p, ok := s.peers[id]; ok && !newer(p.digest, d) {
-		return
-	}
-	s.peers[id] = &peer{d, now}
-}
-
-// newer orders digests. Incarnations sort by time of birth, so a late digest of an earlier life never replaces one of
-// a later life.
-func newer(old, d *cardamomyokev1.Digest) bool {
-	if old.GetIncarnation() != d.GetIncarnation() {
-		return old.GetIncarnation() < d.GetIncarnation()
-	}
-	return d.GetSequence() > old.GetSequence()
-}
-
 // adopt takes over a configuration. Pools live on with their queues, unless the classes changed; what waits in an old
 // queue is still answered from there.
 func (s *state) adopt(snap *config.Snapshot) {
@@ -144,20 +123,13 @@
 	})
 }
 
-// digestTargets are the digest addresses of all that this entry tells of itself.
-func (s *state) digestTargets() []string {
-	targets := map[string]bool{}
-	for _, seed := range s.settings.Digests.Seeds {
-		targets[seed] = true
-	}
-	for _, p := range s.peers {
-		targets[p.digest.GetDigestAddress()] = true
-	}
-	for _, u := range s.upstreams {
-		targets[u.digest.GetDigestAddress()] = true
+// adoptRoster follows the members that the configuration log names.
+func (s *state) adoptRoster(r *revision.Roster, now time.Time) {
+	if r == nil || r == s.roster {
+		return
 	}
-	delete(targets, s.settings.Digests.Address)
-	return slices.Sorted(maps.Keys(targets))
+	s.roster = r
+	s.members.SetRoster(membership.FromRevision(r.Members()), now)
 }
 
 // tick judges health and forgets who is long silent.
@@ -170,10 +142,8 @@
 			delete(s.upstreams, id)
 		}
 	}
-	for id, p := range s.peers {
-		if now.Sub(p.heardAt) > 10*peerSilentAfter {
-			delete(s.peers, id)
-		}
+	for _, c := range s.members.Tick(now) {
+		_ = level.Info(s.logger).Log("msg", "member changed", "member", c.Node, "from", c.From, "to", c.To)
 	}
 }
 
@@ -183,7 +153,7 @@
 		config:       s.snapshot,
 		serving:      serving && s.snapshot != nil,
 		pools:        map[ids.Service]*pool{},
-		addresses:    s.addresses(now),
+		addresses:    s.addresses(),
 		incarnations: map[ids.Upstream]ids.Incarnation{},
 	}
 	if s.snapshot == nil {
@@ -311,7 +281,7 @@
 // capacity is what this entry may have started at once: the places that other entries leave free, but at least its
 // even part, so that an entry is never starved by the others.
 func (s *state) capacity(list []*routing.Upstream, stepTime float64) admission.Capacity {
-	entries := float64(len(s.peers) + 1)
+	entries := float64(s.members.Entries())
 	total, free := 0.0, 0.0
 	for _, u := range list {
 		usable := u.Weight * float64(u.Batch)
--- /dev/null
+++ b/internal/membership/table.go
@@ -0,0 +1,282 @@
+package membership
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/charts"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+// Options are the settings of a Table.
+type Options struct {
+	// SlotEntries is how many entries a slot tells of itself; FarEntries of them are in other data centres.
+	SlotEntries, FarEntries int
+	// Peers is how many entries an entry tells of itself; FarPeers of them are in other data centres.
+	Peers, FarPeers int
+	// SilentDigests is how many digests in a row may be missing before a node is suspect; LostDigests before it is gone.
+	SilentDigests, LostDigests int
+	// FirstEvery is the shortest time between two digests to one node, LastEvery the longest.
+	FirstEvery, LastEvery time.Duration
+	// BytesPerSecond is what sending digests may cost; the time between digests grows to keep it.
+	BytesPerSecond float64
+}
+
+// Defaults returns the settings in use.
+func Defaults() Options {
+	return Options{
+		SlotEntries: 8, FarEntries: 2,
+		Peers: 8, FarPeers: 2,
+		SilentDigests: 4, LostDigests: 20,
+		FirstEvery: 250 * time.Millisecond, LastEvery: 2 * time.Second,
+		BytesPerSecond: 2000,
+	}
+}
+
+// Self is the node that the table belongs to.
+type Self struct {
+	Name       ids.Node
+	Role       cardamomyokev1.NodeRole
+	DataCentre ids.DataCentre
+	// Digests is the address where the node takes digests.
+	Digests string
+}
+
+// Node is another node as it is known now.
+type Node struct {
+	Name       ids.Node
+	Role       cardamomyokev1.NodeRole
+	DataCentre ids.DataCentre
+	Digests    string
+	// HTTP is where it takes requests; empty until it was heard.
+	HTTP        string
+	Incarnation ids.Incarnation
+	State       charts.State
+	HeardAt     time.Time
+}
+
+// States of the member chart that others ask for.
+const (
+	StateLive    charts.State = "live"
+	StateSuspect charts.State = "suspect"
+	StateLeaving charts.State = "leaving"
+	StateGone    charts.State = "gone"
+)
+
+const (
+	eventHeard   charts.Event = "heard"
+	eventLeaving charts.Event = "heard-leaving"
+	eventSilent  charts.Event = "silent"
+	eventLost    charts.Event = "lost"
+)
+
+var chart = charts.MustLoad("member")
+
+// Change is a change of a node's state, for logs and metrics.
+type Change struct {
+	Node     ids.Node
+	From, To charts.State
+}
+
+// member is what the table keeps of a node.
+type member struct {
+	Node
+	sequence uint64
+	machine  charts.Machine
+	since    time.Time
+	listed   bool
+}
+
+// Table knows the other nodes. It belongs to the control goroutine.
+type Table struct {
+	opts    Options
+	self    Self
+	members map[ids.Node]*member
+	sent    map[string]time.Time
+	changes []Change
+	last    time.Time
+	// chosen is whom to tell, as long as changed is not set.
+	chosen  []choice
+	changed bool
+	probed  time.Time
+	turn    int
+}
+
+// New returns a table that knows nobody.
+func New(self Self, opts Options, now time.Time) *Table {
+	return &Table{opts: opts, self: self, members: map[ids.Node]*member{}, sent: map[string]time.Time{}, last: now, changed: true}
+}
+
+// Roster is one node that the configuration log names.
+type Roster struct {
+	Name       ids.Node
+	Role       cardamomyokev1.NodeRole
+	DataCentre ids.DataCentre
+	Digests    string
+}
+
+// SetRoster replaces the nodes that are expected. A node that is no longer named stays for as long as it is heard.
+func (t *Table) SetRoster(list []Roster, now time.Time) {
+	t.changed = true
+	for _, m := range t.members {
+		m.listed = false
+	}
+	for _, r := range list {
+		if r.Name == t.self.Name || r.Digests == "" {
+			continue
+		}
+		m := t.member(r.Name, now)
+		m.listed = true
+		if m.Incarnation == "" {
+			m.Role, m.DataCentre, m.Digests = r.Role, r.DataCentre, r.Digests
+		}
+	}
+}
+
+func (t *Table) member(name ids.Node, now time.Time) *member {
+	m, ok := t.members[name]
+	if !ok {
+		m = &member{Node: Node{Name: name}, machine: chart.Start(), since: now}
+		t.members[name] = m
+	}
+	return m
+}
+
+// Hear takes in a digest and reports whether it is news: a late or doubled one is not.
+func (t *Table) Hear(d *cardamomyokev1.Digest, now time.Time) bool {
+	name := ids.Node(d.GetNode())
+	if name == t.self.Name {
+		return false
+	}
+	m := t.member(name, now)
+	if !m.older(d) {
+		return false
+	}
+	if string(m.Incarnation) != d.GetIncarnation() {
+		// A new life owes nothing to the last one's state: a leaving node that was replaced under its name is live.
+		m.machine = chart.Start()
+		t.changed = true
+	}
+	m.Incarnation = ids.Incarnation(d.GetIncarnation())
+	m.sequence = d.GetSequence()
+	m.Role = d.GetRole()
+	m.DataCentre = ids.DataCentre(d.GetDataCentre())
+	m.Digests = d.GetDigestAddress()
+	m.HTTP = d.GetHttpAddress()
+	m.HeardAt = now
+	if d.GetState() == cardamomyokev1.NodeState_NODE_STATE_LEAVING {
+		t.fire(m, eventLeaving, now)
+	} else {
+		t.fire(m, eventHeard, now)
+	}
+	return true
+}
+
+// older reports whether d is news. Incarnations sort by time of birth, so a late digest of an earlier life never
+// replaces one of a later life.
+func (m *member) older(d *cardamomyokev1.Digest) bool {
+	if string(m.Incarnation) != d.GetIncarnation() {
+		return string(m.Incarnation) < d.GetIncarnation()
+	}
+	return d.GetSequence() > m.sequence
+}
+
+func (t *Table) fire(m *member, ev charts.Event, now time.Time) {
+	from := m.machine.State()
+	// The chart declares every event that this package fires, so Fire cannot fail.
+	_, _ = m.machine.Fire(ev)
+	to := m.machine.State()
+	m.State = to
+	if from != to {
+		t.changed = true
+		m.since = now
+		t.changes = append(t.changes, Change{m.Name, from, to})
+	}
+}
+
+// Tick judges silence and returns what changed since the last call.
+func (t *Table) Tick(now time.Time) []Change {
+	t.forgiveOwnPause(now)
+	every := t.opts.LastEvery
+	for name, m := range t.members {
+		quiet := now.Sub(m.heardOrSince())
+		if quiet > time.Duration(t.opts.SilentDigests)*every {
+			t.fire(m, eventSilent, now)
+		}
+		if quiet > time.Duration(t.opts.LostDigests)*every {
+			t.fire(m, eventLost, now)
+		}
+		if m.machine.State() == StateGone && !m.listed {
+			t.changed = true
+			delete(t.members, name)
+		}
+	}
+	t.last = now
+	out := t.changes
+	t.changes = nil
+	return out
+}
+
+func (m *member) heardOrSince() time.Time {
+	if m.HeardAt.IsZero() {
+		return m.since
+	}
+	return m.HeardAt
+}
+
+// ownPause is a time between two ticks that means that this process itself stood still.
+const ownPause = time.Second
+
+// forgiveOwnPause moves what was heard by the time that this process stood still. Without it a node that was paused
+// wakes up, takes everybody for lost and sends callers nowhere, although it is the one that was away.
+func (t *Table) forgiveOwnPause(now time.Time) {
+	gap := now.Sub(t.last)
+	if gap < ownPause {
+		return
+	}
+	for _, m := range t.members {
+		m.since = m.since.Add(gap)
+		if !m.HeardAt.IsZero() {
+			m.HeardAt = m.HeardAt.Add(gap)
+		}
+	}
+}
+
+// Nodes returns all known nodes, sorted by name.
+func (t *Table) Nodes() []Node {
+	out := make([]Node, 0, len(t.members))
+	for _, name := range slices.Sorted(maps.Keys(t.members)) {
+		out = append(out, t.members[name].Node)
+	}
+	return out
+}
+
+// Entries returns how many entries are live or expected, this one included if it is one.
+func (t *Table) Entries() int {
+	n := 0
+	for _, m := range t.members {
+		state := m.machine.State()
+		if m.Role == cardamomyokev1.NodeRole_NODE_ROLE_ENTRY && state != StateGone && state != StateLeaving {
+			n++
+		}
+	}
+	if t.self.Role == cardamomyokev1.NodeRole_NODE_ROLE_ENTRY {
+		n++
+	}
+	return n
+}
+
+// Incarnation returns the life of the node that takes digests at address, if it was heard.
+func (t *Table) Incarnation(address string) ids.Incarnation {
+	for _, m := range t.members {
+		if m.Digests == address {
+			return m.Incarnation
+		}
+	}
+	return ""
+}
+
+func byName(a, b *member) int { return cmp.Compare(a.Name, b.Name) }
--- /dev/null
+++ b/internal/membership/targets.go
@@ -0,0 +1,228 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+const (
+	// digestBytes is what one digest costs on the wire with its headers, for the budget.
+	digestBytes = 190
+	// slowFactor is how many times rarer an entry tells a slot than another entry: the slot needs the entry's
+	// incarnation and its life, and no load.
+	slowFactor = 4
+)
+
+// Target is one node to send a digest to.
+type Target struct {
+	Address string
+	// Incarnation is the receiver's life, if it was heard; a slot tells an entry its own part of the load by it.
+	Incarnation ids.Incarnation
+}
+
+// Due returns whom to send a digest now. now tells the time; all makes everybody due, for news that cannot wait.
+func (t *Table) Due(seeds []string, now time.Time, all bool) []Target {
+	chosen := t.choose(seeds)
+	every := t.every(chosen)
+	out := t.probe(now)
+	for _, c := range chosen {
+		wait := time.Duration(float64(every) * c.factor)
+		if all || now.Sub(t.sent[c.Address]) >= wait {
+			t.sent[c.Address] = now
+			out = append(out, c.Target)
+		}
+	}
+	t.forgetSent(chosen)
+	return out
+}
+
+// Every returns the time between two digests to one node of the closest kind.
+func (t *Table) Every(seeds []string) time.Duration { return t.every(t.choose(seeds)) }
+
+type choice struct {
+	Target
+	factor float64
+}
+
+// every keeps the budget: more receivers are told more rarely.
+func (t *Table) every(chosen []choice) time.Duration {
+	weight := 0.0
+	for _, c := range chosen {
+		weight += 1 / c.factor
+	}
+	needed := time.Duration(weight * digestBytes / t.opts.BytesPerSecond * float64(time.Second))
+	return min(t.opts.LastEvery, max(t.opts.FirstEvery, needed))
+}
+
+// choose returns whom to tell; it is worked out again only after a change.
+func (t *Table) choose(seeds []string) []choice {
+	if !t.changed {
+		return t.chosen
+	}
+	t.changed = false
+	if t.self.Role == cardamomyokev1.NodeRole_NODE_ROLE_SLOT {
+		t.chosen = t.withSeeds(t.slotChoices(), seeds)
+	} else {
+		t.chosen = t.withSeeds(t.entryChoices(), seeds)
+	}
+	return t.chosen
+}
+
+// probeEvery is the time between two digests to nodes that are suspect or gone.
+const probeEvery = 2 * time.Second
+
+// probe returns one node that the roster names and that is not heard, each in its turn. Two regions that lost each
+// other for minutes take each other for gone and tell each other nothing; without probes they would stay parted after
+// the network is whole again.
+func (t *Table) probe(now time.Time) []Target {
+	if now.Sub(t.probed) < probeEvery {
+		return nil
+	}
+	t.probed = now
+	var lost []*member
+	for _, m := range t.members {
+		state := m.machine.State()
+		entry := m.Role == cardamomyokev1.NodeRole_NODE_ROLE_ENTRY
+		if entry && m.listed && (state == StateGone || state == StateSuspect) {
+			lost = append(lost, m)
+		}
+	}
+	if len(lost) == 0 {
+		return nil
+	}
+	slices.SortFunc(lost, byName)
+	t.turn++
+	return []Target{{lost[t.turn%len(lost)].Digests, ""}}
+}
+
+// slotChoices are the entries that this slot tells of itself: the first ones in the order of the rendezvous hash, so
+// that an entry that comes or goes moves few slots.
+func (t *Table) slotChoices() []choice {
+	near, far := t.entries()
+	t.rendezvous(near)
+	t.rendezvous(far)
+	far = far[:min(len(far), t.opts.FarEntries)]
+	near = near[:min(len(near), t.opts.SlotEntries-len(far))]
+	return choices(append(near, far...), 1)
+}
+
+// entryChoices are the neighbours on the ring of entries and the slots that this entry hears; as long as it hears none,
+// it tells some that the roster names, so that they learn of it.
+func (t *Table) entryChoices() []choice {
+	near, far := t.entries()
+	t.rendezvous(far)
+	far = far[:min(len(far), t.opts.FarPeers)]
+	near = t.ring(near, t.opts.Peers-len(far))
+	return append(choices(append(near, far...), 1), choices(t.slots(), slowFactor)...)
+}
+
+func choices(list []*member, factor float64) []choice {
+	out := make([]choice, 0, len(list))
+	for _, m := range list {
+		out = append(out, choice{Target{m.Digests, m.Incarnation}, factor})
+	}
+	return out
+}
+
+// entries returns the other entries that can be told, split by data centre and sorted by name.
+func (t *Table) entries() (near, far []*member) {
+	for _, m := range t.members {
+		state := m.machine.State()
+		if m.Role != cardamomyokev1.NodeRole_NODE_ROLE_ENTRY || state == StateGone || state == StateSuspect {
+			continue
+		}
+		if m.DataCentre == t.self.DataCentre {
+			near = append(near, m)
+		} else {
+			far = append(far, m)
+		}
+	}
+	slices.SortFunc(near, byName)
+	slices.SortFunc(far, byName)
+	return near, far
+}
+
+// slots returns the slots that this entry hears, or the first ones by rendezvous if it hears none.
+func (t *Table) slots() []*member {
+	var heard, expected []*member
+	for _, m := range t.members {
+		state := m.machine.State()
+		switch {
+		case m.Role != cardamomyokev1.NodeRole_NODE_ROLE_SLOT || state == StateGone:
+		case m.HeardAt.IsZero():
+			expected = append(expected, m)
+		default:
+			heard = append(heard, m)
+		}
+	}
+	if len(heard) > 0 {
+		slices.SortFunc(heard, byName)
+		return heard
+	}
+	slices.SortFunc(expected, byName)
+	t.rendezvous(expected)
+	return expected[:min(len(expected), 2*t.opts.SlotEntries)]
+}
+
+// rendezvous sorts list by the hash of each name with this node's.
+func (t *Table) rendezvous(list []*member) {
+	slices.SortStableFunc(list, func(a, b *member) int { return cmp.Compare(t.hash(b.Name), t.hash(a.Name)) })
+}
+
+func (t *Table) hash(other ids.Node) uint64 {
+	return xxhash.Sum64String(string(t.self.Name) + "\x00" + string(other))
+}
+
+// ring returns the n nearest neighbours of this node in a ring of names, half of them on each side. On a ring each
+// entry is told by exactly as many as it tells, so callers are spread evenly.
+func (t *Table) ring(list []*member, n int) []*member {
+	if len(list) <= n {
+		return list
+	}
+	at, _ := slices.BinarySearchFunc(list, t.self.Name, func(m *member, name ids.Node) int { return cmp.Compare(m.Name, name) })
+	var out []*member
+	for i := range n {
+		step := i/2 + 1
+		index := at + step - 1
+		if i%2 == 1 {
+			index = at - step
+		}
+		out = append(out, list[((index%len(list))+len(list))%len(list)])
+	}
+	return out
+}
+
+// withSeeds adds the addresses from the settings as long as few nodes are known by other means.
+func (t *Table) withSeeds(list []choice, seeds []string) []choice {
+	known := map[string]bool{t.self.Digests: true}
+	for _, c := range list {
+		known[c.Address] = true
+	}
+	for _, s := range seeds {
+		if !known[s] && len(list) < t.opts.SlotEntries {
+			known[s] = true
+			list = append(list, choice{Target{Address: s}, 1})
+		}
+	}
+	return list
+}
+
+// forgetSent keeps the memory of sending times to those that are still told.
+func (t *Table) forgetSent(chosen []choice) {
+	if len(t.sent) <= 2*len(chosen)+t.opts.Peers {
+		return
+	}
+	keep := make(map[string]time.Time, len(chosen))
+	for _, c := range chosen {
+		if at, ok := t.sent[c.Address]; ok {
+			keep[c.Address] = at
+		}
+	}
+	t.sent = keep
+}
--- a/internal/slot/digests.go
+++ b/internal/slot/digests.go
@@ -10,12 +10,14 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/digest"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/membership"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision"
 )
 
-// defaultDigestEvery is the time between two digests to the same entry.
-const defaultDigestEvery = 250 * time.Millisecond
+// digestTick is how often the slot looks who is due for a digest.
+const digestTick = 50 * time.Millisecond
 
-// digests tells entries of the slot, and learns of entries from theirs.
+// digests tells entries of the slot, and learns of entries from theirs and from the roster.
 type digests struct {
 	slot     *Slot
 	sender   *digest.Sender
@@ -23,8 +25,8 @@
 	cancel   context.CancelFunc
 	mu       sync.Mutex
 	sequence uint64
-	// entries are known by digest address; the incarnation is empty until the entry's first digest.
-	entries map[string]ids.Incarnation
+	members  *membership.Table
+	roster   *revision.Roster
 }
 
 func startDigests(s *Slot) (*digests, error) {
@@ -32,10 +34,13 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &digests{slot: s, sender: sender, entries: map[string]ids.Incarnation{}}
-	for _, seed := range s.settings.Digests.Seeds {
-		d.entries[seed] = ""
+	self := membership.Self{
+		Name:       ids.Node(s.settings.Name),
+		Role:       cardamomyokev1.NodeRole_NODE_ROLE_SLOT,
+		DataCentre: s.settings.DataCentre,
+		Digests:    s.settings.Digests.Address,
 	}
+	d := &digests{slot: s, sender: sender, members: membership.New(self, membership.Defaults(), time.Now())}
 	d.receiver, err = digest.Receive(s.settings.Digests.Address, d.take)
 	if err != nil {
 		_ = sender.Close()
@@ -48,40 +53,54 @@
 }
 
 func (d *digests) run(ctx context.Context) {
-	tick := time.NewTicker(d.slot.settings.Digests.Every.Or(defaultDigestEvery))
+	tick := time.NewTicker(digestTick)
 	defer tick.Stop()
-	d.sendAll()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			d.sendAll()
+			d.send(false)
 		}
 	}
 }
 
-// take learns an entry's incarnation, so that the slot can tell the entry its own part of the load.
+// take learns of an entry, and its incarnation, so that the slot can tell the entry its own part of the load.
 func (d *digests) take(in *cardamomyokev1.Digest) {
-	if in.GetRole() != cardamomyokev1.NodeRole_NODE_ROLE_ENTRY {
-		return
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.entries[in.GetDigestAddress()] = ids.Incarnation(in.GetIncarnation())
+	d.members.Hear(in, time.Now())
 }
 
-func (d *digests) sendAll() {
+// send tells the entries that are due, or all of them if there is news that cannot wait.
+func (d *digests) send(all bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.sequence++
-	for address, entry := range d.entries {
-		if _, err := d.sender.Send(address, d.slot.digestFor(entry, d.sequence, time.Now())); err != nil {
-			_ = level.Debug(d.slot.logger).Log("msg", "digest not sent", "to", address, "err", err)
+	now := time.Now()
+	d.adoptRoster(now)
+	d.members.Tick(now)
+	for _, to := range d.members.Due(d.slot.settings.Digests.Seeds, now, all) {
+		d.sequence++
+		n, err := d.sender.Send(to.Address, d.slot.digestFor(to.Incarnation, d.sequence, now))
+		d.slot.metrics.digestBytes.Add(n)
+		if err != nil {
+			_ = level.Debug(d.slot.logger).Log("msg", "digest not sent", "to", to.Address, "err", err)
 		}
 	}
 }
 
+func (d *digests) adoptRoster(now time.Time) {
+	if d.slot.roster == nil {
+		return
+	}
+	r := d.slot.roster()
+	if r == nil || r == d.roster {
+		return
+	}
+	d.roster = r
+	d.members.SetRoster(membership.FromRevision(r.Members()), now)
+}
+
 func (d *digests) stop() {
 	d.cancel()
 	_ = d.receiver.Stop(context.Background())
--- a/internal/slot/metrics.go
+++ b/internal/slot/metrics.go
@@ -10,13 +10,14 @@
 
 // slotMetrics are the counters of one slot; docs/operations.md explains them.
 type slotMetrics struct {
-	set    *metrics.Set
-	fences *metrics.Counter
+	set         *metrics.Set
+	fences      *metrics.Counter
+	digestBytes *metrics.Counter
 }
 
 func newSlotMetrics() *slotMetrics {
 	set := metrics.NewSet()
-	return &slotMetrics{set: set, fences: set.NewCounter("cardamomyoke_slot_fences_total")}
+	return &slotMetrics{set: set, fences: set.NewCounter("cardamomyoke_slot_fences_total"), digestBytes: set.NewCounter("cardamomyoke_slot_digest_bytes_total")}
 }
 
 func (m *slotMetrics) answered(err error) {
--- a/internal/slot/settings.go
+++ b/internal/slot/settings.go
@@ -59,8 +59,6 @@
 		Address string `yaml:"address"`
 		// Seeds are digest addresses of entries, IP:PORT; others are learned from them.
 		Seeds []string `yaml:"seeds"`
-		// Every is the time between two digests; default 250ms.
-		Every settings.Duration `yaml:"every"`
 	} `yaml:"digests"`
 	// Platform is the address of the platform's service, IP:PORT.
 	Platform string          `yaml:"platform"`
--- a/internal/slot/slot.go
+++ b/internal/slot/slot.go
@@ -20,6 +20,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision"
 	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
 )
 
@@ -28,6 +29,8 @@
 	Config config.Source
 	// Incarnation is this life of the process; empty lets the slot draw one.
 	Incarnation ids.Incarnation
+	// Roster returns the members that the configuration log names; nil if there is no log.
+	Roster func() *revision.Roster
 	// Table keeps the claims of requests that may not be repeated.
 	Table  platform.Table
 	Logger log.Logger
@@ -41,6 +44,7 @@
 	config      config.Source
 	logger      log.Logger
 	tracer      *tracing.Tracer
+	roster      func() *revision.Roster
 	metrics     *slotMetrics
 	table       *attempt.Table
 	client      *httpclient.Client
@@ -69,6 +73,7 @@
 		config:      d.Config,
 		logger:      log.With(d.Logger, "node", set.Name),
 		tracer:      d.Tracer,
+		roster:      d.Roster,
 		metrics:     newSlotMetrics(),
 		table:       attempt.NewTable(time.Now()),
 		client:      httpclient.New(httpclient.Options{}),
@@ -103,7 +108,7 @@
 // Shutdown refuses new work at once, tells entries, finishes what runs and ends; ctx bounds the wait.
 func (s *Slot) Shutdown(ctx context.Context) error {
 	s.leaving.Store(true)
-	s.digests.sendAll()
+	s.digests.send(true)
 	err := s.server.Drain(ctx)
 	s.claims.Drain(ctx)
 	s.stopClaims()
