expertmap: slot and proposer as pure state machines

The protocol of spec/expertmap.pml, interpreted from two charts, with staging, leads and back-off around it. Found by the random test (three ranks, 5000 checks): a second switch was capped while the first one's first step still lay ahead, so engines, which remember one map before their newest, ran steps 3 to 5 under two maps. The specification had let an engine remember every map, so it could not show this; its engines now remember one, the rule (refuse until the last switch is in force) is in both, with a mutant that Spin refutes and a test.

--- /dev/null
+++ b/internal/expertmap/group_test.go
@@ -0,0 +1,302 @@
+package expertmap
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+// fataler is what the tests of this package and of rapid have in common.
+type fataler interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+// engine is a rank's engine: it keeps to the orders' conditions and ignores fencing numbers.
+type engine struct {
+	EngineReport
+	prev MapID
+	// broken makes it fail to load weights.
+	broken bool
+}
+
+func newEngine(next Step) *engine {
+	return &engine{EngineReport: EngineReport{Limit: NoLimit, Next: next, StepTime: 6 * time.Millisecond}}
+}
+
+func (e *engine) at(t Step) MapID {
+	if t >= e.Start {
+		return e.Map
+	}
+	return e.prev
+}
+
+func (e *engine) do(o Order) {
+	e.Order = o.ID
+	if o.Map != e.Map {
+		return
+	}
+	switch o.Kind {
+	case OrderStage:
+		e.Staged, e.Failed = o.To, MapID{}
+		if e.broken {
+			e.Staged, e.Failed = MapID{}, o.To
+		}
+	case OrderLimit:
+		if e.Next <= o.Step {
+			e.Limit = o.Step
+		}
+	case OrderLift:
+		if e.Limit == o.Step {
+			e.Limit = NoLimit
+		}
+	case OrderSwitch:
+		if (e.Next <= o.Step || e.Map.IsZero()) && e.Staged == o.To {
+			e.prev, e.Map, e.Start = e.Map, o.To, o.Step
+			e.Limit, e.Staged = NoLimit, MapID{}
+		}
+	}
+}
+
+type envelope struct {
+	from, to Addr
+	msg      Message
+}
+
+// group drives slots, engines and proposers by hand: every delivery, order and step is a call of the test.
+type group struct {
+	t         fataler
+	now       time.Time
+	ranks     int
+	slots     []*Slot
+	engines   []*engine
+	orders    [][]Order
+	proposers map[ids.Node]*Proposer
+	names     []ids.Node
+	net       []envelope
+	used      map[Step]MapID
+	acks      map[Ballot]map[Rank]Incarnation
+	results   []Result
+	fresh     Incarnation
+	// trace tells what happened, for a test that fails.
+	trace []string
+}
+
+func (g *group) note(format string, args ...any) {
+	g.trace = append(g.trace, fmt.Sprintf(format, args...))
+}
+
+func (g *group) fail(format string, args ...any) {
+	g.t.Helper()
+	const most = 80
+	last := g.trace[max(0, len(g.trace)-most):]
+	g.t.Fatalf("%s%s\nafter\n%s", fmt.Sprintf(format, args...), g.describe(), strings.Join(last, "\n"))
+}
+
+func newGroup(t fataler, ranks int) *group {
+	g := &group{
+		t: t, now: time.Unix(1_000_000, 0), ranks: ranks, orders: make([][]Order, ranks),
+		proposers: map[ids.Node]*Proposer{}, used: map[Step]MapID{}, acks: map[Ballot]map[Rank]Incarnation{},
+	}
+	for r := range ranks {
+		g.slots = append(g.slots, nil)
+		g.engines = append(g.engines, newEngine(0))
+		g.start(r)
+	}
+	return g
+}
+
+// start begins a life of a slot; what the old one had sent may still arrive, its orders to the engine do not.
+func (g *group) start(r int) {
+	g.fresh += 10
+	g.note("rank %d begins as %d", r, g.fresh)
+	g.slots[r] = NewSlot(SlotConfig{Rank: Rank(r), Ranks: g.ranks, Incarnation: g.fresh, Timing: DefaultSlotTiming()})
+	g.orders[r] = nil
+	g.engines[r].Order = 0
+	g.report(r)
+}
+
+func (g *group) report(r int) { g.slotEffects(r, g.slots[r].Engine(g.now, g.engines[r].EngineReport)) }
+
+func (g *group) slotEffects(r int, effects []Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case Send:
+			if ack, ok := e.Message.(Ack); ok {
+				g.noteAck(ack)
+			}
+			g.net = append(g.net, envelope{Addr{Rank: Rank(r)}, e.To, e.Message})
+		case Order:
+			g.orders[r] = append(g.orders[r], e)
+		case Alarm:
+			g.fail("rank %d: alarm: %v", r, e.Err)
+		}
+	}
+}
+
+func (g *group) noteAck(a Ack) {
+	if g.acks[a.Ballot] == nil {
+		g.acks[a.Ballot] = map[Rank]Incarnation{}
+	}
+	g.acks[a.Ballot][a.Rank] = a.Incarnation
+}
+
+func (g *group) addProposer(name ids.Node) *Proposer {
+	g.fresh++
+	p := NewProposer(ProposerConfig{ID: uint64(g.fresh), Ranks: g.ranks, Timing: DefaultProposerTiming()})
+	if _, old := g.proposers[name]; !old {
+		g.names = append(g.names, name)
+	}
+	g.proposers[name] = p
+	return p
+}
+
+func (g *group) proposerEffects(name ids.Node, effects []Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case Send:
+			g.net = append(g.net, envelope{Addr{Proposer: name}, e.To, e.Message})
+		case Result:
+			g.results = append(g.results, e)
+		case Alarm:
+			g.fail("proposer %s: alarm: %v", name, e.Err)
+		}
+	}
+}
+
+func (g *group) propose(name ids.Node, fence ids.Fence, to MapID) {
+	effects, err := g.proposers[name].Propose(g.now, fence, to)
+	if err != nil {
+		return
+	}
+	g.proposerEffects(name, effects)
+}
+
+// deliver hands a message over; the caller decides whether it stays in the net to arrive once more.
+func (g *group) deliver(e envelope) {
+	g.note("%v to %v: %T%+v", e.from, e.to, e.msg, e.msg)
+	if e.to.IsProposer() {
+		if p := g.proposers[e.to.Proposer]; p != nil {
+			g.proposerEffects(e.to.Proposer, p.Receive(g.now, e.msg))
+		}
+		return
+	}
+	r := int(e.to.Rank)
+	g.slotEffects(r, g.slots[r].Receive(g.now, e.from, e.msg))
+}
+
+func (g *group) take(i int) envelope {
+	e := g.net[i]
+	g.net = slices.Delete(g.net, i, i+1)
+	return e
+}
+
+// obey lets an engine carry out its next order and report. An engine that switches without being told by a peer that
+// did must have every acknowledgement behind it.
+func (g *group) obey(r int) {
+	o := g.orders[r][0]
+	g.orders[r] = g.orders[r][1:]
+	if o.Kind == OrderSwitch && !slices.ContainsFunc(g.engines, func(e *engine) bool { return e.Map == o.To }) {
+		g.checkCertificate(r, o)
+	}
+	g.engines[r].do(o)
+	g.note("engine %d: %+v, now %+v", r, o, g.engines[r].EngineReport)
+	g.report(r)
+}
+
+func (g *group) checkCertificate(r int, o Order) {
+	g.t.Helper()
+	held := g.slots[r].held
+	if held == nil || held.To != o.To || len(g.acks[held.Ballot]) != g.ranks {
+		g.fail("rank %d is the first to switch to %s, without a certificate", r, o.To)
+	}
+	for rank, inc := range g.acks[held.Ballot] {
+		if held.Roster[rank] != inc {
+			g.fail("rank %d switches, but rank %d acknowledged as %d, not %d", r, rank, inc, held.Roster[rank])
+		}
+	}
+}
+
+// step starts a rank's next step if its engine may and the lock-step allows it.
+func (g *group) step(r int) bool {
+	e := g.engines[r]
+	m := e.at(e.Next)
+	if m.IsZero() || e.Next >= e.Limit {
+		return false
+	}
+	for _, o := range g.engines {
+		if o.Next < e.Next {
+			return false
+		}
+	}
+	if was, ok := g.used[e.Next]; ok && was != m {
+		g.fail("step %d runs under map %s on rank %d and under %s elsewhere", e.Next, m, r, was)
+	}
+	g.used[e.Next] = m
+	g.note("rank %d runs step %d under %s", r, e.Next, m)
+	e.Next++
+	return true
+}
+
+// settle lets every message arrive and every order be carried out, and time pass, until each rank has run so many more
+// steps. It fails the test if the group waits for ever.
+func (g *group) settle(steps Step) {
+	g.t.Helper()
+	goal := steps
+	for _, e := range g.engines {
+		goal = max(goal, e.Next+steps)
+	}
+	const rounds = 2000
+	for range rounds {
+		if slices.MinFunc(g.engines, func(a, b *engine) int { return int(a.Next) - int(b.Next) }).Next >= goal {
+			return
+		}
+		g.round()
+	}
+	g.fail("the group waits for ever")
+}
+
+func (g *group) round() {
+	for n := len(g.net); n > 0; n-- {
+		g.deliver(g.take(0))
+	}
+	for r := range g.ranks {
+		for len(g.orders[r]) > 0 {
+			g.obey(r)
+		}
+		g.step(r)
+		g.report(r)
+	}
+	g.now = g.now.Add(5 * time.Millisecond)
+	for r := range g.ranks {
+		g.slotEffects(r, g.slots[r].Tick(g.now))
+	}
+	for _, name := range g.names {
+		g.proposerEffects(name, g.proposers[name].Tick(g.now))
+	}
+}
+
+func (g *group) describe() string {
+	var text string
+	for r, s := range g.slots {
+		e := g.engines[r]
+		text += fmt.Sprintf("\nrank %d inc %d %s map %s from %d limit %d next %d held %v known %v",
+			r, s.Incarnation(), s.State(), e.Map, e.Start, e.Limit, e.Next, s.held, s.known)
+	}
+	return text
+}
+
+// boot brings the group to its first map.
+func (g *group) boot() {
+	g.t.Helper()
+	g.addProposer("boot")
+	g.propose("boot", 1, MapID{1, "first"})
+	g.settle(3)
+	if len(g.results) != 1 || g.results[0].Err != nil {
+		g.fail("boot: %+v %s", g.results, g.describe())
+	}
+	g.results = nil
+}
--- /dev/null
+++ b/internal/expertmap/history.go
@@ -0,0 +1,70 @@
+package expertmap
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/charts"
+)
+
+// historyLength bounds what a slot remembers for operators.
+const historyLength = 64
+
+// Entry is one change of a slot's state.
+type Entry struct {
+	At     time.Time
+	State  charts.State
+	Event  charts.Event
+	Map    MapID
+	Start  Step
+	Ballot Ballot
+}
+
+type history struct{ entries []Entry }
+
+func (h *history) add(e Entry) {
+	if len(h.entries) == historyLength {
+		h.entries = slices.Delete(h.entries, 0, 1)
+	}
+	h.entries = append(h.entries, e)
+}
+
+// SlotStatus is what an operator sees of a slot.
+type SlotStatus struct {
+	Rank        Rank
+	Incarnation Incarnation
+	State       charts.State
+	Since       time.Time
+	Engine      EngineReport
+	// Held is the proposal that the slot is bound to; zero if there is none.
+	Held Ballot
+	To   MapID
+	// Waiting lists the ranks whose word the slot waits for.
+	Waiting []Rank
+	History []Entry
+}
+
+// Status returns a copy of the slot's state for operators.
+func (s *Slot) Status() SlotStatus {
+	st := SlotStatus{
+		Rank: s.cfg.Rank, Incarnation: s.inc, State: s.State(), Since: s.since, Engine: s.engine,
+		Held: s.ballot(), History: slices.Clone(s.history.entries),
+	}
+	if s.held != nil {
+		st.To = s.held.To
+	}
+	st.Waiting = s.waiting()
+	return st
+}
+
+func (s *Slot) waiting() []Rank {
+	var ranks []Rank
+	for _, p := range s.peers() {
+		unheard := s.State() == StateRecovering && s.answers[p.Rank] == nil
+		unacked := s.State() == StateCapped && !s.acks[p.Rank]
+		if unheard || unacked {
+			ranks = append(ranks, p.Rank)
+		}
+	}
+	return ranks
+}
--- /dev/null
+++ b/internal/expertmap/proposer_stage.go
@@ -0,0 +1,81 @@
+package expertmap
+
+import (
+	"math"
+	"time"
+)
+
+func (p *Proposer) beginRound(now time.Time) []Effect {
+	p.round++
+	p.replies = make([]*stageReply, p.cfg.Ranks)
+	p.asked = now
+	return p.sendStage()
+}
+
+// sendStage asks the ranks that have not said yet that they are ready.
+func (p *Proposer) sendStage() []Effect {
+	ready := make([]bool, p.cfg.Ranks)
+	for r, reply := range p.replies {
+		ready[r] = reply != nil && reply.Ready
+	}
+	m := StageRequest{Ballot: Ballot{p.fence, p.cfg.ID, p.seq}, Map: p.to, Round: p.round}
+	return p.toOpen(ready, m)
+}
+
+func (p *Proposer) onStageReply(now time.Time, m StageReply) []Effect {
+	if p.State() != StateStaging && p.State() != StateProbing {
+		return nil
+	}
+	if m.Round != p.round || m.Ballot.Proposer != p.cfg.ID || int(m.Rank) >= p.cfg.Ranks {
+		return nil
+	}
+	switch m.Reason {
+	case ReasonWeights, ReasonFenced:
+		p.fail(m.Reason, m.Rank, m.Current)
+		return p.fire(now, "failed")
+	case ReasonOtherMap:
+		if m.Current == p.to {
+			return p.alreadyThere(now, m)
+		}
+		p.fail(m.Reason, m.Rank, m.Current)
+		return p.fire(now, "failed")
+	}
+	p.replies[m.Rank] = &stageReply{m, now}
+	for _, r := range p.replies {
+		if r == nil || !r.Ready {
+			return nil
+		}
+	}
+	if p.State() == StateStaging {
+		return p.fire(now, "all-staged")
+	}
+	return p.fire(now, "all-probed")
+}
+
+// alreadyThere ends the switch: an earlier proposal that was thought lost has been committed by the slots.
+func (p *Proposer) alreadyThere(now time.Time, m StageReply) []Effect {
+	p.failure = nil
+	p.proposal.Start = m.Since
+	return p.fire(now, "failed")
+}
+
+// start picks the proposal's first step: the furthest rank's step when the certificate will have reached the last
+// rank, so that no step waits for the switch unless a message is late.
+func (p *Proposer) start(now time.Time) Step {
+	var next Step
+	var stepTime, trip time.Duration
+	for _, r := range p.replies {
+		next = max(next, r.Next)
+		stepTime = max(stepTime, r.StepTime)
+		trip = max(trip, r.at.Sub(p.asked))
+	}
+	if p.replies[0].Current.IsZero() || stepTime <= 0 {
+		// No step runs without a map, so nothing comes before the first map's first step.
+		return next
+	}
+	// Cap, acknowledgement and certificate cross the network once each, and the engine carries out two orders. The
+	// furthest rank's report is at most one trip old.
+	exchange := time.Duration(float64(2*trip+2*p.cfg.Timing.OrderTime)*p.cfg.Timing.Margin) + now.Sub(p.asked)
+	steps := math.Ceil(p.lead * float64(exchange) / float64(stepTime))
+	return next + Step(steps) + 1
+}
--- /dev/null
+++ b/internal/expertmap/random_test.go
@@ -0,0 +1,155 @@
+package expertmap
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+// TestMain fixes the length of the random tests; their seeds are fixed in checkSeeds, so each run gives one verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	set("rapid.nofailfile", "true")
+	set("rapid.steps", "300")
+	os.Exit(m.Run())
+}
+
+func set(name, value string) {
+	if err := flag.Set(name, value); err != nil {
+		panic(err)
+	}
+}
+
+// seeds are the first one and those that once showed a fault.
+var seeds = []string{"20261202", "23467980", "20513607"}
+
+func checkSeeds(t *testing.T, ranks, crashes, losses int) {
+	for _, seed := range seeds {
+		t.Run(seed, func(t *testing.T) {
+			set("rapid.seed", seed)
+			rapid.Check(t, func(t *rapid.T) { runChaos(t, ranks, crashes, losses) })
+		})
+	}
+}
+
+// chaos drives a group at random: messages are delivered late, twice, never and in any order; slots restart with
+// nothing, engines too; proposers are forgotten in the middle and replaced, or wake up late with an old fence.
+type chaos struct {
+	*group
+	version uint64
+	// crashes and losses bound the faults of one run, so that switches get through between them.
+	crashes, losses int
+}
+
+func (c *chaos) actions(t *rapid.T) map[string]func(*rapid.T) {
+	pick := func(n int, what string) int { return rapid.IntRange(0, n-1).Draw(t, what) }
+	deliver := func(*rapid.T) {
+		if len(c.net) == 0 {
+			t.Skip("nothing to deliver")
+		}
+		c.deliver(c.take(pick(len(c.net), "message")))
+	}
+	obey := func(*rapid.T) {
+		r := pick(c.ranks, "rank")
+		if len(c.orders[r]) == 0 {
+			t.Skip("nothing to obey")
+		}
+		c.obey(r)
+	}
+	step := func(*rapid.T) { c.step(pick(c.ranks, "rank")) }
+	return map[string]func(*rapid.T){
+		"deliver 1": deliver, "deliver 2": deliver, "deliver 3": deliver, "deliver 4": deliver,
+		"obey 1": obey, "obey 2": obey, "step 1": step, "step 2": step,
+		"copy": func(*rapid.T) {
+			if len(c.net) == 0 {
+				t.Skip("nothing to copy")
+			}
+			c.deliver(c.net[pick(len(c.net), "message")])
+		},
+		"lose": func(*rapid.T) {
+			if len(c.net) == 0 {
+				t.Skip("nothing to lose")
+			}
+			c.take(pick(len(c.net), "message"))
+		},
+		"report": func(*rapid.T) { c.report(pick(c.ranks, "rank")) },
+		"tick": func(*rapid.T) {
+			c.now = c.now.Add(time.Duration(rapid.IntRange(1, 120).Draw(t, "ms")) * time.Millisecond)
+			r := pick(c.ranks, "rank")
+			c.slotEffects(r, c.slots[r].Tick(c.now))
+			name := c.names[pick(len(c.names), "proposer")]
+			c.proposerEffects(name, c.proposers[name].Tick(c.now))
+		},
+		"crash": func(*rapid.T) {
+			if c.crashes == 0 {
+				t.Skip("enough crashes")
+			}
+			c.crashes--
+			c.start(pick(c.ranks, "rank"))
+		},
+		"lose engine": func(*rapid.T) {
+			if c.losses == 0 {
+				t.Skip("enough engines lost")
+			}
+			c.losses--
+			c.loseEngine(pick(c.ranks, "rank"))
+		},
+		"propose": func(*rapid.T) {
+			name := c.names[pick(len(c.names), "proposer")]
+			fence := ids.Fence(rapid.IntRange(1, 3).Draw(t, "fence"))
+			for _, e := range c.engines {
+				c.version = max(c.version, e.Map.Version)
+			}
+			c.propose(name, fence, MapID{c.version + 1, fmt.Sprintf("by-%s-%d", name, len(c.results))})
+		},
+		"replace proposer": func(*rapid.T) { c.addProposer(c.names[pick(len(c.names), "proposer")]) },
+	}
+}
+
+// loseEngine replaces an engine by one with nothing. The group forms anew at the step that it could not finish.
+func (c *chaos) loseEngine(r int) {
+	next := c.engines[r].Next
+	for _, e := range c.engines {
+		next = min(next, e.Next)
+	}
+	c.engines[r] = newEngine(next)
+	alone := true
+	for i, e := range c.engines {
+		alone = alone && (i == r || e.Next <= next)
+	}
+	if alone {
+		delete(c.used, next)
+	}
+	c.start(r)
+}
+
+func runChaos(t *rapid.T, ranks, crashes, losses int) {
+	g := newGroup(t, ranks)
+	g.boot()
+	g.addProposer("a")
+	g.addProposer("b")
+	c := &chaos{group: g, crashes: crashes, losses: losses}
+	t.Repeat(c.actions(t))
+	c.settle(5)
+}
+
+// Whatever is lost, doubled, late or restarted: no step runs under two maps, the first rank to switch has the
+// certificate, and once the faults end the group runs on.
+func TestRandomFaultsOfThreeRanks(t *testing.T) {
+	checkSeeds(t, 3, 4, 0)
+}
+
+func TestRandomFaultsOfFiveRanks(t *testing.T) {
+	checkSeeds(t, 5, 6, 0)
+}
+
+// As above, and engines are lost together with their slots.
+func TestRandomFaultsWithLostEngines(t *testing.T) {
+	checkSeeds(t, 3, 3, 2)
+}
--- /dev/null
+++ b/internal/expertmap/slot.go
@@ -0,0 +1,281 @@
+package expertmap
+
+import (
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/charts"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+var slotChart = charts.MustLoad("map_slot")
+
+// The states of a slot; the chart map_slot says how they follow each other.
+const (
+	StateStarting   charts.State = "starting"
+	StateRecovering charts.State = "recovering"
+	StateAdopting   charts.State = "adopting"
+	StateRunning    charts.State = "running"
+	StateStaging    charts.State = "staging"
+	StateStaged     charts.State = "staged"
+	StateLimiting   charts.State = "limiting"
+	StateCapped     charts.State = "capped"
+	StateSwitching  charts.State = "switching"
+)
+
+// SlotTiming holds the slot's timeouts. None of them matters to safety.
+type SlotTiming struct {
+	// Retry is the time after which a question that was not answered, or a failed load of weights, is repeated.
+	Retry time.Duration `yaml:"retry"`
+	// Patience is how long a capped slot waits for the proposer before it asks its peers itself.
+	Patience time.Duration `yaml:"patience"`
+	// Stagger is added to Patience for each rank, so that seldom more than one slot asks all others.
+	Stagger time.Duration `yaml:"stagger"`
+}
+
+// DefaultSlotTiming suits steps of a few milliseconds and round trips below ten.
+func DefaultSlotTiming() SlotTiming {
+	return SlotTiming{Retry: 50 * time.Millisecond, Patience: 100 * time.Millisecond, Stagger: 2 * time.Millisecond}
+}
+
+// SlotConfig says whose slot it is.
+type SlotConfig struct {
+	Rank  Rank
+	Ranks int
+	// Incarnation must be larger than that of every earlier life as far as the clock allows.
+	Incarnation Incarnation
+	Timing      SlotTiming
+}
+
+// Slot is the state machine of one rank's slot. It is not safe for concurrent use; it does no I/O and reads no clock.
+type Slot struct {
+	cfg     SlotConfig
+	machine charts.Machine
+	inc     Incarnation
+	// known holds, by rank, the newest incarnation met; a roster counts only if it names exactly these.
+	known []Incarnation
+	// answers holds, by rank, what the peers said since this incarnation began.
+	answers []*Answer
+	engine  EngineReport
+	// orders numbers the orders; the engine is busy until its report bears the last number.
+	orders uint64
+	// staging is the map that is or was last staged, and stager who wants to know.
+	staging MapID
+	stager  Addr
+	request StageRequest
+	held    *Proposal
+	// askers want the acknowledgement of held.
+	askers []Addr
+	// acks holds, by rank, who acknowledged held, as far as this slot was told.
+	acks []bool
+	// floor is the highest ballot that was refused or held: what is not above it is never capped again.
+	floor Ballot
+	fence ids.Fence
+	// retryAt is when the present state repeats itself.
+	retryAt time.Time
+	since   time.Time
+	history history
+}
+
+// NewSlot returns a slot that has forgotten everything, if it ever knew anything.
+func NewSlot(cfg SlotConfig) *Slot {
+	s := &Slot{cfg: cfg, machine: slotChart.Start()}
+	s.forget(cfg.Incarnation)
+	return s
+}
+
+// forget begins a life: nothing that an earlier one promised or learned is carried over.
+func (s *Slot) forget(inc Incarnation) {
+	s.inc = inc
+	s.known = make([]Incarnation, s.cfg.Ranks)
+	s.known[s.cfg.Rank] = inc
+	s.answers = make([]*Answer, s.cfg.Ranks)
+	s.staging, s.stager, s.request = MapID{}, Addr{}, StageRequest{}
+	s.release()
+	s.floor = Ballot{}
+	s.fence = 0
+}
+
+func (s *Slot) release() {
+	s.held = nil
+	s.askers = nil
+	s.acks = nil
+}
+
+// State returns the present state.
+func (s *Slot) State() charts.State { return s.machine.State() }
+
+// Incarnation returns the present incarnation.
+func (s *Slot) Incarnation() Incarnation { return s.inc }
+
+// Receive takes in a message.
+func (s *Slot) Receive(now time.Time, from Addr, m Message) []Effect {
+	switch m := m.(type) {
+	case StageRequest:
+		return s.onStage(now, from, m)
+	case CapRequest:
+		return s.onCap(now, from, m.Proposal)
+	case Ack:
+		return s.onAck(now, m)
+	case Certificate:
+		return s.onCertificate(now, m)
+	case Refusal:
+		return s.onRefusal(now, m)
+	case Outcome:
+		return s.onOutcome(now, m)
+	case Recover:
+		return s.onRecover(m)
+	case Answer:
+		return s.onAnswer(now, m)
+	case Superseded:
+		return s.onSuperseded(now, m)
+	}
+	return nil
+}
+
+// Engine takes in the engine's state. Whoever carries out the orders must see to it that each is answered by a
+// report that bears its number, however long the engine takes, and that the first report of a life is read when no
+// order of an earlier life can take effect any more.
+func (s *Slot) Engine(now time.Time, r EngineReport) []Effect {
+	last := s.engine
+	s.engine = r
+	if s.State() == StateStarting {
+		return s.fire(now, "engine-seen")
+	}
+	if lost(last, r) {
+		return s.fire(now, "engine-lost")
+	}
+	switch s.State() {
+	case StateAdopting:
+		return s.adopt(now)
+	case StateStaging:
+		return s.onStaged(now)
+	case StateLimiting:
+		return s.onLimited(now)
+	case StateSwitching:
+		return s.onSwitched(now)
+	case StateRunning, StateStaged:
+		return s.reconcile()
+	}
+	return nil
+}
+
+// lost reports whether the engine has restarted with nothing. What the slot promised for its rank is then void, so
+// the slot begins a new life as well; otherwise its old acknowledgement would count for a rank without a limit.
+func lost(last, now EngineReport) bool {
+	return !last.Map.IsZero() && now.Map.IsZero() || now.Next < last.Next
+}
+
+// reconcile removes a limit that no proposal stands behind: an order to lift it can get lost.
+func (s *Slot) reconcile() []Effect {
+	if s.engine.Limit == NoLimit || s.busy() {
+		return nil
+	}
+	return []Effect{s.order(OrderLift, s.engine.Limit, MapID{})}
+}
+
+// Tick lets time pass. It may be called at any rate; the shortest timeout is SlotTiming.Retry.
+func (s *Slot) Tick(now time.Time) []Effect {
+	if now.Before(s.retryAt) {
+		return nil
+	}
+	s.retryAt = now.Add(s.cfg.Timing.Retry)
+	switch s.State() {
+	case StateRecovering:
+		return s.ask()
+	case StateAdopting:
+		return s.restage()
+	case StateCapped:
+		return s.askPeers(now)
+	}
+	return nil
+}
+
+// fire applies an event of the chart and carries out its actions.
+func (s *Slot) fire(now time.Time, ev charts.Event) []Effect {
+	before := s.State()
+	actions, err := s.machine.Fire(ev)
+	if err != nil {
+		return []Effect{Alarm{err}}
+	}
+	if s.State() != before {
+		s.since = now
+		s.history.add(Entry{now, s.State(), ev, s.engine.Map, s.engine.Start, s.ballot()})
+	}
+	var effects []Effect
+	for _, a := range actions {
+		effects = append(effects, s.do(now, a)...)
+	}
+	return effects
+}
+
+func (s *Slot) ballot() Ballot {
+	if s.held == nil {
+		return Ballot{}
+	}
+	return s.held.Ballot
+}
+
+func (s *Slot) do(now time.Time, a charts.Action) []Effect {
+	s.retryAt = now.Add(s.cfg.Timing.Retry)
+	switch a {
+	case "new-life":
+		s.forget(s.inc + 1)
+		return nil
+	case "ask-peers":
+		return s.begin(now)
+	case "adopt":
+		return s.adopt(now)
+	case "lift":
+		return s.lift()
+	case "order-stage":
+		return []Effect{s.order(OrderStage, 0, s.staging)}
+	case "order-limit":
+		return []Effect{s.order(OrderLimit, s.held.Start, MapID{})}
+	case "acknowledge":
+		return s.acknowledge(now)
+	case "refuse":
+		return s.refuseHeld()
+	case "order-switch":
+		return []Effect{s.order(OrderSwitch, s.held.Start, s.held.To)}
+	case "tell-switched":
+		return s.tellSwitched()
+	}
+	return []Effect{Alarm{&ActionError{a}}}
+}
+
+func (s *Slot) order(kind OrderKind, step Step, to MapID) Order {
+	s.orders++
+	return Order{ID: s.orders, Kind: kind, Map: s.engine.Map, Step: step, To: to}
+}
+
+// lift removes the engine's limit, which may be one that an older incarnation set.
+func (s *Slot) lift() []Effect {
+	step := s.engine.Limit
+	if s.held != nil {
+		step = s.held.Start
+	}
+	s.release()
+	if step == NoLimit {
+		return nil
+	}
+	return []Effect{s.order(OrderLift, step, MapID{})}
+}
+
+// peers returns the addresses of all other slots.
+func (s *Slot) peers() []Addr {
+	var peers []Addr
+	for r := range s.cfg.Ranks {
+		if Rank(r) != s.cfg.Rank {
+			peers = append(peers, Addr{Rank: Rank(r)})
+		}
+	}
+	return peers
+}
+
+func (s *Slot) toPeers(m Message) []Effect {
+	var effects []Effect
+	for _, p := range s.peers() {
+		effects = append(effects, Send{p, m})
+	}
+	return effects
+}
--- /dev/null
+++ b/internal/expertmap/slot_recover.go
@@ -0,0 +1,117 @@
+package expertmap
+
+import "time"
+
+// begin starts the questions of a new life.
+func (s *Slot) begin(now time.Time) []Effect {
+	s.retryAt = now.Add(s.cfg.Timing.Retry)
+	if s.cfg.Ranks == 1 {
+		return s.fire(now, "heard-all")
+	}
+	return s.ask()
+}
+
+// ask repeats the question to the peers that have not answered.
+func (s *Slot) ask() []Effect {
+	var effects []Effect
+	for _, p := range s.peers() {
+		if s.answers[p.Rank] == nil {
+			effects = append(effects, Send{p, Recover{Rank: s.cfg.Rank, Incarnation: s.inc}})
+		}
+	}
+	return effects
+}
+
+// onRecover answers a restarted peer. The answer is a promise: from now on the slot counts no roster that names an
+// older incarnation of the peer. Without it, the old acknowledgement could complete a certificate after the restarted
+// peer has run on. A slot that recovers itself answers too, or two that restarted together would wait for each other.
+func (s *Slot) onRecover(m Recover) []Effect {
+	if m.Rank == s.cfg.Rank || int(m.Rank) >= s.cfg.Ranks {
+		return nil
+	}
+	to := Addr{Rank: m.Rank}
+	if m.Incarnation < s.known[m.Rank] {
+		return []Effect{Send{to, Superseded{Rank: s.cfg.Rank, Incarnation: s.inc, Known: s.known[m.Rank]}}}
+	}
+	switch s.State() {
+	case StateStarting, StateSwitching:
+		// The engine's word is still out; the peer asks again.
+		return nil
+	}
+	s.known[m.Rank] = m.Incarnation
+	newest, start := s.newest()
+	return []Effect{Send{to, Answer{
+		Rank: s.cfg.Rank, Incarnation: s.inc, Asker: m.Incarnation, Map: newest, Start: start,
+	}}}
+}
+
+// onSuperseded takes a larger number if the host's clock stood behind that of an earlier life.
+func (s *Slot) onSuperseded(now time.Time, m Superseded) []Effect {
+	if s.State() != StateRecovering || m.Known <= s.inc {
+		return nil
+	}
+	s.forget(m.Known + 1)
+	return s.begin(now)
+}
+
+func (s *Slot) onAnswer(now time.Time, m Answer) []Effect {
+	if s.State() != StateRecovering || m.Asker != s.inc || int(m.Rank) >= s.cfg.Ranks || m.Rank == s.cfg.Rank {
+		return nil
+	}
+	if m.Incarnation < s.known[m.Rank] {
+		return nil
+	}
+	s.known[m.Rank] = m.Incarnation
+	s.answers[m.Rank] = &m
+	for _, p := range s.peers() {
+		if s.answers[p.Rank] == nil {
+			return nil
+		}
+	}
+	return s.fire(now, "heard-all")
+}
+
+// newest returns the newest map that this slot's engine or the peers' answers name, with its first step.
+func (s *Slot) newest() (MapID, Step) {
+	m, start := s.engine.Map, s.engine.Start
+	for _, a := range s.answers {
+		if a != nil && a.Map.Version > m.Version {
+			m, start = a.Map, a.Start
+		}
+	}
+	return m, start
+}
+
+// adopt brings the engine to the group's map. The older incarnation may have acknowledged it, or the engine is new.
+func (s *Slot) adopt(now time.Time) []Effect {
+	m, start := s.newest()
+	if s.engine.Map == m {
+		return s.fire(now, "adopted")
+	}
+	if s.busy() {
+		return nil
+	}
+	if !s.engine.Map.IsZero() && s.engine.Next > start {
+		return []Effect{Alarm{&PassedError{Rank: s.cfg.Rank, Next: s.engine.Next, Start: start, Map: m}}}
+	}
+	if s.engine.Staged == m {
+		return []Effect{s.order(OrderSwitch, start, m)}
+	}
+	if s.staging == m {
+		return nil
+	}
+	s.staging = m
+	return []Effect{s.order(OrderStage, 0, m)}
+}
+
+// busy reports whether an order to the engine is not answered yet.
+func (s *Slot) busy() bool { return s.engine.Order < s.orders }
+
+// restage tries again to load the weights of the map that the group runs already.
+func (s *Slot) restage() []Effect {
+	m, _ := s.newest()
+	if s.busy() || s.engine.Failed != m {
+		return nil
+	}
+	return []Effect{s.order(OrderStage, 0, m)}
+}
--- /dev/null
+++ b/internal/expertmap/slot_vote.go
@@ -0,0 +1,277 @@
+package expertmap
+
+import (
+	"slices"
+	"time"
+)
+
+// onStage answers with the rank's state, and loads the weights of the map if they are not there yet.
+func (s *Slot) onStage(now time.Time, from Addr, m StageRequest) []Effect {
+	if !s.votes() {
+		return nil
+	}
+	if m.Ballot.Fence < s.fence {
+		return s.stageReply(from, m, false, ReasonFenced)
+	}
+	s.fence = m.Ballot.Fence
+	switch s.State() {
+	case StateLimiting, StateCapped, StateSwitching:
+		return s.stageReply(from, m, false, ReasonBusy)
+	}
+	if m.Map.Version != s.engine.Map.Version+1 {
+		return s.stageReply(from, m, false, ReasonOtherMap)
+	}
+	if s.engine.Next < s.engine.Start {
+		return s.stageReply(from, m, false, ReasonAhead)
+	}
+	if s.engine.Staged == m.Map && s.State() == StateStaged {
+		return s.stageReply(from, m, true, ReasonNone)
+	}
+	s.stager, s.request = from, m
+	if s.State() == StateStaging && s.staging == m.Map {
+		return s.stageReply(from, m, false, ReasonNone)
+	}
+	s.staging = m.Map
+	return s.fire(now, "stage")
+}
+
+func (s *Slot) stageReply(to Addr, m StageRequest, ready bool, reason Reason) []Effect {
+	return []Effect{Send{to, StageReply{
+		Ballot: m.Ballot, Round: m.Round, Rank: s.cfg.Rank, Incarnation: s.inc, Ready: ready, Reason: reason,
+		Current: s.engine.Map, Since: s.engine.Start, Next: s.engine.Next, StepTime: s.engine.StepTime,
+	}}}
+}
+
+func (s *Slot) onStaged(now time.Time) []Effect {
+	if s.busy() {
+		return nil
+	}
+	if s.engine.Staged == s.staging {
+		return append(s.fire(now, "weights-ready"), s.stageReply(s.stager, s.request, true, ReasonNone)...)
+	}
+	if s.engine.Failed == s.staging {
+		return append(s.fire(now, "weights-failed"), s.stageReply(s.stager, s.request, false, ReasonWeights)...)
+	}
+	return nil
+}
+
+// votes reports whether the slot may take part in proposals. One that recovers may not: its older incarnation may
+// have acknowledged, and a refusal now would abort what others have already switched to.
+func (s *Slot) votes() bool {
+	switch s.State() {
+	case StateStarting, StateRecovering, StateAdopting:
+		return false
+	}
+	return true
+}
+
+// committed reports whether the rank's engine has switched by the proposal.
+func (s *Slot) committed(p Proposal) bool {
+	return s.engine.Map == p.To && s.engine.Start == p.Start
+}
+
+// onCap caps, refuses, or tells how the proposal ended.
+func (s *Slot) onCap(now time.Time, from Addr, p Proposal) []Effect {
+	if !s.votes() || len(p.Roster) != s.cfg.Ranks || p.To.Version < s.engine.Map.Version {
+		return nil
+	}
+	if s.held != nil && s.held.Ballot == p.Ballot {
+		return s.again(from)
+	}
+	if s.committed(p) {
+		return []Effect{s.outcome(from, p.Ballot, true)}
+	}
+	named := p.Roster[s.cfg.Rank]
+	if named > s.inc {
+		return nil
+	}
+	if named < s.inc {
+		// The older incarnation's vote is unknown, but every peer has answered this one: nobody had switched
+		// by then, and each answer froze the peer's cap. So nobody ever will, and a capped group need not wait
+		// for a vote that never comes.
+		return []Effect{s.outcome(from, p.Ballot, false)}
+	}
+	if reason := s.objection(p); reason != ReasonNone {
+		s.raise(p.Ballot)
+		return []Effect{s.refusal(from, p.Ballot, reason)}
+	}
+	s.raise(p.Ballot)
+	s.held = &p
+	s.askers = []Addr{from}
+	s.acks = make([]bool, s.cfg.Ranks)
+	return s.fire(now, "cap")
+}
+
+// again answers a further copy of the held proposal.
+func (s *Slot) again(from Addr) []Effect {
+	switch s.State() {
+	case StateCapped:
+		return []Effect{Send{from, s.ack()}}
+	case StateLimiting:
+		if !slices.Contains(s.askers, from) {
+			s.askers = append(s.askers, from)
+		}
+	}
+	return nil
+}
+
+// raise makes the slot remember that it refused or held a ballot: a late copy must not be capped after a refusal,
+// since the refusal lets other ranks run on under the old map.
+func (s *Slot) raise(b Ballot) {
+	if b.Compare(s.floor) > 0 {
+		s.floor = b
+	}
+	s.fence = max(s.fence, b.Fence)
+}
+
+// objection returns why the slot must refuse the proposal, or ReasonNone.
+func (s *Slot) objection(p Proposal) Reason {
+	switch {
+	case p.Ballot.Fence < s.fence:
+		return ReasonFenced
+	case p.Ballot.Compare(s.floor) <= 0:
+		return ReasonRefused
+	case s.held != nil:
+		return ReasonBusy
+	case p.From != s.engine.Map:
+		return ReasonOtherMap
+	case !s.current(p):
+		return ReasonRoster
+	case s.engine.Next < s.engine.Start || p.Start <= s.engine.Start && !p.From.IsZero():
+		// The engine remembers one map before its newest: a second switch ahead would make it run the steps
+		// before the first one under the wrong map.
+		return ReasonAhead
+	case s.State() != StateStaged || s.engine.Staged != p.To:
+		return ReasonNotStaged
+	case s.engine.Next > p.Start:
+		return ReasonPassed
+	}
+	return ReasonNone
+}
+
+// current reports whether the roster names exactly the newest incarnations that the slot knows.
+func (s *Slot) current(p Proposal) bool { return slices.Equal(p.Roster, s.known) }
+
+// onLimited acknowledges only what the engine has confirmed: it may have started the step meanwhile.
+func (s *Slot) onLimited(now time.Time) []Effect {
+	if s.busy() {
+		return nil
+	}
+	if s.engine.Limit == s.held.Start && s.engine.Next <= s.held.Start {
+		return s.fire(now, "limit-confirmed")
+	}
+	return s.fire(now, "limit-refused")
+}
+
+func (s *Slot) ack() Ack {
+	return Ack{Ballot: s.held.Ballot, Rank: s.cfg.Rank, Incarnation: s.inc}
+}
+
+func (s *Slot) acknowledge(now time.Time) []Effect {
+	s.acks[s.cfg.Rank] = true
+	wait := s.cfg.Timing.Patience + time.Duration(s.cfg.Rank)*s.cfg.Timing.Stagger
+	s.retryAt = now.Add(wait)
+	var effects []Effect
+	for _, a := range s.askers {
+		effects = append(effects, Send{a, s.ack()})
+	}
+	return effects
+}
+
+func (s *Slot) refuseHeld() []Effect {
+	var effects []Effect
+	for _, a := range s.askers {
+		effects = append(effects, s.refusal(a, s.held.Ballot, ReasonPassed))
+	}
+	s.release()
+	return effects
+}
+
+func (s *Slot) refusal(to Addr, b Ballot, reason Reason) Send {
+	return Send{to, Refusal{
+		Ballot: b, Rank: s.cfg.Rank, Incarnation: s.inc, Reason: reason, Next: s.engine.Next, Fence: s.fence,
+	}}
+}
+
+func (s *Slot) outcome(to Addr, b Ballot, committed bool) Send {
+	return Send{to, Outcome{Ballot: b, Committed: committed, Rank: s.cfg.Rank, Incarnation: s.inc}}
+}
+
+// askPeers lets a capped slot finish without the proposer, which may be dead or paused: whoever can answer the cap
+// request does, and then either all acknowledgements are there or a refusal is.
+func (s *Slot) askPeers(now time.Time) []Effect {
+	s.retryAt = now.Add(s.cfg.Timing.Patience)
+	return s.toPeers(CapRequest{*s.held})
+}
+
+func (s *Slot) holds(b Ballot) bool { return s.held != nil && s.held.Ballot == b }
+
+// onAck collects the certificate.
+func (s *Slot) onAck(now time.Time, m Ack) []Effect {
+	if s.State() != StateCapped || !s.holds(m.Ballot) || !s.inRoster(m.Rank, m.Incarnation) {
+		return nil
+	}
+	s.acks[m.Rank] = true
+	if slices.Contains(s.acks, false) {
+		return nil
+	}
+	cert := Certificate{Ballot: s.held.Ballot, Acks: slices.Clone(s.held.Roster)}
+	effects := s.onCertificate(now, cert)
+	if len(effects) == 0 {
+		return nil
+	}
+	return append(effects, s.toPeers(cert)...)
+}
+
+func (s *Slot) inRoster(r Rank, inc Incarnation) bool {
+	return int(r) < len(s.held.Roster) && s.held.Roster[r] == inc
+}
+
+// onCertificate switches, unless a member of the roster has restarted since the slot capped. That member's new
+// incarnation was told that this slot had not switched and may have aborted on that; its word is waited for.
+func (s *Slot) onCertificate(now time.Time, m Certificate) []Effect {
+	if s.State() != StateCapped || !s.holds(m.Ballot) {
+		return nil
+	}
+	if !slices.Equal(m.Acks, s.held.Roster) || !s.current(*s.held) {
+		return nil
+	}
+	return s.fire(now, "certificate")
+}
+
+// onRefusal aborts: a certificate would need the acknowledgement of an incarnation that never gives it.
+func (s *Slot) onRefusal(now time.Time, m Refusal) []Effect {
+	if !s.holds(m.Ballot) || !s.inRoster(m.Rank, m.Incarnation) {
+		return nil
+	}
+	return s.fire(now, "aborted")
+}
+
+func (s *Slot) onOutcome(now time.Time, m Outcome) []Effect {
+	if !s.holds(m.Ballot) || int(m.Rank) >= len(s.known) || m.Incarnation < s.known[m.Rank] {
+		return nil
+	}
+	if m.Committed {
+		return s.fire(now, "committed")
+	}
+	return s.fire(now, "aborted")
+}
+
+// onSwitched waits for the engine's word: an order can get lost with the slot, and a peer that was told of a switch
+// that no engine made could run on under the new map alone.
+func (s *Slot) onSwitched(now time.Time) []Effect {
+	if s.engine.Map != s.held.To {
+		return nil
+	}
+	return s.fire(now, "switch-confirmed")
+}
+
+func (s *Slot) tellSwitched() []Effect {
+	var effects []Effect
+	for _, a := range s.askers {
+		effects = append(effects, s.outcome(a, s.held.Ballot, true))
+	}
+	s.release()
+	s.staging = MapID{}
+	return effects
+}
--- a/spec/expertmap.pml
+++ b/spec/expertmap.pml
@@ -63,7 +63,10 @@
 byte crashes;
 
 #define mapof(i)	((have[i] & 2) -> 2 : ((have[i] & 1) -> 1 : 0))
-#define mapat(i, t)	(((have[i] & 2) && t >= START(1)) -> 2 : (((have[i] & 1) && t >= START(0)) -> 1 : 0))
+/* An engine remembers its newest map, the map's first step and the one map before it. */
+#define first(i)	((have[i] & 2) -> START(1) : ((have[i] & 1) -> START(0) : 0))
+#define before(i)	((have[i] & 2) -> FROM(1) : 0)
+#define mapat(i, t)	(t >= first(i) -> mapof(i) : before(i))
 #define bit(p)		(1 << (p))
 #define others(i)	(7 & ~bit(i))
 
@@ -119,6 +122,11 @@
 #else
 #define rightmap(p, i) (FROM(p) == mapof(i))
 #endif
+#ifdef MUTANT_NOT_IN_FORCE
+#define inforce(i) true
+#else
+#define inforce(i) (done[i] >= first(i))
+#endif
 #ifdef MUTANT_NO_PASSED
 #define passed(p, i) false
 #else
@@ -134,7 +142,7 @@
 
 inline cap(p, i) {
 	d_step {
-		mayanswer(p, i) && free(i) && current(p, i) && rightmap(p, i) && !passed(p, i) ->
+		mayanswer(p, i) && free(i) && current(p, i) && rightmap(p, i) && inforce(i) && !passed(p, i) ->
 		held[i] = p;
 		acked[i] = false;
 #ifndef MUTANT_ACK_FIRST
@@ -271,10 +279,10 @@
 #endif
 #ifdef MUTANT_NO_CONFIRM
 #define settled(k) true
-#define sum(k) (have[k] | (pend[k] -> bit(held[k]) : 0))
+#define sum(k) (have[k] | told[k] | (pend[k] -> bit(held[k]) : 0))
 #else
 #define settled(k) (!pend[k])
-#define sum(k) have[k]
+#define sum(k) (have[k] | told[k])
 #endif
 
 /*
