Quarantine: evidence that merges, a guard for slots, and its measurement

A request that crashes its upstreams: Tracker (any node) and Guard (slot) are pure, Gate is the Guard for goroutines.

--- a/cmd/cardamomyoke-bench/main.go
+++ b/cmd/cardamomyoke-bench/main.go
@@ -9,6 +9,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/claims"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/demo"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/load"
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/quarantine"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/rebalance"
 )
 
@@ -17,6 +18,7 @@
 	// Each experiment lives in its own package below internal/bench and adds its command here with Register(app).
 	claims.Register(app)
 	demo.Register(app)
+	quarantine.Register(app)
 	rebalance.Register(app)
 	load.Register(app)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,240 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+)
+
+const quarantineLength = time.Hour
+
+var (
+	start  = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	poison = Running{Fingerprint{1}, "arriaga"}
+	other  = Running{Fingerprint{2}, "arriaga"}
+	third  = Running{Fingerprint{3}, "arriaga"}
+)
+
+func wantLevel(t *testing.T, tr *Tracker, now time.Time, f Fingerprint, want Level) {
+	t.Helper()
+	if got, _ := tr.Judge(now, f); got != want {
+		t.Fatalf("level %v, want %v", got, want)
+	}
+}
+
+// The caller of a poisonous request is refused for an hour after two crashes in a batch and one alone. Its neighbours
+// are suspects until they run to their end elsewhere, and are never refused. After the hour the request runs alone
+// once, and one crash refuses it again.
+func TestSuspicionNarrowsToOneRequest(t *testing.T) {
+	tr := NewTracker(quarantineLength)
+	tr.Merge(start, Crash{ID: 1, At: start, Ran: []Running{poison, other, third}}.Suspects()...)
+	wantLevel(t, tr, start, other.Fingerprint, Suspected)
+	tr.Completed(start, other.Fingerprint)
+	wantLevel(t, tr, start, other.Fingerprint, Clear)
+	tr.Merge(start, Crash{ID: 2, At: start, Ran: []Running{poison, other}}.Suspects()...)
+	wantLevel(t, tr, start, poison.Fingerprint, Alone)
+	wantLevel(t, tr, start, other.Fingerprint, Suspected)
+	tr.Merge(start, Crash{ID: 3, At: start, Ran: []Running{poison}, Probe: true}.Suspects()...)
+	wantLevel(t, tr, start, poison.Fingerprint, Refused)
+	wantLevel(t, tr, start.Add(quarantineLength-1), poison.Fingerprint, Refused)
+	later := start.Add(quarantineLength)
+	wantLevel(t, tr, later, poison.Fingerprint, Alone)
+	tr.Merge(later, Crash{ID: 4, At: later, Ran: []Running{poison}, Probe: true}.Suspects()...)
+	wantLevel(t, tr, later, poison.Fingerprint, Refused)
+}
+
+// The operator lets a refused request through, or refuses one that is clear; the later decision holds on every node.
+func TestOperatorOverrides(t *testing.T) {
+	tr := NewTracker(quarantineLength)
+	tr.Merge(start, Crash{ID: 1, At: start, Ran: []Running{poison}, Probe: true}.Suspects()...)
+	until := start.Add(time.Minute)
+	trust := Override{Kind: cardamomyokev1.OverrideKind_OVERRIDE_KIND_TRUST, Until: until, Stamp: start}
+	refuse := Override{Kind: cardamomyokev1.OverrideKind_OVERRIDE_KIND_REFUSE, Until: until, Stamp: start.Add(1)}
+	tr.Override(start, poison.Fingerprint, trust)
+	wantLevel(t, tr, start, poison.Fingerprint, Clear)
+	wantLevel(t, tr, until, poison.Fingerprint, Refused)
+	tr.Override(start, other.Fingerprint, refuse)
+	tr.Override(start, other.Fingerprint, trust)
+	wantLevel(t, tr, start, other.Fingerprint, Refused)
+}
+
+// All entries come to the same level whatever the order, doubling and splitting of their digests.
+func TestMergeDoesNotDependOnOrder(t *testing.T) {
+	for seed := range uint64(100) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		var news []Suspect
+		for range 12 {
+			crash := Crash{ID: CrashID(rng.IntN(5)), Ran: []Running{poison}}
+			crash.At = start.Add(time.Duration(crash.ID) * time.Second)
+			s := crash.Suspects()[0]
+			s.Evidence[0].Cleared = rng.IntN(2) == 0
+			s.Override.Stamp = start.Add(time.Duration(rng.IntN(4)))
+			s.Override.Until = s.Override.Stamp.Add(time.Hour)
+			news = append(news, s)
+		}
+		a, b := NewTracker(quarantineLength), NewTracker(quarantineLength)
+		for _, i := range rng.Perm(len(news)) {
+			a.Merge(start, news[i])
+		}
+		b.Merge(start, news...)
+		b.Merge(start, a.Digest(start, 10)...)
+		if diff := cmp.Diff(a.Digest(start, 10), b.Digest(start, 10)); diff != "" {
+			t.Fatalf("seed %d: %s", seed, diff)
+		}
+	}
+}
+
+// A caller keeps being refused after every entry was replaced: the refusal is in the table. A conflict there is
+// settled by reading and writing once more.
+func TestRefusalOutlivesTheEntries(t *testing.T) {
+	tr := NewTracker(quarantineLength)
+	tr.Merge(start, Crash{ID: 1, At: start, Ran: []Running{other, third}}.Suspects()...)
+	if saves := tr.Unsaved(start); len(saves) != 0 {
+		t.Fatalf("a mere suspicion is written: %v", saves)
+	}
+	tr.Merge(start, Crash{ID: 2, At: start, Ran: []Running{poison}, Probe: true}.Suspects()...)
+	saves := tr.Unsaved(start)
+	if len(saves) != 1 || len(tr.Unsaved(start)) != 0 {
+		t.Fatalf("saves: %v", saves)
+	}
+	row := platform.Row{Key: saves[0].Put.Key, Version: 7, Value: saves[0].Put.Value}
+	if err := tr.Load(start, row); err != nil {
+		t.Fatal(err)
+	}
+	tr.SaveFailed(poison.Fingerprint)
+	if again := tr.Unsaved(start); len(again) != 1 || again[0].Check.Version != 7 {
+		t.Fatalf("after the conflict: %v", again)
+	}
+	fresh := NewTracker(quarantineLength)
+	if err := fresh.Load(start, row); err != nil {
+		t.Fatal(err)
+	}
+	wantLevel(t, fresh, start, poison.Fingerprint, Refused)
+	var typed *RowError
+	if err := fresh.Load(start, platform.Row{Key: "x", Value: []byte{1}}); !errors.As(err, &typed) {
+		t.Fatalf("bad row: %v", err)
+	}
+}
+
+// A forgotten crash does not come back from a node that still tells of it.
+func TestOldEvidenceIsForgotten(t *testing.T) {
+	tr := NewTracker(quarantineLength)
+	suspects := Crash{ID: 1, At: start, Ran: []Running{poison}}.Suspects()
+	tr.Merge(start, suspects...)
+	later := start.Add(quarantineLength + evidenceMemory + 1)
+	tr.Expire(later)
+	tr.Merge(later, suspects...)
+	if n := len(tr.Digest(later, 10)); n != 0 {
+		t.Fatalf("%d suspects left", n)
+	}
+}
+
+// The callers beside a crash are not taken for the cause twice: handlers of one death that notice at different times,
+// and a second look at the dead upstream, make one report.
+func TestOneDeathIsReportedOnce(t *testing.T) {
+	g := NewGuard("s", quarantineLength)
+	a := g.Ask(start, poison, Clear)
+	b := g.Ask(start, other, Clear)
+	g.Ask(start, third, Clear)
+	g.Leave(start, a.Ticket, Broken)
+	g.Leave(start, b.Ticket, Whole)
+	if _, ran := g.Died(start); !ran {
+		t.Fatal("nothing reported")
+	}
+	if _, ran := g.Died(start); ran {
+		t.Fatal("reported twice")
+	}
+	wantLevel(t, g.Tracker(), start, poison.Fingerprint, Suspected)
+	wantLevel(t, g.Tracker(), start, third.Fingerprint, Suspected)
+	wantLevel(t, g.Tracker(), start, other.Fingerprint, Clear)
+}
+
+// Copies of a suspect, sent through every entry, meet at one slot. One runs alone while the others wait; when it takes
+// the upstream down, the others are refused and do not run on the restarted upstream. A request that arrives while the
+// suspect waits or runs is sent elsewhere.
+func TestWaitingCopiesDoNotFollowTheFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewGate("s", quarantineLength)
+		beside, err := g.Enter(t.Context(), other, Clear)
+		if err != nil {
+			t.Fatal(err)
+		}
+		codes := make(chan failure.Code, 3)
+		var first *Pass
+		for range 3 {
+			go func() {
+				p, err := g.Enter(t.Context(), poison, Alone)
+				if err != nil {
+					codes <- failure.CodeOf(err)
+					return
+				}
+				first = p
+			}()
+			synctest.Wait()
+		}
+		if first != nil {
+			t.Fatal("ran beside another request")
+		}
+		if _, err := g.Enter(t.Context(), third, Clear); failure.CodeOf(err) != failure.CodeNoUpstream {
+			t.Fatalf("let in while a suspect waits: %v", err)
+		}
+		beside.Leave(Whole)
+		synctest.Wait()
+		if first == nil {
+			t.Fatal("the suspect never ran")
+		}
+		g.Died()
+		synctest.Wait()
+		for range 2 {
+			if code := <-codes; code != failure.CodeQuarantined {
+				t.Fatalf("a waiting copy got %s", code)
+			}
+		}
+		if _, err := g.Enter(t.Context(), third, Clear); err != nil {
+			t.Fatalf("the upstream stays closed: %v", err)
+		}
+	})
+}
+
+// The caller of a suspect that waits gives up: it is refused as not run, and the upstream opens again.
+func TestGivingUpOpensTheUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewGate("s", quarantineLength)
+		if _, err := g.Enter(t.Context(), other, Clear); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := g.Enter(ctx, poison, Alone)
+		if f := failure.From(err); f.Code != failure.CodeDeadlineUnmet || f.Proof != failure.ProofRefusedBeforeStart {
+			t.Fatalf("got %v", err)
+		}
+		if _, err := g.Enter(t.Context(), third, Clear); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func FuzzParseFingerprint(f *testing.F) {
+	f.Add(Fingerprint{9}.String())
+	f.Add("zz")
+	f.Fuzz(func(t *testing.T, text string) {
+		got, err := ParseFingerprint(text)
+		var typed *FingerprintError
+		if err != nil && !errors.As(err, &typed) {
+			t.Fatalf("untyped error %v", err)
+		}
+		if again, err2 := ParseFingerprint(got.String()); err2 != nil || again != got {
+			t.Fatalf("%q: %v", text, err2)
+		}
+	})
+}
