make demo runs on accepted configurations

Cause: the demo's nodes used a file, so a new entry had no roster and found no slots. Change: the operators' RPC on every entry, cardamomyokectl apply and status, the demo applies its configuration and starts the replacing entry with nothing but its settings; drained upstreams get no new work.

--- /dev/null
+++ b/cmd/cardamomyokectl/main.go
@@ -0,0 +1,12 @@
+// Command cardamomyokectl is the operators' client: everything goes through the RPC that each entry serves.
+package main
+
+import (
+	"os"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/ctl"
+)
+
+func main() {
+	os.Exit(ctl.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/internal/daemon/entrymain/entrymain.go
+++ b/internal/daemon/entrymain/entrymain.go
@@ -12,6 +12,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/entry"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/logging"
+	"github.com/cardamomyoke/cardamomyoke/internal/operator"
 	"github.com/cardamomyoke/cardamomyoke/internal/revision"
 	"github.com/cardamomyoke/cardamomyoke/internal/settings"
 	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
@@ -55,6 +56,11 @@
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
+	if node.Agent != nil {
+		node.Mux.Handle(operator.Handler(operator.New(operator.Options{
+			Node: set.Name, Agent: node.Agent, Table: node.Platform, Upstreams: e.UpstreamStatuses,
+		})))
+	}
 	if err := node.Run(e.Metrics(), e.Tick); err != nil {
 		e.Kill()
 		return fmt.Errorf("start: %w", err)
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -221,6 +221,9 @@
 
 func (s *state) route(id ids.Upstream, u *upstream, now time.Time) *routing.Upstream {
 	status, _ := s.tracker.Status(id, now)
+	if s.snapshot.Drained(id) {
+		status.Weight = 0
+	}
 	load := u.digest.GetSlot()
 	return &routing.Upstream{
 		ID:         id,
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -54,12 +54,12 @@
 
 start_entry() { # start_entry NUMBER
   entry_settings "$1"
-  start "entry-$1" bin/cardamomyoke-entry run --settings "$dir/entry-$1.yaml" --configuration examples/arriaga/configuration.json
+  start "entry-$1" bin/cardamomyoke-entry run --settings "$dir/entry-$1.yaml"
 }
 
 start_slot() { # start_slot SERVICE KIND BASE NUMBER
   slot_settings "$@"
-  start "$1-$4" bin/cardamomyoke-slot run --settings "$dir/$1-$4.yaml" --configuration examples/arriaga/configuration.json
+  start "$1-$4" bin/cardamomyoke-slot run --settings "$dir/$1-$4.yaml"
 }
 
 start platform bin/cardamomyoke-standin platform --listen 127.0.0.1:21900
@@ -86,6 +86,11 @@
   echo "$1 did not become ready" >&2
   exit 1
 }
+for _ in $(seq 100); do # the entries answer RPC as soon as they have joined
+  bin/cardamomyokectl --entry 127.0.0.1:21101 apply -f examples/arriaga/configuration.json --operator demo --reason "first configuration" >"$dir/apply.out" 2>&1 && break
+  sleep 0.2
+done
+tail -1 "$dir/apply.out"
 for i in 1 2 3; do wait_ready "127.0.0.1:$((21000 + i))"; done
 sleep 1.5 # the digests of all slots have been heard by then
 
