--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -62,8 +62,8 @@
 	}
 }
 
-func selfOf(set *Settings) membership.Self {
-	return membership.Self{
+func selfOf(set *Settings) membership.Identity {
+	return membership.Identity{
 		Name:       ids.Node(set.Name),
 		Role:       cardamomyokev1.NodeRole_NODE_ROLE_ENTRY,
 		DataCentre: set.DataCentre,
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -22,8 +22,8 @@
 
 var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func self(name string, role cardamomyokev1.NodeRole, dc string) membership.Self {
-	return membership.Self{Name: ids.Node(name), Role: role, DataCentre: ids.DataCentre(dc), Digests: "d-" + name}
+func self(name string, role cardamomyokev1.NodeRole, dc string) membership.Identity {
+	return membership.Identity{Name: ids.Node(name), Role: role, DataCentre: ids.DataCentre(dc), Digests: "d-" + name}
 }
 
 func digest(name, life string, seq uint64, state cardamomyokev1.NodeState) *cardamomyokev1.Digest {
@@ -114,13 +114,13 @@
 	}
 }
 
-func roster(entries, slots, centres int) []membership.Roster {
-	var out []membership.Roster
+func roster(entries, slots, centres int) []membership.Identity {
+	var out []membership.Identity
 	add := func(kind string, role cardamomyokev1.NodeRole, n int) {
 		for i := range n {
 			name := fmt.Sprintf("%s-%03d", kind, i)
 			dc := ids.DataCentre(fmt.Sprintf("dc-%d", i%centres))
-			out = append(out, membership.Roster{Name: ids.Node(name), Role: role, DataCentre: dc, Digests: "d-" + name})
+			out = append(out, membership.Identity{Name: ids.Node(name), Role: role, DataCentre: dc, Digests: "d-" + name})
 		}
 	}
 	add("entry", entryRole, entries)
@@ -134,7 +134,7 @@
 	all := roster(360, 780, 6)
 	heardBy := map[string]int{}
 	for _, r := range all {
-		table := membership.New(membership.Self{Name: r.Name, Role: r.Role, DataCentre: r.DataCentre, Digests: r.Digests}, membership.Defaults(), t0)
+		table := membership.New(r, membership.Defaults(), t0)
 		table.SetRoster(all, t0)
 		targets := table.Due(nil, t0, true)
 		if len(targets) > 24 {
@@ -162,7 +162,7 @@
 	all := roster(60, 130, 1)
 	moved := 0
 	for _, r := range all[60:] {
-		table := membership.New(membership.Self{Name: r.Name, Role: r.Role, DataCentre: r.DataCentre, Digests: r.Digests}, membership.Defaults(), t0)
+		table := membership.New(r, membership.Defaults(), t0)
 		table.SetRoster(all, t0)
 		before := addresses(table.Due(nil, t0, true))
 		table.Hear(&cardamomyokev1.Digest{Node: "entry-007", Incarnation: "1", Sequence: 1, Role: entryRole, DataCentre: "dc-0", DigestAddress: "d-entry-007"}, t0)
@@ -225,7 +225,7 @@
 	all := roster(6, 0, 2)
 	tables := map[string]*membership.Table{}
 	for _, r := range all {
-		table := membership.New(membership.Self{Name: r.Name, Role: r.Role, DataCentre: r.DataCentre, Digests: r.Digests}, membership.Defaults(), t0)
+		table := membership.New(r, membership.Defaults(), t0)
 		table.SetRoster(all, t0)
 		tables[r.Digests] = table
 	}
@@ -274,7 +274,7 @@
 	}
 }
 
-func sameCentre(all []membership.Roster, address string, dc ids.DataCentre) bool {
+func sameCentre(all []membership.Identity, address string, dc ids.DataCentre) bool {
 	for _, r := range all {
 		if r.Digests == address {
 			return r.DataCentre == dc
--- a/internal/membership/roster.go
+++ b/internal/membership/roster.go
@@ -6,10 +6,10 @@
 )
 
 // FromRevision turns the members of the configuration log's roster into what SetRoster takes.
-func FromRevision(members []*cardamomyokev1.Member) []Roster {
-	out := make([]Roster, 0, len(members))
+func FromRevision(members []*cardamomyokev1.Member) []Identity {
+	out := make([]Identity, 0, len(members))
 	for _, m := range members {
-		out = append(out, Roster{
+		out = append(out, Identity{
 			Name:       ids.Node(m.GetName()),
 			Role:       m.GetRole(),
 			DataCentre: ids.DataCentre(m.GetDataCentre()),
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// Self is the node that the table belongs to.
-type Self struct {
+// Identity is who a node is, as its settings or the configuration log name it.
+type Identity struct {
 	Name       ids.Node
 	Role       cardamomyokev1.NodeRole
 	DataCentre ids.DataCentre
@@ -93,7 +93,7 @@
 // Table knows the other nodes. It belongs to the control goroutine.
 type Table struct {
 	opts    Options
-	self    Self
+	self    Identity
 	members map[ids.Node]*member
 	sent    map[string]time.Time
 	changes []Change
@@ -106,20 +106,12 @@
 }
 
 // New returns a table that knows nobody.
-func New(self Self, opts Options, now time.Time) *Table {
+func New(self Identity, opts Options, now time.Time) *Table {
 	return &Table{opts: opts, self: self, members: map[ids.Node]*member{}, sent: map[string]time.Time{}, last: now, changed: true}
 }
 
-// Roster is one node that the configuration log names.
-type Roster struct {
-	Name       ids.Node
-	Role       cardamomyokev1.NodeRole
-	DataCentre ids.DataCentre
-	Digests    string
-}
-
 // SetRoster replaces the nodes that are expected. A node that is no longer named stays for as long as it is heard.
-func (t *Table) SetRoster(list []Roster, now time.Time) {
+func (t *Table) SetRoster(list []Identity, now time.Time) {
 	t.changed = true
 	for _, m := range t.members {
 		m.listed = false
--- a/internal/slot/digests.go
+++ b/internal/slot/digests.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	self := membership.Self{
+	self := membership.Identity{
 		Name:       ids.Node(s.settings.Name),
 		Role:       cardamomyokev1.NodeRole_NODE_ROLE_SLOT,
 		DataCentre: s.settings.DataCentre,
