--- a/internal/bench/policy/trace.go
+++ b/internal/bench/policy/trace.go
@@ -39,10 +39,9 @@
 	callers int
 }
 
-const (
-	flooder    ids.Client = "flooder"
-	smallCount            = 7
-)
+const flooder ids.Client = "flooder"
+
+const smallCount = 7
 
 func accounts() []account {
 	list := []account{{flooder, 0.5, 60}, {"large-1", 0.125, 30}, {"large-2", 0.125, 30}}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -31,6 +31,12 @@
 	ExitUnavailable = 5
 )
 
+// Forms of output.
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+)
+
 // session is one run of the command line.
 type session struct {
 	out    io.Writer
@@ -49,7 +55,7 @@
 	app.UsageWriter(errOut)
 	app.ErrorWriter(errOut)
 	app.Flag("entry", "RPC address of an entry, IP:PORT.").Envar("CARDAMOMYOKE_ENTRY").Default("127.0.0.1:21101").StringVar(&s.entry)
-	app.Flag("output", "table or json.").Default("table").EnumVar(&s.output, "table", "json")
+	app.Flag("output", "table or json.").Default(outputTable).EnumVar(&s.output, outputTable, outputJSON)
 	commands := map[string]func(context.Context) error{}
 	s.registerApply(app, commands)
 	s.registerStatus(app, commands)
--- a/internal/ctl/print.go
+++ b/internal/ctl/print.go
@@ -71,9 +71,7 @@
 		if err != nil {
 			continue
 		}
-		if m, ok := value.(proto.Message); ok {
-			text += fmt.Sprintf(" (%s)", protojson.MarshalOptions{}.Format(m))
-		}
+		text += fmt.Sprintf(" (%s)", protojson.MarshalOptions{}.Format(value))
 	}
 	return text
 }
