--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -18,8 +18,11 @@
 	maxShare          = 1000
 	maxPercent        = 100
 	maxOutcomeKeptSec = 7 * 24 * 3600
+	maxText           = 500
 )
 
+const wantName = "1 to 63 of a-z, 0-9 and - (not at the ends)"
+
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
 
 // Check returns *FieldError for the first field of c that is wrong, or nil.
@@ -38,6 +41,9 @@
 	if err := checkClients(c.GetClients(), services); err != nil {
 		return err
 	}
+	if err := checkUpstreams(c.GetUpstreams()); err != nil {
+		return err
+	}
 	return checkPolicies(c.GetPolicies())
 }
 
@@ -45,8 +51,8 @@
 type names map[string]bool
 
 func (n names) add(field, name string) error {
-	if len(name) > maxNameLength || !namePattern.MatchString(name) {
-		return &FieldError{field + ".name", "1 to 63 of a-z, 0-9 and - (not at the ends)"}
+	if err := CheckName(field+".name", name); err != nil {
+		return err
 	}
 	if n[name] {
 		return &FieldError{field + ".name", fmt.Sprintf("a name that is not taken (%q is)", name)}
@@ -172,6 +178,16 @@
 	return nil
 }
 
+func checkUpstreams(list []*cardamomyokev1.UpstreamOverride) error {
+	seen := names{}
+	for i, v := range list {
+		if err := seen.add(fmt.Sprintf("upstreams[%d]", i), v.GetName()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func checkPolicies(p *cardamomyokev1.Policies) error {
 	if err := checkRange("policies.address_keep_ms", uint64(p.GetAddressKeepMs()), 100, 600_000); err != nil {
 		return err
