--- a/internal/bench/policy/entry.go
+++ b/internal/bench/policy/entry.go
@@ -199,7 +199,7 @@
 func (e *entry) attempt(req *request, exclude []ids.Upstream) {
 	now := e.world.clock.now
 	choice, err := e.picker.Pick(&routing.Request{
-		Rank: rankOf(req.class), Blocks: req.blocks, BlockTokens: blockTokens, PromptTokens: promptTokens, OutputTokens: outputMean,
+		First: req.class == classFirst, Blocks: req.blocks, BlockTokens: blockTokens, PromptTokens: promptTokens, OutputTokens: outputMean,
 		Exclude: exclude, Rand: e.rng.Uint64(),
 	}, now)
 	if err != nil {
@@ -229,11 +229,11 @@
 
 // arrive is the slot's side: it hands the request to the runner or sends it back before its start.
 func (e *entry) arrive(req *request, choice routing.Choice, exclude []ids.Upstream) {
-	rank := rankOf(req.class)
+	first := req.class == classFirst
 	switch {
 	case req.job.ended:
 	case e.world.setup.policy == policyExpectedWait &&
-		routing.Overtaken(rank, choice.Ahead, req.runner.counts(everyEntry).PromptAhead(rank), req.overtaken):
+		routing.Overtaken(first, choice.Ahead, req.runner.counts(everyEntry).PromptAhead(first), req.overtaken):
 		req.overtaken++
 		req.job.ended = true
 		req.flight.End()
--- a/internal/bench/policy/runner.go
+++ b/internal/bench/policy/runner.go
@@ -182,8 +182,7 @@
 	var c routing.Counts
 	for _, j := range r.waiting {
 		if entry < 0 || j.entry == entry {
-			c.Waiting[j.rank]++
-			c.PromptTokens[j.rank] += max(0, j.prompt-r.cache.peek(j.blocks)*blockTokens)
+			addWaiting(&c, j.rank, max(0, j.prompt-r.cache.peek(j.blocks)*blockTokens))
 			c.OutputTokens += outputMean
 		}
 	}
@@ -192,8 +191,7 @@
 			continue
 		}
 		if j.done == j.from {
-			c.Waiting[j.rank]++
-			c.PromptTokens[j.rank] += j.left
+			addWaiting(&c, j.rank, j.left)
 		} else {
 			c.Running++
 		}
@@ -201,3 +199,12 @@
 	}
 	return c
 }
+
+func addWaiting(c *routing.Counts, rank, tokens int) {
+	c.Waiting++
+	c.PromptTokens += tokens
+	if rank == 0 {
+		c.FirstWaiting++
+		c.FirstPromptTokens += tokens
+	}
+}
--- a/internal/routing/expectedwait/expectedwait.go
+++ b/internal/routing/expectedwait/expectedwait.go
@@ -53,8 +53,9 @@
 type Picker struct {
 	upstreams []*routing.Upstream
 	opts      Options
-	// usual is the mean, over the upstreams, of the prompt tokens by rank that other entries have waiting at one.
-	usual [routing.Ranks]float64
+	// usual and usualFirst are the means, over the upstreams, of the prompt tokens that other entries have waiting at
+	// one: all of them, and those of the first class.
+	usual, usualFirst float64
 	// stepTime and promptTokenTime are the medians of what upstreams reported.
 	stepTime, promptTokenTime time.Duration
 }
@@ -63,9 +64,9 @@
 func New(upstreams []*routing.Upstream, opts Options) *Picker {
 	p := &Picker{upstreams: upstreams, opts: opts}
 	for _, u := range upstreams {
-		for rank, tokens := range u.Load.Others().PromptTokens {
-			p.usual[rank] += float64(tokens) / float64(len(upstreams))
-		}
+		others := u.Load.Others()
+		p.usual += float64(others.PromptTokens) / float64(len(upstreams))
+		p.usualFirst += float64(others.FirstPromptTokens) / float64(len(upstreams))
 	}
 	p.stepTime = median(upstreams, opts.StepTime, func(l routing.Load) time.Duration { return l.StepTime })
 	p.promptTokenTime = median(upstreams, opts.PromptTokenTime, func(l routing.Load) time.Duration { return l.PromptTokenTime })
@@ -131,26 +132,26 @@
 func (p *Picker) expect(u *routing.Upstream, req *routing.Request, now time.Time) routing.Choice {
 	load := u.Now()
 	cached := min(req.PromptTokens, u.Cached.Match(req.Blocks)*req.BlockTokens)
-	ahead := p.promptAhead(u, req.Rank, now)
+	ahead := p.promptAhead(u, req.First, now)
 	perToken := p.believed(u.Load.PromptTokenTime, p.promptTokenTime)
 	wait := 2*u.Distance + p.believed(u.Load.StepTime, p.stepTime)
-	wait += p.placeWait(u, load, req.Rank)
+	wait += p.placeWait(u, load, req.First)
 	wait += time.Duration((ahead + float64(req.PromptTokens-cached)) * float64(perToken))
 	if !u.HasAdapter(req.Adapter) {
 		wait += p.opts.AdapterLoad
 	}
-	return routing.Choice{Upstream: u, Wait: wait, Ahead: load.PromptAhead(req.Rank), Estimate: req.Estimate(cached)}
+	return routing.Choice{Upstream: u, Wait: wait, Ahead: load.PromptAhead(req.First), Estimate: req.Estimate(cached)}
 }
 
 // promptAhead returns the prompt tokens that are computed before those of a new request: this entry's own, exactly,
 // and the others' as reported, drawn towards what is usual by the age of the report. What waited when an old report
 // was taken has been computed since; believed as it is, it would steer around a wait that is over.
-func (p *Picker) promptAhead(u *routing.Upstream, rank int, now time.Time) float64 {
-	own := u.Work.Counts().PromptAhead(rank)
-	reported := float64(u.Load.Others().PromptAhead(rank))
-	usual := 0.0
-	for i := range routing.RankOf(rank) + 1 {
-		usual += p.usual[i]
+func (p *Picker) promptAhead(u *routing.Upstream, first bool, now time.Time) float64 {
+	own := u.Work.Counts().PromptAhead(first)
+	reported := float64(u.Load.Others().PromptAhead(first))
+	usual := p.usual
+	if first {
+		usual = p.usualFirst
 	}
 	fade := p.opts.FadeLeast.Seconds() + p.opts.Fade*usual*p.promptTokenTime.Seconds()
 	trust := math.Exp(-now.Sub(u.Load.TakenAt).Seconds() / fade)
@@ -159,15 +160,15 @@
 
 // placeWait is the time until the batch has a place: as many requests must end as there are too many. They end either
 // at the pace of their remaining tokens' steps or at that of the prompts, whichever is slower.
-func (p *Picker) placeWait(u *routing.Upstream, load routing.Counts, rank int) time.Duration {
-	n := load.WaitingAhead(rank) + load.Running
+func (p *Picker) placeWait(u *routing.Upstream, load routing.Counts, first bool) time.Duration {
+	n := load.WaitingAhead(first) + load.Running
 	if n < u.Batch || n == 0 {
 		return 0
 	}
 	ends := float64(n - u.Batch + 1)
 	remaining := float64(load.OutputTokens) / float64(load.Requests())
 	byOutput := ends / float64(max(1, u.Batch)) * remaining * float64(p.believed(u.Load.StepTime, p.stepTime))
-	prompt := float64(load.PromptAhead(routing.Ranks-1)) / float64(max(1, load.WaitingAhead(routing.Ranks-1)))
+	prompt := float64(load.PromptTokens) / float64(max(1, load.Waiting))
 	byPrompt := ends * prompt * float64(p.believed(u.Load.PromptTokenTime, p.promptTokenTime))
 	return time.Duration(max(byOutput, byPrompt))
 }
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -14,8 +14,8 @@
 
 // Request is what a policy may know about a request.
 type Request struct {
-	// Rank is the rank of its priority class; engines serve a lower one first.
-	Rank int
+	// First says that it is of the first class (rank 0), which engines serve before all others.
+	First bool
 	// Blocks are the chained hashes of the prompt's leading blocks, from prefix.Hash; empty without a prompt.
 	Blocks []uint64
 	// BlockTokens is how many prompt tokens one block stands for.
@@ -34,7 +34,7 @@
 
 // Estimate returns the sizes for Work.Start, with the part of the prompt that is believed to be cached.
 func (r *Request) Estimate(cached int) Estimate {
-	return Estimate{Rank: r.Rank, PromptTokens: r.PromptTokens, CachedTokens: cached, OutputTokens: r.OutputTokens}
+	return Estimate{First: r.First, PromptTokens: r.PromptTokens, CachedTokens: cached, OutputTokens: r.OutputTokens}
 }
 
 // Choice is where a request goes.
@@ -42,13 +42,13 @@
 	Upstream *Upstream
 	// Wait is the expected time to the first token; zero if the policy does not estimate it.
 	Wait time.Duration
-	// Ahead is the prompt tokens that the policy believes to be ahead at the request's rank; see Overtaken.
+	// Ahead is the prompt tokens that the policy believes to be ahead of the request; see Overtaken.
 	Ahead int
 	// Estimate is what Work.Start takes; its CachedTokens is the part of the prompt believed to be cached.
 	Estimate Estimate
 }
 
-// The rule by which a slot sends a request of the first rank back.
+// The rule by which a slot sends a request of the first class back.
 const (
 	// OvertakenTokens is how many more prompt tokens than believed may be ahead.
 	OvertakenTokens = 500
@@ -60,8 +60,8 @@
 // entries' work came first. Entries learn of each other's requests after tens of milliseconds, about as long as a
 // prompt takes, so two of them often send to the same idle upstream; one more way to another is shorter than the wait.
 // believed is the Choice's Ahead, actual what the slot counts, times how often the request was sent back already.
-func Overtaken(rank, believed, actual, times int) bool {
-	return rank == 0 && times < MostOvertaken && actual > believed+OvertakenTokens
+func Overtaken(first bool, believed, actual, times int) bool {
+	return first && times < MostOvertaken && actual > believed+OvertakenTokens
 }
 
 // Picker chooses an upstream for each request. It is immutable and safe for concurrent use.
--- a/internal/routing/upstream.go
+++ b/internal/routing/upstream.go
@@ -33,49 +33,48 @@
 	Cached *prefix.Table
 }
 
-// Ranks is how many ranks of priority are told apart; rank 0 goes first and all above the last count as the last.
-const Ranks = 4
-
-// RankOf returns the index of a class's rank.
-func RankOf(rank int) int { return min(max(rank, 0), Ranks-1) }
-
 // Counts is a number of requests, split by what they are doing, and the work that they still need.
 type Counts struct {
-	// Waiting requests, by rank, have no token yet.
-	Waiting [Ranks]int
-	// PromptTokens, by rank, are the prompt tokens of the waiting requests that are not cached and not yet computed.
-	PromptTokens [Ranks]int
-	// Running requests have their first token.
-	Running int
+	// Waiting requests have no token yet; Running ones have their first.
+	Waiting, Running int
+	// PromptTokens are the prompt tokens of the waiting requests that are not cached and not yet computed.
+	PromptTokens int
+	// FirstWaiting and FirstPromptTokens are the part of Waiting and PromptTokens that is of the first class, which
+	// engines serve before all others.
+	FirstWaiting, FirstPromptTokens int
 	// OutputTokens are the tokens that all requests are still expected to generate.
 	OutputTokens int
 }
 
 // Requests returns all requests in flight.
-func (c Counts) Requests() int { return c.WaitingAhead(Ranks-1) + c.Running }
+func (c Counts) Requests() int { return c.Waiting + c.Running }
 
-// WaitingAhead returns the waiting requests that an engine which honours priorities serves before a new one of rank.
-func (c Counts) WaitingAhead(rank int) int { return sumUpTo(c.Waiting, rank) }
+// WaitingAhead returns the waiting requests that an engine which honours priorities serves before a new one.
+func (c Counts) WaitingAhead(first bool) int {
+	if first {
+		return c.FirstWaiting
+	}
+	return c.Waiting
+}
 
 // PromptAhead returns the prompt tokens of the requests that WaitingAhead counts.
-func (c Counts) PromptAhead(rank int) int { return sumUpTo(c.PromptTokens, rank) }
-
-func sumUpTo(a [Ranks]int, rank int) int {
-	total := 0
-	for i := range RankOf(rank) + 1 {
-		total += a[i]
+func (c Counts) PromptAhead(first bool) int {
+	if first {
+		return c.FirstPromptTokens
 	}
-	return total
+	return c.PromptTokens
 }
 
 // combine applies f to each pair of counts.
 func combine(a, b Counts, f func(a, b int) int) Counts {
-	c := Counts{Running: f(a.Running, b.Running), OutputTokens: f(a.OutputTokens, b.OutputTokens)}
-	for i := range Ranks {
-		c.Waiting[i] = f(a.Waiting[i], b.Waiting[i])
-		c.PromptTokens[i] = f(a.PromptTokens[i], b.PromptTokens[i])
+	return Counts{
+		Waiting:           f(a.Waiting, b.Waiting),
+		Running:           f(a.Running, b.Running),
+		PromptTokens:      f(a.PromptTokens, b.PromptTokens),
+		FirstWaiting:      f(a.FirstWaiting, b.FirstWaiting),
+		FirstPromptTokens: f(a.FirstPromptTokens, b.FirstPromptTokens),
+		OutputTokens:      f(a.OutputTokens, b.OutputTokens),
 	}
-	return c
 }
 
 func add(a, b int) int       { return a + b }
--- a/internal/routing/work.go
+++ b/internal/routing/work.go
@@ -4,8 +4,8 @@
 
 // Estimate is the size of one request as known when it is sent.
 type Estimate struct {
-	// Rank is the rank of the request's priority class.
-	Rank         int
+	// First says that the request is of the first class.
+	First        bool
 	PromptTokens int
 	// CachedTokens is the part of PromptTokens that the upstream is believed to have cached.
 	CachedTokens int
@@ -15,28 +15,40 @@
 // Work counts what one entry has in flight at one upstream. All methods are safe for concurrent use. The entry keeps
 // one for each upstream for as long as it knows it, whatever pickers come and go.
 type Work struct {
-	waiting, prompt [Ranks]atomic.Int64
-	running, output atomic.Int64
+	waiting, prompt           atomic.Int64
+	firstWaiting, firstPrompt atomic.Int64
+	running, output           atomic.Int64
 }
 
 // Counts returns the present counts. They are read one by one, so they may be a request apart from each other.
 func (w *Work) Counts() Counts {
-	c := Counts{Running: int(w.running.Load()), OutputTokens: int(w.output.Load())}
-	for i := range Ranks {
-		c.Waiting[i] = int(w.waiting[i].Load())
-		c.PromptTokens[i] = int(w.prompt[i].Load())
+	return Counts{
+		Waiting:           int(w.waiting.Load()),
+		Running:           int(w.running.Load()),
+		PromptTokens:      int(w.prompt.Load()),
+		FirstWaiting:      int(w.firstWaiting.Load()),
+		FirstPromptTokens: int(w.firstPrompt.Load()),
+		OutputTokens:      int(w.output.Load()),
+	}
+}
+
+// wait adds a number of waiting requests and their prompt tokens; both may be negative.
+func (w *Work) wait(first bool, requests, tokens int64) {
+	w.waiting.Add(requests)
+	w.prompt.Add(tokens)
+	if first {
+		w.firstWaiting.Add(requests)
+		w.firstPrompt.Add(tokens)
 	}
-	return c
 }
 
 // Start counts a request that is about to be sent. The Flight must be ended, whatever becomes of the request.
 func (w *Work) Start(e Estimate) *Flight {
 	f := &Flight{
-		work: w, rank: RankOf(e.Rank),
+		work: w, first: e.First,
 		prompt: int64(max(0, e.PromptTokens-e.CachedTokens)), output: int64(max(0, e.OutputTokens)),
 	}
-	w.waiting[f.rank].Add(1)
-	w.prompt[f.rank].Add(f.prompt)
+	w.wait(f.first, 1, f.prompt)
 	w.output.Add(f.output)
 	return f
 }
@@ -44,7 +56,7 @@
 // Flight is one request in flight. It belongs to the goroutine that owns the attempt.
 type Flight struct {
 	work           *Work
-	rank           int
+	first          bool
 	prompt, output int64
 	started, ended bool
 }
@@ -56,10 +68,8 @@
 	}
 	if !f.started {
 		f.started = true
-		f.work.waiting[f.rank].Add(-1)
+		f.work.wait(f.first, -1, -f.prompt)
 		f.work.running.Add(1)
-		f.work.prompt[f.rank].Add(-f.prompt)
-		f.prompt = 0
 	}
 	done := min(f.output, int64(n))
 	f.output -= done
@@ -75,8 +85,7 @@
 	if f.started {
 		f.work.running.Add(-1)
 	} else {
-		f.work.waiting[f.rank].Add(-1)
+		f.work.wait(f.first, -1, -f.prompt)
 	}
-	f.work.prompt[f.rank].Add(-f.prompt)
 	f.work.output.Add(-f.output)
 }
