--- a/internal/bench/policy/admit.go
+++ b/internal/bench/policy/admit.go
@@ -98,7 +98,7 @@
 
 func newFairQueue(e *entry) *fairQueue {
 	classes := []admission.Class{{Name: classFirst, Rank: 0, QueueLimit: queueLimit}, {Name: classSecond, Rank: 1, QueueLimit: queueLimit}}
-	share := func(c ids.Client) float64 { return max(leastShare, e.usage.Part(c, e.world.clock.now)) }
+	share := func(c ids.Client) float64 { return max(leastWeight, e.usage.Part(c, e.world.clock.now)) }
 	opts := admission.Options{Classes: classes, Reserve: admission.DefaultReserve, MostWait: admission.DefaultMostWait, Share: share}
 
 	return &fairQueue{entry: e, queue: admission.NewQueue(opts, admission.Capacity{Places: places, TokensPerSecond: expectedRate})}
@@ -107,8 +107,8 @@
 const (
 	// expectedRate stands in until the queue has measured its own, in tokens a second.
 	expectedRate = 10_000
-	// leastShare keeps the weight of a client above 0 where next to none of its demand was seen.
-	leastShare = 0.01
+	// leastWeight keeps the weight of a client above 0 where next to none of its demand was seen.
+	leastWeight = 0.01
 )
 
 func (f *fairQueue) offer(req *request, now time.Time) {
--- a/internal/bench/policy/entry.go
+++ b/internal/bench/policy/entry.go
@@ -31,11 +31,14 @@
 const (
 	retriesNone   = "none"
 	retriesAlways = "always"
-	retriesBudget = "budget"
+	retriesBudget = "budget and ejection"
+	// retriesBlind: the budget alone, with all upstreams used as if health knew nothing.
+	retriesBlind = "budget, no ejection"
 )
 
 const (
 	retryPercent = 10
+	mostAttempts = 3
 	tableBlocks  = 2 * cacheBlocks
 )
 
@@ -79,7 +82,6 @@
 		rng:     rand.New(rand.NewPCG(w.setup.seed, 100+uint64(index))),
 		loads:   make([]routing.Load, runners),
 		health:  health.New(health.Defaults(), epoch),
-		budget:  retry.NewBudget(retryPercent),
 		usage:   limits.New(limits.Defaults(), entries),
 		waiting: make(map[uint64]*request),
 	}
@@ -87,6 +89,10 @@
 		e.works = append(e.works, &routing.Work{})
 		e.tables = append(e.tables, prefix.NewTable(tableBlocks))
 	}
+	e.budget = retry.NewBudget(retryPercent)
+	if w.setup.retries == retriesAlways {
+		e.budget = retry.NewBudget(100 * mostAttempts)
+	}
 	e.admit = newAdmitter(w.setup, e)
 	for i, r := range w.runners {
 		e.heard(i, routing.Load{}, r.steps, 0)
@@ -118,6 +124,9 @@
 	upstreams := make([]*routing.Upstream, 0, runners)
 	for i, r := range e.world.runners {
 		status, _ := e.health.Status(r.id, now)
+		if e.world.setup.retries == retriesBlind {
+			status.Weight = 1
+		}
 		upstreams = append(upstreams, &routing.Upstream{
 			ID: r.id, Weight: status.Weight, Batch: batchPlaces, Distance: e.distance(r),
 			Load: e.loads[i], Work: e.works[i], Cached: e.tables[i],
@@ -186,12 +195,10 @@
 
 func (e *entry) rules() retry.Rules {
 	rules := retry.DefaultRules(true, true)
+	rules.MaxAttempts = mostAttempts
 	if e.world.setup.retries == retriesNone {
 		rules.MaxAttempts = 1
 	}
-	if e.world.setup.retries == retriesAlways {
-		e.budget.SetPercent(100 * rules.MaxAttempts)
-	}
 	return rules
 }
 
