--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -9,16 +9,17 @@
 	balance int
 }
 
-// The balance is kept in hundredths of a retry, so that a percentage is added exactly.
+// The balance is kept in thousandths of a retry.
 const (
-	retryCost = 100
-	// burst is the most that can be saved up, in retries. It lets a service with little traffic retry at all, and is
-	// too little to matter at a rate where load does.
+	retryCost = 1000
+	// deposit is what a first attempt adds for each percent: a twentieth less than the percentage. What is kept back
+	// pays for the burst, so that over any 2,000 first attempts the percentage holds with the burst included.
+	deposit = 9.5
+	// burst is the most that can be saved up, in retries. It lets a service with little traffic retry at all.
 	burst = 10
 )
 
-// NewBudget returns a budget that allows retries up to percent of the first attempts, and a burst of 10. With 0 percent
-// it allows none.
+// NewBudget returns a budget that allows retries up to percent of the first attempts. With 0 percent it allows none.
 func NewBudget(percent int) *Budget {
 	b := &Budget{}
 	b.SetPercent(percent)
@@ -42,7 +43,7 @@
 func (b *Budget) First() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.balance = min(burst*retryCost, b.balance+b.percent)
+	b.balance = min(burst*retryCost, b.balance+int(deposit*float64(b.percent)))
 }
 
 // Take pays for one retry; false if the budget is used up.
--- /dev/null
+++ b/internal/routing/prefix/prefix_test.go
@@ -0,0 +1,83 @@
+package prefix_test
+
+import (
+	"sync"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/routing/prefix"
+)
+
+func TestEqualHashesMeanEqualPrefixes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(1, 8).Draw(t, "size")
+		letters := rapid.SliceOfN(rapid.ByteRange('a', 'b'), 0, 40)
+		a, b := letters.Draw(t, "a"), letters.Draw(t, "b")
+		ha, hb := prefix.Hash(a, size), prefix.Hash(b, size)
+		if len(ha) != len(a)/size {
+			t.Fatalf("%d bytes gave %d blocks of %d", len(a), len(ha), size)
+		}
+		for i := range min(len(ha), len(hb)) {
+			same := string(a[:(i+1)*size]) == string(b[:(i+1)*size])
+			if same != (ha[i] == hb[i]) {
+				t.Fatalf("block %d: same prefix %v, same hash %v", i, same, ha[i] == hb[i])
+			}
+		}
+	})
+}
+
+func TestTable(t *testing.T) {
+	table := prefix.NewTable(64)
+	blocks := prefix.Hash([]byte("the same long system prompt for every request of the desk"), 8)
+	table.Add(blocks...)
+	if got := table.Match(blocks); got != len(blocks) {
+		t.Fatalf("matched %d of %d", got, len(blocks))
+	}
+	table.Remove(blocks[2])
+	if got := table.Match(blocks); got != 2 {
+		t.Fatalf("matched %d after block 2 was evicted", got)
+	}
+	table.Clear()
+	if got := table.Match(blocks); got != 0 {
+		t.Fatalf("matched %d after clear", got)
+	}
+	if got := (*prefix.Table)(nil).Match(blocks); got != 0 {
+		t.Fatalf("a nil table matched %d", got)
+	}
+}
+
+// An engine whose events of eviction are lost must not fill the entry's memory: the table forgets by itself.
+func TestTableIsBounded(t *testing.T) {
+	table := prefix.NewTable(64)
+	present := 0
+	for i := range uint64(10_000) {
+		table.Add(i + 1)
+	}
+	for i := range uint64(10_000) {
+		present += table.Match([]uint64{i + 1})
+	}
+	if present > 64 || present < 32 {
+		t.Fatalf("a table for 64 blocks holds %d", present)
+	}
+}
+
+func TestTableIsSafeForConcurrentUse(t *testing.T) {
+	table := prefix.NewTable(64)
+	var wg sync.WaitGroup
+	for g := range uint64(4) {
+		wg.Go(func() {
+			for i := range uint64(500) {
+				table.Add(g*1000 + i + 1)
+				table.Match([]uint64{i + 1})
+				table.Remove(g*1000 + i)
+			}
+		})
+	}
+	wg.Wait()
+	table.Clear()
+	table.Add(7)
+	if table.Match([]uint64{7}) != 1 {
+		t.Fatal("the table lost a block that nobody removed")
+	}
+}
