--- a/internal/health/judge.go
+++ b/internal/health/judge.go
@@ -169,13 +169,13 @@
 		over := l.machine.State() == stateLeaving || !l.listed
 		if over && now.Sub(l.heardAt) >= t.opts.GoneAfter {
 			t.fire(l, eventForget, now)
-			t.buried[l.incarnation] = now
+			t.buried[grave{l.id, l.incarnation}] = now
 			delete(t.lives, l.id)
 		}
 	}
-	for incarnation, at := range t.buried {
+	for g, at := range t.buried {
 		if now.Sub(at) >= 2*t.opts.GoneAfter {
-			delete(t.buried, incarnation)
+			delete(t.buried, g)
 		}
 	}
 }
--- a/internal/health/life.go
+++ b/internal/health/life.go
@@ -29,6 +29,12 @@
 	actionStartEjection charts.Action = "start-ejection"
 )
 
+// grave names a life that is over.
+type grave struct {
+	upstream    ids.Upstream
+	incarnation ids.Incarnation
+}
+
 // life is one life of an upstream, from its slot's start to its end.
 type life struct {
 	id          ids.Upstream
@@ -100,7 +106,7 @@
 }
 
 func (t *Tracker) heard(ev Heard, now time.Time) {
-	if _, dead := t.buried[ev.Incarnation]; dead {
+	if _, dead := t.buried[grave{ev.Upstream, ev.Incarnation}]; dead {
 		return
 	}
 	l := t.lives[ev.Upstream]
@@ -131,7 +137,7 @@
 func (t *Tracker) nextLife(old *life, ev Heard, now time.Time) *life {
 	l := t.newLife(ev.Upstream, ev.Service, now)
 	if old != nil {
-		t.buried[old.incarnation] = now
+		t.buried[grave{old.id, old.incarnation}] = now
 		l.listed = old.listed
 		l.successor = true
 	}
@@ -168,7 +174,7 @@
 
 // predates reports whether the list is older than this life of the upstream. The list lags, so it still marks a host
 // as leaving when its replacement already runs; taking that for the new life would keep a healthy upstream unused.
-func (l *life) predates(ev Listed) bool { return l.successor && ev.TakenAt.Before(l.bornAt) }
+func (l *life) predates(ev Listed) bool { return l.successor && !ev.TakenAt.After(l.bornAt) }
 
 func (t *Tracker) answered(ev Answered, now time.Time) {
 	if l := t.lives[ev.Upstream]; l != nil {
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -80,7 +80,7 @@
 	opts    Options
 	chart   *charts.Chart
 	lives   map[ids.Upstream]*life
-	buried  map[ids.Incarnation]time.Time
+	buried  map[grave]time.Time
 	changes []Change
 	started time.Time
 	last    time.Time
@@ -92,7 +92,7 @@
 		opts:    opts,
 		chart:   charts.MustLoad("upstream"),
 		lives:   make(map[ids.Upstream]*life),
-		buried:  make(map[ids.Incarnation]time.Time),
+		buried:  make(map[grave]time.Time),
 		started: now,
 		last:    now,
 	}
