--- a/internal/admission/classqueue.go
+++ b/internal/admission/classqueue.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"container/heap"
 	"slices"
 	"time"
@@ -75,6 +76,13 @@
 	return it
 }
 
+// longest returns the flow with most work waiting for its share. There must be one.
+func (c *classQueue) longest() *flow {
+	return slices.MaxFunc(c.backlog, func(a, b *flow) int {
+		return cmp.Or(cmp.Compare(a.backlog/a.share, b.backlog/b.share), cmp.Compare(a.client, b.client))
+	})
+}
+
 // remove takes out a request that waits, without charging the client.
 func (c *classQueue) remove(id uint64) bool {
 	for _, f := range c.backlog {
--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -50,9 +50,6 @@
 	if f := c.flows[it.req.Client]; f != nil {
 		wait = q.wait(s, f, f.backlog, now)
 	}
-	if c.waiting >= c.class.QueueLimit {
-		return failure.New(failure.CodeOverloaded, nil).WithRetryAfter(atLeastSecond(wait))
-	}
 	if excess := wait - q.opts.MostWait; q.opts.MostWait > 0 && excess > 0 {
 		return failure.New(failure.CodeOverloaded, nil).WithRetryAfter(atLeastSecond(excess))
 	}
--- /dev/null
+++ b/internal/admission/gate_test.go
@@ -0,0 +1,56 @@
+package admission_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/admission"
+)
+
+// Many traffic goroutines share one gate. Each of them is settled once, and each place is given back, also by those
+// whose caller went away while they waited.
+func TestGateSettlesEveryTicket(t *testing.T) {
+	const callers, places = 50, 4
+	g := admission.NewGate(admission.NewQueue(options(), admission.Capacity{Places: places, TokensPerSecond: 1e9}))
+	var wg sync.WaitGroup
+	for i := range uint64(callers) {
+		wg.Go(func() {
+			ticket := g.Offer(admission.Request{
+				ID: i + 1, Client: "a", Class: quotes, Tokens: tokens, Run: time.Millisecond, Deadline: begin.Add(time.Hour),
+			}, begin)
+			if i%5 == 0 {
+				ticket.Done(0, begin)
+				return
+			}
+			<-ticket.Settled()
+			if err := ticket.Err(); err != nil {
+				t.Errorf("request %d: %v", i, err)
+			}
+			ticket.Done(tokens, begin)
+			ticket.Done(tokens, begin)
+		})
+	}
+	wg.Wait()
+	if waiting, started := g.Counts(); waiting != 0 || started != 0 {
+		t.Fatalf("%d wait and %d are started after all have ended", waiting, started)
+	}
+}
+
+func BenchmarkGate(b *testing.B) {
+	g := admission.NewGate(admission.NewQueue(options(), admission.Capacity{Places: 1 << 20, TokensPerSecond: 1e9}))
+	var mu sync.Mutex
+	next := uint64(0)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			mu.Lock()
+			next++
+			id := next
+			mu.Unlock()
+			ticket := g.Offer(admission.Request{ID: id, Client: "a", Class: quotes, Tokens: tokens, Deadline: begin.Add(time.Hour)}, begin)
+			<-ticket.Settled()
+			ticket.Done(tokens, begin)
+		}
+	})
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -134,10 +134,23 @@
 	}
 	c.push(it, q.share(req.Client))
 	outcomes := q.start(now)
+	if c.waiting > c.class.QueueLimit {
+		outcomes = append(outcomes, q.crowdOut(c, now))
+	}
 	q.markBusy(now)
 	return outcomes
 }
 
+// crowdOut refuses the newest request of the client that has most waiting for its share. Were the newcomer refused
+// instead, one client that floods would fill the queue and keep all others out of it.
+func (q *Queue) crowdOut(c *classQueue, now time.Time) Outcome {
+	f := c.longest()
+	it := f.items[len(f.items)-1]
+	c.remove(it.req.ID)
+	wait := q.wait(q.schedule(c, now), f, f.backlog, now)
+	return Outcome{it.req, failure.New(failure.CodeOverloaded, nil).WithRetryAfter(atLeastSecond(wait))}
+}
+
 // Done frees the place of a request that was started. used is the work that it really took, in tokens; what was
 // estimated wrongly is settled with the client's share.
 func (q *Queue) Done(id uint64, used float64, now time.Time) []Outcome {
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -13,7 +13,7 @@
 const (
 	retryCost = 1000
 	// deposit is what a first attempt adds for each percent: a twentieth less than the percentage. What is kept back
-	// pays for the burst, so that over any 2,000 first attempts the percentage holds with the burst included.
+	// pays for the burst, so that at 10 percent the limit holds over any 2,000 first attempts with the burst included.
 	deposit = 9.5
 	// burst is the most that can be saved up, in retries. It lets a service with little traffic retry at all.
 	burst = 10
