--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -189,6 +189,23 @@
 	}
 }
 
+// Quotes take half of the pool. A caller with many letters and a near deadline must be told at once which of them
+// cannot be done in the other half, instead of finding out one by one.
+func TestTheWorkOfClassesAheadCounts(t *testing.T) {
+	e := newEngine(options(), 1)
+	for range 25 {
+		e.offer("a", quotes, time.Minute)
+		e.pass(2 * run)
+	}
+	refused := 0
+	for range 11 {
+		refused += map[bool]int{true: 1}[e.refused[e.offer("b", letters, 12*run)] != nil]
+	}
+	if refused < 4 || refused > 6 {
+		t.Fatalf("%d of 11 letters were refused; about 6 of them can be done before their deadline", refused)
+	}
+}
+
 // One client floods, two others ask for less than their share or for just as much. What the flood takes must not be
 // theirs.
 func TestAFloodTakesOnlyItsShare(t *testing.T) {
