--- a/internal/bench/policy/command.go
+++ b/internal/bench/policy/command.go
@@ -21,6 +21,10 @@
 	cmd.Flag("seeds", "Number of seeds.").Default("10").IntVar(&s.Seeds)
 	cmd.Flag("workers", "Number of runs at once.").Default("4").IntVar(&s.Workers)
 	cmd.Action(func(*kingpin.ParseContext) error { return run(*s) })
+
+	subset := app.Command("subset", "Measure, at the target's size, what it costs that a slot tells a few entries only.")
+	seed := subset.Flag("seed", "Seed of the arrivals.").Default("1").Uint64()
+	subset.Action(func(*kingpin.ParseContext) error { return subsetTable(*seed).Text(os.Stdout) })
 }
 
 func run(s Settings) error {
