Fair shares: a client's credit is not renewed by being forgotten; tests of the bench

A flow was dropped as soon as it had nothing waiting and was not ahead, and came back with a full credit, so that clients who pause gained over those who wait.

--- a/internal/admission/classqueue.go
+++ b/internal/admission/classqueue.go
@@ -109,12 +109,11 @@
 	f.items = nil
 }
 
-// forget drops flows that have nothing waiting and are not ahead of the others any more, so that memory follows the
-// clients that are active and not all that ever were.
+// forget drops flows that have had nothing waiting for long, so that memory follows the clients that are active and
+// not all that ever were. A flow must not be dropped earlier: it would come back with its credit renewed.
 func (c *classQueue) forget(now time.Time) {
 	for client, f := range c.flows {
-		idle := f.index < 0 && now.Sub(f.since) > idleAfter
-		if idle || f.index < 0 && f.served <= c.level {
+		if f.index < 0 && now.Sub(f.since) > idleAfter {
 			delete(c.flows, client)
 		}
 	}
--- /dev/null
+++ b/internal/bench/policy/policy_test.go
@@ -0,0 +1,189 @@
+package policy
+
+import (
+	"bytes"
+	"fmt"
+	"hash/fnv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+// The figures of docs/measurements.md hold for this trace. A change of it must be made known and not slip in with the
+// tuning of a policy.
+func TestTheTraceIsTheOneThatWasFixed(t *testing.T) {
+	const want = "1fa7a7f8770100ae"
+	h := fnv.New64a()
+	for _, shared := range []bool{true, false} {
+		s := newSource(1, shared)
+		at := epoch
+		for range 2000 {
+			a := s.draw(at, 100)
+			at = a.at
+			fmt.Fprintln(h, a.at.UnixNano(), a.client, a.class, a.blocks, a.output, a.entryOf(entries))
+		}
+	}
+	if got := fmt.Sprintf("%016x", h.Sum64()); got != want {
+		t.Fatalf("trace has checksum %s, was fixed at %s", got, want)
+	}
+}
+
+func TestEvictionTakesTheLeastRecentlyUsed(t *testing.T) {
+	c := newLRU(4)
+	c.store([]uint64{1, 2})
+	c.store([]uint64{3, 4})
+	c.touch([]uint64{1, 2})
+	c.store([]uint64{5})
+	if got := []int{c.peek([]uint64{1, 2}), c.peek([]uint64{3, 4}), c.peek([]uint64{5})}; !cmp.Equal([]int{2, 1, 1}, got) {
+		t.Fatalf("cached blocks of the three prefixes: %v", got)
+	}
+	stored, evicted := c.events()
+	if len(stored) != 5 || !cmp.Equal([]uint64{4}, evicted) {
+		t.Fatalf("stored %v, evicted %v", stored, evicted)
+	}
+}
+
+// job1 runs one job alone and returns when its first and its last token came.
+func job1(t *testing.T, r *runner, j *job) (first, last time.Duration) {
+	t.Helper()
+	start := r.clock.now
+	j.onToken = func(int) {
+		last = r.clock.now.Sub(start)
+		if first == 0 {
+			first = last
+		}
+	}
+	ended := false
+	j.onEnd = func() { ended = true }
+	r.submit(j)
+	r.clock.run(start.Add(time.Minute))
+	if !ended {
+		t.Fatal("the job did not end")
+	}
+	return first, last
+}
+
+func TestARunnerComputesAPromptInChunksAndCachesIt(t *testing.T) {
+	r := newRunner(newClock(), "r", 0)
+	blocks := make([]uint64, 16)
+	for i := range blocks {
+		blocks[i] = uint64(i + 1)
+	}
+	prompt := len(blocks) * blockTokens
+	chunk := stepBase + chunkTokens*stepPerToken
+	first, last := job1(t, r, &job{blocks: blocks, prompt: prompt, output: 11})
+	if want := 2 * chunk; first != want {
+		t.Errorf("first token of a cold prompt after %v, want %v", first, want)
+	}
+	if want := first + 10*(stepBase+stepPerSeq); last != want {
+		t.Errorf("last token after %v, want %v", last, want)
+	}
+	if first, _ = job1(t, r, &job{blocks: blocks, prompt: prompt, output: 1}); first != stepBase+stepPerToken {
+		t.Errorf("first token of a cached prompt after %v", first)
+	}
+}
+
+func TestARunnerHonoursPrioritiesAndCancels(t *testing.T) {
+	r := newRunner(newClock(), "r", 0)
+	var order []string
+	add := func(name string, rank int) *job {
+		j := &job{rank: rank, prompt: chunkTokens, output: 1, onEnd: func() {}}
+		j.onToken = func(int) { order = append(order, name) }
+		r.submit(j)
+		return j
+	}
+	add("second-1", 1)
+	add("second-2", 1)
+	gone := add("cancelled", 0)
+	add("first", 0)
+	r.cancel(gone)
+	r.clock.run(epoch.Add(time.Second))
+	if diff := cmp.Diff([]string{"second-1", "first", "second-2"}, order); diff != "" {
+		t.Fatal(diff)
+	}
+	if c := r.counts(everyEntry); c.Requests() != 0 {
+		t.Fatalf("left over: %+v", c)
+	}
+}
+
+func TestMaxMinLevel(t *testing.T) {
+	tests := map[string]struct {
+		demand map[ids.Client]float64
+		total  float64
+		want   float64
+	}{
+		"all satisfied": {map[ids.Client]float64{"a": 1, "b": 2}, 3, 2},
+		"one floods":    {map[ids.Client]float64{"a": 1, "b": 100}, 10, 9},
+		"all cut":       {map[ids.Client]float64{"a": 10, "b": 20, "c": 30}, 9, 3},
+	}
+	for name, tc := range tests {
+		if got := maxMinLevel(tc.demand, tc.total); got != tc.want {
+			t.Errorf("%s: level %v, want %v", name, got, tc.want)
+		}
+	}
+}
+
+func short(load float64) setup {
+	return setup{
+		seed: 7, rate: load * 320, shared: true, policy: policyExpectedWait, admit: admitFair, retries: retriesBudget,
+		run: 13 * time.Second, warmup: time.Second,
+	}
+}
+
+func TestARunIsDeterministicAndLosesNoRequest(t *testing.T) {
+	a, b := simulate(short(2)), simulate(short(2))
+	if a.offeredN != b.offeredN || a.answeredN != b.answeredN || visible95(a) != visible95(b) || a.goodTokens != b.goodTokens {
+		t.Fatalf("two runs of the same seed: %d/%d and %d/%d answered", a.answeredN, a.offeredN, b.answeredN, b.offeredN)
+	}
+	if sum := a.answeredN + a.refusedN + a.missedN + a.failedN; sum != a.offeredN || a.answeredN == 0 || a.refusedN == 0 {
+		t.Fatalf("of %d offered, %d answered, %d refused, %d missed, %d failed", a.offeredN, a.answeredN, a.refusedN, a.missedN, a.failedN)
+	}
+}
+
+func TestClaimsSayWhatFallsShort(t *testing.T) {
+	r := &Results{settings: Settings{Seed: 1, Seeds: 1}, figures: make(map[cell][]*result), carried: map[string][]float64{}}
+	fine := simulate(short(0.5))
+	for _, c := range cells() {
+		r.figures[c] = []*result{fine}
+	}
+	var out bytes.Buffer
+	ok, err := r.Write(&out)
+	if err != nil || ok {
+		t.Fatalf("a policy equal to its baseline cannot meet a ratio of %v: %v, %v", mostSharedRatio, ok, err)
+	}
+	text := out.String()
+	for _, want := range []string{
+		"short p95 of the first token over random-of-two's, shared prefixes, load 0.7, after admission: 1, at most 0.7",
+		"ok    p95 of the first token over random-of-two's, distinct prompts, load 3.0, from arrival: 1, at most 1.05",
+		"ok    goodput at 3 times load over that at 1, shared prefixes: 1, at least 0.95",
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("no line %q in\n%s", want, text)
+		}
+	}
+}
+
+func TestSubsetRules(t *testing.T) {
+	w := &subsetWorld{setup: subsetSetup{seed: 1, tell: 8, rule: chooseEven}}
+	near := []int{0, 6, 12, 18, 24, 30}
+	turn := make([]int, targetModels)
+	told := make(map[int]int)
+	for i := range 30 {
+		for _, e := range w.targets(i, &farRunner{model: i % targetModels}, near[:5], turn) {
+			told[e]++
+		}
+	}
+	if diff := cmp.Diff(map[int]int{0: 30, 6: 30, 12: 30, 18: 30, 24: 30}, told); diff != "" {
+		t.Fatal(diff)
+	}
+	w.setup = subsetSetup{seed: 1, tell: 2, rule: chooseRendezvous}
+	before := w.targets(3, &farRunner{}, near, turn)
+	after := w.targets(3, &farRunner{}, append([]int{}, before...), turn)
+	if !cmp.Equal(before, after) {
+		t.Fatalf("told %v, and %v after the others had gone", before, after)
+	}
+}
--- a/internal/bench/policy/result.go
+++ b/internal/bench/policy/result.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -146,18 +147,23 @@
 // carried is the requests a second that were finished in the second half of the run.
 func (r *result) carried() float64 { return float64(r.finished) / (r.setup.run / 2).Seconds() }
 
-// smallShare is the least, over the small clients, of what a client was served against its fair share: the max-min
-// share, by which nobody gets more than it asks for and the rest is divided evenly.
-func (r *result) smallShare() float64 {
+// share is what a client was served against its fair share: the max-min share, by which nobody gets more than it asks
+// for and the rest is divided evenly.
+func (r *result) share(client ids.Client) float64 {
 	total := 0.0
 	for _, v := range r.servedWork {
 		total += v
 	}
 	level := maxMinLevel(r.offeredWork, total)
-	least := 1.0
-	for client, asked := range r.offeredWork {
+	return ratio(r.servedWork[client], min(r.offeredWork[client], level))
+}
+
+// smallShare is the least share of a small client.
+func (r *result) smallShare() float64 {
+	least := math.Inf(1)
+	for client := range r.offeredWork {
 		if isSmall(client) {
-			least = min(least, r.servedWork[client]/min(asked, level))
+			least = min(least, r.share(client))
 		}
 	}
 	return least
--- a/internal/bench/policy/write.go
+++ b/internal/bench/policy/write.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"slices"
 	"time"
 
@@ -82,7 +83,7 @@
 		Title: "Admission, " + trace + ", routing by expected wait",
 		Columns: []string{
 			"load", "admission", "goodput, tokens/s", "first class p99, ms", "first token p95 from arrival, ms",
-			"answered, %", "misses of deadline, %", "refusal p99, ms", "small client's share of fair",
+			"answered, %", "misses of deadline, %", "refusal p99, ms", "worst-off small client's share of fair",
 		},
 	}
 	for _, load := range admissionLoads {
@@ -162,10 +163,28 @@
 		},
 	}
 	for _, load := range []float64{1.5, 3} {
-		claims = append(claims, report.Claim{
-			Text:    fmt.Sprintf("least small client's share of fair over all seeds, %s, load %.1f", trace, load),
-			Reached: slices.Min(r.values(at(load), (*result).smallShare)), Bound: report.AtLeast, Limit: leastShare,
-		})
+		place := fmt.Sprintf("%s, load %.1f", trace, load)
+		claims = append(claims,
+			report.Claim{
+				Text:    "worst-off small client's share of fair, mean over seeds, " + place,
+				Reached: r.worstOff(at(load)), Bound: report.AtLeast, Limit: leastShare,
+			},
+			report.Claim{
+				Text:    "worst-off small client's share of fair in any seed, " + place,
+				Reached: slices.Min(r.values(at(load), (*result).smallShare)), Bound: report.AtLeast, Limit: leastShare,
+			},
+		)
 	}
 	return claims
 }
+
+// worstOff is the least, over the small clients, of the mean share over the seeds.
+func (r *Results) worstOff(c cell) float64 {
+	least := math.Inf(1)
+	for _, a := range accounts() {
+		if isSmall(a.name) {
+			least = min(least, mean(r.values(c, func(figures *result) float64 { return figures.share(a.name) })))
+		}
+	}
+	return least
+}
