--- a/internal/bench/rebalance/claims.go
+++ b/internal/bench/rebalance/claims.go
@@ -42,7 +42,7 @@
 		claims = append(claims, report.Claim{
 			Text: d.Name + ": skew p99 over full re-pack's", Reached: ours.p99 / repack.p99,
 			Bound: report.AtMost, Limit: skewOverRepack,
-		})
+		}, r.worstClaim(d))
 		bytes.Limit = bytesOverRepackSkew
 	case nameOfMovesDeployment:
 		claims = append(claims, report.Claim{
@@ -54,6 +54,21 @@
 	return append(claims, bytes, r.noiseClaim(d))
 }
 
+// worstClaim holds each scenario by itself to the limit that is set for all of them together.
+func (r Results) worstClaim(d Deployment) report.Claim {
+	c := report.Claim{Bound: report.AtMost, Limit: skewOverRepack}
+	for _, sc := range Scenarios() {
+		p99 := func(name string) float64 {
+			return report.Summarize(over(r[sc][name], func(f figures) float64 { return f.p99 })).Mean
+		}
+		if ratio := p99(NamePolicy) / p99(NameRepack); !(ratio <= c.Reached) {
+			c.Reached = ratio
+			c.Text = d.Name + ": the same in the worst trace, " + string(sc)
+		}
+	}
+	return c
+}
+
 // noiseClaim counts new maps, whether they load weights or only change shares.
 func (r Results) noiseClaim(d Deployment) report.Claim {
 	switches := 0
--- a/internal/placement/decision.go
+++ b/internal/placement/decision.go
@@ -1,6 +1,15 @@
 package placement
 
-import "github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
+import (
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
+)
+
+// PlanTimeout is when the caller gives up a plan of CauseSkew whose weights are not all loaded, and asks anew. Failure: a
+// rank that is to load slows down after the plan was made, so that it has no slack to load in, and the group keeps its
+// old map, with the slow rank, for as long as the plan waits. At the limit of bytes a minute a plan takes three minutes.
+const PlanTimeout = 5 * time.Minute
 
 // Reason says why the present map stays.
 type Reason string
