The same map decoded anew is no change of the map

Cause: noise was only compared between windows under one *Map, and a caller that decodes the map for each decision gives a new pointer each time, so noise was never known and nothing moved. Maps are compared by version and content now.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -109,6 +109,26 @@
 	}
 }
 
+func TestSameMapDecodedAnewIsNoChange(t *testing.T) {
+	p := placement.NewPolicy(small)
+	m := packed(t, small, zipf(small.Shape, 0))
+	data, err := m.MarshalBinary()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for w := range 40 {
+		copied, err := expert.Decode(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		feed(t, p, small, zipf(small.Shape, 4), ones(4), w, w+1)
+		if d := p.Decide(at(w), eager, copied); d.Plan != nil {
+			return
+		}
+	}
+	t.Fatal("a drift was not followed in 40 windows")
+}
+
 func TestMoveWeightAndBudgetHoldLoadsBack(t *testing.T) {
 	pop := zipf(small.Shape, 4)
 	m := packed(t, small, zipf(small.Shape, 0))
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -55,7 +55,7 @@
 // Decide weighs whether the map that is in force should be replaced. The caller must not ask while a plan is being
 // carried out. The map of a plan has the version after current's.
 func (p *Policy) Decide(now time.Time, o Options, current *expert.Map) Decision {
-	p.current = current
+	p.follow(current)
 	stalled := p.stalls.find(now)
 	d := Decision{Stalled: indices(stalled)}
 	if o.Paused {
@@ -77,6 +77,15 @@
 	return p.rebalance(d, o, pop, speed)
 }
 
+// follow notes which map is in force. Failure: a caller that decodes the same map anew for each decision would seem to
+// change it each time, so that noise is never known and nothing ever moves. So maps are compared by content.
+func (p *Policy) follow(current *expert.Map) {
+	if p.current != nil && p.current.Version() == current.Version() && p.current.Equal(current) {
+		return
+	}
+	p.current = current
+}
+
 func (p *Policy) rebalance(d Decision, o Options, pop, speed []float64) Decision {
 	d.Noise = p.noise.skew(p.popularity.best().noiseFactor())
 	better, err := Improve(p.group, o, p.current, pop, speed)
