--- a/internal/placement/expert/expert_test.go
+++ b/internal/placement/expert/expert_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"flag"
+	"os"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -10,6 +12,17 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
 )
 
+// TestMain fixes the seed of the random tests, so that each run gives one verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261202", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
 func drawMap(t *rapid.T, label string, shape expert.Shape) *expert.Map {
 	replicas := make([][]expert.Replica, shape.Cells())
 	for i := range replicas {
--- a/internal/placement/staging/staging_test.go
+++ b/internal/placement/staging/staging_test.go
@@ -1,6 +1,8 @@
 package staging_test
 
 import (
+	"flag"
+	"os"
 	"testing"
 	"time"
 
@@ -13,6 +15,17 @@
 
 var epoch = time.Unix(1_800_000_000, 0)
 
+// TestMain fixes the seed of the random tests, so that each run gives one verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261202", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
 // taken is what was loaded at a time.
 type taken struct {
 	at    time.Time
