--- a/internal/placement/popularity_test.go
+++ b/internal/placement/popularity_test.go
@@ -62,6 +62,23 @@
 	}
 }
 
+func TestShortMemoryIsHardlyEverBelievedOnNoise(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 6))
+	p := newPopularity(pair)
+	wrong := 0
+	const windows = 5000
+	for w := range uint64(windows) {
+		v := 0.5 + 0.05*rng.NormFloat64()
+		p.observe(Report{Window: w, Tokens: []uint32{uint32(1e6 * v), uint32(1e6 * (1 - v))}})
+		if p.best().memory != memories[0] {
+			wrong++
+		}
+	}
+	if share := float64(wrong) / windows; share > 0.02 {
+		t.Errorf("a short memory is believed in %.3f of the windows", share)
+	}
+}
+
 func TestNoiseOfAnAverageIsPredicted(t *testing.T) {
 	rng := rand.New(rand.NewPCG(3, 4))
 	const sd = 0.01
