expertmap: replay of every mutant's counterexample, and tests of what they do not reach

Each declared mutant must have its trace. Found by the random test with engines lost alone (new): an engine that restarts twice while its slot brings it to the group's map is never told to load the weights again. The order is now repeated.

--- a/internal/expertmap/random_test.go
+++ b/internal/expertmap/random_test.go
@@ -17,6 +17,7 @@
 	flag.Parse()
 	set("rapid.nofailfile", "true")
 	set("rapid.steps", "300")
+	set("rapid.shrinktime", "2s")
 	os.Exit(m.Run())
 }
 
@@ -98,7 +99,7 @@
 				t.Skip("enough engines lost")
 			}
 			c.losses--
-			c.loseEngine(pick(c.ranks, "rank"))
+			c.loseEngine(pick(c.ranks, "rank"), rapid.Bool().Draw(t, "slot too"))
 		},
 		"propose": func(*rapid.T) {
 			name := c.names[pick(len(c.names), "proposer")]
@@ -113,7 +114,7 @@
 }
 
 // loseEngine replaces an engine by one with nothing. The group forms anew at the step that it could not finish.
-func (c *chaos) loseEngine(r int) {
+func (c *chaos) loseEngine(r int, slotToo bool) {
 	next := c.engines[r].Next
 	for _, e := range c.engines {
 		next = min(next, e.Next)
@@ -126,7 +127,13 @@
 	if alone {
 		delete(c.used, next)
 	}
-	c.start(r)
+	if slotToo {
+		c.start(r)
+		return
+	}
+	c.orders[r] = nil
+	c.engines[r].Order = c.slots[r].orders
+	c.report(r)
 }
 
 func runChaos(t *rapid.T, ranks, crashes, losses int) {
@@ -149,7 +156,7 @@
 	checkSeeds(t, 5, 6, 0)
 }
 
-// As above, and engines are lost together with their slots.
+// As above, and engines are lost, alone or together with their slots.
 func TestRandomFaultsWithLostEngines(t *testing.T) {
 	checkSeeds(t, 3, 3, 2)
 }
--- /dev/null
+++ b/internal/expertmap/replay_test.go
@@ -0,0 +1,220 @@
+package expertmap
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+)
+
+// replay drives the real code along a counterexample of a mutant of spec/expertmap.pml. Each line of a trace names a
+// transition of the specification; where the mutant had no safeguard, the real code must not follow.
+type replay struct {
+	*group
+	row bool
+	// lateOrders keeps the engines from carrying out orders, for the mutant that acknowledges before them.
+	lateOrders bool
+	base       Step
+	// lives holds, by rank, the incarnations that the specification numbers from 0.
+	lives     [][]Incarnation
+	proposals [2]Proposal
+}
+
+func newReplay(t *testing.T) *replay {
+	r := &replay{group: newGroup(t, 3)}
+	r.boot()
+	for _, e := range r.engines {
+		r.base = max(r.base, e.Next)
+	}
+	for i, e := range r.engines {
+		for e.Next < r.base {
+			r.step(i)
+		}
+		r.lives = append(r.lives, []Incarnation{r.slots[i].Incarnation()})
+	}
+	r.net = nil
+	return r
+}
+
+func (r *replay) line(text string) {
+	name, rest, _ := strings.Cut(text, " ")
+	var args []int
+	for _, f := range strings.Fields(rest) {
+		n, err := strconv.Atoi(f)
+		if err != nil {
+			r.t.Fatalf("line %q: %v", text, err)
+		}
+		args = append(args, n)
+	}
+	r.note("> %s", text)
+	switch name {
+	case "row":
+		r.row = true
+	case "stuck":
+	case "propose":
+		r.proposal(args[0], args[1:])
+	case "step":
+		r.report(args[0])
+		r.step(args[0])
+	case "cap":
+		r.cap(args[0], args[1])
+	case "ack":
+		r.report(args[0])
+	case "refuse":
+		r.refuse(args[0], args[1])
+	case "refusedone", "resolve":
+		r.ask(args[0], args[1])
+	case "certificate":
+		r.facts(args[0], isAck)
+	case "switched", "recovered":
+		r.carryOut(args[0])
+	case "committed":
+		r.committed(args[0])
+	case "abort":
+		r.facts(args[0], isAbort)
+		r.carryOut(args[0])
+	case "crash":
+		r.start(args[0])
+		r.lives[args[0]] = append(r.lives[args[0]], r.slots[args[0]].Incarnation())
+	case "answer":
+		r.answer(args[0], args[1])
+	default:
+		r.t.Fatalf("unknown line %q", text)
+	}
+}
+
+func (r *replay) proposal(p int, lives []int) {
+	prop := Proposal{
+		Ballot: Ballot{2, uint64(p) + 1, 1}, From: MapID{1, "first"}, To: MapID{2, fmt.Sprint("of-", p)}, Start: r.base + 1,
+	}
+	if r.row && p == 1 {
+		prop.From, prop.To, prop.Start = MapID{2, "of-0"}, MapID{3, "of-1"}, r.base+2
+	}
+	for rank, n := range lives {
+		prop.Roster = append(prop.Roster, r.lives[rank][n])
+	}
+	r.proposals[p] = prop
+}
+
+// carryOut lets an engine carry out every order and report.
+func (r *replay) carryOut(i int) {
+	for len(r.orders[i]) > 0 {
+		r.obey(i)
+	}
+}
+
+func (r *replay) stage(i int, m MapID) {
+	request := StageRequest{Ballot: Ballot{Fence: 2}, Map: m}
+	r.slotEffects(i, r.slots[i].Receive(r.now, Addr{Proposer: "a"}, request))
+	r.carryOut(i)
+}
+
+func (r *replay) ask(i, p int) {
+	from := Addr{Rank: Rank((i + 1) % r.ranks)}
+	r.slotEffects(i, r.slots[i].Receive(r.now, from, CapRequest{r.proposals[p]}))
+}
+
+// cap hands the request over. The engine obeys, but its slot does not hear so before the line "ack".
+func (r *replay) cap(i, p int) {
+	r.report(i)
+	r.stage(i, r.proposals[p].To)
+	r.ask(i, p)
+	if r.lateOrders {
+		return
+	}
+	for _, o := range r.orders[i] {
+		r.engines[i].do(o)
+	}
+	r.orders[i] = nil
+}
+
+// refuse makes the slot refuse at will: it has staged something else.
+func (r *replay) refuse(i, p int) {
+	r.stage(i, MapID{r.proposals[p].To.Version, "other"})
+	r.ask(i, p)
+}
+
+// facts delivers every message of a kind to a slot, whoever it was sent to: in the specification all can read all.
+func (r *replay) facts(i int, wanted func(Message) bool) {
+	for _, e := range r.net {
+		if wanted(e.msg) {
+			r.slotEffects(i, r.slots[i].Receive(r.now, e.from, e.msg))
+		}
+	}
+}
+
+func isAck(m Message) bool { _, ok := m.(Ack); return ok }
+
+func isAbort(m Message) bool {
+	if o, ok := m.(Outcome); ok {
+		return !o.Committed
+	}
+	_, ok := m.(Refusal)
+	return ok
+}
+
+func isCommitted(m Message) bool { o, ok := m.(Outcome); return ok && o.Committed }
+
+func (r *replay) committed(i int) {
+	for p := range r.proposals {
+		for k := range r.ranks {
+			if k != i && r.slots[i].holds(r.proposals[p].Ballot) {
+				r.ask(k, p)
+			}
+		}
+	}
+	r.facts(i, isCommitted)
+}
+
+func (r *replay) answer(k, i int) {
+	asker := r.slots[i].Incarnation()
+	r.slotEffects(k, r.slots[k].Receive(r.now, Addr{Rank: Rank(i)}, Recover{Rank(i), asker}))
+	r.facts(i, func(m Message) bool {
+		a, ok := m.(Answer)
+		return ok && a.Asker == asker && a.Rank == Rank(k)
+	})
+}
+
+// Each mutant of the specification lacks one safeguard, and Spin found how a step then runs under two maps or the
+// group waits for ever. The real code goes through the same events: no step may run under two maps, the first to
+// switch must have the certificate, and the group must run on in the end.
+func TestCounterexamplesOfTheSpecification(t *testing.T) {
+	var plan struct {
+		Runs []struct{ Name, Mutant string } `yaml:"runs"`
+	}
+	text, err := os.ReadFile("../../spec/expertmap.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := yaml.Unmarshal(text, &plan); err != nil {
+		t.Fatal(err)
+	}
+	for _, run := range plan.Runs {
+		if run.Mutant == "" {
+			continue
+		}
+		t.Run(run.Name, func(t *testing.T) {
+			trace, err := os.ReadFile(filepath.Join("testdata", "expertmap-"+run.Name+".trace"))
+			if err != nil {
+				t.Fatalf("make model-traces writes it: %v", err)
+			}
+			r := newReplay(t)
+			r.lateOrders = run.Name == "ack-first"
+			for line := range strings.Lines(string(trace)) {
+				r.line(strings.TrimSpace(line))
+			}
+			for p := range r.proposals {
+				for i := range r.ranks {
+					if r.proposals[p].Roster != nil {
+						r.net = append(r.net, envelope{Addr{Proposer: "a"}, Addr{Rank: Rank(i)}, CapRequest{r.proposals[p]}})
+					}
+				}
+			}
+			r.settle(4)
+		})
+	}
+}
--- a/internal/expertmap/slot.go
+++ b/internal/expertmap/slot.go
@@ -182,8 +182,8 @@
 	switch s.State() {
 	case StateRecovering:
 		return s.ask()
-	case StateAdopting:
-		return s.restage()
+	case StateAdopting, StateStaging:
+		return s.restage(now)
 	case StateCapped:
 		return s.askPeers(now)
 	}
--- a/internal/expertmap/slot_recover.go
+++ b/internal/expertmap/slot_recover.go
@@ -107,11 +107,15 @@
 // busy reports whether an order to the engine is not answered yet.
 func (s *Slot) busy() bool { return s.engine.Order < s.orders }
 
-// restage tries again to load the weights of the map that the group runs already.
-func (s *Slot) restage() []Effect {
-	m, _ := s.newest()
-	if s.busy() || s.engine.Failed != m {
+// restagePause is the time between two orders to load the same weights, in units of SlotTiming.Retry.
+const restagePause = 20
+
+// restage orders the weights again: they could not be loaded, or the engine restarted while it loaded them. An engine
+// that is loading them goes on.
+func (s *Slot) restage(now time.Time) []Effect {
+	s.retryAt = now.Add(restagePause * s.cfg.Timing.Retry)
+	if s.busy() || s.engine.Staged == s.staging {
 		return nil
 	}
-	return []Effect{s.order(OrderStage, 0, m)}
+	return []Effect{s.order(OrderStage, 0, s.staging)}
 }
--- a/internal/expertmap/slot_test.go
+++ b/internal/expertmap/slot_test.go
@@ -74,3 +74,92 @@
 	}
 	g.settle(60)
 }
+
+// capped brings a booted group to the point where every rank has capped map 2, and returns the proposal.
+func capped(t *testing.T, g *group) Proposal {
+	t.Helper()
+	p := Proposal{Ballot: Ballot{2, 7, 1}, From: MapID{1, "first"}, To: MapID{2, "next"}, Start: g.engines[0].Next + 2}
+	for _, s := range g.slots {
+		p.Roster = append(p.Roster, s.Incarnation())
+	}
+	from := Addr{Proposer: "a"}
+	for r, s := range g.slots {
+		g.report(r)
+		for _, m := range []Message{StageRequest{Ballot: p.Ballot, Map: p.To}, CapRequest{p}} {
+			g.slotEffects(r, s.Receive(g.now, from, m))
+			for len(g.orders[r]) > 0 {
+				g.obey(r)
+			}
+		}
+		if s.State() != StateCapped {
+			t.Fatalf("rank %d is %s", r, s.State())
+		}
+	}
+	g.net = nil
+	return p
+}
+
+// A rank would go on under the old map alone: rank 0 has the certificate, its engine has switched but the slot has not
+// heard so yet. The slot of rank 1 restarts and asks. "Not switched" would let it abort, so rank 0 must not answer
+// before its engine does.
+func TestASlotThatSwitchesAnswersNobodyBeforeItsEngine(t *testing.T) {
+	g := newGroup(t, 3)
+	g.boot()
+	p := capped(t, g)
+	g.slotEffects(0, g.slots[0].Receive(g.now, Addr{Proposer: "a"}, Certificate{p.Ballot, p.Roster}))
+	g.engines[0].do(g.orders[0][0])
+	g.orders[0] = nil
+	g.start(1)
+	question := Recover{1, g.slots[1].Incarnation()}
+	if got := g.slots[0].Receive(g.now, Addr{Rank: 1}, question); got != nil {
+		t.Fatalf("answered %+v", got)
+	}
+	g.report(0)
+	g.settle(5)
+	if g.engines[1].Map != p.To || g.engines[2].Map != p.To {
+		t.Fatalf("the switch was lost: %s", g.describe())
+	}
+}
+
+// A rank would pass the first step of the new map without its limit: the engine restarts with nothing while its slot
+// lives on, and the slot's acknowledgement still counts. So the slot begins a new life, and the proposal is aborted.
+func TestASlotWhoseEngineRestartsTakesBackItsWord(t *testing.T) {
+	g := newGroup(t, 3)
+	g.boot()
+	p := capped(t, g)
+	was := g.slots[2].Incarnation()
+	fresh := newEngine(g.engines[2].Next)
+	fresh.Order = g.engines[2].Order
+	g.engines[2] = fresh
+	g.report(2)
+	if s := g.slots[2]; s.Incarnation() <= was || s.State() != StateRecovering {
+		t.Fatalf("incarnation %d after %d, state %s", s.Incarnation(), was, s.State())
+	}
+	g.settle(5)
+	for r, e := range g.engines {
+		if e.Map != p.From {
+			t.Fatalf("rank %d runs map %s", r, e.Map)
+		}
+	}
+}
+
+// The group would wait for ever: a slot restarts on a host whose clock stands behind, so its incarnation is smaller
+// than the last one, and peers take its question for a late copy. They tell it, and it takes a larger number.
+func TestARestartWithAClockBehind(t *testing.T) {
+	g := newGroup(t, 3)
+	g.boot()
+	p := capped(t, g)
+	known := g.slots[1].Incarnation()
+	g.fresh = 0
+	g.start(1)
+	if g.slots[1].Incarnation() >= known {
+		t.Fatal("the clock is not behind")
+	}
+	g.settle(5)
+	if got := g.slots[1].Incarnation(); got <= known {
+		t.Fatalf("incarnation %d after %d", got, known)
+	}
+	if g.engines[0].Map != p.From {
+		t.Fatalf("map %s", g.engines[0].Map)
+	}
+}
--- a/spec/expertmap.pml
+++ b/spec/expertmap.pml
@@ -393,6 +393,9 @@
 
 init {
 	atomic {
+#ifdef ROW
+		printf("EV row\n");
+#endif
 		run Rank(0); run Rank(1); run Rank(2);
 		run Proposer(0);
 #ifndef ONE
