expertmap: machines on the control loop, over connect-go, and a bench for the switch

internal/expertmap/node runs slot and proposer on a process's control loop, with messages one way over connect-go and an engine worker that gives each order until it is answered. The engine's part of the contract is code too (EngineModel), used by the tests, the bench and whoever writes a stand-in. cardamomyoke-bench mapswitch: real slots and proposer over loopback before lock-step engines.

--- a/cmd/cardamomyoke-bench/main.go
+++ b/cmd/cardamomyoke-bench/main.go
@@ -9,6 +9,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/claims"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/demo"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/load"
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/mapswitch"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/quarantine"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/rebalance"
 )
@@ -21,5 +22,6 @@
 	quarantine.Register(app)
 	rebalance.Register(app)
 	load.Register(app)
+	mapswitch.Register(app)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 }
--- a/internal/expertmap/group_test.go
+++ b/internal/expertmap/group_test.go
@@ -15,50 +15,10 @@
 	Fatalf(format string, args ...any)
 }
 
-// engine is a rank's engine: it keeps to the orders' conditions and ignores fencing numbers.
-type engine struct {
-	EngineReport
-	prev MapID
-	// broken makes it fail to load weights.
-	broken bool
-}
-
-func newEngine(next Step) *engine {
-	return &engine{EngineReport: EngineReport{Limit: NoLimit, Next: next, StepTime: 6 * time.Millisecond}}
-}
-
-func (e *engine) at(t Step) MapID {
-	if t >= e.Start {
-		return e.Map
-	}
-	return e.prev
-}
-
-func (e *engine) do(o Order) {
-	e.Order = o.ID
-	if o.Map != e.Map {
-		return
-	}
-	switch o.Kind {
-	case OrderStage:
-		e.Staged, e.Failed = o.To, MapID{}
-		if e.broken {
-			e.Staged, e.Failed = MapID{}, o.To
-		}
-	case OrderLimit:
-		if e.Next <= o.Step {
-			e.Limit = o.Step
-		}
-	case OrderLift:
-		if e.Limit == o.Step {
-			e.Limit = NoLimit
-		}
-	case OrderSwitch:
-		if (e.Next <= o.Step || e.Map.IsZero()) && e.Staged == o.To {
-			e.prev, e.Map, e.Start = e.Map, o.To, o.Step
-			e.Limit, e.Staged = NoLimit, MapID{}
-		}
-	}
+func newEngine(next Step) *EngineModel {
+	e := NewEngineModel(next)
+	e.StepTime = 6 * time.Millisecond
+	return e
 }
 
 type envelope struct {
@@ -72,7 +32,7 @@
 	now       time.Time
 	ranks     int
 	slots     []*Slot
-	engines   []*engine
+	engines   []*EngineModel
 	orders    [][]Order
 	proposers map[ids.Node]*Proposer
 	names     []ids.Node
@@ -199,10 +159,10 @@
 func (g *group) obey(r int) {
 	o := g.orders[r][0]
 	g.orders[r] = g.orders[r][1:]
-	if o.Kind == OrderSwitch && !slices.ContainsFunc(g.engines, func(e *engine) bool { return e.Map == o.To }) {
+	if o.Kind == OrderSwitch && !slices.ContainsFunc(g.engines, func(e *EngineModel) bool { return e.Map == o.To }) {
 		g.checkCertificate(r, o)
 	}
-	g.engines[r].do(o)
+	g.engines[r].Obey(o)
 	g.note("engine %d: %+v, now %+v", r, o, g.engines[r].EngineReport)
 	g.report(r)
 }
@@ -223,10 +183,10 @@
 // step starts a rank's next step if its engine may and the lock-step allows it.
 func (g *group) step(r int) bool {
 	e := g.engines[r]
-	m := e.at(e.Next)
-	if m.IsZero() || e.Next >= e.Limit {
+	if !e.MayStart() {
 		return false
 	}
+	m := e.At(e.Next)
 	for _, o := range g.engines {
 		if o.Next < e.Next {
 			return false
@@ -251,7 +211,7 @@
 	}
 	const rounds = 2000
 	for range rounds {
-		if slices.MinFunc(g.engines, func(a, b *engine) int { return int(a.Next) - int(b.Next) }).Next >= goal {
+		if slices.MinFunc(g.engines, func(a, b *EngineModel) int { return int(a.Next) - int(b.Next) }).Next >= goal {
 			return
 		}
 		g.round()
--- /dev/null
+++ b/internal/expertmap/node/proposer.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+// ProposerOptions are what a proposer is made of.
+type ProposerOptions struct {
+	Group     ids.Group
+	Node      ids.Node
+	Config    expertmap.ProposerConfig
+	Loop      Loop
+	Transport Transport
+	// Poll is the period of the machine's ticks; 0 means DefaultPoll.
+	Poll time.Duration
+}
+
+// Proposer runs a proposer's machine on the process's control loop.
+type Proposer struct {
+	opts    ProposerOptions
+	node    ids.Node
+	machine *expertmap.Proposer
+	waiting chan expertmap.Result
+}
+
+// NewProposer returns a proposer that does nothing before Run.
+func NewProposer(o ProposerOptions) *Proposer {
+	if o.Poll == 0 {
+		o.Poll = DefaultPoll
+	}
+	return &Proposer{opts: o, node: o.Node, machine: expertmap.NewProposer(o.Config)}
+}
+
+// Run drives the proposer until ctx ends.
+func (p *Proposer) Run(ctx context.Context) {
+	tick(ctx, p.opts.Poll, func() { p.post(p.machine.Tick) })
+}
+
+// Propose leads the group to a map under the lease's fencing number and waits for the end. A failed switch is
+// reported by *expertmap.FailedError, one under way by *expertmap.BusyError. If ctx ends first, the switch is given
+// up as by Stop, and the slots finish what they have begun.
+func (p *Proposer) Propose(ctx context.Context, fence ids.Fence, to expertmap.MapID) (expertmap.Result, error) {
+	done := make(chan expertmap.Result, 1)
+	busy := make(chan error, 1)
+	p.post(func(now time.Time) []expertmap.Effect {
+		effects, err := p.machine.Propose(now, fence, to)
+		if err != nil {
+			busy <- err
+			return nil
+		}
+		p.waiting = done
+		return effects
+	})
+	select {
+	case err := <-busy:
+		return expertmap.Result{}, err
+	case r := <-done:
+		return r, r.Err
+	case <-ctx.Done():
+		p.Stop()
+		return expertmap.Result{}, fmt.Errorf("switch to map %s: %w", to, ctx.Err())
+	}
+}
+
+// Stop ends a switch under way, for instance since the lease is lost.
+func (p *Proposer) Stop() { p.post(p.machine.Stop) }
+
+func (p *Proposer) receive(m expertmap.Message) {
+	p.post(func(now time.Time) []expertmap.Effect { return p.machine.Receive(now, m) })
+}
+
+func (p *Proposer) post(f func(now time.Time) []expertmap.Effect) {
+	p.opts.Loop.Post(func(now time.Time) { p.carryOut(f(now)) })
+}
+
+func (p *Proposer) carryOut(effects []expertmap.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case expertmap.Send:
+			p.opts.Transport.Send(p.opts.Group, expertmap.Addr{Proposer: p.node}, e.To, e.Message)
+		case expertmap.Result:
+			p.waiting <- e
+		}
+	}
+}
--- /dev/null
+++ b/internal/expertmap/node/transport.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
+	pb "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+// Transport carries messages between processes. It may lose, copy, delay and reorder them, and never waits.
+type Transport interface {
+	Send(group ids.Group, from, to expertmap.Addr, m expertmap.Message)
+}
+
+// Resolve returns the base URL of an address, or false if it is not known now.
+type Resolve func(group ids.Group, to expertmap.Addr) (url string, ok bool)
+
+const (
+	// queueLength bounds what waits for one destination; what comes on top is lost, and the machines ask again.
+	queueLength = 256
+	// sendTimeout is longer than any useful delay between two processes.
+	sendTimeout = time.Second
+	// idleTimeout ends the goroutine of a destination that got no message for so long.
+	idleTimeout = time.Minute
+)
+
+// Connect is a Transport over connect-go with one goroutine a destination in use.
+type Connect struct {
+	client  connect.HTTPClient
+	resolve Resolve
+	ctx     context.Context
+	mu      sync.Mutex
+	queues  map[string]chan *pb.MapEnvelope
+}
+
+// NewTransport returns a transport whose goroutines end with ctx.
+func NewTransport(ctx context.Context, client connect.HTTPClient, resolve Resolve) *Connect {
+	return &Connect{client: client, resolve: resolve, ctx: ctx, queues: map[string]chan *pb.MapEnvelope{}}
+}
+
+// Send implements Transport.
+func (c *Connect) Send(group ids.Group, from, to expertmap.Addr, m expertmap.Message) {
+	url, ok := c.resolve(group, to)
+	if !ok {
+		return
+	}
+	e, err := encode(group, from, to, m)
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	q := c.queues[url]
+	if q == nil {
+		q = make(chan *pb.MapEnvelope, queueLength)
+		c.queues[url] = q
+		go c.run(url, q)
+	}
+	select {
+	case q <- e:
+	default:
+	}
+}
+
+func (c *Connect) run(url string, q chan *pb.MapEnvelope) {
+	client := cardamomyokev1connect.NewExpertMapServiceClient(c.client, url)
+	idle := time.NewTimer(idleTimeout)
+	defer idle.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-idle.C:
+			if c.retire(url, q) {
+				return
+			}
+		case e := <-q:
+			c.deliver(client, batch(e, q))
+		}
+		idle.Reset(idleTimeout)
+	}
+}
+
+// retire forgets a destination, unless a message came meanwhile.
+func (c *Connect) retire(url string, q chan *pb.MapEnvelope) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(q) > 0 {
+		return false
+	}
+	delete(c.queues, url)
+	return true
+}
+
+// batch takes along whatever waits behind the first envelope.
+func batch(first *pb.MapEnvelope, q chan *pb.MapEnvelope) []*pb.MapEnvelope {
+	envelopes := []*pb.MapEnvelope{first}
+	for {
+		select {
+		case e := <-q:
+			envelopes = append(envelopes, e)
+		default:
+			return envelopes
+		}
+	}
+}
+
+func (c *Connect) deliver(client cardamomyokev1connect.ExpertMapServiceClient, envelopes []*pb.MapEnvelope) {
+	ctx, cancel := context.WithTimeout(c.ctx, sendTimeout)
+	defer cancel()
+	// A message that is not delivered is lost; the machines ask again.
+	_, _ = client.DeliverMapMessages(ctx, &pb.DeliverMapMessagesRequest{Envelopes: envelopes})
+}
--- a/internal/expertmap/proposer.go
+++ b/internal/expertmap/proposer.go
@@ -31,6 +31,8 @@
 	Attempts int `yaml:"attempts"`
 	// OrderTime is what an order to an engine takes, beyond the message that carries it to the slot.
 	OrderTime time.Duration `yaml:"order_time"`
+	// ReportAge is how old an engine's report can be when its slot answers.
+	ReportAge time.Duration `yaml:"report_age"`
 	// Margin multiplies the time measured for the exchange; each refusal for a passed step doubles the lead again.
 	Margin float64 `yaml:"margin"`
 }
@@ -39,7 +41,7 @@
 func DefaultProposerTiming() ProposerTiming {
 	return ProposerTiming{
 		Retry: 100 * time.Millisecond, StageTimeout: 10 * time.Minute, Backoff: 200 * time.Millisecond,
-		Attempts: 8, OrderTime: 2 * time.Millisecond, Margin: 2,
+		Attempts: 8, OrderTime: 2 * time.Millisecond, ReportAge: 25 * time.Millisecond, Margin: 2,
 	}
 }
 
--- a/internal/expertmap/proposer_stage.go
+++ b/internal/expertmap/proposer_stage.go
@@ -74,8 +74,9 @@
 		return next
 	}
 	// Cap, acknowledgement and certificate cross the network once each, and the engine carries out two orders. The
-	// furthest rank's report is at most one trip old.
-	exchange := time.Duration(float64(2*trip+2*p.cfg.Timing.OrderTime)*p.cfg.Timing.Margin) + now.Sub(p.asked)
-	steps := math.Ceil(p.lead * float64(exchange) / float64(stepTime))
+	// furthest rank's report is at most one trip and ReportAge old.
+	exchange := p.lead * p.cfg.Timing.Margin * float64(2*trip+2*p.cfg.Timing.OrderTime)
+	age := float64(now.Sub(p.asked) + p.cfg.Timing.ReportAge)
+	steps := math.Ceil((exchange + age) / float64(stepTime))
 	return next + Step(steps) + 1
 }
--- a/internal/expertmap/replay_test.go
+++ b/internal/expertmap/replay_test.go
@@ -127,7 +127,7 @@
 		return
 	}
 	for _, o := range r.orders[i] {
-		r.engines[i].do(o)
+		r.engines[i].Obey(o)
 	}
 	r.orders[i] = nil
 }
--- a/internal/expertmap/slot_test.go
+++ b/internal/expertmap/slot_test.go
@@ -32,7 +32,7 @@
 func TestWeightsThatCannotBeLoadedEndTheSwitchBeforeItBegins(t *testing.T) {
 	g := newGroup(t, 3)
 	g.boot()
-	g.engines[1].broken = true
+	g.engines[1].CannotLoad = true
 	g.addProposer("a")
 	g.propose("a", 2, MapID{2, "next"})
 	g.settle(20)
@@ -107,7 +107,7 @@
 	g.boot()
 	p := capped(t, g)
 	g.slotEffects(0, g.slots[0].Receive(g.now, Addr{Proposer: "a"}, Certificate{p.Ballot, p.Roster}))
-	g.engines[0].do(g.orders[0][0])
+	g.engines[0].Obey(g.orders[0][0])
 	g.orders[0] = nil
 	g.start(1)
 	question := Recover{1, g.slots[1].Incarnation()}
