--- a/cmd/cardamomyoke-bench/main.go
+++ b/cmd/cardamomyoke-bench/main.go
@@ -10,6 +10,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/demo"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/load"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/mapswitch"
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/policy"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/quarantine"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/rebalance"
 )
@@ -23,5 +24,6 @@
 	rebalance.Register(app)
 	load.Register(app)
 	mapswitch.Register(app)
+	policy.Register(app)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 }
--- a/internal/routing/upstream.go
+++ b/internal/routing/upstream.go
@@ -39,6 +39,9 @@
 	Waiting, Running int
 	// PromptTokens are the prompt tokens of the waiting requests that are not cached and not yet computed.
 	PromptTokens int
+	// FirstWaiting and FirstPromptTokens are the part of Waiting and PromptTokens that is of the first class, which
+	// engines serve before all others.
+	FirstWaiting, FirstPromptTokens int
 	// OutputTokens are the tokens that all requests are still expected to generate.
 	OutputTokens int
 }
@@ -46,6 +49,37 @@
 // Requests returns all requests in flight.
 func (c Counts) Requests() int { return c.Waiting + c.Running }
 
+// WaitingAhead returns the waiting requests that an engine which honours priorities serves before a new one.
+func (c Counts) WaitingAhead(first bool) int {
+	if first {
+		return c.FirstWaiting
+	}
+	return c.Waiting
+}
+
+// PromptAhead returns the prompt tokens of the requests that WaitingAhead counts.
+func (c Counts) PromptAhead(first bool) int {
+	if first {
+		return c.FirstPromptTokens
+	}
+	return c.PromptTokens
+}
+
+// combine applies f to each pair of counts.
+func combine(a, b Counts, f func(a, b int) int) Counts {
+	return Counts{
+		Waiting:           f(a.Waiting, b.Waiting),
+		Running:           f(a.Running, b.Running),
+		PromptTokens:      f(a.PromptTokens, b.PromptTokens),
+		FirstWaiting:      f(a.FirstWaiting, b.FirstWaiting),
+		FirstPromptTokens: f(a.FirstPromptTokens, b.FirstPromptTokens),
+		OutputTokens:      f(a.OutputTokens, b.OutputTokens),
+	}
+}
+
+func add(a, b int) int       { return a + b }
+func remainder(a, b int) int { return max(0, a-b) }
+
 // Load is what a slot reports about its upstream to one entry.
 type Load struct {
 	// TakenAt is when the slot took the counts, on this entry's clock; zero if there was no report yet.
@@ -62,26 +96,10 @@
 }
 
 // Others returns the part of the report that other entries sent.
-func (l Load) Others() Counts {
-	return Counts{
-		Waiting:      max(0, l.Total.Waiting-l.Yours.Waiting),
-		Running:      max(0, l.Total.Running-l.Yours.Running),
-		PromptTokens: max(0, l.Total.PromptTokens-l.Yours.PromptTokens),
-		OutputTokens: max(0, l.Total.OutputTokens-l.Yours.OutputTokens),
-	}
-}
+func (l Load) Others() Counts { return combine(l.Total, l.Yours, remainder) }
 
 // Now returns the load with the live count of this entry in place of the reported one.
-func (u *Upstream) Now() Counts {
-	own := u.Work.Counts()
-	others := u.Load.Others()
-	return Counts{
-		Waiting:      own.Waiting + others.Waiting,
-		Running:      own.Running + others.Running,
-		PromptTokens: own.PromptTokens + others.PromptTokens,
-		OutputTokens: own.OutputTokens + others.OutputTokens,
-	}
-}
+func (u *Upstream) Now() Counts { return combine(u.Work.Counts(), u.Load.Others(), add) }
 
 // HasAdapter reports whether the named adapter is loaded; the empty name always is.
 func (u *Upstream) HasAdapter(name string) bool {
