--- a/mk/faults.mk
+++ b/mk/faults.mk
@@ -1,11 +1,19 @@
-.PHONY: bench-claims
+.PHONY: test-faults bench-claims bench-quarantine
+
+FAULT_SEEDS ?= 200
+
+## test-faults: joint tests of failures: every fault, named pairs, and FAULT_SEEDS seeds of random pairs
+test-faults:
+	@mkdir -p out
+	@$(GO) test -count=1 ./internal/claims ./internal/quarantine ./internal/bench/quarantine
+	@$(GO) test -count=1 -timeout 30m -v ./internal/faulttest -args -faults.seeds=$(FAULT_SEEDS) > out/test-faults.txt 2>&1 || { cat out/test-faults.txt; exit 1; }
+	@grep -E ' violations [0-9]+$$' out/test-faults.txt
+	@grep '^violations:' out/test-faults.txt
 
 ## bench-claims: writes to the platform's table against claims a second
 bench-claims: build
 	$(BIN)/cardamomyoke-bench claims --seed 1
 
-.PHONY: bench-quarantine
-
 ## bench-quarantine: upstreams that one request takes down which crashes each one that runs it
 bench-quarantine: build
 	$(BIN)/cardamomyoke-bench quarantine --seed 1
