--- a/internal/claims/metrics.go
+++ b/internal/claims/metrics.go
@@ -8,8 +8,15 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/platform"
 )
 
+func (o *Options) counter(name string) *metrics.Counter {
+	if o.Metrics == nil {
+		return metrics.GetOrCreateCounter(name)
+	}
+	return o.Metrics.GetOrCreateCounter(name)
+}
+
 // countVerdict counts a verdict by what the caller gets: start, replay or the code of the refusal.
-func countVerdict(v Verdict) {
+func (o *Options) countVerdict(v Verdict) {
 	kind := "start"
 	switch {
 	case v.Outcome != nil:
@@ -17,10 +24,10 @@
 	case v.Refusal != nil:
 		kind = string(v.Refusal.Code)
 	}
-	metrics.GetOrCreateCounter(`cardamomyoke_claim_verdicts_total{verdict="` + kind + `"}`).Inc()
+	o.counter(`cardamomyoke_claim_verdicts_total{verdict="` + kind + `"}`).Inc()
 }
 
-func countTransaction(err error) {
+func (o *Options) countTransaction(err error) {
 	var conflict *platform.ConflictError
 	var unavailable *platform.UnavailableError
 	result := "unknown"
@@ -32,5 +39,12 @@
 	case errors.As(err, &unavailable):
 		result = "unavailable"
 	}
-	metrics.GetOrCreateCounter(`cardamomyoke_claim_transactions_total{result="` + result + `"}`).Inc()
+	o.counter(`cardamomyoke_claim_transactions_total{result="` + result + `"}`).Inc()
+}
+
+func (o *Options) countSwept(done Swept, err error) {
+	o.counter(`cardamomyoke_claims_swept_total`).Add(done.Claims)
+	if err != nil {
+		o.counter(`cardamomyoke_claim_sweep_errors_total`).Inc()
+	}
 }
--- a/internal/claims/store.go
+++ b/internal/claims/store.go
@@ -47,6 +47,9 @@
 // that a resend gets "running" and, after the deadline, "outcome unknown". Call Drain first for an orderly exit.
 func (s *Store) Run(ctx context.Context) {
 	defer close(s.done)
+	if s.opts.SweepEvery > 0 {
+		go s.sweeper().Run(ctx, s.opts.SweepEvery, s.opts.countSwept)
+	}
 	o := &owner{ledger: NewLedger(s.opts), waiting: map[ids.Attempt]chan Verdict{}}
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -66,6 +69,15 @@
 	}
 }
 
+func (s *Store) sweeper() *Sweeper {
+	return &Sweeper{
+		Table:        s.table,
+		Margin:       s.opts.Margin,
+		MaxWrites:    s.opts.SweepWrites,
+		NewOperation: ids.NewOperation,
+	}
+}
+
 // Claim asks whether the attempt may start. After Verdict.Start exactly one of Finished, Lost and NotStarted must
 // follow. If ctx ends first, the attempt is refused as cancelled and never starts.
 func (s *Store) Claim(ctx context.Context, r Request) Verdict {
@@ -156,7 +168,7 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case Answer:
-			countVerdict(e.Verdict)
+			s.opts.countVerdict(e.Verdict)
 			if c := o.waiting[e.Attempt]; c != nil {
 				delete(o.waiting, e.Attempt)
 				c <- e.Verdict
@@ -172,6 +184,6 @@
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	res, err := s.table.Commit(ctx, t)
-	countTransaction(err)
+	s.opts.countTransaction(err)
 	s.post(func(o *owner, now time.Time) []Effect { return o.ledger.Committed(now, t.Operation, res, err) })
 }
--- a/internal/claims/sweep.go
+++ b/internal/claims/sweep.go
@@ -16,7 +16,7 @@
 )
 
 // Sweeper removes claims whose outcomes were kept long enough. Several may run at once: each deletes on condition that
-// nothing changed, so that the worst they do to each other is work in vain. One at a time is enough for a deployment.
+// nothing changed, so that the worst they do to each other is work in vain. Every Store runs one.
 type Sweeper struct {
 	Table platform.Table
 	// Margin is added to the expiry, for the difference between two hosts' clocks.
