--- a/internal/daemon/entrymain/entrymain.go
+++ b/internal/daemon/entrymain/entrymain.go
@@ -12,6 +12,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/entry"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/logging"
+	"github.com/cardamomyoke/cardamomyoke/internal/operator"
 	"github.com/cardamomyoke/cardamomyoke/internal/revision"
 	"github.com/cardamomyoke/cardamomyoke/internal/settings"
 	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
@@ -41,6 +42,8 @@
 			DataCentre: string(set.DataCentre),
 			Role:       cardamomyokev1.NodeRole_NODE_ROLE_ENTRY,
 			Address:    set.Control.Address,
+
+			DigestAddress: set.Digests.Address,
 		},
 		Seeds:    set.Control.Seeds,
 		Platform: set.Platform,
@@ -48,11 +51,16 @@
 		Logger:   logger,
 	})
 	e, err := entry.Start(set, entry.Deps{
-		Config: node.Config, Loop: node.Loop, Incarnation: node.Incarnation, Logger: logger, Tracer: tracer,
+		Config: node.Config, Loop: node.Loop, Incarnation: node.Incarnation, Roster: node.Roster, Logger: logger, Tracer: tracer,
 	})
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
+	if node.Agent != nil {
+		node.Mux.Handle(operator.Handler(operator.New(operator.Options{
+			Node: set.Name, Agent: node.Agent, Table: node.Platform, Upstreams: e.UpstreamStatuses,
+		})))
+	}
 	if err := node.Run(e.Metrics(), e.Tick); err != nil {
 		e.Kill()
 		return fmt.Errorf("start: %w", err)
