--- a/internal/faulttest/cluster.go
+++ b/internal/faulttest/cluster.go
@@ -28,7 +28,6 @@
 	plainDelay    = 5 * time.Millisecond
 	modelDeadline = 3000
 	plainDeadline = 1500
-	digestEvery   = 50 * time.Millisecond
 	stopAfter     = 300 * time.Millisecond
 
 	modelService = "desk-model"
@@ -118,7 +117,6 @@
 		e.set.HTTP.Address = at.take()
 		e.set.Control.Address = at.take()
 		e.set.Digests.Address = at.take()
-		e.set.Digests.Every = setting(digestEvery)
 		c.Entries = append(c.Entries, e)
 	}
 	c.Entries[0].set.Digests.Seeds = []string{c.Entries[1].set.Digests.Address}
@@ -142,7 +140,6 @@
 	h.set.HTTP.Address = at.take()
 	h.set.Control.Address = at.take()
 	h.set.Digests.Address = at.take()
-	h.set.Digests.Every = setting(digestEvery)
 	h.set.Upstream.Address = at.take()
 	h.set.Upstream.Batch = engineBatch
 	h.set.Upstream.StopAfter = setting(stopAfter)
--- a/internal/slot/slot.go
+++ b/internal/slot/slot.go
@@ -82,7 +82,9 @@
 	if s.incarnation == "" {
 		s.incarnation = ids.NewIncarnation()
 	}
-	s.claims = claims.NewStore(d.Table, claims.DefaultOptions(s.incarnation), claimTimeout)
+	claimOptions := claims.DefaultOptions(s.incarnation)
+	claimOptions.Metrics = s.metrics.set
+	s.claims = claims.NewStore(d.Table, claimOptions, claimTimeout)
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stopClaims = cancel
 	go s.claims.Run(ctx)
