--- a/internal/faulttest/faults.go
+++ b/internal/faulttest/faults.go
@@ -56,6 +56,8 @@
 
 func pick[T any](list []T, rng *rand.Rand) T { return list[rng.IntN(len(list))] }
 
+// entryKilled: callers in mid-stream see their connection break and send elsewhere; a slip that the dead entry had sent
+// on may have run, and its resend finds the claim.
 func entryKilled(c *Cluster, rng *rand.Rand) Heal {
 	e := pick(c.Entries, rng)
 	if !e.kill() {
@@ -64,6 +66,7 @@
 	return e.start
 }
 
+// entryLeaves: callers notice nothing, or are refused as not run and sent to the other address.
 func entryLeaves(c *Cluster, rng *rand.Rand) Heal {
 	e := pick(c.Entries, rng)
 	if !e.leave() {
@@ -72,6 +75,8 @@
 	return e.start
 }
 
+// entryPaused: callers wait until the entry's connections move again, or until their deadline; what it had sent arrives
+// late at slots that have gone on.
 func entryPaused(c *Cluster, rng *rand.Rand) Heal {
 	e := pick(c.Entries, rng)
 	e.setLinks(Freeze)
@@ -81,6 +86,8 @@
 	}
 }
 
+// slotKilled: streams go on from another slot after the last token; the outcome of a slip in mid-run is unknown. The new
+// slot process has forgotten every attempt, and refuses those meant for the old one.
 func slotKilled(h *Host) Heal {
 	if !h.killSlot() {
 		return nil
@@ -88,6 +95,7 @@
 	return h.restartSlot
 }
 
+// slotLeaves: callers notice nothing; what ran is finished, what comes is refused as not run and tried elsewhere.
 func slotLeaves(c *Cluster, rng *rand.Rand) Heal {
 	h := pick(c.hosts(), rng)
 	if !h.leave() {
@@ -96,6 +104,8 @@
 	return h.restartSlot
 }
 
+// upstreamKilled: streams go on from another upstream; the outcome of a slip in mid-run is unknown, and one that was not
+// yet sent is given back and tried elsewhere, since the dial is refused.
 func upstreamKilled(c *Cluster, h *Host) Heal {
 	if !c.killUpstream(h) {
 		return nil
@@ -103,6 +113,8 @@
 	return h.restartUpstream
 }
 
+// hostPaused: callers of that host wait or are served elsewhere; when it wakes up, everything held back arrives late, in
+// both directions: requests past their deadline, and answers that nobody waits for.
 func hostPaused(c *Cluster, rng *rand.Rand) Heal {
 	h := pick(c.hosts(), rng)
 	h.setHost(Freeze)
@@ -112,6 +124,7 @@
 	}
 }
 
+// peerCutOff: callers of one entry are served by the other hosts; the entry asks in vain what became of its attempts.
 func peerCutOff(c *Cluster, rng *rand.Rand) Heal {
 	l := pick(pick(c.hosts(), rng).links, rng)
 	l.Set(Cut)
@@ -121,6 +134,7 @@
 	}
 }
 
+// engineStalled: callers in mid-stream wait until the slot gives the engine up, and get the rest from another one.
 func engineStalled(c *Cluster, rng *rand.Rand) Heal {
 	e := pick(c.Models, rng).engine
 	if e == nil {
@@ -133,6 +147,7 @@
 	}
 }
 
+// engineCrossed: the engine's answers carry another request's id; no caller may see a token of them.
 func engineCrossed(c *Cluster, rng *rand.Rand) Heal {
 	e := pick(c.Models, rng).engine
 	if e == nil {
@@ -145,6 +160,7 @@
 	}
 }
 
+// engineCut: each answer breaks off after five tokens; callers get the rest from another engine, none lost or doubled.
 func engineCut(c *Cluster, rng *rand.Rand) Heal {
 	const tokens = 5
 	e := pick(c.Models, rng).engine
@@ -158,7 +174,8 @@
 	}
 }
 
-// answers is a fault of the connections between a slot and its upstream.
+// answers is a fault of the connections between a slot and its upstream: callers must never see what was doubled,
+// crossed, cut off or late.
 func answers(m Mode) func(c *Cluster, rng *rand.Rand) Heal {
 	return func(c *Cluster, rng *rand.Rand) Heal {
 		h := pick(c.hosts(), rng)
@@ -180,10 +197,13 @@
 	}
 }
 
+// tableDown: slips are refused as not run; streams go on as if nothing were.
 func tableDown(c *Cluster, _ *rand.Rand) Heal {
 	return table(c, func() (memtable.Fault, time.Duration) { return memtable.Unavailable, 0 })
 }
 
+// tableSlow: slips wait, and those whose claim is not confirmed by the deadline are refused as not run; the write may
+// take effect after that.
 func tableSlow(c *Cluster, rng *rand.Rand) Heal {
 	const longest = 900
 	r := rand.New(rand.NewPCG(rng.Uint64(), 1))
@@ -192,6 +212,7 @@
 	})
 }
 
+// tableLoses: claims take effect without an answer, or get lost; the slot settles them before a slip starts.
 func tableLoses(c *Cluster, rng *rand.Rand) Heal {
 	r := rand.New(rand.NewPCG(rng.Uint64(), 2))
 	return table(c, func() (memtable.Fault, time.Duration) {
@@ -199,6 +220,7 @@
 	})
 }
 
+// tableLate: claims and outcomes arrive at the table after the slot has sent them again, or has given them up.
 func tableLate(c *Cluster, rng *rand.Rand) Heal {
 	r := rand.New(rand.NewPCG(rng.Uint64(), 3))
 	return table(c, func() (memtable.Fault, time.Duration) {
--- /dev/null
+++ b/internal/quarantine/keeper_test.go
@@ -0,0 +1,63 @@
+package quarantine
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/faulttest/memtable"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+)
+
+// The caller of a poisonous request is refused at every entry, also at one that hears no digest and starts later, while
+// the table is down at first and then loses answers. Two entries write the same row and settle it. When all is over
+// the row goes.
+func TestEveryEntryRefusesThroughTheTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := memtable.New(func() (memtable.Fault, time.Duration) { return memtable.Unavailable, 0 })
+		ctx, cancel := context.WithCancel(t.Context())
+		keeper := func() *Keeper {
+			k := NewKeeper(table, quarantineLength, DefaultKeeperOptions())
+			go k.Run(ctx)
+			return k
+		}
+		level := func(k *Keeper) Level {
+			got, _ := k.Snapshot().Judge(time.Now(), poison.Fingerprint)
+			return got
+		}
+		a, b := keeper(), keeper()
+		a.Merge(time.Now(), Crash{ID: 1, At: time.Now(), Ran: []Running{poison}, Probe: true}.Suspects()...)
+		b.Merge(time.Now(), Crash{ID: 2, At: time.Now(), Ran: []Running{poison}, Probe: true}.Suspects()...)
+		time.Sleep(time.Minute)
+		rng := rand.New(rand.NewPCG(1, 1))
+		table.SetPlan(func() (memtable.Fault, time.Duration) {
+			return []memtable.Fault{memtable.None, memtable.AnswerLost, memtable.RequestLost}[rng.IntN(3)], 0
+		})
+		time.Sleep(time.Minute)
+		late := keeper()
+		time.Sleep(time.Minute)
+		if level(late) != Refused {
+			t.Error("an entry that starts later lets the request through")
+		}
+		if n := len(late.List(time.Now())[0].Evidence); n != 2 {
+			t.Errorf("%d crashes in the row, want those of both entries", n)
+		}
+		trust := Override{Kind: cardamomyokev1.OverrideKind_OVERRIDE_KIND_TRUST, Until: time.Now().Add(time.Hour), Stamp: time.Now()}
+		late.Override(time.Now(), poison.Fingerprint, trust)
+		time.Sleep(time.Minute)
+		if level(a) != Clear || level(b) != Clear {
+			t.Error("the operator's trust has not reached every entry")
+		}
+		table.SetPlan(nil)
+		time.Sleep(2 * (quarantineLength + evidenceMemory))
+		table.Memory(func(m *memtable.Memory) {
+			if rows := m.List(RowPrefix, "", 10); len(rows) != 0 {
+				t.Errorf("%d rows left", len(rows))
+			}
+		})
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"bytes"
 	"slices"
 	"time"
 
@@ -216,6 +217,9 @@
 		if err != nil {
 			continue // A client name that is not UTF-8, which config refuses.
 		}
+		if s.saved.Version > 0 && bytes.Equal(value, s.saved.Value) {
+			continue
+		}
 		key := RowKey(s.Fingerprint)
 		out = append(out, Save{
 			Fingerprint: s.Fingerprint,
@@ -226,10 +230,10 @@
 	return out
 }
 
-// Saved says that the table took a Save, as this version.
-func (t *Tracker) Saved(f Fingerprint, version uint64) {
+// Saved says which row the table holds after a Save; version 0 if it holds none.
+func (t *Tracker) Saved(f Fingerprint, row platform.Row) {
 	if s := t.suspects[f]; s != nil {
-		s.saved.Version = version
+		s.saved = row
 	}
 }
 
