--- a/internal/bench/quarantine/agenda.go
+++ b/internal/bench/agenda/agenda.go
@@ -1,12 +1,13 @@
-package quarantine
+// Package agenda runs what an experiment has planned, in the order of a virtual clock.
+package agenda
 
 import (
 	"container/heap"
 	"time"
 )
 
-// agenda is what will happen, in order of time and then of planning.
-type agenda struct {
+// Agenda is what will happen, in order of time and then of planning. It is not safe for concurrent use.
+type Agenda struct {
 	now   time.Time
 	items items
 	count int
@@ -40,17 +41,30 @@
 	return last
 }
 
-// in plans do after d.
-func (a *agenda) in(d time.Duration, do func()) {
+// New returns an empty agenda whose clock shows start.
+func New(start time.Time) *Agenda { return &Agenda{now: start} }
+
+// Now returns the virtual time.
+func (a *Agenda) Now() time.Time { return a.now }
+
+// In plans do after d.
+func (a *Agenda) In(d time.Duration, do func()) {
 	a.count++
 	heap.Push(&a.items, item{a.now.Add(d), a.count, do})
 }
 
-// run does what is planned until end.
-func (a *agenda) run(end time.Time) {
+// Run does what is planned before end.
+func (a *Agenda) Run(end time.Time) {
 	for len(a.items) > 0 && a.items[0].at.Before(end) {
 		next := heap.Pop(&a.items).(item)
 		a.now = next.at
 		next.do()
 	}
 }
+
+// RunAll does all that is planned.
+func (a *Agenda) RunAll() {
+	for len(a.items) > 0 {
+		a.Run(a.items[0].at.Add(1))
+	}
+}
--- a/internal/bench/claims/world.go
+++ b/internal/bench/claims/world.go
@@ -1,12 +1,12 @@
 package claims
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/agenda"
 	"github.com/cardamomyoke/cardamomyoke/internal/claims"
 	"github.com/cardamomyoke/cardamomyoke/internal/faulttest/memtable"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
@@ -45,35 +45,6 @@
 	Waits []float64
 }
 
-// step is something that happens at a time.
-type step struct {
-	at    time.Time
-	order int
-	do    func()
-}
-
-type steps []step
-
-func (s steps) Len() int { return len(s) }
-func (s steps) Less(i, j int) bool {
-	if s[i].at.Equal(s[j].at) {
-		return s[i].order < s[j].order
-	}
-	return s[i].at.Before(s[j].at)
-}
-func (s steps) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
-
-// Push implements heap.Interface.
-func (s *steps) Push(x any) { *s = append(*s, x.(step)) }
-
-// Pop implements heap.Interface.
-func (s *steps) Pop() any {
-	old := *s
-	last := old[len(old)-1]
-	*s = old[:len(old)-1]
-	return last
-}
-
 type slot struct {
 	ledger *claims.Ledger
 	// tick is when the ledger's next Tick is planned.
@@ -81,11 +52,9 @@
 }
 
 type world struct {
+	*agenda.Agenda
 	sc      Scenario
 	rng     *rand.Rand
-	now     time.Time
-	steps   steps
-	order   int
 	mem     *memtable.Memory
 	slots   []*slot
 	arrived map[ids.Attempt]time.Time
@@ -95,9 +64,9 @@
 // Run plays one scenario; the same seed gives the same result.
 func Run(sc Scenario, seed uint64) Found {
 	w := &world{
+		Agenda:  agenda.New(time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)),
 		sc:      sc,
 		rng:     rand.New(rand.NewPCG(seed, 5)),
-		now:     time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC),
 		mem:     memtable.NewMemory(),
 		arrived: map[ids.Attempt]time.Time{},
 	}
@@ -105,11 +74,7 @@
 		w.slots = append(w.slots, &slot{ledger: claims.NewLedger(w.options(i))})
 	}
 	w.arrivals()
-	for len(w.steps) > 0 {
-		next := heap.Pop(&w.steps).(step)
-		w.now = next.at
-		next.do()
-	}
+	w.RunAll()
 	w.found.Writes = w.mem.Writes
 	w.found.Rows = w.mem.RowsWritten
 	return w.found
@@ -128,11 +93,6 @@
 	return o
 }
 
-func (w *world) at(d time.Duration, do func()) {
-	w.order++
-	heap.Push(&w.steps, step{w.now.Add(d), w.order, do})
-}
-
 // arrivals plans independent arrivals, each at a slot drawn at random.
 func (w *world) arrivals() {
 	mean := float64(time.Second) / w.sc.Rate
@@ -143,7 +103,7 @@
 			return
 		}
 		s := w.slots[w.rng.IntN(len(w.slots))]
-		w.at(at, func() { w.arrive(s, seq) })
+		w.In(at, func() { w.arrive(s, seq) })
 	}
 }
 
@@ -153,12 +113,12 @@
 		Service:  "service",
 		Key:      fmt.Sprint(seq),
 		Attempt:  ids.Attempt{Entry: "entry", Seq: seq},
-		Deadline: w.now.Add(patience),
+		Deadline: w.Now().Add(patience),
 		Keep:     time.Hour,
 	}
-	w.arrived[r.Attempt] = w.now
+	w.arrived[r.Attempt] = w.Now()
 	w.found.Claims++
-	w.perform(s, s.ledger.Arrive(w.now, r))
+	w.perform(s, s.ledger.Arrive(w.Now(), r))
 }
 
 func (w *world) perform(s *slot, effects []claims.Effect) {
@@ -175,11 +135,11 @@
 
 func (w *world) planTick(s *slot) {
 	next, ok := s.ledger.Next()
-	if !ok || (s.tick.After(w.now) && !next.Before(s.tick)) {
+	if !ok || (s.tick.After(w.Now()) && !next.Before(s.tick)) {
 		return
 	}
 	s.tick = next
-	w.at(max(0, next.Sub(w.now)), func() { w.perform(s, s.ledger.Tick(w.now)) })
+	w.In(max(0, next.Sub(w.Now())), func() { w.perform(s, s.ledger.Tick(w.Now())) })
 }
 
 func (w *world) answer(s *slot, e claims.Answer) {
@@ -188,23 +148,23 @@
 		return
 	}
 	w.found.Started++
-	w.found.Waits = append(w.found.Waits, w.now.Sub(w.arrived[e.Attempt]).Seconds())
-	w.at(w.draw(runMedian, runSpread), func() {
-		w.perform(s, s.ledger.Finished(w.now, e.Attempt, claims.Outcome{Status: 200, Body: []byte("slip")}))
+	w.found.Waits = append(w.found.Waits, w.Now().Sub(w.arrived[e.Attempt]).Seconds())
+	w.In(w.draw(runMedian, runSpread), func() {
+		w.perform(s, s.ledger.Finished(w.Now(), e.Attempt, claims.Outcome{Status: 200, Body: []byte("slip")}))
 	})
 }
 
 func (w *world) commit(s *slot, t platform.Txn) {
 	lost := w.rng.Float64() < w.sc.Lost
 	back := w.draw(tableMedian, tableSpread)
-	w.at(back/2, func() {
+	w.In(back/2, func() {
 		res, err := w.mem.Apply(t)
 		wait := back / 2
 		if lost {
 			res, err = platform.Result{}, &platform.UnknownOutcomeError{Operation: t.Operation}
 			wait = lostTimeout
 		}
-		w.at(wait, func() { w.perform(s, s.ledger.Committed(w.now, t.Operation, res, err)) })
+		w.In(wait, func() { w.perform(s, s.ledger.Committed(w.Now(), t.Operation, res, err)) })
 	})
 }
 
--- a/internal/bench/quarantine/slot.go
+++ b/internal/bench/quarantine/slot.go
@@ -15,13 +15,13 @@
 		w.later(r)
 		return
 	}
-	turn := u.guard.Ask(w.now, quarantine.Running{Fingerprint: r.print}, r.level)
+	turn := u.guard.Ask(w.Now(), quarantine.Running{Fingerprint: r.print}, r.level)
 	if turn.Admission != quarantine.Wait {
 		w.turn(r, u, turn)
 		return
 	}
 	u.waits[turn.Ticket] = r
-	w.in(max(0, r.deadline.Sub(w.now)), func() {
+	w.In(max(0, r.deadline.Sub(w.Now())), func() {
 		if u.waits[turn.Ticket] == r {
 			delete(u.waits, turn.Ticket)
 			w.turns(u, u.guard.GiveUp(turn.Ticket))
@@ -52,7 +52,7 @@
 
 func (w *world) start(r *request, u *upstream, t quarantine.Turn) {
 	if !u.up {
-		w.turns(u, u.guard.Leave(w.now, t.Ticket, quarantine.Stopped))
+		w.turns(u, u.guard.Leave(w.Now(), t.Ticket, quarantine.Stopped))
 		w.later(r)
 		return
 	}
@@ -63,7 +63,7 @@
 	life := u.life
 	if r.number == poison {
 		after := poisonMin + time.Duration(w.rng.Float64()*float64(poisonSpread))
-		w.in(after, func() {
+		w.In(after, func() {
 			if u.life == life {
 				w.found.Taken++
 				w.die(u)
@@ -71,14 +71,14 @@
 		})
 		return
 	}
-	w.in(runShortest+time.Duration(w.rng.Int64N(int64(runLongest-runShortest))), func() {
+	w.In(runShortest+time.Duration(w.rng.Int64N(int64(runLongest-runShortest))), func() {
 		if u.life != life {
 			return
 		}
 		delete(u.runs, t.Ticket)
-		r.entry.tracker.Completed(w.now, r.print)
-		w.turns(u, u.guard.Leave(w.now, t.Ticket, quarantine.Whole))
-		w.answer(r, !w.now.After(r.deadline))
+		r.entry.tracker.Completed(w.Now(), r.print)
+		w.turns(u, u.guard.Leave(w.Now(), t.Ticket, quarantine.Whole))
+		w.answer(r, !w.Now().After(r.deadline))
 	})
 }
 
@@ -87,9 +87,9 @@
 	w.found.Deaths++
 	u.life++
 	u.up = false
-	w.in(restartTime, func() { u.up = true })
+	w.In(restartTime, func() { u.up = true })
 	if !w.sc.Off {
-		turns, _ := u.guard.Died(w.now)
+		turns, _ := u.guard.Died(w.Now())
 		w.turns(u, turns)
 		w.tellEntries(u)
 	} else {
@@ -98,7 +98,7 @@
 	for _, ticket := range slices.Sorted(maps.Keys(u.runs)) {
 		r := u.runs[ticket]
 		r.broke = true
-		w.in(time.Millisecond, func() { w.route(r) })
+		w.In(time.Millisecond, func() { w.route(r) })
 	}
 	u.runs = map[quarantine.Ticket]*request{}
 }
@@ -108,7 +108,7 @@
 	if w.sc.OwnDeaths == 0 {
 		return
 	}
-	w.in(w.exp(w.sc.OwnDeaths), func() {
+	w.In(w.exp(w.sc.OwnDeaths), func() {
 		if u.up {
 			w.die(u)
 		}
@@ -121,34 +121,34 @@
 	if w.rng.Float64() < digestLoss {
 		return
 	}
-	w.in(time.Duration(w.rng.Float64()*float64(digestLate)), do)
+	w.In(time.Duration(w.rng.Float64()*float64(digestLate)), do)
 }
 
 func (w *world) slotDigest(u *upstream) {
 	w.tellEntries(u)
-	w.in(digestEvery, func() { w.slotDigest(u) })
+	w.In(digestEvery, func() { w.slotDigest(u) })
 }
 
 func (w *world) tellEntries(u *upstream) {
-	news := u.guard.Tracker().Digest(w.now, digestLimit)
+	news := u.guard.Tracker().Digest(w.Now(), digestLimit)
 	down := !u.up
 	for _, e := range w.entries {
 		w.deliver(func() {
-			e.tracker.Merge(w.now, news...)
+			e.tracker.Merge(w.Now(), news...)
 			e.down[u.id] = down
 		})
 	}
 }
 
 func (w *world) entryDigest(e *entry) {
-	news := e.tracker.Digest(w.now, digestLimit)
+	news := e.tracker.Digest(w.Now(), digestLimit)
 	for _, other := range w.entries {
 		if other != e {
-			w.deliver(func() { other.tracker.Merge(w.now, news...) })
+			w.deliver(func() { other.tracker.Merge(w.Now(), news...) })
 		}
 	}
 	for _, u := range w.upstreams {
-		w.deliver(func() { w.turns(u, u.guard.Learn(w.now, news...)) })
+		w.deliver(func() { w.turns(u, u.guard.Learn(w.Now(), news...)) })
 	}
-	w.in(digestEvery, func() { w.entryDigest(e) })
+	w.In(digestEvery, func() { w.entryDigest(e) })
 }
--- a/internal/bench/quarantine/world.go
+++ b/internal/bench/quarantine/world.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/agenda"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
 )
@@ -79,7 +80,7 @@
 }
 
 type world struct {
-	agenda
+	*agenda.Agenda
 	sc        Scenario
 	rng       *rand.Rand
 	entries   []*entry
@@ -89,9 +90,8 @@
 
 // Run plays one scenario; the same seed gives the same result.
 func Run(sc Scenario, seed uint64) Found {
-	w := &world{sc: sc, rng: rand.New(rand.NewPCG(seed, 9))}
-	w.now = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
-	end := w.now.Add(sc.Duration)
+	begin := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	w := &world{Agenda: agenda.New(begin), sc: sc, rng: rand.New(rand.NewPCG(seed, 9))}
 	for i := range sc.Upstreams {
 		id := ids.Upstream(fmt.Sprintf("u%d", i))
 		w.upstreams = append(w.upstreams, &upstream{
@@ -107,22 +107,22 @@
 		w.entries = append(w.entries, e)
 	}
 	w.plan()
-	w.run(end)
+	w.Run(begin.Add(sc.Duration))
 	return w.found
 }
 
 func (w *world) plan() {
 	for _, u := range w.upstreams {
-		w.in(w.phase(), func() { w.slotDigest(u) })
+		w.In(w.phase(), func() { w.slotDigest(u) })
 		w.ownDeath(u)
 	}
 	for _, e := range w.entries {
-		w.in(w.phase(), func() { w.entryDigest(e) })
+		w.In(w.phase(), func() { w.entryDigest(e) })
 	}
 	w.innocent(0)
 	if w.sc.Poison {
 		for _, e := range w.entries {
-			w.in(10*time.Second, func() { w.sendPoison(e) })
+			w.In(10*time.Second, func() { w.sendPoison(e) })
 		}
 	}
 }
@@ -136,7 +136,7 @@
 // innocent sends one request that harms nobody and plans the next.
 func (w *world) innocent(number int) {
 	rate := w.sc.Batch * float64(w.sc.Upstreams) / runMean.Seconds()
-	w.in(w.exp(time.Duration(float64(time.Second)/rate)), func() {
+	w.In(w.exp(time.Duration(float64(time.Second)/rate)), func() {
 		w.found.Innocents++
 		w.send(number, w.entries[w.rng.IntN(len(w.entries))])
 		w.innocent(number + 1)
@@ -146,19 +146,19 @@
 func (w *world) sendPoison(e *entry) { w.send(poison, e) }
 
 func (w *world) send(number int, e *entry) {
-	r := &request{number: number, entry: e, deadline: w.now.Add(patience)}
+	r := &request{number: number, entry: e, deadline: w.Now().Add(patience)}
 	binary.BigEndian.PutUint64(r.print[:], uint64(number))
 	w.route(r)
 }
 
 // route sends a request to an upstream, or refuses it.
 func (w *world) route(r *request) {
-	if w.now.After(r.deadline) {
+	if w.Now().After(r.deadline) {
 		w.answer(r, false)
 		return
 	}
 	if !w.sc.Off {
-		r.level, _ = r.entry.tracker.Judge(w.now, r.print)
+		r.level, _ = r.entry.tracker.Judge(w.Now(), r.print)
 		if r.broke {
 			r.level = max(r.level, quarantine.Suspected)
 		}
@@ -172,7 +172,7 @@
 		w.later(r)
 		return
 	}
-	w.in(time.Millisecond, func() { w.arrive(r, u) })
+	w.In(time.Millisecond, func() { w.arrive(r, u) })
 }
 
 func (w *world) pick(r *request) *upstream {
@@ -193,7 +193,7 @@
 	return byID[quarantine.Home(r.print, ready)]
 }
 
-func (w *world) later(r *request) { w.in(retryAfter, func() { w.route(r) }) }
+func (w *world) later(r *request) { w.In(retryAfter, func() { w.route(r) }) }
 
 func (w *world) refused(r *request) {
 	if r.number != poison {
@@ -205,7 +205,7 @@
 // answer ends a request; the poisonous one is sent again.
 func (w *world) answer(r *request, inTime bool) {
 	if r.number == poison {
-		w.in(poisonResend, func() { w.sendPoison(r.entry) })
+		w.In(poisonResend, func() { w.sendPoison(r.entry) })
 		return
 	}
 	if !inTime {
