--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -244,8 +245,9 @@
 	}
 	v := s.o.Agent.View()
 	for _, name := range names {
-		if v.Newest == nil || v.Newest.Roster.Member(name) == nil {
-			return nil, &config.FieldError{Field: "remove_nodes.names", Want: "names of members, got " + name}
+		isMember := v.Newest != nil && v.Newest.Roster.Member(name) != nil
+		if !isMember && !slices.Contains(v.Pending, name) {
+			return nil, &config.FieldError{Field: "remove_nodes.names", Want: "names of members or of pending nodes, got " + name}
 		}
 	}
 	if len(names) == 0 {
--- a/internal/revision/accept.go
+++ b/internal/revision/accept.go
@@ -1,6 +1,7 @@
 package revision
 
 import (
+	"slices"
 	"time"
 
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
@@ -12,6 +13,11 @@
 	since time.Time
 	// held says since when this node knows that a member, by index, holds the entry.
 	held map[int]time.Time
+	// edit is the entry's change of the roster, or nil.
+	edit *cardamomyokev1.RosterEdit
+	// silent are members that the entry removes only because they were silent. One that reaches the table but no node
+	// is alive: it serves until it reads of its removal.
+	silent []*Member
 }
 
 // bits returns the members that held the entry at the given time.
@@ -39,6 +45,7 @@
 		for i := range p.state.Roster.members {
 			if _, known := p.held[i]; !known && bits.has(i) {
 				p.held[i] = now
+				n.heard[p.state.Roster.members[i].GetName()] = now
 			}
 		}
 	}
@@ -73,27 +80,81 @@
 // missing one may go by. What it knew before that has run out once Stale has passed since the last of them got hold
 // of the entry.
 func (n *Node) acceptable(p *pending) bool {
-	if len(p.held) == len(p.state.Roster.members) {
+	missing := n.missingFor(p)
+	if len(missing) == 0 {
 		return true
 	}
 	if n.now.Sub(p.since) < n.options.wait() {
 		return false
 	}
 	held := p.bits(n.now.Add(-n.options.wait()))
-	var missing []*Member
-	for i, m := range p.state.Roster.members {
-		if _, ok := p.held[i]; !ok {
-			missing = append(missing, m)
-		}
-	}
+	gone := n.goneNames()
 	for _, s := range n.states {
-		if s.Seq <= p.state.Seq && !s.Roster.excludes(translate(held, p.state.Roster, s.Roster), missing) {
+		if s.Seq > p.state.Seq {
+			break
+		}
+		bits := translate(held, p.state.Roster, s.Roster)
+		for i, m := range s.Roster.members {
+			if gone[m.GetName()] {
+				bits.set(i)
+			}
+		}
+		if !s.Roster.excludes(bits, missing) {
 			return false
 		}
 	}
 	return true
 }
 
+// goneNames returns the nodes that are known to have ended, since they left or are said to be gone. None of them can
+// vouch for a node that is missing. A later life of one counts too: it is no member in its own eyes before it holds the
+// entry that adds it again.
+func (n *Node) goneNames() map[string]bool {
+	out := map[string]bool{}
+	for _, p := range n.pending {
+		for _, name := range p.edit.GetRemove() {
+			out[name] = true
+		}
+	}
+	return out
+}
+
+// missingFor returns the nodes that may not hold the entry and may not have been told to stop: members that have not
+// acknowledged it, and those that it or an entry before it, not accepted yet, removes for their silence.
+func (n *Node) missingFor(p *pending) []*Member {
+	gone := n.goneNames()
+	var out []*Member
+	for i, m := range p.state.Roster.members {
+		if _, ok := p.held[i]; !ok && !gone[m.GetName()] {
+			out = append(out, m)
+		}
+	}
+	for i, before := range n.pending {
+		if before.state.Seq > p.state.Seq {
+			break
+		}
+		for _, m := range before.silent {
+			if !gone[m.GetName()] && !n.addedAfter(i, m.GetName()) {
+				out = append(out, m)
+			}
+		}
+	}
+	return out
+}
+
+// addedAfter reports whether a node that was removed for its silence has become a member again: it asked for that
+// because it had read of its removal.
+func (n *Node) addedAfter(i int, name string) bool {
+	for _, p := range n.pending[i:] {
+		for _, m := range p.edit.GetAdd() {
+			if m.GetName() == name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // collect uses the table to put together the acknowledgements of nodes that do not reach each other.
 func (n *Node) collect() {
 	p := n.oldestPending()
@@ -121,23 +182,27 @@
 	return nil
 }
 
-// missingBits returns the members that hold acceptance back, for the nodes that hear from this one.
-func (n *Node) missingBits() []byte {
+// missingBits returns the nodes that hold acceptance back, for the nodes that hear from this one: members as bits,
+// others by name.
+func (n *Node) missingBits() ([]byte, []string) {
 	names := n.pendingNames()
 	if len(names) == 0 {
-		return nil
+		return nil, nil
 	}
 	r := n.roster()
 	out := newBitset(len(r.members))
+	var others []string
 	for _, name := range names {
 		if i, ok := r.index[name]; ok {
 			out.set(i)
+		} else {
+			others = append(others, name)
 		}
 	}
-	return out
+	return out, others
 }
 
-// pendingNames returns the members that hold acceptance back, as far as this node knows.
+// pendingNames returns the nodes that hold acceptance back, as far as this node knows.
 func (n *Node) pendingNames() []string {
 	if n.staged() <= n.accepted || len(n.pending) == 0 {
 		return nil
@@ -145,6 +210,10 @@
 	if !n.isOrigin() {
 		return n.missing
 	}
-	p := n.pending[len(n.pending)-1]
-	return p.state.Roster.missing(p.bits(n.now))
+	var out []string
+	for _, m := range n.missingFor(n.pending[len(n.pending)-1]) {
+		out = append(out, m.GetName())
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
 }
--- a/internal/revision/ack.go
+++ b/internal/revision/ack.go
@@ -70,7 +70,7 @@
 // count certifies that a majority answered a beat that started here. A node that restarted and has not recovered does
 // not count: it has forgotten what it holds.
 func (n *Node) count(r *round) {
-	if r.origin != n.self.GetName() || r.roster != n.roster() {
+	if r.origin != n.incarnation || r.roster != n.roster() {
 		return
 	}
 	n.countSelf(r)
--- a/internal/revision/agent/cluster_test.go
+++ b/internal/revision/agent/cluster_test.go
@@ -20,6 +20,8 @@
 const (
 	tick  = 50 * time.Millisecond
 	stale = 4 * time.Second
+	// hostLag is how far the host list lags behind.
+	hostLag = 20 * time.Second
 )
 
 // member is one process of the cluster under test.
@@ -30,6 +32,8 @@
 	cancel context.CancelFunc
 	ended  chan struct{}
 	paused chan chan struct{}
+	// resumes is when a pause is over for certain.
+	resumes time.Time
 }
 
 // cluster runs agents over a stand-in of the platform, within a synctest bubble.
@@ -73,7 +77,7 @@
 	loop := control.New()
 	m.agent = agent.New(agent.Config{
 		Self: c.describe(name), Incarnation: ids.NewIncarnation(), Seeds: peers,
-		Platform: platform.NewClient(m.table, platform.Options{}), Transport: c.net.Transport(name), Loop: loop,
+		Platform: platform.NewClient(m.table, platform.Options{}), Transport: c.net.Transport(name), Loop: loop, Hosts: m.table,
 		Rand: rand.New(rand.NewPCG(c.rng.Uint64(), 2)),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -92,6 +96,7 @@
 	}()
 	c.members[name] = m
 	c.net.Attach(name, m.agent)
+	c.list()
 	return m
 }
 
@@ -111,6 +116,16 @@
 	m.cancel()
 	<-m.ended
 	delete(c.members, name)
+	c.list()
+}
+
+// list makes the host list show the processes as they are now, hostLag later.
+func (c *cluster) list() {
+	var hosts []platform.Host
+	for name := range c.members {
+		hosts = append(hosts, platform.Host{Name: name, DataCentre: ids.DataCentre(dataCentre(name)), State: platform.HostLive})
+	}
+	c.store.SetHosts(hosts, hostLag)
 }
 
 func (c *cluster) stop() {
--- a/internal/revision/beat.go
+++ b/internal/revision/beat.go
@@ -7,6 +7,8 @@
 
 // round is one beat as this node saw it: who answered it.
 type round struct {
+	// origin is the incarnation that started the beat. By its name, an answer to a beat of its former life could count
+	// for one of the same number now: a majority would vouch for what it held long ago.
 	origin    string
 	beat      uint64
 	start     time.Time
@@ -112,7 +114,7 @@
 	n.parent = m.GetFrom()
 	n.parentAt = n.now
 	n.parentHi = m.GetStaged()
-	n.missing = n.namesOf(m.GetMissing(), m.GetStaged())
+	n.missing = append(n.namesOf(m.GetMissing(), m.GetStaged()), m.GetMissingRemoved()...)
 	last := n.lastRound()
 	if last != nil && last.origin == m.GetOrigin() && last.beat >= m.GetBeat() {
 		n.scheduleAck(0)
@@ -158,7 +160,7 @@
 func (n *Node) spread() {
 	if n.isOrigin() && (!n.now.Before(n.beatAt) || n.news) && n.rested() {
 		n.beats++
-		n.startRound(n.self.GetName(), n.beats)
+		n.startRound(n.incarnation, n.beats)
 		n.count(n.lastRound())
 		if !n.now.Before(n.beatAt) {
 			n.beatAt = n.now.Add(n.options.Beat)
@@ -195,8 +197,9 @@
 		From: n.self.GetName(), Incarnation: n.incarnation, Origin: last.origin, Beat: last.beat,
 		Committed: n.committed, Accepted: n.accepted, Staged: n.staged(),
 		TableAgeUs: -1, Echo: c.nonce, EchoAgeUs: n.now.Sub(c.nonceAt).Microseconds(),
-		Entries: n.entriesAfter(c.staged), Missing: n.missingBits(),
+		Entries: n.entriesAfter(c.staged),
 	}
+	m.Missing, m.MissingRemoved = n.missingBits()
 	if !n.tableBasis.IsZero() {
 		m.TableAgeUs = ageOf(n.now, n.tableBasis)
 	}
--- a/internal/revision/join.go
+++ b/internal/revision/join.go
@@ -105,9 +105,9 @@
 	}
 }
 
-// gone returns the removal of members that have been silent for long. A member that restarts joins again; one that is
-// alive and cut off is not removed, unless the host list does not name it: while it may belong to a part that serves on
-// its own, acceptance must wait for it.
+// gone returns the removal of members that have been silent for long, or that are silent and not listed. A member that
+// restarts joins again; one that may belong to a part that serves on its own is not removed for its silence, as
+// acceptance must wait for it.
 func (n *Node) gone(after time.Duration, listed map[string]bool) *cardamomyokev1.RosterEdit {
 	r := n.roster()
 	if n.now.Sub(n.originAt) < after {
@@ -123,17 +123,38 @@
 			silent = append(silent, m)
 		}
 	}
+	if listed != nil {
+		silent = append(silent, n.unlisted(listed)...)
+	}
 	if len(silent) == 0 || listed == nil && !r.excludes(alive, silent) {
 		return nil
 	}
 	e := &cardamomyokev1.RosterEdit{}
 	for _, m := range silent {
-		e.Remove = append(e.Remove, m.GetName())
-		delete(n.heard, m.GetName())
+		if listed == nil {
+			e.Silent = append(e.Silent, m.GetName())
+		} else {
+			e.Remove = append(e.Remove, m.GetName())
+		}
 	}
 	return e
 }
 
+// unlisted returns nodes that hold acceptance back though they are no members any more, and that are not listed.
+func (n *Node) unlisted(listed map[string]bool) []*Member {
+	if len(n.pending) == 0 {
+		return nil
+	}
+	var out []*Member
+	for _, m := range n.missingFor(n.pending[len(n.pending)-1]) {
+		name := m.GetName()
+		if n.roster().Member(name) == nil && n.listed[name] && !listed[name] {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // OnHosts takes the platform's host list. A host that it no longer names is gone, once the member has been silent for a
 // while too. A host that it has never named says nothing, since the list lags behind new hosts: a new one that is cut
 // off and serves must not be taken for gone.
--- a/internal/revision/node.go
+++ b/internal/revision/node.go
@@ -249,16 +249,25 @@
 	if err != nil {
 		return
 	}
+	before := n.head().Roster
 	n.states = append(n.states, next)
 	n.log = append(n.log, e)
 	if len(n.log) > logKept {
 		n.log = slices.Clone(n.log[len(n.log)-logKept:])
 	}
 	n.fire(evStaged)
-	p := &pending{state: next, since: n.now, held: map[int]time.Time{}}
+	p := &pending{state: next, since: n.now, held: map[int]time.Time{}, edit: e.GetRoster()}
 	if i, ok := next.Roster.index[n.self.GetName()]; ok {
 		p.held[i] = n.now
 	}
+	for _, name := range e.GetRoster().GetSilent() {
+		if m := before.Member(name); m != nil {
+			p.silent = append(p.silent, m)
+		}
+	}
+	for _, m := range e.GetRoster().GetAdd() {
+		n.heard[m.GetName()] = n.now
+	}
 	n.pending = append(n.pending, p)
 }
 
@@ -328,7 +337,9 @@
 		return time.Time{}
 	}
 	basis := n.tableBasis
-	if n.vouchBasis.After(basis) {
+	// A majority tells what is held, not what is accepted. While an entry is held but not in force only the table can
+	// tell that it is not accepted yet; else a node that is paused right after could serve without it for Force longer.
+	if n.vouchBasis.After(basis) && n.inForce.Seq == n.staged() {
 		basis = n.vouchBasis
 	}
 	return basis.Add(n.options.Stale)
--- a/internal/revision/roster.go
+++ b/internal/revision/roster.go
@@ -73,17 +73,6 @@
 	return r.members[i]
 }
 
-// missing returns the names of the members whose bit is not set in held.
-func (r *Roster) missing(held bitset) []string {
-	var out []string
-	for i, m := range r.members {
-		if !held.has(i) {
-			out = append(out, m.GetName())
-		}
-	}
-	return out
-}
-
 // before reports whether a comes before b in the order; unknown members do for nobody.
 func (r *Roster) before(a, b string) bool {
 	i, ok := r.index[a]
@@ -199,7 +188,7 @@
 	for _, m := range r.members {
 		next[m.GetName()] = m
 	}
-	for _, name := range e.GetRemove() {
+	for _, name := range slices.Concat(e.GetRemove(), e.GetSilent()) {
 		delete(next, name)
 	}
 	for _, m := range e.GetAdd() {
--- a/internal/revision/store/change.go
+++ b/internal/revision/store/change.go
@@ -120,8 +120,8 @@
 			return nil, err
 		}
 		e, err = s.write(ctx, have, h, meta, e)
-		if err == nil && last == nil {
-			return e, nil
+		if err == nil {
+			return s.stored(ctx, e, last), nil
 		}
 		if err != nil && !again(err) {
 			return nil, orUnknown(meta, last, err)
@@ -131,6 +131,19 @@
 	return nil, &UnknownError{meta.GetOperationId(), last}
 }
 
+// stored returns the entry as it is in the table. After a try whose answer was lost, that try may be the one that was
+// applied; it differs from the later one in nothing but the time that it is dated with.
+func (s *Store) stored(ctx context.Context, e *revision.Entry, earlier error) *revision.Entry {
+	if earlier == nil {
+		return e
+	}
+	_, first, err := s.headAndOperation(ctx, e.GetMeta().GetOperationId())
+	if err != nil || first == nil {
+		return e // it is committed, whether or not it can be read now
+	}
+	return first
+}
+
 // headAndOperation reads the head, and the entry of the operation if it is committed, as of one moment.
 func (s *Store) headAndOperation(ctx context.Context, id string) (head, *revision.Entry, error) {
 	rows, err := s.platform.Get(ctx, keyHead, prefixOp+id)
--- /dev/null
+++ b/mk/config.mk
@@ -0,0 +1,5 @@
+.PHONY: test-config bench-config
+
+## test-config: races, lost answers, outages, pauses, cuts and replacements against acceptance; last line is the count
+test-config:
+	$(GO) test -count=1 -timeout 20m -run '^TestScenarios$$' -v ./internal/revision/agent | grep -vE '^(=== |--- PASS|PASS|ok )'
