--- a/cmd/cardamomyoke-bench/main.go
+++ b/cmd/cardamomyoke-bench/main.go
@@ -9,6 +9,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/claims"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/demo"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/load"
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/mapswitch"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/policy"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/quarantine"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/rebalance"
@@ -22,6 +23,7 @@
 	quarantine.Register(app)
 	rebalance.Register(app)
 	load.Register(app)
+	mapswitch.Register(app)
 	policy.Register(app)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 }
