Admission: no reserve for a class that is not asked for, no division by a share of 0

The entry has a queue for each service, and a service has one class: a service of a lower class would have lost a quarter of its places for nothing. One line in internal/entry sets the longest expected wait (DefaultMostWait), which it left at none.

--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -42,7 +42,7 @@
 	if it.req.Deadline.Sub(now) < it.req.Run {
 		return failure.New(failure.CodeDeadlineUnmet, nil)
 	}
-	if c.waiting == 0 && len(q.started) < q.places(slices.Index(q.classes, c)) {
+	if c.waiting == 0 && len(q.started) < q.places(slices.Index(q.classes, c), now) {
 		return nil
 	}
 	s := q.schedule(c, now)
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -30,7 +30,8 @@
 // Options are the settings of a Queue.
 type Options struct {
 	Classes []Class
-	// Reserve is the fraction of the places that only the first class may use.
+	// Reserve is the fraction of the places that only the first class may use. It is kept while that class is asked
+	// for at all; a pool that serves other classes only has the use of all its places.
 	Reserve float64
 	// RateWindow is the time over which the rate of started work is measured.
 	RateWindow time.Duration
@@ -83,6 +84,8 @@
 	classes  []*classQueue
 	started  map[uint64]startedItem
 	rate     rateMeter
+	// firstAt is when the first class was last asked for.
+	firstAt time.Time
 	// busySince is when requests last began to wait without a pause; zero if none waits.
 	busySince time.Time
 }
@@ -128,6 +131,9 @@
 	if c == nil {
 		return []Outcome{{req, failure.New(failure.CodeInternal, &ClassError{req.Class})}}
 	}
+	if c == q.classes[0] {
+		q.firstAt = now
+	}
 	it := &item{req: req, offered: now}
 	if err := q.refusal(c, it, now); err != nil {
 		return []Outcome{{req, err}}
@@ -206,14 +212,20 @@
 	if q.opts.Share == nil {
 		return 1
 	}
-	return q.opts.Share(client)
+	return max(leastShare, q.opts.Share(client))
 }
 
+// leastShare is the weight of a client that has none, for example because its account was just removed.
+const leastShare = 0.001
+
+// reserveFor is how long places are kept free after the first class was last asked for.
+const reserveFor = 30 * time.Second
+
 // start takes requests out of the queue, best class first, as long as there is a place for them.
 func (q *Queue) start(now time.Time) []Outcome {
 	var outcomes []Outcome
 	for i, c := range q.classes {
-		for c.waiting > 0 && len(q.started) < q.places(i) {
+		for c.waiting > 0 && len(q.started) < q.places(i, now) {
 			it := c.pop(now)
 			q.started[it.req.ID] = startedItem{it.req, c}
 			q.rate.add(it.req.Tokens, now)
@@ -225,8 +237,8 @@
 
 // places is how many places a class may fill. All but the first leave the reserve free: if they filled the pool, a
 // request of the first class would wait for a whole answer to end, however high its priority.
-func (q *Queue) places(index int) int {
-	if index == 0 {
+func (q *Queue) places(index int, now time.Time) int {
+	if index == 0 || q.firstAt.IsZero() || now.Sub(q.firstAt) > reserveFor {
 		return q.capacity.Places
 	}
 	return q.capacity.Places - int(q.opts.Reserve*float64(q.capacity.Places))
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -109,6 +109,9 @@
 	opts := options()
 	opts.Reserve = 0.25
 	e := newEngine(opts, 8)
+	e.offer("a", quotes, time.Minute)
+	e.pass(2 * run)
+	e.started = nil
 	for range 10 {
 		e.offer("a", letters, time.Minute)
 	}
@@ -121,6 +124,34 @@
 	}
 }
 
+// A service whose requests are all of a lower class must not lose places to a class that never comes.
+func TestNothingIsReservedForAClassThatNobodyAsksFor(t *testing.T) {
+	opts := options()
+	opts.Reserve = 0.25
+	e := newEngine(opts, 8)
+	for range 10 {
+		e.offer("a", letters, time.Minute)
+	}
+	if len(e.started) != 8 {
+		t.Fatalf("%d letters started in 8 places", len(e.started))
+	}
+}
+
+// An account is removed while its requests wait; its weight is then 0, and dividing by it would stop the whole class.
+func TestAClientWithoutAShareDoesNotStopTheOthers(t *testing.T) {
+	opts := options()
+	opts.Share = func(c ids.Client) float64 { return map[ids.Client]float64{"a": 1}[c] }
+	e := newEngine(opts, 1)
+	for range 5 {
+		e.offer("removed", letters, time.Minute)
+		e.offer("a", letters, time.Minute)
+	}
+	e.pass(11 * run)
+	if len(e.started) != 10 {
+		t.Fatalf("%d of 10 started", len(e.started))
+	}
+}
+
 func TestRefusalsComeAtOnceAndSayWhen(t *testing.T) {
 	tests := map[string]struct {
 		change   func(*admission.Options)
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -198,7 +198,7 @@
 
 func (s *state) queueOptions() admission.Options {
 	share := func(c ids.Client) float64 { return float64(s.config.Current().Client(c).GetShare()) }
-	o := admission.Options{Reserve: admission.DefaultReserve, Share: share}
+	o := admission.Options{Reserve: admission.DefaultReserve, MostWait: admission.DefaultMostWait, Share: share}
 	for _, c := range s.snapshot.Proto.GetClasses() {
 		o.Classes = append(o.Classes, admission.Class{
 			Name: c.GetName(), Rank: int(c.GetRank()), QueueLimit: int(c.GetQueueLimit()),
