Quarantine wired into entry and slot

Cause: a request that crashes its upstreams was retried from one runner to the next without memory. Change: a slot watches its upstream and tells what ran when it died; digests and the table carry suspects; an entry sends a suspect to its home upstream, with its level, and refuses it when the evidence is enough.

--- a/internal/attempt/header.go
+++ b/internal/attempt/header.go
@@ -27,7 +27,7 @@
 	HeaderRank        = "Cardamomyoke-Class-Rank"
 	HeaderKey         = "Idempotency-Key"
 	HeaderResume      = "Cardamomyoke-Resume-Tokens"
-	HeaderAlone       = "Cardamomyoke-Run-Alone"
+	HeaderSuspicion   = "Cardamomyoke-Suspicion"
 	HeaderMethod      = "Cardamomyoke-Method"
 	HeaderTarget      = "Cardamomyoke-Target"
 	HeaderTrace       = "Traceparent"
@@ -51,8 +51,8 @@
 	Key string
 	// Resume is how many tokens the caller already has.
 	Resume int
-	// Alone asks the slot to run nothing else on its upstream at the same time.
-	Alone bool
+	// Suspicion is how far the request is suspected of crashing its upstreams, a quarantine.Level.
+	Suspicion int
 	// Method and Target are the caller's own, for plain services.
 	Method string
 	Target string
@@ -89,8 +89,8 @@
 	setIf(out, HeaderMethod, h.Method)
 	setIf(out, HeaderTarget, h.Target)
 	setIf(out, HeaderTrace, h.Trace)
-	if h.Alone {
-		out.Set(HeaderAlone, "1")
+	if h.Suspicion > 0 {
+		out.Set(HeaderSuspicion, strconv.Itoa(h.Suspicion))
 	}
 }
 
@@ -115,7 +115,7 @@
 		Method:      r.text(HeaderMethod),
 		Target:      r.text(HeaderTarget),
 		Trace:       r.text(HeaderTrace),
-		Alone:       r.text(HeaderAlone) != "",
+		Suspicion:   int(r.optional(HeaderSuspicion)),
 	}
 	if r.err != nil {
 		return Header{}, r.err
@@ -136,6 +136,14 @@
 
 func (r *fieldReader) text(name string) string { return string(r.in.Peek(name)) }
 
+// optional reads a number that is 0 if the field is missing.
+func (r *fieldReader) optional(name string) uint64 {
+	if r.text(name) == "" {
+		return 0
+	}
+	return r.number(name)
+}
+
 func (r *fieldReader) number(name string) uint64 {
 	text := r.text(name)
 	n, err := strconv.ParseUint(text, 10, 63)
--- a/internal/daemon/entrymain/entrymain.go
+++ b/internal/daemon/entrymain/entrymain.go
@@ -51,7 +51,7 @@
 		Logger:   logger,
 	})
 	e, err := entry.Start(set, entry.Deps{
-		Config: node.Config, Loop: node.Loop, Incarnation: node.Incarnation, Roster: node.Roster, Logger: logger, Tracer: tracer,
+		Config: node.Config, Loop: node.Loop, Incarnation: node.Incarnation, Roster: node.Roster, Table: node.Platform, Logger: logger, Tracer: tracer,
 	})
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,8 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
 	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
 	"github.com/cardamomyoke/cardamomyoke/internal/revision"
 	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
 )
@@ -29,6 +31,8 @@
 	Loop *control.Loop
 	// Incarnation is this life of the process; empty lets the entry draw one.
 	Incarnation ids.Incarnation
+	// Table keeps what is known of requests that crash their upstreams; nil keeps it in memory only.
+	Table platform.Table
 	// Roster returns the members that the configuration log names; nil if there is no log.
 	Roster func() *revision.Roster
 	Logger log.Logger
@@ -46,6 +50,7 @@
 	metrics     *entryMetrics
 	client      *httpclient.Client
 	limits      *limits.Limiter
+	quarantine  *quarantine.Keeper
 	sequence    atomic.Uint64
 	view        atomic.Pointer[view]
 	// withdrawn is set once callers are no longer sent here.
@@ -63,6 +68,10 @@
 const (
 	// defaultLoops is the number of event loops of the callers' listener.
 	defaultLoops = 2
+	// defaultQuarantine holds until the configuration is known.
+	defaultQuarantine = 10 * time.Minute
+	// digestSuspects is how many suspects one digest carries; more would not fit its datagram.
+	digestSuspects = 4
 	// tickEvery is how often the control loop judges health and publishes a view.
 	tickEvery = 25 * time.Millisecond
 )
@@ -104,6 +113,7 @@
 	if e.loop == nil {
 		e.loop = control.New()
 	}
+	e.quarantine = quarantine.NewKeeper(d.Table, defaultQuarantine, quarantine.DefaultKeeperOptions())
 	e.state = newState(set, d.Config, e.logger, now)
 	e.view.Store(&view{})
 	if err := e.listen(); err != nil {
@@ -111,6 +121,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
+	if d.Table != nil {
+		go e.quarantine.Run(ctx)
+	}
 	if d.Loop == nil {
 		go e.loop.Run(ctx, tickEvery, e.Tick)
 	}
@@ -125,7 +138,7 @@
 		return err
 	}
 	e.receiver, err = digest.Receive(e.settings.Digests.Address, func(d *cardamomyokev1.Digest) {
-		e.loop.Post(func(now time.Time) { e.state.hear(d, now) })
+		e.loop.Post(func(now time.Time) { e.hear(d, now) })
 	})
 	if err != nil {
 		_ = e.sender.Close()
@@ -143,6 +156,13 @@
 	return err
 }
 
+// hear takes in a digest; it runs on the control loop.
+func (e *Entry) hear(d *cardamomyokev1.Digest, now time.Time) {
+	if e.state.hear(d, now) {
+		e.quarantine.Merge(now, quarantine.FromDigest(d)...)
+	}
+}
+
 // Tick lets time pass; it runs on the control loop.
 func (e *Entry) Tick(now time.Time) {
 	e.adoptConfig(now)
@@ -166,6 +186,7 @@
 	if snap != e.state.snapshot {
 		e.state.adopt(snap)
 		e.limits.SetLimits(limitsOf(snap))
+		e.quarantine.SetPeriod(time.Duration(snap.Proto.GetPolicies().GetQuarantineS()) * time.Second)
 		_ = level.Info(e.logger).Log("msg", "configuration in force", "revision", snap.Revision())
 	}
 	e.limits.SetEntries(e.state.members.Entries())
@@ -218,7 +239,7 @@
 		return
 	}
 	e.digests++
-	d := e.ownDigest()
+	d := e.ownDigest(now)
 	for _, to := range due {
 		n, err := e.sender.Send(to.Address, d)
 		e.metrics.digestBytes.Add(n)
@@ -228,7 +249,7 @@
 	}
 }
 
-func (e *Entry) ownDigest() *cardamomyokev1.Digest {
+func (e *Entry) ownDigest(now time.Time) *cardamomyokev1.Digest {
 	state := cardamomyokev1.NodeState_NODE_STATE_LIVE
 	if e.withdrawn.Load() || e.life.State() != stateServing {
 		state = cardamomyokev1.NodeState_NODE_STATE_LEAVING
@@ -244,6 +265,7 @@
 		ControlAddress: e.settings.Control.Address,
 		DigestAddress:  e.settings.Digests.Address,
 	}
+	d.Suspects = quarantine.ToDigest(e.quarantine.Digest(now, digestSuspects))
 	if e.state.snapshot != nil {
 		d.Revision = uint64(e.state.snapshot.Revision())
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -50,6 +50,7 @@
 			Rank:        r.class.GetRank(),
 			Key:         r.key,
 			Resume:      resume,
+			Suspicion:   r.suspicion,
 			Method:      r.method,
 			Target:      r.target,
 			Trace:       trace,
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -16,6 +16,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/health"
 	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
 	"github.com/cardamomyoke/cardamomyoke/internal/retry"
 	"github.com/cardamomyoke/cardamomyoke/internal/routing"
 )
@@ -171,6 +172,14 @@
 	if p == nil {
 		return "", failure.New(failure.CodeUnknownService, nil)
 	}
+	level, until := e.quarantine.Snapshot().Judge(time.Now(), r.print)
+	if level == quarantine.Refused {
+		return "", quarantine.Refusal(time.Now(), until)
+	}
+	if level > quarantine.Clear {
+		exclude = p.allBut(quarantine.Home(r.print, p.usable(exclude)))
+	}
+	r.suspicion = int(level)
 	choice, err := p.picker.Pick(&routing.Request{
 		Blocks: r.blocks, BlockTokens: blockBytes / bytesPerToken, PromptTokens: r.promptTokens,
 		OutputTokens: r.outputTokens - m.tokens, Exclude: exclude, Rand: rand.Uint64(),
@@ -183,6 +192,9 @@
 	err = e.runAttempt(spanCtx, v, choice, m, span.Header())
 	span.End(err)
 	e.report(v, id, err)
+	if err == nil {
+		e.quarantine.Completed(time.Now(), r.print)
+	}
 	return id, err
 }
 
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -18,6 +18,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/failure"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
 	"github.com/cardamomyoke/cardamomyoke/internal/routing/prefix"
 )
 
@@ -55,6 +56,10 @@
 	// promptTokens and outputTokens are estimates; blocks are the hashes of the prompt's leading blocks.
 	promptTokens, outputTokens int
 	blocks                     []uint64
+	// print identifies the request, whoever sends it again.
+	print quarantine.Fingerprint
+	// suspicion is the level at which the present attempt is sent.
+	suspicion int
 }
 
 // chatRequest is the part of an OpenAI-style body that matters here; the rest goes to the engine as it is.
@@ -91,6 +96,7 @@
 	if err := r.readDeadline(in, now); err != nil {
 		return nil, err
 	}
+	r.print = quarantine.FingerprintOf(r.client, sha256.Sum256(r.body))
 	return r, r.readKey()
 }
 
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -71,12 +71,13 @@
 	}
 }
 
-// hear takes in a digest, unless it is late or doubled.
-func (s *state) hear(d *cardamomyokev1.Digest, now time.Time) {
+// hear takes in a digest and reports whether it is news: a late or doubled one is dropped.
+func (s *state) hear(d *cardamomyokev1.Digest, now time.Time) bool {
 	news := s.members.Hear(d, now)
 	if news && d.GetRole() == cardamomyokev1.NodeRole_NODE_ROLE_SLOT {
 		s.hearSlot(d, now)
 	}
+	return news
 }
 
 func (s *state) hearSlot(d *cardamomyokev1.Digest, now time.Time) {
@@ -178,10 +179,12 @@
 		s.pools[name] = old
 	}
 	next := &pool{
-		picker:   expectedwait.New(list, expectedwait.Defaults()),
-		gate:     old.gate,
-		budget:   old.budget,
-		stepTime: meanStepTime(list),
+		picker: expectedwait.New(list, expectedwait.Defaults()),
+		gate:   old.gate,
+		budget: old.budget,
+
+		upstreams: list,
+		stepTime:  meanStepTime(list),
 	}
 	next.budget.SetPercent(int(service.GetRetryBudgetPercent()))
 	next.gate.SetCapacity(s.capacity(list, next.stepTime))
@@ -221,7 +224,7 @@
 
 func (s *state) route(id ids.Upstream, u *upstream, now time.Time) *routing.Upstream {
 	status, _ := s.tracker.Status(id, now)
-	if s.snapshot.Drained(id) {
+	if s.snapshot.Drained(id) || u.digest.GetSlot().GetUpstreamDown() {
 		status.Weight = 0
 	}
 	load := u.digest.GetSlot()
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"slices"
+
 	"github.com/cardamomyoke/cardamomyoke/internal/admission"
 	"github.com/cardamomyoke/cardamomyoke/internal/config"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
@@ -26,6 +28,30 @@
 	picker routing.Picker
 	gate   *admission.Gate
 	budget *retry.Budget
+	// upstreams are those of the picker.
+	upstreams []*routing.Upstream
 	// stepTime is the mean time of a step in the pool, in seconds; 0 if it is not known.
 	stepTime float64
 }
+
+// usable names the upstreams that take new work and are not excluded.
+func (p *pool) usable(exclude []ids.Upstream) []ids.Upstream {
+	var out []ids.Upstream
+	for _, u := range p.upstreams {
+		if u.Weight > 0 && !slices.Contains(exclude, u.ID) {
+			out = append(out, u.ID)
+		}
+	}
+	return out
+}
+
+// allBut names all upstreams but one, to be excluded.
+func (p *pool) allBut(one ids.Upstream) []ids.Upstream {
+	var out []ids.Upstream
+	for _, u := range p.upstreams {
+		if u.ID != one {
+			out = append(out, u.ID)
+		}
+	}
+	return out
+}
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -168,6 +168,16 @@
 	}
 }
 
+// Probe reports whether address takes connections; it sends nothing. Errors: *DialError.
+func (c *Client) Probe(ctx context.Context, address string) error {
+	d := net.Dialer{Timeout: c.opts.DialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return &DialError{address, err}
+	}
+	return conn.Close()
+}
+
 // Close closes the idle connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/quarantine/digest.go
@@ -0,0 +1,23 @@
+package quarantine
+
+import cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+
+// ToDigest turns suspects into what a digest carries.
+func ToDigest(list []Suspect) []*cardamomyokev1.Suspect {
+	var out []*cardamomyokev1.Suspect
+	for _, s := range list {
+		out = append(out, s.Proto())
+	}
+	return out
+}
+
+// FromDigest returns the suspects that a digest carries; those that cannot be read are left out.
+func FromDigest(d *cardamomyokev1.Digest) []Suspect {
+	var out []Suspect
+	for _, in := range d.GetSuspects() {
+		if s, err := SuspectFromProto(in); err == nil {
+			out = append(out, s)
+		}
+	}
+	return out
+}
--- a/internal/slot/digests.go
+++ b/internal/slot/digests.go
@@ -11,6 +11,7 @@
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/membership"
+	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
 	"github.com/cardamomyoke/cardamomyoke/internal/revision"
 )
 
@@ -69,7 +70,10 @@
 func (d *digests) take(in *cardamomyokev1.Digest) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.members.Hear(in, time.Now())
+	if !d.members.Hear(in, time.Now()) {
+		return
+	}
+	d.slot.guard.Learn(quarantine.FromDigest(in)...)
 }
 
 // send tells the entries that are due, or all of them if there is news that cannot wait.
@@ -77,6 +81,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
+	d.slot.guard.SetPeriod(quarantinePeriod(d.slot.config))
 	d.adoptRoster(now)
 	d.members.Tick(now)
 	for _, to := range d.members.Due(d.slot.settings.Digests.Seeds, now, all) {
@@ -131,8 +136,11 @@
 			Yours:      countsProto(yours),
 			StepTimeUs: uint32(s.speed.step.value().Microseconds()),
 			Steps:      s.steps.Load(),
+
+			UpstreamDown: s.upstream.down.Load(),
 		},
 	}
+	out.Suspects = quarantine.ToDigest(s.guard.Digest(now, digestSuspects))
 	if snap := s.config.Current(); snap != nil {
 		out.Revision = uint64(snap.Revision())
 	}
--- a/internal/slot/handler.go
+++ b/internal/slot/handler.go
@@ -14,6 +14,7 @@
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
 )
 
 // job is one attempt on its way through the slot.
@@ -84,11 +85,18 @@
 	if !j.service.GetRepeatable() {
 		return s.runOnce(ctx, x, j)
 	}
+	pass, err := s.enter(ctx, j)
+	if err != nil {
+		return err
+	}
+	defer pass.Leave(quarantine.Stopped)
 	if err := s.begin(j); err != nil {
 		return err
 	}
 	defer func() { s.table.Finish(j.Attempt, time.Now()) }()
-	return s.forward(ctx, x, j)
+	err = s.forward(ctx, x, j)
+	s.leave(pass, err)
+	return err
 }
 
 // begin marks the attempt as started; a fenced or doubled one is refused.
--- a/internal/slot/metrics.go
+++ b/internal/slot/metrics.go
@@ -13,11 +13,17 @@
 	set         *metrics.Set
 	fences      *metrics.Counter
 	digestBytes *metrics.Counter
+	crashes     *metrics.Counter
 }
 
 func newSlotMetrics() *slotMetrics {
 	set := metrics.NewSet()
-	return &slotMetrics{set: set, fences: set.NewCounter("cardamomyoke_slot_fences_total"), digestBytes: set.NewCounter("cardamomyoke_slot_digest_bytes_total")}
+	return &slotMetrics{
+		set:         set,
+		fences:      set.NewCounter("cardamomyoke_slot_fences_total"),
+		digestBytes: set.NewCounter("cardamomyoke_slot_digest_bytes_total"),
+		crashes:     set.NewCounter("cardamomyoke_slot_upstream_crashes_total"),
+	}
 }
 
 func (m *slotMetrics) answered(err error) {
--- a/internal/slot/once.go
+++ b/internal/slot/once.go
@@ -10,6 +10,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/failure"
 	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
 )
 
 // runOnce runs a request that may not be repeated: it starts only while this attempt holds the claim on its key.
@@ -24,6 +25,12 @@
 	case verdict.Outcome != nil:
 		return respondPlain(x, j, &plainAnswer{verdict.Outcome.Status, verdict.Outcome.ContentType, verdict.Outcome.Body})
 	}
+	pass, err := s.enter(ctx, j)
+	if err != nil {
+		s.claims.NotStarted(j.Attempt)
+		return err
+	}
+	defer pass.Leave(quarantine.Stopped)
 	// The fence is asked after the claim and directly before the start: an entry that gave up while the claim was
 	// being written gets its promise, and the claim is given back.
 	if err := s.begin(j); err != nil {
@@ -32,6 +39,7 @@
 	}
 	defer func() { s.table.Finish(j.Attempt, time.Now()) }()
 	answer, err := s.callPlain(ctx, j)
+	s.leave(pass, err)
 	if err != nil {
 		return s.settleClaim(j.Attempt, err)
 	}
--- a/internal/slot/slot.go
+++ b/internal/slot/slot.go
@@ -20,6 +20,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
 	"github.com/cardamomyoke/cardamomyoke/internal/revision"
 	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
 )
@@ -50,6 +51,8 @@
 	client      *httpclient.Client
 	work        *work
 	claims      *claims.Store
+	guard       *quarantine.Gate
+	upstream    upstreamWatch
 	stopClaims  context.CancelFunc
 	speed       speed
 	// steps counts tokens and answers of the upstream: an entry that sees it stand still knows of a stall.
@@ -62,6 +65,9 @@
 // claimTimeout is after how long the answer to a transaction counts as lost.
 const claimTimeout = 500 * time.Millisecond
 
+// defaultQuarantine holds until the configuration is known.
+const defaultQuarantine = 10 * time.Minute
+
 // defaultLoops is the number of event loops of a slot's listener.
 const defaultLoops = 1
 
@@ -84,6 +90,7 @@
 	}
 	claimOptions := claims.DefaultOptions(s.incarnation)
 	claimOptions.Metrics = s.metrics.set
+	s.guard = quarantine.NewGate(s.incarnation, quarantinePeriod(d.Config))
 	s.claims = claims.NewStore(d.Table, claimOptions, claimTimeout)
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stopClaims = cancel
@@ -100,10 +107,20 @@
 		_ = server.Stop(context.Background())
 		return nil, fmt.Errorf("slot %s: %w", set.Name, err)
 	}
+	go s.upstream.run(ctx, s)
 	_ = level.Info(s.logger).Log("msg", "slot serves", "http", set.HTTP.Address, "service", set.Service, "incarnation", s.incarnation)
 	return s, nil
 }
 
+// quarantinePeriod is for how long a request that crashed its upstreams is refused.
+func quarantinePeriod(c config.Source) time.Duration {
+	snap := c.Current()
+	if snap == nil {
+		return defaultQuarantine
+	}
+	return time.Duration(snap.Proto.GetPolicies().GetQuarantineS()) * time.Second
+}
+
 // Incarnation returns this life of the slot.
 func (s *Slot) Incarnation() ids.Incarnation { return s.incarnation }
 
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -23,6 +23,9 @@
 	CacheGap int
 	// LoadLag is how old a load report is.
 	LoadLag time.Duration
+	// Crash is a text in a prompt that takes the engine down; OnCrash is how it goes down.
+	Crash   string
+	OnCrash func()
 }
 
 // sequence is one request in the engine.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
@@ -25,6 +27,7 @@
 type Engine struct {
 	opts   Options
 	batch  *batch
+	start  string
 	server *httpserver.Server
 	cancel context.CancelFunc
 	// stalled holds every step back, as an engine that hangs does.
@@ -51,12 +54,14 @@
 	Waiting int    `json:"waiting"`
 	Running int    `json:"running"`
 	Steps   uint64 `json:"steps"`
-	at      time.Time
+	// Start tells one process of the engine from the next.
+	Start string `json:"start"`
+	at    time.Time
 }
 
 // Start serves the engine on address (IP:PORT).
 func Start(address string, o Options) (*Engine, error) {
-	e := &Engine{opts: o, batch: newBatch(o)}
+	e := &Engine{opts: o, batch: newBatch(o), start: uuid.NewString()}
 	server, err := httpserver.Start(address, 1, httpserver.Limits{}, e.serve)
 	if err != nil {
 		return nil, fmt.Errorf("engine: %w", err)
@@ -158,7 +163,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	e.reports = append(e.reports, load{waiting, running, steps, now})
+	e.reports = append(e.reports, load{waiting, running, steps, e.start, now})
 	for len(e.reports) > 1 && now.Sub(e.reports[1].at) >= e.opts.LoadLag {
 		e.reports = e.reports[1:]
 	}
@@ -173,7 +178,7 @@
 		reports := e.reports
 		e.mu.Unlock()
 		if len(reports) == 0 {
-			reports = []load{{}}
+			reports = []load{{Start: e.start}}
 		}
 		respondJSON(x, reports[0])
 	case "/v1/cache-events":
@@ -219,6 +224,11 @@
 	if body.MaxTokens == 0 {
 		body.MaxTokens = 256
 	}
+	if e.opts.Crash != "" && strings.Contains(string(body.Messages), e.opts.Crash) {
+		e.opts.OnCrash()
+		<-ctx.Done()
+		return
+	}
 	id := string(x.Req.Header.Peek("X-Request-Id"))
 	rank, _ := strconv.Atoi(string(x.Req.Header.Peek("X-Priority")))
 	resume, _ := strconv.Atoi(string(x.Req.Header.Peek("X-Resume-Tokens")))
