--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -62,6 +62,7 @@
 	receiver  *digest.Receiver
 	sender    *digest.Sender
 	digests   uint64
+	usageAt   time.Time
 	cancel    context.CancelFunc
 }
 
@@ -114,7 +115,7 @@
 		e.loop = control.New()
 	}
 	e.quarantine = quarantine.NewKeeper(d.Table, defaultQuarantine, quarantine.DefaultKeeperOptions())
-	e.state = newState(set, d.Config, e.logger, now)
+	e.state = newState(set, d.Config, e.limits, e.logger, now)
 	e.view.Store(&view{})
 	if err := e.listen(); err != nil {
 		return nil, fmt.Errorf("entry %s: %w", set.Name, err)
@@ -160,6 +161,7 @@
 func (e *Entry) hear(d *cardamomyokev1.Digest, now time.Time) {
 	if e.state.hear(d, now) {
 		e.quarantine.Merge(now, quarantine.FromDigest(d)...)
+		e.hearUsage(d, now)
 	}
 }
 
@@ -175,6 +177,7 @@
 		p.gate.Tick(now)
 	}
 	e.sendDigests(now, false)
+	e.tellUsage(now)
 }
 
 // adoptConfig follows the configuration in force and whether this entry can know it.
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/admission"
+	"github.com/cardamomyoke/cardamomyoke/internal/admission/limits"
 	"github.com/cardamomyoke/cardamomyoke/internal/config"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/health"
@@ -26,6 +27,7 @@
 type state struct {
 	settings  *Settings
 	config    config.Source
+	limits    *limits.Limiter
 	logger    log.Logger
 	tracker   *health.Tracker
 	upstreams map[ids.Upstream]*upstream
@@ -50,10 +52,11 @@
 	farAway = 40 * time.Millisecond
 )
 
-func newState(set *Settings, source config.Source, logger log.Logger, now time.Time) *state {
+func newState(set *Settings, source config.Source, l *limits.Limiter, logger log.Logger, now time.Time) *state {
 	return &state{
 		settings:  set,
 		config:    source,
+		limits:    l,
 		logger:    logger,
 		tracker:   health.New(health.Defaults(), now),
 		upstreams: map[ids.Upstream]*upstream{},
@@ -187,7 +190,7 @@
 		stepTime:  meanStepTime(list),
 	}
 	next.budget.SetPercent(int(service.GetRetryBudgetPercent()))
-	next.gate.SetCapacity(s.capacity(list, next.stepTime))
+	next.gate.SetCapacity(s.capacity(list, next.stepTime, now))
 	s.pools[name] = next
 	return next
 }
@@ -284,20 +287,25 @@
 	return sum / float64(n)
 }
 
-// capacity is what this entry may have started at once: the places that other entries leave free, but at least its
-// even part, so that an entry is never starved by the others.
-func (s *state) capacity(list []*routing.Upstream, stepTime float64) admission.Capacity {
-	entries := float64(s.members.Entries())
-	total, free := 0.0, 0.0
+// leastPart keeps the weight of a client above 0 where next to none of its demand was seen.
+const leastPart = 0.01
+
+// share is a client's share by the configuration in force.
+func (s *state) share(c ids.Client) float64 {
+	return float64(max(1, s.config.Current().Client(c).GetShare()))
+}
+
+// capacity is what this entry may have started at once: the part of all places that the clients' fair work at this
+// entry needs; an even part as long as there is no demand, or there are too many entries to exchange it in full.
+func (s *state) capacity(list []*routing.Upstream, stepTime float64, now time.Time) admission.Capacity {
+	total := 0.0
 	for _, u := range list {
-		usable := u.Weight * float64(u.Batch)
-		total += usable
-		free += max(0, usable-float64(u.Load.Others().Requests()))
+		total += u.Weight * float64(u.Batch)
 	}
-	places := max(1, int(max(free, total/entries)))
-	c := admission.Capacity{Places: places}
+	rate := 0.0
 	if stepTime > 0 {
-		c.TokensPerSecond = float64(places) / stepTime
+		rate = total / stepTime
 	}
-	return c
+	part := s.limits.Quota(rate, s.share, now)
+	return admission.Capacity{Places: max(1, int(part*total)), TokensPerSecond: part * rate}
 }
--- /dev/null
+++ b/internal/entry/usage.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/admission/limits"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+// usageEvery is the time between two reports of what clients ask for.
+const usageEvery = time.Second
+
+// tellUsage reports the clients' demand here to the entries that add it up. It runs on the control loop.
+func (e *Entry) tellUsage(now time.Time) {
+	if now.Sub(e.usageAt) < usageEvery {
+		return
+	}
+	e.usageAt = now
+	peers := e.state.members.LiveEntries()
+	self := ids.Node(e.settings.Name)
+	ring := limits.NewRing(append(slices.Collect(maps.Keys(peers)), self))
+	for node, records := range ring.Address(self, e.limits.Report(now)) {
+		// What this entry adds up itself it reads directly; told to itself it would count twice.
+		if node != self {
+			e.sendUsage(peers[node].Digests, &cardamomyokev1.UsageReport{Records: recordsProto(records)}, nil, now)
+		}
+	}
+}
+
+// hearUsage takes in another entry's demand and answers with the sums, or takes in such an answer.
+func (e *Entry) hearUsage(d *cardamomyokev1.Digest, now time.Time) {
+	if d.GetSums() != nil {
+		e.limits.Learn(recordsOf(d.GetSums().GetRecords()), now)
+	}
+	if d.GetUsage() == nil {
+		return
+	}
+	sums := e.limits.Gather(ids.Node(d.GetNode()), recordsOf(d.GetUsage().GetRecords()), now)
+	if len(e.state.members.LiveEntries())+1 > limits.FullExchangeUpTo {
+		e.sendUsage(d.GetDigestAddress(), nil, &cardamomyokev1.UsageReport{Records: recordsProto(sums)}, now)
+	}
+}
+
+func (e *Entry) sendUsage(address string, usage, sums *cardamomyokev1.UsageReport, now time.Time) {
+	e.digests++
+	d := e.ownDigest(now)
+	d.Suspects = nil
+	d.Usage = usage
+	d.Sums = sums
+	n, err := e.sender.Send(address, d)
+	e.metrics.digestBytes.Add(n)
+	if err != nil {
+		_ = level.Debug(e.logger).Log("msg", "usage not sent", "to", address, "err", err)
+	}
+}
+
+func recordsProto(list []limits.Record) []*cardamomyokev1.UsageRecord {
+	var out []*cardamomyokev1.UsageRecord
+	for _, r := range list {
+		out = append(out, &cardamomyokev1.UsageRecord{
+			Client:       string(r.Client),
+			RequestsPerS: float32(r.Demand.Requests),
+			TokensPerS:   float32(r.Demand.Tokens),
+		})
+	}
+	return out
+}
+
+func recordsOf(list []*cardamomyokev1.UsageRecord) []limits.Record {
+	var out []limits.Record
+	for _, r := range list {
+		out = append(out, limits.Record{
+			Client: ids.Client(r.GetClient()),
+			Demand: limits.Usage{Requests: float64(r.GetRequestsPerS()), Tokens: float64(r.GetTokensPerS())},
+		})
+	}
+	return out
+}
--- a/internal/membership/addresses.go
+++ b/internal/membership/addresses.go
@@ -29,3 +29,14 @@
 	}
 	return slices.Clip(near[:min(len(near), maxAddresses)]), slices.Clip(far[:min(len(far), maxAddresses)])
 }
+
+// LiveEntries returns the live entries but this one, by name.
+func (t *Table) LiveEntries() map[ids.Node]Node {
+	out := map[ids.Node]Node{}
+	for _, n := range t.Nodes() {
+		if n.Role == cardamomyokev1.NodeRole_NODE_ROLE_ENTRY && n.State == StateLive {
+			out[n.Name] = n
+		}
+	}
+	return out
+}
