--- a/internal/expertmap/proposer.go
+++ b/internal/expertmap/proposer.go
@@ -148,7 +148,9 @@
 		// A probe that has to be repeated measures nothing; a new round does.
 		return p.beginRound(now)
 	case StateCapping:
-		return p.sendCap()
+		// Those that acknowledged are asked as well: if the slots have finished among themselves meanwhile, the
+		// answer is the outcome, and its first copy may be lost.
+		return p.toOpen(p.switched, CapRequest{p.proposal})
 	case StateCertifying:
 		return append(p.sendCertificate(), p.toOpen(p.switched, CapRequest{p.proposal})...)
 	}
--- /dev/null
+++ b/internal/expertmap/proposer_test.go
@@ -0,0 +1,50 @@
+package expertmap
+
+import (
+	"slices"
+	"testing"
+)
+
+// The proposer would wait for ever: it hears one acknowledgement, the others and all that the slots say while they
+// finish among themselves is lost. Met over loopback with 16 ranks (cardamomyoke-bench mapswitch).
+func TestAProposerLearnsTheOutcomeThoughItsFirstCopyIsLost(t *testing.T) {
+	g := newGroup(t, 3)
+	g.boot()
+	p := g.addProposer("a")
+	to := MapID{2, "next"}
+	g.propose("a", 2, to)
+	for range 100 {
+		g.net = slices.DeleteFunc(g.net, func(e envelope) bool {
+			_, stage := e.msg.(StageReply)
+			ack, isAck := e.msg.(Ack)
+			return e.to.IsProposer() && !stage && !(isAck && ack.Rank == 0)
+		})
+		g.round()
+	}
+	if p.State() != StateCapping || g.engines[0].Map != to {
+		t.Fatalf("proposer %s, engines run %s", p.State(), g.engines[0].Map)
+	}
+	g.settle(100)
+	if len(g.results) != 1 || g.results[0].Err != nil {
+		t.Fatalf("proposer %s, results %+v", p.State(), g.results)
+	}
+}
+
+// Callers see a longer first token at worst: a rank is further on than it said, so the first proposal comes too late
+// for it and is refused. The next one leads by more.
+func TestARefusalForAPassedStepDoublesTheLead(t *testing.T) {
+	g := newGroup(t, 3)
+	g.boot()
+	p := g.addProposer("a")
+	g.propose("a", 2, MapID{2, "next"})
+	for p.State() != StateCapping {
+		g.round()
+	}
+	first := p.proposal.Start - g.engines[0].Next
+	refusal := Refusal{Ballot: p.proposal.Ballot, Rank: 1, Incarnation: p.proposal.Roster[1], Reason: ReasonPassed}
+	g.proposerEffects("a", p.Receive(g.now, refusal))
+	g.settle(100)
+	if len(g.results) != 1 || g.results[0].Err != nil || g.results[0].Attempts != 2 || p.lead != 2 || first == 0 {
+		t.Fatalf("results %+v, lead %v, first %d", g.results, p.lead, first)
+	}
+}
--- a/internal/expertmap/random_test.go
+++ b/internal/expertmap/random_test.go
@@ -144,6 +144,21 @@
 	c := &chaos{group: g, crashes: crashes, losses: losses}
 	t.Repeat(c.actions(t))
 	c.settle(5)
+	c.settleProposers()
+}
+
+// settleProposers fails the test if a proposer never learns how its proposal ended.
+func (c *chaos) settleProposers() {
+	const rounds = 200
+	for range rounds {
+		c.round()
+	}
+	for _, name := range c.names {
+		p := c.proposers[name]
+		if p.State() == StateCapping || p.State() == StateCertifying {
+			c.fail("proposer %s still is %s: proposal %+v acked %v switched %v", name, p.State(), p.proposal, p.acked, p.switched)
+		}
+	}
 }
 
 // Whatever is lost, doubled, late or restarted: no step runs under two maps, the first rank to switch has the
--- a/internal/expertmap/slot.go
+++ b/internal/expertmap/slot.go
@@ -26,9 +26,10 @@
 type SlotTiming struct {
 	// Retry is the time after which a question that was not answered, or a failed load of weights, is repeated.
 	Retry time.Duration `yaml:"retry"`
-	// Patience is how long a capped slot waits for the proposer before it asks its peers itself.
+	// Patience is how long a capped slot waits for the proposer before it asks its peers itself, and how often it
+	// asks. Once its engine has run up to the limit, which holds the whole group, it asks without waiting.
 	Patience time.Duration `yaml:"patience"`
-	// Stagger is added to Patience for each rank, so that seldom more than one slot asks all others.
+	// Stagger delays the first question by this much for each rank, so that seldom many slots ask all others.
 	Stagger time.Duration `yaml:"stagger"`
 }
 
@@ -65,6 +66,8 @@
 	held    *Proposal
 	// askers want the acknowledgement of held.
 	askers []Addr
+	// atLimit says that the engine has run up to held's first step.
+	atLimit bool
 	// acks holds, by rank, who acknowledged held, as far as this slot was told.
 	acks []bool
 	// floor is the highest ballot that was refused or held: what is not above it is never capped again.
@@ -98,6 +101,7 @@
 func (s *Slot) release() {
 	s.held = nil
 	s.askers = nil
+	s.atLimit = false
 	s.acks = nil
 }
 
@@ -151,6 +155,8 @@
 		return s.onStaged(now)
 	case StateLimiting:
 		return s.onLimited(now)
+	case StateCapped:
+		return s.onWaiting(now)
 	case StateSwitching:
 		return s.onSwitched(now)
 	case StateRunning, StateStaged:
--- a/internal/expertmap/slot_vote.go
+++ b/internal/expertmap/slot_vote.go
@@ -197,6 +197,19 @@
 	return Send{to, Outcome{Ballot: b, Committed: committed, Rank: s.cfg.Rank, Incarnation: s.inc}}
 }
 
+// onWaiting hastens the question to the peers once the group stands still for want of the certificate.
+func (s *Slot) onWaiting(now time.Time) []Effect {
+	if s.atLimit || s.engine.Next < s.held.Start {
+		return nil
+	}
+	s.atLimit = true
+	soon := now.Add(time.Duration(s.cfg.Rank) * s.cfg.Timing.Stagger)
+	if soon.Before(s.retryAt) {
+		s.retryAt = soon
+	}
+	return s.Tick(now)
+}
+
 // askPeers lets a capped slot finish without the proposer, which may be dead or paused: whoever can answer the cap
 // request does, and then either all acknowledgements are there or a refusal is.
 func (s *Slot) askPeers(now time.Time) []Effect {
