--- a/internal/admission/limits/limiter.go
+++ b/internal/admission/limits/limiter.go
@@ -24,7 +24,7 @@
 	Fresh time.Duration
 	// Hold is how long the others' last demand counts when they, or the aggregator, are not heard any more.
 	Hold time.Duration
-	// MostRecords bounds a report; the clients with most demand are told.
+	// MostRecords bounds a report, so that it fits one datagram beside a digest; the clients with most demand are told.
 	MostRecords int
 }
 
@@ -32,7 +32,7 @@
 func Defaults() Options {
 	return Options{
 		Burst: time.Second, Window: 2 * time.Second, Fresh: 3500 * time.Millisecond, Hold: 30 * time.Second,
-		MostRecords: 64,
+		MostRecords: 56,
 	}
 }
 
