--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -30,16 +30,24 @@
 // Options are the settings of a Queue.
 type Options struct {
 	Classes []Class
-	// Reserve is the fraction of the places that only the first class may use.
+	// Reserve is the fraction of the places that only the first class may use. It is kept while that class is asked
+	// for at all; a pool that serves other classes only has the use of all its places.
 	Reserve float64
 	// RateWindow is the time over which the rate of started work is measured.
 	RateWindow time.Duration
+	// MostWait is the longest expected wait that a request is queued for; 0 means until its deadline. A queue takes up
+	// bursts; under lasting overload a longer one serves no more requests, it only makes each of them wait.
+	MostWait time.Duration
 	// Share returns a client's weight at this entry, above 0; nil means 1 for all.
 	Share func(ids.Client) float64
 }
 
-// DefaultReserve leaves one place in ten to the first class, so that it finds one free even if all others are taken.
-const DefaultReserve = 0.1
+// DefaultReserve leaves one place in four to the first class. It costs up to a tenth of the goodput under overload and
+// keeps the first class's time to the first token near what it is without; docs/measurements.md has the figures.
+const DefaultReserve = 0.25
+
+// DefaultMostWait takes up bursts of a second, which is what a first token may take at all.
+const DefaultMostWait = time.Second
 
 // DefaultRateWindow is long enough to even out single long requests.
 const DefaultRateWindow = 2 * time.Second
@@ -76,6 +84,10 @@
 	classes  []*classQueue
 	started  map[uint64]startedItem
 	rate     rateMeter
+	// firstAt is when the first class was last asked for.
+	firstAt time.Time
+	// busySince is when requests last began to wait without a pause; zero if none waits.
+	busySince time.Time
 }
 
 type startedItem struct {
@@ -92,7 +104,7 @@
 	q.rate.window = opts.RateWindow
 	sorted := slices.SortedFunc(slices.Values(opts.Classes), func(a, b Class) int { return cmp.Compare(a.Rank, b.Rank) })
 	for _, c := range sorted {
-		q.classes = append(q.classes, newClassQueue(c))
+		q.classes = append(q.classes, newClassQueue(c, opts.RateWindow))
 	}
 	return q
 }
@@ -119,12 +131,30 @@
 	if c == nil {
 		return []Outcome{{req, failure.New(failure.CodeInternal, &ClassError{req.Class})}}
 	}
+	if c == q.classes[0] {
+		q.firstAt = now
+	}
 	it := &item{req: req, offered: now}
 	if err := q.refusal(c, it, now); err != nil {
 		return []Outcome{{req, err}}
 	}
 	c.push(it, q.share(req.Client))
-	return q.start(now)
+	outcomes := q.start(now)
+	if c.waiting > c.class.QueueLimit {
+		outcomes = append(outcomes, q.crowdOut(c, now))
+	}
+	q.markBusy(now)
+	return outcomes
+}
+
+// crowdOut refuses the newest request of the client that has most waiting for its share. Were the newcomer refused
+// instead, one client that floods would fill the queue and keep all others out of it.
+func (q *Queue) crowdOut(c *classQueue, now time.Time) Outcome {
+	f := c.longest()
+	it := f.items[len(f.items)-1]
+	c.remove(it.req.ID)
+	wait := q.wait(q.schedule(c, now), f, f.backlog, now)
+	return Outcome{it.req, failure.New(failure.CodeOverloaded, nil).WithRetryAfter(atLeastSecond(wait))}
 }
 
 // Done frees the place of a request that was started. used is the work that it really took, in tokens; what was
@@ -154,10 +184,21 @@
 	outcomes := q.start(now)
 	for _, c := range q.classes {
 		outcomes = append(outcomes, q.sweep(c, now)...)
+		c.forget(now)
 	}
+	q.markBusy(now)
 	return outcomes
 }
 
+func (q *Queue) markBusy(now time.Time) {
+	switch {
+	case q.Waiting() == 0:
+		q.busySince = time.Time{}
+	case q.busySince.IsZero():
+		q.busySince = now
+	}
+}
+
 func (q *Queue) class(name string) *classQueue {
 	for _, c := range q.classes {
 		if c.class.Name == name {
@@ -171,19 +212,23 @@
 	if q.opts.Share == nil {
 		return 1
 	}
-	return q.opts.Share(client)
+	return max(leastShare, q.opts.Share(client))
 }
 
+// leastShare is the weight of a client that has none, for example because its account was just removed.
+const leastShare = 0.001
+
+// reserveFor is how long places are kept free after the first class was last asked for.
+const reserveFor = 30 * time.Second
+
 // start takes requests out of the queue, best class first, as long as there is a place for them.
 func (q *Queue) start(now time.Time) []Outcome {
 	var outcomes []Outcome
 	for i, c := range q.classes {
-		for c.waiting > 0 && len(q.started) < q.places(i) {
-			it := c.pop()
+		for c.waiting > 0 && len(q.started) < q.places(i, now) {
+			it := c.pop(now)
 			q.started[it.req.ID] = startedItem{it.req, c}
 			q.rate.add(it.req.Tokens, now)
-			c.rate.window = q.opts.RateWindow
-			c.rate.add(it.req.Tokens, now)
 			outcomes = append(outcomes, Outcome{Request: it.req})
 		}
 	}
@@ -192,8 +237,8 @@
 
 // places is how many places a class may fill. All but the first leave the reserve free: if they filled the pool, a
 // request of the first class would wait for a whole answer to end, however high its priority.
-func (q *Queue) places(index int) int {
-	if index == 0 {
+func (q *Queue) places(index int, now time.Time) int {
+	if index == 0 || q.firstAt.IsZero() || now.Sub(q.firstAt) > reserveFor {
 		return q.capacity.Places
 	}
 	return q.capacity.Places - int(q.opts.Reserve*float64(q.capacity.Places))
--- a/internal/bench/policy/entry.go
+++ b/internal/bench/policy/entry.go
@@ -2,9 +2,11 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"sync/atomic"
 	"time"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/admission/limits"
 	"github.com/cardamomyoke/cardamomyoke/internal/failure"
 	"github.com/cardamomyoke/cardamomyoke/internal/health"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
@@ -29,11 +31,14 @@
 const (
 	retriesNone   = "none"
 	retriesAlways = "always"
-	retriesBudget = "budget"
+	retriesBudget = "budget and ejection"
+	// retriesBlind: the budget alone, with all upstreams used as if health knew nothing.
+	retriesBlind = "budget, no ejection"
 )
 
 const (
 	retryPercent = 10
+	mostAttempts = 3
 	tableBlocks  = 2 * cacheBlocks
 )
 
@@ -49,6 +54,8 @@
 	runner    *runner
 	job       *job
 	over      bool
+	// overtaken counts how often a slot sent the request back because others' work came first.
+	overtaken int
 }
 
 // entry is the model of one entry process: the pure packages, wired as in the process.
@@ -65,6 +72,7 @@
 	turn    atomic.Uint64
 	budget  *retry.Budget
 	admit   admitter
+	usage   *limits.Limiter
 	waiting map[uint64]*request
 }
 
@@ -74,13 +82,17 @@
 		rng:     rand.New(rand.NewPCG(w.setup.seed, 100+uint64(index))),
 		loads:   make([]routing.Load, runners),
 		health:  health.New(health.Defaults(), epoch),
-		budget:  retry.NewBudget(retryPercent),
+		usage:   limits.New(limits.Defaults(), entries),
 		waiting: make(map[uint64]*request),
 	}
 	for range runners {
 		e.works = append(e.works, &routing.Work{})
 		e.tables = append(e.tables, prefix.NewTable(tableBlocks))
 	}
+	e.budget = retry.NewBudget(retryPercent)
+	if w.setup.retries == retriesAlways {
+		e.budget = retry.NewBudget(100 * mostAttempts)
+	}
 	e.admit = newAdmitter(w.setup, e)
 	for i, r := range w.runners {
 		e.heard(i, routing.Load{}, r.steps, 0)
@@ -112,6 +124,9 @@
 	upstreams := make([]*routing.Upstream, 0, runners)
 	for i, r := range e.world.runners {
 		status, _ := e.health.Status(r.id, now)
+		if e.world.setup.retries == retriesBlind {
+			status.Weight = 1
+		}
 		upstreams = append(upstreams, &routing.Upstream{
 			ID: r.id, Weight: status.Weight, Batch: batchPlaces, Distance: e.distance(r),
 			Load: e.loads[i], Work: e.works[i], Cached: e.tables[i],
@@ -129,6 +144,18 @@
 	}
 }
 
+// name is the entry's name in the exchange of usage.
+func (e *entry) name() ids.Node { return ids.Node("entry-" + strconv.Itoa(e.index)) }
+
+// places returns how many requests all entries together may have started, as this entry sees the upstreams.
+func (e *entry) places() int {
+	total := 0.0
+	for _, s := range e.health.Statuses(e.world.clock.now) {
+		total += s.Weight * batchPlaces
+	}
+	return int(total)
+}
+
 func (e *entry) distance(r *runner) time.Duration {
 	if r.dc == e.dc {
 		return distanceNear
@@ -139,6 +166,7 @@
 // offer takes in a request from its caller.
 func (e *entry) offer(req *request) {
 	e.world.result.offered(req)
+	_ = e.usage.Take(req.client, workOf(outputMean), e.world.clock.now) // No client of the trace has a limit.
 	e.waiting[req.id] = req
 	e.admit.offer(req, e.world.clock.now)
 }
@@ -167,12 +195,10 @@
 
 func (e *entry) rules() retry.Rules {
 	rules := retry.DefaultRules(true, true)
+	rules.MaxAttempts = mostAttempts
 	if e.world.setup.retries == retriesNone {
 		rules.MaxAttempts = 1
 	}
-	if e.world.setup.retries == retriesAlways {
-		e.budget.SetPercent(100 * rules.MaxAttempts)
-	}
 	return rules
 }
 
@@ -180,7 +206,7 @@
 func (e *entry) attempt(req *request, exclude []ids.Upstream) {
 	now := e.world.clock.now
 	choice, err := e.picker.Pick(&routing.Request{
-		Blocks: req.blocks, BlockTokens: blockTokens, PromptTokens: promptTokens, OutputTokens: outputMean,
+		First: req.class == classFirst, Blocks: req.blocks, BlockTokens: blockTokens, PromptTokens: promptTokens, OutputTokens: outputMean,
 		Exclude: exclude, Rand: e.rng.Uint64(),
 	}, now)
 	if err != nil {
@@ -205,11 +231,33 @@
 		e.failed(req, retry.Attempt{Upstream: req.runner.id, Err: failure.New(failure.CodeUpstreamFailed, nil)})
 	}
 	req.job = j
-	e.world.clock.after(choice.Upstream.Distance, func() {
-		if !j.ended {
-			req.runner.submit(j)
-		}
-	})
+	e.world.clock.after(choice.Upstream.Distance, func() { e.arrive(req, choice, exclude) })
+}
+
+// arrive is the slot's side: it hands the request to the runner or sends it back before its start.
+func (e *entry) arrive(req *request, choice routing.Choice, exclude []ids.Upstream) {
+	first := req.class == classFirst
+	switch {
+	case req.job.ended:
+	case e.world.setup.policy == policyExpectedWait &&
+		routing.Overtaken(first, choice.Ahead, req.runner.counts(everyEntry).PromptAhead(first), req.overtaken):
+		req.overtaken++
+		req.job.ended = true
+		req.flight.End()
+		e.world.answerReport(e, req.runner)
+		e.world.clock.after(choice.Upstream.Distance, func() { e.again(req, exclude) })
+	default:
+		req.runner.submit(req.job)
+	}
+}
+
+// again picks anew with the report that came with the refusal.
+func (e *entry) again(req *request, exclude []ids.Upstream) {
+	if req.over {
+		return
+	}
+	e.picker = e.build(e.world.clock.now)
+	e.attempt(req, exclude)
 }
 
 func (e *entry) indexOf(id ids.Upstream) int {
@@ -230,6 +278,7 @@
 	}
 	if first == j.from {
 		e.health.Apply(health.Answered{Upstream: req.runner.id}, now)
+		e.world.answerReport(e, req.runner)
 		e.world.result.hit(req, cached, choice.Estimate.CachedTokens)
 	}
 	if req.firstAt.IsZero() {
@@ -245,6 +294,7 @@
 	req.over = true
 	req.flight.End()
 	now := e.world.clock.now
+	e.world.answerReport(e, req.runner)
 	e.world.result.answered(req, now)
 	e.admit.done(req, now)
 }
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -71,12 +71,13 @@
 	}
 }
 
-// hear takes in a digest, unless it is late or doubled.
-func (s *state) hear(d *cardamomyokev1.Digest, now time.Time) {
+// hear takes in a digest and reports whether it is news: a late or doubled one is dropped.
+func (s *state) hear(d *cardamomyokev1.Digest, now time.Time) bool {
 	news := s.members.Hear(d, now)
 	if news && d.GetRole() == cardamomyokev1.NodeRole_NODE_ROLE_SLOT {
 		s.hearSlot(d, now)
 	}
+	return news
 }
 
 func (s *state) hearSlot(d *cardamomyokev1.Digest, now time.Time) {
@@ -178,10 +179,12 @@
 		s.pools[name] = old
 	}
 	next := &pool{
-		picker:   expectedwait.New(list, expectedwait.Defaults()),
-		gate:     old.gate,
-		budget:   old.budget,
-		stepTime: meanStepTime(list),
+		picker: expectedwait.New(list, expectedwait.Defaults()),
+		gate:   old.gate,
+		budget: old.budget,
+
+		upstreams: list,
+		stepTime:  meanStepTime(list),
 	}
 	next.budget.SetPercent(int(service.GetRetryBudgetPercent()))
 	next.gate.SetCapacity(s.capacity(list, next.stepTime))
@@ -198,7 +201,7 @@
 
 func (s *state) queueOptions() admission.Options {
 	share := func(c ids.Client) float64 { return float64(s.config.Current().Client(c).GetShare()) }
-	o := admission.Options{Reserve: admission.DefaultReserve, Share: share}
+	o := admission.Options{Reserve: admission.DefaultReserve, MostWait: admission.DefaultMostWait, Share: share}
 	for _, c := range s.snapshot.Proto.GetClasses() {
 		o.Classes = append(o.Classes, admission.Class{
 			Name: c.GetName(), Rank: int(c.GetRank()), QueueLimit: int(c.GetQueueLimit()),
@@ -221,7 +224,7 @@
 
 func (s *state) route(id ids.Upstream, u *upstream, now time.Time) *routing.Upstream {
 	status, _ := s.tracker.Status(id, now)
-	if s.snapshot.Drained(id) {
+	if s.snapshot.Drained(id) || u.digest.GetSlot().GetUpstreamDown() {
 		status.Weight = 0
 	}
 	load := u.digest.GetSlot()
