--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -63,7 +63,9 @@
 	sender    *digest.Sender
 	digests   uint64
 	usageAt   time.Time
-	cancel    context.CancelFunc
+	// clientNames finds accounts by their hashes in usage reports; the control loop owns it.
+	clientNames limits.Names
+	cancel      context.CancelFunc
 }
 
 const (
@@ -189,6 +191,7 @@
 	if snap != e.state.snapshot {
 		e.state.adopt(snap)
 		e.limits.SetLimits(limitsOf(snap))
+		e.clientNames = namesOf(snap)
 		e.quarantine.SetPeriod(time.Duration(snap.Proto.GetPolicies().GetQuarantineS()) * time.Second)
 		_ = level.Info(e.logger).Log("msg", "configuration in force", "revision", snap.Revision())
 	}
@@ -201,6 +204,14 @@
 	}
 }
 
+func namesOf(snap *config.Snapshot) limits.Names {
+	var clients []ids.Client
+	for _, c := range snap.Proto.GetClients() {
+		clients = append(clients, ids.Client(c.GetName()))
+	}
+	return limits.NewNames(clients)
+}
+
 func limitsOf(snap *config.Snapshot) map[ids.Client]limits.Limit {
 	out := map[ids.Client]limits.Limit{}
 	for _, c := range snap.Proto.GetClients() {
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -203,8 +203,7 @@
 }
 
 func (s *state) queueOptions() admission.Options {
-	share := func(c ids.Client) float64 { return float64(s.config.Current().Client(c).GetShare()) }
-	o := admission.Options{Reserve: admission.DefaultReserve, MostWait: admission.DefaultMostWait, Share: share}
+	o := admission.Options{Reserve: admission.DefaultReserve, MostWait: admission.DefaultMostWait, Share: s.weight}
 	for _, c := range s.snapshot.Proto.GetClasses() {
 		o.Classes = append(o.Classes, admission.Class{
 			Name: c.GetName(), Rank: int(c.GetRank()), QueueLimit: int(c.GetQueueLimit()),
@@ -290,6 +289,10 @@
 // leastPart keeps the weight of a client above 0 where next to none of its demand was seen.
 const leastPart = 0.01
 
+// weight is a client's share times the part of its demand that comes to this entry, so that it gets its share over all
+// entries and not at each.
+func (s *state) weight(c ids.Client) float64 { return s.share(c) * max(leastPart, s.limits.Part(c, time.Now())) }
+
 // share is a client's share by the configuration in force.
 func (s *state) share(c ids.Client) float64 {
 	return float64(max(1, s.config.Current().Client(c).GetShare()))
--- a/internal/entry/usage.go
+++ b/internal/entry/usage.go
@@ -27,7 +27,7 @@
 	for node, records := range ring.Address(self, e.limits.Report(now)) {
 		// What this entry adds up itself it reads directly; told to itself it would count twice.
 		if node != self {
-			e.sendUsage(peers[node].Digests, &cardamomyokev1.UsageReport{Records: recordsProto(records)}, nil, now)
+			e.sendUsage(peers[node].Digests, limits.Encode(records), nil, now)
 		}
 	}
 }
@@ -35,14 +35,14 @@
 // hearUsage takes in another entry's demand and answers with the sums, or takes in such an answer.
 func (e *Entry) hearUsage(d *cardamomyokev1.Digest, now time.Time) {
 	if d.GetSums() != nil {
-		e.limits.Learn(recordsOf(d.GetSums().GetRecords()), now)
+		e.limits.Learn(e.clientNames.Decode(d.GetSums()), now)
 	}
 	if d.GetUsage() == nil {
 		return
 	}
-	sums := e.limits.Gather(ids.Node(d.GetNode()), recordsOf(d.GetUsage().GetRecords()), now)
+	sums := e.limits.Gather(ids.Node(d.GetNode()), e.clientNames.Decode(d.GetUsage()), now)
 	if len(e.state.members.LiveEntries())+1 > limits.FullExchangeUpTo {
-		e.sendUsage(d.GetDigestAddress(), nil, &cardamomyokev1.UsageReport{Records: recordsProto(sums)}, now)
+		e.sendUsage(d.GetDigestAddress(), nil, limits.Encode(sums), now)
 	}
 }
 
@@ -58,26 +58,3 @@
 		_ = level.Debug(e.logger).Log("msg", "usage not sent", "to", address, "err", err)
 	}
 }
-
-func recordsProto(list []limits.Record) []*cardamomyokev1.UsageRecord {
-	var out []*cardamomyokev1.UsageRecord
-	for _, r := range list {
-		out = append(out, &cardamomyokev1.UsageRecord{
-			Client:       string(r.Client),
-			RequestsPerS: float32(r.Demand.Requests),
-			TokensPerS:   float32(r.Demand.Tokens),
-		})
-	}
-	return out
-}
-
-func recordsOf(list []*cardamomyokev1.UsageRecord) []limits.Record {
-	var out []limits.Record
-	for _, r := range list {
-		out = append(out, limits.Record{
-			Client: ids.Client(r.GetClient()),
-			Demand: limits.Usage{Requests: float64(r.GetRequestsPerS()), Tokens: float64(r.GetTokensPerS())},
-		})
-	}
-	return out
-}
