--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -176,6 +176,11 @@
 	if level == quarantine.Refused {
 		return "", quarantine.Refusal(time.Now(), until)
 	}
+	// An attempt that broke off may have taken its upstream down; until that is known, its repetition must not run beside
+	// another suspect, or one request could take down as many upstreams as it has attempts.
+	if m.broken {
+		level = max(level, quarantine.Suspected)
+	}
 	if level > quarantine.Clear {
 		exclude = p.allBut(quarantine.Home(r.print, p.usable(exclude)))
 	}
@@ -195,6 +200,7 @@
 	if err == nil {
 		e.quarantine.Completed(time.Now(), r.print)
 	}
+	m.broken = m.broken || failure.CodeOf(err) == failure.CodeUpstreamFailed
 	return id, err
 }
 
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -19,12 +19,14 @@
 
 // modelAnswer follows one caller's answer over all attempts.
 type modelAnswer struct {
-	x       *httpserver.Exchange
-	r       *request
-	text    strings.Builder
-	tokens  int
-	finish  string
-	begun   bool
+	x      *httpserver.Exchange
+	r      *request
+	text   strings.Builder
+	tokens int
+	finish string
+	begun  bool
+	// broken says that an attempt broke off after its start.
+	broken  bool
 	started time.Time
 	last    time.Time
 	metrics *entryMetrics
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -291,7 +291,9 @@
 
 // weight is a client's share times the part of its demand that comes to this entry, so that it gets its share over all
 // entries and not at each.
-func (s *state) weight(c ids.Client) float64 { return s.share(c) * max(leastPart, s.limits.Part(c, time.Now())) }
+func (s *state) weight(c ids.Client) float64 {
+	return s.share(c) * max(leastPart, s.limits.Part(c, time.Now()))
+}
 
 // share is a client's share by the configuration in force.
 func (s *state) share(c ids.Client) float64 {
