--- a/internal/expertmap/slot.go
+++ b/internal/expertmap/slot.go
@@ -35,7 +35,7 @@
 
 // DefaultSlotTiming suits steps of a few milliseconds and round trips below ten.
 func DefaultSlotTiming() SlotTiming {
-	return SlotTiming{Retry: 50 * time.Millisecond, Patience: 100 * time.Millisecond, Stagger: 2 * time.Millisecond}
+	return SlotTiming{Retry: 50 * time.Millisecond, Patience: 100 * time.Millisecond, Stagger: 5 * time.Millisecond}
 }
 
 // SlotConfig says whose slot it is.
@@ -68,6 +68,8 @@
 	askers []Addr
 	// atLimit says that the engine has run up to held's first step.
 	atLimit bool
+	// yielded says that the slot has once left the question about held to a peer that asked first.
+	yielded bool
 	// acks holds, by rank, who acknowledged held, as far as this slot was told.
 	acks []bool
 	// floor is the highest ballot that was refused or held: what is not above it is never capped again.
@@ -101,7 +103,7 @@
 func (s *Slot) release() {
 	s.held = nil
 	s.askers = nil
-	s.atLimit = false
+	s.atLimit, s.yielded = false, false
 	s.acks = nil
 }
 
--- a/internal/expertmap/slot_vote.go
+++ b/internal/expertmap/slot_vote.go
@@ -76,7 +76,7 @@
 		return nil
 	}
 	if s.held != nil && s.held.Ballot == p.Ballot {
-		return s.again(from)
+		return s.again(now, from)
 	}
 	if s.committed(p) {
 		return []Effect{s.outcome(from, p.Ballot, true)}
@@ -103,9 +103,10 @@
 }
 
 // again answers a further copy of the held proposal.
-func (s *Slot) again(from Addr) []Effect {
+func (s *Slot) again(now time.Time, from Addr) []Effect {
 	switch s.State() {
 	case StateCapped:
+		s.yield(now, from)
 		return []Effect{Send{from, s.ack()}}
 	case StateLimiting:
 		if !slices.Contains(s.askers, from) {
@@ -115,6 +116,16 @@
 	return nil
 }
 
+// yield leaves the question to a peer that asks already, once: if every rank of a large group asked every other, the
+// answers would take longer than the question is worth. Only once, since the peer may not reach whom this slot does.
+func (s *Slot) yield(now time.Time, from Addr) {
+	if from.IsProposer() || s.yielded {
+		return
+	}
+	s.yielded = true
+	s.retryAt = now.Add(s.cfg.Timing.Patience)
+}
+
 // raise makes the slot remember that it refused or held a ballot: a late copy must not be capped after a refusal,
 // since the refusal lets other ranks run on under the old map.
 func (s *Slot) raise(b Ballot) {
@@ -199,7 +210,7 @@
 
 // onWaiting hastens the question to the peers once the group stands still for want of the certificate.
 func (s *Slot) onWaiting(now time.Time) []Effect {
-	if s.atLimit || s.engine.Next < s.held.Start {
+	if s.atLimit || s.yielded || s.engine.Next < s.held.Start {
 		return nil
 	}
 	s.atLimit = true
