--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -172,17 +172,12 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			opts := options()
-			e := newEngine(opts, 1)
-			e.offer("a", quotes, time.Hour)
-			if tc.waiting == 0 {
-				e = newEngine(opts, 1)
-			}
 			if tc.change != nil {
 				tc.change(&opts)
-				e = newEngine(opts, 1)
-				if tc.waiting > 0 {
-					e.offer("a", quotes, time.Hour)
-				}
+			}
+			e := newEngine(opts, 1)
+			if tc.waiting > 0 {
+				e.offer("a", quotes, time.Hour)
 			}
 			for range tc.waiting {
 				e.offer("a", quotes, time.Hour)
--- a/internal/bench/policy/entry.go
+++ b/internal/bench/policy/entry.go
@@ -177,7 +177,7 @@
 	delete(e.waiting, id)
 	now := e.world.clock.now
 	if refusal != nil {
-		e.world.result.refused(req, refusal, now)
+		e.world.result.refused(req, now)
 		return
 	}
 	req.startedAt = now
@@ -305,7 +305,7 @@
 	d := req.session.Failed(a, req.stream.Delivered(), now)
 	if d.Action == retry.ActionGiveUp {
 		req.over = true
-		e.world.result.failed(req, now)
+		e.world.result.failed(req)
 		e.admit.done(req, now)
 		return
 	}
@@ -325,7 +325,7 @@
 	req.flight.End()
 	req.runner.cancel(req.job)
 	now := e.world.clock.now
-	e.world.result.missed(req, now)
+	e.world.result.missed(req)
 	e.admit.done(req, now)
 }
 
--- a/internal/bench/policy/result.go
+++ b/internal/bench/policy/result.go
@@ -120,20 +120,20 @@
 	}
 }
 
-func (r *result) refused(req *request, _ error, now time.Time) {
+func (r *result) refused(req *request, now time.Time) {
 	if r.counts(req) {
 		r.refusedN++
 		record(r.refusalWait, now.Sub(req.at))
 	}
 }
 
-func (r *result) missed(req *request, _ time.Time) {
+func (r *result) missed(req *request) {
 	if r.counts(req) {
 		r.missedN++
 	}
 }
 
-func (r *result) failed(req *request, _ time.Time) {
+func (r *result) failed(req *request) {
 	if r.counts(req) {
 		r.failedN++
 	}
--- a/internal/health/life.go
+++ b/internal/health/life.go
@@ -57,7 +57,6 @@
 	failures  int
 
 	rampAt     time.Time
-	ejectedAt  time.Time
 	ejections  int
 	ejectUntil time.Time
 }
@@ -92,7 +91,6 @@
 		l.failures = 0
 	case actionStartEjection:
 		l.ejections++
-		l.ejectedAt = now
 		l.ejectUntil = now.Add(t.ejectionTime(l.ejections))
 	}
 }
