The holder of a group's lease runs placement and the map switch; slots join their group

Cause: the map switch and the placement policy were not connected to any process. Change: a slot whose settings name a group and rank runs the rank's part of the switch on its control loop and answers for its reports; entries compete for each group's lease, and the holder asks the ranks, decides, stores the map and leads the switch. Left: staging in pieces by the step's slack is not ordered from engines; expert size and memory are assumed.

--- a/internal/daemon/entrymain/entrymain.go
+++ b/internal/daemon/entrymain/entrymain.go
@@ -4,15 +4,23 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"os"
+	"time"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/daemon"
 	"github.com/cardamomyoke/cardamomyoke/internal/entry"
+	"github.com/cardamomyoke/cardamomyoke/internal/expertmap/node"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/lease/keeper"
 	"github.com/cardamomyoke/cardamomyoke/internal/logging"
 	"github.com/cardamomyoke/cardamomyoke/internal/operator"
+	"github.com/cardamomyoke/cardamomyoke/internal/rebalance"
 	"github.com/cardamomyoke/cardamomyoke/internal/revision"
 	"github.com/cardamomyoke/cardamomyoke/internal/settings"
 	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
@@ -36,7 +44,7 @@
 		return fmt.Errorf("tracing: %w", err)
 	}
 	defer func() { _ = tracer.Close(context.Background()) }()
-	node := daemon.NewNode(daemon.NodeOptions{
+	n := daemon.NewNode(daemon.NodeOptions{
 		Self: &revision.Member{
 			Name:       set.Name,
 			DataCentre: string(set.DataCentre),
@@ -51,29 +59,61 @@
 		Logger:   logger,
 	})
 	e, err := entry.Start(set, entry.Deps{
-		Config: node.Config, Loop: node.Loop, Incarnation: node.Incarnation, Roster: node.Roster, Table: node.Platform, Logger: logger, Tracer: tracer,
+		Config: n.Config, Loop: n.Loop, Incarnation: n.Incarnation, Roster: n.Roster, Table: n.Platform, Logger: logger, Tracer: tracer,
 	})
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
-	if node.Agent != nil {
-		node.Mux.Handle(operator.Handler(operator.New(operator.Options{
-			Node: set.Name, Agent: node.Agent, Table: node.Platform, Upstreams: e.UpstreamStatuses,
+	tick := e.Tick
+	if n.Agent != nil {
+		tick = withDuties(set, n, e.Tick, logger)
+		n.Mux.Handle(operator.Handler(operator.New(operator.Options{
+			Node: set.Name, Agent: n.Agent, Table: n.Platform, Upstreams: e.UpstreamStatuses,
 		})))
 	}
-	if err := node.Run(e.Metrics(), e.Tick); err != nil {
+	if err := n.Run(e.Metrics(), tick); err != nil {
 		e.Kill()
 		return fmt.Errorf("start: %w", err)
 	}
-	defer node.Stop()
+	defer n.Stop()
 	<-ctx.Done()
 	_ = level.Info(logger).Log("msg", "shutting down")
 	grace, cancel := context.WithTimeout(context.Background(), o.Grace)
 	defer cancel()
 	err = e.Shutdown(grace)
-	node.Leave(grace)
+	n.Leave(grace)
 	if err != nil {
 		return fmt.Errorf("shutdown: %w", err)
 	}
 	return nil
 }
+
+// withDuties adds the duties that this entry may hold a lease for to what the control loop does.
+func withDuties(set *entry.Settings, n *daemon.Node, tick func(time.Time), logger log.Logger) func(time.Time) {
+	hub := node.NewHub()
+	n.Mux.Handle(cardamomyokev1connect.NewExpertMapServiceHandler(hub))
+	leases := keeper.New(keeper.Config{
+		Name:        set.Name,
+		Incarnation: n.Incarnation,
+		Table:       n.Platform,
+		Loop:        n.Loop,
+		Rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Logger:      logger,
+	})
+	runner := rebalance.NewRunner(rebalance.RunnerOptions{
+		Node:      ids.Node(set.Name),
+		Config:    n.Config,
+		Directory: n.Directory(),
+		Keeper:    leases,
+		Hub:       hub,
+		Loop:      n.Loop,
+		Objects:   n.Platform,
+		Weights:   n.Platform,
+		Logger:    logger,
+	})
+	return func(now time.Time) {
+		tick(now)
+		leases.Tick(now)
+		runner.Tick(now)
+	}
+}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -14,6 +14,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/control"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/rebalance"
 	"github.com/cardamomyoke/cardamomyoke/internal/revision"
 	"github.com/cardamomyoke/cardamomyoke/internal/revision/agent"
 )
@@ -117,6 +118,17 @@
 	return n.Agent.View().Newest.Roster
 }
 
+// Directory finds other nodes by the roster.
+func (n *Node) Directory() *rebalance.Directory {
+	members := func() []*revision.Member {
+		if r := n.Roster(); r != nil {
+			return r.Members()
+		}
+		return nil
+	}
+	return &rebalance.Directory{Members: members, Client: agent.HTTP2(), Scheme: "http"}
+}
+
 // Leave takes the node out of the roster, as the last step of an orderly shutdown: from then on no change waits for it.
 func (n *Node) Leave(ctx context.Context) {
 	if n.Agent != nil {
--- a/internal/daemon/slotmain/slotmain.go
+++ b/internal/daemon/slotmain/slotmain.go
@@ -7,11 +7,16 @@
 	"os"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/daemon"
+	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
+	"github.com/cardamomyoke/cardamomyoke/internal/expertmap/node"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
 	"github.com/cardamomyoke/cardamomyoke/internal/logging"
+	"github.com/cardamomyoke/cardamomyoke/internal/rank"
 	"github.com/cardamomyoke/cardamomyoke/internal/revision"
 	"github.com/cardamomyoke/cardamomyoke/internal/settings"
 	"github.com/cardamomyoke/cardamomyoke/internal/slot"
@@ -36,7 +41,7 @@
 		return fmt.Errorf("tracing: %w", err)
 	}
 	defer func() { _ = tracer.Close(context.Background()) }()
-	node := daemon.NewNode(daemon.NodeOptions{
+	n := daemon.NewNode(daemon.NodeOptions{
 		Self: &revision.Member{
 			Name:       set.Name,
 			DataCentre: string(set.DataCentre),
@@ -44,6 +49,8 @@
 			Address:    set.Control.Address,
 
 			DigestAddress: set.Digests.Address,
+			Group:         string(set.Group.Name),
+			Rank:          set.Group.Rank,
 		},
 		Seeds:    set.Control.Seeds,
 		Platform: set.Platform,
@@ -51,24 +58,51 @@
 		Logger:   logger,
 	})
 	s, err := slot.Start(set, slot.Deps{
-		Config: node.Config, Incarnation: node.Incarnation, Roster: node.Roster, Table: node.Platform, Logger: logger, Tracer: tracer,
+		Config: n.Config, Incarnation: n.Incarnation, Roster: n.Roster, Table: n.Platform, Logger: logger, Tracer: tracer,
 	})
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
-	if err := node.Run(s.Metrics(), func(time.Time) {}); err != nil {
+	if set.Group.Name != "" {
+		groupCtx, stop := context.WithCancel(context.Background())
+		defer stop()
+		joinGroup(groupCtx, set, n, logger)
+	}
+	if err := n.Run(s.Metrics(), func(time.Time) {}); err != nil {
 		s.Kill()
 		return fmt.Errorf("start: %w", err)
 	}
-	defer node.Stop()
+	defer n.Stop()
 	<-ctx.Done()
 	_ = level.Info(logger).Log("msg", "shutting down")
 	grace, cancel := context.WithTimeout(context.Background(), o.Grace)
 	defer cancel()
 	err = s.Shutdown(grace)
-	node.Leave(grace)
+	n.Leave(grace)
 	if err != nil {
 		return fmt.Errorf("shutdown: %w", err)
 	}
 	return nil
 }
+
+// joinGroup runs the rank's part of the map switch and answers for its reports.
+func joinGroup(ctx context.Context, set *slot.Settings, n *daemon.Node, logger log.Logger) {
+	r := expertmap.Rank(set.Group.Rank)
+	engine := rank.NewEngine(set.Upstream.Address, set.Group.Name, r)
+	directory := n.Directory()
+	member := node.NewSlot(node.SlotOptions{
+		Group: set.Group.Name,
+		Config: expertmap.SlotConfig{
+			Rank: r, Ranks: set.Group.Ranks, Incarnation: node.NewIncarnation(), Timing: expertmap.DefaultSlotTiming(),
+		},
+		Engine:    engine,
+		Loop:      n.Loop,
+		Transport: node.NewTransport(ctx, directory.Client, directory.Resolve),
+		Logger:    logger,
+	})
+	hub := node.NewHub()
+	hub.AddSlot(set.Group.Name, member)
+	n.Mux.Handle(cardamomyokev1connect.NewExpertMapServiceHandler(hub))
+	n.Mux.Handle(cardamomyokev1connect.NewRankServiceHandler(engine))
+	go member.Run(ctx)
+}
--- /dev/null
+++ b/internal/rank/rank.go
@@ -0,0 +1,142 @@
+// Package rank is the slot's side of a model group: the engine's rank over HTTP, and the report that the holder of the
+// group's lease asks for.
+//
+// The engine's protocol is GET PathRank for its state and POST PathOrders for an order, both JSON. Engines that ignore
+// fencing numbers are safe: each order names the map and the step that it is meant for, and only this slot gives any.
+package rank
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+// Paths of an engine's rank.
+const (
+	PathRank   = "/v1/rank"
+	PathOrders = "/v1/rank/orders"
+)
+
+// maxAnswerBytes bounds a rank's answer: 128 experts in 60 layers are 7,680 counts.
+const maxAnswerBytes = 1 << 20
+
+// Window is what a rank did in its last whole window of time.
+type Window struct {
+	Number    uint64   `json:"number"`
+	Tokens    []uint32 `json:"tokens"`
+	Processed uint64   `json:"processed"`
+	BusyUS    uint64   `json:"busy_us"`
+	Waiting   bool     `json:"waiting"`
+}
+
+// State is an engine's answer to GET PathRank.
+type State struct {
+	Engine expertmap.EngineReport `json:"engine"`
+	Window Window                 `json:"window"`
+}
+
+// StatusError says that the engine refused a call.
+type StatusError struct{ Status int }
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("engine's rank answered with status %d", e.Status)
+}
+
+// Engine speaks to the rank of one engine; it implements node.Engine and the RankService.
+type Engine struct {
+	client  *httpclient.Client
+	address string
+	group   ids.Group
+	rank    expertmap.Rank
+}
+
+// NewEngine returns the rank of the engine at address (IP:PORT).
+func NewEngine(address string, group ids.Group, rank expertmap.Rank) *Engine {
+	return &Engine{client: httpclient.New(httpclient.Options{}), address: address, group: group, rank: rank}
+}
+
+// Report implements node.Engine.
+func (e *Engine) Report(ctx context.Context) (expertmap.EngineReport, error) {
+	s, err := e.state(ctx)
+	return s.Engine, err
+}
+
+// Do implements node.Engine.
+func (e *Engine) Do(ctx context.Context, o expertmap.Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return fmt.Errorf("encode order: %w", err)
+	}
+	_, err = e.call(ctx, fasthttp.MethodPost, PathOrders, body)
+	return err
+}
+
+func (e *Engine) state(ctx context.Context) (State, error) {
+	var s State
+	body, err := e.call(ctx, fasthttp.MethodGet, PathRank, nil)
+	if err != nil {
+		return s, err
+	}
+	if err := json.NewDecoder(bytes.NewReader(body)).Decode(&s); err != nil {
+		return s, fmt.Errorf("engine's rank: %w", err)
+	}
+	return s, nil
+}
+
+func (e *Engine) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	req := &fasthttp.Request{}
+	req.Header.SetMethod(method)
+	req.SetRequestURI(path)
+	req.Header.SetHost("engine")
+	req.SetBodyRaw(body)
+	answer, err := e.client.Do(ctx, e.address, req)
+	if err != nil {
+		return nil, err
+	}
+	out, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+	status := answer.Header.StatusCode()
+	answer.Release(err == nil)
+	if err != nil {
+		return nil, fmt.Errorf("engine's rank: %w", err)
+	}
+	if status != fasthttp.StatusOK {
+		return nil, &StatusError{status}
+	}
+	return out, nil
+}
+
+// GetRankReport implements the RankService.
+func (e *Engine) GetRankReport(ctx context.Context, _ *cardamomyokev1.GetRankReportRequest) (*cardamomyokev1.GetRankReportResponse, error) {
+	s, err := e.state(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &cardamomyokev1.GetRankReportResponse{
+		Rank:       uint32(e.rank),
+		Window:     s.Window.Number,
+		Tokens:     s.Window.Tokens,
+		Processed:  s.Window.Processed,
+		BusyUs:     s.Window.BusyUS,
+		Step:       lastStep(s.Engine.Next),
+		Waiting:    s.Window.Waiting,
+		MapVersion: s.Engine.Map.Version,
+		MapName:    s.Engine.Map.Name,
+	}, nil
+}
+
+func lastStep(next expertmap.Step) uint64 {
+	if next == 0 {
+		return 0
+	}
+	return uint64(next) - 1
+}
--- a/internal/slot/settings.go
+++ b/internal/slot/settings.go
@@ -53,6 +53,15 @@
 		// StopAfter is how long an engine may send nothing in mid-answer before it counts as stalled; default 2s.
 		StopAfter settings.Duration `yaml:"stop_after"`
 	} `yaml:"upstream"`
+	// Group is set if the engine is a rank of a model group.
+	Group struct {
+		// Name of the model group in the configuration.
+		Name ids.Group `yaml:"name"`
+		// Rank of the engine, from 0.
+		Rank uint32 `yaml:"rank"`
+		// Ranks of the whole group.
+		Ranks int `yaml:"ranks"`
+	} `yaml:"group"`
 	// Digests says whom the slot tells of itself.
 	Digests struct {
 		// Address to listen on for digests, IP:PORT (UDP).
@@ -106,6 +115,9 @@
 	if s.Upstream.Batch < 1 {
 		return &settings.KeyError{Path: "$.upstream.batch", Want: "at least 1", Got: fmt.Sprint(s.Upstream.Batch)}
 	}
+	if s.Group.Name != "" && int(s.Group.Rank) >= s.Group.Ranks {
+		return &settings.KeyError{Path: "$.group.rank", Want: "less than group.ranks", Got: fmt.Sprint(s.Group.Rank)}
+	}
 	if err := s.Log.Check(); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
