--- a/cmd/cardamomyoke-bench/main.go
+++ b/cmd/cardamomyoke-bench/main.go
@@ -7,6 +7,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/claims"
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/config"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/demo"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/load"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/rebalance"
@@ -16,6 +17,7 @@
 	app := kingpin.New("cardamomyoke-bench", "Load and experiments for cardamomyoke.")
 	// Each experiment lives in its own package below internal/bench and adds its command here with Register(app).
 	claims.Register(app)
+	config.Register(app)
 	demo.Register(app)
 	rebalance.Register(app)
 	load.Register(app)
--- a/internal/revision/accept.go
+++ b/internal/revision/accept.go
@@ -11,8 +11,9 @@
 type pending struct {
 	state *State
 	since time.Time
-	// held says since when this node knows that a member, by index, holds the entry.
+	// held says since when this node knows that a member, by index, holds the entry, and seen when it last heard so.
 	held map[int]time.Time
+	seen map[int]time.Time
 	// edit is the entry's change of the roster, or nil.
 	edit *cardamomyokev1.RosterEdit
 	// silent are members that the entry removes only because they were silent. One that reaches the table but no node
@@ -20,11 +21,13 @@
 	silent []*Member
 }
 
-// bits returns the members that held the entry at the given time.
-func (p *pending) bits(at time.Time) bitset {
+// bits returns the members that held the entry at the time `since`, and still did not long before now. An
+// acknowledgement counts for ackKept only: a member that restarts after it has forgotten the entry, and if several do so
+// before the rest has got hold of it, they could form a majority that never hears of it.
+func (p *pending) bits(since, now time.Time) bitset {
 	out := newBitset(len(p.state.Roster.members))
-	for i, since := range p.held {
-		if !since.After(at) {
+	for i, first := range p.held {
+		if !first.After(since) && now.Sub(p.seen[i]) <= ackKept {
 			out.set(i)
 		}
 	}
@@ -43,10 +46,14 @@
 		}
 		bits := translate(held, s.Roster, p.state.Roster)
 		for i := range p.state.Roster.members {
-			if _, known := p.held[i]; !known && bits.has(i) {
+			if !bits.has(i) {
+				continue
+			}
+			if _, known := p.held[i]; !known || now.Sub(p.seen[i]) > ackKept {
 				p.held[i] = now
-				n.heard[p.state.Roster.members[i].GetName()] = now
 			}
+			p.seen[i] = now
+			n.heard[p.state.Roster.members[i].GetName()] = now
 		}
 	}
 }
@@ -57,8 +64,10 @@
 	if !n.isOrigin() || n.now.Before(n.acceptAt) || n.oldestPending() == nil {
 		return
 	}
-	for _, c := range n.children {
-		n.credit(c.holds, c.staged, n.now)
+	for _, p := range n.pending {
+		if i, ok := p.state.Roster.index[n.self.GetName()]; ok {
+			p.seen[i] = n.now
+		}
 	}
 	for i := len(n.pending) - 1; i >= 0; i-- {
 		p := n.pending[i]
@@ -87,7 +96,7 @@
 	if n.now.Sub(p.since) < n.options.wait() {
 		return false
 	}
-	held := p.bits(n.now.Add(-n.options.wait()))
+	held := p.bits(n.now.Add(-n.options.wait()), n.now)
 	gone := n.goneNames()
 	for _, s := range n.states {
 		if s.Seq > p.state.Seq {
@@ -124,8 +133,9 @@
 func (n *Node) missingFor(p *pending) []*Member {
 	gone := n.goneNames()
 	var out []*Member
+	held := p.bits(n.now, n.now)
 	for i, m := range p.state.Roster.members {
-		if _, ok := p.held[i]; !ok && !gone[m.GetName()] {
+		if !held.has(i) && !gone[m.GetName()] {
 			out = append(out, m)
 		}
 	}
@@ -158,18 +168,26 @@
 // collect uses the table to put together the acknowledgements of nodes that do not reach each other.
 func (n *Node) collect() {
 	p := n.oldestPending()
-	if p == nil || n.now.Sub(p.since) < holdsAfter || n.now.Sub(n.holdsAt) < n.options.Beat {
+	if p == nil || n.now.Sub(p.since) < holdsAfter || n.now.Sub(n.holdsAt) < n.options.Beat*3/2 {
 		return
 	}
 	held := n.holds()
-	if n.staged() == p.state.Seq {
-		held.or(p.bits(n.now))
-	}
-	if held.count() == n.holdsCount {
-		return
+	n.holdsAt = n.now
+	n.holdsCount++
+	n.do(&WriteHolds{&cardamomyokev1.Holds{Seq: n.staged(), Holds: held, From: n.incarnation, Count: n.holdsCount}})
+}
+
+// takeHolds credits what other nodes wrote in the table since the last read.
+func (n *Node) takeHolds(rows []*cardamomyokev1.Holds) {
+	for _, h := range rows {
+		last, known := n.counts[h.GetFrom()]
+		if !known || last == h.GetCount() {
+			n.counts[h.GetFrom()] = h.GetCount()
+			continue // it may be old: only a change shows that it is not
+		}
+		n.counts[h.GetFrom()] = h.GetCount()
+		n.credit(bitset(h.GetHolds()), h.GetSeq(), n.now)
 	}
-	n.holdsAt, n.holdsCount = n.now, held.count()
-	n.do(&WriteHolds{&cardamomyokev1.Holds{Seq: n.staged(), Holds: held, From: n.self.GetName()}})
 }
 
 func (n *Node) oldestPending() *pending {
@@ -178,7 +196,6 @@
 			return p
 		}
 	}
-	n.holdsCount = 0
 	return nil
 }
 
--- a/internal/revision/agent/agent.go
+++ b/internal/revision/agent/agent.go
@@ -313,7 +313,7 @@
 func (a *Agent) writeHolds(e *revision.WriteHolds) {
 	ctx, cancel := context.WithTimeout(a.ctx, tableTimeout)
 	defer cancel()
-	if err := a.store.WriteHolds(ctx, e.Row); err != nil {
+	if err := a.store.WriteHolds(ctx, a.config.Self.GetName(), e.Row); err != nil {
 		_ = level.Warn(a.config.Logger).Log("msg", "cannot write acknowledgements", "err", err)
 	}
 }
--- a/internal/revision/agent/failure_test.go
+++ b/internal/revision/agent/failure_test.go
@@ -133,6 +133,8 @@
 			c.kill(name)
 			c.start(name, "a-0", "b-0", "c-0")
 			time.Sleep(settle)
+			c.wantFresh(false, name) // acknowledgements of its former life may still count
+			time.Sleep(3 * settle)
 			c.wantFresh(true, name)
 			c.wantInForce(1)
 		}
--- a/internal/revision/node.go
+++ b/internal/revision/node.go
@@ -73,7 +73,8 @@
 	listed     map[string]bool // names that the host list has shown
 	originAt   time.Time
 	holdsAt    time.Time
-	holdsCount int
+	holdsCount uint64
+	counts     map[string]uint64 // of the rows of acknowledgements, by writer
 
 	now  time.Time
 	out  []Effect
@@ -119,6 +120,7 @@
 		wanted:      map[string]want{},
 		heard:       map[string]time.Time{},
 		listed:      map[string]bool{},
+		counts:      map[string]uint64{},
 		originAt:    now,
 	}
 	n.beatAt = now.Add(n.jitter(n.options.Beat))
@@ -256,9 +258,9 @@
 		n.log = slices.Clone(n.log[len(n.log)-logKept:])
 	}
 	n.fire(evStaged)
-	p := &pending{state: next, since: n.now, held: map[int]time.Time{}, edit: e.GetRoster()}
+	p := &pending{state: next, since: n.now, held: map[int]time.Time{}, seen: map[int]time.Time{}, edit: e.GetRoster()}
 	if i, ok := next.Roster.index[n.self.GetName()]; ok {
-		p.held[i] = n.now
+		p.held[i], p.seen[i] = n.now, n.now
 	}
 	for _, name := range e.GetRoster().GetSilent() {
 		if m := before.Member(name); m != nil {
@@ -371,12 +373,14 @@
 	if v.basis.After(n.vouchBasis) {
 		n.vouchBasis = v.basis
 	}
-	n.recover(v.basis)
+	n.recover(v.basis.Add(-quarantine))
 }
 
 // recover ends the time in which a restarted node has forgotten what it acknowledged. Only knowledge from after its
 // start counts: an entry that its former life acknowledged was committed before that, so a read of the table shows it,
-// and a majority holds one of the nodes that acknowledged it too.
+// and a majority holds one of the nodes that acknowledged it too. A majority counts only once the acknowledgements of
+// the former life have run out everywhere (quarantine): until then they may be added up with those of nodes that got
+// hold of the entry after they had vouched for this one.
 func (n *Node) recover(basis time.Time) {
 	if basis.Before(n.born) {
 		return
--- /dev/null
+++ b/internal/revision/node_test.go
@@ -0,0 +1,103 @@
+package revision
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+)
+
+// three returns the node of the given name in a data centre of three, with the roster held and accepted at now.
+func three(name string, now time.Time) *Node {
+	var self *Member
+	add := &cardamomyokev1.RosterEdit{}
+	for _, m := range []string{"a", "b", "c"} {
+		add.Add = append(add.Add, &Member{Name: m, DataCentre: "dc", Address: m + ":1"})
+		if m == name {
+			self = add.Add[len(add.Add)-1]
+		}
+	}
+	n := NewNode(self, "life-1", nil, Options{}, rand.New(rand.NewPCG(1, 1)), now)
+	n.OnHead(now, HeadRead{
+		Started: now, Head: &cardamomyokev1.Head{Committed: 1, Accepted: 1}, Entries: []*Entry{{Seq: 1, Roster: add}},
+	})
+	return n
+}
+
+func accepts(effects []Effect) bool {
+	for _, e := range effects {
+		if _, ok := e.(*Accept); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// first returns the node that hears from nobody, and the other two.
+func first(now time.Time) (*Node, []string) {
+	order := NewRoster([]*Member{
+		{Name: "a", DataCentre: "dc"}, {Name: "b", DataCentre: "dc"}, {Name: "c", DataCentre: "dc"},
+	})
+	var names []string
+	for _, i := range order.centres[0].order {
+		names = append(names, order.members[i].GetName())
+	}
+	return three(names[0], now), names[1:]
+}
+
+func (n *Node) ackFrom(now time.Time, name string, nonce, staged uint64) []Effect {
+	holds := newBitset(3)
+	holds.set(n.roster().index[name])
+	return n.OnAck(now, &Ack{From: name, Incarnation: name, Nonce: nonce, Staged: staged, Holds: holds, MaxStaged: staged})
+}
+
+// Spin's counterexample: a node acknowledges an entry and restarts; it recovers from nodes that do not hold the entry
+// yet; then the last of those acknowledges too. Added up with the old acknowledgement all seem to hold it, but the
+// restarted node and another one could serve without it for ever. So an acknowledgement must be repeated.
+func TestAcknowledgementRunsOut(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, repeated := range []bool{true, false} {
+		n, others := first(start)
+		n.OnCommitted(start, &Entry{Seq: 2})
+		n.ackFrom(start, others[0], 1, 2)
+		late := start.Add(ackKept + time.Second)
+		if repeated {
+			n.ackFrom(late, others[0], 2, 2)
+		}
+		if got := accepts(n.ackFrom(late, others[1], 1, 2)); got != repeated {
+			t.Errorf("repeated %v: accepted %v", repeated, got)
+		}
+	}
+}
+
+// The other half of the same case: as long as an acknowledgement of its former life may count, a restarted node takes
+// no majority's word, and is none of those that vouch for others.
+func TestRestartedNodeWaitsForItsOldAcknowledgements(t *testing.T) {
+	start := time.Unix(1000, 0)
+	donor, _ := first(start)
+	answer := donor.CatchUpAnswer()
+	st, err := FromProto(answer.GetState())
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := NewNode(&Member{Name: "a", DataCentre: "dc", Address: "a:1"}, "life-2", nil, Options{}, rand.New(rand.NewPCG(1, 2)), start)
+	n.OnCatchUp(start, st, answer.GetEntries(), answer.GetAccepted())
+	for _, tc := range []struct {
+		after time.Duration
+		want  bool
+	}{{time.Second, false}, {quarantine - time.Second, false}, {quarantine + time.Second, true}} {
+		now := start.Add(tc.after)
+		n.begin(now)
+		n.vouched(vouch{seq: 1, basis: now, all: true})
+		n.finish()
+		if got := n.view.InForce != nil && now.Before(n.view.FreshUntil); got != tc.want {
+			t.Errorf("%v after its start: fresh %v", tc.after, got)
+		}
+		r := &round{roster: n.roster(), alive: newBitset(3)}
+		n.countSelf(r)
+		if got := r.alive.count() == 1; got != tc.want {
+			t.Errorf("%v after its start: vouches %v", tc.after, got)
+		}
+	}
+}
--- a/internal/revision/options.go
+++ b/internal/revision/options.go
@@ -58,6 +58,12 @@
 	holdsAfter = 700 * time.Millisecond // without acceptance, before the table is used to collect acknowledgements
 	logKept    = 256                    // entries kept for nodes that lack some
 	noncesKept = 64
+	// ackKept is how long an acknowledgement counts that is not repeated with a beat.
+	ackKept = 4 * time.Second
+	// quarantine is how long a restarted node is no part of a majority. It is longer than any acknowledgement of its
+	// former life counts: on its way up it lies for the time in which a silent node is forgotten at each of up to six
+	// nodes, then for ackKept.
+	quarantine = 25 * time.Second
 	floorsKept = 8
 	roundsKept = 4
 )
--- a/internal/revision/store/store.go
+++ b/internal/revision/store/store.go
@@ -163,15 +163,15 @@
 	return out, nil
 }
 
-// WriteHolds replaces this node's row of acknowledgements.
-func (s *Store) WriteHolds(ctx context.Context, h *cardamomyokev1.Holds) error {
+// WriteHolds replaces a node's row of acknowledgements.
+func (s *Store) WriteHolds(ctx context.Context, node string, h *cardamomyokev1.Holds) error {
 	value, err := proto.Marshal(h)
 	if err != nil {
-		return &CorruptError{prefixHolds + h.GetFrom(), err}
+		return &CorruptError{prefixHolds + node, err}
 	}
 	_, err = s.platform.Commit(ctx, platform.Txn{
 		Operation: ids.NewOperation(),
-		Puts:      []platform.Put{{Key: prefixHolds + h.GetFrom(), Value: value}},
+		Puts:      []platform.Put{{Key: prefixHolds + node, Value: value}},
 	})
 	return err
 }
--- a/internal/revision/table.go
+++ b/internal/revision/table.go
@@ -46,9 +46,7 @@
 	}
 	n.learn(rd.Entries, rd.Head.GetCommitted(), rd.Head.GetAccepted())
 	n.covered(rd.Started, rd.Head.GetCommitted())
-	for _, h := range rd.Holds {
-		n.credit(bitset(h.GetHolds()), h.GetSeq(), n.now)
-	}
+	n.takeHolds(rd.Holds)
 	return n.finish()
 }
 
