--- a/internal/bench/config/cluster.go
+++ b/internal/bench/config/cluster.go
@@ -147,7 +147,6 @@
 	at              time.Time
 	cpu             time.Duration
 	messages, bytes uint64
-	most            uint64 // bytes of the busiest node
 	reads, writes   uint64
 }
 
