--- a/cmd/cardamomyoke-bench/main.go
+++ b/cmd/cardamomyoke-bench/main.go
@@ -10,6 +10,9 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/config"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/demo"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/load"
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/mapswitch"
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/policy"
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/quarantine"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/rebalance"
 )
 
@@ -19,7 +22,10 @@
 	claims.Register(app)
 	config.Register(app)
 	demo.Register(app)
+	quarantine.Register(app)
 	rebalance.Register(app)
 	load.Register(app)
+	mapswitch.Register(app)
+	policy.Register(app)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,12 +18,23 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
 	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision"
 	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
 )
 
 // Deps are the parts that an entry uses.
 type Deps struct {
 	Config config.Source
+	// Loop is the process's control loop, on which Tick must be called; nil lets the entry run one of its own.
+	Loop *control.Loop
+	// Incarnation is this life of the process; empty lets the entry draw one.
+	Incarnation ids.Incarnation
+	// Table keeps what is known of requests that crash their upstreams; nil keeps it in memory only.
+	Table platform.Table
+	// Roster returns the members that the configuration log names; nil if there is no log.
+	Roster func() *revision.Roster
 	Logger log.Logger
 	Tracer *tracing.Tracer
 }
@@ -35,9 +46,11 @@
 	config      config.Source
 	logger      log.Logger
 	tracer      *tracing.Tracer
+	roster      func() *revision.Roster
 	metrics     *entryMetrics
 	client      *httpclient.Client
 	limits      *limits.Limiter
+	quarantine  *quarantine.Keeper
 	sequence    atomic.Uint64
 	view        atomic.Pointer[view]
 	// withdrawn is set once callers are no longer sent here.
@@ -49,17 +62,21 @@
 	receiver  *digest.Receiver
 	sender    *digest.Sender
 	digests   uint64
-	nextSend  time.Time
-	cancel    context.CancelFunc
+	usageAt   time.Time
+	// clientNames finds accounts by their hashes in usage reports; the control loop owns it.
+	clientNames limits.Names
+	cancel      context.CancelFunc
 }
 
 const (
 	// defaultLoops is the number of event loops of the callers' listener.
 	defaultLoops = 2
+	// defaultQuarantine holds until the configuration is known.
+	defaultQuarantine = 10 * time.Minute
+	// digestSuspects is how many suspects one digest carries; more would not fit its datagram.
+	digestSuspects = 4
 	// tickEvery is how often the control loop judges health and publishes a view.
 	tickEvery = 25 * time.Millisecond
-	// defaultDigestEvery is the time between two digests of this entry.
-	defaultDigestEvery = 250 * time.Millisecond
 )
 
 // Events and actions of the entry chart.
@@ -82,24 +99,37 @@
 	now := time.Now()
 	e := &Entry{
 		settings:    set,
-		incarnation: ids.NewIncarnation(),
+		incarnation: d.Incarnation,
 		config:      d.Config,
 		logger:      log.With(d.Logger, "node", set.Name),
 		tracer:      d.Tracer,
+		roster:      d.Roster,
 		metrics:     newEntryMetrics(),
 		client:      httpclient.New(httpclient.Options{}),
 		limits:      limits.New(limits.Defaults(), 1),
-		loop:        control.New(),
+		loop:        d.Loop,
 		life:        charts.MustLoad("entry").Start(),
 	}
-	e.state = newState(set, d.Config, e.logger, now)
+	if e.incarnation == "" {
+		e.incarnation = ids.NewIncarnation()
+	}
+	if e.loop == nil {
+		e.loop = control.New()
+	}
+	e.quarantine = quarantine.NewKeeper(d.Table, defaultQuarantine, quarantine.DefaultKeeperOptions())
+	e.state = newState(set, d.Config, e.limits, e.logger, now)
 	e.view.Store(&view{})
 	if err := e.listen(); err != nil {
 		return nil, fmt.Errorf("entry %s: %w", set.Name, err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
-	go e.loop.Run(ctx, tickEvery, e.tick)
+	if d.Table != nil {
+		go e.quarantine.Run(ctx)
+	}
+	if d.Loop == nil {
+		go e.loop.Run(ctx, tickEvery, e.Tick)
+	}
 	_ = level.Info(e.logger).Log("msg", "entry listens", "http", set.HTTP.Address, "incarnation", e.incarnation)
 	return e, nil
 }
@@ -111,7 +141,7 @@
 		return err
 	}
 	e.receiver, err = digest.Receive(e.settings.Digests.Address, func(d *cardamomyokev1.Digest) {
-		e.loop.Post(func(now time.Time) { e.state.hear(d, now) })
+		e.loop.Post(func(now time.Time) { e.hear(d, now) })
 	})
 	if err != nil {
 		_ = e.sender.Close()
@@ -129,18 +159,27 @@
 	return err
 }
 
-// tick runs on the control loop.
-func (e *Entry) tick(now time.Time) {
+// hear takes in a digest; it runs on the control loop.
+func (e *Entry) hear(d *cardamomyokev1.Digest, now time.Time) {
+	if e.state.hear(d, now) {
+		e.quarantine.Merge(now, quarantine.FromDigest(d)...)
+		e.hearUsage(d, now)
+	}
+}
+
+// Tick lets time pass; it runs on the control loop.
+func (e *Entry) Tick(now time.Time) {
 	e.adoptConfig(now)
+	if e.roster != nil {
+		e.state.adoptRoster(e.roster(), now)
+	}
 	e.state.tick(now)
 	e.publish(now)
 	for _, p := range e.view.Load().pools {
 		p.gate.Tick(now)
 	}
-	if now.After(e.nextSend) {
-		e.nextSend = now.Add(e.settings.Digests.Every.Or(defaultDigestEvery))
-		e.sendDigests(now)
-	}
+	e.sendDigests(now, false)
+	e.tellUsage(now)
 }
 
 // adoptConfig follows the configuration in force and whether this entry can know it.
@@ -152,9 +191,11 @@
 	if snap != e.state.snapshot {
 		e.state.adopt(snap)
 		e.limits.SetLimits(limitsOf(snap))
+		e.clientNames = namesOf(snap)
+		e.quarantine.SetPeriod(time.Duration(snap.Proto.GetPolicies().GetQuarantineS()) * time.Second)
 		_ = level.Info(e.logger).Log("msg", "configuration in force", "revision", snap.Revision())
 	}
-	e.limits.SetEntries(len(e.state.peers) + 1)
+	e.limits.SetEntries(e.state.members.Entries())
 	e.fire(eventConfigured)
 	if e.config.Fresh(now) {
 		e.fire(eventFresh)
@@ -163,6 +204,14 @@
 	}
 }
 
+func namesOf(snap *config.Snapshot) limits.Names {
+	var clients []ids.Client
+	for _, c := range snap.Proto.GetClients() {
+		clients = append(clients, ids.Client(c.GetName()))
+	}
+	return limits.NewNames(clients)
+}
+
 func limitsOf(snap *config.Snapshot) map[ids.Client]limits.Limit {
 	out := map[ids.Client]limits.Limit{}
 	for _, c := range snap.Proto.GetClients() {
@@ -197,18 +246,24 @@
 	e.view.Store(e.state.build(life == stateServing || life == stateLeaving, now))
 }
 
-// sendDigests tells all other entries and all slots of this entry.
-func (e *Entry) sendDigests(now time.Time) {
+// sendDigests tells those who are due, or everybody at once if there is news that cannot wait.
+func (e *Entry) sendDigests(now time.Time, all bool) {
+	due := e.state.members.Due(e.settings.Digests.Seeds, now, all)
+	if len(due) == 0 {
+		return
+	}
 	e.digests++
-	d := e.ownDigest()
-	for _, address := range e.state.digestTargets() {
-		if _, err := e.sender.Send(address, d); err != nil {
-			_ = level.Debug(e.logger).Log("msg", "digest not sent", "to", address, "err", err)
+	d := e.ownDigest(now)
+	for _, to := range due {
+		n, err := e.sender.Send(to.Address, d)
+		e.metrics.digestBytes.Add(n)
+		if err != nil {
+			_ = level.Debug(e.logger).Log("msg", "digest not sent", "to", to.Address, "err", err)
 		}
 	}
 }
 
-func (e *Entry) ownDigest() *cardamomyokev1.Digest {
+func (e *Entry) ownDigest(now time.Time) *cardamomyokev1.Digest {
 	state := cardamomyokev1.NodeState_NODE_STATE_LIVE
 	if e.withdrawn.Load() || e.life.State() != stateServing {
 		state = cardamomyokev1.NodeState_NODE_STATE_LEAVING
@@ -224,6 +279,7 @@
 		ControlAddress: e.settings.Control.Address,
 		DigestAddress:  e.settings.Digests.Address,
 	}
+	d.Suspects = quarantine.ToDigest(e.quarantine.Digest(now, digestSuspects))
 	if e.state.snapshot != nil {
 		d.Revision = uint64(e.state.snapshot.Revision())
 	}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -28,6 +28,8 @@
 	Control struct {
 		// Address to listen on, IP:PORT.
 		Address string `yaml:"address"`
+		// Seeds are control addresses of other nodes, IP:PORT, to ask for the configuration while the platform is down.
+		Seeds []string `yaml:"seeds"`
 	} `yaml:"control"`
 	// Digests says where the entry hears of slots and other entries.
 	Digests struct {
@@ -35,8 +37,6 @@
 		Address string `yaml:"address"`
 		// Seeds are digest addresses of other entries, IP:PORT.
 		Seeds []string `yaml:"seeds"`
-		// Every is the time between two digests of this entry; default 250ms.
-		Every settings.Duration `yaml:"every"`
 	} `yaml:"digests"`
 	// Platform is the address of the platform's service, IP:PORT.
 	Platform string `yaml:"platform"`
@@ -65,10 +65,11 @@
 			return err
 		}
 	}
-	for i, seed := range s.Digests.Seeds {
-		if err := settings.CheckAddress(fmt.Sprintf("$.digests.seeds[%d]", i), seed); err != nil {
-			return err
-		}
+	if err := settings.CheckAddresses("$.digests.seeds", s.Digests.Seeds); err != nil {
+		return err
+	}
+	if err := settings.CheckAddresses("$.control.seeds", s.Control.Seeds); err != nil {
+		return err
 	}
 	if err := s.Log.Check(); err != nil {
 		return fmt.Errorf("settings: %w", err)
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -10,11 +10,14 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/admission"
+	"github.com/cardamomyoke/cardamomyoke/internal/admission/limits"
 	"github.com/cardamomyoke/cardamomyoke/internal/config"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/health"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/membership"
 	"github.com/cardamomyoke/cardamomyoke/internal/retry"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision"
 	"github.com/cardamomyoke/cardamomyoke/internal/routing"
 	"github.com/cardamomyoke/cardamomyoke/internal/routing/expectedwait"
 	"github.com/cardamomyoke/cardamomyoke/internal/routing/prefix"
@@ -24,10 +27,12 @@
 type state struct {
 	settings  *Settings
 	config    config.Source
+	limits    *limits.Limiter
 	logger    log.Logger
 	tracker   *health.Tracker
 	upstreams map[ids.Upstream]*upstream
-	peers     map[ids.Node]*peer
+	members   *membership.Table
+	roster    *revision.Roster
 	pools     map[ids.Service]*pool
 	snapshot  *config.Snapshot
 }
@@ -40,41 +45,42 @@
 	cached  *prefix.Table
 }
 
-// peer is the newest digest of another entry.
-type peer struct {
-	digest  *cardamomyokev1.Digest
-	heardAt time.Time
-}
-
 const (
 	// cachedBlocks is how many prompt blocks are remembered for one upstream.
 	cachedBlocks = 8192
-	// peerSilentAfter is how long another entry may be silent before callers are no longer sent to it.
-	peerSilentAfter = 2 * time.Second
 	// farAway stands for the distance to a data centre that the settings do not name.
 	farAway = 40 * time.Millisecond
 )
 
-func newState(set *Settings, source config.Source, logger log.Logger, now time.Time) *state {
+func newState(set *Settings, source config.Source, l *limits.Limiter, logger log.Logger, now time.Time) *state {
 	return &state{
 		settings:  set,
 		config:    source,
+		limits:    l,
 		logger:    logger,
 		tracker:   health.New(health.Defaults(), now),
 		upstreams: map[ids.Upstream]*upstream{},
-		peers:     map[ids.Node]*peer{},
+		members:   membership.New(selfOf(set), membership.Defaults(), now),
 		pools:     map[ids.Service]*pool{},
 	}
 }
 
-// hear takes in a digest; older ones of the same life are dropped.
-func (s *state) hear(d *cardamomyokev1.Digest, now time.Time) {
-	switch d.GetRole() {
-	case cardamomyokev1.NodeRole_NODE_ROLE_SLOT:
+func selfOf(set *Settings) membership.Identity {
+	return membership.Identity{
+		Name:       ids.Node(set.Name),
+		Role:       cardamomyokev1.NodeRole_NODE_ROLE_ENTRY,
+		DataCentre: set.DataCentre,
+		Digests:    set.Digests.Address,
+	}
+}
+
+// hear takes in a digest and reports whether it is news: a late or doubled one is dropped.
+func (s *state) hear(d *cardamomyokev1.Digest, now time.Time) bool {
+	news := s.members.Hear(d, now)
+	if news && d.GetRole() == cardamomyokev1.NodeRole_NODE_ROLE_SLOT {
 		s.hearSlot(d, now)
-	case cardamomyokev1.NodeRole_NODE_ROLE_ENTRY:
-		s.hearEntry(d, now)
 	}
+	return news
 }
 
 func (s *state) hearSlot(d *cardamomyokev1.Digest, now time.Time) {
@@ -84,9 +90,6 @@
 		u = &upstream{work: &routing.Work{}, cached: prefix.NewTable(cachedBlocks)}
 		s.upstreams[id] = u
 	}
-	if !newer(u.digest, d) {
-		return
-	}
 	if u.digest.GetIncarnation() != d.GetIncarnation() {
 		u.cached.Clear()
 	}
@@ -107,26 +110,6 @@
 	}
 }
 
-func (s *state) hearEntry(d *cardamomyokev1.Digest, now time.Time) {
-	if d.GetNode() == s.settings.Name {
-		return
-	}
-	id := ids.Node(d.GetNode())
-	if p, ok := s.peers[id]; ok && !newer(p.digest, d) {
-		return
-	}
-	s.peers[id] = &peer{d, now}
-}
-
-// newer orders digests. Incarnations sort by time of birth, so a late digest of an earlier life never replaces one of
-// a later life.
-func newer(old, d *cardamomyokev1.Digest) bool {
-	if old.GetIncarnation() != d.GetIncarnation() {
-		return old.GetIncarnation() < d.GetIncarnation()
-	}
-	return d.GetSequence() > old.GetSequence()
-}
-
 // adopt takes over a configuration. Pools live on with their queues, unless the classes changed; what waits in an old
 // queue is still answered from there.
 func (s *state) adopt(snap *config.Snapshot) {
@@ -144,20 +127,13 @@
 	})
 }
 
-// digestTargets are the digest addresses of all that this entry tells of itself.
-func (s *state) digestTargets() []string {
-	targets := map[string]bool{}
-	for _, seed := range s.settings.Digests.Seeds {
-		targets[seed] = true
-	}
-	for _, p := range s.peers {
-		targets[p.digest.GetDigestAddress()] = true
-	}
-	for _, u := range s.upstreams {
-		targets[u.digest.GetDigestAddress()] = true
+// adoptRoster follows the members that the configuration log names.
+func (s *state) adoptRoster(r *revision.Roster, now time.Time) {
+	if r == nil || r == s.roster {
+		return
 	}
-	delete(targets, s.settings.Digests.Address)
-	return slices.Sorted(maps.Keys(targets))
+	s.roster = r
+	s.members.SetRoster(membership.FromRevision(r.Members()), now)
 }
 
 // tick judges health and forgets who is long silent.
@@ -170,10 +146,8 @@
 			delete(s.upstreams, id)
 		}
 	}
-	for id, p := range s.peers {
-		if now.Sub(p.heardAt) > 10*peerSilentAfter {
-			delete(s.peers, id)
-		}
+	for _, c := range s.members.Tick(now) {
+		_ = level.Info(s.logger).Log("msg", "member changed", "member", c.Node, "from", c.From, "to", c.To)
 	}
 }
 
@@ -183,7 +157,7 @@
 		config:       s.snapshot,
 		serving:      serving && s.snapshot != nil,
 		pools:        map[ids.Service]*pool{},
-		addresses:    s.addresses(now),
+		addresses:    s.addresses(),
 		incarnations: map[ids.Upstream]ids.Incarnation{},
 	}
 	if s.snapshot == nil {
@@ -208,13 +182,15 @@
 		s.pools[name] = old
 	}
 	next := &pool{
-		picker:   expectedwait.New(list, expectedwait.Defaults()),
-		gate:     old.gate,
-		budget:   old.budget,
-		stepTime: meanStepTime(list),
+		picker: expectedwait.New(list, expectedwait.Defaults()),
+		gate:   old.gate,
+		budget: old.budget,
+
+		upstreams: list,
+		stepTime:  meanStepTime(list),
 	}
 	next.budget.SetPercent(int(service.GetRetryBudgetPercent()))
-	next.gate.SetCapacity(s.capacity(list, next.stepTime))
+	next.gate.SetCapacity(s.capacity(list, next.stepTime, now))
 	s.pools[name] = next
 	return next
 }
@@ -227,8 +203,7 @@
 }
 
 func (s *state) queueOptions() admission.Options {
-	share := func(c ids.Client) float64 { return float64(s.config.Current().Client(c).GetShare()) }
-	o := admission.Options{Reserve: admission.DefaultReserve, Share: share}
+	o := admission.Options{Reserve: admission.DefaultReserve, MostWait: admission.DefaultMostWait, Share: s.weight}
 	for _, c := range s.snapshot.Proto.GetClasses() {
 		o.Classes = append(o.Classes, admission.Class{
 			Name: c.GetName(), Rank: int(c.GetRank()), QueueLimit: int(c.GetQueueLimit()),
@@ -251,6 +226,9 @@
 
 func (s *state) route(id ids.Upstream, u *upstream, now time.Time) *routing.Upstream {
 	status, _ := s.tracker.Status(id, now)
+	if s.snapshot.Drained(id) || u.digest.GetSlot().GetUpstreamDown() {
+		status.Weight = 0
+	}
 	load := u.digest.GetSlot()
 	return &routing.Upstream{
 		ID:         id,
@@ -308,20 +286,31 @@
 	return sum / float64(n)
 }
 
-// capacity is what this entry may have started at once: the places that other entries leave free, but at least its
-// even part, so that an entry is never starved by the others.
-func (s *state) capacity(list []*routing.Upstream, stepTime float64) admission.Capacity {
-	entries := float64(len(s.peers) + 1)
-	total, free := 0.0, 0.0
+// leastPart keeps the weight of a client above 0 where next to none of its demand was seen.
+const leastPart = 0.01
+
+// weight is a client's share times the part of its demand that comes to this entry, so that it gets its share over all
+// entries and not at each.
+func (s *state) weight(c ids.Client) float64 {
+	return s.share(c) * max(leastPart, s.limits.Part(c, time.Now()))
+}
+
+// share is a client's share by the configuration in force.
+func (s *state) share(c ids.Client) float64 {
+	return float64(max(1, s.config.Current().Client(c).GetShare()))
+}
+
+// capacity is what this entry may have started at once: the part of all places that the clients' fair work at this
+// entry needs; an even part as long as there is no demand, or there are too many entries to exchange it in full.
+func (s *state) capacity(list []*routing.Upstream, stepTime float64, now time.Time) admission.Capacity {
+	total := 0.0
 	for _, u := range list {
-		usable := u.Weight * float64(u.Batch)
-		total += usable
-		free += max(0, usable-float64(u.Load.Others().Requests()))
+		total += u.Weight * float64(u.Batch)
 	}
-	places := max(1, int(max(free, total/entries)))
-	c := admission.Capacity{Places: places}
+	rate := 0.0
 	if stepTime > 0 {
-		c.TokensPerSecond = float64(places) / stepTime
+		rate = total / stepTime
 	}
-	return c
+	part := s.limits.Quota(rate, s.share, now)
+	return admission.Capacity{Places: max(1, int(part*total)), TokensPerSecond: part * rate}
 }
--- /dev/null
+++ b/internal/membership/roster.go
@@ -0,0 +1,20 @@
+package membership
+
+import (
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+// FromRevision turns the members of the configuration log's roster into what SetRoster takes.
+func FromRevision(members []*cardamomyokev1.Member) []Identity {
+	out := make([]Identity, 0, len(members))
+	for _, m := range members {
+		out = append(out, Identity{
+			Name:       ids.Node(m.GetName()),
+			Role:       m.GetRole(),
+			DataCentre: ids.DataCentre(m.GetDataCentre()),
+			Digests:    m.GetDigestAddress(),
+		})
+	}
+	return out
+}
--- a/internal/slot/slot.go
+++ b/internal/slot/slot.go
@@ -20,12 +20,18 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision"
 	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
 )
 
 // Deps are the parts that a slot uses.
 type Deps struct {
 	Config config.Source
+	// Incarnation is this life of the process; empty lets the slot draw one.
+	Incarnation ids.Incarnation
+	// Roster returns the members that the configuration log names; nil if there is no log.
+	Roster func() *revision.Roster
 	// Table keeps the claims of requests that may not be repeated.
 	Table  platform.Table
 	Logger log.Logger
@@ -39,11 +45,14 @@
 	config      config.Source
 	logger      log.Logger
 	tracer      *tracing.Tracer
+	roster      func() *revision.Roster
 	metrics     *slotMetrics
 	table       *attempt.Table
 	client      *httpclient.Client
 	work        *work
 	claims      *claims.Store
+	guard       *quarantine.Gate
+	upstream    upstreamWatch
 	stopClaims  context.CancelFunc
 	speed       speed
 	// steps counts tokens and answers of the upstream: an entry that sees it stand still knows of a stall.
@@ -56,6 +65,9 @@
 // claimTimeout is after how long the answer to a transaction counts as lost.
 const claimTimeout = 500 * time.Millisecond
 
+// defaultQuarantine holds until the configuration is known.
+const defaultQuarantine = 10 * time.Minute
+
 // defaultLoops is the number of event loops of a slot's listener.
 const defaultLoops = 1
 
@@ -63,16 +75,23 @@
 func Start(set *Settings, d Deps) (*Slot, error) {
 	s := &Slot{
 		settings:    set,
-		incarnation: ids.NewIncarnation(),
+		incarnation: d.Incarnation,
 		config:      d.Config,
 		logger:      log.With(d.Logger, "node", set.Name),
 		tracer:      d.Tracer,
+		roster:      d.Roster,
 		metrics:     newSlotMetrics(),
 		table:       attempt.NewTable(time.Now()),
 		client:      httpclient.New(httpclient.Options{}),
 		work:        newWork(),
 	}
-	s.claims = claims.NewStore(d.Table, claims.DefaultOptions(s.incarnation), claimTimeout)
+	if s.incarnation == "" {
+		s.incarnation = ids.NewIncarnation()
+	}
+	claimOptions := claims.DefaultOptions(s.incarnation)
+	claimOptions.Metrics = s.metrics.set
+	s.guard = quarantine.NewGate(s.incarnation, quarantinePeriod(d.Config))
+	s.claims = claims.NewStore(d.Table, claimOptions, claimTimeout)
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stopClaims = cancel
 	go s.claims.Run(ctx)
@@ -88,17 +107,27 @@
 		_ = server.Stop(context.Background())
 		return nil, fmt.Errorf("slot %s: %w", set.Name, err)
 	}
+	go s.upstream.run(ctx, s)
 	_ = level.Info(s.logger).Log("msg", "slot serves", "http", set.HTTP.Address, "service", set.Service, "incarnation", s.incarnation)
 	return s, nil
 }
 
+// quarantinePeriod is for how long a request that crashed its upstreams is refused.
+func quarantinePeriod(c config.Source) time.Duration {
+	snap := c.Current()
+	if snap == nil {
+		return defaultQuarantine
+	}
+	return time.Duration(snap.Proto.GetPolicies().GetQuarantineS()) * time.Second
+}
+
 // Incarnation returns this life of the slot.
 func (s *Slot) Incarnation() ids.Incarnation { return s.incarnation }
 
 // Shutdown refuses new work at once, tells entries, finishes what runs and ends; ctx bounds the wait.
 func (s *Slot) Shutdown(ctx context.Context) error {
 	s.leaving.Store(true)
-	s.digests.sendAll()
+	s.digests.send(true)
 	err := s.server.Drain(ctx)
 	s.claims.Drain(ctx)
 	s.stopClaims()
