--- a/internal/bench/config/cluster.go
+++ b/internal/bench/config/cluster.go
@@ -166,12 +166,12 @@
 	return u
 }
 
-// perNode returns the messages and bytes that each node has sent.
+// perNode returns the messages and bytes that each node has sent and received.
 func (c *cluster) perNode() (messages, bytes []uint64) {
 	for _, name := range c.names {
 		n := c.net.Usage(name)
-		messages = append(messages, n.Messages.Load())
-		bytes = append(bytes, n.Bytes.Load())
+		messages = append(messages, n.Messages.Load()+n.Received.Load())
+		bytes = append(bytes, n.Bytes.Load()+n.ReceivedBytes.Load())
 	}
 	return messages, bytes
 }
--- a/internal/bench/config/config.go
+++ b/internal/bench/config/config.go
@@ -60,7 +60,7 @@
 	times          []float64 // seconds from put to in force everywhere
 	idleMessages   float64   // a node and second
 	idleBytes      float64   // a node and second, sent
-	idleBytesMost  float64   // of the busiest node, sent
+	idleBytesMost  float64   // of the busiest node, sent and received
 	changeMessages float64   // a node and change
 	changeBytes    float64   // a node and change
 	cpu            float64   // percent of a core a node
@@ -211,7 +211,7 @@
 
 func table(out io.Writer, rows []row) error {
 	t := report.Table{Columns: []string{
-		"nodes", "p50 s", "p99 s", "messages/s a node", "B/s a node", "B/s busiest", "messages/change a node",
+		"nodes", "p50 s", "p99 s", "messages/s a node", "B/s a node sent", "B/s busiest, both ways", "messages/change a node",
 		"B/change a node", "CPU % a node", "CPU/change a node", "MB a node", "reads/s all", "writes/s all", "reads/change", "writes/change",
 	}}
 	for _, r := range rows {
--- a/internal/revision/memnet/memnet.go
+++ b/internal/revision/memnet/memnet.go
@@ -37,8 +37,8 @@
 	usage map[string]*Usage
 }
 
-// Usage counts what one node sent.
-type Usage struct{ Messages, Bytes atomic.Uint64 }
+// Usage counts what one node sent and what reached it.
+type Usage struct{ Messages, Bytes, Received, ReceivedBytes atomic.Uint64 }
 
 // New returns a net in which everyone reaches everyone after delay; nil means no delay.
 func New(delay func(from, to string) time.Duration) *Net {
@@ -113,6 +113,10 @@
 		return &UnreachableError{t.name, to}
 	}
 	time.Sleep(d)
+	if u := t.net.Usage(to); u != nil {
+		u.Received.Add(1)
+		u.ReceivedBytes.Add(uint64(len(data)))
+	}
 	deliver(r)
 	return nil
 }
