--- a/cmd/cardamomyoke-bench/main.go
+++ b/cmd/cardamomyoke-bench/main.go
@@ -13,6 +13,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/policy"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/quarantine"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/rebalance"
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/slopes"
 )
 
 func main() {
@@ -25,5 +26,6 @@
 	load.Register(app)
 	mapswitch.Register(app)
 	policy.Register(app)
+	slopes.Register(app)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 }
--- /dev/null
+++ b/internal/bench/slopes/duties.go
@@ -0,0 +1,173 @@
+package slopes
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"gonum.org/v1/gonum/floats"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/claims"
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/mapswitch"
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/rebalance"
+	ledger "github.com/cardamomyoke/cardamomyoke/internal/claims"
+	"github.com/cardamomyoke/cardamomyoke/internal/lease"
+	"github.com/cardamomyoke/cardamomyoke/internal/lease/keeper"
+	"github.com/cardamomyoke/cardamomyoke/internal/placement"
+	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
+)
+
+const layers = 60
+
+// leaseFigures drives holders of so many duties, two candidates each, and counts calls of the table a second.
+func leaseFigures(duties int) ([]float64, error) {
+	const span = 10 * time.Minute
+	var reads, writes float64
+	for d := range duties {
+		duty := lease.Duty(fmt.Sprintf("group-%d", d))
+		var row lease.Row
+		var holders []*lease.Holder
+		for i := range 2 {
+			rng := rand.New(rand.NewPCG(uint64(d), uint64(i)))
+			holders = append(holders, lease.NewHolder(duty, fmt.Sprint(i), incarnation, keeper.DefaultLength, rng))
+		}
+		for now := begin; now.Sub(begin) < span; now = now.Add(50 * time.Millisecond) {
+			for _, h := range holders {
+				effects := append(h.Want(now, true), h.Tick(now)...)
+				for len(effects) > 0 {
+					e := effects[0]
+					effects = effects[1:]
+					switch e := e.(type) {
+					case *lease.Read:
+						reads++
+						effects = append(effects, h.OnRead(now, h.Call(), row, true)...)
+					case *lease.Write:
+						writes++
+						effects = append(effects, h.OnWrite(now, h.Call(), applyLease(&row, e))...)
+					}
+				}
+			}
+		}
+	}
+	return []float64{reads / span.Seconds(), writes / span.Seconds()}, nil
+}
+
+// applyLease is the table's conditional write of the lease's two rows.
+func applyLease(row *lease.Row, w *lease.Write) lease.Written {
+	if w.Version != row.Version || w.Fence != row.Fence {
+		return lease.Written{Conflict: true}
+	}
+	row.Lease = w.Lease
+	row.Version++
+	if w.NewFence {
+		row.Fence++
+	}
+	return lease.Written{OK: true, Version: row.Version, Fence: row.Fence}
+}
+
+// claimFigures runs the ledgers of 100 slots in virtual time.
+func claimFigures(perSecond int) ([]float64, error) {
+	const writesPerSecond, slots, seed = 300.0, 100, 1
+	f := claims.Run(claims.Scenario{
+		Slots: slots, Rate: float64(perSecond), Lost: 0.01, Duration: 20 * time.Second,
+		Interval: ledger.IntervalFor(slots, writesPerSecond, 10*time.Millisecond), MaxBatch: 128, MaxInFlight: 4,
+	}, seed)
+	return []float64{float64(f.Writes) / 20, float64(f.Rows) / 20}, nil
+}
+
+// mapFigures packs a map, encodes it, and decides on one that popularity has drifted from.
+func mapFigures(shape expert.Shape) ([]float64, error) {
+	group := placement.Group{Shape: shape, Slots: shape.Cells()/shape.Ranks + 2*layers, ExpertBytes: 40 << 20, StoreRate: 1e9}
+	pop := make([]float64, shape.Cells())
+	for i := range pop {
+		pop[i] = 1 + float64(i%7)
+	}
+	speed := make([]float64, shape.Ranks)
+	floats.AddConst(1, speed)
+	m, err := placement.Pack(group, shape.Cells()/shape.Ranks+layers, pop, speed, 1)
+	if err != nil {
+		return nil, fmt.Errorf("pack: %w", err)
+	}
+	data, err := m.MarshalBinary()
+	if err != nil {
+		return nil, fmt.Errorf("encode map: %w", err)
+	}
+	held := heapOf(func() any { return policyThatHeard(group) })
+	d, err := rebalance.NewDecision(shape, 1)
+	if err != nil {
+		return nil, fmt.Errorf("decision: %w", err)
+	}
+	var failed error
+	took := timeOf(func() {
+		if _, err := d.Run(); err != nil {
+			failed = err
+		}
+	})
+	return []float64{float64(len(data)), held, took / 1e3}, failed
+}
+
+// policyThatHeard is a policy that has taken in two windows of reports of all ranks.
+func policyThatHeard(group placement.Group) *placement.Policy {
+	p := placement.NewPolicy(group)
+	tokens := make([]uint32, group.Shape.Cells())
+	for i := range tokens {
+		tokens[i] = uint32(1 + i%7)
+	}
+	for w := range uint64(2) {
+		for r := range group.Shape.Ranks {
+			report := placement.Report{Rank: r, Window: w, Tokens: slices.Clone(tokens), Processed: 1, Busy: 1, Step: w}
+			_ = p.Observe(begin.Add(time.Duration(w)*time.Minute), report) // A report of a right shape is taken in.
+		}
+	}
+	return p
+}
+
+func mapMetrics(by string) []Metric {
+	return []Metric{
+		{"map.bytes.by-" + by, "lease holder", "B encoded", Exact}, {"map.policy.heap.by-" + by, "lease holder", "B of heap", Counted},
+		{"map.decision.by-" + by, "lease holder", "ms a decision", Timed},
+	}
+}
+
+// switchFigures switches a real group over loopback and counts messages.
+func switchFigures(ranks int) ([]float64, error) {
+	const switches = 3
+	f, err := mapswitch.Switches(ranks, switches, 6*time.Millisecond, 1)
+	if err != nil {
+		return nil, fmt.Errorf("switch: %w", err)
+	}
+	return []float64{f.Messages, f.Milliseconds}, nil
+}
+
+func dutyExperiments() []Experiment {
+	return []Experiment{
+		{
+			Driver: "duties held, 2 candidates each", Sizes: []int{1, 8, 16, targetDuties}, Target: targetDuties,
+			Metrics: []Metric{{"lease.reads", "lease holder", "reads/s", Exact}, {"lease.writes", "lease holder", "writes/s", Exact}},
+			Run:     leaseFigures,
+		},
+		{
+			Driver: "claims/s over 100 slots", Sizes: []int{10, 30, 100, 300, 1000, 3000}, Target: 1000,
+			Metrics: []Metric{{"claims.writes", "slot", "writes/s, all slots", Exact}, {"claims.rows", "slot", "rows/s, all slots", Exact}},
+			Run:     claimFigures,
+		},
+		{
+			Driver: "ranks, 128 experts, 60 layers", Sizes: []int{8, 16, 32, 64}, Target: targetRanks, Metrics: mapMetrics("ranks"),
+			Run: func(n int) ([]float64, error) {
+				return mapFigures(expert.Shape{Ranks: n, Experts: targetExperts, Layers: layers})
+			},
+		},
+		{
+			Driver: "experts a layer, 64 ranks, 60 layers", Sizes: []int{32, 64, 128, 256}, Target: targetExperts, Metrics: mapMetrics("experts"),
+			Run: func(n int) ([]float64, error) {
+				return mapFigures(expert.Shape{Ranks: targetRanks, Experts: n, Layers: layers})
+			},
+		},
+		{
+			Driver: "ranks", Sizes: []int{4, 8, 16, 32, 64}, Target: targetRanks,
+			Metrics: []Metric{{"switch.messages", "slot", "messages a switch", Counted}, {"switch.took", "lease holder", "ms a switch", Timed}},
+			Run:     switchFigures,
+		},
+	}
+}
--- /dev/null
+++ b/internal/bench/slopes/entry.go
@@ -0,0 +1,215 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/control"
+	"github.com/cardamomyoke/cardamomyoke/internal/digest"
+	"github.com/cardamomyoke/cardamomyoke/internal/entry"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/membership"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/routing"
+	"github.com/cardamomyoke/cardamomyoke/internal/routing/expectedwait"
+	"github.com/cardamomyoke/cardamomyoke/internal/routing/prefix"
+	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
+)
+
+// controlled is a real entry whose control loop this package drives: a tick runs only when it is asked for.
+type controlled struct {
+	entry  *entry.Entry
+	loop   *control.Loop
+	sender *digest.Sender
+	set    *entry.Settings
+	cancel context.CancelFunc
+}
+
+// startControlled starts an entry that the log names among so many members.
+func startControlled(clients, memberCount int) (*controlled, error) {
+	snap, err := config.NewSnapshot(configuration(clients))
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c := &controlled{loop: control.New(), set: &entry.Settings{Name: "entry-self", DataCentre: "centre-0"}}
+	for _, a := range []*string{&c.set.HTTP.Address, &c.set.Control.Address, &c.set.Digests.Address, &c.set.Platform} {
+		if *a, err = freePort(); err != nil {
+			return nil, err
+		}
+	}
+	tracer, err := tracing.New(context.Background(), "slopes", tracing.Options{})
+	if err != nil {
+		return nil, fmt.Errorf("tracing: %w", err)
+	}
+	if c.sender, err = digest.NewSender(); err != nil {
+		return nil, fmt.Errorf("digests: %w", err)
+	}
+	// The members are nobody's: what the entry sends them goes to a port of its own that drops it.
+	sink, err := freePort()
+	if err != nil {
+		return nil, err
+	}
+	list := members(memberCount)
+	for _, m := range list {
+		m.DigestAddress = sink
+	}
+	roster := revision.NewRoster(list)
+	c.entry, err = entry.Start(c.set, entry.Deps{
+		Config: config.Static{Snapshot: snap}, Loop: c.loop, Roster: func() *revision.Roster { return roster },
+		Logger: log.NewNopLogger(), Tracer: tracer,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("start entry: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	go c.loop.Run(ctx, time.Hour, func(time.Time) {})
+	return c, nil
+}
+
+func freePort() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("free port: %w", err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+func (c *controlled) stop() {
+	c.entry.Kill()
+	c.cancel()
+	_ = c.sender.Close()
+}
+
+// on runs f on the control loop and waits for it.
+func (c *controlled) on(f func(now time.Time)) {
+	done := make(chan struct{})
+	c.loop.Post(func(now time.Time) {
+		f(now)
+		close(done)
+	})
+	<-done
+}
+
+// hear sends the digests of so many slots to the entry, as slots do.
+func (c *controlled) hear(slots int, sequence uint64) error {
+	sink := c.set.Platform
+	for i := range slots {
+		id := membership.Identity{
+			Name: ids.Node(fmt.Sprintf("runner-%04d", i)), Role: cardamomyokev1.NodeRole_NODE_ROLE_SLOT,
+			DataCentre: "centre-0", Digests: sink,
+		}
+		d := digestOf(id, sequence)
+		d.Slot.Service = fmt.Sprintf("language-model-%d", i%3)
+		if _, err := c.sender.Send(c.set.Digests.Address, d); err != nil {
+			return fmt.Errorf("send digest: %w", err)
+		}
+	}
+	const arrive = 30 * time.Millisecond // datagrams on loopback, then the mailbox
+	time.Sleep(arrive)
+	return nil
+}
+
+// tickTime measures one tick of the entry's control loop.
+func tickTime(clients, memberCount, slots int) (micros, heap float64, err error) {
+	before := heapNow()
+	c, err := startControlled(clients, memberCount)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer c.stop()
+	for sequence := range uint64(3) {
+		if err := c.hear(slots, sequence+1); err != nil {
+			return 0, 0, err
+		}
+		c.on(c.entry.Tick)
+	}
+	heap = heapNow() - before
+	c.on(func(now time.Time) { micros = c.ticks(now) })
+	return micros, heap, nil
+}
+
+const (
+	tickPeriod    = 25 * time.Millisecond // that of the daemons
+	ticksTogether = 40                    // a second, with the views that are built in it
+	tickSeconds   = 7                     // less than it takes until a silent slot is suspect
+)
+
+// ticks lets some seconds pass on a virtual clock and returns the mean time of a tick, in microseconds, in the least
+// disturbed of them.
+func (c *controlled) ticks(now time.Time) float64 {
+	best := 0.0
+	for second := range tickSeconds {
+		began := time.Now()
+		for range ticksTogether {
+			now = now.Add(tickPeriod)
+			c.entry.Tick(now)
+		}
+		each := float64(time.Since(began).Nanoseconds()) / 1e3 / ticksTogether
+		if second == 0 || each < best {
+			best = each
+		}
+	}
+	return best
+}
+
+func pickFigures(upstreams int) ([]float64, error) {
+	var list []*routing.Upstream
+	for i := range upstreams {
+		list = append(list, &routing.Upstream{
+			ID: ids.Upstream(fmt.Sprint(i)), DataCentre: "centre-0", Address: "10.0.0.1:7100", Weight: 1, Batch: 64,
+			Load: routing.Load{TakenAt: begin, StepTime: 20 * time.Millisecond}, Work: &routing.Work{}, Cached: prefix.NewTable(1024),
+		})
+	}
+	p := expectedwait.New(list, expectedwait.Defaults())
+	var failed error
+	n := uint64(0)
+	took := timeOf(func() {
+		n++
+		if _, err := p.Pick(&routing.Request{Rand: n}, begin); err != nil {
+			failed = err
+		}
+	})
+	return []float64{took}, failed
+}
+
+func entryExperiments() []Experiment {
+	tick := []Metric{{"entry.tick", "entry control", "µs a tick", Timed}, {"entry.heap", "entry control", "B of heap", Counted}}
+	by := func(driver string) []Metric {
+		out := append([]Metric{}, tick...)
+		for i := range out {
+			out[i].Name += ".by-" + driver
+		}
+		return out
+	}
+	figures := func(micros, heap float64, err error) ([]float64, error) { return []float64{micros, heap}, err }
+	return []Experiment{
+		{
+			Driver: "members, 17 slots heard, 1,000 clients", Sizes: []int{19, 142, 285, 570, 1140}, Target: targetMembers,
+			Metrics: by("members"),
+			Run:     func(n int) ([]float64, error) { return figures(tickTime(1000, n, 17)) },
+		},
+		{
+			Driver: "slots heard, 19 members, 1,000 clients", Sizes: []int{4, 8, 16, 32, 64}, Target: 64,
+			Metrics: by("slots"),
+			Run:     func(n int) ([]float64, error) { return figures(tickTime(1000, 19, n)) },
+		},
+		{
+			Driver: "client accounts, 19 members, 17 slots", Sizes: []int{10, 1000, 10_000, 30_000}, Target: targetClients,
+			Metrics: by("clients"),
+			Run:     func(n int) ([]float64, error) { return figures(tickTime(n, 19, 17)) },
+		},
+		{
+			Driver: "upstreams in a picker", Sizes: []int{4, 8, 16, 32, 64}, Target: 64,
+			Metrics: []Metric{{"entry.pick", "entry traffic", "µs a request", Timed}},
+			Run:     pickFigures,
+		},
+	}
+}
--- /dev/null
+++ b/internal/bench/slopes/revisions.go
@@ -0,0 +1,309 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/control"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision/agent"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision/memnet"
+	standin "github.com/cardamomyoke/cardamomyoke/internal/standin/platform"
+)
+
+const (
+	agentTick   = 50 * time.Millisecond
+	joinLimit   = 30 * time.Second
+	agentSettle = 3 * time.Second // until what was lacking at the start has been sent
+	agentSpan   = 5 * time.Second
+	changeCount = 5
+)
+
+// agents are the nodes of a deployment in this process, with the stand-in of the platform and messages in memory.
+type agents struct {
+	store  *standin.Store
+	net    *memnet.Net
+	list   []*agent.Agent
+	names  []string
+	cancel context.CancelFunc
+}
+
+// startAgents starts n nodes and waits until the log names all of them.
+func startAgents(n int) (*agents, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	a := &agents{store: standin.NewStore(standin.Limits{}), net: memnet.New(nil), cancel: cancel}
+	rng := rand.New(rand.NewPCG(1, uint64(n)))
+	all := members(n)
+	for i, m := range all {
+		client := a.store.Client(m.GetName())
+		loop := control.New()
+		ag := agent.New(agent.Config{
+			Self: m, Incarnation: ids.NewIncarnation(), Seeds: all[:min(i, 6)], Platform: platform.NewClient(client, platform.Options{}),
+			Transport: a.net.Transport(m.GetName()), Loop: loop, Rand: rand.New(rand.NewPCG(rng.Uint64(), 2)),
+		})
+		go loop.Run(ctx, agentTick, ag.Tick)
+		a.list = append(a.list, ag)
+		a.names = append(a.names, m.GetName())
+		a.net.Attach(m.GetName(), ag)
+	}
+	deadline := time.Now().Add(joinLimit)
+	for !a.joined() {
+		if time.Now().After(deadline) {
+			a.stop()
+			return nil, fmt.Errorf("join: %w", &NotJoinedError{n})
+		}
+		time.Sleep(agentTick)
+	}
+	// A node takes no work, and vouches for none, before there is a configuration.
+	if err := a.change(0); err != nil {
+		a.stop()
+		return nil, err
+	}
+	return a, nil
+}
+
+// NotJoinedError says that a deployment did not come together in time.
+type NotJoinedError struct{ Nodes int }
+
+// Error implements error.
+func (e *NotJoinedError) Error() string { return fmt.Sprintf("%d nodes are not all members", e.Nodes) }
+
+func (a *agents) joined() bool {
+	for _, ag := range a.list {
+		v := ag.View()
+		if v == nil || v.InForce == nil || len(v.InForce.Roster.Members()) != len(a.list) {
+			return false
+		}
+	}
+	return true
+}
+
+func (a *agents) stop() {
+	for _, ag := range a.list {
+		ag.Close()
+	}
+	a.cancel()
+}
+
+// traffic returns messages and bytes that all nodes sent so far, and the most bytes of one.
+func (a *agents) traffic() (messages, bytes float64, each []float64) {
+	for _, name := range a.names {
+		u := a.net.Usage(name)
+		messages += float64(u.Messages.Load())
+		b := float64(u.Bytes.Load())
+		bytes += b
+		each = append(each, b)
+	}
+	return messages, bytes, each
+}
+
+// revisionFigures measures a deployment in rest, and then a few changes one after the other.
+func revisionFigures(n int) ([]float64, error) {
+	a, err := startAgents(n)
+	if err != nil {
+		return nil, err
+	}
+	defer a.stop()
+	time.Sleep(agentSettle)
+	messages, bytes, each := a.traffic()
+	usage, busy := a.store.Usage(), processorTime()
+	time.Sleep(agentSpan)
+	messages2, bytes2, each2 := a.traffic()
+	usage2, busy2 := a.store.Usage(), processorTime()
+	seconds, nodes := agentSpan.Seconds(), float64(n)
+	most := 0.0
+	for i := range each {
+		most = max(most, (each2[i]-each[i])/seconds)
+	}
+	out := []float64{
+		(messages2 - messages) / seconds / nodes, (bytes2 - bytes) / seconds / nodes, most,
+		float64(usage2.Reads-usage.Reads) / seconds, float64(usage2.Writes-usage.Writes) / seconds,
+		float64((busy2 - busy).Microseconds()) / seconds / nodes,
+	}
+	changes, err := a.changes()
+	return append(out, changes...), err
+}
+
+// changes makes a few changes one after the other and returns the writes of the table that each cost, and the longest
+// time until one was accepted, in milliseconds.
+func (a *agents) changes() ([]float64, error) {
+	usage := a.store.Usage()
+	longest := time.Duration(0)
+	for i := range changeCount {
+		began := time.Now()
+		if err := a.change(i + 1); err != nil {
+			return nil, err
+		}
+		longest = max(longest, time.Since(began))
+	}
+	usage2 := a.store.Usage()
+	return []float64{float64(usage2.Writes-usage.Writes) / changeCount, float64(longest.Microseconds()) / 1e3}, nil
+}
+
+// change commits the change number i at the first node and waits until it is accepted there.
+func (a *agents) change(i int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), joinLimit)
+	defer cancel()
+	meta := &cardamomyokev1.ChangeMeta{
+		Operator: "bench", Reason: "slopes", OperationId: fmt.Sprint("change-", i), BaseRevision: uint64(i),
+	}
+	e, err := a.list[0].Change(ctx, meta, keepFor(uint32(1000+i)))
+	if err != nil {
+		return fmt.Errorf("change: %w", err)
+	}
+	if a.list[0].Wait(ctx, e.GetSeq()).Accepted < e.GetSeq() {
+		return fmt.Errorf("accept: %w", &NotJoinedError{len(a.list)})
+	}
+	return nil
+}
+
+func keepFor(ms uint32) func(*revision.State) ([]*cardamomyokev1.Edit, error) {
+	return func(*revision.State) ([]*cardamomyokev1.Edit, error) {
+		return []*cardamomyokev1.Edit{{
+			Action: cardamomyokev1.EditAction_EDIT_ACTION_CHANGE,
+			Object: &cardamomyokev1.Edit_Policies{Policies: &cardamomyokev1.Policies{AddressKeepMs: ms, EjectionPercent: 30, QuarantineS: 60}},
+		}}, nil
+	}
+}
+
+// counter counts the bytes of a connection.
+type counter struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c counter) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c counter) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// quiet takes messages and does nothing with them.
+type quiet struct {
+	cardamomyokev1connect.UnimplementedRevisionServiceHandler
+}
+
+// Push implements the RPC.
+func (quiet) Push(context.Context, *cardamomyokev1.PushRequest) (*cardamomyokev1.PushResponse, error) {
+	return &cardamomyokev1.PushResponse{}, nil
+}
+
+// pushFigures sends so many beats between two processes' worth of connect over loopback, in HTTP/2 as the agents do, and
+// returns the bytes both ways and the processor time of both ends.
+func pushFigures(calls int) ([]float64, error) {
+	server, address, err := serveQuiet()
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = server.Close() }()
+	var bytes atomic.Int64
+	transport := &http.Transport{Protocols: new(http.Protocols), DialContext: func(ctx context.Context, network, to string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, to)
+		if err != nil {
+			return nil, fmt.Errorf("dial: %w", err)
+		}
+		return counter{c, &bytes}, nil
+	}}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	rpc := agent.NewRPC(&http.Client{Transport: transport}, "http")
+	to := &revision.Member{Name: "to", Address: address}
+	push := beat(targetMembers)
+	send := func(n int) error {
+		for range n {
+			if err := rpc.Push(context.Background(), to, push); err != nil {
+				return fmt.Errorf("push: %w", err)
+			}
+		}
+		return nil
+	}
+	const warm = 20
+	if err := send(warm); err != nil {
+		return nil, err
+	}
+	before, busy := bytes.Load(), processorTime()
+	if err := send(calls); err != nil {
+		return nil, err
+	}
+	return []float64{float64(bytes.Load() - before), float64((processorTime() - busy).Microseconds())}, nil
+}
+
+// beat is what a node sends when nothing changes, in a deployment of so many members of which some are missing.
+func beat(n int) *revision.Push {
+	return &revision.Push{
+		From: "entry-0001", Incarnation: incarnation, Origin: incarnation, Beat: 100_000, Committed: 700_000, Accepted: 700_000,
+		TableAgeUs: 700_000, Echo: 100_000, EchoAgeUs: 1_000_000, Staged: 700_000, Missing: make([]byte, (n+7)/8),
+		Vouch: &cardamomyokev1.Vouch{Seq: 700_000, AgeUs: 400_000, All: true, DataCentres: []string{"centre-0", "centre-1", "centre-2", "centre-3", "centre-4", "centre-5"}},
+	}
+}
+
+// answer is what a node sends up for itself and all nodes below.
+func answer(n int) *revision.Ack {
+	bits := make([]byte, (n+7)/8)
+	return &revision.Ack{
+		From: "entry-0001", Incarnation: incarnation, Origin: incarnation, Beat: 100_000, Nonce: 100_000, Staged: 700_000,
+		Committed: 700_000, Address: "10.1.0.1:7200", Holds: bits, Alive: bits, MaxStaged: 700_000,
+	}
+}
+
+// serveQuiet serves a revision service that takes everything and does nothing.
+func serveQuiet() (*http.Server, string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", fmt.Errorf("listen: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(cardamomyokev1connect.NewRevisionServiceHandler(quiet{}))
+	server := &http.Server{Handler: mux, Protocols: new(http.Protocols)}
+	server.Protocols.SetUnencryptedHTTP2(true)
+	go func() { _ = server.Serve(listener) }()
+	return server, listener.Addr().String(), nil
+}
+
+func revisionExperiments() []Experiment {
+	return []Experiment{
+		{
+			Driver: "nodes", Sizes: []int{12, 24, 48, 96}, Target: targetMembers,
+			Metrics: []Metric{
+				{"revision.messages", "every node", "messages/s a node", Counted}, {"revision.bytes", "every node", "B/s a node, without headers", Counted},
+				{"revision.bytes.busiest", "every node", "B/s of the busiest, without headers", Counted},
+				{"revision.reads", "platform", "reads/s, all nodes", Counted}, {"revision.writes", "platform", "writes/s, all nodes", Counted},
+				{"revision.processor", "every node", "µs/s a node", Timed},
+				{"revision.change.writes", "platform", "writes a change", Counted}, {"revision.change.accepted", "every node", "ms until accepted", Timed},
+			},
+			Run: revisionFigures,
+		},
+		{
+			Driver: "members", Sizes: []int{19, 285, 570, 1140}, Target: targetMembers,
+			Metrics: []Metric{
+				{"revision.push.size", "every node", "B encoded", Exact}, {"revision.ack.size", "every node", "B encoded", Exact},
+			},
+			Run: func(n int) ([]float64, error) {
+				return []float64{float64(proto.Size(beat(n))), float64(proto.Size(answer(n)))}, nil
+			},
+		},
+		{
+			Driver: "beats to one node", Sizes: []int{100, 200, 400, 800}, Target: 100,
+			Metrics: []Metric{{"rpc.beat.bytes", "every node", "B both ways", Counted}, {"rpc.beat.processor", "every node", "µs, both ends", Timed}},
+			Run:     pushFigures,
+		},
+	}
+}
--- /dev/null
+++ b/internal/bench/slopes/run.go
@@ -0,0 +1,170 @@
+package slopes
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/report"
+)
+
+// The target's size.
+const (
+	targetEntries  = 360
+	targetSlots    = 780
+	targetMembers  = targetEntries + targetSlots
+	targetCentres  = 6
+	targetClients  = 30_000
+	targetRanks    = 64
+	targetExperts  = 128
+	targetRequests = 8_200
+	// targetDuties are the model groups that 3,100 accelerators in groups of 64 ranks make, and one more duty.
+	targetDuties = 3100/targetRanks + 1
+)
+
+// Metric is one figure of an experiment.
+type Metric struct {
+	Name, Role, Unit string
+	Kind             Kind
+}
+
+// Experiment measures the same figures at several sizes of one driver.
+type Experiment struct {
+	Driver  string
+	Sizes   []int
+	Target  int
+	Metrics []Metric
+	// Run returns one value for each of Metrics.
+	Run func(size int) ([]float64, error)
+}
+
+// Experiments returns all there are, in the order in which they are run.
+func Experiments() []Experiment {
+	var all []Experiment
+	all = append(all, digestExperiments()...)
+	all = append(all, stateExperiments()...)
+	all = append(all, usageExperiments()...)
+	all = append(all, entryExperiments()...)
+	all = append(all, dutyExperiments()...)
+	all = append(all, revisionExperiments()...)
+	// Last, as its processes go on running.
+	all = append(all, requestExperiments()...)
+	return all
+}
+
+// Measure runs the experiments one after the other and writes their progress to log.
+func Measure(experiments []Experiment, log io.Writer) ([]Series, error) {
+	var out []Series
+	for _, e := range experiments {
+		began := time.Now()
+		series, err := e.measure()
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", e.Metrics[0].Name, err)
+		}
+		fmt.Fprintf(log, "%-34s %6.1fs\n", e.Metrics[0].Name, time.Since(began).Seconds())
+		out = append(out, series...)
+	}
+	return out, nil
+}
+
+func (e Experiment) measure() ([]Series, error) {
+	out := make([]Series, len(e.Metrics))
+	for i, m := range e.Metrics {
+		out[i] = Series{Name: m.Name, Role: m.Role, Unit: m.Unit, Kind: m.Kind, Driver: e.Driver, Target: float64(e.Target)}
+	}
+	for _, size := range e.Sizes {
+		values, err := e.Run(size)
+		if err != nil {
+			return nil, err
+		}
+		for i, v := range values {
+			out[i].Sizes = append(out[i].Sizes, float64(size))
+			out[i].Values = append(out[i].Values, v)
+		}
+	}
+	for i := range out {
+		out[i].finish()
+	}
+	return out, nil
+}
+
+// Table lists the series.
+func Table(series []Series) report.Table {
+	t := report.Table{
+		Title:   "Slopes: value = intercept + slope * driver",
+		Columns: []string{"figure", "role", "unit", "driver", "sizes", "values", "intercept", "slope", "residual", "target", "at target", "kind"},
+	}
+	for _, s := range series {
+		how := "M"
+		if !s.Measured {
+			how = "W"
+		}
+		t.Add(s.Name, s.Role, s.Unit, s.Driver, list(s.Sizes), list(s.Values), s.Fit.Intercept, s.Fit.Slope,
+			fmt.Sprintf("%.1f%%", 100*s.Fit.Residual), fmt.Sprintf("%.6g", s.Target), fmt.Sprintf("%.4g %s", s.AtTarget, how), s.Kind)
+	}
+	return t
+}
+
+func list(values []float64) string {
+	out := ""
+	for i, v := range values {
+		if i > 0 {
+			out += " "
+		}
+		out += fmt.Sprintf("%.4g", v)
+	}
+	return out
+}
+
+// heapOf returns the bytes that what build returns keeps on the heap.
+func heapOf(build func() any) float64 {
+	before := heapNow()
+	kept := build()
+	after := heapNow()
+	runtime.KeepAlive(kept)
+	return max(0, after-before)
+}
+
+func heapNow() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+const (
+	timingRuns = 7
+	timingSpan = 15 * time.Millisecond
+)
+
+// timeOf returns the least time of one call in microseconds. The least is what other load on the machine disturbs
+// least.
+func timeOf(f func()) float64 {
+	f()
+	best := 0.0
+	for run := range timingRuns {
+		calls := 0
+		began := time.Now()
+		for time.Since(began) < timingSpan {
+			f()
+			calls++
+		}
+		each := float64(time.Since(began).Nanoseconds()) / 1e3 / float64(calls)
+		if run == 0 || each < best {
+			best = each
+		}
+	}
+	return best
+}
+
+// processorTime is what this process has used so far, in user and system mode.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/internal/bench/slopes/state.go
@@ -0,0 +1,157 @@
+package slopes
+
+import (
+	"fmt"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/admission/limits"
+	"github.com/cardamomyoke/cardamomyoke/internal/config"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/membership"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision"
+)
+
+// configuration has three models, two plain services and so many client accounts.
+func configuration(clients int) *cardamomyokev1.Configuration {
+	c := &cardamomyokev1.Configuration{
+		Revision: 657_000,
+		Classes:  []*cardamomyokev1.PriorityClass{{Name: "first", QueueLimit: 1000}, {Name: "rest", Rank: 1, QueueLimit: 1000}},
+		Policies: &cardamomyokev1.Policies{AddressKeepMs: 30_000, EjectionPercent: 30, QuarantineS: 600},
+	}
+	for i := range 3 {
+		c.Services = append(c.Services, &cardamomyokev1.Service{
+			Name: fmt.Sprintf("language-model-%d", i), Kind: cardamomyokev1.ServiceKind_SERVICE_KIND_MODEL, Class: "first",
+			Repeatable: true, DeadlineMs: 30_000, MaxBodyBytes: 1 << 20, RetryBudgetPercent: 10, CostTokens: 200,
+		})
+	}
+	for i := range clients {
+		c.Clients = append(c.Clients, &cardamomyokev1.ClientAccount{
+			Name: clientName(i), Share: uint32(1 + i%10), RequestsPerS: 50, TokensPerS: 20_000,
+			Services: []string{"language-model-0"}, SecretSha256: strings.Repeat("0123456789abcdef", 4),
+		})
+	}
+	return c
+}
+
+func clientName(i int) string { return fmt.Sprintf("client-%06d", i) }
+
+// configurationFigures measures one configuration: encoded, held in memory, decoded and checked, and its limits.
+func configurationFigures(clients int) ([]float64, error) {
+	data, err := proto.Marshal(configuration(clients))
+	if err != nil {
+		return nil, fmt.Errorf("encode configuration: %w", err)
+	}
+	var failed error
+	load := func() *config.Snapshot {
+		c := &cardamomyokev1.Configuration{}
+		if err := proto.Unmarshal(data, c); err != nil {
+			failed = err
+			return nil
+		}
+		s, err := config.NewSnapshot(c)
+		if err != nil {
+			failed = err
+		}
+		return s
+	}
+	held := heapOf(func() any { return load() })
+	took := timeOf(func() { load() })
+	return []float64{float64(len(data)), held, took}, failed
+}
+
+// limiterWith has heard from so many clients.
+func limiterWith(clients int) *limits.Limiter {
+	l := limits.New(limits.Defaults(), targetEntries)
+	set := make(map[ids.Client]limits.Limit, clients)
+	for i := range clients {
+		set[ids.Client(clientName(i))] = limits.Limit{RequestsPerSecond: 50, TokensPerSecond: 20_000}
+	}
+	l.SetLimits(set)
+	for i := range clients {
+		_ = l.Take(ids.Client(clientName(i)), float64(10+i%500), begin)
+	}
+	return l
+}
+
+func limiterFigures(clients int) ([]float64, error) {
+	held := heapOf(func() any { return limiterWith(clients) })
+	l := limiterWith(clients)
+	i := 0
+	take := timeOf(func() {
+		i++
+		_ = l.Take(ids.Client(clientName(i%clients)), 200, begin)
+	})
+	report := timeOf(func() { l.Report(begin) })
+	return []float64{held, take, report, float64(len(l.Report(begin)))}, nil
+}
+
+// members returns nodes in the target's proportion: 6 entries to 13 slots.
+func members(n int) []*revision.Member {
+	var out []*revision.Member
+	for i := range n {
+		role, kind := cardamomyokev1.NodeRole_NODE_ROLE_ENTRY, "entry"
+		if i%19 >= 6 {
+			role, kind = cardamomyokev1.NodeRole_NODE_ROLE_SLOT, "slot"
+		}
+		out = append(out, &revision.Member{
+			Name: fmt.Sprintf("%s-%04d", kind, i), DataCentre: fmt.Sprintf("centre-%d", i%targetCentres), Role: role,
+			Address: fmt.Sprintf("10.1.%d.%d:7200", i/250, i%250), DigestAddress: fmt.Sprintf("10.1.%d.%d:7300", i/250, i%250),
+		})
+	}
+	return out
+}
+
+// memberFigures measures the roster as it is kept, and the table of members that digests refresh.
+func memberFigures(n int) ([]float64, error) {
+	list := members(n)
+	encoded := float64(proto.Size(&cardamomyokev1.State{Seq: 1, Members: list}))
+	status := &cardamomyokev1.GetStatusResponse{Node: "entry-0000"}
+	for _, m := range list {
+		status.Nodes = append(status.Nodes, &cardamomyokev1.NodeStatus{Member: m})
+	}
+	identities := membership.FromRevision(list)
+	build := func() *membership.Table {
+		t := membership.New(identities[0], membership.Defaults(), begin)
+		t.SetRoster(identities, begin)
+		return t
+	}
+	held := heapOf(func() any { return []any{build(), revision.NewRoster(members(n))} })
+	t := build()
+	tick := timeOf(func() { t.Tick(begin) })
+	adopt := timeOf(func() { build() })
+	addresses := timeOf(func() { t.Addresses("") })
+	return []float64{encoded, float64(proto.Size(status)), held, tick, addresses, adopt}, nil
+}
+
+func stateExperiments() []Experiment {
+	return []Experiment{
+		{
+			Driver: "client accounts", Sizes: []int{3750, 7500, 15_000, 30_000}, Target: targetClients,
+			Metrics: []Metric{
+				{"configuration.bytes", "every node", "B encoded", Exact}, {"configuration.heap", "every node", "B of heap", Counted},
+				{"configuration.adopt", "every node", "µs a change", Timed},
+			},
+			Run: configurationFigures,
+		},
+		{
+			Driver: "clients with demand at one entry", Sizes: []int{1000, 4000, 15_000, 30_000}, Target: targetClients,
+			Metrics: []Metric{
+				{"limits.heap", "entry traffic", "B of heap", Counted}, {"limits.take", "entry traffic", "µs a request", Timed},
+				{"limits.report", "entry control", "µs a second", Timed}, {"limits.records", "entry control", "records a second", Exact},
+			},
+			Run: limiterFigures,
+		},
+		{
+			Driver: "members", Sizes: []int{19, 142, 285, 570, 1140}, Target: targetMembers,
+			Metrics: []Metric{
+				{"members.state.bytes", "every node", "B encoded", Exact}, {"members.status.bytes", "ctl", "B an answer", Exact},
+				{"members.heap", "every node", "B of heap", Counted}, {"members.tick", "every node", "µs a tick", Timed},
+				{"members.addresses", "caller's address answers", "µs a view", Timed}, {"members.adopt", "every node", "µs a change of the roster", Timed},
+			},
+			Run: memberFigures,
+		},
+	}
+}
--- /dev/null
+++ b/internal/bench/slopes/usage.go
@@ -0,0 +1,55 @@
+package slopes
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/admission/limits"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+// usageFigures lets one of so many entries take its part of the target's requests, from clients drawn evenly, and returns
+// the datagrams and bytes of what it then tells the entries that add demand up. As much comes in as goes out, and beyond
+// limits.FullExchangeUpTo each datagram is answered by one of the same size.
+func usageFigures(entries int) ([]float64, error) {
+	const span = 20 * time.Second
+	l := limits.New(limits.Defaults(), entries)
+	set := make(map[ids.Client]limits.Limit, targetClients)
+	for i := range targetClients {
+		set[ids.Client(clientName(i))] = limits.Limit{RequestsPerSecond: 50, TokensPerSecond: 20_000}
+	}
+	l.SetLimits(set)
+	var names []ids.Node
+	for i := range entries {
+		names = append(names, ids.Node(fmt.Sprintf("entry-%04d", i)))
+	}
+	rng := rand.New(rand.NewPCG(1, uint64(entries)))
+	requests := targetRequests / targetEntries * int(span/time.Second)
+	now := begin
+	for range requests {
+		now = now.Add(span / time.Duration(requests))
+		_ = l.Take(ids.Client(clientName(rng.IntN(targetClients))), 207, now)
+	}
+	told := limits.NewRing(names).Address(names[0], l.Report(now))
+	bytes := 0
+	for node, records := range told {
+		if node == names[0] {
+			continue
+		}
+		d := digestOf(identities(6)[0], 1_000_000)
+		d.Usage = limits.Encode(records)
+		bytes += proto.Size(d) + datagramHeader
+	}
+	return []float64{float64(len(told)), float64(bytes)}, nil
+}
+
+func usageExperiments() []Experiment {
+	return []Experiment{{
+		Driver: "entries, 22 requests/s at each from 30,000 clients", Sizes: []int{6, 16, 17, 90, 180, 360}, Target: targetEntries,
+		Metrics: []Metric{{"usage.datagrams", "entry control", "datagrams/s", Exact}, {"usage.bytes", "entry control", "B/s sent", Exact}},
+		Run:     usageFigures,
+	}}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -59,10 +59,13 @@
 	loop      *control.Loop
 	state     *state
 	life      charts.Machine
-	receiver  *digest.Receiver
-	sender    *digest.Sender
-	digests   uint64
-	usageAt   time.Time
+	// viewAt and viewLife are when the view was built and in which state of life.
+	viewAt   time.Time
+	viewLife charts.State
+	receiver *digest.Receiver
+	sender   *digest.Sender
+	digests  uint64
+	usageAt  time.Time
 	// clientNames finds accounts by their hashes in usage reports; the control loop owns it.
 	clientNames limits.Names
 	cancel      context.CancelFunc
@@ -75,8 +78,11 @@
 	defaultQuarantine = 10 * time.Minute
 	// digestSuspects is how many suspects one digest carries; more would not fit its datagram.
 	digestSuspects = 4
-	// tickEvery is how often the control loop judges health and publishes a view.
+	// tickEvery is how often the control loop judges health.
 	tickEvery = 25 * time.Millisecond
+	// viewEvery is how often it builds a view without a change that cannot wait. Digests come every 250 ms or more, and
+	// building a view at each tick took more than the whole control budget at 60 known slots (docs/CAPACITY.md).
+	viewEvery = 100 * time.Millisecond
 )
 
 // Events and actions of the entry chart.
@@ -174,7 +180,9 @@
 		e.state.adoptRoster(e.roster(), now)
 	}
 	e.state.tick(now)
-	e.publish(now)
+	if e.viewDue(now) {
+		e.publish(now)
+	}
 	for _, p := range e.view.Load().pools {
 		p.gate.Tick(now)
 	}
@@ -241,8 +249,15 @@
 	}
 }
 
+// viewDue reports whether the view must be built anew: for a change that requests must see at once, else each viewEvery.
+func (e *Entry) viewDue(now time.Time) bool {
+	changed := e.view.Load().config != e.state.snapshot || e.life.State() != e.viewLife
+	return changed || now.Sub(e.viewAt) >= viewEvery
+}
+
 func (e *Entry) publish(now time.Time) {
 	life := e.life.State()
+	e.viewAt, e.viewLife = now, life
 	e.view.Store(e.state.build(life == stateServing || life == stateLeaving, now))
 }
 
