cardamomyokectl: all commands, JSON and YAML input, exit codes, several entries

Cause: there were only apply and status, over one entry, and a lost answer was told as unavailable, though the change may have been applied. Change: diff, list, history, operation, roll-forward, drain, undrain, pause, resume, force, order, watch; YAML input; diffs by field; a lost answer is sent again with the same operation id (but for remove-nodes, whose check refuses a repeat) and has an exit code of its own when all are lost. Ruled out: moving on to the next entry after sending without the operation id; only dialling moves on. Tests: a table of commands on a real operator.Server with one agent and the platform stand-in; lost answers, lost race, table down, pending.

--- /dev/null
+++ b/internal/ctl/act.go
@@ -0,0 +1,104 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+)
+
+func (s *session) registerActions(app *kingpin.Application) {
+	s.registerDrain(app.Command("drain", "Give an upstream no new work; what it runs goes on."), true)
+	s.registerDrain(app.Command("undrain", "Give an upstream new work again."), false)
+	s.registerPause(app.Command("pause", "Stop moving the experts of a group."), true)
+	s.registerPause(app.Command("resume", "Move the experts of a group again."), false)
+}
+
+func (s *session) registerDrain(cmd *kingpin.CmdClause, drained bool) {
+	upstream := cmd.Arg("upstream", "Name of the upstream.").Required().String()
+	f := addChangeFlags(cmd)
+	s.command(cmd, func(ctx context.Context) error {
+		return s.act(ctx, f, &cardamomyokev1.ActRequest{Action: &cardamomyokev1.ActRequest_DrainUpstream{
+			DrainUpstream: &cardamomyokev1.DrainUpstream{Upstream: *upstream, Drained: drained},
+		}})
+	})
+}
+
+func (s *session) registerPause(cmd *kingpin.CmdClause, paused bool) {
+	group := cmd.Arg("group", "Name of the group.").Required().String()
+	f := addChangeFlags(cmd)
+	s.command(cmd, func(ctx context.Context) error {
+		return s.act(ctx, f, &cardamomyokev1.ActRequest{Action: &cardamomyokev1.ActRequest_PauseRebalancing{
+			PauseRebalancing: &cardamomyokev1.PauseRebalancing{Group: *group, Paused: paused},
+		}})
+	})
+}
+
+func (s *session) registerForce(app *kingpin.Application) {
+	force := app.Command("force", "Actions that overrule a safeguard; the operator vouches for their ground.")
+	remove := force.Command("remove-nodes", "Wait no longer for nodes that are gone for good and do not run.")
+	names := remove.Arg("name", "Names of nodes.").Required().Strings()
+	removeFlags := addChangeFlags(remove)
+	s.command(remove, func(ctx context.Context) error {
+		return s.removeNodes(ctx, removeFlags, *names)
+	})
+	release := force.Command("release-lease", "Let another node take a duty at once.")
+	duty := release.Arg("duty", "Name of the duty, as status lists it.").Required().String()
+	releaseFlags := addChangeFlags(release)
+	s.command(release, func(ctx context.Context) error {
+		return s.act(ctx, releaseFlags, &cardamomyokev1.ActRequest{Action: &cardamomyokev1.ActRequest_ReleaseLease{
+			ReleaseLease: &cardamomyokev1.ReleaseLease{Duty: *duty},
+		}})
+	})
+}
+
+// act does what can be repeated with the same operation id.
+func (s *session) act(ctx context.Context, f *changeFlags, r *cardamomyokev1.ActRequest) error {
+	base, err := s.committed(ctx)
+	if err != nil {
+		return err
+	}
+	r.Meta, r.WaitMs = f.meta(base), f.waitMS()
+	var answer *cardamomyokev1.ActResponse
+	err = settle(ctx, f.operation, func(ctx context.Context) error {
+		var err error
+		answer, err = s.client.Act(ctx, r)
+		return err
+	})
+	if err != nil {
+		return fmt.Errorf("act: %w", err)
+	}
+	return s.printAct(f, answer)
+}
+
+// removeNodes is sent once only: sent again after it was done, its names are those of no members and are refused.
+func (s *session) removeNodes(ctx context.Context, f *changeFlags, names []string) error {
+	base, err := s.committed(ctx)
+	if err != nil {
+		return err
+	}
+	answer, err := s.client.Act(ctx, &cardamomyokev1.ActRequest{
+		Meta: f.meta(base), WaitMs: f.waitMS(),
+		Action: &cardamomyokev1.ActRequest_RemoveNodes{RemoveNodes: &cardamomyokev1.RemoveNodes{Names: names}},
+	})
+	if lost(err) {
+		return &UnknownError{f.operation, err}
+	}
+	if err != nil {
+		return fmt.Errorf("remove nodes: %w", err)
+	}
+	return s.printAct(f, answer)
+}
+
+func (s *session) printAct(f *changeFlags, answer *cardamomyokev1.ActResponse) error {
+	if answer.GetOutcome() != nil {
+		return s.printOutcome(f.operation, answer.GetOutcome())
+	}
+	if s.output == outputJSON {
+		return s.printJSON(outcomeJSON{f.operation, rawJSON(nil)})
+	}
+	fmt.Fprintln(s.out, "done")
+	return nil
+}
--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -4,97 +4,89 @@
 	"context"
 	"fmt"
 	"os"
-	"os/user"
-	"time"
 
-	"connectrpc.com/connect"
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/goccy/go-yaml"
 	"google.golang.org/protobuf/encoding/protojson"
 
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 )
 
-// applyFlags are the flags of apply.
-type applyFlags struct {
-	file     string
-	operator string
-	reason   string
-	dryRun   bool
-	wait     time.Duration
+func fileFlag(cmd *kingpin.CmdClause) *string {
+	return cmd.Flag("file", "Configuration (JSON or YAML).").Short('f').Required().String()
 }
 
-func (s *session) registerApply(app *kingpin.Application, commands map[string]func(context.Context) error) {
-	f := &applyFlags{}
+func (s *session) registerApply(app *kingpin.Application) {
 	cmd := app.Command("apply", "Make the configuration equal to a file; prints what changes.")
-	cmd.Flag("file", "Configuration (JSON).").Short('f').Required().StringVar(&f.file)
-	cmd.Flag("operator", "Name of the operator.").Default(loginName()).StringVar(&f.operator)
-	cmd.Flag("reason", "Why; kept in the audit.").Required().StringVar(&f.reason)
-	cmd.Flag("dry-run", "Only print what would change.").BoolVar(&f.dryRun)
-	cmd.Flag("wait", "How long to wait until every node holds it.").Default("30s").DurationVar(&f.wait)
-	commands["apply"] = func(ctx context.Context) error { return s.apply(ctx, f) }
+	file := fileFlag(cmd)
+	dryRun := cmd.Flag("dry-run", "Only print what would change.").Bool()
+	f := addChangeFlags(cmd)
+	s.command(cmd, func(ctx context.Context) error {
+		diff, err := s.diff(ctx, *file)
+		if err != nil || *dryRun || len(diff.GetEdits()) == 0 {
+			return err
+		}
+		return s.change(ctx, f, diff)
+	})
 }
 
-func loginName() string {
-	u, err := user.Current()
-	if err != nil {
-		return ""
-	}
-	return u.Username
+func (s *session) registerDiff(app *kingpin.Application) {
+	cmd := app.Command("diff", "Print what separates the committed configuration from a file.")
+	file := fileFlag(cmd)
+	s.command(cmd, func(ctx context.Context) error {
+		_, err := s.diff(ctx, *file)
+		return err
+	})
 }
 
-func (s *session) apply(ctx context.Context, f *applyFlags) error {
-	wanted, err := readConfiguration(f.file)
+// diff prints and returns the edits that lead from what is committed to a file.
+func (s *session) diff(ctx context.Context, file string) (*cardamomyokev1.DiffResponse, error) {
+	wanted, err := readConfiguration(file)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	diff, err := s.client.Diff(ctx, &cardamomyokev1.DiffRequest{Wanted: wanted})
 	if err != nil {
-		return fmt.Errorf("diff: %w", err)
+		return nil, fmt.Errorf("diff: %w", err)
+	}
+	if s.output == outputJSON {
+		return diff, s.json(diff)
 	}
-	s.printEdits(diff.GetEdits())
-	if len(diff.GetEdits()) == 0 || f.dryRun {
-		return nil
+	before, err := s.client.List(ctx, &cardamomyokev1.ListRequest{})
+	if err != nil {
+		return nil, fmt.Errorf("diff: %w", err)
 	}
-	return s.change(ctx, f, diff)
+	s.printEdits(diff.GetEdits(), before.GetConfiguration())
+	return diff, nil
 }
 
-func (s *session) change(ctx context.Context, f *applyFlags, diff *cardamomyokev1.DiffResponse) error {
-	meta := &cardamomyokev1.ChangeMeta{
-		Operator:     f.operator,
-		Reason:       f.reason,
-		OperationId:  string(ids.NewOperation()),
-		BaseRevision: diff.GetBaseRevision(),
-	}
-	answer, err := s.client.Change(ctx, &cardamomyokev1.ChangeRequest{
-		Meta: meta, Edits: diff.GetEdits(), WaitMs: uint32(f.wait.Milliseconds()),
+func (s *session) change(ctx context.Context, f *changeFlags, diff *cardamomyokev1.DiffResponse) error {
+	request := &cardamomyokev1.ChangeRequest{Meta: f.meta(diff.GetBaseRevision()), Edits: diff.GetEdits(), WaitMs: f.waitMS()}
+	var answer *cardamomyokev1.ChangeResponse
+	err := settle(ctx, f.operation, func(ctx context.Context) error {
+		var err error
+		answer, err = s.client.Change(ctx, request)
+		return err
 	})
-	if connect.CodeOf(err) == connect.CodeUnavailable {
-		return fmt.Errorf("operation %s may have been applied: %w", meta.GetOperationId(), err)
-	}
 	if err != nil {
 		return fmt.Errorf("change: %w", err)
 	}
-	return s.printOutcome(answer.GetOutcome())
+	return s.printOutcome(f.operation, answer.GetOutcome())
 }
 
+// readConfiguration reads a configuration in YAML, of which JSON is a part.
 func readConfiguration(file string) (*cardamomyokev1.Configuration, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, &FileError{file, err}
 	}
+	text, err = yaml.YAMLToJSON(text)
+	if err != nil {
+		return nil, &FileError{file, err}
+	}
 	c := &cardamomyokev1.Configuration{}
 	if err := protojson.Unmarshal(text, c); err != nil {
 		return nil, &FileError{file, err}
 	}
 	return c, nil
 }
-
-// printOutcome prints how far a change has come; it returns *PendingError if it is not accepted yet.
-func (s *session) printOutcome(o *cardamomyokev1.Outcome) error {
-	if o.GetState() != cardamomyokev1.ChangeState_CHANGE_STATE_ACCEPTED {
-		return &PendingError{o.GetRevision(), o.GetPending()}
-	}
-	fmt.Fprintf(s.out, "revision %d is accepted: every node holds it\n", o.GetRevision())
-	return nil
-}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -1,16 +1,16 @@
 // Package ctl is the operators' command line: cardamomyokectl.
+//
+// Each command is one register function, which adds its flags to the parser and its action to the session's commands.
 package ctl
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
-	"net"
-	"net/http"
+	"os/signal"
+	"syscall"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
@@ -21,14 +21,22 @@
 	ExitOK = 0
 	// ExitFailed: the call failed.
 	ExitFailed = 1
-	// ExitUsage: the command line or a file is wrong.
+	// ExitUsage: the command line, a file or a field of the input is wrong; nothing was changed.
 	ExitUsage = 2
 	// ExitPending: the change is committed and not yet accepted.
 	ExitPending = 3
-	// ExitConflict: the change lost a race; look again and decide.
+	// ExitConflict: the change lost a race and was not applied; look again and decide.
 	ExitConflict = 4
-	// ExitUnavailable: the platform or the entry cannot be reached; nothing was changed, or the operation id tells.
+	// ExitUnavailable: no entry answers or the platform's table is down; nothing was changed.
 	ExitUnavailable = 5
+	// ExitUnknown: the answer was lost; `operation ID` tells what became of the change.
+	ExitUnknown = 6
+	// ExitNotFound: there is nothing of that name.
+	ExitNotFound = 7
+	// ExitAudit: the audit has a gap or a changed row.
+	ExitAudit = 8
+	// ExitRefused: the operator's role does not allow it.
+	ExitRefused = 9
 )
 
 // Forms of output.
@@ -39,83 +47,65 @@
 
 // session is one run of the command line.
 type session struct {
-	out    io.Writer
-	entry  string
-	output string
-	client cardamomyokev1connect.OperatorServiceClient
+	out      io.Writer
+	errOut   io.Writer
+	entries  []string
+	output   string
+	client   cardamomyokev1connect.OperatorServiceClient
+	commands map[string]func(context.Context) error
 }
 
-// callTimeout bounds one call; a change may wait for its acceptance for a minute.
+// callTimeout bounds a command, but for watch; a change may wait for its acceptance for a minute.
 const callTimeout = 75 * time.Second
 
+// defaultEntry is where the demo's first entry serves RPC.
+const defaultEntry = "127.0.0.1:21101"
+
 // Main runs the command line and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
-	s := &session{out: out}
-	app := kingpin.New("cardamomyokectl", "Operate cardamomyoke through any of its entries.")
-	app.UsageWriter(errOut)
-	app.ErrorWriter(errOut)
-	app.Flag("entry", "RPC address of an entry, IP:PORT.").Envar("CARDAMOMYOKE_ENTRY").Default("127.0.0.1:21101").StringVar(&s.entry)
-	app.Flag("output", "table or json.").Default(outputTable).EnumVar(&s.output, outputTable, outputJSON)
-	commands := map[string]func(context.Context) error{}
-	s.registerApply(app, commands)
-	s.registerStatus(app, commands)
-	name, err := app.Parse(args)
+	s := &session{out: out, errOut: errOut, commands: map[string]func(context.Context) error{}}
+	name, err := s.parser().Parse(args)
 	if err != nil {
 		fmt.Fprintln(errOut, "cardamomyokectl:", err)
 		return ExitUsage
 	}
 	s.connect()
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	err = commands[name](ctx)
-	if err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := s.commands[name](ctx); err != nil {
 		fmt.Fprintln(errOut, "cardamomyokectl:", describe(err))
+		return exitCode(err)
 	}
-	return exitCode(err)
-}
-
-func (s *session) connect() {
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext}
-	s.client = cardamomyokev1connect.NewOperatorServiceClient(&http.Client{Transport: transport}, "http://"+s.entry)
-}
-
-// PendingError says that a change is committed and these nodes do not hold it yet.
-type PendingError struct {
-	Revision uint64
-	Nodes    []string
+	return ExitOK
 }
 
-// Error implements error.
-func (e *PendingError) Error() string {
-	return fmt.Sprintf("revision %d is committed and pending: waiting for %v", e.Revision, e.Nodes)
-}
-
-// FileError says that an input file cannot be used.
-type FileError struct {
-	File  string
-	Cause error
+// parser returns the parser of the whole command line.
+func (s *session) parser() *kingpin.Application {
+	app := kingpin.New("cardamomyokectl", "Operate cardamomyoke through any of its entries.")
+	app.UsageWriter(s.errOut)
+	app.ErrorWriter(s.errOut)
+	app.Flag("entry", "RPC address of an entry, IP:PORT; repeat it to name others to try in turn.").
+		Envar("CARDAMOMYOKE_ENTRY").Default(defaultEntry).StringsVar(&s.entries)
+	app.Flag("output", "table or json.").Short('o').Default(outputTable).EnumVar(&s.output, outputTable, outputJSON)
+	s.registerApply(app)
+	s.registerDiff(app)
+	s.registerList(app)
+	s.registerHistory(app)
+	s.registerOperation(app)
+	s.registerRollForward(app)
+	s.registerActions(app)
+	s.registerForce(app)
+	s.registerOrder(app)
+	s.registerWatch(app)
+	s.registerStatus(app)
+	return app
 }
 
-// Error implements error.
-func (e *FileError) Error() string { return fmt.Sprintf("%s: %v", e.File, e.Cause) }
-
-// Unwrap returns the cause.
-func (e *FileError) Unwrap() error { return e.Cause }
-
-func exitCode(err error) int {
-	var pending *PendingError
-	var file *FileError
-	switch {
-	case err == nil:
-		return ExitOK
-	case errors.As(err, &pending):
-		return ExitPending
-	case errors.As(err, &file) || connect.CodeOf(err) == connect.CodeInvalidArgument:
-		return ExitUsage
-	case connect.CodeOf(err) == connect.CodeAborted || connect.CodeOf(err) == connect.CodeFailedPrecondition:
-		return ExitConflict
-	case connect.CodeOf(err) == connect.CodeUnavailable:
-		return ExitUnavailable
+// command adds a command whose action is bounded by callTimeout.
+func (s *session) command(c *kingpin.CmdClause, action func(context.Context) error) {
+	s.commands[c.FullCommand()] = func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		return action(ctx)
 	}
-	return ExitFailed
 }
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,303 @@
+package ctl_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/control"
+	"github.com/cardamomyoke/cardamomyoke/internal/ctl"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/operator"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision/agent"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision/memnet"
+	standin "github.com/cardamomyoke/cardamomyoke/internal/standin/platform"
+)
+
+// deployment is one entry with its platform.
+type deployment struct {
+	store   *standin.Store
+	address string
+	// loseAnswers is how many of the next answers are cut off after the work is done.
+	loseAnswers atomic.Int32
+}
+
+func deploy(t *testing.T) *deployment {
+	d := &deployment{store: standin.NewStore(standin.Limits{})}
+	loop := control.New()
+	a := agent.New(agent.Config{
+		Self:        &revision.Member{Name: "e1", DataCentre: "vallejo", Address: "127.0.0.1:1"},
+		Incarnation: ids.NewIncarnation(), Platform: d.store, Transport: memnet.New(nil).Transport("e1"), Loop: loop,
+		Rand: rand.New(rand.NewPCG(1, 1)),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		loop.Run(ctx, 5*time.Millisecond, a.Tick)
+	}()
+	mux := http.NewServeMux()
+	mux.Handle(operator.Handler(operator.New(operator.Options{Node: "e1", Agent: a, Table: d.store})))
+	d.address = serve(t, d.losing(mux))
+	t.Cleanup(func() {
+		a.Close()
+		cancel()
+		<-ended
+	})
+	return d
+}
+
+func serve(t *testing.T, h http.Handler) string {
+	srv := httptest.NewServer(h)
+	t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return strings.TrimPrefix(srv.URL, "http://")
+}
+
+// losing does what a request asks and cuts the connection in place of the answer, as often as loseAnswers says.
+func (d *deployment) losing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		changes := strings.HasSuffix(r.URL.Path, "/Change") || strings.HasSuffix(r.URL.Path, "/Act")
+		if !changes || d.loseAnswers.Add(-1) < 0 {
+			next.ServeHTTP(w, r)
+			return
+		}
+		next.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	})
+}
+
+type result struct {
+	code        int
+	out, errOut string
+}
+
+// run runs the command line; "FILE" in args stands for a file with the text.
+func run(t *testing.T, address, text string, args ...string) result {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "configuration")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	all := []string{"--entry", address}
+	for _, a := range args {
+		all = append(all, strings.ReplaceAll(a, "FILE", file))
+	}
+	var out, errOut bytes.Buffer
+	code := ctl.Main(all, &out, &errOut)
+	return result{code, out.String(), errOut.String()}
+}
+
+const (
+	first = `
+classes: [{name: first, queueLimit: 10}]
+services: [{name: desk-model, kind: SERVICE_KIND_MODEL, class: first, repeatable: true, deadlineMs: 1000, maxBodyBytes: 1000}]
+groups: [{name: g, service: desk-model, ranks: 4, experts: 8, layers: 1}]
+policies: {addressKeepMs: 5000, ejectionPercent: 30, quarantineS: 60}
+`
+	wrong = `policies: {addressKeepMs: 1}`
+)
+
+var second = strings.ReplaceAll(first, "quarantineS: 60", "quarantineS: 61")
+
+// step is one command line, and what scripts and people see of it.
+type step struct {
+	name string
+	text string
+	args string
+	code int
+	out  []string
+	err  []string
+}
+
+const why = " --operator ana --reason test --wait 1m"
+
+// steps follow each other on one deployment.
+var steps = []step{
+	{name: "dry run changes nothing", text: first, args: "apply -f FILE --dry-run" + why, out: []string{"+ class", "+ service", "+ group"}},
+	{name: "apply YAML", text: first, args: "apply -f FILE --operation op-1" + why, out: []string{"revision 1 is accepted"}},
+	{name: "nothing to change", text: first, args: "apply -f FILE" + why, out: []string{"nothing to change"}},
+	{name: "diff names the field", text: second, args: "diff -f FILE", out: []string{"~ policies", "quarantine_s: 60 -> 61"}},
+	{name: "diff as JSON", text: second, args: "diff -f FILE -o json", out: []string{`"baseRevision":"1"`, `EDIT_ACTION_CHANGE`}},
+	{name: "a field is wrong", text: wrong, args: "apply -f FILE" + why, code: ctl.ExitUsage, err: []string{"address_keep_ms", "nothing was changed"}},
+	{name: "a file is no configuration", text: "a: b", args: "diff -f FILE", code: ctl.ExitUsage, err: []string{"configuration"}},
+	{name: "no reason", text: second, args: "apply -f FILE", code: ctl.ExitUsage, err: []string{"reason"}},
+	{name: "apply JSON out", text: second, args: "apply -f FILE -o json --operation op-2" + why, out: []string{`"operation":"op-2"`, "CHANGE_STATE_ACCEPTED"}},
+	{name: "operation found", args: "operation op-1", out: []string{"revision 1 is accepted"}},
+	{name: "operation not found", args: "operation op-9", code: ctl.ExitNotFound, err: []string{"has not been applied"}},
+	{name: "operation id of another change", args: "drain u1 --operation op-1" + why, code: ctl.ExitConflict, err: []string{"belongs to another change"}},
+	{name: "drain", args: "drain u1" + why, out: []string{"revision 3 is accepted"}},
+	{name: "list one kind", args: "list upstream", out: []string{"revision 3", `upstream  u1`, `"drained":true`}},
+	{name: "undrain", args: "undrain u1" + why, out: []string{"revision 4 is accepted"}},
+	{name: "pause", args: "pause g" + why, out: []string{"revision 5 is accepted"}},
+	{name: "list in force as JSON", args: "list group --in-force -o json", out: []string{`"paused":true`, `"revision":"5"`}},
+	{name: "resume", args: "resume g" + why, out: []string{"revision 6 is accepted"}},
+	{name: "pause what is not there", args: "pause no" + why, code: ctl.ExitUsage, err: []string{"pause_rebalancing.group"}},
+	{name: "roll forward", args: "roll-forward 1" + why, out: []string{"policies", "revision 7 is accepted"}},
+	{name: "roll forward to nothing", args: "roll-forward 99" + why, code: ctl.ExitUsage, err: []string{"to_revision"}},
+	{name: "history", args: "history", out: []string{"op-1", "ana", "test", "+ service desk-model", "+ node e1"}},
+	{name: "order", args: "order load-model u1 m v1" + why, out: []string{"fencing number 1"}},
+	{name: "order a role", args: "order change-role u1 decode -o json" + why, out: []string{`"fence":"2"`}},
+	{name: "order an adapter", args: "order load-adapter u1 a v1" + why, out: []string{"fencing number 3"}},
+	{name: "drop an adapter", args: "order unload-adapter u1 a" + why, out: []string{"fencing number 4"}},
+	{name: "force a lease", args: "force release-lease map/g" + why, out: []string{"done"}},
+	{name: "force out nobody", args: "force remove-nodes e9" + why, code: ctl.ExitUsage, err: []string{"remove_nodes.names"}},
+	{name: "watch", args: "watch --count 1", out: []string{"revision 7 in force"}},
+	{name: "status", args: "status", out: []string{"e1", "vallejo", "revision 7", "map/g"}},
+	{name: "status as JSON", args: "status -o json", out: []string{`"node":"e1"`}},
+	{name: "unknown command", args: "frob", code: ctl.ExitUsage, err: []string{"frob"}},
+}
+
+func check(t *testing.T, s step, r result) {
+	t.Helper()
+	if r.code != s.code {
+		t.Fatalf("exit code %d, want %d\n%s%s", r.code, s.code, r.out, r.errOut)
+	}
+	for _, want := range s.out {
+		if !strings.Contains(r.out, want) {
+			t.Errorf("output lacks %q:\n%s", want, r.out)
+		}
+	}
+	for _, want := range s.err {
+		if !strings.Contains(r.errOut, want) {
+			t.Errorf("errors lack %q:\n%s", want, r.errOut)
+		}
+	}
+}
+
+func TestCommands(t *testing.T) {
+	d := deploy(t)
+	for _, s := range steps {
+		t.Run(s.name, func(t *testing.T) {
+			r := run(t, d.address, s.text, strings.Fields(s.args)...)
+			check(t, s, r)
+			if strings.Contains(s.args, "json") && !json.Valid([]byte(lastLine(r.out))) {
+				t.Errorf("no JSON: %s", r.out)
+			}
+		})
+	}
+}
+
+func lastLine(text string) string {
+	lines := strings.Split(strings.TrimSpace(text), "\n")
+	return lines[len(lines)-1]
+}
+
+// The operator's change is applied, and its answer is lost on the way. The command sends it again with the same
+// operation id, so it is applied once and the operator sees its revision. When every answer is lost, the operator
+// must not be told that it failed: it was applied.
+func TestLostAnswers(t *testing.T) {
+	d := deploy(t)
+	d.loseAnswers.Store(2)
+	r := run(t, d.address, first, strings.Fields("apply -f FILE"+why)...)
+	check(t, step{out: []string{"revision 1 is accepted"}}, r)
+	d.loseAnswers.Store(100)
+	r = run(t, d.address, "", strings.Fields("drain u1 --operation op-lost"+why)...)
+	check(t, step{code: ctl.ExitUnknown, err: []string{"operation op-lost"}}, r)
+	check(t, step{out: []string{"revision 2 is accepted"}}, run(t, d.address, "", "operation", "op-lost"))
+}
+
+// The platform's table is down. A change is refused as not applied, with a code of its own; what needs no table still
+// answers.
+func TestTableDown(t *testing.T) {
+	d := deploy(t)
+	check(t, step{}, run(t, d.address, first, strings.Fields("apply -f FILE"+why)...))
+	d.store.SetFaults(standin.PartTable, standin.Faults{Outage: true})
+	r := run(t, d.address, "", strings.Fields("drain u1"+why)...)
+	check(t, step{code: ctl.ExitUnavailable, err: []string{"table is down", "nothing was changed"}}, r)
+	check(t, step{out: []string{"could not be read: leases"}}, run(t, d.address, "", "status"))
+	check(t, step{out: []string{"desk-model"}}, run(t, d.address, "", "list", "--in-force"))
+}
+
+func TestEntriesAreTriedInTurn(t *testing.T) {
+	d := deploy(t)
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gone := closed.Addr().String()
+	_ = closed.Close()
+	check(t, step{out: []string{"e1"}}, run(t, gone, "", "--entry", d.address, "status"))
+	r := run(t, gone, "", strings.Fields("drain u1"+why)...)
+	check(t, step{code: ctl.ExitUnavailable, err: []string{"no entry of", gone}}, r)
+}
+
+// scripted answers as an entry would whose change is not accepted, or lost a race after it was looked at.
+type scripted struct {
+	cardamomyokev1connect.UnimplementedOperatorServiceHandler
+}
+
+func (scripted) GetOperation(context.Context, *cardamomyokev1.GetOperationRequest) (*cardamomyokev1.GetOperationResponse, error) {
+	return &cardamomyokev1.GetOperationResponse{Found: true, Outcome: &cardamomyokev1.Outcome{
+		Revision: 4, State: cardamomyokev1.ChangeState_CHANGE_STATE_COMMITTED, Pending: []string{"slot-7", "slot-9"},
+	}}, nil
+}
+
+func TestPendingNamesTheMissingNodes(t *testing.T) {
+	mux := http.NewServeMux()
+	mux.Handle(cardamomyokev1connect.NewOperatorServiceHandler(scripted{}))
+	address := serve(t, mux)
+	want := step{code: ctl.ExitPending, err: []string{"revision 4 is committed and pending", "slot-7, slot-9"}}
+	check(t, want, run(t, address, "", "operation", "op"))
+	want.out = []string{`"pending":["slot-7","slot-9"]`}
+	check(t, want, run(t, address, "", "operation", "op", "-o", "json"))
+}
+
+// Two operators look at the same revision. The second one's change arrives after the first one's was committed: it is
+// refused as a lost race, with a code of its own, and nothing of it is applied.
+func TestLostRace(t *testing.T) {
+	d := deploy(t)
+	check(t, step{}, run(t, d.address, first, strings.Fields("apply -f FILE"+why)...))
+	client := cardamomyokev1connect.NewOperatorServiceClient(http.DefaultClient, "http://"+d.address)
+	raced := false
+	address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/Change") && !raced {
+			raced = true
+			_, err := client.Act(r.Context(), &cardamomyokev1.ActRequest{
+				Meta:   &cardamomyokev1.ChangeMeta{Operator: "ben", Reason: "race", OperationId: "op-ben", BaseRevision: 1},
+				Action: &cardamomyokev1.ActRequest_DrainUpstream{DrainUpstream: &cardamomyokev1.DrainUpstream{Upstream: "u1", Drained: true}},
+			})
+			if err != nil {
+				panic(fmt.Sprint("the other operator: ", err))
+			}
+		}
+		forward(d.address, w, r)
+	}))
+	r := run(t, address, second, strings.Fields("apply -f FILE"+why)...)
+	check(t, step{code: ctl.ExitConflict, err: []string{"another change was committed first", `"committed_revision":"2"`}}, r)
+	check(t, step{out: []string{`"quarantine_s":60`}}, run(t, d.address, "", "list", "policies"))
+}
+
+func forward(address string, w http.ResponseWriter, r *http.Request) {
+	out := r.Clone(r.Context())
+	out.RequestURI = ""
+	out.URL.Scheme, out.URL.Host = "http", address
+	answer, err := http.DefaultTransport.RoundTrip(out)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	for k, v := range answer.Header {
+		w.Header()[k] = v
+	}
+	w.WriteHeader(answer.StatusCode)
+	var body bytes.Buffer
+	_, _ = body.ReadFrom(answer.Body)
+	_, _ = w.Write(body.Bytes())
+}
--- a/internal/ctl/print.go
+++ b/internal/ctl/print.go
@@ -1,14 +1,15 @@
 package ctl
 
 import (
-	"errors"
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"strings"
 	"text/tabwriter"
 
-	"connectrpc.com/connect"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 )
@@ -23,55 +24,94 @@
 	_ = tw.Flush()
 }
 
-// json prints a message as one JSON object.
+// json prints a message as one line of JSON.
 func (s *session) json(m proto.Message) error {
-	text, err := protojson.MarshalOptions{Multiline: true, EmitUnpopulated: true}.Marshal(m)
+	text, err := protojson.MarshalOptions{EmitUnpopulated: true}.Marshal(m)
 	if err != nil {
 		return fmt.Errorf("print: %w", err)
 	}
-	fmt.Fprintln(s.out, string(text))
+	return s.printJSON(json.RawMessage(text))
+}
+
+// printJSON prints a value as one line of JSON.
+func (s *session) printJSON(v any) error {
+	if err := json.NewEncoder(s.out).Encode(v); err != nil {
+		return fmt.Errorf("print: %w", err)
+	}
 	return nil
 }
 
-// printEdits prints what a change does, one line an object: + created, ~ changed, - deleted.
-func (s *session) printEdits(edits []*cardamomyokev1.Edit) {
+// signs mark the lines of a diff.
+var signs = map[cardamomyokev1.EditAction]string{
+	cardamomyokev1.EditAction_EDIT_ACTION_CREATE: "+",
+	cardamomyokev1.EditAction_EDIT_ACTION_CHANGE: "~",
+	cardamomyokev1.EditAction_EDIT_ACTION_DELETE: "-",
+}
+
+// printEdits prints what a change does, one line an object; of a changed object, one line more for each field that
+// differs from before, the configuration that it is applied to (nil: unknown).
+func (s *session) printEdits(edits []*cardamomyokev1.Edit, before *cardamomyokev1.Configuration) {
 	if len(edits) == 0 {
 		fmt.Fprintln(s.out, "nothing to change")
 		return
 	}
-	signs := map[cardamomyokev1.EditAction]string{
-		cardamomyokev1.EditAction_EDIT_ACTION_CREATE: "+",
-		cardamomyokev1.EditAction_EDIT_ACTION_CHANGE: "~",
-		cardamomyokev1.EditAction_EDIT_ACTION_DELETE: "-",
-	}
+	old := objects(before)
 	for _, e := range edits {
-		fmt.Fprintf(s.out, "%s %s\n", signs[e.GetAction()], object(e))
+		kind, m := editObject(e)
+		was := old[objectKey{kind, nameOf(m)}]
+		if e.GetAction() != cardamomyokev1.EditAction_EDIT_ACTION_CHANGE || was == nil {
+			fmt.Fprintf(s.out, "%s %s %s\n", signs[e.GetAction()], kind, line(m))
+			continue
+		}
+		fmt.Fprintf(s.out, "~ %s %s\n", kind, nameOf(m))
+		s.printFields(was, m)
 	}
 }
 
-// object is the kind and content of an edit's object as one line.
-func object(e *cardamomyokev1.Edit) string {
+func (s *session) printFields(was, is protoreflect.Message) {
+	fields := is.Descriptor().Fields()
+	for i := range fields.Len() {
+		f := fields.Get(i)
+		if was.Get(f).Equal(is.Get(f)) {
+			continue
+		}
+		fmt.Fprintf(s.out, "    %s: %s -> %s\n", f.Name(), value(was, f), value(is, f))
+	}
+}
+
+func value(m protoreflect.Message, f protoreflect.FieldDescriptor) string {
+	v := m.Get(f)
+	if f.Message() != nil && !f.IsList() {
+		return line(v.Message())
+	}
+	return fmt.Sprint(v.Interface())
+}
+
+// line is a message as one line. protojson varies its spaces from build to build; scripts and tests see none.
+func line(m protoreflect.Message) string {
+	var out bytes.Buffer
+	text := protojson.MarshalOptions{UseProtoNames: true}.Format(m.Interface())
+	if err := json.Compact(&out, []byte(text)); err != nil {
+		return text
+	}
+	return out.String()
+}
+
+// editObject returns the kind, as the schema's field is named, and the object of an edit.
+func editObject(e *cardamomyokev1.Edit) (string, protoreflect.Message) {
 	m := e.ProtoReflect()
 	field := m.WhichOneof(m.Descriptor().Oneofs().ByName("object"))
 	if field == nil {
-		return "nothing"
+		return "nothing", m
 	}
-	return fmt.Sprintf("%s %s", field.Name(), protojson.MarshalOptions{}.Format(m.Get(field).Message().Interface()))
+	return string(field.Name()), m.Get(field).Message()
 }
 
-// describe adds the typed detail of an RPC's error to its text.
-func describe(err error) string {
-	text := err.Error()
-	var ce *connect.Error
-	if !errors.As(err, &ce) {
-		return text
-	}
-	for _, d := range ce.Details() {
-		value, err := d.Value()
-		if err != nil {
-			continue
-		}
-		text += fmt.Sprintf(" (%s)", protojson.MarshalOptions{}.Format(value))
+// nameOf returns an object's name; policies, which exist once, have none.
+func nameOf(m protoreflect.Message) string {
+	f := m.Descriptor().Fields().ByName("name")
+	if f == nil {
+		return ""
 	}
-	return text
+	return m.Get(f).String()
 }
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -10,9 +10,8 @@
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 )
 
-func (s *session) registerStatus(app *kingpin.Application, commands map[string]func(context.Context) error) {
-	app.Command("status", "Nodes, upstreams, leases and the state of acceptance, as the entry knows them.")
-	commands["status"] = s.status
+func (s *session) registerStatus(app *kingpin.Application) {
+	s.command(app.Command("status", "Nodes, upstreams, leases and the state of acceptance, as the entry knows them."), s.status)
 }
 
 func (s *session) status(ctx context.Context) error {
