Audit: chains of hashed rows in the table, an archive, export and verification

Cause: changes and control decisions left no record that a regulator can be shown. Weighed: one chain for everything (every node's proof races for one head), one chain a life only (a change whose entry dies has no row). Change: the chain of changes is derived from the log by any entry, each life of a node has its own chain for what it did, and a register holds every chain; heads stop the cutting of an end. Bounded buffer, overflow becomes a row; lost answers are settled by sending the same transaction again. Wired: in-force on every node, upstream changes on entries, operators' changes, orders and released leases. Not wired: map switch, quarantine, lease taken. Small changes outside: daemon/node.go, entrymain, entry.Deps.Audit, operator.Options.Audit (it was a reader of rows that nobody set). Verifier: an audit with changes and no node's chain needs no register; found by the test of a dead entry's changes.

--- /dev/null
+++ b/internal/audit/writer/writer_test.go
@@ -0,0 +1,269 @@
+package writer_test
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/audit"
+	"github.com/cardamomyoke/cardamomyoke/internal/audit/writer"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision/store"
+	standin "github.com/cardamomyoke/cardamomyoke/internal/standin/platform"
+)
+
+var at = time.Unix(1000, 0)
+
+func newWriter(s *standin.Store, life string) *writer.Writer {
+	return writer.New(writer.Options{Node: "n-" + life, Incarnation: ids.Incarnation(life), Table: s, Objects: s})
+}
+
+// kept returns the rows in the table, after it has verified them.
+func kept(t *testing.T, s *standin.Store) []*audit.Row {
+	t.Helper()
+	s.SetFaults(standin.PartTable, standin.Faults{})
+	rows, err := s.List(t.Context(), audit.Prefix, "", 10_000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := audit.NewVerifier()
+	var out []*audit.Row
+	for _, row := range rows {
+		r := &audit.Row{}
+		if err := proto.Unmarshal(row.Value, r); err != nil {
+			t.Fatal(err)
+		}
+		v.Add(r)
+		if !audit.IsHead(r) {
+			out = append(out, r)
+		}
+	}
+	for _, f := range v.Faults() {
+		t.Error(f)
+	}
+	return out
+}
+
+// subjects are the subjects of one kind, in order.
+func subjects(rows []*audit.Row, kind string) string {
+	var out []string
+	for _, r := range rows {
+		if r.GetKind() == kind {
+			out = append(out, r.GetSubject())
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+func record(w *writer.Writer, subject string) {
+	w.Record(at, &audit.Row{Kind: audit.KindUpstream, Subject: subject})
+}
+
+// settled flushes until all is written; each failure of the stand-in is used up by one try.
+func settled(t *testing.T, w *writer.Writer) {
+	t.Helper()
+	var err error
+	for range 20 {
+		if err = w.Flush(t.Context()); err == nil {
+			return
+		}
+	}
+	t.Fatalf("the rows are not written: %v", err)
+}
+
+// Answers of the table are lost after the writes took effect, first of the registration, then of the rows; meanwhile
+// more rows come. Each row must stand in the chain once: written again with others, it would stand there twice.
+func TestLostAnswersWriteEachRowOnce(t *testing.T) {
+	s := standin.NewStore(standin.Limits{})
+	w := newWriter(s, "a")
+	record(w, "u1")
+	s.SetFaults(standin.PartTable, standin.Faults{LoseAnswers: 3})
+	if err := w.Flush(t.Context()); err == nil {
+		t.Fatal("no answer was lost")
+	}
+	record(w, "u2")
+	settled(t, w)
+	if got := subjects(kept(t, s), audit.KindUpstream); got != "u1 u2" {
+		t.Fatalf("rows %q", got)
+	}
+	if got := subjects(kept(t, s), audit.KindStarted); got != "a" {
+		t.Fatalf("register %q", got)
+	}
+}
+
+// The table is down while things happen. Nothing is lost within the bound, and the order is kept.
+func TestOutage(t *testing.T) {
+	s := standin.NewStore(standin.Limits{})
+	w := newWriter(s, "a")
+	s.SetFaults(standin.PartTable, standin.Faults{Outage: true})
+	for i := range 200 {
+		record(w, fmt.Sprintf("u%03d", i))
+		if err := w.Flush(t.Context()); err == nil {
+			t.Fatal("written during an outage")
+		}
+	}
+	s.SetFaults(standin.PartTable, standin.Faults{})
+	settled(t, w)
+	got := strings.Fields(subjects(kept(t, s), audit.KindUpstream))
+	if len(got) != 200 || got[0] != "u000" || got[199] != "u199" {
+		t.Fatalf("%d rows: %v", len(got), got)
+	}
+}
+
+// Many nodes start together, as after a data centre comes back: each must end up in the register.
+func TestNodesRegisterTogether(t *testing.T) {
+	s := standin.NewStore(standin.Limits{})
+	var all sync.WaitGroup
+	for i := range 8 {
+		w := newWriter(s, fmt.Sprint("life-", i))
+		record(w, "u1")
+		all.Go(func() { settled(t, w) })
+	}
+	all.Wait()
+	if got := strings.Fields(subjects(kept(t, s), audit.KindStarted)); len(got) != 8 {
+		t.Fatalf("register %v", got)
+	}
+}
+
+// Somebody cuts the end of a node's chain off, head and all. The writer must not go on as if nothing had happened.
+func TestWriterLeavesAChangedChainAlone(t *testing.T) {
+	s := standin.NewStore(standin.Limits{})
+	w := newWriter(s, "a")
+	record(w, "u1")
+	settled(t, w)
+	head := audit.Head{Chain: "a"}
+	value, _ := proto.Marshal(head.Row())
+	_, err := s.Commit(t.Context(), platform.Txn{Operation: "cut", Puts: []platform.Put{
+		{Key: head.Chain.HeadKey(), Value: value}, {Key: head.Chain.RowKey(1)},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	record(w, "u2")
+	var conflict *platform.ConflictError
+	if err := w.Flush(t.Context()); !errors.As(err, &conflict) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// The object store is down at first; then the archive holds every row once, in the order of the chain.
+func TestArchive(t *testing.T) {
+	s := standin.NewStore(standin.Limits{})
+	w := newWriter(s, "a")
+	s.SetFaults(standin.PartObjects, standin.Faults{Outage: true})
+	for i := range 300 {
+		record(w, fmt.Sprint(i))
+	}
+	if err := w.Flush(t.Context()); err == nil {
+		t.Fatal("archived during an outage")
+	}
+	s.SetFaults(standin.PartObjects, standin.Faults{})
+	if err := w.Flush(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	var got []*audit.Row
+	for _, span := range [][2]int{{1, 256}, {257, 300}} {
+		name := writer.ObjectName("a", fmt.Sprintf("%016d", span[0]), fmt.Sprintf("%016d", span[1]))
+		rows, err := writer.ReadObject(t.Context(), s, name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, rows...)
+	}
+	for i, r := range got {
+		if r.GetKey() != audit.Chain("a").RowKey(uint64(i)+1) || r.GetSubject() != fmt.Sprint(i) {
+			t.Fatalf("row %d is %v", i, r)
+		}
+	}
+	if len(got) != 300 {
+		t.Fatalf("%d rows", len(got))
+	}
+}
+
+// keep is a change of one policy; the reason is its operation id too.
+func keep(t *testing.T, l *store.Store, id string, base uint64, ms uint32) {
+	t.Helper()
+	meta := &cardamomyokev1.ChangeMeta{Operator: "ana", Reason: id, OperationId: id, BaseRevision: base}
+	_, err := l.Change(t.Context(), nil, meta, func(*revision.State) ([]*cardamomyokev1.Edit, error) {
+		return []*cardamomyokev1.Edit{{
+			Action: cardamomyokev1.EditAction_EDIT_ACTION_CHANGE,
+			Object: &cardamomyokev1.Edit_Policies{Policies: &cardamomyokev1.Policies{AddressKeepMs: ms, EjectionPercent: 30, QuarantineS: 60}},
+		}}, nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// An entry commits changes and dies before it writes their rows. The other entries find them in the log; two do so
+// together and lose answers, and each change must have one row, with what was before and after.
+func TestChangesOfADeadEntryAreAudited(t *testing.T) {
+	s := standin.NewStore(standin.Limits{})
+	l := store.New(s, func() time.Time { return at })
+	keep(t, l, "op-1", 0, 5000)
+	keep(t, l, "op-2", 1, 6000)
+	none := func() *revision.State { return nil }
+	s.SetFaults(standin.PartTable, standin.Faults{LoseAnswers: 1})
+	var all sync.WaitGroup
+	for range 4 {
+		c := writer.NewChanges(s, l, none)
+		all.Go(func() {
+			if err := c.CatchUp(t.Context()); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	all.Wait()
+	keep(t, l, "op-3", 2, 7000)
+	if err := writer.NewChanges(s, l, none).CatchUp(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	rows := kept(t, s)
+	var got []string
+	for _, r := range rows {
+		got = append(got, r.GetOperationId())
+	}
+	if strings.Join(got, " ") != "op-1 op-2 op-3" {
+		t.Fatalf("rows %v", got)
+	}
+	if !strings.Contains(rows[2].GetBefore(), "6000") || !strings.Contains(rows[2].GetAfter(), "7000") ||
+		rows[0].GetBefore() != "[null]" || rows[2].GetActor() != "ana" || rows[2].GetUnixMs() != at.UnixMilli() {
+		t.Fatalf("rows %v", rows)
+	}
+}
+
+func TestInForceRecordsEachRevisionOnce(t *testing.T) {
+	s := standin.NewStore(standin.Limits{})
+	l := store.New(s, func() time.Time { return at })
+	w := newWriter(s, "a")
+	i := &writer.InForce{Writer: w}
+	i.Observe(at, &revision.View{})
+	for n := range 3 {
+		keep(t, l, fmt.Sprint("op-", n), uint64(n), uint32(5000+n))
+		st, err := l.Committed(t.Context(), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		i.Observe(at, &revision.View{InForce: st})
+		i.Observe(at, &revision.View{InForce: st})
+	}
+	settled(t, w)
+	var got []string
+	for _, r := range kept(t, s) {
+		if r.GetKind() == audit.KindInForce {
+			got = append(got, fmt.Sprint(r.GetActor(), " ", r.GetBefore(), " -> ", r.GetAfter()))
+		}
+	}
+	want := "n-a revision 0 -> revision 1; n-a revision 1 -> revision 2; n-a revision 2 -> revision 3"
+	if strings.Join(got, "; ") != want {
+		t.Fatalf("rows %v", got)
+	}
+}
--- /dev/null
+++ b/internal/ctl/audit_test.go
@@ -0,0 +1,60 @@
+package ctl_test
+
+import (
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/audit"
+	"github.com/cardamomyoke/cardamomyoke/internal/ctl"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+)
+
+// Somebody with access to the table changes or removes a row of the audit. The export must end with its own exit code
+// and name the row, in place of showing the regulator a false story.
+func TestAuditExportFailsOnTampering(t *testing.T) {
+	changed := func(key string, value []byte) []byte {
+		r := &audit.Row{}
+		if err := proto.Unmarshal(value, r); err != nil {
+			t.Fatal(err)
+		}
+		r.Actor = "nobody"
+		value, err := proto.Marshal(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return value
+	}
+	gone := func(string, []byte) []byte { return nil }
+	for name, c := range map[string]struct {
+		key  string
+		edit func(string, []byte) []byte
+	}{
+		"a change's row is changed":  {audit.ChangesChain.RowKey(2), changed},
+		"a change's row is gone":     {audit.ChangesChain.RowKey(2), gone},
+		"the last row is gone":       {audit.ChangesChain.RowKey(3), gone},
+		"an order's row is gone":     {audit.Chain("life-1").RowKey(1), gone},
+		"the register's row is gone": {audit.RegisterChain.RowKey(1), gone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := deploy(t)
+			check(t, step{}, run(t, d.address, first, strings.Fields("apply -f FILE"+why)...))
+			check(t, step{}, run(t, d.address, "", strings.Fields("drain u1"+why)...))
+			check(t, step{}, run(t, d.address, "", strings.Fields("order load-model u1 m v1"+why)...))
+			check(t, step{err: []string{"verified:"}}, run(t, d.address, "", "audit", "export", "--verify"))
+			old := d.store.Peek(c.key)
+			if old.Version == 0 {
+				t.Fatalf("there is no row %s", c.key)
+			}
+			_, err := d.store.Commit(t.Context(), platform.Txn{
+				Operation: ids.NewOperation(), Puts: []platform.Put{{Key: c.key, Value: c.edit(c.key, old.Value)}},
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			check(t, step{code: ctl.ExitAudit, err: []string{"faults"}}, run(t, d.address, "", "audit", "export", "--verify"))
+		})
+	}
+}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -98,6 +98,7 @@
 	s.registerOrder(app)
 	s.registerWatch(app)
 	s.registerStatus(app)
+	s.registerAudit(app)
 	return app
 }
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/audit/writer"
 	"github.com/cardamomyoke/cardamomyoke/internal/control"
 	"github.com/cardamomyoke/cardamomyoke/internal/ctl"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
@@ -51,7 +52,11 @@
 		loop.Run(ctx, 5*time.Millisecond, a.Tick)
 	}()
 	mux := http.NewServeMux()
-	mux.Handle(operator.Handler(operator.New(operator.Options{Node: "e1", Agent: a, Table: d.store})))
+	auditor := &writer.Auditor{
+		Writer:  writer.New(writer.Options{Node: "e1", Incarnation: "life-1", Table: d.store}),
+		Changes: writer.NewChanges(d.store, a.Store(), func() *revision.State { return a.View().InForce }),
+	}
+	mux.Handle(operator.Handler(operator.New(operator.Options{Node: "e1", Agent: a, Table: d.store, Audit: auditor})))
 	d.address = serve(t, d.losing(mux))
 	t.Cleanup(func() {
 		a.Close()
@@ -161,6 +166,11 @@
 	{name: "watch", args: "watch --count 1", out: []string{"revision 7 in force"}},
 	{name: "status", args: "status", out: []string{"e1", "vallejo", "revision 7", "map/g"}},
 	{name: "status as JSON", args: "status -o json", out: []string{`"node":"e1"`}},
+	{name: "audit", args: "audit export --verify", err: []string{"verified:"}, out: []string{
+		`"actor":"ana","reason":"test","kind":"change"`, `"kind":"order"`, `"kind":"lease-released"`, `"kind":"chain-started"`,
+	}},
+	{name: "audit of a time without rows", args: "audit export --to 1999-01-01T00:00:00Z --verify", err: []string{"verified:"}},
+	{name: "audit of no time", args: "audit export --from yesterday", code: ctl.ExitUsage, err: []string{"--from"}},
 	{name: "unknown command", args: "frob", code: ctl.ExitUsage, err: []string{"frob"}},
 }
 
--- a/internal/ctl/errors.go
+++ b/internal/ctl/errors.go
@@ -46,16 +46,20 @@
 		file    *FileError
 		unknown *UnknownError
 		absent  *OperationError
+		audit   *AuditError
+		span    *TimeError
 	)
 	switch {
 	case errors.As(err, &pending):
 		return ExitPending
-	case errors.As(err, &file):
+	case errors.As(err, &file) || errors.As(err, &span):
 		return ExitUsage
 	case errors.As(err, &unknown):
 		return ExitUnknown
 	case errors.As(err, &absent):
 		return ExitNotFound
+	case errors.As(err, &audit):
+		return ExitAudit
 	}
 	return codes[connect.CodeOf(err)]
 }
--- a/internal/daemon/entrymain/entrymain.go
+++ b/internal/daemon/entrymain/entrymain.go
@@ -52,6 +52,7 @@
 	})
 	e, err := entry.Start(set, entry.Deps{
 		Config: node.Config, Loop: node.Loop, Incarnation: node.Incarnation, Roster: node.Roster, Table: node.Platform, Logger: logger, Tracer: tracer,
+		Audit: node.Record,
 	})
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
@@ -59,8 +60,10 @@
 	if node.Agent != nil {
 		node.Mux.Handle(operator.Handler(operator.New(operator.Options{
 			Node: set.Name, Agent: node.Agent, Table: node.Platform, Upstreams: e.UpstreamStatuses,
+			Audit: node.Audit,
 		})))
 	}
+	node.CatchUpAudit(ctx)
 	if err := node.Run(e.Metrics(), e.Tick); err != nil {
 		e.Kill()
 		return fmt.Errorf("start: %w", err)
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -9,7 +9,10 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/audit"
+	"github.com/cardamomyoke/cardamomyoke/internal/audit/writer"
 	"github.com/cardamomyoke/cardamomyoke/internal/config"
 	"github.com/cardamomyoke/cardamomyoke/internal/control"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
@@ -43,7 +46,9 @@
 	Loop        *control.Loop
 	Platform    *platform.Client
 	// Agent is nil with a fixed configuration.
-	Agent   *agent.Agent
+	Agent *agent.Agent
+	// Audit is nil with a fixed configuration.
+	Audit   *writer.Auditor
 	Config  config.Source
 	Mux     *http.ServeMux
 	logger  log.Logger
@@ -79,9 +84,34 @@
 	})
 	n.Mux.Handle(agent.Handler(n.Agent))
 	n.Config = n.Agent
+	n.Audit = n.newAudit(o)
 	return n
 }
 
+func (n *Node) newAudit(o NodeOptions) *writer.Auditor {
+	return &writer.Auditor{
+		Writer: writer.New(writer.Options{
+			Node: o.Self.GetName(), Incarnation: n.Incarnation, Table: n.Platform, Objects: n.Platform,
+			Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Logger: o.Logger,
+		}),
+		Changes: writer.NewChanges(n.Platform, n.Agent.Store(), func() *revision.State { return n.Agent.View().InForce }),
+	}
+}
+
+// CatchUpAudit has this node write the audit rows of changes whose own entry died, until ctx ends; entries do it.
+func (n *Node) CatchUpAudit(ctx context.Context) {
+	if n.Audit != nil {
+		go n.Audit.RunCatchUp(ctx, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), n.logger)
+	}
+}
+
+// Record tells the audit what this node did.
+func (n *Node) Record(now time.Time, r *audit.Row) {
+	if n.Audit != nil {
+		n.Audit.Record(now, r)
+	}
+}
+
 // seedMembers makes members of addresses; a seed's name is learned from its answer.
 func seedMembers(addresses []string) []*revision.Member {
 	var out []*revision.Member
@@ -100,15 +130,26 @@
 	n.control = c
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	go n.Loop.Run(ctx, tickEvery, func(now time.Time) {
-		if n.Agent != nil {
-			n.Agent.Tick(now)
-		}
-		tick(now)
-	})
+	go n.Loop.Run(ctx, tickEvery, n.ticks(tick))
+	if n.Audit != nil {
+		go n.Audit.Run(ctx)
+	}
 	return nil
 }
 
+// ticks returns what the control loop does in each period.
+func (n *Node) ticks(tick func(now time.Time)) func(now time.Time) {
+	if n.Agent == nil {
+		return tick
+	}
+	inForce := &writer.InForce{Writer: n.Audit.Writer}
+	return func(now time.Time) {
+		n.Agent.Tick(now)
+		inForce.Observe(now, n.Agent.View())
+		tick(now)
+	}
+}
+
 // Roster returns the newest members that this node knows of, or nil.
 func (n *Node) Roster() *revision.Roster {
 	if n.Agent == nil || n.Agent.View().Newest == nil {
@@ -119,8 +160,12 @@
 
 // Leave takes the node out of the roster, as the last step of an orderly shutdown: from then on no change waits for it.
 func (n *Node) Leave(ctx context.Context) {
-	if n.Agent != nil {
-		n.Agent.Leave(ctx)
+	if n.Agent == nil {
+		return
+	}
+	n.Agent.Leave(ctx)
+	if err := n.Audit.Flush(ctx); err != nil {
+		_ = level.Warn(n.logger).Log("msg", "audit rows are lost with this process", "rows", n.Audit.Waiting(), "err", err)
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -35,6 +35,8 @@
 	Table platform.Table
 	// Roster returns the members that the configuration log names; nil if there is no log.
 	Roster func() *revision.Roster
+	// Audit takes in what this entry decides about upstreams; nil: it is only logged. It must not wait.
+	Audit  func(now time.Time, r *cardamomyokev1.AuditRow)
 	Logger log.Logger
 	Tracer *tracing.Tracer
 }
@@ -118,6 +120,9 @@
 	}
 	e.quarantine = quarantine.NewKeeper(d.Table, defaultQuarantine, quarantine.DefaultKeeperOptions())
 	e.state = newState(set, d.Config, e.limits, e.logger, now)
+	if d.Audit != nil {
+		e.state.record = d.Audit
+	}
 	e.view.Store(&view{})
 	if err := e.listen(); err != nil {
 		return nil, fmt.Errorf("entry %s: %w", set.Name, err)
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -11,6 +11,7 @@
 
 	"github.com/cardamomyoke/cardamomyoke/internal/admission"
 	"github.com/cardamomyoke/cardamomyoke/internal/admission/limits"
+	"github.com/cardamomyoke/cardamomyoke/internal/audit"
 	"github.com/cardamomyoke/cardamomyoke/internal/config"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/health"
@@ -29,6 +30,7 @@
 	config    config.Source
 	limits    *limits.Limiter
 	logger    log.Logger
+	record    func(now time.Time, r *audit.Row)
 	tracker   *health.Tracker
 	upstreams map[ids.Upstream]*upstream
 	members   *membership.Table
@@ -58,6 +60,7 @@
 		config:    source,
 		limits:    l,
 		logger:    logger,
+		record:    func(time.Time, *audit.Row) {},
 		tracker:   health.New(health.Defaults(), now),
 		upstreams: map[ids.Upstream]*upstream{},
 		members:   membership.New(selfOf(set), membership.Defaults(), now),
@@ -140,6 +143,9 @@
 func (s *state) tick(now time.Time) {
 	for _, c := range s.tracker.Evaluate(now) {
 		_ = level.Info(s.logger).Log("msg", "upstream changed", "upstream", c.Upstream, "from", c.From, "to", c.To, "reason", c.Reason)
+		s.record(now, &audit.Row{
+			Kind: audit.KindUpstream, Subject: string(c.Upstream), Before: string(c.From), After: string(c.To), Reason: string(c.Reason),
+		})
 	}
 	for id := range s.upstreams {
 		if _, known := s.tracker.Status(id, now); !known {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -6,12 +6,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
 
 	"connectrpc.com/connect"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/audit"
 	"github.com/cardamomyoke/cardamomyoke/internal/config"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
@@ -29,7 +31,6 @@
 	maxWaitMS   = 60_000
 	maxPage     = 1000
 	defaultPage = 100
-	auditPrefix = "audit/"
 )
 
 // Options are what the service is built from.
@@ -40,10 +41,27 @@
 	// Upstreams and Groups tell the status of what this entry routes to; nil: none are listed.
 	Upstreams func() []*cardamomyokev1.UpstreamStatus
 	Groups    func() []*cardamomyokev1.GroupStatus
-	// Audit reads a row of the audit; nil: a row's value is an AuditRow.
-	Audit func(platform.Row) (*cardamomyokev1.AuditRow, error)
+	// Audit is told what operators do; nil: nothing is recorded.
+	Audit Auditor
 }
 
+// Auditor keeps the audit; see internal/audit/writer.
+type Auditor interface {
+	// Committed is called after an entry of the log was committed; it does not wait.
+	Committed()
+	// Record takes in a fact that is not in the log; it does not wait.
+	Record(now time.Time, r *cardamomyokev1.AuditRow)
+	// Settle writes what it can of all that this node knows of.
+	Settle(ctx context.Context)
+}
+
+// noAudit keeps nothing.
+type noAudit struct{}
+
+func (noAudit) Committed()                                 {}
+func (noAudit) Record(time.Time, *cardamomyokev1.AuditRow) {}
+func (noAudit) Settle(context.Context)                     {}
+
 // Server implements the RPC. It is safe for concurrent use.
 type Server struct{ o Options }
 
@@ -52,7 +70,7 @@
 // New returns a server.
 func New(o Options) *Server {
 	if o.Audit == nil {
-		o.Audit = readAudit
+		o.Audit = noAudit{}
 	}
 	return &Server{o}
 }
@@ -97,6 +115,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	s.o.Audit.Committed()
 	return s.wait(ctx, e, waitMS), e, nil
 }
 
@@ -211,6 +230,7 @@
 	if err != nil {
 		return nil, asConnect(err)
 	}
+	s.record(r.GetMeta(), audit.KindOrder, r.GetOrder().GetUpstream(), fmt.Sprintf("fencing number %d: %v", fence, r.GetOrder()))
 	return &cardamomyokev1.OrderResponse{Fence: uint64(fence)}, nil
 }
 
@@ -257,6 +277,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.o.Audit.Committed()
 	return s.wait(ctx, e, min(r.GetWaitMs(), maxWaitMS)), nil
 }
 
@@ -267,8 +288,20 @@
 	if duty == "" {
 		return &config.FieldError{Field: "release_lease.duty", Want: "the name of a duty"}
 	}
-	_, err := keeper.Release(ctx, s.o.Table, lease.Duty(duty), ids.Operation("release-"+meta.GetOperationId()))
-	return err
+	fence, err := keeper.Release(ctx, s.o.Table, lease.Duty(duty), ids.Operation("release-"+meta.GetOperationId()))
+	if err != nil {
+		return err
+	}
+	s.record(meta, audit.KindLeaseReleased, duty, fmt.Sprintf("fencing number %d", fence))
+	return nil
+}
+
+// record tells the audit of what an operator did beside the log.
+func (s *Server) record(meta *cardamomyokev1.ChangeMeta, kind, subject, after string) {
+	s.o.Audit.Record(time.Now(), &cardamomyokev1.AuditRow{
+		Actor: meta.GetOperator(), Reason: meta.GetReason(), OperationId: meta.GetOperationId(),
+		Kind: kind, Subject: subject, After: after,
+	})
 }
 
 // Watch implements the RPC.
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/audit"
 	"github.com/cardamomyoke/cardamomyoke/internal/config"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/lease/keeper"
@@ -55,19 +56,22 @@
 	return out, nil
 }
 
-// ListAudit implements the RPC.
+// ListAudit implements the RPC. The first page is preceded by writing what this entry has not written yet.
 func (s *Server) ListAudit(ctx context.Context, r *cardamomyokev1.ListAuditRequest) (*cardamomyokev1.ListAuditResponse, error) {
 	limit, err := page(r.GetLimit())
 	if err != nil {
 		return nil, asConnect(err)
 	}
-	rows, err := s.o.Table.List(ctx, auditPrefix, r.GetAfter(), limit)
+	if r.GetAfter() == "" {
+		s.o.Audit.Settle(ctx)
+	}
+	rows, err := s.o.Table.List(ctx, audit.Prefix, r.GetAfter(), limit)
 	if err != nil {
 		return nil, asConnect(err)
 	}
 	out := &cardamomyokev1.ListAuditResponse{}
 	for _, row := range rows {
-		a, err := s.o.Audit(row)
+		a, err := readAudit(row)
 		if err != nil {
 			return nil, asConnect(err)
 		}
