--- a/internal/daemon/entrymain/entrymain.go
+++ b/internal/daemon/entrymain/entrymain.go
@@ -60,6 +60,7 @@
 	})
 	e, err := entry.Start(set, entry.Deps{
 		Config: n.Config, Loop: n.Loop, Incarnation: n.Incarnation, Roster: n.Roster, Table: n.Platform, Logger: logger, Tracer: tracer,
+		Audit: n.Record,
 	})
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
@@ -69,8 +70,10 @@
 		tick = withDuties(set, n, e.Tick, logger)
 		n.Mux.Handle(operator.Handler(operator.New(operator.Options{
 			Node: set.Name, Agent: n.Agent, Table: n.Platform, Upstreams: e.UpstreamStatuses,
+			Audit: n.Audit,
 		})))
 	}
+	n.CatchUpAudit(ctx)
 	if err := n.Run(e.Metrics(), tick); err != nil {
 		e.Kill()
 		return fmt.Errorf("start: %w", err)
