--- a/internal/daemon/entrymain/entrymain.go
+++ b/internal/daemon/entrymain/entrymain.go
@@ -11,12 +11,14 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/audit"
 	"github.com/cardamomyoke/cardamomyoke/internal/daemon"
 	"github.com/cardamomyoke/cardamomyoke/internal/entry"
 	"github.com/cardamomyoke/cardamomyoke/internal/expertmap/node"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/lease"
 	"github.com/cardamomyoke/cardamomyoke/internal/lease/keeper"
 	"github.com/cardamomyoke/cardamomyoke/internal/logging"
 	"github.com/cardamomyoke/cardamomyoke/internal/operator"
@@ -102,6 +104,9 @@
 		Loop:        n.Loop,
 		Rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Logger:      logger,
+		Taken: func(now time.Time, h lease.Held) {
+			n.Record(now, &audit.Row{Kind: audit.KindLeaseTaken, Subject: string(h.Duty), After: fmt.Sprint(h.Fence)})
+		},
 	})
 	runner := rebalance.NewRunner(rebalance.RunnerOptions{
 		Node:      ids.Node(set.Name),
@@ -113,6 +118,9 @@
 		Objects:   n.Platform,
 		Weights:   n.Platform,
 		Logger:    logger,
+		Switched: func(now time.Time, g ids.Group, from, to, cause string) {
+			n.Record(now, &audit.Row{Kind: audit.KindMapSwitched, Subject: string(g), Before: from, After: to, Reason: cause})
+		},
 	})
 	return func(now time.Time) {
 		tick(now)
--- a/internal/rebalance/group.go
+++ b/internal/rebalance/group.go
@@ -36,6 +36,8 @@
 	Objects  platform.Objects
 	Weights  platform.Weights
 	Logger   log.Logger
+	// Switched is told of each switch, for the audit; it may be nil.
+	Switched func(now time.Time, g ids.Group, from, to, cause string)
 }
 
 const (
@@ -204,7 +206,17 @@
 	if err != nil {
 		return fmt.Errorf("switch of group %s: %w", g.opts.Group, err)
 	}
+	if g.opts.Switched != nil {
+		g.opts.Switched(time.Now(), g.opts.Group, versionOf(g.current), name, cause)
+	}
 	g.current = m
 	_ = level.Info(g.opts.Logger).Log("msg", "expert map switched", "group", g.opts.Group, "map", result.To, "from_step", result.Start, "cause", cause)
 	return nil
 }
+
+func versionOf(m *expert.Map) string {
+	if m == nil {
+		return "none"
+	}
+	return fmt.Sprintf("version %d", m.Version())
+}
--- a/internal/rebalance/runner.go
+++ b/internal/rebalance/runner.go
@@ -39,6 +39,8 @@
 	Objects   platform.Objects
 	Weights   platform.Weights
 	Logger    log.Logger
+	// Switched is told of each switch, for the audit; it may be nil.
+	Switched func(now time.Time, g ids.Group, from, to, cause string)
 }
 
 // Runner carries the duty for every group whose lease its entry holds.
@@ -142,7 +144,7 @@
 	if duty == nil {
 		duty = New(ctx, Options{
 			Group: name, Config: snap.Group(name), Ranks: r.opts.Directory, Proposer: p,
-			Objects: r.opts.Objects, Weights: r.opts.Weights, Logger: r.opts.Logger,
+			Objects: r.opts.Objects, Weights: r.opts.Weights, Logger: r.opts.Logger, Switched: r.opts.Switched,
 		})
 	}
 	duty.opts.Config = snap.Group(name)
