First-class work is counted apart, and silence follows the time between reports

Cause: the routing policy counts what an engine serves before a first-class request, but digests did not tell; and the time after which an upstream is silent was fixed at 1.5 s, while slots of a large deployment report every 1.5 s. Change: digests carry the first class's part; attempts tell the expected tokens; the tracker's silence is at least 3.5 times the time between reports.

--- a/internal/attempt/header.go
+++ b/internal/attempt/header.go
@@ -27,6 +27,7 @@
 	HeaderRank        = "Cardamomyoke-Class-Rank"
 	HeaderKey         = "Idempotency-Key"
 	HeaderResume      = "Cardamomyoke-Resume-Tokens"
+	HeaderOutput      = "Cardamomyoke-Output-Tokens"
 	HeaderSuspicion   = "Cardamomyoke-Suspicion"
 	HeaderMethod      = "Cardamomyoke-Method"
 	HeaderTarget      = "Cardamomyoke-Target"
@@ -51,6 +52,8 @@
 	Key string
 	// Resume is how many tokens the caller already has.
 	Resume int
+	// Output is how many tokens the answer is expected to have; 0 for plain services.
+	Output int
 	// Suspicion is how far the request is suspected of crashing its upstreams, a quarantine.Level.
 	Suspicion int
 	// Method and Target are the caller's own, for plain services.
@@ -85,6 +88,9 @@
 	out.Set(HeaderRemaining, strconv.FormatInt(h.Remaining.Milliseconds(), 10))
 	out.Set(HeaderRank, strconv.FormatUint(uint64(h.Rank), 10))
 	out.Set(HeaderResume, strconv.Itoa(h.Resume))
+	if h.Output > 0 {
+		out.Set(HeaderOutput, strconv.Itoa(h.Output))
+	}
 	setIf(out, HeaderKey, h.Key)
 	setIf(out, HeaderMethod, h.Method)
 	setIf(out, HeaderTarget, h.Target)
@@ -115,6 +121,7 @@
 		Method:      r.text(HeaderMethod),
 		Target:      r.text(HeaderTarget),
 		Trace:       r.text(HeaderTrace),
+		Output:      int(r.optional(HeaderOutput)),
 		Suspicion:   int(r.optional(HeaderSuspicion)),
 	}
 	if r.err != nil {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -50,6 +50,7 @@
 			Rank:        r.class.GetRank(),
 			Key:         r.key,
 			Resume:      resume,
+			Output:      max(0, r.outputTokens-resume),
 			Suspicion:   r.suspicion,
 			Method:      r.method,
 			Target:      r.target,
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -186,7 +186,7 @@
 	}
 	r.suspicion = int(level)
 	choice, err := p.picker.Pick(&routing.Request{
-		Blocks: r.blocks, BlockTokens: blockBytes / bytesPerToken, PromptTokens: r.promptTokens,
+		First: r.class.GetRank() == 0, Blocks: r.blocks, BlockTokens: blockBytes / bytesPerToken, PromptTokens: r.promptTokens,
 		OutputTokens: r.outputTokens - m.tokens, Exclude: exclude, Rand: rand.Uint64(),
 	}, time.Now())
 	if err != nil {
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -139,8 +139,14 @@
 	s.members.SetRoster(membership.FromRevision(r.Members()), now)
 }
 
-// tick judges health and forgets who is long silent.
+// missingReports is how many reports of a slot in a row may be missing before it counts as silent.
+const missingReports = 3.5
+
+// tick judges health and forgets who is long silent. With more entries to tell, slots report more rarely, so the time
+// after which one is silent follows; a fixed one would eject healthy upstreams of a large deployment.
 func (s *state) tick(now time.Time) {
+	every := s.members.SlotEvery()
+	s.tracker.SetSilentAfter(max(health.Defaults().SilentAfter, time.Duration(missingReports*float64(every))))
 	for _, c := range s.tracker.Evaluate(now) {
 		_ = level.Info(s.logger).Log("msg", "upstream changed", "upstream", c.Upstream, "from", c.From, "to", c.To, "reason", c.Reason)
 		s.record(now, &audit.Row{
@@ -263,6 +269,9 @@
 		Running:      int(c.GetRunning()),
 		PromptTokens: int(c.GetPromptTokens()),
 		OutputTokens: int(c.GetOutputTokens()),
+
+		FirstWaiting:      int(c.GetFirstWaiting()),
+		FirstPromptTokens: int(c.GetFirstPromptTokens()),
 	}
 }
 
--- a/internal/health/tracker.go
+++ b/internal/health/tracker.go
@@ -101,6 +101,9 @@
 // SetEjectionPercent changes the cap, which is configuration.
 func (t *Tracker) SetEjectionPercent(percent int) { t.opts.EjectionPercent = percent }
 
+// SetSilentAfter changes how long nothing may be heard; it follows the time between two reports.
+func (t *Tracker) SetSilentAfter(d time.Duration) { t.opts.SilentAfter = d }
+
 // Apply takes in one event. What follows from it is seen by the next Evaluate, except for leaving, which takes
 // effect at once.
 func (t *Tracker) Apply(ev Event, now time.Time) {
--- a/internal/membership/targets.go
+++ b/internal/membership/targets.go
@@ -45,6 +45,11 @@
 // Every returns the time between two digests to one node of the closest kind.
 func (t *Table) Every(seeds []string) time.Duration { return t.every(t.choose(seeds)) }
 
+// SlotEvery returns the time between two digests of a slot to one entry, which follows from the number of entries.
+func (t *Table) SlotEvery() time.Duration {
+	return t.every(make([]choice, min(t.Entries(), t.opts.SlotEntries)))
+}
+
 type choice struct {
 	Target
 	factor float64
@@ -54,7 +59,7 @@
 func (t *Table) every(chosen []choice) time.Duration {
 	weight := 0.0
 	for _, c := range chosen {
-		weight += 1 / c.factor
+		weight += 1 / max(1, c.factor)
 	}
 	needed := time.Duration(weight * digestBytes / t.opts.BytesPerSecond * float64(time.Second))
 	return min(t.opts.LastEvery, max(t.opts.FirstEvery, needed))
--- a/internal/slot/model.go
+++ b/internal/slot/model.go
@@ -86,7 +86,7 @@
 }
 
 func estimateOf(j *job) routing.Estimate {
-	return routing.Estimate{PromptTokens: len(j.body) / bytesPerToken}
+	return routing.Estimate{First: j.Rank == 0, PromptTokens: len(j.body) / bytesPerToken, OutputTokens: j.Output}
 }
 
 func engineRequest(j *job) *fasthttp.Request {
--- a/internal/slot/work.go
+++ b/internal/slot/work.go
@@ -61,6 +61,9 @@
 		Running:      a.Running + b.Running,
 		PromptTokens: a.PromptTokens + b.PromptTokens,
 		OutputTokens: a.OutputTokens + b.OutputTokens,
+
+		FirstWaiting:      a.FirstWaiting + b.FirstWaiting,
+		FirstPromptTokens: a.FirstPromptTokens + b.FirstPromptTokens,
 	}
 }
 
@@ -70,5 +73,8 @@
 		Running:      uint32(max(0, c.Running)),
 		PromptTokens: uint32(max(0, c.PromptTokens)),
 		OutputTokens: uint32(max(0, c.OutputTokens)),
+
+		FirstWaiting:      uint32(max(0, c.FirstWaiting)),
+		FirstPromptTokens: uint32(max(0, c.FirstPromptTokens)),
 	}
 }
