Model-check runner: a mutant whose search does not fit breadth first is tried depth first

Depth first with compression needs less. Shown by a run with 400 MB a search: no-confirm of the map switch does not fit breadth first and is refuted depth first after 33170 states. make model for expertmap alone: 4 hold, 17 refuted, as before. Not shown: spec/revision.pml as a whole; its runs had not ended after 280 s on the busy machine (load 20 on 12 cores).

--- a/internal/modelcheck/search.go
+++ b/internal/modelcheck/search.go
@@ -66,9 +66,21 @@
 		return Result{Verdict: VerdictBroken, Log: out}
 	}
 	gcc := []string{"-O2", "-w", "-o", "pan", "pan.c", fmt.Sprintf("-DMEMLIM=%d", lim.MemoryMB)}
-	built, err := command(ctx, dir, "gcc", append(gcc, compileFlags(r)...)...)
+	res := compileAndRun(ctx, dir, append(gcc, compileFlags(r, true)...), r)
+	if res.Verdict == VerdictTruncated && r.Mutant != "" && r.Search == SearchSafety && ctx.Err() == nil {
+		// Breadth first finds the shortest counterexample but needs more memory than depth first does.
+		res = compileAndRun(ctx, dir, append(gcc, compileFlags(r, false)...), r)
+	}
+	if _, err := os.Stat(filepath.Join(dir, file+".trail")); err == nil {
+		res.Trace, _ = command(ctx, dir, "spin", append(append([]string{"-t", "-T"}, macros...), file)...)
+	}
+	return res
+}
+
+func compileAndRun(ctx context.Context, dir string, gcc []string, r Run) Result {
+	built, err := command(ctx, dir, "gcc", gcc...)
 	if err != nil {
-		return Result{Verdict: VerdictBroken, Log: out + built}
+		return Result{Verdict: VerdictBroken, Log: built}
 	}
 	found, err := command(ctx, dir, "./pan", searchFlags(r)...)
 	res := judge(found)
@@ -78,9 +90,6 @@
 		res.Verdict = VerdictBroken
 	}
 	res.Log = found
-	if _, err := os.Stat(filepath.Join(dir, file+".trail")); err == nil {
-		res.Trace, _ = command(ctx, dir, "spin", append(append([]string{"-t", "-T"}, macros...), file)...)
-	}
 	return res
 }
 
@@ -105,14 +114,15 @@
 	return flags
 }
 
-// compileFlags picks the search: breadth first for the mutants' safety, since it gives the shortest counterexample.
-func compileFlags(r Run) []string {
+// compileFlags picks the search: breadth first for the mutants' safety if it fits, since it gives the shortest
+// counterexample.
+func compileFlags(r Run, breadth bool) []string {
 	switch {
 	case r.Search == SearchProgress:
 		return []string{"-DNP", "-DCOLLAPSE", "-DVECTORSZ=4096"}
 	case r.Search == SearchLTL:
 		return []string{"-DCOLLAPSE", "-DVECTORSZ=4096"}
-	case r.Mutant != "":
+	case r.Mutant != "" && breadth:
 		return []string{"-DSAFETY", "-DBFS", "-DVECTORSZ=4096"}
 	}
 	return []string{"-DSAFETY", "-DCOLLAPSE", "-DVECTORSZ=4096"}
