--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -10,6 +10,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/admission"
+	"github.com/cardamomyoke/cardamomyoke/internal/admission/limits"
+	"github.com/cardamomyoke/cardamomyoke/internal/audit"
 	"github.com/cardamomyoke/cardamomyoke/internal/config"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/health"
@@ -26,7 +28,9 @@
 type state struct {
 	settings  *Settings
 	config    config.Source
+	limits    *limits.Limiter
 	logger    log.Logger
+	record    func(now time.Time, r *audit.Row)
 	tracker   *health.Tracker
 	upstreams map[ids.Upstream]*upstream
 	members   *membership.Table
@@ -50,11 +54,13 @@
 	farAway = 40 * time.Millisecond
 )
 
-func newState(set *Settings, source config.Source, logger log.Logger, now time.Time) *state {
+func newState(set *Settings, source config.Source, l *limits.Limiter, logger log.Logger, now time.Time) *state {
 	return &state{
 		settings:  set,
 		config:    source,
+		limits:    l,
 		logger:    logger,
+		record:    func(time.Time, *audit.Row) {},
 		tracker:   health.New(health.Defaults(), now),
 		upstreams: map[ids.Upstream]*upstream{},
 		members:   membership.New(selfOf(set), membership.Defaults(), now),
@@ -137,6 +143,9 @@
 func (s *state) tick(now time.Time) {
 	for _, c := range s.tracker.Evaluate(now) {
 		_ = level.Info(s.logger).Log("msg", "upstream changed", "upstream", c.Upstream, "from", c.From, "to", c.To, "reason", c.Reason)
+		s.record(now, &audit.Row{
+			Kind: audit.KindUpstream, Subject: string(c.Upstream), Before: string(c.From), After: string(c.To), Reason: string(c.Reason),
+		})
 	}
 	for id := range s.upstreams {
 		if _, known := s.tracker.Status(id, now); !known {
@@ -187,7 +196,7 @@
 		stepTime:  meanStepTime(list),
 	}
 	next.budget.SetPercent(int(service.GetRetryBudgetPercent()))
-	next.gate.SetCapacity(s.capacity(list, next.stepTime))
+	next.gate.SetCapacity(s.capacity(list, next.stepTime, now))
 	s.pools[name] = next
 	return next
 }
@@ -200,8 +209,7 @@
 }
 
 func (s *state) queueOptions() admission.Options {
-	share := func(c ids.Client) float64 { return float64(s.config.Current().Client(c).GetShare()) }
-	o := admission.Options{Reserve: admission.DefaultReserve, MostWait: admission.DefaultMostWait, Share: share}
+	o := admission.Options{Reserve: admission.DefaultReserve, MostWait: admission.DefaultMostWait, Share: s.weight}
 	for _, c := range s.snapshot.Proto.GetClasses() {
 		o.Classes = append(o.Classes, admission.Class{
 			Name: c.GetName(), Rank: int(c.GetRank()), QueueLimit: int(c.GetQueueLimit()),
@@ -284,20 +292,31 @@
 	return sum / float64(n)
 }
 
-// capacity is what this entry may have started at once: the places that other entries leave free, but at least its
-// even part, so that an entry is never starved by the others.
-func (s *state) capacity(list []*routing.Upstream, stepTime float64) admission.Capacity {
-	entries := float64(s.members.Entries())
-	total, free := 0.0, 0.0
+// leastPart keeps the weight of a client above 0 where next to none of its demand was seen.
+const leastPart = 0.01
+
+// weight is a client's share times the part of its demand that comes to this entry, so that it gets its share over all
+// entries and not at each.
+func (s *state) weight(c ids.Client) float64 {
+	return s.share(c) * max(leastPart, s.limits.Part(c, time.Now()))
+}
+
+// share is a client's share by the configuration in force.
+func (s *state) share(c ids.Client) float64 {
+	return float64(max(1, s.config.Current().Client(c).GetShare()))
+}
+
+// capacity is what this entry may have started at once: the part of all places that the clients' fair work at this
+// entry needs; an even part as long as there is no demand, or there are too many entries to exchange it in full.
+func (s *state) capacity(list []*routing.Upstream, stepTime float64, now time.Time) admission.Capacity {
+	total := 0.0
 	for _, u := range list {
-		usable := u.Weight * float64(u.Batch)
-		total += usable
-		free += max(0, usable-float64(u.Load.Others().Requests()))
+		total += u.Weight * float64(u.Batch)
 	}
-	places := max(1, int(max(free, total/entries)))
-	c := admission.Capacity{Places: places}
+	rate := 0.0
 	if stepTime > 0 {
-		c.TokensPerSecond = float64(places) / stepTime
+		rate = total / stepTime
 	}
-	return c
+	part := s.limits.Quota(rate, s.share, now)
+	return admission.Capacity{Places: max(1, int(part*total)), TokensPerSecond: part * rate}
 }
