--- a/internal/revision/beat.go
+++ b/internal/revision/beat.go
@@ -211,16 +211,3 @@
 
 // ageOf rounds up, so that nothing looks younger than it is.
 func ageOf(now, then time.Time) int64 { return now.Sub(then).Microseconds() + 1 }
-
-// catchUp asks a node for the whole state if entries alone cannot lead to what it holds.
-func (n *Node) catchUp(from string, theirs uint64) {
-	if n.staged() >= theirs || n.now.Sub(n.catching) < n.options.Beat {
-		return
-	}
-	m := n.roster().Member(from)
-	if m == nil {
-		return
-	}
-	n.catching = n.now
-	n.do(&CatchUp{m})
-}
--- a/internal/revision/node.go
+++ b/internal/revision/node.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/charts"
-	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 )
 
@@ -418,23 +417,3 @@
 	same = same && a.Committed == b.Committed && a.Accepted == b.Accepted && a.Staged == b.Staged
 	return same && a.Newest == b.Newest && slices.Equal(a.Pending, b.Pending)
 }
-
-// CatchUpAnswer is what another node gets that asks for the whole state; nil if this node has none to give.
-func (n *Node) CatchUpAnswer() *cardamomyokev1.CatchUpResponse {
-	if n.inForce == nil {
-		return nil
-	}
-	return &cardamomyokev1.CatchUpResponse{
-		State: n.inForce.Proto(), Entries: n.entriesAfter(n.inForce.Seq), Accepted: n.accepted,
-	}
-}
-
-// OnCatchUp takes the answer of another node, nil if it failed.
-func (n *Node) OnCatchUp(now time.Time, s *State, entries []*Entry, accepted uint64) []Effect {
-	n.begin(now)
-	if s != nil {
-		n.reset(s)
-		n.learn(entries, 0, accepted)
-	}
-	return n.finish()
-}
