cardamomyoke-bench report: one HTML page and a summary; probes spread from the start

report runs rebalance, policy, load and slopes in process and writes one file with tables and SVG plots.

Membership: cause: every table began its probes at the same turn, so nodes that start together all probed the same entry, which answered all. Found by the exchange of digests (360 entries, 780 slots). Change: the turn begins at the hash of the node's name.

--- a/cmd/cardamomyoke-bench/main.go
+++ b/cmd/cardamomyoke-bench/main.go
@@ -10,6 +10,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/demo"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/load"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/mapswitch"
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/pages"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/policy"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/quarantine"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/rebalance"
@@ -27,5 +28,6 @@
 	mapswitch.Register(app)
 	policy.Register(app)
 	slopes.Register(app)
+	pages.Register(app)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 }
--- /dev/null
+++ b/internal/bench/pages/sections.go
@@ -0,0 +1,129 @@
+package pages
+
+import (
+	"fmt"
+	"io"
+	"path/filepath"
+	"strings"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/load"
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/policy"
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/rebalance"
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/report"
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/slopes"
+)
+
+// loadSection measures what entry and slot add to a request.
+func loadSection(o Options) (Section, error) {
+	lo := load.Options{Requests: o.Requests, Workers: 16, Tokens: 32, Rounds: 1}
+	s := Section{
+		ID: "load", Title: "Load", Text: "What entry and slot add to a request, all parts in one process over loopback.",
+		Command: fmt.Sprintf("cardamomyoke-bench load --requests %d --rounds %d", lo.Requests, lo.Rounds),
+	}
+	t, err := load.Table(lo)
+	s.Tables = []report.Table{t}
+	return s, err
+}
+
+// rebalanceSection runs the placement policy for both deployments.
+func rebalanceSection(o Options) (Section, error) {
+	s := Section{
+		ID: "rebalance", Title: "Rebalancing",
+		Text: "Step-time skew (slowest rank over mean) and bytes moved on traces of drifting expert popularity, beside the " +
+			"baselines and the bound that chance within a step leaves.",
+		Command: fmt.Sprintf("cardamomyoke-bench rebalance --seed %d --seeds %d --hours %d", o.Seed, o.Seeds, o.Hours),
+	}
+	for _, d := range rebalance.Deployments() {
+		set := rebalance.Settings{Deployment: d, Seed: o.Seed, Seeds: o.Seeds, Hours: o.Hours, Workers: o.Workers, Out: o.Out}
+		results, err := rebalance.RunAll(set)
+		if err != nil {
+			return s, err
+		}
+		s.Tables = append(s.Tables, results.Table(d))
+		s.Claims = append(s.Claims, results.Claims(d)...)
+		if err := results.Plots(d, o.Out); err != nil {
+			return s, err
+		}
+		s.Plots = append(s.Plots, Plot{filepath.Join(o.Out, "rebalance-"+d.Name+"-p99.svg"), d.Name + ": step-time skew, p99"})
+		files, err := filepath.Glob(filepath.Join(o.Out, "rebalance-"+d.Name+"-*.svg"))
+		if err != nil {
+			return s, fmt.Errorf("plots: %w", err)
+		}
+		for _, f := range files {
+			if f != s.Plots[len(s.Plots)-1].File {
+				s.Plots = append(s.Plots, Plot{f, strings.TrimSuffix(filepath.Base(f), ".svg")})
+			}
+		}
+	}
+	return s, nil
+}
+
+// policySection runs routing, admission and retries.
+func policySection(o Options) (Section, error) {
+	s := Section{
+		ID: "policy", Title: "Routing, admission, retries", Text: "Each policy beside its baselines on the same arrivals, in virtual time.",
+		Command: fmt.Sprintf("cardamomyoke-bench policy --seed %d --seeds %d", o.Seed, o.Seeds),
+	}
+	results, err := policy.RunAll(policy.Settings{Seed: o.Seed, Seeds: o.Seeds, Workers: o.Workers})
+	if err != nil {
+		return s, err
+	}
+	for _, t := range results.Tables() {
+		s.Tables = append(s.Tables, *t)
+	}
+	s.Claims = results.Claims()
+	return s, nil
+}
+
+// slopesSection measures the slopes, or reads those of an earlier run.
+func slopesSection(o Options, log io.Writer) (Section, error) {
+	s := Section{
+		ID: "slopes", Title: "Slopes", Text: "How state, messages and processor time of each role grow with what drives them. " +
+			"docs/CAPACITY.md says what follows for the target's size.",
+		Command: "cardamomyoke-bench slopes",
+	}
+	series, err := o.slopes(log)
+	if err != nil {
+		return s, err
+	}
+	if s.Plots, err = slopePlots(series, o.Out); err != nil {
+		return s, err
+	}
+	s.Tables = []report.Table{slopes.Table(series)}
+	return s, nil
+}
+
+func (o Options) slopes(log io.Writer) ([]slopes.Series, error) {
+	if o.Slopes != "" {
+		return slopes.Read(o.Slopes)
+	}
+	series, err := slopes.Measure(slopes.Experiments(), log)
+	if err != nil {
+		return nil, fmt.Errorf("slopes: %w", err)
+	}
+	return series, nil
+}
+
+// slopePlots draws the series that share driver and unit into one plot.
+func slopePlots(series []slopes.Series, out string) ([]Plot, error) {
+	type key struct{ driver, unit string }
+	var order []key
+	groups := map[key][]report.Series{}
+	for _, s := range series {
+		k := key{s.Driver, s.Unit}
+		if groups[k] == nil {
+			order = append(order, k)
+		}
+		groups[k] = append(groups[k], report.Series{Name: s.Name, X: s.Sizes, Y: s.Values})
+	}
+	var plots []Plot
+	for i, k := range order {
+		file := filepath.Join(out, fmt.Sprintf("slopes-%02d.svg", i))
+		labels := report.Labels{X: k.driver, Y: k.unit}
+		if err := report.LinePlot(file, labels, groups[k]...); err != nil {
+			return nil, err
+		}
+		plots = append(plots, Plot{file, k.unit + " by " + k.driver})
+	}
+	return plots, nil
+}
--- a/internal/bench/slopes/fit.go
+++ b/internal/bench/slopes/fit.go
@@ -14,8 +14,10 @@
 const (
 	// Exact figures are sizes and counts that do not depend on the machine.
 	Exact Kind = "exact"
-	// Counted figures are counts over some seconds of real time, or heap sizes.
+	// Counted figures are counts that depend a little on how a run goes, or heap sizes.
 	Counted Kind = "counted"
+	// Paced figures are counts over some seconds of real time; a busy machine loses beats.
+	Paced Kind = "paced"
 	// Timed figures are processor times.
 	Timed Kind = "timed"
 )
@@ -27,6 +29,8 @@
 		return 1.02
 	case Counted:
 		return 1.25
+	case Paced:
+		return 1.6
 	}
 	return 4
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -3,9 +3,12 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cardamomyoke/cardamomyoke/internal/charts"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
@@ -107,7 +110,11 @@
 
 // New returns a table that knows nobody.
 func New(self Identity, opts Options, now time.Time) *Table {
-	return &Table{opts: opts, self: self, members: map[ids.Node]*member{}, sent: map[string]time.Time{}, last: now, changed: true}
+	return &Table{
+		opts: opts, self: self, members: map[ids.Node]*member{}, sent: map[string]time.Time{}, last: now, changed: true,
+		// Nodes that started together would otherwise all probe the same entry at the same time.
+		turn: int(xxhash.Sum64String(string(self.Name)) % math.MaxInt32),
+	}
 }
 
 // SetRoster replaces the nodes that are expected. A node that is no longer named stays for as long as it is heard.
--- a/mk/capacity.mk
+++ b/mk/capacity.mk
@@ -4,3 +4,10 @@
 slopes:
 	$(GO) build -o $(BIN)/ ./cmd/cardamomyoke-bench
 	$(BIN)/cardamomyoke-bench slopes --out out/slopes.json --check docs/slopes.json
+
+.PHONY: report
+
+## report: run the benches and write out/report/report.html and report.txt
+report:
+	$(GO) build -o $(BIN)/ ./cmd/cardamomyoke-bench
+	$(BIN)/cardamomyoke-bench report --out out/report
