--- a/internal/bench/pages/command.go
+++ b/internal/bench/pages/command.go
@@ -21,12 +21,14 @@
 	Requests, Workers int
 	// Slopes is a JSON file of slopes to show in place of measuring them.
 	Slopes string
+	// Benches are the sections to run, in this order.
+	Benches []string
 }
 
 // Register adds the command report.
 func Register(app *kingpin.Application) {
 	var o Options
-	cmd := app.Command("report", "Run load, rebalance, policy and slopes, and write one HTML page and a text summary.")
+	cmd := app.Command("report", "Run the benches and write one HTML page and a text summary.")
 	cmd.Flag("out", "Folder to write to.").Default("out/report").StringVar(&o.Out)
 	cmd.Flag("seed", "First seed.").Default("1").Uint64Var(&o.Seed)
 	cmd.Flag("seeds", "Number of seeds.").Default("2").IntVar(&o.Seeds)
@@ -34,25 +36,42 @@
 	cmd.Flag("requests", "Requests of each path of the load.").Default("2000").IntVar(&o.Requests)
 	cmd.Flag("workers", "Number of runs at once.").Default("4").IntVar(&o.Workers)
 	cmd.Flag("slopes", "Show the slopes of this JSON file in place of measuring them.").StringVar(&o.Slopes)
+	cmd.Flag("bench", "Benches to run; repeat it for several.").Default(benchNames...).EnumsVar(&o.Benches, benchNames...)
 	cmd.Action(func(*kingpin.ParseContext) error { return run(o, os.Stdout) })
 }
 
-// Build runs all benches. One that fails leaves a section that says so, and the others still run.
+// The benches.
+const (
+	benchRebalance = "rebalance"
+	benchPolicy    = "policy"
+	benchLoad      = "load"
+	benchSlopes    = "slopes"
+)
+
+var benchNames = []string{benchRebalance, benchPolicy, benchLoad, benchSlopes}
+
+func bench(name string, o Options, log io.Writer) (Section, error) {
+	switch name {
+	case benchRebalance:
+		return rebalanceSection(o)
+	case benchPolicy:
+		return policySection(o)
+	case benchLoad:
+		return loadSection(o)
+	}
+	return slopesSection(o, log)
+}
+
+// Build runs the benches. One that fails leaves a section that says so, and the others still run.
 func Build(o Options, log io.Writer) Page {
 	p := Page{
 		Title: "cardamomyoke: what was measured",
 		Made: fmt.Sprintf("Made %s; seeds %d to %d. Times are of one machine.",
 			time.Now().UTC().Format("2006-01-02 15:04 UTC"), o.Seed, o.Seed+uint64(o.Seeds)-1),
 	}
-	benches := []func() (Section, error){
-		func() (Section, error) { return rebalanceSection(o) },
-		func() (Section, error) { return policySection(o) },
-		func() (Section, error) { return loadSection(o) },
-		func() (Section, error) { return slopesSection(o, log) },
-	}
-	for _, b := range benches {
+	for _, name := range o.Benches {
 		began := time.Now()
-		s, err := b()
+		s, err := bench(name, o, log)
 		if err != nil {
 			s.Failed = err.Error()
 		}
--- a/internal/bench/pages/sections.go
+++ b/internal/bench/pages/sections.go
@@ -44,15 +44,13 @@
 		if err := results.Plots(d, o.Out); err != nil {
 			return s, err
 		}
-		s.Plots = append(s.Plots, Plot{filepath.Join(o.Out, "rebalance-"+d.Name+"-p99.svg"), d.Name + ": step-time skew, p99"})
 		files, err := filepath.Glob(filepath.Join(o.Out, "rebalance-"+d.Name+"-*.svg"))
 		if err != nil {
 			return s, fmt.Errorf("plots: %w", err)
 		}
 		for _, f := range files {
-			if f != s.Plots[len(s.Plots)-1].File {
-				s.Plots = append(s.Plots, Plot{f, strings.TrimSuffix(filepath.Base(f), ".svg")})
-			}
+			name := strings.TrimSuffix(filepath.Base(f), ".svg")
+			s.Plots = append(s.Plots, Plot{f, strings.ReplaceAll(strings.TrimPrefix(name, "rebalance-"), "-", " ")})
 		}
 	}
 	return s, nil
@@ -103,27 +101,3 @@
 	}
 	return series, nil
 }
-
-// slopePlots draws the series that share driver and unit into one plot.
-func slopePlots(series []slopes.Series, out string) ([]Plot, error) {
-	type key struct{ driver, unit string }
-	var order []key
-	groups := map[key][]report.Series{}
-	for _, s := range series {
-		k := key{s.Driver, s.Unit}
-		if groups[k] == nil {
-			order = append(order, k)
-		}
-		groups[k] = append(groups[k], report.Series{Name: s.Name, X: s.Sizes, Y: s.Values})
-	}
-	var plots []Plot
-	for i, k := range order {
-		file := filepath.Join(out, fmt.Sprintf("slopes-%02d.svg", i))
-		labels := report.Labels{X: k.driver, Y: k.unit}
-		if err := report.LinePlot(file, labels, groups[k]...); err != nil {
-			return nil, err
-		}
-		plots = append(plots, Plot{file, k.unit + " by " + k.driver})
-	}
-	return plots, nil
-}
