--- a/internal/bench/slopes/duties.go
+++ b/internal/bench/slopes/duties.go
@@ -7,20 +7,26 @@
 	"time"
 
 	"gonum.org/v1/gonum/floats"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/claims"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/mapswitch"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/rebalance"
 	ledger "github.com/cardamomyoke/cardamomyoke/internal/claims"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/lease"
 	"github.com/cardamomyoke/cardamomyoke/internal/lease/keeper"
 	"github.com/cardamomyoke/cardamomyoke/internal/placement"
 	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
 )
 
-const layers = 60
+const (
+	layers = 60
+	// leaseCandidates is how many entries want a group's lease (package rebalance).
+	leaseCandidates = 3
+)
 
-// leaseFigures drives holders of so many duties, two candidates each, and counts calls of the table a second.
+// leaseFigures drives holders of so many duties, three candidates each, and counts calls of the table a second.
 func leaseFigures(duties int) ([]float64, error) {
 	const span = 10 * time.Minute
 	var reads, writes float64
@@ -28,7 +34,7 @@
 		duty := lease.Duty(fmt.Sprintf("group-%d", d))
 		var row lease.Row
 		var holders []*lease.Holder
-		for i := range 2 {
+		for i := range leaseCandidates {
 			rng := rand.New(rand.NewPCG(uint64(d), uint64(i)))
 			holders = append(holders, lease.NewHolder(duty, fmt.Sprint(i), incarnation, keeper.DefaultLength, rng))
 		}
@@ -143,7 +149,7 @@
 func dutyExperiments() []Experiment {
 	return []Experiment{
 		{
-			Driver: "duties held, 2 candidates each", Sizes: []int{1, 8, 16, targetDuties}, Target: targetDuties,
+			Driver: "duties held, 3 candidates each", Sizes: []int{1, 8, 16, targetDuties}, Target: targetDuties,
 			Metrics: []Metric{{"lease.reads", "lease holder", "reads/s", Exact}, {"lease.writes", "lease holder", "writes/s", Exact}},
 			Run:     leaseFigures,
 		},
@@ -164,6 +170,17 @@
 				return mapFigures(expert.Shape{Ranks: targetRanks, Experts: n, Layers: layers})
 			},
 		},
+		{
+			Driver: "experts a layer, 60 layers", Sizes: []int{32, 64, 128, 256}, Target: targetExperts,
+			Metrics: []Metric{{"rank.report", "slot", "B encoded", Exact}},
+			Run: func(n int) ([]float64, error) {
+				r := &cardamomyokev1.GetRankReportResponse{Rank: 63, Window: 100_000, Processed: 1e9, BusyUs: 1e9, Step: 4e6, MapVersion: 1000, MapName: "group-07/1000"}
+				for i := range n * layers {
+					r.Tokens = append(r.Tokens, uint32(20+i%400))
+				}
+				return []float64{float64(proto.Size(r))}, nil
+			},
+		},
 		{
 			Driver: "ranks", Sizes: []int{4, 8, 16, 32, 64}, Target: targetRanks,
 			Metrics: []Metric{{"switch.messages", "slot", "messages a switch", Counted}, {"switch.took", "lease holder", "ms a switch", Timed}},
