Keys: TLS with mutual authentication on the control port, reload, roles

Cause: anybody who reached the control port could change the configuration under any name. Change: settings name ca, certificate and key; server and client go by the newest files on each handshake; a guard lets only nodes use what is not the operators' RPC; an interceptor checks the role and that the change names the certificate's operator. Small changes outside: entry and slot settings (tls), daemon.StartControl takes keys, operator.Handler takes options. Not covered: data path between entry and slot, digests, platform client.

--- a/internal/ctl/act.go
+++ b/internal/ctl/act.go
@@ -18,7 +18,7 @@
 
 func (s *session) registerDrain(cmd *kingpin.CmdClause, drained bool) {
 	upstream := cmd.Arg("upstream", "Name of the upstream.").Required().String()
-	f := addChangeFlags(cmd)
+	f := s.addChangeFlags(cmd)
 	s.command(cmd, func(ctx context.Context) error {
 		return s.act(ctx, f, &cardamomyokev1.ActRequest{Action: &cardamomyokev1.ActRequest_DrainUpstream{
 			DrainUpstream: &cardamomyokev1.DrainUpstream{Upstream: *upstream, Drained: drained},
@@ -28,7 +28,7 @@
 
 func (s *session) registerPause(cmd *kingpin.CmdClause, paused bool) {
 	group := cmd.Arg("group", "Name of the group.").Required().String()
-	f := addChangeFlags(cmd)
+	f := s.addChangeFlags(cmd)
 	s.command(cmd, func(ctx context.Context) error {
 		return s.act(ctx, f, &cardamomyokev1.ActRequest{Action: &cardamomyokev1.ActRequest_PauseRebalancing{
 			PauseRebalancing: &cardamomyokev1.PauseRebalancing{Group: *group, Paused: paused},
@@ -40,13 +40,13 @@
 	force := app.Command("force", "Actions that overrule a safeguard; the operator vouches for their ground.")
 	remove := force.Command("remove-nodes", "Wait no longer for nodes that are gone for good and do not run.")
 	names := remove.Arg("name", "Names of nodes.").Required().Strings()
-	removeFlags := addChangeFlags(remove)
+	removeFlags := s.addChangeFlags(remove)
 	s.command(remove, func(ctx context.Context) error {
 		return s.removeNodes(ctx, removeFlags, *names)
 	})
 	release := force.Command("release-lease", "Let another node take a duty at once.")
 	duty := release.Arg("duty", "Name of the duty, as status lists it.").Required().String()
-	releaseFlags := addChangeFlags(release)
+	releaseFlags := s.addChangeFlags(release)
 	s.command(release, func(ctx context.Context) error {
 		return s.act(ctx, releaseFlags, &cardamomyokev1.ActRequest{Action: &cardamomyokev1.ActRequest_ReleaseLease{
 			ReleaseLease: &cardamomyokev1.ReleaseLease{Duty: *duty},
--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -20,7 +20,7 @@
 	cmd := app.Command("apply", "Make the configuration equal to a file; prints what changes.")
 	file := fileFlag(cmd)
 	dryRun := cmd.Flag("dry-run", "Only print what would change.").Bool()
-	f := addChangeFlags(cmd)
+	f := s.addChangeFlags(cmd)
 	s.command(cmd, func(ctx context.Context) error {
 		diff, err := s.diff(ctx, *file)
 		if err != nil || *dryRun || len(diff.GetEdits()) == 0 {
--- a/internal/ctl/change.go
+++ b/internal/ctl/change.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -16,15 +17,17 @@
 
 // changeFlags are the flags of every command that changes something.
 type changeFlags struct {
+	session   *session
 	operator  string
 	reason    string
 	operation string
 	wait      time.Duration
 }
 
-func addChangeFlags(cmd *kingpin.CmdClause) *changeFlags {
-	f := &changeFlags{}
-	cmd.Flag("operator", "Name of the operator; with TLS it must be the certificate's.").Default(loginName()).StringVar(&f.operator)
+func (s *session) addChangeFlags(cmd *kingpin.CmdClause) *changeFlags {
+	f := &changeFlags{session: s}
+	cmd.Flag("operator", "Name of the operator; the certificate's, which it must be with TLS, or your login name if it is left out.").
+		StringVar(&f.operator)
 	cmd.Flag("reason", "Why; kept in the audit.").Required().StringVar(&f.reason)
 	cmd.Flag("operation", "Operation id, to send a change once more whose answer was lost.").
 		Default(string(ids.NewOperation())).StringVar(&f.operation)
@@ -43,7 +46,7 @@
 func (f *changeFlags) waitMS() uint32 { return uint32(f.wait.Milliseconds()) }
 
 func (f *changeFlags) meta(base uint64) *cardamomyokev1.ChangeMeta {
-	return &cardamomyokev1.ChangeMeta{Operator: f.operator, Reason: f.reason, OperationId: f.operation, BaseRevision: base}
+	return &cardamomyokev1.ChangeMeta{Operator: cmp.Or(f.operator, f.session.operator, loginName()), Reason: f.reason, OperationId: f.operation, BaseRevision: base}
 }
 
 // committed returns the revision that is committed now.
@@ -81,7 +84,7 @@
 func (s *session) registerRollForward(app *kingpin.Application) {
 	cmd := app.Command("roll-forward", "Commit a new revision with the content of an older one.")
 	to := cmd.Arg("revision", "The older revision.").Required().Uint64()
-	f := addChangeFlags(cmd)
+	f := s.addChangeFlags(cmd)
 	s.command(cmd, func(ctx context.Context) error { return s.rollForward(ctx, *to, f) })
 }
 
--- a/internal/ctl/connect.go
+++ b/internal/ctl/connect.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/go-kit/log"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
+	"github.com/cardamomyoke/cardamomyoke/internal/keys"
 )
 
 const (
@@ -47,10 +49,28 @@
 // Unwrap returns the cause.
 func (e *UnknownError) Unwrap() error { return e.Cause }
 
+// KeysError says that some flags of TLS are given and not all.
+type KeysError struct{}
+
+// Error implements error.
+func (*KeysError) Error() string { return "--ca, --certificate and --key go together" }
+
 // connect builds the client. The host of its URL is only a name: dial picks the entry.
-func (s *session) connect() {
-	transport := &http.Transport{DialContext: s.dial}
-	s.client = cardamomyokev1connect.NewOperatorServiceClient(&http.Client{Transport: transport}, "http://"+s.entries[0])
+func (s *session) connect() error {
+	if s.keys.Check() != nil {
+		return &KeysError{}
+	}
+	source, err := keys.Load(s.keys, log.NewNopLogger())
+	if err != nil {
+		return err
+	}
+	transport, scheme := &http.Transport{DialContext: s.dial}, "http"
+	if source != nil {
+		transport.TLSClientConfig, scheme = source.Client(), "https"
+		s.operator = source.Name()
+	}
+	s.client = cardamomyokev1connect.NewOperatorServiceClient(&http.Client{Transport: transport}, scheme+"://"+s.entries[0])
+	return nil
 }
 
 // dial connects to the first entry that answers. Only dialling moves on to the next entry: what was sent may have been
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -14,6 +14,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
+	"github.com/cardamomyoke/cardamomyoke/internal/keys"
 )
 
 // Exit codes; scripts compare them.
@@ -47,10 +48,13 @@
 
 // session is one run of the command line.
 type session struct {
-	out      io.Writer
-	errOut   io.Writer
-	entries  []string
-	output   string
+	out     io.Writer
+	errOut  io.Writer
+	entries []string
+	output  string
+	keys    keys.Settings
+	// operator is who the certificate names; empty without one.
+	operator string
 	client   cardamomyokev1connect.OperatorServiceClient
 	commands map[string]func(context.Context) error
 }
@@ -69,7 +73,10 @@
 		fmt.Fprintln(errOut, "cardamomyokectl:", err)
 		return ExitUsage
 	}
-	s.connect()
+	if err := s.connect(); err != nil {
+		fmt.Fprintln(errOut, "cardamomyokectl:", err)
+		return ExitUsage
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	if err := s.commands[name](ctx); err != nil {
@@ -87,6 +94,10 @@
 	app.Flag("entry", "RPC address of an entry, IP:PORT; repeat it to name others to try in turn.").
 		Envar("CARDAMOMYOKE_ENTRY").Default(defaultEntry).StringsVar(&s.entries)
 	app.Flag("output", "table or json.").Short('o').Default(outputTable).EnumVar(&s.output, outputTable, outputJSON)
+	app.Flag("ca", "File with the authorities of the nodes' certificates; needed with TLS.").
+		Envar("CARDAMOMYOKE_CA").StringVar(&s.keys.CA)
+	app.Flag("certificate", "File with your certificate.").Envar("CARDAMOMYOKE_CERTIFICATE").StringVar(&s.keys.Certificate)
+	app.Flag("key", "File with your certificate's key.").Envar("CARDAMOMYOKE_KEY").StringVar(&s.keys.Key)
 	s.registerApply(app)
 	s.registerDiff(app)
 	s.registerList(app)
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -16,12 +17,15 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"github.com/cardamomyoke/cardamomyoke/internal/audit/writer"
 	"github.com/cardamomyoke/cardamomyoke/internal/control"
 	"github.com/cardamomyoke/cardamomyoke/internal/ctl"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/keys"
 	"github.com/cardamomyoke/cardamomyoke/internal/operator"
 	"github.com/cardamomyoke/cardamomyoke/internal/revision"
 	"github.com/cardamomyoke/cardamomyoke/internal/revision/agent"
@@ -37,7 +41,10 @@
 	loseAnswers atomic.Int32
 }
 
-func deploy(t *testing.T) *deployment {
+func deploy(t *testing.T) *deployment { return deployWith(t, nil) }
+
+// deployWith serves with keys, or plain if source is nil.
+func deployWith(t *testing.T, source *keys.Source) *deployment {
 	d := &deployment{store: standin.NewStore(standin.Limits{})}
 	loop := control.New()
 	a := agent.New(agent.Config{
@@ -56,8 +63,14 @@
 		Writer:  writer.New(writer.Options{Node: "e1", Incarnation: "life-1", Table: d.store}),
 		Changes: writer.NewChanges(d.store, a.Store(), func() *revision.State { return a.View().InForce }),
 	}
-	mux.Handle(operator.Handler(operator.New(operator.Options{Node: "e1", Agent: a, Table: d.store, Audit: auditor})))
-	d.address = serve(t, d.losing(mux))
+	server := operator.New(operator.Options{Node: "e1", Agent: a, Table: d.store, Audit: auditor})
+	if source == nil {
+		mux.Handle(operator.Handler(server))
+		d.address = serve(t, nil, d.losing(mux))
+	} else {
+		mux.Handle(operator.Handler(server, connect.WithInterceptors(keys.Interceptor{})))
+		d.address = serve(t, source, keys.Guard(mux))
+	}
 	t.Cleanup(func() {
 		a.Close()
 		cancel()
@@ -66,8 +79,12 @@
 	return d
 }
 
-func serve(t *testing.T, h http.Handler) string {
-	srv := httptest.NewServer(h)
+func serve(t *testing.T, source *keys.Source, h http.Handler) string {
+	srv := httptest.NewUnstartedServer(h)
+	if source != nil {
+		srv.Listener = tls.NewListener(srv.Listener, source.Server())
+	}
+	srv.Start()
 	t.Cleanup(func() {
 		srv.CloseClientConnections()
 		srv.Close()
@@ -262,7 +279,7 @@
 func TestPendingNamesTheMissingNodes(t *testing.T) {
 	mux := http.NewServeMux()
 	mux.Handle(cardamomyokev1connect.NewOperatorServiceHandler(scripted{}))
-	address := serve(t, mux)
+	address := serve(t, nil, mux)
 	want := step{code: ctl.ExitPending, err: []string{"revision 4 is committed and pending", "slot-7, slot-9"}}
 	check(t, want, run(t, address, "", "operation", "op"))
 	want.out = []string{`"pending":["slot-7","slot-9"]`}
@@ -276,7 +293,7 @@
 	check(t, step{}, run(t, d.address, first, strings.Fields("apply -f FILE"+why)...))
 	client := cardamomyokev1connect.NewOperatorServiceClient(http.DefaultClient, "http://"+d.address)
 	raced := false
-	address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	address := serve(t, nil, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasSuffix(r.URL.Path, "/Change") && !raced {
 			raced = true
 			_, err := client.Act(r.Context(), &cardamomyokev1.ActRequest{
--- a/internal/ctl/order.go
+++ b/internal/ctl/order.go
@@ -20,7 +20,7 @@
 	order := app.Command("order", "Order an upstream's engine to load something or to change its role.")
 
 	model := order.Command("load-model", "Load a version of a model.")
-	upstream, f := orderFlags(model)
+	upstream, f := s.orderFlags(model)
 	name := model.Arg("model", "Name of the model.").Required().String()
 	version := model.Arg("version", "Version of the model.").Required().String()
 	s.command(model, func(ctx context.Context) error {
@@ -34,7 +34,7 @@
 
 func (s *session) registerAdapterOrders(order *kingpin.CmdClause) {
 	load := order.Command("load-adapter", "Load an adapter for the engine's model.")
-	upstream, f := orderFlags(load)
+	upstream, f := s.orderFlags(load)
 	name := load.Arg("adapter", "Name of the adapter.").Required().String()
 	version := load.Arg("version", "Version of the adapter.").Required().String()
 	s.command(load, func(ctx context.Context) error {
@@ -43,7 +43,7 @@
 		}})
 	})
 	unload := order.Command("unload-adapter", "Drop an adapter.")
-	from, uf := orderFlags(unload)
+	from, uf := s.orderFlags(unload)
 	dropped := unload.Arg("adapter", "Name of the adapter.").Required().String()
 	s.command(unload, func(ctx context.Context) error {
 		return s.order(ctx, uf, &cardamomyokev1.EngineOrder{Upstream: *from, Order: &cardamomyokev1.EngineOrder_UnloadAdapter{
@@ -54,7 +54,7 @@
 
 func (s *session) registerRoleOrder(order *kingpin.CmdClause) {
 	cmd := order.Command("change-role", "Change the share of the work that an engine takes.")
-	upstream, f := orderFlags(cmd)
+	upstream, f := s.orderFlags(cmd)
 	role := cmd.Arg("role", "both, prefill or decode.").Required().Enum("both", "prefill", "decode")
 	s.command(cmd, func(ctx context.Context) error {
 		return s.order(ctx, f, &cardamomyokev1.EngineOrder{Upstream: *upstream, Order: &cardamomyokev1.EngineOrder_ChangeRole{
@@ -63,9 +63,9 @@
 	})
 }
 
-func orderFlags(cmd *kingpin.CmdClause) (upstream *string, f *changeFlags) {
+func (s *session) orderFlags(cmd *kingpin.CmdClause) (upstream *string, f *changeFlags) {
 	upstream = cmd.Arg("upstream", "Name of the upstream.").Required().String()
-	return upstream, addChangeFlags(cmd)
+	return upstream, s.addChangeFlags(cmd)
 }
 
 // order writes an order; the upstream's slot hands it to the engine.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -20,6 +21,7 @@
 
 	"github.com/cardamomyoke/cardamomyoke/internal/config"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/keys"
 	"github.com/cardamomyoke/cardamomyoke/internal/settings"
 )
 
@@ -128,8 +130,8 @@
 const controlTimeout = 5 * time.Second
 
 // StartControl serves on address: /metrics with the given set and the process's own, /healthz, and what is added to
-// Mux before.
-func StartControl(address string, mux *http.ServeMux, set *metrics.Set, logger log.Logger) (*Control, error) {
+// Mux before. With keys it serves TLS only, to peers with a certificate; keys may be nil.
+func StartControl(address string, mux *http.ServeMux, set *metrics.Set, source *keys.Source, logger log.Logger) (*Control, error) {
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
@@ -143,8 +145,15 @@
 	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	c := &Control{Mux: mux, server: &http.Server{Handler: mux, ReadHeaderTimeout: controlTimeout, Protocols: protocols}}
+	var handler http.Handler = mux
+	if source != nil {
+		protocols.SetHTTP2(true)
+		listener = tls.NewListener(listener, source.Server())
+		handler = keys.Guard(mux)
+	} else {
+		protocols.SetUnencryptedHTTP2(true)
+	}
+	c := &Control{Mux: mux, server: &http.Server{Handler: handler, ReadHeaderTimeout: controlTimeout, Protocols: protocols}}
 	go func() {
 		if err := c.server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			_ = level.Error(logger).Log("msg", "control listener ended", "err", err)
--- a/internal/daemon/entrymain/entrymain.go
+++ b/internal/daemon/entrymain/entrymain.go
@@ -11,6 +11,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/daemon"
 	"github.com/cardamomyoke/cardamomyoke/internal/entry"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/keys"
 	"github.com/cardamomyoke/cardamomyoke/internal/logging"
 	"github.com/cardamomyoke/cardamomyoke/internal/operator"
 	"github.com/cardamomyoke/cardamomyoke/internal/revision"
@@ -36,6 +37,10 @@
 		return fmt.Errorf("tracing: %w", err)
 	}
 	defer func() { _ = tracer.Close(context.Background()) }()
+	source, err := keys.Load(set.TLS, logger)
+	if err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
 	node := daemon.NewNode(daemon.NodeOptions{
 		Self: &revision.Member{
 			Name:       set.Name,
@@ -48,6 +53,7 @@
 		Seeds:    set.Control.Seeds,
 		Platform: set.Platform,
 		Fixed:    o.Fixed,
+		Keys:     source,
 		Logger:   logger,
 	})
 	e, err := entry.Start(set, entry.Deps{
@@ -61,7 +67,7 @@
 		node.Mux.Handle(operator.Handler(operator.New(operator.Options{
 			Node: set.Name, Agent: node.Agent, Table: node.Platform, Upstreams: e.UpstreamStatuses,
 			Audit: node.Audit,
-		})))
+		}), node.HandlerOptions()...))
 	}
 	node.CatchUpAudit(ctx)
 	if err := node.Run(e.Metrics(), e.Tick); err != nil {
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -16,6 +17,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/config"
 	"github.com/cardamomyoke/cardamomyoke/internal/control"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/keys"
 	"github.com/cardamomyoke/cardamomyoke/internal/platform"
 	"github.com/cardamomyoke/cardamomyoke/internal/revision"
 	"github.com/cardamomyoke/cardamomyoke/internal/revision/agent"
@@ -36,7 +38,9 @@
 	// Platform is the address of the platform's service, IP:PORT.
 	Platform string
 	// Fixed is a configuration that never changes; nil in production.
-	Fixed  *config.Snapshot
+	Fixed *config.Snapshot
+	// Keys are for the RPC port and for RPC to other nodes; nil: both are plain.
+	Keys   *keys.Source
 	Logger log.Logger
 }
 
@@ -51,6 +55,7 @@
 	Audit   *writer.Auditor
 	Config  config.Source
 	Mux     *http.ServeMux
+	keys    *keys.Source
 	logger  log.Logger
 	address string
 	cancel  context.CancelFunc
@@ -64,6 +69,7 @@
 		Loop:        control.New(),
 		Platform:    platform.NewClient(platform.NewHTTP(o.Platform, platformTimeout), platform.Options{}),
 		Mux:         http.NewServeMux(),
+		keys:        o.Keys,
 		logger:      o.Logger,
 		address:     o.Self.GetAddress(),
 	}
@@ -77,7 +83,7 @@
 		Seeds:       seedMembers(o.Seeds),
 		Platform:    n.Platform,
 		Hosts:       n.Platform,
-		Transport:   agent.NewRPC(agent.HTTP2(), "http"),
+		Transport:   transport(o.Keys),
 		Loop:        n.Loop,
 		Rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Logger:      o.Logger,
@@ -112,6 +118,22 @@
 	}
 }
 
+// transport carries RPC to other nodes.
+func transport(source *keys.Source) *agent.RPC {
+	if source == nil {
+		return agent.NewRPC(agent.HTTP2(), "http")
+	}
+	return agent.NewRPC(source.HTTPClient(), "https")
+}
+
+// HandlerOptions are those of the operators' service on this node.
+func (n *Node) HandlerOptions() []connect.HandlerOption {
+	if n.keys == nil {
+		return nil
+	}
+	return []connect.HandlerOption{connect.WithInterceptors(keys.Interceptor{})}
+}
+
 // seedMembers makes members of addresses; a seed's name is learned from its answer.
 func seedMembers(addresses []string) []*revision.Member {
 	var out []*revision.Member
@@ -123,7 +145,7 @@
 
 // Run opens the RPC port and runs the control loop, with tick in each period, until Stop.
 func (n *Node) Run(set *metrics.Set, tick func(now time.Time)) error {
-	c, err := StartControl(n.address, n.Mux, set, n.logger)
+	c, err := StartControl(n.address, n.Mux, set, n.keys, n.logger)
 	if err != nil {
 		return fmt.Errorf("node: %w", err)
 	}
@@ -134,6 +156,9 @@
 	if n.Audit != nil {
 		go n.Audit.Run(ctx)
 	}
+	if n.keys != nil {
+		go n.keys.Run(ctx)
+	}
 	return nil
 }
 
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/keys"
 	"github.com/cardamomyoke/cardamomyoke/internal/logging"
 	"github.com/cardamomyoke/cardamomyoke/internal/settings"
 	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
@@ -38,6 +39,8 @@
 		// Seeds are digest addresses of other entries, IP:PORT.
 		Seeds []string `yaml:"seeds"`
 	} `yaml:"digests"`
+	// TLS names the keys of the control port and of RPC to other nodes; empty: both are plain.
+	TLS keys.Settings `yaml:"tls"`
 	// Platform is the address of the platform's service, IP:PORT.
 	Platform string `yaml:"platform"`
 	// DataCentres gives the time of one way from here to other data centres; unknown ones count as far.
@@ -71,6 +74,9 @@
 	if err := settings.CheckAddresses("$.control.seeds", s.Control.Seeds); err != nil {
 		return err
 	}
+	if err := s.TLS.Check(); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
 	if err := s.Log.Check(); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
--- /dev/null
+++ b/internal/keys/keys_test.go
@@ -0,0 +1,220 @@
+package keys_test
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-kit/log"
+
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
+	"github.com/cardamomyoke/cardamomyoke/internal/keys"
+	"github.com/cardamomyoke/cardamomyoke/internal/keys/keystest"
+)
+
+// answering takes every call that the guard and the interceptor let through.
+type answering struct {
+	cardamomyokev1connect.UnimplementedOperatorServiceHandler
+	cardamomyokev1connect.UnimplementedRevisionServiceHandler
+}
+
+func load(t *testing.T, s keys.Settings) *keys.Source {
+	t.Helper()
+	out, err := keys.Load(s, log.NewNopLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// serve runs a node's port with both services; what is let through ends with the code unimplemented.
+func serve(t *testing.T, source *keys.Source) string {
+	mux := http.NewServeMux()
+	mux.Handle(cardamomyokev1connect.NewOperatorServiceHandler(answering{}, connect.WithInterceptors(keys.Interceptor{})))
+	mux.Handle(cardamomyokev1connect.NewRevisionServiceHandler(answering{}))
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	srv := httptest.NewUnstartedServer(keys.Guard(mux))
+	srv.Config.ErrorLog = nil
+	srv.Listener = tls.NewListener(srv.Listener, source.Server())
+	srv.Start()
+	t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return "https://" + srv.Listener.Addr().String()
+}
+
+func meta(name string) *cardamomyokev1.ChangeMeta { return &cardamomyokev1.ChangeMeta{Operator: name} }
+
+type client struct {
+	cardamomyokev1connect.OperatorServiceClient
+	nodes cardamomyokev1connect.RevisionServiceClient
+}
+
+func dial(t *testing.T, url string, s keys.Settings) client {
+	c := load(t, s).HTTPClient()
+	t.Cleanup(c.CloseIdleConnections)
+	return client{cardamomyokev1connect.NewOperatorServiceClient(c, url), cardamomyokev1connect.NewRevisionServiceClient(c, url)}
+}
+
+// calls are one call of each sort.
+var calls = map[string]func(context.Context, client) error{
+	"list": func(ctx context.Context, c client) error {
+		_, err := c.List(ctx, &cardamomyokev1.ListRequest{})
+		return err
+	},
+	"watch": func(ctx context.Context, c client) error {
+		s, err := c.Watch(ctx, &cardamomyokev1.WatchRequest{})
+		if err != nil {
+			return err
+		}
+		s.Receive()
+		return s.Err()
+	},
+	"change": func(ctx context.Context, c client) error {
+		_, err := c.Change(ctx, &cardamomyokev1.ChangeRequest{Meta: meta("ana")})
+		return err
+	},
+	"change as another": func(ctx context.Context, c client) error {
+		_, err := c.Change(ctx, &cardamomyokev1.ChangeRequest{Meta: meta("ben")})
+		return err
+	},
+	"drain": func(ctx context.Context, c client) error {
+		_, err := c.Act(ctx, &cardamomyokev1.ActRequest{Meta: meta("ana"), Action: &cardamomyokev1.ActRequest_DrainUpstream{}})
+		return err
+	},
+	"force": func(ctx context.Context, c client) error {
+		_, err := c.Act(ctx, &cardamomyokev1.ActRequest{Meta: meta("ana"), Action: &cardamomyokev1.ActRequest_RemoveNodes{
+			RemoveNodes: &cardamomyokev1.RemoveNodes{},
+		}})
+		return err
+	},
+	"push": func(ctx context.Context, c client) error {
+		_, err := c.nodes.Push(ctx, &cardamomyokev1.PushRequest{})
+		return err
+	},
+}
+
+func TestRoles(t *testing.T) {
+	ca := keystest.New(t)
+	url := serve(t, load(t, ca.Issue("e1", keys.RoleNode)))
+	for role, allowed := range map[keys.Role]string{
+		keys.RoleRead:   "list watch",
+		keys.RoleChange: "list watch change drain",
+		keys.RoleForce:  "list watch change drain force",
+		keys.RoleNode:   "push",
+		"nobody":        "",
+	} {
+		c := dial(t, url, ca.Issue("ana", role))
+		for name, call := range calls {
+			err := call(t.Context(), c)
+			want := connect.CodePermissionDenied
+			if strings.Contains(" "+allowed+" ", " "+name+" ") {
+				want = connect.CodeUnimplemented
+			}
+			if connect.CodeOf(err) != want {
+				t.Errorf("%s by %s: got %v, want %v", name, role, err, want)
+			}
+		}
+	}
+}
+
+// Somebody without a certificate, or with one of another authority or one that has expired, calls a node; and somebody
+// with an operator's certificate poses as a node. None may get through, or hear what a node would be told.
+func TestStrangersAreRefused(t *testing.T) {
+	ca := keystest.New(t)
+	good := ca.Issue("ana", keys.RoleForce)
+	node := ca.Issue("e1", keys.RoleNode)
+	url := serve(t, load(t, node))
+	expired := ca.Issue("ana", keys.RoleForce)
+	ca.IssueTo(expired, "ana", -time.Minute, keys.RoleForce)
+	other := keystest.New(t).Issue("ana", keys.RoleForce)
+	other.CA = node.CA // it trusts the node; the node must not trust it
+	for name, s := range map[string]keys.Settings{"another authority": other, "expired": expired} {
+		if err := calls["list"](t.Context(), dial(t, url, s)); connect.CodeOf(err) != connect.CodeUnavailable {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+	plain := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}}
+	if r, err := plain.Get(url + "/healthz"); err == nil {
+		t.Errorf("without a certificate: got %v", r.Status)
+	}
+	if err := calls["list"](t.Context(), dial(t, url, good)); connect.CodeOf(err) != connect.CodeUnimplemented {
+		t.Errorf("the control: got %v", err)
+	}
+	var role *keys.RoleError
+	posing := serve(t, load(t, good))
+	if err := calls["push"](t.Context(), dial(t, posing, node)); !errors.As(err, &role) {
+		t.Errorf("an operator posing as a node: got %v", err)
+	}
+}
+
+// The authority is replaced while the process runs. Halfway the certificate is new and its key still old: the old pair
+// stays in use. Then new certificates work without a restart, and old ones no longer do.
+func TestReload(t *testing.T) {
+	old, next := keystest.New(t), keystest.New(t)
+	files := old.Issue("e1", keys.RoleNode)
+	source := load(t, files)
+	url := serve(t, source)
+	before := old.Issue("ana", keys.RoleRead)
+	after := next.Issue("ana", keys.RoleRead)
+	list := func(s keys.Settings, want connect.Code) {
+		t.Helper()
+		if err := calls["list"](t.Context(), dial(t, url, s)); connect.CodeOf(err) != want {
+			t.Fatalf("got %v, want %v", err, want)
+		}
+	}
+	list(before, connect.CodeUnimplemented)
+	key, err := os.ReadFile(files.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next.IssueTo(files, "e1", time.Hour, keys.RoleNode)
+	whole, err := os.ReadFile(files.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write(t, files.Key, key)
+	source.Reload()
+	list(before, connect.CodeUnimplemented)
+	write(t, files.Key, whole)
+	source.Reload()
+	list(after, connect.CodeUnimplemented)
+	list(before, connect.CodeUnavailable)
+}
+
+func write(t *testing.T, file string, text []byte) {
+	t.Helper()
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestSettings(t *testing.T) {
+	whole := keystest.New(t).Issue("e1", keys.RoleNode)
+	if s, err := keys.Load(keys.Settings{}, log.NewNopLogger()); s != nil || err != nil {
+		t.Fatalf("no settings: %v, %v", s, err)
+	}
+	if err := whole.Check(); err != nil {
+		t.Fatal(err)
+	}
+	half := whole
+	half.Key = ""
+	if err := half.Check(); err == nil {
+		t.Fatal("half of the settings was taken")
+	}
+	var file *keys.FileError
+	swapped := whole
+	swapped.Certificate, swapped.Key = whole.Key, whole.Certificate
+	if _, err := keys.Load(swapped, log.NewNopLogger()); !errors.As(err, &file) {
+		t.Fatalf("swapped files: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/keys/keystest/keystest.go
@@ -0,0 +1,93 @@
+// Package keystest makes certificates for tests.
+package keystest
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/keys"
+)
+
+// Authority issues certificates.
+type Authority struct {
+	t    testing.TB
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+}
+
+// New returns an authority.
+func New(t testing.TB) *Authority {
+	a := &Authority{t: t, key: newKey(t)}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test authority"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	a.cert = a.sign(template, template, a.key)
+	return a
+}
+
+func newKey(t testing.TB) *ecdsa.PrivateKey {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
+func (a *Authority) sign(template, parent *x509.Certificate, key *ecdsa.PrivateKey) *x509.Certificate {
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, a.key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return cert
+}
+
+// Issue writes the keys of somebody to files of a new directory; it is valid for an hour from now.
+func (a *Authority) Issue(name string, roles ...keys.Role) keys.Settings {
+	dir := a.t.TempDir()
+	s := keys.Settings{CA: filepath.Join(dir, "ca"), Certificate: filepath.Join(dir, "certificate"), Key: filepath.Join(dir, "key")}
+	a.IssueTo(s, name, time.Hour, roles...)
+	return s
+}
+
+// IssueTo writes the keys of somebody over files; with a negative time they have expired.
+func (a *Authority) IssueTo(s keys.Settings, name string, valid time.Duration, roles ...keys.Role) {
+	key := newKey(a.t)
+	var units []string
+	for _, r := range roles {
+		units = append(units, string(r))
+	}
+	cert := a.sign(&x509.Certificate{
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name, OrganizationalUnit: units},
+		NotBefore: time.Now().Add(-2 * time.Hour), NotAfter: time.Now().Add(valid),
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}, a.cert, key)
+	der, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	a.write(s.CA, "CERTIFICATE", a.cert.Raw)
+	a.write(s.Certificate, "CERTIFICATE", cert.Raw)
+	a.write(s.Key, "PRIVATE KEY", der)
+}
+
+func (a *Authority) write(file, kind string, der []byte) {
+	if err := os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
+		a.t.Fatal(err)
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -75,9 +75,9 @@
 	return &Server{o}
 }
 
-// Handler returns the path and handler of the service.
-func Handler(s *Server) (string, http.Handler) {
-	return cardamomyokev1connect.NewOperatorServiceHandler(s)
+// Handler returns the path and handler of the service; options are, for example, keys.Interceptor.
+func Handler(s *Server, options ...connect.HandlerOption) (string, http.Handler) {
+	return cardamomyokev1connect.NewOperatorServiceHandler(s, options...)
 }
 
 // Change implements the RPC.
--- a/internal/slot/settings.go
+++ b/internal/slot/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/keys"
 	"github.com/cardamomyoke/cardamomyoke/internal/logging"
 	"github.com/cardamomyoke/cardamomyoke/internal/settings"
 	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
@@ -60,6 +61,8 @@
 		// Seeds are digest addresses of entries, IP:PORT; others are learned from them.
 		Seeds []string `yaml:"seeds"`
 	} `yaml:"digests"`
+	// TLS names the keys of the control port and of RPC to other nodes; empty: both are plain.
+	TLS keys.Settings `yaml:"tls"`
 	// Platform is the address of the platform's service, IP:PORT.
 	Platform string          `yaml:"platform"`
 	Log      logging.Options `yaml:"log"`
@@ -106,6 +109,9 @@
 	if s.Upstream.Batch < 1 {
 		return &settings.KeyError{Path: "$.upstream.batch", Want: "at least 1", Got: fmt.Sprint(s.Upstream.Batch)}
 	}
+	if err := s.TLS.Check(); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
 	if err := s.Log.Check(); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
