--- a/internal/ctl/keys_test.go
+++ b/internal/ctl/keys_test.go
@@ -4,8 +4,6 @@
 	"strings"
 	"testing"
 
-	"github.com/go-kit/log"
-
 	"github.com/cardamomyoke/cardamomyoke/internal/ctl"
 	"github.com/cardamomyoke/cardamomyoke/internal/keys"
 	"github.com/cardamomyoke/cardamomyoke/internal/keys/keystest"
@@ -13,11 +11,7 @@
 
 func TestCommandsWithKeys(t *testing.T) {
 	ca := keystest.New(t)
-	source, err := keys.Load(ca.Issue("e1", keys.RoleNode), log.NewNopLogger())
-	if err != nil {
-		t.Fatal(err)
-	}
-	d := deployWith(t, source)
+	d := deployWith(t, keystest.Load(t, ca.Issue("e1", keys.RoleNode)))
 	as := func(s keys.Settings, text, args string) result {
 		t.Helper()
 		all := strings.Fields(args + " --reason test --wait 1m")
--- a/internal/daemon/node_test.go
+++ b/internal/daemon/node_test.go
@@ -38,15 +38,6 @@
 	address string
 }
 
-func load(t *testing.T, s keys.Settings) *keys.Source {
-	t.Helper()
-	source, err := keys.Load(s, log.NewNopLogger())
-	if err != nil {
-		t.Fatal(err)
-	}
-	return source
-}
-
 func startNode(t *testing.T, name, platform string, source *keys.Source, seeds ...string) node {
 	address := freeAddress(t)
 	n := daemon.NewNode(daemon.NodeOptions{
@@ -76,7 +67,7 @@
 	srv := httptest.NewServer(standin.Handler(standin.NewStore(standin.Limits{})))
 	t.Cleanup(srv.Close)
 	ca := keystest.New(t)
-	first := startNode(t, "e1", strings.TrimPrefix(srv.URL, "http://"), load(t, ca.Issue("e1", keys.RoleNode)))
+	first := startNode(t, "e1", strings.TrimPrefix(srv.URL, "http://"), keystest.Load(t, ca.Issue("e1", keys.RoleNode)))
 	ctx, cancel := context.WithTimeout(t.Context(), bound)
 	defer cancel()
 	meta := &cardamomyokev1.ChangeMeta{Operator: "ana", Reason: "test", OperationId: "op-1"}
@@ -87,7 +78,7 @@
 	if v := first.Agent.Wait(ctx, e.GetSeq()); v.Accepted < e.GetSeq() {
 		t.Fatalf("not accepted: waiting for %v", v.Pending)
 	}
-	good := startNode(t, "e2", freeAddress(t), load(t, ca.Issue("e2", keys.RoleNode)), first.address)
+	good := startNode(t, "e2", freeAddress(t), keystest.Load(t, ca.Issue("e2", keys.RoleNode)), first.address)
 	for {
 		changed := good.Agent.Changed()
 		if good.Agent.View().Newest.Revision() == 1 {
@@ -101,15 +92,15 @@
 	}
 	to := &revision.Member{Name: "e1", Address: first.address}
 	for name, transport := range map[string]agent.Transport{
-		"another authority": agent.NewRPC(load(t, keystest.New(t).Issue("e2", keys.RoleNode)).HTTPClient(), "https"),
-		"an operator":       agent.NewRPC(load(t, ca.Issue("ana", keys.RoleForce)).HTTPClient(), "https"),
+		"another authority": agent.NewRPC(keystest.Load(t, keystest.New(t).Issue("e2", keys.RoleNode)).HTTPClient(), "https"),
+		"an operator":       agent.NewRPC(keystest.Load(t, ca.Issue("ana", keys.RoleForce)).HTTPClient(), "https"),
 		"no certificate":    agent.NewRPC(agent.HTTP2(), "http"),
 	} {
 		if _, err := transport.CatchUp(ctx, to); err == nil {
 			t.Errorf("%s: the configuration was given away", name)
 		}
 	}
-	if _, err := agent.NewRPC(load(t, ca.Issue("e3", keys.RoleNode)).HTTPClient(), "https").CatchUp(ctx, to); err != nil {
+	if _, err := agent.NewRPC(keystest.Load(t, ca.Issue("e3", keys.RoleNode)).HTTPClient(), "https").CatchUp(ctx, to); err != nil {
 		t.Errorf("the control: %v", err)
 	}
 }
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -26,15 +26,6 @@
 	cardamomyokev1connect.UnimplementedRevisionServiceHandler
 }
 
-func load(t *testing.T, s keys.Settings) *keys.Source {
-	t.Helper()
-	out, err := keys.Load(s, log.NewNopLogger())
-	if err != nil {
-		t.Fatal(err)
-	}
-	return out
-}
-
 // serve runs a node's port with both services; what is let through ends with the code unimplemented.
 func serve(t *testing.T, source *keys.Source) string {
 	mux := http.NewServeMux()
@@ -60,7 +51,7 @@
 }
 
 func dial(t *testing.T, url string, s keys.Settings) client {
-	c := load(t, s).HTTPClient()
+	c := keystest.Load(t, s).HTTPClient()
 	t.Cleanup(c.CloseIdleConnections)
 	return client{cardamomyokev1connect.NewOperatorServiceClient(c, url), cardamomyokev1connect.NewRevisionServiceClient(c, url)}
 }
@@ -105,7 +96,7 @@
 
 func TestRoles(t *testing.T) {
 	ca := keystest.New(t)
-	url := serve(t, load(t, ca.Issue("e1", keys.RoleNode)))
+	url := serve(t, keystest.Load(t, ca.Issue("e1", keys.RoleNode)))
 	for role, allowed := range map[keys.Role]string{
 		keys.RoleRead:   "list watch",
 		keys.RoleChange: "list watch change drain",
@@ -133,7 +124,7 @@
 	ca := keystest.New(t)
 	good := ca.Issue("ana", keys.RoleForce)
 	node := ca.Issue("e1", keys.RoleNode)
-	url := serve(t, load(t, node))
+	url := serve(t, keystest.Load(t, node))
 	expired := ca.Issue("ana", keys.RoleForce)
 	ca.IssueTo(expired, "ana", -time.Minute, keys.RoleForce)
 	other := keystest.New(t).Issue("ana", keys.RoleForce)
@@ -151,7 +142,7 @@
 		t.Errorf("the control: got %v", err)
 	}
 	var role *keys.RoleError
-	posing := serve(t, load(t, good))
+	posing := serve(t, keystest.Load(t, good))
 	if err := calls["push"](t.Context(), dial(t, posing, node)); !errors.As(err, &role) {
 		t.Errorf("an operator posing as a node: got %v", err)
 	}
@@ -162,7 +153,7 @@
 func TestReload(t *testing.T) {
 	old, next := keystest.New(t), keystest.New(t)
 	files := old.Issue("e1", keys.RoleNode)
-	source := load(t, files)
+	source := keystest.Load(t, files)
 	url := serve(t, source)
 	before := old.Issue("ana", keys.RoleRead)
 	after := next.Issue("ana", keys.RoleRead)
--- a/internal/keys/keystest/keystest.go
+++ b/internal/keys/keystest/keystest.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"github.com/cardamomyoke/cardamomyoke/internal/keys"
 )
 
@@ -56,6 +58,16 @@
 	return cert
 }
 
+// Load reads keys as a process does.
+func Load(t testing.TB, s keys.Settings) *keys.Source {
+	t.Helper()
+	source, err := keys.Load(s, log.NewNopLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return source
+}
+
 // Issue writes the keys of somebody to files of a new directory; it is valid for an hour from now.
 func (a *Authority) Issue(name string, roles ...keys.Role) keys.Settings {
 	dir := a.t.TempDir()
