--- /dev/null
+++ b/internal/entry/audit_test.go
@@ -0,0 +1,38 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/audit"
+	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
+)
+
+// A request crashes an upstream among others, then one that it ran on alone for a probe; the news come twice. Only the
+// step to a refusal is recorded, once, with its end and the client.
+func TestRefusalsAreRecordedOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	k := quarantine.NewKeeper(nil, time.Minute, quarantine.DefaultKeeperOptions())
+	poison := quarantine.Running{Fingerprint: quarantine.FingerprintOf("azteca", sha256.Sum256([]byte("x"))), Client: "azteca"}
+	other := quarantine.Running{Fingerprint: quarantine.FingerprintOf("norte", sha256.Sum256([]byte("y"))), Client: "norte"}
+	var got []*audit.Row
+	for _, c := range []quarantine.Crash{
+		{ID: 1, At: now, Ran: []quarantine.Running{poison, other}},
+		{ID: 2, At: now, Ran: []quarantine.Running{poison}, Probe: true},
+		{ID: 2, At: now, Ran: []quarantine.Running{poison}, Probe: true},
+	} {
+		before := k.Snapshot()
+		k.Merge(now, c.Suspects()...)
+		got = append(got, refusals(now, before, k.Snapshot(), c.Suspects())...)
+	}
+	if len(got) != 1 {
+		t.Fatalf("rows %v", got)
+	}
+	r := got[0]
+	if r.GetSubject() != poison.Fingerprint.String() || r.GetBefore() != "suspected" ||
+		r.GetAfter() != "refused until 1970-01-01T00:17:40Z" || !strings.HasSuffix(r.GetReason(), "azteca") {
+		t.Fatalf("row %v", r)
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -167,7 +167,7 @@
 // hear takes in a digest; it runs on the control loop.
 func (e *Entry) hear(d *cardamomyokev1.Digest, now time.Time) {
 	if e.state.hear(d, now) {
-		e.quarantine.Merge(now, quarantine.FromDigest(d)...)
+		e.hearSuspects(now, quarantine.FromDigest(d))
 		e.hearUsage(d, now)
 	}
 }
