--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -19,6 +19,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/keys"
 	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/rebalance"
 	"github.com/cardamomyoke/cardamomyoke/internal/revision"
 	"github.com/cardamomyoke/cardamomyoke/internal/revision/agent"
 )
@@ -83,7 +84,7 @@
 		Seeds:       seedMembers(o.Seeds),
 		Platform:    n.Platform,
 		Hosts:       n.Platform,
-		Transport:   transport(o.Keys),
+		Transport:   agent.NewRPC(peerClient(o.Keys)),
 		Loop:        n.Loop,
 		Rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Logger:      o.Logger,
@@ -118,12 +119,12 @@
 	}
 }
 
-// transport carries RPC to other nodes.
-func transport(source *keys.Source) *agent.RPC {
+// peerClient returns the client of other nodes' RPC, and the scheme of their addresses.
+func peerClient(source *keys.Source) (client *http.Client, scheme string) {
 	if source == nil {
-		return agent.NewRPC(agent.HTTP2(), "http")
+		return agent.HTTP2(), "http"
 	}
-	return agent.NewRPC(source.HTTPClient(), "https")
+	return source.HTTPClient(), "https"
 }
 
 // HandlerOptions are those of the operators' service on this node.
@@ -183,6 +184,18 @@
 	return n.Agent.View().Newest.Roster
 }
 
+// Directory finds other nodes by the roster.
+func (n *Node) Directory() *rebalance.Directory {
+	members := func() []*revision.Member {
+		if r := n.Roster(); r != nil {
+			return r.Members()
+		}
+		return nil
+	}
+	client, scheme := peerClient(n.keys)
+	return &rebalance.Directory{Members: members, Client: client, Scheme: scheme}
+}
+
 // Leave takes the node out of the roster, as the last step of an orderly shutdown: from then on no change waits for it.
 func (n *Node) Leave(ctx context.Context) {
 	if n.Agent == nil {
