--- a/internal/daemon/entrymain/entrymain.go
+++ b/internal/daemon/entrymain/entrymain.go
@@ -11,14 +11,13 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/audit"
 	"github.com/cardamomyoke/cardamomyoke/internal/daemon"
 	"github.com/cardamomyoke/cardamomyoke/internal/entry"
 	"github.com/cardamomyoke/cardamomyoke/internal/expertmap/node"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/lease"
+	"github.com/cardamomyoke/cardamomyoke/internal/keys"
 	"github.com/cardamomyoke/cardamomyoke/internal/lease/keeper"
 	"github.com/cardamomyoke/cardamomyoke/internal/logging"
 	"github.com/cardamomyoke/cardamomyoke/internal/operator"
@@ -46,6 +45,10 @@
 		return fmt.Errorf("tracing: %w", err)
 	}
 	defer func() { _ = tracer.Close(context.Background()) }()
+	source, err := keys.Load(set.TLS, logger)
+	if err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
 	n := daemon.NewNode(daemon.NodeOptions{
 		Self: &revision.Member{
 			Name:       set.Name,
@@ -58,6 +61,7 @@
 		Seeds:    set.Control.Seeds,
 		Platform: set.Platform,
 		Fixed:    o.Fixed,
+		Keys:     source,
 		Logger:   logger,
 	})
 	e, err := entry.Start(set, entry.Deps{
@@ -73,7 +77,7 @@
 		n.Mux.Handle(operator.Handler(operator.New(operator.Options{
 			Node: set.Name, Agent: n.Agent, Table: n.Platform, Upstreams: e.UpstreamStatuses,
 			Audit: n.Audit,
-		})))
+		}), n.HandlerOptions()...))
 	}
 	n.CatchUpAudit(ctx)
 	if err := n.Run(e.Metrics(), tick); err != nil {
@@ -104,9 +108,7 @@
 		Loop:        n.Loop,
 		Rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Logger:      logger,
-		Taken: func(now time.Time, h lease.Held) {
-			n.Record(now, &audit.Row{Kind: audit.KindLeaseTaken, Subject: string(h.Duty), After: fmt.Sprint(h.Fence)})
-		},
+		Taken:       n.Audit.LeaseTaken,
 	})
 	runner := rebalance.NewRunner(rebalance.RunnerOptions{
 		Node:      ids.Node(set.Name),
@@ -117,10 +119,8 @@
 		Loop:      n.Loop,
 		Objects:   n.Platform,
 		Weights:   n.Platform,
+		Audit:     n.Record,
 		Logger:    logger,
-		Switched: func(now time.Time, g ids.Group, from, to, cause string) {
-			n.Record(now, &audit.Row{Kind: audit.KindMapSwitched, Subject: string(g), Before: from, After: to, Reason: cause})
-		},
 	})
 	return func(now time.Time) {
 		tick(now)
--- a/internal/daemon/slotmain/slotmain.go
+++ b/internal/daemon/slotmain/slotmain.go
@@ -15,6 +15,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/expertmap/node"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
+	"github.com/cardamomyoke/cardamomyoke/internal/keys"
 	"github.com/cardamomyoke/cardamomyoke/internal/logging"
 	"github.com/cardamomyoke/cardamomyoke/internal/rank"
 	"github.com/cardamomyoke/cardamomyoke/internal/revision"
@@ -41,6 +42,10 @@
 		return fmt.Errorf("tracing: %w", err)
 	}
 	defer func() { _ = tracer.Close(context.Background()) }()
+	source, err := keys.Load(set.TLS, logger)
+	if err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
 	n := daemon.NewNode(daemon.NodeOptions{
 		Self: &revision.Member{
 			Name:       set.Name,
@@ -55,6 +60,7 @@
 		Seeds:    set.Control.Seeds,
 		Platform: set.Platform,
 		Fixed:    o.Fixed,
+		Keys:     source,
 		Logger:   logger,
 	})
 	s, err := slot.Start(set, slot.Deps{
--- /dev/null
+++ b/internal/rebalance/audit_test.go
@@ -0,0 +1,59 @@
+package rebalance_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/audit"
+	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
+	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/rebalance"
+	platform "github.com/cardamomyoke/cardamomyoke/internal/standin/platform"
+)
+
+// empty are ranks without a map.
+type empty struct{}
+
+func (empty) Report(_ context.Context, _ ids.Group, rank int) (*cardamomyokev1.GetRankReportResponse, error) {
+	return &cardamomyokev1.GetRankReportResponse{Rank: uint32(rank)}, nil
+}
+
+// verdict is what becomes of every proposal.
+type verdict struct{ err error }
+
+func (v verdict) Propose(_ context.Context, _ ids.Fence, to expertmap.MapID) (expertmap.Result, error) {
+	return expertmap.Result{To: to, Start: 42, Err: v.err}, v.err
+}
+
+// A switch that came about is recorded with both maps, the step and the cause; one that failed is not.
+func TestSwitchesAreRecorded(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		want string
+	}{{nil, "map-switched g: no map -> map 1; from step 42; first"}, {failure.New(failure.CodeQuarantined, nil), ""}} {
+		var got []string
+		s := platform.NewStore(platform.Limits{})
+		g := rebalance.New(t.Context(), rebalance.Options{
+			Group: "g", Config: &cardamomyokev1.ModelGroup{Name: "g", Ranks: 2, Experts: 4, Layers: 1},
+			Ranks: empty{}, Proposer: verdict{c.err}, Objects: s, Weights: s, Logger: log.NewNopLogger(),
+			Audit: func(_ time.Time, r *audit.Row) {
+				name, rest, _ := strings.Cut(r.GetAfter(), " (")
+				_, step, _ := strings.Cut(rest, ") ")
+				got = append(got, fmt.Sprintf("%s %s: %s -> %s; %s; %s", r.GetKind(), r.GetSubject(), r.GetBefore(), name, step, r.GetReason()))
+			},
+		})
+		if _, err := g.Turn(t.Context(), time.Unix(1000, 0), 1); (err == nil) != (c.err == nil) {
+			t.Fatalf("turn: %v", err)
+		}
+		if strings.Join(got, "; ") != c.want {
+			t.Fatalf("got %q, want %q", got, c.want)
+		}
+	}
+}
--- a/internal/rebalance/group.go
+++ b/internal/rebalance/group.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/audit"
 	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
@@ -35,9 +36,9 @@
 	Proposer Proposer
 	Objects  platform.Objects
 	Weights  platform.Weights
-	Logger   log.Logger
-	// Switched is told of each switch, for the audit; it may be nil.
-	Switched func(now time.Time, g ids.Group, from, to, cause string)
+	// Audit takes in each switch; nil: it is only logged.
+	Audit  func(now time.Time, r *audit.Row)
+	Logger log.Logger
 }
 
 const (
@@ -206,17 +207,23 @@
 	if err != nil {
 		return fmt.Errorf("switch of group %s: %w", g.opts.Group, err)
 	}
-	if g.opts.Switched != nil {
-		g.opts.Switched(time.Now(), g.opts.Group, versionOf(g.current), name, cause)
-	}
+	g.record(result, m, cause)
 	g.current = m
 	_ = level.Info(g.opts.Logger).Log("msg", "expert map switched", "group", g.opts.Group, "map", result.To, "from_step", result.Start, "cause", cause)
 	return nil
 }
 
-func versionOf(m *expert.Map) string {
-	if m == nil {
-		return "none"
+// record tells the audit of a switch, before g.current is the new map.
+func (g *Group) record(result expertmap.Result, m *expert.Map, cause string) {
+	if g.opts.Audit == nil {
+		return
+	}
+	before := "no map"
+	if g.current != nil {
+		before = fmt.Sprintf("map %d (%s)", g.current.Version(), g.current.Hash())
 	}
-	return fmt.Sprintf("version %d", m.Version())
+	g.opts.Audit(time.Now(), &audit.Row{
+		Kind: audit.KindMapSwitched, Subject: string(g.opts.Group), Before: before, Reason: cause,
+		After: fmt.Sprintf("map %d (%s) from step %d", m.Version(), m.Hash(), result.Start),
+	})
 }
--- a/internal/rebalance/runner.go
+++ b/internal/rebalance/runner.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/audit"
 	"github.com/cardamomyoke/cardamomyoke/internal/config"
 	"github.com/cardamomyoke/cardamomyoke/internal/control"
 	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
@@ -38,9 +39,9 @@
 	Loop      *control.Loop
 	Objects   platform.Objects
 	Weights   platform.Weights
-	Logger    log.Logger
-	// Switched is told of each switch, for the audit; it may be nil.
-	Switched func(now time.Time, g ids.Group, from, to, cause string)
+	// Audit takes in each switch; nil: it is only logged.
+	Audit  func(now time.Time, r *audit.Row)
+	Logger log.Logger
 }
 
 // Runner carries the duty for every group whose lease its entry holds.
@@ -144,7 +145,7 @@
 	if duty == nil {
 		duty = New(ctx, Options{
 			Group: name, Config: snap.Group(name), Ranks: r.opts.Directory, Proposer: p,
-			Objects: r.opts.Objects, Weights: r.opts.Weights, Logger: r.opts.Logger, Switched: r.opts.Switched,
+			Objects: r.opts.Objects, Weights: r.opts.Weights, Audit: r.opts.Audit, Logger: r.opts.Logger,
 		})
 	}
 	duty.opts.Config = snap.Group(name)
--- a/internal/standin/group/group.go
+++ b/internal/standin/group/group.go
@@ -49,8 +49,10 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
-	for i, address := range o.Addresses {
+	for range o.Addresses {
 		g.ranks = append(g.ranks, expertmap.NewEngineModel(1))
+	}
+	for i, address := range o.Addresses {
 		server, err := httpserver.Start(address, 1, httpserver.Limits{}, g.handler(i))
 		if err != nil {
 			g.Stop()
