Demo ends its platform last; the group test's roster is guarded

Cause: nodes that leave tell the platform, which the demo had ended first, so each waited out its grace (the demo took over a minute to end); and the test changed its roster while slots read it.

--- a/internal/rebalance/group_test.go
+++ b/internal/rebalance/group_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -34,9 +36,17 @@
 type bed struct {
 	group   *group.Group
 	store   *platform.Store
+	mu      sync.Mutex
 	members []*cardamomyokev1.Member
 }
 
+// roster returns the members as the slots and leaders know them now.
+func (b *bed) roster() []*cardamomyokev1.Member {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.members)
+}
+
 func startBed(t *testing.T) *bed {
 	t.Helper()
 	b := &bed{store: platform.NewStore(platform.Limits{WeightBytesPerSecond: 1 << 30})}
@@ -67,8 +77,7 @@
 }
 
 func (b *bed) directory() *rebalance.Directory {
-	members := func() []*cardamomyokev1.Member { return b.members }
-	return &rebalance.Directory{Members: members, Client: http.DefaultClient, Scheme: "http"}
+	return &rebalance.Directory{Members: b.roster, Client: http.DefaultClient, Scheme: "http"}
 }
 
 // serve starts a process with a control loop and an RPC port, and adds it to the roster.
@@ -77,7 +86,9 @@
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	m.Address = server.Listener.Addr().String()
+	b.mu.Lock()
 	b.members = append(b.members, m)
+	b.mu.Unlock()
 	loop := control.New()
 	go loop.Run(t.Context(), time.Second, func(time.Time) {})
 	return loop
@@ -114,7 +125,7 @@
 	loop := b.serve(t, &cardamomyokev1.Member{Name: name}, mux)
 	proposer := node.NewProposer(node.ProposerOptions{
 		Group: "g", Node: ids.Node(name),
-		Config:    expertmap.ProposerConfig{ID: uint64(len(b.members)), Ranks: ranks, Timing: expertmap.DefaultProposerTiming()},
+		Config:    expertmap.ProposerConfig{ID: uint64(len(b.roster())), Ranks: ranks, Timing: expertmap.DefaultProposerTiming()},
 		Loop:      loop,
 		Transport: node.NewTransport(t.Context(), http.DefaultClient, b.directory().Resolve),
 	})
@@ -231,7 +242,9 @@
 // acknowledgements there is no certificate.
 func TestNoSwitchWithoutEveryRank(t *testing.T) {
 	b := startBed(t)
+	b.mu.Lock()
 	b.members = b.members[1:]
+	b.mu.Unlock()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
 	_, err := b.startLeader(t, "entry-1").Turn(ctx, time.Now(), 1)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -11,10 +11,12 @@
 dir=$(mktemp -d)
 pids=()
 
-# stop_all ends what this script started, and nothing else.
+# stop_all ends what this script started, and nothing else. The platform goes last: nodes that leave tell it so.
 stop_all() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]:1}"; do kill "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]:1}"; do wait "$pid" 2>/dev/null || true; done
+  kill "${pids[0]}" 2>/dev/null || true
+  wait "${pids[0]}" 2>/dev/null || true
   rm -rf "$dir"
 }
 trap stop_all EXIT
