--- a/internal/bench/pages/command.go
+++ b/internal/bench/pages/command.go
@@ -19,6 +19,9 @@
 	Seeds, Hours int
 	// Requests are those of each path of the load; Workers is the number of runs at once.
 	Requests, Workers int
+	// Nodes are the sizes of the deployments in which changes are accepted, Changes their number for each.
+	Nodes   []int
+	Changes int
 	// Slopes is a JSON file of slopes to show in place of measuring them.
 	Slopes string
 	// Benches are the sections to run, in this order.
@@ -35,6 +38,8 @@
 	cmd.Flag("hours", "Length of each trace of popularity.").Default("24").IntVar(&o.Hours)
 	cmd.Flag("requests", "Requests of each path of the load.").Default("2000").IntVar(&o.Requests)
 	cmd.Flag("workers", "Number of runs at once.").Default("4").IntVar(&o.Workers)
+	cmd.Flag("nodes", "Sizes of deployments for the configuration.").Default("10", "30", "60").IntsVar(&o.Nodes)
+	cmd.Flag("changes", "Changes for each of them.").Default("10").IntVar(&o.Changes)
 	cmd.Flag("slopes", "Show the slopes of this JSON file in place of measuring them.").StringVar(&o.Slopes)
 	cmd.Flag("bench", "Benches to run; repeat it for several.").Default(benchNames...).EnumsVar(&o.Benches, benchNames...)
 	cmd.Action(func(*kingpin.ParseContext) error { return run(o, os.Stdout) })
@@ -45,10 +50,11 @@
 	benchRebalance = "rebalance"
 	benchPolicy    = "policy"
 	benchLoad      = "load"
+	benchConfig    = "config"
 	benchSlopes    = "slopes"
 )
 
-var benchNames = []string{benchRebalance, benchPolicy, benchLoad, benchSlopes}
+var benchNames = []string{benchRebalance, benchPolicy, benchConfig, benchLoad, benchSlopes}
 
 func bench(name string, o Options, log io.Writer) (Section, error) {
 	switch name {
@@ -56,6 +62,8 @@
 		return rebalanceSection(o)
 	case benchPolicy:
 		return policySection(o)
+	case benchConfig:
+		return configSection(o)
 	case benchLoad:
 		return loadSection(o)
 	}
--- a/internal/bench/pages/page.go
+++ b/internal/bench/pages/page.go
@@ -26,6 +26,8 @@
 	Tables  []report.Table
 	Claims  []report.Claim
 	Plots   []Plot
+	// Output is what a bench wrote as text, if it has no tables of its own.
+	Output string
 	// Failed is why the bench gave no result; empty if it did.
 	Failed string
 }
@@ -78,6 +80,10 @@
 			fmt.Fprintf(w, "no result: %s\n", s.Failed)
 			continue
 		}
+		if s.Output != "" {
+			fmt.Fprint(w, s.Output)
+			continue
+		}
 		if len(s.Claims) == 0 {
 			fmt.Fprintf(w, "%d tables, no limits to meet\n", len(s.Tables))
 		}
--- a/internal/bench/pages/sections.go
+++ b/internal/bench/pages/sections.go
@@ -5,7 +5,9 @@
 	"io"
 	"path/filepath"
 	"strings"
+	"time"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/config"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/load"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/policy"
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/rebalance"
@@ -73,6 +75,22 @@
 	return s, nil
 }
 
+// configSection measures acceptance of changes in deployments that grow.
+func configSection(o Options) (Section, error) {
+	const idle = 5 * time.Second
+	s := Section{
+		ID: "config", Title: "Configuration", Text: "Time from a put until it is in force everywhere, and what acceptance costs a node.",
+		Command: fmt.Sprintf("cardamomyoke-bench config --seed %d --changes %d --idle %s", o.Seed, o.Changes, idle),
+	}
+	for _, n := range o.Nodes {
+		s.Command += fmt.Sprintf(" --nodes %d", n)
+	}
+	var out strings.Builder
+	err := config.Run(&out, o.Nodes, o.Changes, idle, o.Seed)
+	s.Output = out.String()
+	return s, err
+}
+
 // slopesSection measures the slopes, or reads those of an earlier run.
 func slopesSection(o Options, log io.Writer) (Section, error) {
 	s := Section{
