--- a/internal/bench/load/bed.go
+++ b/internal/bench/load/bed.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/attempt"
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/meter"
 	"github.com/cardamomyoke/cardamomyoke/internal/config"
 	"github.com/cardamomyoke/cardamomyoke/internal/entry"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
@@ -80,7 +81,7 @@
 	}
 	ports := make([]string, 16)
 	for i := range ports {
-		if ports[i], err = freePort(); err != nil {
+		if ports[i], err = meter.FreePort(); err != nil {
 			return err
 		}
 	}
--- a/internal/bench/load/cost.go
+++ b/internal/bench/load/cost.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/meter"
 	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
 )
 
@@ -85,9 +85,9 @@
 		if err := drive(client, p, requests/10, c.o.Workers, nil); err != nil {
 			return err
 		}
-		before := processorTime()
+		before := meter.ProcessorTime()
 		err := drive(client, p, requests, c.o.Workers, nil)
-		*into = (processorTime() - before) / time.Duration(requests)
+		*into = (meter.ProcessorTime() - before) / time.Duration(requests)
 		client.Close()
 		if err != nil {
 			return err
@@ -95,12 +95,3 @@
 	}
 	return nil
 }
-
-// processorTime is what this process has used so far, in user and system mode; 0 if the system does not tell.
-func processorTime() time.Duration {
-	var u syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
--- a/internal/bench/load/load.go
+++ b/internal/bench/load/load.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"runtime"
 	"sync"
@@ -194,16 +193,6 @@
 	return nil
 }
 
-// freePort finds a free port on loopback.
-func freePort() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("free port: %w", err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
-
 func chatBody(tokens int) []byte {
 	messages := []map[string]string{{"role": "user", "content": "Quote: two bodies, a set of primes, four days."}}
 	body, err := json.Marshal(map[string]any{"model": serviceModel, "messages": messages, "max_tokens": tokens, "stream": true})
--- a/internal/bench/slopes/entry.go
+++ b/internal/bench/slopes/entry.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"time"
 
 	"github.com/go-kit/log"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/meter"
 	"github.com/cardamomyoke/cardamomyoke/internal/config"
 	"github.com/cardamomyoke/cardamomyoke/internal/control"
 	"github.com/cardamomyoke/cardamomyoke/internal/digest"
@@ -39,7 +39,7 @@
 	}
 	c := &controlled{loop: control.New(), set: &entry.Settings{Name: "entry-self", DataCentre: "centre-0"}}
 	for _, a := range []*string{&c.set.HTTP.Address, &c.set.Control.Address, &c.set.Digests.Address, &c.set.Platform} {
-		if *a, err = freePort(); err != nil {
+		if *a, err = meter.FreePort(); err != nil {
 			return nil, err
 		}
 	}
@@ -51,7 +51,7 @@
 		return nil, fmt.Errorf("digests: %w", err)
 	}
 	// The members are nobody's: what the entry sends them goes to a port of its own that drops it.
-	sink, err := freePort()
+	sink, err := meter.FreePort()
 	if err != nil {
 		return nil, err
 	}
@@ -73,15 +73,6 @@
 	return c, nil
 }
 
-func freePort() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("free port: %w", err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
-
 func (c *controlled) stop() {
 	c.entry.Kill()
 	c.cancel()
--- a/internal/bench/slopes/revisions.go
+++ b/internal/bench/slopes/revisions.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/bench/meter"
 	"github.com/cardamomyoke/cardamomyoke/internal/control"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
@@ -117,10 +118,10 @@
 	defer a.stop()
 	time.Sleep(agentSettle)
 	messages, bytes, each := a.traffic()
-	usage, busy := a.store.Usage(), processorTime()
+	usage, busy := a.store.Usage(), meter.ProcessorTime()
 	time.Sleep(agentSpan)
 	messages2, bytes2, each2 := a.traffic()
-	usage2, busy2 := a.store.Usage(), processorTime()
+	usage2, busy2 := a.store.Usage(), meter.ProcessorTime()
 	seconds, nodes := agentSpan.Seconds(), float64(n)
 	most := 0.0
 	for i := range each {
@@ -239,11 +240,11 @@
 	if err := send(warm); err != nil {
 		return nil, err
 	}
-	before, busy := bytes.Load(), processorTime()
+	before, busy := bytes.Load(), meter.ProcessorTime()
 	if err := send(calls); err != nil {
 		return nil, err
 	}
-	return []float64{float64(bytes.Load() - before), float64((processorTime() - busy).Microseconds())}, nil
+	return []float64{float64(bytes.Load() - before), float64((meter.ProcessorTime() - busy).Microseconds())}, nil
 }
 
 // beat is what a node sends when nothing changes, in a deployment of so many members of which some are missing.
--- a/internal/bench/slopes/run.go
+++ b/internal/bench/slopes/run.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"runtime"
-	"syscall"
 	"time"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/bench/report"
@@ -159,12 +158,3 @@
 	}
 	return best
 }
-
-// processorTime is what this process has used so far, in user and system mode.
-func processorTime() time.Duration {
-	var u syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
