--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -116,11 +116,14 @@
 }
 
 // GetRankReport implements the RankService.
-func (e *Engine) GetRankReport(ctx context.Context, _ *cardamomyokev1.GetRankReportRequest) (*cardamomyokev1.GetRankReportResponse, error) {
+func (e *Engine) GetRankReport(ctx context.Context, in *cardamomyokev1.GetRankReportRequest) (*cardamomyokev1.GetRankReportResponse, error) {
 	s, err := e.state(ctx)
 	if err != nil {
 		return nil, err
 	}
+	if s.Window.Number == in.GetKnownWindow() {
+		s.Window.Tokens = nil
+	}
 	return &cardamomyokev1.GetRankReportResponse{
 		Rank:       uint32(e.rank),
 		Window:     s.Window.Number,
--- a/internal/rebalance/audit_test.go
+++ b/internal/rebalance/audit_test.go
@@ -21,7 +21,7 @@
 // empty are ranks without a map.
 type empty struct{}
 
-func (empty) Report(_ context.Context, _ ids.Group, rank int) (*cardamomyokev1.GetRankReportResponse, error) {
+func (empty) Report(_ context.Context, _ ids.Group, rank int, _ uint64) (*cardamomyokev1.GetRankReportResponse, error) {
 	return &cardamomyokev1.GetRankReportResponse{Rank: uint32(rank)}, nil
 }
 
--- a/internal/rebalance/directory.go
+++ b/internal/rebalance/directory.go
@@ -53,12 +53,12 @@
 }
 
 // Report implements Ranks.
-func (d *Directory) Report(ctx context.Context, group ids.Group, rank int) (*cardamomyokev1.GetRankReportResponse, error) {
+func (d *Directory) Report(ctx context.Context, group ids.Group, rank int, known uint64) (*cardamomyokev1.GetRankReportResponse, error) {
 	url, ok := d.Resolve(group, expertmap.Addr{Rank: expertmap.Rank(rank)})
 	if !ok {
 		return nil, &UnknownRankError{group, rank}
 	}
-	return d.client(url).GetRankReport(ctx, &cardamomyokev1.GetRankReportRequest{Group: string(group)})
+	return d.client(url).GetRankReport(ctx, &cardamomyokev1.GetRankReportRequest{Group: string(group), KnownWindow: known})
 }
 
 func (d *Directory) client(url string) cardamomyokev1connect.RankServiceClient {
--- a/internal/rebalance/group.go
+++ b/internal/rebalance/group.go
@@ -18,9 +18,9 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/platform"
 )
 
-// Ranks asks the slot of each rank for its report.
+// Ranks asks the slot of each rank for its report, without the counts of the window that is known already.
 type Ranks interface {
-	Report(ctx context.Context, group ids.Group, rank int) (*cardamomyokev1.GetRankReportResponse, error)
+	Report(ctx context.Context, group ids.Group, rank int, known uint64) (*cardamomyokev1.GetRankReportResponse, error)
 }
 
 // Proposer leads a group to a map; node.Proposer is one.
@@ -44,6 +44,8 @@
 const (
 	// reportTimeout bounds the round of reports.
 	reportTimeout = 2 * time.Second
+	// decideEvery is the longest time between two decisions; it is a third of the time after which a rank is stalled.
+	decideEvery = placement.StallAfter / 3
 	// switchTimeout bounds a switch with its loading of weights.
 	switchTimeout = 5 * time.Minute
 	// memorySlack is the room for replicas, and for those being loaded, over one copy of each expert, as a part of it.
@@ -62,6 +64,9 @@
 	shape  expert.Shape
 	group  placement.Group
 	policy *placement.Policy
+	// windows are the newest windows of the ranks, and decided is when the map was last weighed.
+	windows []uint64
+	decided time.Time
 	// current is the map in force; nil before it is known.
 	current *expert.Map
 }
@@ -77,7 +82,7 @@
 		ExpertBytes: expertBytes,
 		StoreRate:   storeRate(ctx, o),
 	}
-	return &Group{opts: o, shape: shape, group: g, policy: placement.NewPolicy(g)}
+	return &Group{opts: o, shape: shape, group: g, policy: placement.NewPolicy(g), windows: make([]uint64, shape.Ranks)}
 }
 
 func memorySlots(s expert.Shape) int {
@@ -112,6 +117,9 @@
 			_ = level.Warn(g.opts.Logger).Log("msg", "rank report refused", "group", g.opts.Group, "err", err)
 		}
 	}
+	if !g.due(reports, now) {
+		return placement.ReasonNoData, nil
+	}
 	d := g.policy.Decide(now, placement.FromConfig(g.opts.Config.GetRebalancing()), g.current)
 	if d.Plan == nil {
 		return d.Stay, nil
@@ -119,6 +127,22 @@
 	return "", g.switchTo(ctx, fence, d.Plan.Map, string(d.Plan.Cause))
 }
 
+// due reports whether there is something to decide on: a new window, or enough time that a rank may have stalled. A
+// decision costs milliseconds, so it is not made again on reports that were seen.
+func (g *Group) due(reports []*cardamomyokev1.GetRankReportResponse, now time.Time) bool {
+	news := now.Sub(g.decided) >= decideEvery
+	for _, r := range reports {
+		if r.GetWindow() != g.windows[r.GetRank()] {
+			g.windows[r.GetRank()] = r.GetWindow()
+			news = true
+		}
+	}
+	if news {
+		g.decided = now
+	}
+	return news
+}
+
 // collect asks all ranks at once; a rank that does not answer is left out, which the policy expects.
 func (g *Group) collect(ctx context.Context) []*cardamomyokev1.GetRankReportResponse {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -127,7 +151,7 @@
 	var wg sync.WaitGroup
 	for i := range out {
 		wg.Go(func() {
-			if r, err := g.opts.Ranks.Report(ctx, g.opts.Group, i); err == nil && int(r.GetRank()) == i {
+			if r, err := g.opts.Ranks.Report(ctx, g.opts.Group, i, g.windows[i]); err == nil && int(r.GetRank()) == i {
 				out[i] = r
 			}
 		})
