Status shows which upstreams an operator drained

Cause: seen with real processes, a drained upstream was listed as ready, though routing gave it no new work (its weight is 0). Small change in entry/status.go.

--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -6,6 +6,9 @@
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 )
 
+// drainedByOperator is added to a state: the upstream is as healthy as the state says, and gets no new work.
+const drainedByOperator = ", drained by an operator"
+
 // UpstreamStatuses returns the upstreams that this entry routes to, for operators.
 func (e *Entry) UpstreamStatuses() []*cardamomyokev1.UpstreamStatus {
 	var out []*cardamomyokev1.UpstreamStatus
@@ -19,6 +22,9 @@
 		one := &cardamomyokev1.UpstreamStatus{
 			Name: string(status.Upstream), Service: string(status.Service), State: string(status.State),
 		}
+		if s.snapshot != nil && s.snapshot.Drained(status.Upstream) {
+			one.State += drainedByOperator
+		}
 		if u, ok := s.upstreams[status.Upstream]; ok {
 			one.DataCentre = u.digest.GetDataCentre()
 		}
--- /dev/null
+++ b/internal/entry/status_test.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/admission/limits"
+	"github.com/cardamomyoke/cardamomyoke/internal/config"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+)
+
+// An operator drains a healthy upstream and looks at the status: it must not look as if it still took work.
+func TestStatusShowsWhatAnOperatorDrained(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := newState(&Settings{Name: "e1", DataCentre: "vallejo"}, nil, limits.New(limits.Defaults(), 1), log.NewNopLogger(), now)
+	for _, name := range []string{"u1", "u2"} {
+		s.hearSlot(&cardamomyokev1.Digest{
+			Node: name, Incarnation: "a", Role: cardamomyokev1.NodeRole_NODE_ROLE_SLOT,
+			Slot: &cardamomyokev1.SlotLoad{Service: "desk-model"},
+		}, now)
+	}
+	for _, drained := range []bool{true, false} {
+		snap, err := config.NewSnapshot(&cardamomyokev1.Configuration{
+			Revision:  1,
+			Policies:  &cardamomyokev1.Policies{AddressKeepMs: 5000, EjectionPercent: 30, QuarantineS: 60},
+			Upstreams: []*cardamomyokev1.UpstreamOverride{{Name: "u1", Drained: drained}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.adopt(snap)
+		list := s.upstreamStatuses(now)
+		if len(list) != 2 {
+			t.Fatalf("status %v", list)
+		}
+		for _, u := range list {
+			want := drained && u.GetName() == "u1"
+			if strings.HasSuffix(u.GetState(), drainedByOperator) != want {
+				t.Errorf("drained %v: %v", drained, u)
+			}
+		}
+	}
+}
