--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -20,6 +20,7 @@
   rm -rf "$dir"
 }
 trap stop_all EXIT
+trap 'exit 143' TERM INT
 
 start() { # start NAME COMMAND...
   local name=$1
@@ -65,6 +66,11 @@
 }
 
 start platform bin/cardamomyoke-standin platform --listen 127.0.0.1:21900
+sleep 0.3
+if ! kill -0 "${pids[0]}" 2>/dev/null; then
+  echo "demo: port 21900 is taken; does another demo run on this machine?" >&2
+  exit 1
+fi
 ledger_flags=()
 for i in $(seq "$runners"); do
   start "engine-$i" bin/cardamomyoke-standin engine --listen "127.0.0.1:$((22300 + i))" --batch 8
