--- a/internal/bench/slopes/revisions.go
+++ b/internal/bench/slopes/revisions.go
@@ -288,7 +288,7 @@
 				{"revision.bytes.busiest", "every node", "B/s of the busiest, without headers", Paced},
 				{"revision.reads", "platform", "reads/s, all nodes", Paced}, {"revision.writes", "platform", "writes/s, all nodes", Paced},
 				{"revision.processor", "every node", "µs/s a node", Timed},
-				{"revision.change.writes", "platform", "writes a change", Counted}, {"revision.change.accepted", "every node", "ms until accepted", Timed},
+				{"revision.change.writes", "platform", "writes a change", Counted}, {"revision.change.accepted", "every node", "ms until accepted", Waited},
 			},
 			Run: revisionFigures,
 		},
