--- /dev/null
+++ b/internal/daemon/node_test.go
@@ -0,0 +1,106 @@
+package daemon_test
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/daemon"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/keys"
+	"github.com/cardamomyoke/cardamomyoke/internal/keys/keystest"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/revision/agent"
+	standin "github.com/cardamomyoke/cardamomyoke/internal/standin/platform"
+)
+
+// bound ends a test that would otherwise hang; it measures nothing.
+const bound = time.Minute
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// node is a running node and where its control port is.
+type node struct {
+	*daemon.Node
+	address string
+}
+
+func startNode(t *testing.T, name, platform string, source *keys.Source, seeds ...string) node {
+	address := freeAddress(t)
+	n := daemon.NewNode(daemon.NodeOptions{
+		Self: &revision.Member{
+			Name: name, DataCentre: "vallejo", Role: cardamomyokev1.NodeRole_NODE_ROLE_ENTRY, Address: address,
+		},
+		Seeds: seeds, Platform: platform, Keys: source, Logger: log.NewNopLogger(),
+	})
+	if err := n.Run(metrics.NewSet(), func(time.Time) {}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Stop)
+	return node{n, address}
+}
+
+func policies(*revision.State) ([]*cardamomyokev1.Edit, error) {
+	p := &cardamomyokev1.Policies{AddressKeepMs: 5000, EjectionPercent: 30, QuarantineS: 60}
+	return []*cardamomyokev1.Edit{{
+		Action: cardamomyokev1.EditAction_EDIT_ACTION_CHANGE, Object: &cardamomyokev1.Edit_Policies{Policies: p},
+	}}, nil
+}
+
+// A node starts while the table is down, and has only the address of another one that is up. It can learn the
+// configuration from that one alone, by RPC; so it does if its certificate is good, and stays without if it comes from
+// another authority, or if it has none.
+func TestNodesTalkOverTLS(t *testing.T) {
+	srv := httptest.NewServer(standin.Handler(standin.NewStore(standin.Limits{})))
+	t.Cleanup(srv.Close)
+	ca := keystest.New(t)
+	first := startNode(t, "e1", strings.TrimPrefix(srv.URL, "http://"), keystest.Load(t, ca.Issue("e1", keys.RoleNode)))
+	ctx, cancel := context.WithTimeout(t.Context(), bound)
+	defer cancel()
+	meta := &cardamomyokev1.ChangeMeta{Operator: "ana", Reason: "test", OperationId: "op-1"}
+	e, err := first.Agent.Change(ctx, meta, policies)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if v := first.Agent.Wait(ctx, e.GetSeq()); v.Accepted < e.GetSeq() {
+		t.Fatalf("not accepted: waiting for %v", v.Pending)
+	}
+	good := startNode(t, "e2", freeAddress(t), keystest.Load(t, ca.Issue("e2", keys.RoleNode)), first.address)
+	for {
+		changed := good.Agent.Changed()
+		if good.Agent.View().Newest.Revision() == 1 {
+			break
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			t.Fatal("the configuration did not come over TLS")
+		}
+	}
+	to := &revision.Member{Name: "e1", Address: first.address}
+	for name, transport := range map[string]agent.Transport{
+		"another authority": agent.NewRPC(keystest.Load(t, keystest.New(t).Issue("e2", keys.RoleNode)).HTTPClient(), "https"),
+		"an operator":       agent.NewRPC(keystest.Load(t, ca.Issue("ana", keys.RoleForce)).HTTPClient(), "https"),
+		"no certificate":    agent.NewRPC(agent.HTTP2(), "http"),
+	} {
+		if _, err := transport.CatchUp(ctx, to); err == nil {
+			t.Errorf("%s: the configuration was given away", name)
+		}
+	}
+	if _, err := agent.NewRPC(keystest.Load(t, ca.Issue("e3", keys.RoleNode)).HTTPClient(), "https").CatchUp(ctx, to); err != nil {
+		t.Errorf("the control: %v", err)
+	}
+}
