--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -63,7 +63,7 @@
 }
 
 func (t *try) request() *fasthttp.Request {
-	req := &fasthttp.Request{}
+	req := fasthttp.AcquireRequest()
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI(attempt.PathRun)
 	req.Header.SetHost("slot")
@@ -78,7 +78,9 @@
 // send sends the attempt and returns the slot's answer, which is neither a refusal nor another attempt's. The caller
 // must release it. Errors: *failure.Error.
 func (e *Entry) send(ctx context.Context, t *try) (*httpclient.Answer, error) {
-	answer, err := e.client.Do(ctx, t.to.Address, t.request())
+	req := t.request()
+	answer, err := e.client.Do(ctx, t.to.Address, req)
+	fasthttp.ReleaseRequest(req) // it is written in full, or given up
 	if err != nil {
 		return nil, e.lost(ctx, t, err)
 	}
--- a/internal/httpserver/exchange.go
+++ b/internal/httpserver/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -134,8 +135,15 @@
 	lastChunk = []byte("0\r\n\r\n")
 )
 
+// heads keeps headers between answers; headBytes is room for a usual one.
+var heads = sync.Pool{New: func() any { return &fasthttp.ResponseHeader{} }}
+
+const headBytes = 384
+
 func (x *Exchange) head(status int, headers []Header, length int) []byte {
-	h := &fasthttp.ResponseHeader{}
+	h := heads.Get().(*fasthttp.ResponseHeader)
+	defer heads.Put(h)
+	h.Reset()
 	h.SetNoDefaultContentType(true)
 	h.SetStatusCode(status)
 	h.SetContentLength(length)
@@ -146,7 +154,7 @@
 		x.close = true
 		h.SetConnectionClose()
 	}
-	return h.AppendBytes(nil)
+	return h.AppendBytes(make([]byte, 0, headBytes))
 }
 
 // abandon closes a connection whose handler returned without a whole answer. The caller must see the cut: a
--- a/internal/httpserver/parse.go
+++ b/internal/httpserver/parse.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 
 	"github.com/valyala/fasthttp"
 
@@ -40,7 +41,8 @@
 	}
 	end += len(headerEnd)
 	source := &endNoter{Reader: bytes.NewReader(buf)}
-	reader := bufio.NewReaderSize(source, max(end, minReadBuffer))
+	reader := readerFor(source, end)
+	defer readers.Put(reader)
 	req := fasthttp.AcquireRequest()
 	p, err := cutRequest(req, reader, source, end, l)
 	if err != nil || p.need > 0 {
@@ -50,6 +52,19 @@
 	return parsed{req: req, used: len(buf) - source.Len() - reader.Buffered()}, nil
 }
 
+// readers keeps buffers between requests; each holds minReadBuffer bytes or what the largest header so far needed.
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, minReadBuffer) }}
+
+// readerFor returns a reader whose buffer holds a whole header of the given size.
+func readerFor(source io.Reader, header int) *bufio.Reader {
+	r := readers.Get().(*bufio.Reader)
+	if r.Size() < header {
+		r = bufio.NewReaderSize(nil, header)
+	}
+	r.Reset(source)
+	return r
+}
+
 // endNoter notes that more bytes were asked for than there are. The parser's own error does not say so in all cases,
 // and a request whose rest is still on its way must not be refused as malformed.
 type endNoter struct {
--- a/internal/slot/model.go
+++ b/internal/slot/model.go
@@ -57,7 +57,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	sent := time.Now()
-	answer, err := s.client.Do(ctx, s.settings.Upstream.Address, engineRequest(j))
+	req := engineRequest(j)
+	answer, err := s.client.Do(ctx, s.settings.Upstream.Address, req)
+	fasthttp.ReleaseRequest(req) // it is written in full, or given up
 	if err != nil {
 		return s.upstreamError(ctx, err)
 	}
@@ -90,7 +92,7 @@
 }
 
 func engineRequest(j *job) *fasthttp.Request {
-	req := &fasthttp.Request{}
+	req := fasthttp.AcquireRequest()
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI(enginePath)
 	req.Header.SetHost("engine")
--- a/internal/slot/plain.go
+++ b/internal/slot/plain.go
@@ -43,7 +43,9 @@
 	flight := s.work.start(j.Attempt.Entry, estimateOf(j), time.Now())
 	defer flight.End()
 	sent := time.Now()
-	answer, err := s.client.Do(ctx, s.settings.Upstream.Address, plainRequest(j))
+	req := plainRequest(j)
+	answer, err := s.client.Do(ctx, s.settings.Upstream.Address, req)
+	fasthttp.ReleaseRequest(req) // it is written in full, or given up
 	if err != nil {
 		return nil, s.upstreamError(ctx, err)
 	}
@@ -60,7 +62,7 @@
 }
 
 func plainRequest(j *job) *fasthttp.Request {
-	req := &fasthttp.Request{}
+	req := fasthttp.AcquireRequest()
 	req.Header.SetMethod(j.Method)
 	req.SetRequestURI(j.Target)
 	req.Header.SetHost(string(j.Service))
