One frame for both daemons' mains

Cause: the mains of entry and slot set up logger, tracer, keys and node, and shut down, in the same lines twice.

--- a/internal/daemon/entrymain/entrymain.go
+++ b/internal/daemon/entrymain/entrymain.go
@@ -5,11 +5,9 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/daemon"
 	"github.com/cardamomyoke/cardamomyoke/internal/entry"
@@ -17,14 +15,11 @@
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/keys"
 	"github.com/cardamomyoke/cardamomyoke/internal/lease/keeper"
-	"github.com/cardamomyoke/cardamomyoke/internal/logging"
 	"github.com/cardamomyoke/cardamomyoke/internal/operator"
 	"github.com/cardamomyoke/cardamomyoke/internal/rebalance"
 	"github.com/cardamomyoke/cardamomyoke/internal/revision"
 	"github.com/cardamomyoke/cardamomyoke/internal/settings"
-	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
 )
 
 // Program returns the entry daemon.
@@ -39,62 +34,43 @@
 
 func run(ctx context.Context, checked settings.Checker, o daemon.Options) error {
 	set := checked.(*entry.Settings)
-	logger := logging.New(os.Stderr, set.Log)
-	tracer, err := tracing.New(ctx, "cardamomyoke-entry", set.Tracing)
-	if err != nil {
-		return fmt.Errorf("tracing: %w", err)
-	}
-	defer func() { _ = tracer.Close(context.Background()) }()
-	source, err := keys.Load(set.TLS, logger)
-	if err != nil {
-		return fmt.Errorf("start: %w", err)
-	}
-	n := daemon.NewNode(daemon.NodeOptions{
-		Self: &revision.Member{
-			Name:       set.Name,
-			DataCentre: string(set.DataCentre),
-			Role:       cardamomyokev1.NodeRole_NODE_ROLE_ENTRY,
-			Address:    set.Control.Address,
+	f, err := daemon.Open(ctx, daemon.FrameOptions{
+		Process: "cardamomyoke-entry", Log: set.Log, Tracing: set.Tracing, TLS: set.TLS,
+		Node: daemon.NodeOptions{
+			Self: &revision.Member{
+				Name:       set.Name,
+				DataCentre: string(set.DataCentre),
+				Role:       cardamomyokev1.NodeRole_NODE_ROLE_ENTRY,
+				Address:    set.Control.Address,
 
-			DigestAddress: set.Digests.Address,
+				DigestAddress: set.Digests.Address,
+			},
+			Seeds:    set.Control.Seeds,
+			Platform: set.Platform,
+			Fixed:    o.Fixed,
 		},
-		Seeds:    set.Control.Seeds,
-		Platform: set.Platform,
-		Fixed:    o.Fixed,
-		Keys:     source,
-		Logger:   logger,
 	})
+	if err != nil {
+		return err
+	}
+	n := f.Node
 	e, err := entry.Start(set, entry.Deps{
-		Config: n.Config, Loop: n.Loop, Incarnation: n.Incarnation, Roster: n.Roster, Table: n.Platform, Logger: logger, Tracer: tracer,
-		Audit: n.Record,
+		Config: n.Config, Loop: n.Loop, Incarnation: n.Incarnation, Roster: n.Roster, Table: n.Platform,
+		Logger: f.Logger, Tracer: f.Tracer, Audit: n.Record,
 	})
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
 	tick := e.Tick
 	if n.Agent != nil {
-		tick = withDuties(set, n, e.Tick, logger)
+		tick = withDuties(set, n, e.Tick, f.Logger)
 		n.Mux.Handle(operator.Handler(operator.New(operator.Options{
 			Node: set.Name, Agent: n.Agent, Table: n.Platform, Upstreams: e.UpstreamStatuses,
 			Audit: n.Audit,
 		}), n.HandlerOptions()...))
 	}
 	n.CatchUpAudit(ctx)
-	if err := n.Run(e.Metrics(), tick); err != nil {
-		e.Kill()
-		return fmt.Errorf("start: %w", err)
-	}
-	defer n.Stop()
-	<-ctx.Done()
-	_ = level.Info(logger).Log("msg", "shutting down")
-	grace, cancel := context.WithTimeout(context.Background(), o.Grace)
-	defer cancel()
-	err = e.Shutdown(grace)
-	n.Leave(grace)
-	if err != nil {
-		return fmt.Errorf("shutdown: %w", err)
-	}
-	return nil
+	return f.Serve(ctx, e, tick, o.Grace)
 }
 
 // withDuties adds the duties that this entry may hold a lease for to what the control loop does.
--- a/internal/daemon/slotmain/slotmain.go
+++ b/internal/daemon/slotmain/slotmain.go
@@ -4,24 +4,19 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/daemon"
 	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
 	"github.com/cardamomyoke/cardamomyoke/internal/expertmap/node"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
-	"github.com/cardamomyoke/cardamomyoke/internal/keys"
-	"github.com/cardamomyoke/cardamomyoke/internal/logging"
 	"github.com/cardamomyoke/cardamomyoke/internal/rank"
 	"github.com/cardamomyoke/cardamomyoke/internal/revision"
 	"github.com/cardamomyoke/cardamomyoke/internal/settings"
 	"github.com/cardamomyoke/cardamomyoke/internal/slot"
-	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
 )
 
 // Program returns the slot daemon.
@@ -36,35 +31,31 @@
 
 func run(ctx context.Context, checked settings.Checker, o daemon.Options) error {
 	set := checked.(*slot.Settings)
-	logger := logging.New(os.Stderr, set.Log)
-	tracer, err := tracing.New(ctx, "cardamomyoke-slot", set.Tracing)
-	if err != nil {
-		return fmt.Errorf("tracing: %w", err)
-	}
-	defer func() { _ = tracer.Close(context.Background()) }()
-	source, err := keys.Load(set.TLS, logger)
-	if err != nil {
-		return fmt.Errorf("start: %w", err)
-	}
-	n := daemon.NewNode(daemon.NodeOptions{
-		Self: &revision.Member{
-			Name:       set.Name,
-			DataCentre: string(set.DataCentre),
-			Role:       cardamomyokev1.NodeRole_NODE_ROLE_SLOT,
-			Address:    set.Control.Address,
+	f, err := daemon.Open(ctx, daemon.FrameOptions{
+		Process: "cardamomyoke-slot", Log: set.Log, Tracing: set.Tracing, TLS: set.TLS,
+		Node: daemon.NodeOptions{
+			Self: &revision.Member{
+				Name:       set.Name,
+				DataCentre: string(set.DataCentre),
+				Role:       cardamomyokev1.NodeRole_NODE_ROLE_SLOT,
+				Address:    set.Control.Address,
 
-			DigestAddress: set.Digests.Address,
-			Group:         string(set.Group.Name),
-			Rank:          set.Group.Rank,
+				DigestAddress: set.Digests.Address,
+				Group:         string(set.Group.Name),
+				Rank:          set.Group.Rank,
+			},
+			Seeds:    set.Control.Seeds,
+			Platform: set.Platform,
+			Fixed:    o.Fixed,
 		},
-		Seeds:    set.Control.Seeds,
-		Platform: set.Platform,
-		Fixed:    o.Fixed,
-		Keys:     source,
-		Logger:   logger,
 	})
+	if err != nil {
+		return err
+	}
+	n := f.Node
 	s, err := slot.Start(set, slot.Deps{
-		Config: n.Config, Incarnation: n.Incarnation, Roster: n.Roster, Table: n.Platform, Logger: logger, Tracer: tracer,
+		Config: n.Config, Incarnation: n.Incarnation, Roster: n.Roster, Table: n.Platform,
+		Logger: f.Logger, Tracer: f.Tracer,
 	})
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
@@ -72,23 +63,9 @@
 	if set.Group.Name != "" {
 		groupCtx, stop := context.WithCancel(context.Background())
 		defer stop()
-		joinGroup(groupCtx, set, n, logger)
-	}
-	if err := n.Run(s.Metrics(), func(time.Time) {}); err != nil {
-		s.Kill()
-		return fmt.Errorf("start: %w", err)
-	}
-	defer n.Stop()
-	<-ctx.Done()
-	_ = level.Info(logger).Log("msg", "shutting down")
-	grace, cancel := context.WithTimeout(context.Background(), o.Grace)
-	defer cancel()
-	err = s.Shutdown(grace)
-	n.Leave(grace)
-	if err != nil {
-		return fmt.Errorf("shutdown: %w", err)
+		joinGroup(groupCtx, set, n, f.Logger)
 	}
-	return nil
+	return f.Serve(ctx, s, func(time.Time) {}, o.Grace)
 }
 
 // joinGroup runs the rank's part of the map switch and answers for its reports.
