Slots hand operators' orders to their engines

Cause: the RPC took orders with fencing numbers, and no slot read them: an accepted order was never carried out. Change: a slot reads its upstream's newest order every 5 s, lets none pass that is older than one before, gives it to the engine and again until the engine takes it; the engine stand-in honours or ignores fencing numbers by a flag. Measured: go test ./internal/slot: both kinds of engine take each order once; a late read of a replaced order is refused; internal/faulttest passes. 780 slots read 156 rows a second of the table's two thousand (worked out).

--- a/cmd/cardamomyoke-standin/main.go
+++ b/cmd/cardamomyoke-standin/main.go
@@ -66,6 +66,7 @@
 	cmd.Flag("cache-blocks", "Blocks that the prefix cache holds.").Default("4096").IntVar(&o.CacheBlocks)
 	cmd.Flag("cache-lag", "How late cache events are.").Default("300ms").DurationVar(&o.CacheLag)
 	cmd.Flag("cache-gap", "One cache event in so many is lost; 0 for none.").Default("10").IntVar(&o.CacheGap)
+	cmd.Flag("honour-fence", "Refuse orders with an old fencing number.").BoolVar(&o.HonourFence)
 	cmd.Flag("crash", "Text in a prompt that takes the engine down.").StringVar(&o.Crash)
 	cmd.Flag("load-lag", "How old a load report is.").Default("200ms").DurationVar(&o.LoadLag)
 	cmd.Action(func(*kingpin.ParseContext) error {
--- a/internal/slot/slot.go
+++ b/internal/slot/slot.go
@@ -108,6 +108,9 @@
 		return nil, fmt.Errorf("slot %s: %w", set.Name, err)
 	}
 	go s.upstream.run(ctx, s)
+	if set.Upstream.Kind == KindModel {
+		go (&orders{slot: s, table: d.Table}).run(ctx)
+	}
 	_ = level.Info(s.logger).Log("msg", "slot serves", "http", set.HTTP.Address, "service", set.Service, "incarnation", s.incarnation)
 	return s, nil
 }
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -23,6 +23,8 @@
 	CacheGap int
 	// LoadLag is how old a load report is.
 	LoadLag time.Duration
+	// HonourFence refuses an order whose fencing number is lower than one before; without it the engine obeys all.
+	HonourFence bool
 	// Crash is a text in a prompt that takes the engine down; OnCrash is how it goes down.
 	Crash   string
 	OnCrash func()
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -38,6 +38,8 @@
 	crossed atomic.Bool
 	runs    sync.Map // request id → *atomic.Int64
 	mu      sync.Mutex
+	fence   uint64
+	orders  []string
 	events  []cacheEvent
 	reports []load
 }
@@ -181,6 +183,8 @@
 			reports = []load{{Start: e.start}}
 		}
 		respondJSON(x, reports[0])
+	case "/v1/orders":
+		e.serveOrder(x)
 	case "/v1/cache-events":
 		respondJSON(x, e.eventsAfter(x.Req.URI().QueryArgs().GetUintOrZero("after")))
 	default:
--- /dev/null
+++ b/internal/standin/engine/orders.go
@@ -0,0 +1,48 @@
+package engine
+
+import (
+	"slices"
+
+	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
+)
+
+// Orders returns the orders that the engine took, as NAME:VERSION or the role.
+func (e *Engine) Orders() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.orders)
+}
+
+// serveOrder takes an order; loading takes no time here.
+func (e *Engine) serveOrder(x *httpserver.Exchange) {
+	o := &cardamomyokev1.EngineOrder{}
+	if err := protojson.Unmarshal(x.Req.Body(), o); err != nil {
+		_ = x.Respond(fasthttp.StatusBadRequest, nil, nil)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.opts.HonourFence && o.GetFence() < e.fence {
+		_ = x.Respond(fasthttp.StatusConflict, nil, nil)
+		return
+	}
+	e.fence = max(e.fence, o.GetFence())
+	e.orders = append(e.orders, describe(o))
+	_ = x.Respond(fasthttp.StatusOK, nil, nil)
+}
+
+func describe(o *cardamomyokev1.EngineOrder) string {
+	switch {
+	case o.GetLoadModel() != nil:
+		return o.GetLoadModel().GetModel() + ":" + o.GetLoadModel().GetVersion()
+	case o.GetLoadAdapter() != nil:
+		return o.GetLoadAdapter().GetAdapter() + ":" + o.GetLoadAdapter().GetVersion()
+	case o.GetUnloadAdapter() != nil:
+		return "-" + o.GetUnloadAdapter().GetAdapter()
+	}
+	return o.GetChangeRole().GetRole().String()
+}
