A cut in mid-stream counts as a broken connection; one CutError

Cause: the slot had a CutError of its own beside attempt's, and told the quarantine of a broken run only by attempt's: an engine that died in mid-stream was reported as dead with nothing running, so the request that killed it was no suspect. Change: the slot's type is gone; streams and plain answers that break off are attempt.CutError; a run that the entry cancelled is still told as stopped. Measured: TestACutInMidStreamCountsAsBroken fails with the wrapping taken out and passes with it; go test -race of slot, entry and faulttest passes; make lint is clean.

--- a/internal/slot/handler.go
+++ b/internal/slot/handler.go
@@ -95,7 +95,7 @@
 	}
 	defer func() { s.table.Finish(j.Attempt, time.Now()) }()
 	err = s.forward(ctx, x, j)
-	s.leave(pass, err)
+	s.leave(ctx, pass, err)
 	return err
 }
 
--- a/internal/slot/model.go
+++ b/internal/slot/model.go
@@ -163,7 +163,7 @@
 	r.next = r.job.Resume
 	for ev, err := range sse.Read(answer.Body, nil) {
 		if err != nil {
-			return r.broken(err)
+			return r.broken(r.cut(err))
 		}
 		if ev.Data == engineDone {
 			return r.broken(nil)
@@ -176,14 +176,13 @@
 			return r.finish(answer)
 		}
 	}
-	return r.broken(&CutError{r.next})
+	return r.broken(r.cut(nil))
 }
 
-// CutError says that an engine's answer ended before its last token.
-type CutError struct{ Tokens int }
-
-// Error implements error.
-func (e *CutError) Error() string { return fmt.Sprintf("answer cut off after %d tokens", e.Tokens) }
+// cut says that the engine's answer ended before its last token.
+func (r *modelRelay) cut(cause error) error {
+	return &attempt.CutError{Attempt: r.job.Attempt, Tokens: r.next, Cause: cause}
+}
 
 // one passes one token on; it reports whether that was the end.
 func (r *modelRelay) one(ctx context.Context, data []byte) (bool, error) {
--- a/internal/slot/once.go
+++ b/internal/slot/once.go
@@ -39,7 +39,7 @@
 	}
 	defer func() { s.table.Finish(j.Attempt, time.Now()) }()
 	answer, err := s.callPlain(ctx, j)
-	s.leave(pass, err)
+	s.leave(ctx, pass, err)
 	if err != nil {
 		return s.settleClaim(j.Attempt, err)
 	}
--- a/internal/slot/plain.go
+++ b/internal/slot/plain.go
@@ -88,7 +88,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
 	if err != nil {
-		return nil, fmt.Errorf("read answer: %w", err)
+		return nil, &attempt.CutError{Attempt: j.Attempt, Cause: err}
 	}
 	if len(body) > maxAnswerBytes {
 		return nil, &AnswerSizeError{maxAnswerBytes}
--- a/internal/slot/upstream.go
+++ b/internal/slot/upstream.go
@@ -38,11 +38,11 @@
 
 // leave tells the guard how a run ended. A connection that broke is looked into at once: if the upstream died, what
 // ran there is suspect, and the entry's next attempt must know.
-func (s *Slot) leave(pass *quarantine.Pass, err error) {
+func (s *Slot) leave(ctx context.Context, pass *quarantine.Pass, err error) {
 	switch {
 	case err == nil:
 		pass.Leave(quarantine.Whole)
-	case broke(err):
+	case ctx.Err() == nil && broke(err):
 		pass.Leave(quarantine.Broken)
 		s.upstream.look(s)
 	default:
@@ -50,7 +50,7 @@
 	}
 }
 
-// broke reports whether the connection to the upstream broke off.
+// broke reports whether the connection to the upstream broke off, before the answer or in the middle of it.
 func broke(err error) bool {
 	var broken *httpclient.BrokenError
 	var cut *attempt.CutError
--- /dev/null
+++ b/internal/slot/upstream_test.go
@@ -0,0 +1,43 @@
+package slot
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
+)
+
+// An engine dies in mid-stream because of the request that it runs. The caller's request is resumed elsewhere; unless
+// the cut counts as a broken connection, the slot reports a death at which nothing ran, and the next engine dies too.
+func TestACutInMidStreamCountsAsBroken(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = bufio.NewReader(c).ReadString('\n')
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\ndata:\r\n")
+		_ = c.Close()
+	}()
+	req := &fasthttp.Request{}
+	req.SetRequestURI("/")
+	req.Header.SetHost("engine")
+	answer, err := httpclient.New(httpclient.Options{}).Do(t.Context(), l.Addr().String(), req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Release(false)
+	r := &modelRelay{job: &job{}}
+	if err := r.all(t.Context(), answer); !broke(err) {
+		t.Fatalf("%v does not count as broken", err)
+	}
+}
