--- /dev/null
+++ b/cmd/cardamomyoke-gateway/main.go
@@ -0,0 +1,44 @@
+// cardamomyoke-gateway takes callers' requests on the users' platform and sends them straight to upstreams.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-kit/log"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/daemon"
+	"github.com/cardamomyoke/cardamomyoke/internal/gateway"
+	"github.com/cardamomyoke/cardamomyoke/internal/logging"
+	"github.com/cardamomyoke/cardamomyoke/internal/settings"
+	"github.com/cardamomyoke/cardamomyoke/platform"
+)
+
+// logLines is how many log lines may wait to be written: some seconds at the busiest.
+const logLines = 4096
+
+func main() {
+	os.Exit(daemon.Main(daemon.Program{
+		Name:     "cardamomyoke-gateway",
+		Help:     "Takes callers' requests and sends them straight to upstreams.",
+		Settings: func() settings.Checker { return &gateway.Settings{} },
+		Run:      run,
+	}, os.Args[1:]))
+}
+
+func run(ctx context.Context, checked settings.Checker, _ daemon.Options) error {
+	set := checked.(*gateway.Settings)
+	out := logging.NewAsync(os.Stdout, logLines)
+	defer out.Close()
+	logger := log.With(logging.New(out, set.Log), "node", set.Name)
+	signal.Ignore(syscall.SIGHUP)
+	store := platform.NewStore(func() string { return set.Store })
+	g, err := gateway.Start(set, gateway.Deps{Feed: store, Dialect: platform.Headers{}, Decoder: platform.Rows{}, Logger: logger})
+	if err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	return g.Run(ctx)
+}
--- /dev/null
+++ b/internal/catalog/upstreams.go
@@ -0,0 +1,68 @@
+package catalog
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+// State is what an upstream says of itself in the registry.
+type State string
+
+const (
+	// StateReady upstreams take new requests.
+	StateReady State = "ready"
+	// StateDraining upstreams finish what they have and will exit.
+	StateDraining State = "draining"
+)
+
+// Upstream is one life of a back end: a restart gets a new ID, and the address may then belong to another service.
+type Upstream struct {
+	ID         ids.Upstream
+	Service    ids.Service
+	Address    string
+	DataCentre ids.DataCentre
+	// Release is the version of its software.
+	Release string
+	// Slots is how many requests it runs at once.
+	Slots int
+	State State
+}
+
+// Upstreams is the list of all upstreams that are registered. It is immutable.
+type Upstreams struct {
+	byID      map[ids.Upstream]*Upstream
+	byService map[ids.Service][]*Upstream
+}
+
+// NewUpstreams indexes a list.
+func NewUpstreams(list []*Upstream) *Upstreams {
+	u := &Upstreams{byID: make(map[ids.Upstream]*Upstream, len(list)), byService: map[ids.Service][]*Upstream{}}
+	for _, up := range list {
+		u.byID[up.ID] = up
+		u.byService[up.Service] = append(u.byService[up.Service], up)
+	}
+	for _, list := range u.byService {
+		slices.SortFunc(list, func(a, b *Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return u
+}
+
+// Get returns the upstream of that life, or nil.
+func (u *Upstreams) Get(id ids.Upstream) *Upstream { return u.byID[id] }
+
+// Of returns the upstreams of a service, ordered by ID; the list must not be changed.
+func (u *Upstreams) Of(s ids.Service) []*Upstream { return u.byService[s] }
+
+// Len returns the number of upstreams.
+func (u *Upstreams) Len() int { return len(u.byID) }
+
+// All returns every upstream, in no order.
+func (u *Upstreams) All() []*Upstream {
+	out := make([]*Upstream, 0, len(u.byID))
+	for _, up := range u.byID {
+		out = append(out, up)
+	}
+	return out
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -1,27 +1,19 @@
-// Package daemon is what the mains of entry and slot share: commands, settings, signals and the control listener.
+// Package daemon is what the mains of the daemons share: commands, settings and signals.
 package daemon
 
 import (
 	"context"
-	"crypto/tls"
-	"errors"
 	"fmt"
-	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/config"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/keys"
 	"github.com/cardamomyoke/cardamomyoke/internal/settings"
 )
 
@@ -56,7 +48,7 @@
 func Main(p Program, args []string) int {
 	app := kingpin.New(p.Name, p.Help)
 	run := app.Command("run", "Run the daemon until SIGTERM or SIGINT; then shut down without cutting anything off.")
-	runFile := run.Flag("settings", "Settings file (YAML).").Required().ExistingFile()
+	runFile := run.Flag("settings", "Settings file (YAML).").Envar("CARDAMOMYOKE_SETTINGS").Required().ExistingFile()
 	fixed := run.Flag("configuration", "Configuration file (JSON) that never changes, for measurements.").ExistingFile()
 	grace := run.Flag("grace", "Longest time for an orderly shutdown.").Default("60s").Duration()
 	check := app.Command("check-settings", "Check a settings file and say where its first fault is.")
@@ -119,48 +111,3 @@
 	}
 	return snap, nil
 }
-
-// Control is the listener for RPC, metrics and health of a daemon.
-type Control struct {
-	Mux    *http.ServeMux
-	server *http.Server
-}
-
-// controlTimeout bounds the reading of a request's header on the control listener.
-const controlTimeout = 5 * time.Second
-
-// StartControl serves on address: /metrics with the given set and the process's own, /healthz, and what is added to
-// Mux before. With keys it serves TLS only, to peers with a certificate; keys may be nil.
-func StartControl(address string, mux *http.ServeMux, set *metrics.Set, source *keys.Source, logger log.Logger) (*Control, error) {
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		set.WritePrometheus(w)
-		metrics.WriteProcessMetrics(w)
-	})
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = w.Write([]byte("ok\n"))
-	})
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("control listener: %w", err)
-	}
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	var handler http.Handler = mux
-	if source != nil {
-		protocols.SetHTTP2(true)
-		listener = tls.NewListener(listener, source.Server())
-		handler = keys.Guard(mux)
-	} else {
-		protocols.SetUnencryptedHTTP2(true)
-	}
-	c := &Control{Mux: mux, server: &http.Server{Handler: handler, ReadHeaderTimeout: controlTimeout, Protocols: protocols}}
-	go func() {
-		if err := c.server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			_ = level.Error(logger).Log("msg", "control listener ended", "err", err)
-		}
-	}()
-	return c, nil
-}
-
-// Stop closes the listener.
-func (c *Control) Stop() { _ = c.server.Close() }
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -16,6 +16,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/audit/writer"
 	"github.com/cardamomyoke/cardamomyoke/internal/config"
 	"github.com/cardamomyoke/cardamomyoke/internal/control"
+	"github.com/cardamomyoke/cardamomyoke/internal/controlport"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/keys"
 	"github.com/cardamomyoke/cardamomyoke/internal/platform"
@@ -60,7 +61,7 @@
 	logger  log.Logger
 	address string
 	cancel  context.CancelFunc
-	control *Control
+	control *controlport.Port
 }
 
 // NewNode builds a node; nothing runs before Run.
@@ -146,7 +147,7 @@
 
 // Run opens the RPC port and runs the control loop, with tick in each period, until Stop.
 func (n *Node) Run(set *metrics.Set, tick func(now time.Time)) error {
-	c, err := StartControl(n.address, n.Mux, set, n.keys, n.logger)
+	c, err := controlport.Start(n.address, n.Mux, set, n.keys, n.logger)
 	if err != nil {
 		return fmt.Errorf("node: %w", err)
 	}
--- /dev/null
+++ b/internal/dispatch/gate.go
@@ -0,0 +1,98 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+// Gate is a Pool for the goroutines of requests. It is safe for concurrent use.
+type Gate struct {
+	mu   sync.Mutex
+	pool *Pool
+}
+
+// NewGate wraps a pool, which must not be used otherwise.
+func NewGate(p *Pool) *Gate { return &Gate{pool: p} }
+
+// Wait offers a request and waits until it is placed. Errors: *NoUpstreamError, *OverloadedError, or ctx's.
+func (g *Gate) Wait(ctx context.Context, r Request) (*Ticket, error) {
+	g.mu.Lock()
+	t := g.pool.Offer(r, time.Now())
+	if t.state != waiting {
+		g.mu.Unlock()
+		return t, t.err
+	}
+	t.settled = make(chan struct{})
+	g.mu.Unlock()
+	select {
+	case <-t.settled:
+		return t, t.err
+	case <-ctx.Done():
+		return g.abandon(ctx, t)
+	}
+}
+
+// abandon withdraws a ticket, unless it was placed meanwhile; then the slot is given back.
+func (g *Gate) abandon(ctx context.Context, t *Ticket) (*Ticket, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pool.Withdraw(t)
+	wake(g.pool.Done(t, OutcomeNone, time.Now()))
+	return t, ctx.Err()
+}
+
+// Answered notes that the answer, or a stream's first event, is there.
+func (g *Gate) Answered(t *Ticket) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pool.Answered(t)
+}
+
+// Done ends a placed request.
+func (g *Gate) Done(t *Ticket, o Outcome) {
+	g.change(func(p *Pool, now time.Time) []*Ticket { return p.Done(t, o, now) })
+}
+
+// SetUpstreams replaces the list of upstreams.
+func (g *Gate) SetUpstreams(list []*catalog.Upstream) {
+	g.change(func(p *Pool, now time.Time) []*Ticket { return p.SetUpstreams(list, now) })
+}
+
+// SetOptions follows a change of the configuration.
+func (g *Gate) SetOptions(o Options) {
+	g.change(func(p *Pool, now time.Time) []*Ticket {
+		p.SetOptions(o)
+		return p.Tick(now)
+	})
+}
+
+// SetOthers replaces what the other gateways have in flight.
+func (g *Gate) SetOthers(work map[ids.Upstream]Work) {
+	g.change(func(p *Pool, now time.Time) []*Ticket { return p.SetOthers(work, now) })
+}
+
+// Tick lets time pass.
+func (g *Gate) Tick() { g.change((*Pool).Tick) }
+
+// Own returns what this gateway has in flight at each upstream.
+func (g *Gate) Own() map[ids.Upstream]Work {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pool.Own()
+}
+
+func (g *Gate) change(f func(p *Pool, now time.Time) []*Ticket) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	wake(f(g.pool, time.Now()))
+}
+
+func wake(settled []*Ticket) {
+	for _, t := range settled {
+		close(t.settled)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/pool.go
@@ -0,0 +1,246 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+// Request is what the pool knows of a request.
+type Request struct {
+	// Arrived is when the request was read from the caller.
+	Arrived time.Time
+	// Aim is until when the answer, or a stream's first event, counts as in time.
+	Aim time.Time
+	// Latest is when the request is no longer worth starting; it is refused then.
+	Latest time.Time
+	// Priority is the rank among waiting requests; 0 goes first.
+	Priority int
+	// PromptTokens are read before the first token; 0 for plain services.
+	PromptTokens int
+	// Exclude names upstreams that must not get the request.
+	Exclude []ids.Upstream
+}
+
+// Work is what some sender has in flight at one upstream.
+type Work struct {
+	Requests     int
+	PromptTokens int
+}
+
+func (w Work) plus(o Work) Work {
+	return Work{w.Requests + o.Requests, w.PromptTokens + o.PromptTokens}
+}
+
+// target is one upstream in the pool.
+type target struct {
+	up *catalog.Upstream
+	// own is what this gateway has in flight there, others what the other gateways last told.
+	own, others Work
+	health      outlier
+}
+
+// Options are what a pool needs to know of its service.
+type Options struct {
+	// Engine is nil for a plain service.
+	Engine *catalog.Engine
+	// Fill is how many requests may be in flight at an upstream for each of its slots.
+	Fill float64
+}
+
+// Pool places the requests of one service. It is not safe for concurrent use.
+type Pool struct {
+	opts    Options
+	targets map[ids.Upstream]*target
+	// order lists the targets by id, so that equal inputs give equal decisions.
+	order   []*target
+	waiting []*Ticket
+	rng     *rand.Rand
+	drained rate
+}
+
+// NewPool returns a pool without upstreams.
+func NewPool(o Options, rng *rand.Rand) *Pool {
+	return &Pool{opts: o, targets: map[ids.Upstream]*target{}, rng: rng}
+}
+
+// SetOptions follows a change of the configuration.
+func (p *Pool) SetOptions(o Options) { p.opts = o }
+
+// SetUpstreams replaces the list of upstreams; what is known of those that stay is kept. It returns the tickets that
+// are settled by it.
+func (p *Pool) SetUpstreams(list []*catalog.Upstream, now time.Time) []*Ticket {
+	next := make(map[ids.Upstream]*target, len(list))
+	p.order = p.order[:0]
+	for _, u := range list {
+		t := p.targets[u.ID]
+		if t == nil {
+			t = &target{}
+		}
+		t.up = u
+		next[u.ID] = t
+		p.order = append(p.order, t)
+	}
+	p.targets = next
+	return p.settle(now)
+}
+
+// SetOthers replaces what the other gateways have in flight.
+func (p *Pool) SetOthers(work map[ids.Upstream]Work, now time.Time) []*Ticket {
+	for _, t := range p.order {
+		t.others = work[t.up.ID]
+	}
+	return p.settle(now)
+}
+
+// Own returns what this gateway has in flight at each upstream.
+func (p *Pool) Own() map[ids.Upstream]Work {
+	out := make(map[ids.Upstream]Work, len(p.order))
+	for _, t := range p.order {
+		if t.own.Requests > 0 {
+			out[t.up.ID] = t.own
+		}
+	}
+	return out
+}
+
+// Offer takes in a request. The ticket is settled at once, or by a later call that returns it.
+func (p *Pool) Offer(r Request, now time.Time) *Ticket {
+	t := &Ticket{request: r}
+	if p.place(t, now) {
+		return t
+	}
+	if len(p.order) == 0 {
+		t.refuse(&NoUpstreamError{RetryAfter: noUpstreamRetry})
+		return t
+	}
+	if wait := p.expectedWait(); now.Add(wait).After(r.Latest) {
+		t.refuse(&OverloadedError{Waiting: len(p.waiting), RetryAfter: p.retryAfter(wait)})
+		return t
+	}
+	p.waiting = append(p.waiting, t)
+	return t
+}
+
+// Withdraw takes a waiting ticket out, because its caller left.
+func (p *Pool) Withdraw(t *Ticket) {
+	p.waiting = slices.DeleteFunc(p.waiting, func(w *Ticket) bool { return w == t })
+}
+
+// Answered notes that the upstream has read the prompt: the answer or its first event is there.
+func (p *Pool) Answered(t *Ticket) {
+	if t.target == nil || t.answered {
+		return
+	}
+	t.answered = true
+	t.target.own.PromptTokens -= t.request.PromptTokens
+}
+
+// Done takes in the end of a placed request and returns the tickets that are settled by it.
+func (p *Pool) Done(t *Ticket, o Outcome, now time.Time) []*Ticket {
+	if t.target == nil || t.done {
+		return nil
+	}
+	p.Answered(t)
+	t.done = true
+	t.target.own.Requests--
+	p.drained.count(now)
+	if t.target.health.note(o, now) {
+		p.spare(now)
+	}
+	return p.settle(now)
+}
+
+// Tick lets time pass: it refuses what has waited too long and places what has become free.
+func (p *Pool) Tick(now time.Time) []*Ticket { return p.settle(now) }
+
+// settle places waiting requests, the best first, and refuses those that are past their latest time.
+func (p *Pool) settle(now time.Time) []*Ticket {
+	if len(p.waiting) == 0 {
+		return nil
+	}
+	var out []*Ticket
+	rest := p.waiting[:0]
+	p.sortWaiting(now)
+	for _, t := range p.waiting {
+		switch {
+		case now.After(t.request.Latest):
+			t.refuse(&OverloadedError{Waiting: len(p.waiting), RetryAfter: p.retryAfter(p.expectedWait())})
+			out = append(out, t)
+		case p.place(t, now):
+			out = append(out, t)
+		default:
+			rest = append(rest, t)
+		}
+	}
+	clear(p.waiting[len(rest):])
+	p.waiting = rest
+	return out
+}
+
+// sortWaiting puts the requests first that can still be answered in time, by priority and then by how soon they must
+// be; those that are late already come after them, the oldest first. Under overload this serves as many as possible in
+// time, where serving in order of arrival would make all of them late.
+func (p *Pool) sortWaiting(now time.Time) {
+	slices.SortStableFunc(p.waiting, func(a, b *Ticket) int {
+		if a.request.Priority != b.request.Priority {
+			return a.request.Priority - b.request.Priority
+		}
+		la, lb := now.After(a.request.Aim), now.After(b.request.Aim)
+		switch {
+		case la != lb && la:
+			return 1
+		case la != lb:
+			return -1
+		}
+		return a.request.Aim.Compare(b.request.Aim)
+	})
+}
+
+// place gives the ticket an upstream if one has room.
+func (p *Pool) place(t *Ticket, now time.Time) bool {
+	var best *target
+	least := 0.0
+	for _, c := range p.order {
+		if !c.usable(now) || slices.Contains(t.request.Exclude, c.up.ID) || !p.room(c) {
+			continue
+		}
+		score := p.load(c) + tieBreak*p.rng.Float64()
+		if best == nil || score < least {
+			best, least = c, score
+		}
+	}
+	if best == nil {
+		return false
+	}
+	best.own = best.own.plus(Work{1, t.request.PromptTokens})
+	best.health.chosen(now)
+	t.target = best
+	t.state = placed
+	return true
+}
+
+// tieBreak spreads requests over upstreams with equal load, so that gateways with equal views do not all pick the same.
+const tieBreak = 0.01
+
+func (t *target) usable(now time.Time) bool {
+	return t.up.State == catalog.StateReady && t.health.usable(now)
+}
+
+func (p *Pool) room(t *target) bool {
+	slots := max(1, t.up.Slots)
+	return float64(t.own.Requests+t.others.Requests) < p.opts.Fill*float64(slots)
+}
+
+// load compares upstreams: the part of the slots in use, and the passes that reading the waiting prompts takes.
+func (p *Pool) load(t *target) float64 {
+	all := t.own.plus(t.others)
+	load := float64(all.Requests) / float64(max(1, t.up.Slots))
+	if e := p.opts.Engine; e != nil && e.Chunk > 0 {
+		load += float64(all.PromptTokens) / float64(e.Chunk*e.Stride)
+	}
+	return load
+}
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -35,6 +35,7 @@
 	CodeTooLarge          Code = "too-large"
 	CodeUnknownService    Code = "unknown-service"
 	CodeUnknownClient     Code = "unknown-client"
+	CodeUnknownKey        Code = "unknown-key"
 	CodeMethodNotAllowed  Code = "method-not-allowed"
 	CodeKeyRequired       Code = "idempotency-key-required"
 	CodeKeyReused         Code = "idempotency-key-reused"
@@ -73,6 +74,7 @@
 	CodeTooLarge:         {http.StatusRequestEntityTooLarge, true, false, "the header or body is larger than the limit"},
 	CodeUnknownService:   {http.StatusNotFound, true, false, "no service of that name is configured"},
 	CodeUnknownClient:    {http.StatusForbidden, true, false, "no client account of that name is configured"},
+	CodeUnknownKey:       {http.StatusUnauthorized, true, false, "the key belongs to no client account"},
 	CodeMethodNotAllowed: {http.StatusMethodNotAllowed, true, false, "the path does not take that method"},
 	CodeKeyRequired:      {http.StatusBadRequest, true, false, "the service is not repeatable and needs an Idempotency-Key"},
 	CodeKeyReused:        {http.StatusUnprocessableEntity, true, false, "the Idempotency-Key was used with another body"},
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,333 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/control"
+	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/replica"
+	"github.com/cardamomyoke/cardamomyoke/internal/retry"
+	"github.com/cardamomyoke/cardamomyoke/internal/settings"
+)
+
+const (
+	// tickEvery is the period of the control loop: it bounds how long a waiting request overstays its time.
+	tickEvery = 50 * time.Millisecond
+	// dialTimeout is some times the longest way to an upstream and back; a host that is dead answers never.
+	dialTimeout = 250 * time.Millisecond
+	// upstreamIdle is how long idle connections to upstreams are kept, unless they say less themselves.
+	upstreamIdle = 10 * time.Second
+	// upstreamSilent ends a connection on which an upstream's host acknowledges nothing.
+	upstreamSilent = 1500 * time.Millisecond
+	// maxConnections of callers is set apart from the descriptors that upstreams and the store need.
+	maxConnections = 2500
+	// writeTimeout is how long a caller may leave an answer unread.
+	writeTimeout = 10 * time.Second
+	// defaultIdle holds until a configuration says for how long callers keep connections.
+	defaultIdle = 75 * time.Second
+)
+
+// Deps are what a gateway works with; they are set by its main.
+type Deps struct {
+	Feed    platform.Feed
+	Dialect Dialect
+	Decoder Decoder
+	Logger  log.Logger
+}
+
+// Gateway is one gateway process. Create it with Start.
+type Gateway struct {
+	settings    *Settings
+	dialect     Dialect
+	decoder     Decoder
+	logger      log.Logger
+	incarnation ids.Incarnation
+	loop        *control.Loop
+	metrics     *gatewayMetrics
+	client      *httpclient.Client
+	view        atomic.Pointer[view]
+
+	followers []*replica.Follower
+	config    *replica.Follower
+	registry  *replica.Follower
+	peers     *peers
+
+	servers struct{ callers, directory, readiness *httpserver.Server }
+	cancel  context.CancelFunc
+	// control is what the control loop owns.
+	control state
+}
+
+// state is what the control loop owns. Nothing else touches it.
+type state struct {
+	config    *catalog.Configuration
+	upstreams *catalog.Upstreams
+	services  map[ids.Service]*service
+	node      nodeState
+}
+
+// Start opens the listeners and begins to follow the store. Errors: *httpserver.ListenError, or the network's.
+func Start(set *Settings, d Deps) (*Gateway, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &Gateway{
+		settings:    set,
+		dialect:     d.Dialect,
+		decoder:     d.Decoder,
+		logger:      d.Logger,
+		incarnation: ids.NewIncarnation(),
+		loop:        control.New(),
+		metrics:     newMetrics(),
+		cancel:      cancel,
+		client: httpclient.New(httpclient.Options{
+			DialTimeout: dialTimeout, IdleTimeout: upstreamIdle, SilentAfter: upstreamSilent,
+		}),
+		control: state{
+			upstreams: catalog.NewUpstreams(nil), services: map[ids.Service]*service{}, node: stateStarting,
+		},
+	}
+	g.config = g.follower(d.Feed, d.Decoder.ConfigurationTable())
+	g.registry = g.follower(d.Feed, d.Decoder.UpstreamTable())
+	g.followers = []*replica.Follower{g.config, g.registry}
+	g.publish()
+	var err error
+	if g.peers, err = startPeers(ctx, g); err != nil {
+		return nil, err
+	}
+	if err := g.listen(); err != nil {
+		return nil, err
+	}
+	for _, f := range g.followers {
+		go f.Run(ctx)
+	}
+	go g.loop.Run(ctx, tickEvery, g.tick)
+	_ = level.Info(g.logger).Log("msg", "started", "incarnation", g.incarnation, "callers", set.Listen.Callers, "store", set.Store)
+	return g, nil
+}
+
+func (g *Gateway) follower(feed platform.Feed, table string) *replica.Follower {
+	return &replica.Follower{
+		Feed:    feed,
+		Table:   replica.NewTable(table),
+		Changed: func(*replica.Table) { g.loop.Post(g.reload) },
+		LinkChanged: func(t *replica.Table, l replica.Link) {
+			_ = level.Info(g.logger).Log("msg", "store link", "table", t.Name(), "up", l.Up, "cause", l.Cause)
+			g.loop.Post(func(time.Time) { g.publish() })
+		},
+	}
+}
+
+func (g *Gateway) listen() error {
+	l := g.settings.Listen
+	limits := httpserver.Limits{MaxConnections: maxConnections, IdleTimeout: settings.Duration(defaultIdle)}
+	for _, s := range []struct {
+		to      **httpserver.Server
+		address string
+		handler httpserver.Handler
+	}{
+		{&g.servers.callers, l.Callers, g.serve},
+		{&g.servers.directory, l.Directory, g.serveDirectory},
+		{&g.servers.readiness, l.Readiness, g.serveReadiness},
+	} {
+		server, err := httpserver.Start(s.address, 1, limits, s.handler)
+		if err != nil {
+			return err
+		}
+		*s.to = server
+	}
+	return nil
+}
+
+// reload takes over what the copies of the store's tables hold.
+func (g *Gateway) reload(now time.Time) {
+	config, err := g.decoder.Configuration(g.config.Table.Rows())
+	switch {
+	case err != nil:
+		_ = level.Error(g.logger).Log("msg", "configuration kept", "reason", "the new one cannot be read", "err", err)
+	case config != nil && (g.control.config == nil || config.Version > g.control.config.Version):
+		g.adopt(config)
+	}
+	g.control.upstreams = g.readUpstreams()
+	g.updateServices(now)
+	g.publish()
+}
+
+func (g *Gateway) adopt(c *catalog.Configuration) {
+	before := ids.Revision(0)
+	if g.control.config != nil {
+		before = g.control.config.Version
+	}
+	g.control.config = c
+	if g.control.node == stateStarting {
+		g.control.node = stateReady
+	}
+	g.servers.callers.SetLimits(httpserver.Limits{
+		MaxHeaderBytes: c.Limits.HeaderBytes,
+		MaxBodyBytes:   c.Limits.BodyBytes,
+		MaxConnections: maxConnections,
+		ReadTimeout:    settings.Duration(c.Limits.HeaderTimeout),
+		IdleTimeout:    settings.Duration(c.Limits.IdleTimeout),
+		WriteTimeout:   settings.Duration(writeTimeout),
+	})
+	_ = level.Info(g.logger).Log("msg", "configuration in force", "version", c.Version, "before", before, "routes", c.Routes())
+}
+
+func (g *Gateway) readUpstreams() *catalog.Upstreams {
+	var list []*catalog.Upstream
+	for _, row := range g.registry.Table.Rows() {
+		u, err := g.decoder.Upstream(row)
+		if err != nil {
+			_ = level.Error(g.logger).Log("msg", "upstream left out", "reason", "its entry cannot be read", "err", err)
+			continue
+		}
+		list = append(list, u)
+	}
+	next := catalog.NewUpstreams(list)
+	for _, u := range list {
+		old := g.control.upstreams.Get(u.ID)
+		if old == nil || old.State != u.State {
+			_ = level.Info(g.logger).Log("msg", "upstream", "upstream", u.ID, "service", u.Service, "address", u.Address, "state", u.State)
+		}
+	}
+	for _, u := range g.control.upstreams.All() {
+		if next.Get(u.ID) == nil {
+			_ = level.Info(g.logger).Log("msg", "upstream", "upstream", u.ID, "service", u.Service, "state", "gone")
+		}
+	}
+	return next
+}
+
+// updateServices gives each service's gate its upstreams and options.
+func (g *Gateway) updateServices(now time.Time) {
+	if g.control.config == nil {
+		return
+	}
+	next := make(map[ids.Service]*service, len(g.control.config.Services))
+	for name, c := range g.control.config.Services {
+		s := g.control.services[name]
+		if s == nil {
+			rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+			s = &service{gate: dispatch.NewGate(dispatch.NewPool(dispatch.Options{}, rng)), budget: retry.NewWindow()}
+		}
+		s.gate.SetOptions(optionsOf(c))
+		s.gate.SetUpstreams(g.control.upstreams.Of(name))
+		s.budget.SetBound(g.retryBound(now))
+		next[name] = s
+	}
+	g.control.services = next
+}
+
+const (
+	// engineFill keeps what waits at the gateways: a request in an engine's own queue cannot go elsewhere.
+	engineFill = 1.0
+	// plainFill lets a plain upstream queue a little, so that it does not idle for the way of the next request.
+	plainFill = 1.5
+)
+
+func optionsOf(c *catalog.Service) dispatch.Options {
+	if c.Engine != nil {
+		return dispatch.Options{Engine: c.Engine, Fill: engineFill}
+	}
+	return dispatch.Options{Fill: plainFill}
+}
+
+// retryBound is this gateway's part of what all gateways may retry.
+func (g *Gateway) retryBound(now time.Time) retry.Bound {
+	b := g.settings.Bounds.Retries
+	nodes := 1 + g.peers.count(now)
+	return retry.Bound{Length: b.Window.Std(), Ratio: b.Ratio, Extra: extraKept * float64(b.Extra) / float64(nodes+spareNodes)}
+}
+
+const (
+	// extraKept leaves a rest of the fixed number for gateways that came and went within a window.
+	extraKept = 0.7
+	// spareNodes may come before all others have heard of them.
+	spareNodes = 2
+)
+
+// publish makes the present state visible to requests.
+func (g *Gateway) publish() {
+	g.view.Store(&view{
+		config:    g.control.config,
+		upstreams: g.control.upstreams,
+		services:  g.control.services,
+		state:     g.control.node,
+		current:   g.config.Link().Up,
+	})
+}
+
+// tick runs on the control loop.
+func (g *Gateway) tick(now time.Time) {
+	for name, s := range g.control.services {
+		s.budget.SetBound(g.retryBound(now))
+		s.gate.SetOthers(g.peers.work(name, g.control.upstreams, now))
+	}
+	g.peers.tick(now)
+}
+
+// Run serves until ctx ends, and then leaves in the order that cuts nothing off.
+func (g *Gateway) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return g.shutdown()
+}
+
+const (
+	// serveOn is the part of the grace time in which requests of callers that keep an old answer are still served: three
+	// times as long as an answer holds.
+	serveOn = 0.45
+	// leaveBefore is when the process ends at the latest, before it would be killed.
+	leaveBefore = 300 * time.Millisecond
+)
+
+func (g *Gateway) shutdown() error {
+	began := time.Now()
+	grace := g.settings.Bounds.Grace.Std()
+	_ = level.Info(g.logger).Log("msg", "leaving", "grace", grace, "running", g.servers.callers.Busy())
+	g.become(stateLeaving)
+	time.Sleep(time.Duration(serveOn * float64(grace)))
+	g.become(stateClosing)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-leaveBefore))
+	defer cancel()
+	err := g.servers.callers.Drain(ctx)
+	if err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("leave: %w", err)
+	}
+	_ = level.Info(g.logger).Log("msg", "stopped", "cut", g.servers.callers.Busy(), "after", time.Since(began))
+	g.Kill()
+	return nil
+}
+
+// become changes the node's state on the control loop and waits for it.
+func (g *Gateway) become(s nodeState) {
+	done := make(chan struct{})
+	g.loop.Post(func(now time.Time) {
+		g.control.node = s
+		g.publish()
+		g.peers.tell(now)
+		close(done)
+	})
+	<-done
+}
+
+// Kill ends the gateway at once, as a crash would.
+func (g *Gateway) Kill() {
+	g.cancel()
+	ctx := context.Background()
+	for _, s := range []*httpserver.Server{g.servers.callers, g.servers.directory, g.servers.readiness} {
+		_ = s.Stop(ctx)
+	}
+	g.peers.stop()
+	g.client.Close()
+}
--- /dev/null
+++ b/internal/gateway/handler.go
@@ -0,0 +1,196 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+const (
+	// unknownRetry is when a caller may come back to a gateway that does not know its configuration: a start takes less.
+	unknownRetry = 500 * time.Millisecond
+	// closingRetry is when a caller may come back, at another address, that met a gateway which is about to end.
+	closingRetry = 50 * time.Millisecond
+	// anyService is the budget's and metrics' name for requests that no route was found for.
+	anyService = ""
+)
+
+// request is a caller's request after all checks that need no upstream.
+type request struct {
+	call    Call
+	route   *catalog.Route
+	service *catalog.Service
+	client  ids.Client
+	// priority is the client account's, or else the route's.
+	priority int
+	// revision is the configuration that the request works from.
+	revision ids.Revision
+	arrived  time.Time
+	// deadline is when the caller must have its final answer.
+	deadline time.Time
+}
+
+// serve answers one request of a caller, once.
+func (g *Gateway) serve(ctx context.Context, x *httpserver.Exchange) {
+	now := time.Now()
+	v := g.view.Load()
+	r, err := g.read(v, x.Req, now)
+	if err != nil {
+		g.refuse(x, r, err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	run := newRun(g, v, x, r)
+	err = run.attempts(ctx)
+	g.answered(run, err)
+	if err != nil && !x.Answered() {
+		g.fail(x, r, err)
+	}
+}
+
+// read checks a request. Errors: *failure.Error; the request is never nil.
+func (g *Gateway) read(v *view, in *fasthttp.Request, now time.Time) (*request, error) {
+	r := &request{arrived: now}
+	call, err := g.dialect.ReadCall(&in.Header)
+	r.call = call
+	switch {
+	case err != nil:
+		return r, failure.New(failure.CodeMalformed, err)
+	case v.config == nil:
+		return r, failure.New(failure.CodeStaleRevision, nil).WithRetryAfter(unknownRetry)
+	case v.state == stateClosing:
+		return r, failure.New(failure.CodeStopping, nil).WithRetryAfter(closingRetry)
+	}
+	r.revision = v.config.Version
+	path, _, _ := bytes.Cut(in.Header.RequestURI(), []byte("?"))
+	r.route = v.config.Route(string(in.Header.Host()), string(path))
+	if r.route == nil {
+		return r, v.missing(failure.CodeUnknownService)
+	}
+	r.priority = r.route.Priority
+	if v.config.NeedsKey(r.route) {
+		account := v.config.Account(call.Key)
+		if account == nil {
+			return r, v.missing(failure.CodeUnknownKey)
+		}
+		r.client = account.Name
+		if account.HasPriority {
+			r.priority = account.Priority
+		}
+	}
+	r.service = v.config.Services[pickService(r.route.Services)]
+	if r.service == nil {
+		return r, failure.New(failure.CodeNoUpstream, nil).WithRetryAfter(unknownRetry)
+	}
+	r.deadline = now.Add(r.route.Timeout)
+	if call.HasRemaining && call.Remaining < r.route.Timeout {
+		r.deadline = now.Add(call.Remaining)
+	}
+	return r, nil
+}
+
+// missing says that a route or key does not exist, or only that it is not known here.
+//
+// Failure: a node that the store turns away does not hear of a new route and answers 404, which callers take as final.
+// A refusal that asks to come back is enough, since the caller then meets a node that knows.
+func (v *view) missing(code failure.Code) error {
+	if !v.current {
+		return failure.New(failure.CodeStaleRevision, failure.New(code, nil)).WithRetryAfter(unknownRetry)
+	}
+	return failure.New(code, nil)
+}
+
+// pickService draws a destination by weight.
+func pickService(list []catalog.WeightedService) ids.Service {
+	sum := 0
+	for _, s := range list {
+		sum += max(0, s.Weight)
+	}
+	if sum == 0 {
+		return list[0].Service
+	}
+	n := rand.IntN(sum)
+	for _, s := range list {
+		if n -= max(0, s.Weight); n < 0 {
+			return s.Service
+		}
+	}
+	return list[0].Service
+}
+
+// refuse answers a request that did not come as far as being tried.
+func (g *Gateway) refuse(x *httpserver.Exchange, r *request, err error) {
+	g.decided(r, "refused", err)
+	g.metrics.answered(anyService, err)
+	g.fail(x, r, err)
+}
+
+// fail answers with a typed failure.
+func (g *Gateway) fail(x *httpserver.Exchange, r *request, err error) {
+	f := *failure.From(err)
+	headers := []httpserver.Header{}
+	if r.call.Attempt != "" {
+		headers = append(headers, httpserver.Header{Name: g.dialect.AttemptHeader(), Value: r.call.Attempt})
+	}
+	if f.RetryAfter > 0 {
+		name, value := g.dialect.RetryAfter(f.RetryAfter)
+		headers = append(headers, httpserver.Header{Name: name, Value: value})
+		f.RetryAfter = 0
+	}
+	if f.Code == failure.CodeStopping {
+		x.Close()
+	}
+	x.Fail(&f, headers...)
+}
+
+// serveDirectory answers callers that ask which addresses to use.
+func (g *Gateway) serveDirectory(_ context.Context, x *httpserver.Exchange) {
+	path, _, _ := bytes.Cut(x.Req.Header.RequestURI(), []byte("?"))
+	if string(path) != g.dialect.DirectoryPath() {
+		x.Fail(failure.New(failure.CodeUnknownService, nil))
+		return
+	}
+	addresses := g.peers.addresses(time.Now())
+	if len(addresses) == 0 {
+		x.Fail(failure.New(failure.CodeNoUpstream, nil))
+		return
+	}
+	body, err := g.dialect.EncodeDirectory(addresses, g.keep())
+	if err != nil {
+		x.Fail(failure.New(failure.CodeInternal, err))
+		return
+	}
+	_ = x.Respond(fasthttp.StatusOK, []httpserver.Header{{Name: "Content-Type", Value: "application/json"}}, body)
+}
+
+// keep is for how long callers may keep an answer of the directory.
+func (g *Gateway) keep() time.Duration {
+	return min(g.settings.Bounds.MaxKeep.Std(), directoryKeep)
+}
+
+// directoryKeep is short, so that callers soon stop using a host that died; asking costs them a millisecond or two.
+const directoryKeep = time.Second
+
+// serveReadiness answers whether this gateway takes requests.
+func (g *Gateway) serveReadiness(_ context.Context, x *httpserver.Exchange) {
+	path, _, _ := bytes.Cut(x.Req.Header.RequestURI(), []byte("?"))
+	if string(path) != g.dialect.ReadinessPath() {
+		x.Fail(failure.New(failure.CodeUnknownService, nil))
+		return
+	}
+	state := g.view.Load().state
+	if state != stateReady {
+		x.Fail(failure.New(failure.CodeStopping, nil))
+		return
+	}
+	_ = x.Respond(fasthttp.StatusOK, nil, []byte(state+"\n"))
+}
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,379 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log/level"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/controlport"
+	"github.com/cardamomyoke/cardamomyoke/internal/digest"
+	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/replica"
+)
+
+const (
+	// digestEvery is how often a gateway tells the others of itself when nothing changes.
+	digestEvery = 200 * time.Millisecond
+	// peerSilent is after how long a gateway that is not heard is no longer given out: three digests and a margin.
+	peerSilent = 800 * time.Millisecond
+	// peerForgotten is after how long a gateway that is not heard is no longer told anything.
+	peerForgotten = 30 * time.Second
+	// maxTold is how many gateways one digest goes to; with more of them a random choice is told each time.
+	maxTold = 16
+	// maxNamed is how many other gateways a digest names.
+	maxNamed = 8
+	// pullTimeout bounds one pull of a table from another gateway.
+	pullTimeout = time.Second
+)
+
+// peer is another gateway.
+type peer struct {
+	digest  *cardamomyokev1.Digest
+	heardAt time.Time
+}
+
+// peers knows the other gateways: it tells them of this one and hears of them.
+type peers struct {
+	g        *Gateway
+	sender   *digest.Sender
+	receiver *digest.Receiver
+	port     *controlport.Port
+	http     *http.Client
+	ctx      context.Context
+
+	mu      sync.Mutex
+	known   map[string]*peer     // by name
+	hints   map[string]time.Time // addresses that were named, with the time of it
+	pulling map[string]bool      // tables that are being pulled
+
+	// sequence, toldAt and told belong to the control loop.
+	sequence uint64
+	toldAt   time.Time
+}
+
+func startPeers(ctx context.Context, g *Gateway) (*peers, error) {
+	p := &peers{
+		g:       g,
+		ctx:     ctx,
+		http:    &http.Client{Timeout: pullTimeout},
+		known:   map[string]*peer{},
+		hints:   map[string]time.Time{},
+		pulling: map[string]bool{},
+	}
+	var err error
+	if p.sender, err = digest.NewSender(); err != nil {
+		return nil, err
+	}
+	if p.receiver, err = digest.Receive(g.settings.Listen.Peers, p.hear); err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.Handle(cardamomyokev1connect.NewPeerServiceHandler(p))
+	p.port, err = controlport.Start(g.settings.Listen.Peers, mux, g.metrics.set, nil, g.logger)
+	return p, err
+}
+
+func (p *peers) stop() {
+	_ = p.receiver.Stop(context.Background())
+	_ = p.sender.Close()
+	p.port.Stop()
+}
+
+// hear takes in a digest; one that is older than the last of its sender changes nothing.
+func (p *peers) hear(d *cardamomyokev1.Digest) {
+	if d.GetNode() == p.g.settings.Name || d.GetRole() != cardamomyokev1.NodeRole_NODE_ROLE_GATEWAY {
+		return
+	}
+	now := time.Now()
+	p.mu.Lock()
+	old := p.known[d.GetNode()]
+	if old != nil && !newer(d, old.digest) {
+		p.mu.Unlock()
+		return
+	}
+	p.known[d.GetNode()] = &peer{d, now}
+	for _, address := range d.GetPeers() {
+		p.hints[address] = now
+	}
+	p.mu.Unlock()
+	if old == nil || old.digest.GetState() != d.GetState() {
+		_ = level.Info(p.g.logger).Log("msg", "peer", "peer", d.GetNode(), "state", d.GetState(), "incarnation", d.GetIncarnation())
+	}
+	p.catchUp(d)
+}
+
+func newer(d, old *cardamomyokev1.Digest) bool {
+	if d.GetIncarnation() != old.GetIncarnation() {
+		return d.GetIncarnation() > old.GetIncarnation()
+	}
+	return d.GetSequence() > old.GetSequence()
+}
+
+// catchUp pulls the tables of which the sender knows a newer change.
+func (p *peers) catchUp(d *cardamomyokev1.Digest) {
+	for _, news := range d.GetNews() {
+		for _, f := range p.g.followers {
+			if f.Table.Name() == news.GetTable() && news.GetNewest() > f.Table.Newest() {
+				p.pull(f, d)
+			}
+		}
+	}
+}
+
+// newsGrace is how long a node waits for its own feed before it asks a peer: the feed brings most changes within
+// milliseconds, and each node pulling each change would multiply the bytes between nodes.
+const newsGrace = 100 * time.Millisecond
+
+func (p *peers) pull(f *replica.Follower, from *cardamomyokev1.Digest) {
+	table := f.Table.Name()
+	p.mu.Lock()
+	busy := p.pulling[table]
+	p.pulling[table] = true
+	p.mu.Unlock()
+	if busy {
+		return
+	}
+	go func() {
+		defer func() {
+			p.mu.Lock()
+			delete(p.pulling, table)
+			p.mu.Unlock()
+		}()
+		if f.Link().Up {
+			time.Sleep(newsGrace)
+		}
+		if newestOf(from, table) > f.Table.Newest() {
+			p.pullNow(f, from)
+		}
+	}()
+}
+
+func newestOf(d *cardamomyokev1.Digest, table string) uint64 {
+	for _, n := range d.GetNews() {
+		if n.GetTable() == table {
+			return n.GetNewest()
+		}
+	}
+	return 0
+}
+
+func (p *peers) pullNow(f *replica.Follower, from *cardamomyokev1.Digest) {
+	ctx, cancel := context.WithTimeout(p.ctx, pullTimeout)
+	defer cancel()
+	after, _ := f.Table.Position()
+	client := cardamomyokev1connect.NewPeerServiceClient(p.http, "http://"+from.GetDigestAddress())
+	res, err := client.Pull(ctx, &cardamomyokev1.PullRequest{Table: f.Table.Name(), After: after})
+	if err != nil {
+		_ = level.Warn(p.g.logger).Log("msg", "pull failed", "table", f.Table.Name(), "peer", from.GetNode(), "err", err)
+		return
+	}
+	changed := f.Table.Merge(deltaOf(res))
+	_ = level.Info(p.g.logger).Log("msg", "pulled", "table", f.Table.Name(), "peer", from.GetNode(), "after", after,
+		"version", res.GetVersion(), "rows", len(res.GetRows()), "changed", changed)
+	if changed {
+		f.Changed(f.Table)
+	}
+}
+
+func deltaOf(res *cardamomyokev1.PullResponse) replica.Delta {
+	d := replica.Delta{Whole: res.GetWhole(), Version: res.GetVersion()}
+	for _, r := range res.GetRows() {
+		row := platform.Row{Key: r.GetKey(), Version: r.GetVersion(), Value: r.GetValue()}
+		d.Changes = append(d.Changes, platform.Change{Row: row, Removed: r.GetRemoved()})
+	}
+	return d
+}
+
+// Pull implements the peers' service.
+func (p *peers) Pull(_ context.Context, req *cardamomyokev1.PullRequest) (*cardamomyokev1.PullResponse, error) {
+	for _, f := range p.g.followers {
+		if f.Table.Name() != req.GetTable() {
+			continue
+		}
+		d := f.Table.Since(req.GetAfter())
+		res := &cardamomyokev1.PullResponse{Version: d.Version, Whole: d.Whole}
+		for _, c := range d.Changes {
+			res.Rows = append(res.Rows, &cardamomyokev1.TableRow{Key: c.Key, Version: c.Version, Value: c.Value, Removed: c.Removed})
+		}
+		return res, nil
+	}
+	return nil, connect.NewError(connect.CodeNotFound, nil)
+}
+
+// tick tells the others of this gateway when it is due.
+func (p *peers) tick(now time.Time) {
+	if now.Sub(p.toldAt) >= digestEvery || p.workChanged() {
+		p.tell(now)
+	}
+}
+
+// workChanged reports whether there is work that others should count.
+func (p *peers) workChanged() bool {
+	for _, s := range p.g.control.services {
+		if len(s.gate.Own()) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// tell sends a digest to the others.
+func (p *peers) tell(now time.Time) {
+	p.toldAt = now
+	p.sequence++
+	d := p.compose(now)
+	for _, address := range p.targets(now) {
+		// A datagram that cannot be sent is like one that is lost: the next one replaces it.
+		_, _ = p.sender.Send(address, d)
+	}
+}
+
+func (p *peers) compose(now time.Time) *cardamomyokev1.Digest {
+	g := p.g
+	d := &cardamomyokev1.Digest{
+		Node:          g.settings.Name,
+		Incarnation:   string(g.incarnation),
+		Sequence:      p.sequence,
+		Role:          cardamomyokev1.NodeRole_NODE_ROLE_GATEWAY,
+		State:         digestState(g.control.node),
+		DataCentre:    string(g.settings.DataCentre),
+		HttpAddress:   g.settings.Listen.Callers,
+		DigestAddress: g.settings.Listen.Peers,
+		Peers:         p.named(now),
+	}
+	for _, f := range g.followers {
+		d.News = append(d.News, &cardamomyokev1.TableNews{Table: f.Table.Name(), Newest: f.Table.Newest()})
+	}
+	for _, s := range g.control.services {
+		for id, w := range s.gate.Own() {
+			d.Work = append(d.Work, &cardamomyokev1.UpstreamWork{
+				Upstream: hashOf(id), Requests: uint32(w.Requests), PromptTokens: uint32(max(0, w.PromptTokens)),
+			})
+		}
+	}
+	return d
+}
+
+func hashOf(id ids.Upstream) uint64 { return xxhash.Sum64String(string(id)) }
+
+func digestState(s nodeState) cardamomyokev1.NodeState {
+	switch s {
+	case stateReady:
+		return cardamomyokev1.NodeState_NODE_STATE_LIVE
+	case stateLeaving, stateClosing:
+		return cardamomyokev1.NodeState_NODE_STATE_LEAVING
+	}
+	return cardamomyokev1.NodeState_NODE_STATE_UNSPECIFIED
+}
+
+// targets are the addresses to tell: those of the settings, those heard of, and those that others named.
+func (p *peers) targets(now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := map[string]bool{}
+	for _, a := range p.g.settings.Peers {
+		all[a] = true
+	}
+	for name, k := range p.known {
+		if now.Sub(k.heardAt) > peerForgotten {
+			delete(p.known, name)
+			continue
+		}
+		all[k.digest.GetDigestAddress()] = true
+	}
+	for a, at := range p.hints {
+		if now.Sub(at) > peerForgotten {
+			delete(p.hints, a)
+			continue
+		}
+		all[a] = true
+	}
+	delete(all, p.g.settings.Listen.Peers)
+	out := make([]string, 0, len(all))
+	for a := range all {
+		out = append(out, a)
+	}
+	if len(out) > maxTold {
+		rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+		out = out[:maxTold]
+	}
+	return out
+}
+
+// named are some live gateways for others to know.
+func (p *peers) named(now time.Time) []string {
+	var out []string
+	for _, k := range p.live(now) {
+		out = append(out, k.digest.GetDigestAddress())
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(maxNamed, len(out))]
+}
+
+// live are the gateways that were heard lately, in no order.
+func (p *peers) live(now time.Time) []*peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []*peer
+	for _, k := range p.known {
+		if now.Sub(k.heardAt) <= peerSilent {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// count is how many other gateways are live.
+func (p *peers) count(now time.Time) int { return len(p.live(now)) }
+
+// maxAddresses is how many addresses one answer of the directory may name.
+const maxAddresses = 64
+
+// addresses are those that callers may use: of all gateways that are ready, this one among them.
+func (p *peers) addresses(now time.Time) []string {
+	var out []string
+	if p.g.view.Load().state == stateReady {
+		out = append(out, p.g.settings.Listen.Callers)
+	}
+	for _, k := range p.live(now) {
+		if k.digest.GetState() == cardamomyokev1.NodeState_NODE_STATE_LIVE {
+			out = append(out, k.digest.GetHttpAddress())
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	out = out[:min(maxAddresses, len(out))]
+	slices.Sort(out)
+	return out
+}
+
+// work is what the other gateways have in flight at a service's upstreams.
+func (p *peers) work(name ids.Service, upstreams *catalog.Upstreams, now time.Time) map[ids.Upstream]dispatch.Work {
+	sum := map[uint64]dispatch.Work{}
+	for _, k := range p.live(now) {
+		for _, w := range k.digest.GetWork() {
+			s := sum[w.GetUpstream()]
+			s.Requests += int(w.GetRequests())
+			s.PromptTokens += int(w.GetPromptTokens())
+			sum[w.GetUpstream()] = s
+		}
+	}
+	out := map[ids.Upstream]dispatch.Work{}
+	for _, u := range upstreams.Of(name) {
+		if w, ok := sum[hashOf(u.ID)]; ok {
+			out[u.ID] = w
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,245 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+// run is one request on its way: its attempts, and what the caller has got so far.
+type run struct {
+	g       *Gateway
+	x       *httpserver.Exchange
+	r       *request
+	service *service
+	// sent counts attempts that may have reached an upstream; unreached those that cannot have.
+	sent, unreached int
+	// mayHaveRun is set once an attempt ended without proof that it did not run.
+	mayHaveRun bool
+	exclude    []ids.Upstream
+	stream     relay
+	// placedAt is when the latest attempt got its upstream, firstAt when the first piece of the answer came.
+	placedAt, firstAt time.Time
+	upstream          ids.Upstream
+	// held is the upstream's own failure, to be given to the caller if no other attempt succeeds.
+	held *plainAnswer
+}
+
+func newRun(g *Gateway, v *view, x *httpserver.Exchange, r *request) *run {
+	return &run{g: g, x: x, r: r, service: v.services[r.service.Name], stream: relay{lastEvent: r.call.LastEvent}}
+}
+
+// RefusedError says that an upstream refused an attempt and promised that it did not run.
+type RefusedError struct {
+	Upstream ids.Upstream
+	Status   int
+	// Culprit is the upstream at fault, if it is another.
+	Culprit ids.Upstream
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("%s refused before the start with %d", e.Upstream, e.Status)
+}
+
+// AnswerError says that an upstream's answer cannot be given to the caller.
+type AnswerError struct {
+	Upstream ids.Upstream
+	Status   int
+	Reason   string
+}
+
+// Error implements error.
+func (e *AnswerError) Error() string {
+	return fmt.Sprintf("%s answered %d: %s", e.Upstream, e.Status, e.Reason)
+}
+
+// FailedError says that an upstream ran the request and answered with a failure of its own.
+type FailedError struct {
+	Upstream ids.Upstream
+	Status   int
+}
+
+// Error implements error.
+func (e *FailedError) Error() string { return fmt.Sprintf("%s failed with %d", e.Upstream, e.Status) }
+
+// maxUnreached is how many attempts may fail to reach any upstream before the request is given up.
+const maxUnreached = 4
+
+// attempts tries until the caller has its whole answer, or nothing more may be tried. Errors: *failure.Error.
+func (n *run) attempts(ctx context.Context) error {
+	if n.service == nil {
+		return failure.New(failure.CodeNoUpstream, nil).WithRetryAfter(unknownRetry)
+	}
+	n.service.budget.First(n.r.arrived)
+	for {
+		ticket, err := n.service.gate.Wait(ctx, n.place())
+		if err != nil {
+			return n.unplaced(ctx, err)
+		}
+		n.placedAt = time.Now()
+		n.upstream = ticket.Upstream().ID
+		n.g.placed(n)
+		err = n.attempt(ctx, ticket)
+		n.service.gate.Done(ticket, outcomeOf(ctx, err))
+		if err == nil {
+			return nil
+		}
+		n.note(err)
+		if reason := n.final(ctx, err); reason != "" {
+			return n.giveUp(ctx, err, reason)
+		}
+		n.g.repeated(n, err)
+	}
+}
+
+// place is what the pool must know of the request's next attempt.
+func (n *run) place() dispatch.Request {
+	r := n.r
+	latest := r.deadline
+	if r.route.Kind == catalog.KindStream {
+		if leaves := r.arrived.Add(r.route.Patience() - patienceMargin); leaves.Before(latest) {
+			latest = leaves
+		}
+	}
+	return dispatch.Request{
+		Arrived:      r.arrived,
+		Aim:          r.arrived.Add(r.route.TargetLatency),
+		Latest:       latest,
+		Priority:     r.priority,
+		PromptTokens: r.call.PromptTokens,
+		Exclude:      n.exclude,
+	}
+}
+
+// patienceMargin is left for the first event of a stream, of the time after which its caller leaves: some passes of
+// the engine.
+const patienceMargin = 300 * time.Millisecond
+
+// attempt sends the request to one upstream and relays the answer.
+func (n *run) attempt(ctx context.Context, t *dispatch.Ticket) error {
+	a, err := n.send(ctx, t.Upstream())
+	if err != nil {
+		return err
+	}
+	reply := n.g.dialect.ReadReply(a.Header)
+	switch {
+	case reply.NotRun:
+		drop(a)
+		return &RefusedError{t.Upstream().ID, a.Status, reply.Culprit}
+	case isStream(a) && n.r.route.Kind == catalog.KindStream && a.Status/100 == 2:
+		return n.relayStream(ctx, t, a, reply)
+	default:
+		return n.relayPlain(ctx, t, a, reply)
+	}
+}
+
+// note remembers what an attempt proved.
+func (n *run) note(err error) {
+	var dial *httpclient.DialError
+	var refused *RefusedError
+	switch {
+	case errors.As(err, &dial):
+		n.unreached++
+	case errors.As(err, &refused):
+		n.sent++
+	default:
+		n.sent++
+		n.mayHaveRun = true
+	}
+	n.exclude = append(n.exclude, n.upstream)
+}
+
+// final says why the request must not be tried again, or nothing.
+//
+// Failure: a request that may not be repeated is sent again after its connection broke, and runs twice. Only two proofs
+// allow another attempt then: no connection was made, or the upstream promised that it did not run.
+func (n *run) final(ctx context.Context, err error) string {
+	var gone *httpserver.GoneError
+	switch {
+	case errors.As(err, &gone):
+		return "the caller left"
+	case ctx.Err() != nil:
+		return "the time is over"
+	case n.mayHaveRun && !n.r.route.Repeatable():
+		return "it may have run"
+	case n.x.Answered() && !n.r.route.Resumable:
+		return "the answer has begun"
+	case n.sent >= n.r.route.Attempts:
+		return "no attempt is left"
+	case n.unreached >= maxUnreached:
+		return "no upstream can be reached"
+	case n.sent > 0 && !n.service.budget.Take(time.Now()):
+		return "the retry budget is used up"
+	}
+	return ""
+}
+
+// giveUp turns the last attempt's error into the caller's answer.
+func (n *run) giveUp(ctx context.Context, err error, reason string) error {
+	cause := fmt.Errorf("%s: %w", reason, err)
+	var gone *httpserver.GoneError
+	switch {
+	case errors.As(err, &gone) || context.Cause(ctx) == context.Canceled:
+		return failure.New(failure.CodeCancelled, cause)
+	case n.held != nil && !n.x.Answered():
+		return n.held.respond(n)
+	case n.x.Answered():
+		return failure.New(failure.CodeIncompleteAnswer, cause)
+	case ctx.Err() != nil && n.mayHaveRun:
+		return failure.New(failure.CodeDeadlinePassed, cause)
+	case n.mayHaveRun:
+		return failure.New(failure.CodeUpstreamFailed, cause)
+	}
+	return failure.New(failure.CodeNoUpstream, cause).WithRetryAfter(refusedRetry)
+}
+
+// refusedRetry is when a caller may come back whose request all upstreams refused: some requests end meanwhile.
+const refusedRetry = 300 * time.Millisecond
+
+// unplaced turns the pool's refusal into the caller's answer. A request that may have run before is not said not to.
+func (n *run) unplaced(ctx context.Context, err error) error {
+	switch {
+	case context.Cause(ctx) == context.Canceled:
+		return failure.New(failure.CodeCancelled, err)
+	case n.mayHaveRun || n.x.Answered():
+		return n.giveUp(ctx, err, "no upstream for another attempt")
+	}
+	var none *dispatch.NoUpstreamError
+	var full *dispatch.OverloadedError
+	switch {
+	case errors.As(err, &none):
+		return failure.New(failure.CodeNoUpstream, err).WithRetryAfter(none.RetryAfter)
+	case errors.As(err, &full):
+		return failure.New(failure.CodeOverloaded, err).WithRetryAfter(full.RetryAfter)
+	}
+	return failure.New(failure.CodeDeadlineUnmet, err).WithRetryAfter(refusedRetry)
+}
+
+// outcomeOf is what an attempt says of its upstream.
+func outcomeOf(ctx context.Context, err error) dispatch.Outcome {
+	var gone *httpserver.GoneError
+	var refused *RefusedError
+	var failed *FailedError
+	switch {
+	case err == nil:
+		return dispatch.OutcomeOK
+	case errors.As(err, &gone) || ctx.Err() != nil:
+		return dispatch.OutcomeNone
+	case errors.As(err, &refused) && refused.Status == statusOtherInstance:
+		return dispatch.OutcomeGone
+	case errors.As(err, &refused):
+		return dispatch.OutcomeRefused
+	case errors.As(err, &failed):
+		return dispatch.OutcomeFailed
+	}
+	return dispatch.OutcomeBroken
+}
--- /dev/null
+++ b/internal/gateway/send.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
+)
+
+// statusOtherInstance is the answer of an upstream that is not the life that was asked for.
+const statusOtherInstance = fasthttp.StatusMisdirectedRequest
+
+// perConnection are the header fields that concern one connection only.
+var perConnection = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// send writes the request to an upstream and reads the header of the answer that bears its attempt's id.
+func (n *run) send(ctx context.Context, to *catalog.Upstream) (*httpclient.Answer, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	n.writeRequest(req, to)
+	attempt := n.r.call.Attempt
+	match := func(h *fasthttp.ResponseHeader) bool {
+		return attempt == "" || n.g.dialect.ReadReply(h).Attempt == attempt || unmatched(h)
+	}
+	return n.g.client.DoMatching(ctx, to.Address, req, match)
+}
+
+// unmatched answers bear no attempt's id because the upstream did not read the request that far.
+func unmatched(h *fasthttp.ResponseHeader) bool {
+	return h.StatusCode() == statusOtherInstance || h.StatusCode() == fasthttp.StatusBadRequest
+}
+
+// writeRequest makes the upstream's request: method, path and body of the caller's, its header without what concerns
+// the connection, and what the system sets.
+func (n *run) writeRequest(req *fasthttp.Request, to *catalog.Upstream) {
+	in := n.x.Req
+	in.Header.CopyTo(&req.Header)
+	h := &req.Header
+	for _, name := range strings.Split(string(in.Header.Peek("Connection")), ",") {
+		h.Del(strings.TrimSpace(name))
+	}
+	for _, name := range perConnection {
+		h.Del(name)
+	}
+	h.ResetConnectionClose()
+	h.SetNoDefaultContentType(true)
+	h.SetRequestURIBytes(in.Header.RequestURI())
+	h.SetHostBytes(in.Header.Host())
+	req.SetBodyRaw(in.Body())
+	n.g.dialect.WriteLeg(h, Leg{
+		Upstream:  to.ID,
+		Client:    n.r.client,
+		Remaining: time.Until(n.r.deadline),
+		Priority:  n.r.priority,
+		LastEvent: n.stream.lastEvent,
+	})
+}
+
+// answerHeaders are the fields of an upstream's answer that the caller gets.
+func answerHeaders(h *fasthttp.ResponseHeader) []httpserver.Header {
+	var out []httpserver.Header
+	for key, value := range h.All() {
+		if !concernsConnection(key) {
+			out = append(out, httpserver.Header{Name: string(key), Value: string(value)})
+		}
+	}
+	return out
+}
+
+func concernsConnection(key []byte) bool {
+	if bytes.EqualFold(key, []byte("Content-Length")) {
+		return true
+	}
+	for _, name := range perConnection {
+		if bytes.EqualFold(key, []byte(name)) {
+			return true
+		}
+	}
+	return false
+}
+
+func isStream(a *httpclient.Answer) bool {
+	return bytes.HasPrefix(a.Header.ContentType(), []byte("text/event-stream"))
+}
+
+// maxDropped is how much of an answer that nobody wants is read to keep its connection.
+const maxDropped = 64 << 10
+
+// drop reads a short answer to its end, so that its connection can be used again.
+func drop(a *httpclient.Answer) {
+	_, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxDropped))
+	a.Release(err == nil)
+}
--- /dev/null
+++ b/internal/gateway/view.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/retry"
+)
+
+// view is what requests see of the control state. It is immutable, but for the gates and budgets of its services,
+// which have locks of their own and live on from view to view.
+type view struct {
+	// config is nil before the first configuration is known.
+	config    *catalog.Configuration
+	upstreams *catalog.Upstreams
+	services  map[ids.Service]*service
+	// state says whether new requests are taken.
+	state nodeState
+	// current says that the configuration is known to be the newest: a node that cannot know does not say that a route
+	// or key does not exist.
+	current bool
+}
+
+// service is what one service's requests go through.
+type service struct {
+	gate   *dispatch.Gate
+	budget *retry.Window
+}
+
+// nodeState is what a gateway says of itself.
+type nodeState string
+
+const (
+	// stateStarting: no configuration is known yet.
+	stateStarting nodeState = "starting"
+	stateReady    nodeState = "ready"
+	// stateLeaving: no longer given out as an address, but requests that still come are served.
+	stateLeaving nodeState = "leaving"
+	// stateClosing: new requests are refused as not run.
+	stateClosing nodeState = "closing"
+)
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -26,8 +26,11 @@
 	DialTimeout time.Duration
 	// MaxIdle is how many idle connections are kept for one address; default 256.
 	MaxIdle int
-	// IdleTimeout is how long an idle connection is kept; default 30s.
+	// IdleTimeout is how long an idle connection is kept; default 30s. A shorter time in an answer's Keep-Alive goes first.
 	IdleTimeout time.Duration
+	// SilentAfter ends a connection whose peer has acknowledged nothing for so long, though bytes or probes were sent;
+	// 0 leaves that to the kernel, which waits for minutes.
+	SilentAfter time.Duration
 }
 
 const (
@@ -74,6 +77,8 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 	since  time.Time
+	// keep is for how long the peer keeps the connection when it is idle, as far as it said so.
+	keep time.Duration
 }
 
 // New returns a client without connections.
@@ -92,7 +97,11 @@
 
 // Answer is an answer whose header is read and whose body is still to come. Release must be called once.
 type Answer struct {
+	// Status is the HTTP status.
+	Status int
 	Header *fasthttp.ResponseHeader
+	// Reused says that the connection had carried other requests before.
+	Reused bool
 	// Body ends with io.EOF after the whole body, and with another error if the answer was cut off.
 	Body    io.Reader
 	res     *fasthttp.Response
@@ -101,34 +110,39 @@
 	address string
 	stop    func() bool
 	whole   bool
+	// written gets the outcome of sending the request.
+	written *sending
 }
 
+// Match tells whether an answer belongs to the request. One that does not is read to its end and dropped.
+type Match func(*fasthttp.ResponseHeader) bool
+
 // Do sends req to address (IP:PORT) and reads the answer's header. When ctx ends the connection is closed, also while
 // the body is read. Errors: *DialError, *BrokenError.
 func (c *Client) Do(ctx context.Context, address string, req *fasthttp.Request) (*Answer, error) {
-	conn, err := c.get(ctx, address)
+	return c.DoMatching(ctx, address, req, nil)
+}
+
+// DoMatching is Do for peers that may send an answer twice or late: answers that do not match are dropped.
+//
+// Failure: the second copy of an earlier request's answer arrives where this request's answer is due, and the caller
+// gets another caller's answer. Dropping it is enough, since a peer serves one request at a time on a connection, so
+// what is foreign comes before what is due.
+func (c *Client) DoMatching(ctx context.Context, address string, req *fasthttp.Request, match Match) (*Answer, error) {
+	conn, reused, err := c.get(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	fail := func(stage string, err error) (*Answer, error) {
+	written := conn.send(req)
+	res, stage, err := conn.receive(match, req.Header.IsHead(), written)
+	if err != nil {
 		stop()
 		_ = conn.Close()
+		<-written.ended // the request belongs to the caller again
 		return nil, &BrokenError{address, stage, errors.Join(err, ctx.Err())}
 	}
-	if err := req.Write(conn.writer); err != nil {
-		return fail("write to", err)
-	}
-	if err := conn.writer.Flush(); err != nil {
-		return fail("write to", err)
-	}
-	res := fasthttp.AcquireResponse()
-	res.StreamBody = true
-	if err := res.Read(conn.reader); err != nil {
-		fasthttp.ReleaseResponse(res)
-		return fail("read from", err)
-	}
-	a := &Answer{Header: &res.Header, res: res, client: c, conn: conn, address: address, stop: stop}
+	a := &Answer{Status: res.StatusCode(), Header: &res.Header, Reused: reused, res: res, client: c, conn: conn, address: address, stop: stop, written: written}
 	a.Body = &bodyReader{a}
 	return a, nil
 }
@@ -157,9 +171,10 @@
 // request. Closing is enough: bytes of one connection never reach another.
 func (a *Answer) Release(trusted bool) {
 	live := a.stop()
-	reusable := trusted && live && a.whole && !a.Header.ConnectionClose() && a.conn.reader.Buffered() == 0
+	reusable := trusted && live && a.whole && a.written.done() && !a.Header.ConnectionClose() && a.conn.reader.Buffered() == 0
 	if !reusable {
 		_ = a.conn.Close()
+		<-a.written.ended // the request belongs to the caller again
 	}
 	_ = a.res.CloseBodyStream()
 	fasthttp.ReleaseResponse(a.res)
@@ -170,10 +185,9 @@
 
 // Probe reports whether address takes connections; it sends nothing. Errors: *DialError.
 func (c *Client) Probe(ctx context.Context, address string) error {
-	d := net.Dialer{Timeout: c.opts.DialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", address)
+	conn, err := c.dial(ctx, address)
 	if err != nil {
-		return &DialError{address, err}
+		return err
 	}
 	return conn.Close()
 }
@@ -190,27 +204,19 @@
 	}
 }
 
-func (c *Client) get(ctx context.Context, address string) (*clientConn, error) {
+func (c *Client) get(ctx context.Context, address string) (conn *clientConn, reused bool, err error) {
 	for {
 		conn := c.pop(address)
 		if conn == nil {
 			break
 		}
-		if time.Since(conn.since) < c.opts.IdleTimeout && silent(conn.Conn) {
-			return conn, nil
+		if time.Since(conn.since) < conn.keep && silent(conn.Conn) {
+			return conn, true, nil
 		}
 		_ = conn.Close()
 	}
-	d := net.Dialer{Timeout: c.opts.DialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, &DialError{address, err}
-	}
-	return &clientConn{
-		Conn:   conn,
-		reader: bufio.NewReaderSize(conn, readBufferBytes),
-		writer: bufio.NewWriterSize(conn, readBufferBytes),
-	}, nil
+	conn, err = c.dial(ctx, address)
+	return conn, false, err
 }
 
 func (c *Client) pop(address string) *clientConn {
@@ -232,6 +238,7 @@
 		return false
 	}
 	conn.since = time.Now()
+	conn.keep = min(conn.keep, c.opts.IdleTimeout)
 	c.idle[address] = append(c.idle[address], conn)
 	return true
 }
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		return gnet.Close
 	}
-	p, err := cut(buf, c.srv.limits)
+	p, err := cut(buf, *c.srv.limits.Load())
 	if err != nil {
 		c.srv.refuse(c, err)
 		return gnet.None
@@ -82,7 +82,7 @@
 // expire answers a request that is past the read timeout and still not whole. It runs on the event loop, like begin:
 // from the sweeper's goroutine the refusal, which promises "not run", could race with the last bytes' arrival.
 func (c *conn) expire() gnet.Action {
-	if !past(time.Now(), c.partialSince.Load(), c.srv.limits.ReadTimeout.Std()) {
+	if !past(time.Now(), c.partialSince.Load(), c.srv.limits.Load().ReadTimeout.Std()) {
 		return gnet.None
 	}
 	e := failure.New(failure.CodeMalformed, nil)
@@ -151,7 +151,7 @@
 
 // sweep ends the connection if it is past a timeout; the event loop answers a half-sent request first.
 func (c *conn) sweep(now time.Time) {
-	l := c.srv.limits
+	l := c.srv.limits.Load()
 	switch {
 	case past(now, c.unreadSince.Load(), l.WriteTimeout.Std()):
 		_ = c.gc.Close()
--- a/internal/httpserver/exchange.go
+++ b/internal/httpserver/exchange.go
@@ -148,7 +148,7 @@
 	h.SetStatusCode(status)
 	h.SetContentLength(length)
 	for _, v := range headers {
-		h.Set(v.Name, v.Value)
+		h.Add(v.Name, v.Value)
 	}
 	if x.close || x.conn.srv.closing.Load() {
 		x.close = true
@@ -169,7 +169,7 @@
 }
 
 func (x *Exchange) waitForReader(ctx context.Context) error {
-	limit := int64(x.conn.srv.limits.MaxUnreadBytes)
+	limit := int64(x.conn.srv.limits.Load().MaxUnreadBytes)
 	for x.conn.unread.Load() > limit {
 		select {
 		case <-ctx.Done():
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -25,7 +25,7 @@
 type Server struct {
 	gnet.BuiltinEventEngine
 	handler Handler
-	limits  Limits
+	limits  atomic.Pointer[Limits]
 	eng     gnet.Engine
 	booted  chan struct{}
 	ended   chan error
@@ -52,10 +52,10 @@
 func Start(address string, loops int, l Limits, h Handler) (*Server, error) {
 	s := &Server{
 		handler: h,
-		limits:  l.withDefaults(),
 		booted:  make(chan struct{}),
 		ended:   make(chan error, 1),
 	}
+	s.SetLimits(l)
 	go func() {
 		s.ended <- gnet.Run(s, "tcp://"+address,
 			gnet.WithNumEventLoop(loops),
@@ -73,6 +73,12 @@
 	}
 }
 
+// SetLimits replaces the limits, also for open connections.
+func (s *Server) SetLimits(l Limits) {
+	l = l.withDefaults()
+	s.limits.Store(&l)
+}
+
 // Busy returns how many requests are running.
 func (s *Server) Busy() int { return int(s.busy.Load()) }
 
@@ -108,7 +114,7 @@
 
 // OnOpen implements gnet.EventHandler.
 func (s *Server) OnOpen(gc gnet.Conn) ([]byte, gnet.Action) {
-	if s.count.Add(1) > int64(s.limits.MaxConnections) {
+	if s.count.Add(1) > int64(s.limits.Load().MaxConnections) {
 		return nil, gnet.Close
 	}
 	c := &conn{srv: s, gc: gc}
--- /dev/null
+++ b/internal/replica/follower.go
@@ -0,0 +1,130 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+)
+
+const (
+	// feedWait is how long one call waits for changes. A longer one would cost fewer calls; this bounds how long a
+	// store that accepts a call and forgets it goes unnoticed.
+	feedWait = 10 * time.Second
+	// firstPause and lastPause bound the wait after a failed call; it doubles between them.
+	firstPause = 100 * time.Millisecond
+	lastPause  = 800 * time.Millisecond
+)
+
+// StaleError says that the store answered with an older table than is known.
+type StaleError struct {
+	Table       string
+	Read, Known uint64
+}
+
+// Error implements error.
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("table %s was read as of version %d, but %d is known", e.Table, e.Read, e.Known)
+}
+
+// Link is what is known of a node's way to the store.
+type Link struct {
+	// Up says that the last call succeeded.
+	Up bool
+	// Since is when that changed last.
+	Since time.Time
+	// Cause is the failure of the last call, nil if it succeeded.
+	Cause error
+}
+
+// Follower keeps a table's copy in step with the store.
+type Follower struct {
+	Feed  platform.Feed
+	Table *Table
+	// Changed is called after rows changed, LinkChanged after the way to the store was lost or found again.
+	Changed     func(t *Table)
+	LinkChanged func(t *Table, l Link)
+	link        atomic.Pointer[Link]
+}
+
+// Link returns what is known of the way to the store.
+func (f *Follower) Link() Link {
+	if l := f.link.Load(); l != nil {
+		return *l
+	}
+	return Link{}
+}
+
+// Run follows the table until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	pause := firstPause
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		f.note(err)
+		if err == nil {
+			pause = firstPause
+			continue
+		}
+		sleep(ctx, pause/2+rand.N(pause/2))
+		pause = min(lastPause, 2*pause)
+	}
+}
+
+// step makes one call. A history that is no longer kept is no failure: the whole table is read.
+func (f *Follower) step(ctx context.Context) error {
+	after, loaded := f.Table.Position()
+	if !loaded {
+		return f.load(ctx)
+	}
+	changes, version, err := f.Feed.Changes(ctx, f.Table.Name(), after, feedWait)
+	var lost *platform.HistoryLostError
+	if errors.As(err, &lost) {
+		return f.load(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	if f.Table.Apply(changes, version) {
+		f.Changed(f.Table)
+	}
+	return nil
+}
+
+func (f *Follower) load(ctx context.Context) error {
+	rows, version, err := f.Feed.Rows(ctx, f.Table.Name())
+	if err != nil {
+		return err
+	}
+	if known, loaded := f.Table.Position(); loaded && version < known {
+		return &StaleError{f.Table.Name(), version, known}
+	}
+	if f.Table.Load(rows, version) {
+		f.Changed(f.Table)
+	}
+	return nil
+}
+
+func (f *Follower) note(err error) {
+	old := f.Link()
+	next := Link{Up: err == nil, Since: old.Since, Cause: err}
+	if old.Up != next.Up || old.Since.IsZero() {
+		next.Since = time.Now()
+	}
+	f.link.Store(&next)
+	if old.Up != next.Up || old.Since.IsZero() {
+		f.LinkChanged(f.Table, next)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
