Expert maps: demand from the ranks' counts, a placement that earns its copies, and a switch by the engines' orders

What: internal/lockstep (demand, balance, policy, switch, conductor); the gateway that holds the lease leads. A pass is held while ranks are armed, so that no pass begins with two maps whatever orders are lost or late.

--- a/cmd/cardamomyoke-gateway/main.go
+++ b/cmd/cardamomyoke-gateway/main.go
@@ -36,7 +36,10 @@
 	logger := log.With(logging.New(out, set.Log), "node", set.Name)
 	signal.Ignore(syscall.SIGHUP)
 	store := platform.NewStore(func() string { return set.Store })
-	g, err := gateway.Start(set, gateway.Deps{Feed: store, Dialect: platform.Headers{}, Decoder: platform.Rows{}, Logger: logger})
+	g, err := gateway.Start(set, gateway.Deps{
+		Feed: store, Table: store, Ranks: platform.NewEngines(),
+		Dialect: platform.Headers{}, Decoder: platform.Rows{}, Logger: logger,
+	})
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
--- /dev/null
+++ b/internal/gateway/experts.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/lease"
+	"github.com/cardamomyoke/cardamomyoke/internal/lease/keeper"
+	"github.com/cardamomyoke/cardamomyoke/internal/lockstep"
+	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+)
+
+const (
+	// expertsDuty is to place the experts of all groups.
+	expertsDuty lease.Duty = "experts"
+	// leaseLength bounds how long a group goes without a leader after its gateway died. Safety does not rest on it.
+	leaseLength = 2 * time.Second
+	// lookEvery is the period in which the leader looks at a group: demand drifts within seconds.
+	lookEvery = 500 * time.Millisecond
+	// demandHalf is the half-life of the estimated demand.
+	demandHalf = 500 * time.Millisecond
+	// sampledRanks is how many ranks' counts are read each time; reading from afar makes the group pause.
+	sampledRanks = 4
+)
+
+// experts places the experts of groups while this gateway holds the duty.
+type experts struct {
+	g      *Gateway
+	ctx    context.Context
+	ranks  lockstep.Ranks
+	leases *keeper.Keeper
+	// fence is the newest fencing number that this gateway got, for the conductors; 0 while it must not lead.
+	fence atomic.Uint64
+	// last and running belong to the control loop.
+	last    ids.Fence
+	running map[ids.Service]context.CancelFunc
+}
+
+func newExperts(ctx context.Context, g *Gateway, ranks lockstep.Ranks, table platform.Table) *experts {
+	return &experts{
+		g: g, ctx: ctx, ranks: ranks, running: map[ids.Service]context.CancelFunc{},
+		leases: keeper.New(keeper.Config{
+			Name: g.settings.Name, Incarnation: g.incarnation, Length: leaseLength, Table: table, Loop: g.loop,
+			Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Logger: g.logger,
+		}),
+	}
+}
+
+// tick runs on the control loop.
+func (e *experts) tick(now time.Time) {
+	e.leases.Want(now, expertsDuty, e.wanted(now))
+	e.leases.Tick(now)
+	held := e.leases.Held(expertsDuty)
+	e.last = max(e.last, held.Fence)
+	if e.leads(held, now) {
+		e.fence.Store(uint64(e.last))
+	} else {
+		e.fence.Store(0)
+	}
+	e.follow()
+}
+
+// wanted reports whether this gateway should lead: it does already, or no other does and it is the first of those that
+// are ready.
+func (e *experts) wanted(now time.Time) bool {
+	if e.g.control.node != stateReady || !e.anyGroup() {
+		return false
+	}
+	if e.leases.Held(expertsDuty).At(now) {
+		return true
+	}
+	names := []string{e.g.settings.Name}
+	for _, p := range e.g.peers.live(now) {
+		if p.digest.GetExpertsFence() > 0 {
+			return false
+		}
+		if p.digest.GetState() == cardamomyokev1.NodeState_NODE_STATE_LIVE {
+			names = append(names, p.digest.GetNode())
+		}
+	}
+	return lease.Candidates(expertsDuty, names, 1)[0] == e.g.settings.Name
+}
+
+// leads reports whether this gateway may give orders. Beyond its lease it goes on while the store is away and no other
+// says that it leads: two leaders cannot mix maps, as their versions differ and a pass is held until all ranks have one.
+func (e *experts) leads(held lease.Held, now time.Time) bool {
+	if e.last == 0 || e.g.control.node != stateReady {
+		return false
+	}
+	for _, p := range e.g.peers.live(now) {
+		if ids.Fence(p.digest.GetExpertsFence()) > e.last {
+			return false
+		}
+	}
+	return held.At(now) || !e.g.config.Link().Up
+}
+
+func (e *experts) anyGroup() bool { return len(e.running) > 0 }
+
+// follow runs a conductor for each service whose upstreams are ranks of a group.
+func (e *experts) follow() {
+	if e.g.control.config == nil {
+		return
+	}
+	for name, s := range e.g.control.config.Services {
+		grouped := s.Engine != nil && s.Engine.Experts != nil
+		stop := e.running[name]
+		switch {
+		case grouped && stop == nil:
+			e.running[name] = e.conduct(name)
+		case !grouped && stop != nil:
+			stop()
+			delete(e.running, name)
+		}
+	}
+}
+
+func (e *experts) conduct(name ids.Service) context.CancelFunc {
+	ctx, cancel := context.WithCancel(e.ctx)
+	c := lockstep.NewConductor(lockstep.ConductorOptions{
+		Ranks:  e.ranks,
+		Logger: log.With(e.g.logger, "service", name),
+		Group:  func() *lockstep.Group { return e.group(name) },
+		Fence:  func() ids.Fence { return ids.Fence(e.fence.Load()) },
+		Period: lookEvery,
+		Half:   demandHalf,
+		Sample: sampledRanks,
+		Policy: lockstep.DefaultOptions(),
+		Switched: func(before, after float64, copies int) {
+			e.g.metrics.switched(name, before, after, copies)
+		},
+	})
+	go c.Run(ctx)
+	return cancel
+}
+
+func (e *experts) group(name ids.Service) *lockstep.Group {
+	v := e.g.view.Load()
+	if v.config == nil {
+		return nil
+	}
+	s := v.config.Services[name]
+	if s == nil || s.Engine == nil || s.Engine.Experts == nil {
+		return nil
+	}
+	return &lockstep.Group{Upstreams: v.upstreams.Of(name), Experts: s.Engine.Experts, ReportLag: s.Engine.ReportLag}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
 	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/lockstep"
 	"github.com/cardamomyoke/cardamomyoke/internal/platform"
 	"github.com/cardamomyoke/cardamomyoke/internal/replica"
 	"github.com/cardamomyoke/cardamomyoke/internal/retry"
@@ -43,6 +44,8 @@
 // Deps are what a gateway works with; they are set by its main.
 type Deps struct {
 	Feed    platform.Feed
+	Table   platform.Table
+	Ranks   lockstep.Ranks
 	Dialect Dialect
 	Decoder Decoder
 	Logger  log.Logger
@@ -64,6 +67,7 @@
 	config    *replica.Follower
 	registry  *replica.Follower
 	peers     *peers
+	experts   *experts
 
 	servers struct{ callers, directory, readiness *httpserver.Server }
 	cancel  context.CancelFunc
@@ -109,6 +113,7 @@
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
+	g.experts = newExperts(ctx, g, d.Ranks, d.Table)
 	for _, f := range g.followers {
 		go f.Run(ctx)
 	}
@@ -274,6 +279,7 @@
 		s.budget.SetBound(g.retryBound(now))
 		s.gate.SetOthers(g.peers.work(name, g.control.upstreams, now))
 	}
+	g.experts.tick(now)
 	g.peers.tick(now)
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -29,3 +29,10 @@
 func (m *gatewayMetrics) first(service ids.Service, seconds float64) {
 	m.set.GetOrCreateHistogram(fmt.Sprintf("cardamomyoke_gateway_first_piece_seconds{service=%q}", service)).Update(seconds)
 }
+
+func (m *gatewayMetrics) switched(service ids.Service, before, after float64, copies int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_map_switches_total{service=%q}", service)).Inc()
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_expert_copies_total{service=%q}", service)).Add(copies)
+	m.set.GetOrCreateHistogram(fmt.Sprintf("cardamomyoke_gateway_skew_before{service=%q}", service)).Update(before)
+	m.set.GetOrCreateHistogram(fmt.Sprintf("cardamomyoke_gateway_skew_after{service=%q}", service)).Update(after)
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -252,6 +252,7 @@
 		HttpAddress:   g.settings.Listen.Callers,
 		DigestAddress: g.settings.Listen.Peers,
 		Peers:         p.named(now),
+		ExpertsFence:  g.experts.fence.Load(),
 	}
 	for _, f := range g.followers {
 		d.News = append(d.News, &cardamomyokev1.TableNews{Table: f.Table.Name(), Newest: f.Table.Newest()})
--- /dev/null
+++ b/internal/lockstep/conductor.go
@@ -0,0 +1,426 @@
+package lockstep
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+const (
+	// pollEvery is how often a switch looks whether the ranks have prepared its map.
+	pollEvery = 60 * time.Millisecond
+	// retryTick is the period in which a switch sends again what got no answer.
+	retryTick = 10 * time.Millisecond
+	// prepareSlack is added to the time that the copies take before a switch is given up.
+	prepareSlack = 1500 * time.Millisecond
+	// leftBefore is for how long a hold or an armed rank must stand that no running switch explains. Reports lag, so that
+	// for some hundred ms after a switch they still show it.
+	leftBefore = 700 * time.Millisecond
+	// versionsPerTask are reserved for each switch: the new map, and the present one again if it is undone.
+	versionsPerTask = 2
+	// fenceShift leaves room for the versions of one leader below those of the next.
+	fenceShift = 16
+)
+
+// Group is the group that a Conductor leads.
+type Group struct {
+	Upstreams []*catalog.Upstream
+	Experts   *catalog.Experts
+	ReportLag time.Duration
+}
+
+// ConductorOptions are what a Conductor is built from.
+type ConductorOptions struct {
+	Ranks  Ranks
+	Logger log.Logger
+	// Group returns the group now, or nil if there is none; Fence the leader's fencing number, 0 while this node does not
+	// lead.
+	Group func() *Group
+	Fence func() ids.Fence
+	// Period is the time between two looks at the group, Half the half-life of the estimated demand, Sample how many
+	// ranks' counts are read each time.
+	Period, Half time.Duration
+	Sample       int
+	Policy       Options
+	// Switched is called after each switch; it may be nil.
+	Switched func(before, after float64, copies int)
+}
+
+// Conductor keeps the map of one group in step with the demand while its node leads. Only Run's goroutine uses it.
+type Conductor struct {
+	o      ConductorOptions
+	demand *Demand
+	epoch  uint64
+	// placement is the one in use at version; nil if it must be read.
+	placement Placement
+	version   uint64
+	next      int // the rank whose counts are read next
+	serial    uint64
+	fence     ids.Fence
+	leftSince time.Time
+	open      bool
+}
+
+// NewConductor returns a conductor that has seen nothing.
+func NewConductor(o ConductorOptions) *Conductor {
+	return &Conductor{o: o, demand: NewDemand(o.Half)}
+}
+
+// Run leads the group until ctx ends.
+func (c *Conductor) Run(ctx context.Context) {
+	tick := time.NewTicker(c.o.Period)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			c.look(ctx)
+		}
+	}
+}
+
+// look reads the group and switches it if that earns its cost.
+func (c *Conductor) look(ctx context.Context) {
+	fence := c.o.Fence()
+	group := c.o.Group()
+	if fence == 0 || group == nil {
+		c.forget()
+		return
+	}
+	if fence != c.fence {
+		c.forget()
+		c.fence, c.serial = fence, 0
+	}
+	state := c.survey(ctx, group)
+	if state == nil {
+		return
+	}
+	if c.cleanUp(ctx, state) {
+		return
+	}
+	if !c.learnPlacement(ctx, state) {
+		return
+	}
+	c.readCounts(ctx, state)
+	c.improve(ctx, state)
+}
+
+func (c *Conductor) forget() {
+	c.placement = nil
+	c.leftSince = time.Time{}
+}
+
+// survey is the group as its ranks reported it, by rank.
+type survey struct {
+	group     *Group
+	upstreams []*catalog.Upstream
+	reports   []Report
+	epoch     uint64
+	pass      uint64
+}
+
+// survey reads all ranks; nil unless the group is whole and works.
+func (c *Conductor) survey(ctx context.Context, g *Group) *survey {
+	reports := c.reports(ctx, g.Upstreams)
+	s := &survey{group: g}
+	for i, r := range reports {
+		if r == nil || !r.Open || r.Rank < 0 || r.Rank >= r.Size {
+			continue
+		}
+		if s.reports == nil {
+			s.reports = make([]Report, r.Size)
+			s.upstreams = make([]*catalog.Upstream, r.Size)
+			s.epoch = r.Epoch
+		}
+		if r.Size == len(s.reports) && r.Epoch == s.epoch {
+			s.reports[r.Rank] = *r
+			s.upstreams[r.Rank] = g.Upstreams[i]
+			s.pass = max(s.pass, r.Pass)
+		}
+	}
+	whole := s.reports != nil
+	for _, u := range s.upstreams {
+		whole = whole && u != nil
+	}
+	if whole != c.open {
+		c.open = whole
+		_ = level.Info(c.o.Logger).Log("msg", "group", "whole", whole, "epoch", s.epoch, "ranks", len(s.upstreams), "pass", s.pass)
+	}
+	if !whole {
+		return nil
+	}
+	if s.epoch != c.epoch {
+		c.epoch = s.epoch
+		c.forget()
+		c.demand = NewDemand(c.o.Half)
+	}
+	return s
+}
+
+// reports reads all ranks at once; a rank that does not answer has none.
+func (c *Conductor) reports(ctx context.Context, list []*catalog.Upstream) []*Report {
+	out := make([]*Report, len(list))
+	var wait sync.WaitGroup
+	for i, u := range list {
+		wait.Go(func() {
+			if r, err := c.o.Ranks.Report(ctx, u); err == nil {
+				out[i] = &r
+			} else {
+				_ = level.Debug(c.o.Logger).Log("msg", "no report", "upstream", u.ID, "err", err)
+			}
+		})
+	}
+	wait.Wait()
+	return out
+}
+
+// learnPlacement reads the map in use unless it is known; false if it cannot be read now.
+func (c *Conductor) learnPlacement(ctx context.Context, s *survey) bool {
+	version := s.reports[0].Version
+	for _, r := range s.reports {
+		if r.Version != version {
+			return false // the reports are from before and after a switch
+		}
+	}
+	if c.placement != nil && c.version == version {
+		return true
+	}
+	if c.placement != nil && version < c.version {
+		return false // the reports are from before the last switch
+	}
+	held := make([]*Held, len(s.upstreams))
+	var wait sync.WaitGroup
+	for r, u := range s.upstreams {
+		wait.Go(func() {
+			if h, err := c.o.Ranks.Held(ctx, u); err == nil {
+				held[r] = &h
+			}
+		})
+	}
+	wait.Wait()
+	sets := s.group.Experts.Sets
+	placement := make(Placement, sets)
+	for set := range placement {
+		placement[set] = make([][]int, len(held))
+	}
+	for r, h := range held {
+		if h == nil || h.Epoch != s.epoch || h.Version != version || len(h.Experts) != sets {
+			return false
+		}
+		for set := range placement {
+			placement[set][r] = h.Experts[set]
+		}
+	}
+	c.placement, c.version = placement, version
+	return true
+}
+
+// readCounts reads the counts of some ranks, in turn.
+func (c *Conductor) readCounts(ctx context.Context, s *survey) {
+	n := min(c.o.Sample, len(s.upstreams))
+	type read struct {
+		rank   int
+		epoch  uint64
+		counts Counts
+	}
+	reads := make([]*read, n)
+	var wait sync.WaitGroup
+	for i := range n {
+		rank := (c.next + i*len(s.upstreams)/n) % len(s.upstreams)
+		wait.Go(func() {
+			epoch, counts, err := c.o.Ranks.Counts(ctx, s.upstreams[rank], s.group.Experts.Sets)
+			if err == nil {
+				reads[i] = &read{rank, epoch, counts}
+			}
+		})
+	}
+	wait.Wait()
+	now := time.Now()
+	for _, r := range reads {
+		if r != nil && r.epoch == s.epoch {
+			c.demand.Observe(now, r.rank, r.epoch, r.counts)
+		}
+	}
+}
+
+// improve switches to a better placement if there is one.
+func (c *Conductor) improve(ctx context.Context, s *survey) {
+	room := Room{Placements: s.group.Experts.Placements, Spare: s.group.Experts.Spare}
+	speed := make([]float64, len(s.reports))
+	for r, report := range s.reports {
+		speed[r] = 1 / max(1, report.Pace)
+	}
+	plan, before := Decide(c.o.Policy, c.placement, c.demand, speed, room)
+	if plan == nil {
+		_ = level.Debug(c.o.Logger).Log("msg", "map kept", "version", c.version, "skew", before)
+		return
+	}
+	now := time.Now()
+	task := c.task(s)
+	task.Placement = plan.Placement
+	task.PrepareBy = now.Add(plan.CopyTime(s.group.Experts.CopyTime) + prepareSlack)
+	sw := NewSwitch(task)
+	sw.known = s.pass + c.lagPasses(s)
+	c.carryOut(ctx, s, sw, sw.Start(now))
+	_ = level.Info(c.o.Logger).Log("msg", "map switch", "version", task.Version, "epoch", task.Epoch, "end", sw.State(),
+		"switched", sw.Switched(), "pass", sw.Pass(), "before", plan.Before, "after", plan.After, "copies", plan.Copies,
+		"took", time.Since(now))
+	if !sw.Switched() {
+		c.forget()
+		return
+	}
+	c.placement, c.version = plan.Placement, task.Version
+	if c.o.Switched != nil {
+		c.o.Switched(plan.Before, plan.After, plan.Copies)
+	}
+}
+
+// lagPasses is how many passes a report is behind, from the reports' age and a usual pass.
+func (c *Conductor) lagPasses(s *survey) uint64 {
+	return uint64(s.group.ReportLag / usualPass)
+}
+
+// usualPass is the length of a pass of a loaded group; a shorter one costs another try at holding the group.
+const usualPass = 50 * time.Millisecond
+
+// task is a new task for the present leader. Its version is unique: fencing numbers are, and versions of one leader
+// count up from its own.
+func (c *Conductor) task(s *survey) Task {
+	c.serial += versionsPerTask
+	return Task{
+		Epoch:   s.epoch,
+		Ranks:   len(s.upstreams),
+		Version: uint64(c.fence)<<fenceShift + c.serial,
+		Present: c.placement,
+		HoldAt:  int(c.serial/versionsPerTask) % len(s.upstreams),
+
+		Fallback: uint64(c.fence)<<fenceShift + c.serial + 1,
+	}
+}
+
+type answered struct {
+	order Order
+	reply Reply
+}
+
+// carryOut runs a switch to its end, or until ctx ends.
+func (c *Conductor) carryOut(ctx context.Context, s *survey, sw *Switch, orders []Order) {
+	replies := make(chan answered, 4*len(s.upstreams))
+	tick := time.NewTicker(retryTick)
+	defer tick.Stop()
+	polled := time.Now()
+	for !sw.Ended() {
+		c.give(ctx, s, orders, replies)
+		select {
+		case <-ctx.Done():
+			return
+		case a := <-replies:
+			orders = sw.OnReply(time.Now(), a.order, a.reply)
+		case now := <-tick.C:
+			orders = sw.Tick(now)
+			if sw.State() != stateDone && now.Sub(polled) >= pollEvery {
+				polled = now
+				orders = append(orders, c.poll(ctx, s, sw)...)
+			}
+		}
+	}
+}
+
+// poll hands the ranks' reports to a switch.
+func (c *Conductor) poll(ctx context.Context, s *survey, sw *Switch) []Order {
+	var orders []Order
+	for _, r := range c.reports(ctx, s.upstreams) {
+		if r != nil {
+			lagging := *r
+			lagging.Pass += c.lagPasses(s)
+			orders = append(orders, sw.OnReport(time.Now(), lagging)...)
+		}
+	}
+	return orders
+}
+
+func (c *Conductor) give(ctx context.Context, s *survey, orders []Order, replies chan<- answered) {
+	for _, o := range orders {
+		u := s.upstreams[o.Rank]
+		go func() {
+			reply, err := c.o.Ranks.Order(ctx, u, o)
+			if err != nil {
+				_ = level.Info(c.o.Logger).Log("msg", "order", "op", o.Op, "upstream", u.ID, "rank", o.Rank, "version", o.Version,
+					"pass", o.Pass, "reply", reply, "err", err)
+			}
+			replies <- answered{o, reply}
+		}()
+	}
+}
+
+// cleanUp ends what another leader left behind: a group that is held, or ranks that are armed.
+//
+// Failure: a leader dies between holding a group and releasing it, and no rank ever begins another pass. Finishing its
+// switch is safe if every rank has prepared the map that some rank is armed for; otherwise all are disarmed first.
+func (c *Conductor) cleanUp(ctx context.Context, s *survey) bool {
+	now := time.Now()
+	holder, held, armed := leftovers(s.reports)
+	if held == nil {
+		c.leftSince = time.Time{}
+		return false
+	}
+	if c.leftSince.IsZero() {
+		c.leftSince = now
+	}
+	if now.Sub(c.leftSince) < leftBefore {
+		return true
+	}
+	c.leftSince = time.Time{}
+	task := c.task(s)
+	task.HoldAt = holder
+	if task.Present == nil && !c.learnPlacement(ctx, s) {
+		return true
+	}
+	task.Present = c.placement
+	finish := armed != nil && armed.Pass == *held && allPrepared(s.reports, armed.Version)
+	var sw *Switch
+	var orders []Order
+	if finish {
+		task.Version = armed.Version
+		sw = NewSwitch(task)
+		orders = sw.Finish(now, *held)
+	} else {
+		if armed != nil {
+			task.Version = armed.Version
+		}
+		sw = NewSwitch(task)
+		orders = sw.Clear(now, *held)
+	}
+	c.carryOut(ctx, s, sw, orders)
+	_ = level.Warn(c.o.Logger).Log("msg", "group was left held", "pass", *held, "finished", finish, "end", sw.State(), "took", time.Since(now))
+	c.forget()
+	return true
+}
+
+func leftovers(reports []Report) (holder int, held *uint64, armed *Armed) {
+	for _, r := range reports {
+		if r.Held != nil {
+			holder, held = r.Rank, r.Held
+		}
+		if r.Armed != nil {
+			armed = r.Armed
+		}
+	}
+	return holder, held, armed
+}
+
+func allPrepared(reports []Report, version uint64) bool {
+	for _, r := range reports {
+		if r.Prepared != version && (r.Armed == nil || r.Armed.Version != version) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/lockstep/demand.go
@@ -0,0 +1,99 @@
+package lockstep
+
+import (
+	"math"
+	"time"
+)
+
+// Counts are how often a rank's requests chose each expert since it started, by set.
+type Counts [][]float64
+
+// Demand estimates which experts are in demand from the counts of the ranks, which may be read at unlike times and not
+// from all ranks.
+type Demand struct {
+	half  time.Duration
+	last  map[int]sample
+	value [][]float64
+	at    time.Time
+}
+
+type sample struct {
+	epoch  uint64
+	counts Counts
+}
+
+// NewDemand returns an estimate that forgets half of what it knows in the given time.
+func NewDemand(half time.Duration) *Demand {
+	return &Demand{half: half, last: map[int]sample{}}
+}
+
+// Observe takes in one rank's counts.
+func (d *Demand) Observe(now time.Time, rank int, epoch uint64, counts Counts) {
+	old, known := d.last[rank]
+	d.last[rank] = sample{epoch, counts}
+	if !known || old.epoch != epoch || !sameShape(old.counts, counts) {
+		return
+	}
+	if !sameShape(Counts(d.value), counts) {
+		d.value = zeros(counts)
+	}
+	d.decay(now)
+	for s := range counts {
+		for e := range counts[s] {
+			// A rank that restarted counts from 0 again.
+			d.value[s][e] += max(0, counts[s][e]-old.counts[s][e])
+		}
+	}
+}
+
+func (d *Demand) decay(now time.Time) {
+	if d.at.IsZero() {
+		d.at = now
+		return
+	}
+	keep := math.Exp2(-now.Sub(d.at).Seconds() / d.half.Seconds())
+	d.at = now
+	if keep == 1 {
+		return
+	}
+	for s := range d.value {
+		for e := range d.value[s] {
+			d.value[s][e] *= keep
+		}
+	}
+}
+
+// Value returns the estimate by set and expert, in counts; nil before two reads of one rank. It must not be changed.
+func (d *Demand) Value() [][]float64 { return d.value }
+
+// Total returns the counts that the estimate of one set rests on.
+func (d *Demand) Total() float64 {
+	if len(d.value) == 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, v := range d.value[0] {
+		sum += v
+	}
+	return sum
+}
+
+func sameShape(a, b Counts) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for s := range a {
+		if len(a[s]) != len(b[s]) {
+			return false
+		}
+	}
+	return true
+}
+
+func zeros(like Counts) [][]float64 {
+	out := make([][]float64, len(like))
+	for s := range like {
+		out[s] = make([]float64, len(like[s]))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/lockstep/placement.go
@@ -0,0 +1,96 @@
+package lockstep
+
+import "slices"
+
+// Placement lists, for each set of layers and each rank, the experts that the rank holds.
+type Placement [][][]int
+
+// Clone returns a copy that shares nothing.
+func (p Placement) Clone() Placement {
+	out := make(Placement, len(p))
+	for s, ranks := range p {
+		out[s] = make([][]int, len(ranks))
+		for r, experts := range ranks {
+			out[s][r] = slices.Clone(experts)
+		}
+	}
+	return out
+}
+
+// Copies counts the experts that a rank must load to go from one placement to another, over all ranks and sets.
+func Copies(from, to Placement) int {
+	n := 0
+	for s := range to {
+		for r := range to[s] {
+			n += newExperts(from[s][r], to[s][r])
+		}
+	}
+	return n
+}
+
+// MostCopies is the most experts that one rank must load, over all sets: it loads one after the other.
+func MostCopies(from, to Placement) int {
+	if len(to) == 0 {
+		return 0
+	}
+	most := 0
+	for r := range to[0] {
+		n := 0
+		for s := range to {
+			n += newExperts(from[s][r], to[s][r])
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+func newExperts(had, has []int) int {
+	n := 0
+	for _, e := range has {
+		if !slices.Contains(had, e) {
+			n++
+		}
+	}
+	return n
+}
+
+// Skew returns the time that the sets' experts take over the time that a perfect balance would take: the mean over sets
+// of the most loaded rank over the mean. Weights gives each set's demand by expert; speed is each rank's, 1 for a usual
+// one.
+func Skew(p Placement, demand [][]float64, speed []float64) float64 {
+	sum := 0.0
+	for s := range p {
+		sum += setSkew(p[s], demand[s], speed)
+	}
+	return sum / float64(max(1, len(p)))
+}
+
+func setSkew(ranks [][]int, demand, speed []float64) float64 {
+	loads := setLoads(ranks, demand, speed)
+	total := 0.0
+	for _, d := range demand {
+		total += d
+	}
+	if total == 0 {
+		return 1
+	}
+	return slices.Max(loads) * float64(len(ranks)) / total
+}
+
+// setLoads returns each rank's time for the set.
+func setLoads(ranks [][]int, demand, speed []float64) []float64 {
+	holders := make([]int, len(demand))
+	for _, experts := range ranks {
+		for _, e := range experts {
+			holders[e]++
+		}
+	}
+	loads := make([]float64, len(ranks))
+	for r, experts := range ranks {
+		for _, e := range experts {
+			loads[r] += demand[e] / float64(holders[e])
+		}
+		loads[r] /= speed[r]
+	}
+	return loads
+}
--- /dev/null
+++ b/internal/lockstep/ranks.go
@@ -0,0 +1,26 @@
+package lockstep
+
+import (
+	"context"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
+)
+
+// Ranks reaches the engines of a group. Calls are bounded in time by the implementation.
+type Ranks interface {
+	// Report reads what a rank says of itself; it may be some hundred ms old.
+	Report(ctx context.Context, u *catalog.Upstream) (Report, error)
+	// Counts reads how often the rank's requests chose each expert since it started, and its epoch.
+	Counts(ctx context.Context, u *catalog.Upstream, sets int) (uint64, Counts, error)
+	// Held reads the rank's part of the map in use.
+	Held(ctx context.Context, u *catalog.Upstream) (Held, error)
+	// Order gives an order. The error explains ReplyLost and ReplyRefused.
+	Order(ctx context.Context, u *catalog.Upstream, o Order) (Reply, error)
+}
+
+// Held is a rank's part of the map in use.
+type Held struct {
+	Epoch, Version uint64
+	// Experts lists what the rank holds of each set.
+	Experts [][]int
+}
