--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -13,8 +13,9 @@
 
 const (
 	// feedWait is how long one call waits for changes. A longer one would cost fewer calls; this bounds how long a
-	// store that accepts a call and forgets it goes unnoticed.
-	feedWait = 10 * time.Second
+	// store that accepts a call and forgets it goes unnoticed, which must be less than the time in which a change is to
+	// be in force after an outage.
+	feedWait = 2500 * time.Millisecond
 	// firstPause and lastPause bound the wait after a failed call; it doubles between them.
 	firstPause = 100 * time.Millisecond
 	lastPause  = 800 * time.Millisecond
@@ -80,7 +81,7 @@
 	if !loaded {
 		return f.load(ctx)
 	}
-	changes, version, err := f.Feed.Changes(ctx, f.Table.Name(), after, feedWait)
+	changes, version, err := f.Feed.Changes(ctx, f.Table.Name(), after, f.wait())
 	var lost *platform.HistoryLostError
 	if errors.As(err, &lost) {
 		return f.load(ctx)
@@ -94,6 +95,18 @@
 	return nil
 }
 
+// wait is how long the next call waits for changes: not at all after a failure.
+//
+// Failure: the store accepts calls but answers none. The call under way when it is sound again was accepted before, so
+// nobody answers it, and changes stay unseen until its time is over. A call that does not wait fails soon, and the next
+// one is answered.
+func (f *Follower) wait() time.Duration {
+	if !f.Link().Up {
+		return 0
+	}
+	return feedWait
+}
+
 func (f *Follower) load(ctx context.Context) error {
 	rows, version, err := f.Feed.Rows(ctx, f.Table.Name())
 	if err != nil {
