--- a/cmd/cardamomyoke-gateway/main.go
+++ b/cmd/cardamomyoke-gateway/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/agent"
 	"github.com/cardamomyoke/cardamomyoke/internal/daemon"
 	"github.com/cardamomyoke/cardamomyoke/internal/gateway"
 	"github.com/cardamomyoke/cardamomyoke/internal/logging"
@@ -37,7 +38,7 @@
 	signal.Ignore(syscall.SIGHUP)
 	store := platform.NewStore(func() string { return set.Store })
 	g, err := gateway.Start(set, gateway.Deps{
-		Feed: store, Table: store, Ranks: platform.NewEngines(),
+		Feed: store, Table: store, Ranks: agent.NewClient(platform.NewEngines(), set.AgentPort),
 		Dialect: platform.Headers{}, Decoder: platform.Rows{}, Logger: logger,
 	})
 	if err != nil {
--- /dev/null
+++ b/internal/agent/client.go
@@ -0,0 +1,176 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
+	"github.com/cardamomyoke/cardamomyoke/internal/lockstep"
+)
+
+const (
+	// callTimeout bounds one call: the agent's own call to its rank, and the way there.
+	callTimeout = 250 * time.Millisecond
+	// dialTimeout bounds the making of a connection.
+	dialTimeout = 100 * time.Millisecond
+	// directFor is how long a rank is reached directly after its agent could not be.
+	directFor = 2 * time.Second
+	// maxIdle is how many idle connections are kept to one agent; calls to it follow each other.
+	maxIdle = 2
+)
+
+// Client reaches ranks through their agents, and directly where there is none. It implements lockstep.Ranks.
+type Client struct {
+	direct lockstep.Ranks
+	port   string
+	http   *http.Client
+
+	mu     sync.Mutex
+	agents map[string]cardamomyokev1connect.AgentServiceClient // by host
+	avoid  map[string]time.Time                                // hosts without an agent, until when
+}
+
+var _ lockstep.Ranks = (*Client)(nil)
+
+// NewClient returns a client of the agents at the given port of the ranks' hosts; without a port all are reached
+// directly.
+func NewClient(direct lockstep.Ranks, port string) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Client{
+		direct: direct,
+		port:   port,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdle, DisableCompression: true,
+		}},
+		agents: map[string]cardamomyokev1connect.AgentServiceClient{},
+		avoid:  map[string]time.Time{},
+	}
+}
+
+// Near implements lockstep.Ranks.
+func (c *Client) Near(u *catalog.Upstream) bool {
+	_, _, ok := c.agent(u)
+	return ok
+}
+
+// agent returns the client of the rank's agent, unless it must be reached directly.
+func (c *Client) agent(u *catalog.Upstream) (cardamomyokev1connect.AgentServiceClient, string, bool) {
+	host, _, err := net.SplitHostPort(u.Address)
+	if err != nil || c.port == "" {
+		return nil, "", false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Now().Before(c.avoid[host]) {
+		return nil, "", false
+	}
+	a := c.agents[host]
+	if a == nil {
+		a = cardamomyokev1connect.NewAgentServiceClient(c.http, "http://"+net.JoinHostPort(host, c.port))
+		c.agents[host] = a
+	}
+	return a, host, true
+}
+
+// failed notes that an agent did not answer. An agent that answers for a rank that does not is not at fault.
+func (c *Client) failed(host string, err error) {
+	var answer *connect.Error
+	if errors.As(err, &answer) && connect.IsWireError(err) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.avoid[host] = time.Now().Add(directFor)
+	delete(c.agents, host)
+}
+
+// Report implements lockstep.Ranks.
+func (c *Client) Report(ctx context.Context, u *catalog.Upstream) (lockstep.Report, error) {
+	a, host, ok := c.agent(u)
+	if !ok {
+		return c.direct.Report(ctx, u)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	res, err := a.RankReport(ctx, &cardamomyokev1.RankReportRequest{})
+	if err != nil {
+		c.failed(host, err)
+		return lockstep.Report{}, err
+	}
+	r := decodeReport(res)
+	r.Fresh = true
+	return r, nil
+}
+
+// Counts implements lockstep.Ranks.
+func (c *Client) Counts(ctx context.Context, u *catalog.Upstream, sets int) (uint64, lockstep.Counts, error) {
+	a, host, ok := c.agent(u)
+	if !ok {
+		return c.direct.Counts(ctx, u, sets)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	res, err := a.RankCounts(ctx, &cardamomyokev1.RankCountsRequest{Sets: uint32(sets)})
+	if err != nil {
+		c.failed(host, err)
+		return 0, nil, err
+	}
+	counts := make(lockstep.Counts, sets)
+	perSet := len(res.GetCounts()) / max(1, sets)
+	for s := range counts {
+		counts[s] = make([]float64, perSet)
+		for e := range perSet {
+			counts[s][e] = float64(res.GetCounts()[s*perSet+e])
+		}
+	}
+	return res.GetEpoch(), counts, nil
+}
+
+// Held implements lockstep.Ranks.
+func (c *Client) Held(ctx context.Context, u *catalog.Upstream) (lockstep.Held, error) {
+	a, host, ok := c.agent(u)
+	if !ok {
+		return c.direct.Held(ctx, u)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	res, err := a.RankHeld(ctx, &cardamomyokev1.RankHeldRequest{})
+	if err != nil {
+		c.failed(host, err)
+		return lockstep.Held{}, err
+	}
+	return lockstep.Held{Epoch: res.GetEpoch(), Version: res.GetVersion(), Experts: decodeLists(res.GetSets())}, nil
+}
+
+// ReplyError is what a rank said to an order, as its agent tells it.
+type ReplyError struct{ Reason string }
+
+// Error implements error.
+func (e *ReplyError) Error() string { return e.Reason }
+
+// Order implements lockstep.Ranks.
+func (c *Client) Order(ctx context.Context, u *catalog.Upstream, o lockstep.Order) (lockstep.Reply, error) {
+	a, host, ok := c.agent(u)
+	if !ok {
+		return c.direct.Order(ctx, u, o)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	res, err := a.RankOrder(ctx, encodeOrder(o))
+	if err != nil {
+		c.failed(host, err)
+		return lockstep.ReplyLost, err
+	}
+	if res.GetReason() != "" {
+		return decodeReply(res.GetReply()), &ReplyError{res.GetReason()}
+	}
+	return decodeReply(res.GetReply()), nil
+}
--- /dev/null
+++ b/internal/agent/codec.go
@@ -0,0 +1,113 @@
+package agent
+
+import (
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/lockstep"
+)
+
+// replies are the answers of ranks as they are sent; one that was lost is unspecified.
+var replies = map[lockstep.Reply]cardamomyokev1.OrderReply{
+	lockstep.ReplyLost:    cardamomyokev1.OrderReply_ORDER_REPLY_UNSPECIFIED,
+	lockstep.ReplyBegun:   cardamomyokev1.OrderReply_ORDER_REPLY_BEGUN,
+	lockstep.ReplyHolds:   cardamomyokev1.OrderReply_ORDER_REPLY_HOLDS,
+	lockstep.ReplyRefused: cardamomyokev1.OrderReply_ORDER_REPLY_REFUSED,
+}
+
+func decodeReply(sent cardamomyokev1.OrderReply) lockstep.Reply {
+	for reply, code := range replies {
+		if code == sent {
+			return reply
+		}
+	}
+	return lockstep.ReplyLost
+}
+
+func encodeReport(r lockstep.Report) *cardamomyokev1.RankReportResponse {
+	res := &cardamomyokev1.RankReportResponse{
+		Rank:        uint32(r.Rank),
+		Size:        uint32(r.Size),
+		Epoch:       r.Epoch,
+		Open:        r.Open,
+		Pass:        r.Pass,
+		Version:     r.Version,
+		Prepared:    r.Prepared,
+		HeldPass:    r.Held,
+		Pace:        r.Pace,
+		Running:     uint32(r.Running),
+		Waiting:     uint32(r.Waiting),
+		CacheTokens: uint64(r.CacheTokens),
+	}
+	if r.Armed != nil {
+		res.Armed = &cardamomyokev1.ArmedSwitch{Version: r.Armed.Version, Pass: r.Armed.Pass}
+	}
+	return res
+}
+
+func decodeReport(res *cardamomyokev1.RankReportResponse) lockstep.Report {
+	r := lockstep.Report{
+		Rank:        int(res.GetRank()),
+		Size:        int(res.GetSize()),
+		Epoch:       res.GetEpoch(),
+		Open:        res.GetOpen(),
+		Pass:        res.GetPass(),
+		Version:     res.GetVersion(),
+		Prepared:    res.GetPrepared(),
+		Held:        res.HeldPass,
+		Pace:        res.GetPace(),
+		Running:     int(res.GetRunning()),
+		Waiting:     int(res.GetWaiting()),
+		CacheTokens: int(res.GetCacheTokens()),
+	}
+	if a := res.GetArmed(); a != nil {
+		r.Armed = &lockstep.Armed{Version: a.GetVersion(), Pass: a.GetPass()}
+	}
+	return r
+}
+
+func encodeLists(lists [][]int) []*cardamomyokev1.ExpertList {
+	var out []*cardamomyokev1.ExpertList
+	for _, list := range lists {
+		l := &cardamomyokev1.ExpertList{}
+		for _, e := range list {
+			l.Experts = append(l.Experts, uint32(e))
+		}
+		out = append(out, l)
+	}
+	return out
+}
+
+func decodeLists(lists []*cardamomyokev1.ExpertList) [][]int {
+	out := make([][]int, len(lists))
+	for i, list := range lists {
+		for _, e := range list.GetExperts() {
+			out[i] = append(out[i], int(e))
+		}
+	}
+	return out
+}
+
+func encodeOrder(o lockstep.Order) *cardamomyokev1.RankOrderRequest {
+	req := &cardamomyokev1.RankOrderRequest{
+		Op: string(o.Op), Rank: uint32(o.Rank), Epoch: o.Epoch, Version: o.Version, Pass: o.Pass, Sets: uint32(len(o.Placement)),
+	}
+	for _, ranks := range o.Placement {
+		req.Lists = append(req.Lists, encodeLists(ranks)...)
+	}
+	return req
+}
+
+func decodeOrder(req *cardamomyokev1.RankOrderRequest) lockstep.Order {
+	o := lockstep.Order{
+		Op: lockstep.Op(req.GetOp()), Rank: int(req.GetRank()), Epoch: req.GetEpoch(), Version: req.GetVersion(), Pass: req.GetPass(),
+	}
+	sets := int(req.GetSets())
+	if sets == 0 || len(req.GetLists())%sets != 0 {
+		return o
+	}
+	lists := decodeLists(req.GetLists())
+	ranks := len(lists) / sets
+	for s := range sets {
+		o.Placement = append(o.Placement, lists[s*ranks:(s+1)*ranks])
+	}
+	return o
+}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -19,6 +19,8 @@
 	Listen     Listen         `yaml:"listen"`
 	// Peers are the addresses at which other gateways take digests, IP:PORT, as far as they are known.
 	Peers []string `yaml:"peers"`
+	// AgentPort is where the agents beside ranks listen on their hosts; empty if there are none.
+	AgentPort string `yaml:"agent_port"`
 	// Store is the address of the platform's store, IP:PORT.
 	Store  string          `yaml:"store"`
 	Limits HostLimits      `yaml:"limits"`
--- a/internal/lockstep/conductor.go
+++ b/internal/lockstep/conductor.go
@@ -14,7 +14,7 @@
 
 const (
 	// pollEvery is how often a switch looks whether the ranks have prepared its map.
-	pollEvery = 60 * time.Millisecond
+	pollEvery = 40 * time.Millisecond
 	// retryTick is the period in which a switch sends again what got no answer.
 	retryTick = 10 * time.Millisecond
 	// prepareSlack is added to the time that the copies take before a switch is given up.
@@ -60,7 +60,6 @@
 	// placement is the one in use at version; nil if it must be read.
 	placement Placement
 	version   uint64
-	next      int // the rank whose counts are read next
 	serial    uint64
 	fence     ids.Fence
 	leftSince time.Time
@@ -222,18 +221,35 @@
 	return true
 }
 
-// readCounts reads the counts of some ranks, in turn.
+// sample names the ranks whose counts are read now: all that cost nothing, and a few of the others. The same few each
+// time, since two reads of one rank are needed to tell what it did between them.
+func (c *Conductor) sample(s *survey) []int {
+	var near, far []int
+	for r, u := range s.upstreams {
+		if c.o.Ranks.Near(u) {
+			near = append(near, r)
+		} else {
+			far = append(far, r)
+		}
+	}
+	n := max(0, min(c.o.Sample-len(near), len(far)))
+	for i := range n {
+		near = append(near, far[i*len(far)/n])
+	}
+	return near
+}
+
+// readCounts reads the counts of the sampled ranks.
 func (c *Conductor) readCounts(ctx context.Context, s *survey) {
-	n := min(c.o.Sample, len(s.upstreams))
+	ranks := c.sample(s)
 	type read struct {
 		rank   int
 		epoch  uint64
 		counts Counts
 	}
-	reads := make([]*read, n)
+	reads := make([]*read, len(ranks))
 	var wait sync.WaitGroup
-	for i := range n {
-		rank := (c.next + i*len(s.upstreams)/n) % len(s.upstreams)
+	for i, rank := range ranks {
 		wait.Go(func() {
 			epoch, counts, err := c.o.Ranks.Counts(ctx, s.upstreams[rank], s.group.Experts.Sets)
 			if err == nil {
@@ -284,6 +300,9 @@
 
 // lagPasses is how many passes a report is behind, from the reports' age and a usual pass.
 func (c *Conductor) lagPasses(s *survey) uint64 {
+	if s.reports[0].Fresh {
+		return 0
+	}
 	return uint64(s.group.ReportLag / usualPass)
 }
 
@@ -338,9 +357,11 @@
 	var orders []Order
 	for _, r := range c.reports(ctx, s.upstreams) {
 		if r != nil {
-			lagging := *r
-			lagging.Pass += c.lagPasses(s)
-			orders = append(orders, sw.OnReport(time.Now(), lagging)...)
+			now := *r
+			if !now.Fresh {
+				now.Pass += c.lagPasses(s)
+			}
+			orders = append(orders, sw.OnReport(time.Now(), now)...)
 		}
 	}
 	return orders
--- a/internal/lockstep/order.go
+++ b/internal/lockstep/order.go
@@ -59,6 +59,8 @@
 	Held *uint64
 	// Pace is how many times as long as usual the rank's work takes.
 	Pace float64
+	// Fresh says that the report is of now; others are some hundred ms old.
+	Fresh bool
 	// Running and Waiting count requests; CacheTokens is the KV cache in use.
 	Running, Waiting, CacheTokens int
 }
--- a/internal/lockstep/ranks.go
+++ b/internal/lockstep/ranks.go
@@ -14,6 +14,8 @@
 	Counts(ctx context.Context, u *catalog.Upstream, sets int) (uint64, Counts, error)
 	// Held reads the rank's part of the map in use.
 	Held(ctx context.Context, u *catalog.Upstream) (Held, error)
+	// Near reports whether reading the rank costs nothing, now.
+	Near(u *catalog.Upstream) bool
 	// Order gives an order. The error explains ReplyLost and ReplyRefused.
 	Order(ctx context.Context, u *catalog.Upstream, o Order) (Reply, error)
 }
