Requests wait while their group is broken, and the duty of placing experts is taken over at once

What: of two entries with one address the later counts; a watch reads the group after a refusal or a cut and closes the gate until it works; a duty whose holder is not heard is taken over at once, as safety does not rest on the lease; the estimated demand outlives an epoch; requests that are late already leave 40% of the slots to those that are not.

--- a/internal/catalog/upstreams.go
+++ b/internal/catalog/upstreams.go
@@ -28,6 +28,8 @@
 	// Slots is how many requests it runs at once.
 	Slots int
 	State State
+	// Version is that of the entry in the registry; a later one was written later.
+	Version uint64
 }
 
 // Upstreams is the list of all upstreams that are registered. It is immutable.
@@ -36,10 +38,21 @@
 	byService map[ids.Service][]*Upstream
 }
 
-// NewUpstreams indexes a list.
+// NewUpstreams indexes a list. Of two entries with one address only the later one counts.
+//
+// Failure: a host restarts and its new life registers at once, while the entry of the old one stays for some heartbeats.
+// Half of the requests then go to lives that are gone and are refused. An address has one owner at a time, so the later
+// entry proves that the earlier one's life has ended.
 func NewUpstreams(list []*Upstream) *Upstreams {
+	latest := make(map[string]uint64, len(list))
+	for _, up := range list {
+		latest[up.Address] = max(latest[up.Address], up.Version)
+	}
 	u := &Upstreams{byID: make(map[ids.Upstream]*Upstream, len(list)), byService: map[ids.Service][]*Upstream{}}
 	for _, up := range list {
+		if up.Version < latest[up.Address] {
+			continue
+		}
 		u.byID[up.ID] = up
 		u.byService[up.Service] = append(u.byService[up.Service], up)
 	}
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -70,6 +70,11 @@
 	})
 }
 
+// SetClosed says whether all upstreams are known to refuse what is sent to them.
+func (g *Gate) SetClosed(closed bool) {
+	g.change(func(p *Pool, now time.Time) []*Ticket { return p.SetClosed(closed, now) })
+}
+
 // SetOthers replaces what the other gateways have in flight.
 func (g *Gate) SetOthers(work map[ids.Upstream]Work) {
 	g.change(func(p *Pool, now time.Time) []*Ticket { return p.SetOthers(work, now) })
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -47,8 +47,9 @@
 type Options struct {
 	// Engine is nil for a plain service.
 	Engine *catalog.Engine
-	// Fill is how many requests may be in flight at an upstream for each of its slots.
-	Fill float64
+	// Fill is how many requests may be in flight at an upstream for each of its slots; LateFill is the same for a request
+	// that can no longer be answered in time.
+	Fill, LateFill float64
 }
 
 // Pool places the requests of one service. It is not safe for concurrent use.
@@ -60,6 +61,8 @@
 	waiting []*Ticket
 	rng     *rand.Rand
 	drained rate
+	// closed says that no upstream can start anything now; requests wait.
+	closed bool
 }
 
 // NewPool returns a pool without upstreams.
@@ -88,6 +91,15 @@
 	return p.settle(now)
 }
 
+// SetClosed says whether all upstreams are known to refuse what is sent to them, as the ranks of a broken group do.
+//
+// Failure: a group forms again within a second or two, but each request that is sent meanwhile is refused, uses up its
+// attempts and the retry budget, and fails. Held back here it is served as soon as the group works.
+func (p *Pool) SetClosed(closed bool, now time.Time) []*Ticket {
+	p.closed = closed
+	return p.settle(now)
+}
+
 // SetOthers replaces what the other gateways have in flight.
 func (p *Pool) SetOthers(work map[ids.Upstream]Work, now time.Time) []*Ticket {
 	for _, t := range p.order {
@@ -113,7 +125,7 @@
 	if p.place(t, now) {
 		return t
 	}
-	if len(p.order) == 0 {
+	if len(p.order) == 0 && !p.closed {
 		t.refuse(&NoUpstreamError{RetryAfter: noUpstreamRetry})
 		return t
 	}
@@ -202,10 +214,17 @@
 
 // place gives the ticket an upstream if one has room.
 func (p *Pool) place(t *Ticket, now time.Time) bool {
+	if p.closed {
+		return false
+	}
 	var best *target
 	least := 0.0
+	fill := p.opts.Fill
+	if now.After(t.request.Aim) {
+		fill = p.opts.LateFill
+	}
 	for _, c := range p.order {
-		if !c.usable(now) || slices.Contains(t.request.Exclude, c.up.ID) || !p.room(c) {
+		if !c.usable(now) || slices.Contains(t.request.Exclude, c.up.ID) || !c.room(fill) {
 			continue
 		}
 		score := p.load(c) + tieBreak*p.rng.Float64()
@@ -230,9 +249,9 @@
 	return t.up.State == catalog.StateReady && t.health.usable(now)
 }
 
-func (p *Pool) room(t *target) bool {
+func (t *target) room(fill float64) bool {
 	slots := max(1, t.up.Slots)
-	return float64(t.own.Requests+t.others.Requests) < p.opts.Fill*float64(slots)
+	return float64(t.own.Requests+t.others.Requests) < fill*float64(slots)
 }
 
 // load compares upstreams: the part of the slots in use, and the passes that reading the waiting prompts takes.
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -36,11 +36,11 @@
 	return float64(r.before+r.since) / rateWindow.Seconds()
 }
 
-// expectedWait is how long a request that joins the queue now waits, by the measured throughput; 0 if none is known,
-// so that nothing is refused on a guess.
+// expectedWait is how long a request that joins the queue now waits, by the measured throughput; 0 if none is known or
+// the pool is closed, so that nothing is refused on a guess.
 func (p *Pool) expectedWait() time.Duration {
 	perSecond := p.drained.perSecond()
-	if perSecond == 0 {
+	if perSecond == 0 || p.closed {
 		return 0
 	}
 	return time.Duration(float64(len(p.waiting)) / perSecond * float64(time.Second))
--- a/internal/gateway/experts.go
+++ b/internal/gateway/experts.go
@@ -47,7 +47,7 @@
 		g: g, ctx: ctx, ranks: ranks, running: map[ids.Service]context.CancelFunc{},
 		leases: keeper.New(keeper.Config{
 			Name: g.settings.Name, Incarnation: g.incarnation, Length: leaseLength, Table: table, Loop: g.loop,
-			Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Logger: g.logger,
+			Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Logger: g.logger, Ended: g.peers.ended,
 		}),
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,6 +70,8 @@
 	experts   *experts
 
 	servers struct{ callers, directory, readiness *httpserver.Server }
+	ranks   lockstep.Ranks
+	ctx     context.Context
 	cancel  context.CancelFunc
 	// control is what the control loop owns.
 	control state
@@ -94,6 +96,8 @@
 		incarnation: ids.NewIncarnation(),
 		loop:        control.New(),
 		metrics:     newMetrics(),
+		ranks:       d.Ranks,
+		ctx:         ctx,
 		cancel:      cancel,
 		client: httpclient.New(httpclient.Options{
 			DialTimeout: dialTimeout, IdleTimeout: upstreamIdle, SilentAfter: upstreamSilent,
@@ -225,6 +229,7 @@
 		if s == nil {
 			rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 			s = &service{gate: dispatch.NewGate(dispatch.NewPool(dispatch.Options{}, rng)), budget: retry.NewWindow()}
+			g.watchGroup(s, c)
 		}
 		s.gate.SetOptions(optionsOf(c))
 		s.gate.SetUpstreams(g.control.upstreams.Of(name))
@@ -234,18 +239,38 @@
 	g.control.services = next
 }
 
+// watchGroup sets up the watch over a service whose upstreams are ranks of a group. A gateway that starts does not know
+// whether the group works: it may start because all hosts lost power.
+func (g *Gateway) watchGroup(s *service, c *catalog.Service) {
+	if c.Engine == nil || c.Engine.Experts == nil {
+		return
+	}
+	s.group = &groupWatch{
+		ranks:  g.ranks,
+		gate:   s.gate,
+		logger: log.With(g.logger, "service", c.Name),
+		upstreams: func() []*catalog.Upstream {
+			return g.view.Load().upstreams.Of(c.Name)
+		},
+	}
+	s.group.doubt(g.ctx, "start")
+}
+
 const (
 	// engineFill keeps what waits at the gateways: a request in an engine's own queue cannot go elsewhere.
 	engineFill = 1.0
+	// engineLateFill keeps slots free for requests that can still be answered in time: after an outage all that waited is
+	// late, and started at once it would make late what comes after it, too.
+	engineLateFill = 0.6
 	// plainFill lets a plain upstream queue a little, so that it does not idle for the way of the next request.
 	plainFill = 1.5
 )
 
 func optionsOf(c *catalog.Service) dispatch.Options {
 	if c.Engine != nil {
-		return dispatch.Options{Engine: c.Engine, Fill: engineFill}
+		return dispatch.Options{Engine: c.Engine, Fill: engineFill, LateFill: engineLateFill}
 	}
-	return dispatch.Options{Fill: plainFill}
+	return dispatch.Options{Fill: plainFill, LateFill: plainFill}
 }
 
 // retryBound is this gateway's part of what all gateways may retry.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -52,6 +52,7 @@
 	port     *controlport.Port
 	http     *http.Client
 	ctx      context.Context
+	began    time.Time
 
 	mu      sync.Mutex
 	known   map[string]*peer     // by name
@@ -67,6 +68,7 @@
 	p := &peers{
 		g:       g,
 		ctx:     ctx,
+		began:   time.Now(),
 		http:    &http.Client{Timeout: pullTimeout},
 		known:   map[string]*peer{},
 		hints:   map[string]time.Time{},
@@ -336,6 +338,24 @@
 	return out
 }
 
+// ended reports whether another gateway's life is known to be over: it is not heard, or only a later life is. A gateway
+// that has just started has not heard anyone yet.
+func (p *peers) ended(name string, life ids.Incarnation) bool {
+	now := time.Now()
+	if now.Sub(p.began) < peerSilent {
+		return false
+	}
+	if name == p.g.settings.Name {
+		return life != p.g.incarnation
+	}
+	for _, k := range p.live(now) {
+		if k.digest.GetNode() == name {
+			return k.digest.GetIncarnation() > string(life)
+		}
+	}
+	return true
+}
+
 // count is how many other gateways are live.
 func (p *peers) count(now time.Time) int { return len(p.live(now)) }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -28,7 +28,9 @@
 	stream     relay
 	// placedAt is when the latest attempt got its upstream, firstAt when the first piece of the answer came.
 	placedAt, firstAt time.Time
-	upstream          ids.Upstream
+	// lastAt is when the latest events were given to the caller.
+	lastAt   time.Time
+	upstream ids.Upstream
 	// held is the upstream's own failure, to be given to the caller if no other attempt succeeds.
 	held *plainAnswer
 }
@@ -89,6 +91,7 @@
 		n.upstream = ticket.Upstream().ID
 		n.g.placed(n)
 		err = n.attempt(ctx, ticket)
+		n.doubtGroup(err)
 		n.service.gate.Done(ticket, outcomeOf(ctx, err))
 		if err == nil {
 			return nil
@@ -101,12 +104,29 @@
 	}
 }
 
+// doubtGroup has the group looked at if an attempt failed as it does at a broken group: refused, or cut off.
+func (n *run) doubtGroup(err error) {
+	var refused *RefusedError
+	var broken *httpclient.BrokenError
+	switch {
+	case n.service.group == nil || err == nil:
+	case errors.As(err, &refused) && refused.Status != statusOtherInstance:
+		n.service.group.doubt(n.g.ctx, "refused")
+	case errors.As(err, &broken) && n.x.Answered():
+		n.service.group.doubt(n.g.ctx, "cut off")
+	}
+}
+
 // place is what the pool must know of the request's next attempt.
 func (n *run) place() dispatch.Request {
 	r := n.r
 	latest := r.deadline
 	if r.route.Kind == catalog.KindStream {
-		if leaves := r.arrived.Add(r.route.Patience() - patienceMargin); leaves.Before(latest) {
+		since := r.arrived
+		if n.x.Answered() {
+			since = n.lastAt
+		}
+		if leaves := since.Add(r.route.Patience() - patienceMargin); leaves.Before(latest) {
 			latest = leaves
 		}
 	}
@@ -149,6 +169,9 @@
 	switch {
 	case errors.As(err, &dial):
 		n.unreached++
+	case errors.As(err, &refused) && refused.Status == statusOtherInstance:
+		// The upstream that was meant is gone, so the request was not sent to it.
+		n.unreached++
 	case errors.As(err, &refused):
 		n.sent++
 	default:
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"time"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
 	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
@@ -97,6 +98,7 @@
 		return err
 	}
 	n.stream.events++
+	n.lastAt = time.Now()
 	n.stream.lastEvent = last
 	return nil
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -25,6 +25,8 @@
 type service struct {
 	gate   *dispatch.Gate
 	budget *retry.Window
+	// group is nil unless the upstreams are ranks of a group.
+	group *groupWatch
 }
 
 // nodeState is what a gateway says of itself.
--- a/internal/lease/keeper/keeper.go
+++ b/internal/lease/keeper/keeper.go
@@ -33,6 +33,8 @@
 	Loop        *control.Loop
 	Rand        *rand.Rand
 	Logger      log.Logger
+	// Ended reports whether a holder is known to have ended; see lease.Holder.SetEnded. It may be nil.
+	Ended func(holder string, life ids.Incarnation) bool
 	// Taken is called on the loop when this node has taken a duty, for the audit; it may be nil.
 	Taken func(now time.Time, h lease.Held)
 }
@@ -65,6 +67,7 @@
 	h := k.holders[d]
 	if h == nil {
 		h = lease.NewHolder(d, k.config.Name, k.config.Incarnation, k.config.Length, k.config.Rand)
+		h.SetEnded(k.config.Ended)
 		k.holders[d] = h
 	}
 	k.run(now, d, h, h.Want(now, want))
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -119,8 +119,14 @@
 	nextAt   time.Time
 	call     uint64 // counts calls, so that an answer given up on is known
 	released bool   // the call under way gives the duty back
+	// ended tells of a holder that is known to have ended; nil if that is never known.
+	ended func(holder string, life ids.Incarnation) bool
 }
 
+// SetEnded lets the duty be taken over before the lease is over from a holder that is known to have ended. It is for
+// duties whose safety does not rest on the lease: a holder that only seems to have ended is doubled until it hears.
+func (h *Holder) SetEnded(ended func(holder string, life ids.Incarnation) bool) { h.ended = ended }
+
 // NewHolder returns a holder that does not want the duty yet.
 func NewHolder(d Duty, name string, life ids.Incarnation, length time.Duration, rng *rand.Rand) *Holder {
 	return &Holder{duty: d, name: name, life: life, length: length, rng: rng, machine: chart.Start()}
@@ -204,6 +210,9 @@
 	if h.row.Lease.GetHolder() == "" {
 		return true
 	}
+	if h.ended != nil && h.ended(h.row.Lease.GetHolder(), ids.Incarnation(h.row.Lease.GetIncarnation())) {
+		return true
+	}
 	length := time.Duration(h.row.Lease.GetLengthMs()) * time.Millisecond
 	return now.Sub(h.seenAt) > length+length/marginPart
 }
--- a/internal/lockstep/conductor.go
+++ b/internal/lockstep/conductor.go
@@ -156,9 +156,9 @@
 		return nil
 	}
 	if s.epoch != c.epoch {
+		// What is in demand does not change because the group formed anew, and its first map knows nothing of it.
 		c.epoch = s.epoch
 		c.forget()
-		c.demand = NewDemand(c.o.Half)
 	}
 	return s
 }
