A group that its leader left held is undone by the next leader; holds go straight to the rank

What: holding and releasing go straight from the gateway; a new leader takes over 0.45 s after the last digest, looks at once, holds the pass at a rank of its own and undoes the switch; prepared maps are confirmed by one round of all ranks. Ruled out: finishing another leader's switch (two that decide unlike could mix maps); arming without a hold.

--- a/internal/agent/client.go
+++ b/internal/agent/client.go
@@ -156,10 +156,14 @@
 // Error implements error.
 func (e *ReplyError) Error() string { return e.Reason }
 
+// direct reports whether an order goes straight to the rank. Holding a group does: if the agent's host freezes right
+// after it, its rank could not be told to release the group before it wakes.
+func direct(op lockstep.Op) bool { return op == lockstep.OpHold || op == lockstep.OpRelease }
+
 // Order implements lockstep.Ranks.
 func (c *Client) Order(ctx context.Context, u *catalog.Upstream, o lockstep.Order) (lockstep.Reply, error) {
 	a, host, ok := c.agent(u)
-	if !ok {
+	if !ok || direct(o.Op) {
 		return c.direct.Order(ctx, u, o)
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/gateway/experts.go
+++ b/internal/gateway/experts.go
@@ -39,12 +39,18 @@
 	fence atomic.Uint64
 	// last and running belong to the control loop.
 	last    ids.Fence
-	running map[ids.Service]context.CancelFunc
+	running map[ids.Service]*conducted
+}
+
+// conducted is a conductor that runs.
+type conducted struct {
+	stop context.CancelFunc
+	wake chan struct{}
 }
 
 func newExperts(ctx context.Context, g *Gateway, ranks lockstep.Ranks, table platform.Table) *experts {
 	return &experts{
-		g: g, ctx: ctx, ranks: ranks, running: map[ids.Service]context.CancelFunc{},
+		g: g, ctx: ctx, ranks: ranks, running: map[ids.Service]*conducted{},
 		leases: keeper.New(keeper.Config{
 			Name: g.settings.Name, Incarnation: g.incarnation, Length: leaseLength, Table: table, Loop: g.loop,
 			Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Logger: g.logger, Ended: g.peers.ended,
@@ -58,12 +64,20 @@
 	e.leases.Tick(now)
 	held := e.leases.Held(expertsDuty)
 	e.last = max(e.last, held.Fence)
+	e.follow()
+	fence := uint64(0)
 	if e.leads(held, now) {
-		e.fence.Store(uint64(e.last))
-	} else {
-		e.fence.Store(0)
+		fence = uint64(e.last)
+	}
+	if e.fence.Swap(fence) == fence {
+		return
+	}
+	for _, c := range e.running {
+		select {
+		case c.wake <- struct{}{}:
+		default:
+		}
 	}
-	e.follow()
 }
 
 // wanted reports whether this gateway should lead: it does already, or no other does and it is the first of those that
@@ -77,6 +91,9 @@
 	}
 	names := []string{e.g.settings.Name}
 	for _, p := range e.g.peers.live(now) {
+		if now.Sub(p.heardAt) > leaderSilent {
+			continue
+		}
 		if p.digest.GetExpertsFence() > 0 {
 			return false
 		}
@@ -110,24 +127,26 @@
 	}
 	for name, s := range e.g.control.config.Services {
 		grouped := s.Engine != nil && s.Engine.Experts != nil
-		stop := e.running[name]
+		c := e.running[name]
 		switch {
-		case grouped && stop == nil:
+		case grouped && c == nil:
 			e.running[name] = e.conduct(name)
-		case !grouped && stop != nil:
-			stop()
+		case !grouped && c != nil:
+			c.stop()
 			delete(e.running, name)
 		}
 	}
 }
 
-func (e *experts) conduct(name ids.Service) context.CancelFunc {
+func (e *experts) conduct(name ids.Service) *conducted {
 	ctx, cancel := context.WithCancel(e.ctx)
+	run := &conducted{stop: cancel, wake: make(chan struct{}, 1)}
 	c := lockstep.NewConductor(lockstep.ConductorOptions{
 		Ranks:  e.ranks,
 		Logger: log.With(e.g.logger, "service", name),
 		Group:  func() *lockstep.Group { return e.group(name) },
 		Fence:  func() ids.Fence { return ids.Fence(e.fence.Load()) },
+		Wake:   run.wake,
 		Period: lookEvery,
 		Half:   demandHalf,
 		Sample: sampledRanks,
@@ -137,7 +156,7 @@
 		},
 	})
 	go c.Run(ctx)
-	return cancel
+	return run
 }
 
 func (e *experts) group(name ids.Service) *lockstep.Group {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -28,6 +28,8 @@
 	digestEvery = 200 * time.Millisecond
 	// peerSilent is after how long a gateway that is not heard is no longer given out: three digests and a margin.
 	peerSilent = 800 * time.Millisecond
+	// leaderSilent is after how long a duty is taken over from a gateway that is not heard: two digests and the way.
+	leaderSilent = 450 * time.Millisecond
 	// peerForgotten is after how long a gateway that is not heard is no longer told anything.
 	peerForgotten = 30 * time.Second
 	// maxTold is how many gateways one digest goes to; with more of them a random choice is told each time.
@@ -342,18 +344,19 @@
 // that has just started has not heard anyone yet.
 func (p *peers) ended(name string, life ids.Incarnation) bool {
 	now := time.Now()
-	if now.Sub(p.began) < peerSilent {
+	if now.Sub(p.began) < leaderSilent {
 		return false
 	}
 	if name == p.g.settings.Name {
 		return life != p.g.incarnation
 	}
-	for _, k := range p.live(now) {
-		if k.digest.GetNode() == name {
-			return k.digest.GetIncarnation() > string(life)
-		}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k := p.known[name]
+	if k == nil || now.Sub(k.heardAt) > leaderSilent {
+		return true
 	}
-	return true
+	return k.digest.GetIncarnation() > string(life)
 }
 
 // count is how many other gateways are live.
--- a/internal/lockstep/conductor.go
+++ b/internal/lockstep/conductor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,9 +20,9 @@
 	retryTick = 10 * time.Millisecond
 	// prepareSlack is added to the time that the copies take before a switch is given up.
 	prepareSlack = 1500 * time.Millisecond
-	// leftBefore is for how long a hold or an armed rank must stand that no running switch explains. Reports lag, so that
-	// for some hundred ms after a switch they still show it.
-	leftBefore = 700 * time.Millisecond
+	// leftBefore is for how long a group must be seen held that no running switch explains, so that another leader's switch
+	// may end; one takes some milliseconds. Reports that are not fresh show a hold for as long as they lag.
+	leftBefore = 100 * time.Millisecond
 	// versionsPerTask are reserved for each switch: the new map, and the present one again if it is undone.
 	versionsPerTask = 2
 	// fenceShift leaves room for the versions of one leader below those of the next.
@@ -43,6 +44,8 @@
 	// lead.
 	Group func() *Group
 	Fence func() ids.Fence
+	// Wake makes the conductor look at once, as when its node begins to lead; it may be nil.
+	Wake <-chan struct{}
 	// Period is the time between two looks at the group, Half the half-life of the estimated demand, Sample how many
 	// ranks' counts are read each time.
 	Period, Half time.Duration
@@ -60,10 +63,12 @@
 	// placement is the one in use at version; nil if it must be read.
 	placement Placement
 	version   uint64
-	serial    uint64
-	fence     ids.Fence
-	leftSince time.Time
-	open      bool
+	// switchedAt is the pass of the last switch.
+	switchedAt uint64
+	serial     uint64
+	fence      ids.Fence
+	leftSince  time.Time
+	open       bool
 }
 
 // NewConductor returns a conductor that has seen nothing.
@@ -73,25 +78,31 @@
 
 // Run leads the group until ctx ends.
 func (c *Conductor) Run(ctx context.Context) {
-	tick := time.NewTicker(c.o.Period)
-	defer tick.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
-			c.look(ctx)
+		case <-timer.C:
+		case <-c.o.Wake:
 		}
+		began := time.Now()
+		wait := c.look(ctx)
+		timer.Reset(max(0, wait-time.Since(began)))
 	}
 }
 
-// look reads the group and switches it if that earns its cost.
-func (c *Conductor) look(ctx context.Context) {
+// soon is the time to the next look when something is due before the period is over.
+const soon = 50 * time.Millisecond
+
+// look reads the group and switches it if that earns its cost; it returns the time from its start to the next look.
+func (c *Conductor) look(ctx context.Context) time.Duration {
 	fence := c.o.Fence()
 	group := c.o.Group()
 	if fence == 0 || group == nil {
 		c.forget()
-		return
+		return c.o.Period
 	}
 	if fence != c.fence {
 		c.forget()
@@ -99,16 +110,20 @@
 	}
 	state := c.survey(ctx, group)
 	if state == nil {
-		return
+		return min(c.o.Period, 2*soon)
 	}
 	if c.cleanUp(ctx, state) {
-		return
+		return soon
 	}
 	if !c.learnPlacement(ctx, state) {
-		return
+		return 2 * soon
 	}
 	c.readCounts(ctx, state)
+	if c.demand.Value() == nil {
+		return 2 * soon
+	}
 	c.improve(ctx, state)
+	return c.o.Period
 }
 
 func (c *Conductor) forget() {
@@ -191,7 +206,7 @@
 	if c.placement != nil && c.version == version {
 		return true
 	}
-	if c.placement != nil && version < c.version {
+	if c.placement != nil && version < c.version && s.pass <= c.switchedAt {
 		return false // the reports are from before the last switch
 	}
 	held := make([]*Held, len(s.upstreams))
@@ -292,7 +307,7 @@
 		c.forget()
 		return
 	}
-	c.placement, c.version = plan.Placement, task.Version
+	c.placement, c.version, c.switchedAt = plan.Placement, task.Version, sw.Pass()
 	if c.o.Switched != nil {
 		c.o.Switched(plan.Before, plan.After, plan.Copies)
 	}
@@ -344,7 +359,7 @@
 			orders = sw.OnReply(time.Now(), a.order, a.reply)
 		case now := <-tick.C:
 			orders = sw.Tick(now)
-			if sw.State() != stateDone && now.Sub(polled) >= pollEvery {
+			if !sw.Ended() && now.Sub(polled) >= pollEvery {
 				polled = now
 				orders = append(orders, c.poll(ctx, s, sw)...)
 			}
@@ -354,17 +369,13 @@
 
 // poll hands the ranks' reports to a switch.
 func (c *Conductor) poll(ctx context.Context, s *survey, sw *Switch) []Order {
-	var orders []Order
-	for _, r := range c.reports(ctx, s.upstreams) {
-		if r != nil {
-			now := *r
-			if !now.Fresh {
-				now.Pass += c.lagPasses(s)
-			}
-			orders = append(orders, sw.OnReport(time.Now(), now)...)
+	reports := c.reports(ctx, s.upstreams)
+	for _, r := range reports {
+		if r != nil && !r.Fresh {
+			r.Pass += c.lagPasses(s)
 		}
 	}
-	return orders
+	return sw.OnReports(time.Now(), reports)
 }
 
 func (c *Conductor) give(ctx context.Context, s *survey, orders []Order, replies chan<- answered) {
@@ -381,67 +392,62 @@
 	}
 }
 
-// cleanUp ends what another leader left behind: a group that is held, or ranks that are armed.
+// cleanUp undoes what another leader left behind: a group that is held. It reports whether there is such a group.
 //
-// Failure: a leader dies between holding a group and releasing it, and no rank ever begins another pass. Finishing its
-// switch is safe if every rank has prepared the map that some rank is armed for; otherwise all are disarmed first.
+// Failure: a leader dies between holding a group and releasing it, and no rank ever begins another pass.
 func (c *Conductor) cleanUp(ctx context.Context, s *survey) bool {
 	now := time.Now()
-	holder, held, armed := leftovers(s.reports)
-	if held == nil {
+	holders, pass := holdersOf(s.reports)
+	if len(holders) == 0 {
 		c.leftSince = time.Time{}
 		return false
 	}
 	if c.leftSince.IsZero() {
 		c.leftSince = now
 	}
-	if now.Sub(c.leftSince) < leftBefore {
+	patience := leftBefore
+	if !s.reports[holders[0]].Fresh {
+		patience += 2 * s.group.ReportLag
+	}
+	if now.Sub(c.leftSince) < patience || !c.learnPlacement(ctx, s) {
 		return true
 	}
 	c.leftSince = time.Time{}
 	task := c.task(s)
-	task.HoldAt = holder
-	if task.Present == nil && !c.learnPlacement(ctx, s) {
-		return true
-	}
-	task.Present = c.placement
-	finish := armed != nil && armed.Pass == *held && allPrepared(s.reports, armed.Version)
-	var sw *Switch
-	var orders []Order
-	if finish {
-		task.Version = armed.Version
-		sw = NewSwitch(task)
-		orders = sw.Finish(now, *held)
-	} else {
-		if armed != nil {
-			task.Version = armed.Version
-		}
-		sw = NewSwitch(task)
-		orders = sw.Clear(now, *held)
+	task.Version = armedVersion(s.reports)
+	for slices.Contains(holders, task.HoldAt) && len(holders) < len(s.reports) {
+		task.HoldAt = (task.HoldAt + 1) % len(s.reports)
 	}
-	c.carryOut(ctx, s, sw, orders)
-	_ = level.Warn(c.o.Logger).Log("msg", "group was left held", "pass", *held, "finished", finish, "end", sw.State(), "took", time.Since(now))
+	sw := NewSwitch(task)
+	c.carryOut(ctx, s, sw, sw.Undo(now, pass, holders))
+	_ = level.Warn(c.o.Logger).Log("msg", "switch of another leader undone", "version", task.Version, "pass", pass, "end", sw.State(),
+		"took", time.Since(now))
 	c.forget()
 	return true
 }
 
-func leftovers(reports []Report) (holder int, held *uint64, armed *Armed) {
+// holdersOf names the ranks that hold the earliest pass that is held.
+func holdersOf(reports []Report) (holders []int, pass uint64) {
 	for _, r := range reports {
-		if r.Held != nil {
-			holder, held = r.Rank, r.Held
-		}
-		if r.Armed != nil {
-			armed = r.Armed
+		switch {
+		case r.Held == nil:
+		case len(holders) == 0 || *r.Held < pass:
+			holders, pass = []int{r.Rank}, *r.Held
+		case *r.Held == pass:
+			holders = append(holders, r.Rank)
 		}
 	}
-	return holder, held, armed
+	return holders, pass
 }
 
-func allPrepared(reports []Report, version uint64) bool {
+// armedVersion is what ranks are armed for or, as long as none is, what they may be armed for next.
+func armedVersion(reports []Report) uint64 {
+	version := uint64(0)
 	for _, r := range reports {
-		if r.Prepared != version && (r.Armed == nil || r.Armed.Version != version) {
-			return false
+		if r.Armed != nil {
+			return r.Armed.Version
 		}
+		version = max(version, r.Prepared)
 	}
-	return true
+	return version
 }
--- a/internal/lockstep/switch.go
+++ b/internal/lockstep/switch.go
@@ -1,6 +1,7 @@
 package lockstep
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/charts"
@@ -9,13 +10,15 @@
 var chart = charts.MustLoad("map_orders")
 
 const (
+	statePreparing charts.State = "preparing"
 	stateHolding   charts.State = "holding"
 	stateArming    charts.State = "arming"
+	stateGuarding  charts.State = "guarding"
 	stateClearing  charts.State = "clearing"
 	stateReleasing charts.State = "releasing"
-	statePreparing charts.State = "preparing"
-	stateDone      charts.State = "done"
 
+	evBegin        charts.Event = "begin"
+	evRescue       charts.Event = "rescue"
 	evAllPrepared  charts.Event = "all_prepared"
 	evRefused      charts.Event = "refused"
 	evLate         charts.Event = "late"
@@ -27,11 +30,14 @@
 )
 
 const (
-	// resendAfter is the pause before an order is sent again that got no answer.
+	// resendAfter is the pause before an order is sent again that got no answer, or that a rank cannot take yet.
 	resendAfter = 30 * time.Millisecond
 	// maxHolds is how many passes are tried to be held; each begins before the order arrives only if the group is faster
 	// than it was reported to be.
 	maxHolds = 6
+	// maxClears is how often one rank may refuse the newer version of the present map; it does as long as another leader
+	// has it armed.
+	maxClears = 20
 	// holdLead is how many passes after the last one known the switch is to be.
 	holdLead = 2
 )
@@ -56,26 +62,28 @@
 //
 // What it rests on: a group begins no pass that one of its ranks holds. The ranks are armed only while the pass is
 // held, and it is released only when all of them are armed for it, or when none is and none can be. An order that got
-// no answer is sent until it gets one; what it may still do when it is carried out late is listed at each state.
+// no answer is sent until it gets one; what it may still do when it is carried out late is listed at each state. Two
+// leaders at once are safe: one that undoes another's switch holds the pass at a rank of its own first, and gives every
+// rank a newer version, after which the other's orders are refused.
 type Switch struct {
 	task    Task
 	machine charts.Machine
-	// acked are the ranks that acknowledged the present state's order, and step counts the orders of clearing.
-	acked map[int]int
-	// due is when an order that got no answer is sent again, by rank.
-	due map[int]time.Time
-	// sent are the ranks whose order is under way.
-	sent     map[int]bool
+	// acked counts the orders of the present state that a rank has acknowledged; refusals those that it refused.
+	acked, refusals map[int]int
+	// due is when an order is sent again, by rank; sent are the ranks whose order is under way.
+	due  map[int]time.Time
+	sent map[int]bool
+	// release are the ranks to be told to let the pass begin.
+	release  []int
 	pass     uint64
 	holds    int
-	prepared map[int]bool
 	known    uint64
 	switched bool
 }
 
 // NewSwitch returns a switch that has not begun.
 func NewSwitch(t Task) *Switch {
-	return &Switch{task: t, machine: chart.Start(), prepared: map[int]bool{}}
+	return &Switch{task: t, machine: chart.Start(), release: []int{t.HoldAt}}
 }
 
 // State returns the state in the chart.
@@ -92,34 +100,19 @@
 
 // Start begins the switch.
 func (s *Switch) Start(now time.Time) []Order {
-	s.enter()
+	s.fire(evBegin)
 	return s.Tick(now)
 }
 
-// Finish begins a switch that another node began: all ranks have prepared the map, and the pass is held. Arming them
-// again is harmless, whoever else does so.
-func (s *Switch) Finish(now time.Time, pass uint64) []Order {
-	s.fire(evAllPrepared)
+// Undo begins to undo a switch that another leader left: the pass is held at the given ranks, and some ranks may be
+// armed for the task's version.
+func (s *Switch) Undo(now time.Time, pass uint64, holders []int) []Order {
 	s.pass = pass
-	s.fire(evHeld)
+	s.release = append(s.release, holders...)
+	s.fire(evRescue)
 	return s.Tick(now)
 }
 
-// Clear begins to undo a switch that another node began and that cannot be finished.
-func (s *Switch) Clear(now time.Time, pass uint64) []Order {
-	s.fire(evAllPrepared)
-	s.pass = pass
-	s.fire(evLate)
-	return s.Tick(now)
-}
-
-// enter resets what belongs to one state.
-func (s *Switch) enter() {
-	s.acked = map[int]int{}
-	s.due = map[int]time.Time{}
-	s.sent = map[int]bool{}
-}
-
 func (s *Switch) fire(ev charts.Event) {
 	before := s.machine.State()
 	// The chart declares each of these events, so Fire cannot fail.
@@ -127,7 +120,10 @@
 	if s.machine.State() == before {
 		return
 	}
-	s.enter()
+	s.acked = map[int]int{}
+	s.refusals = map[int]int{}
+	s.due = map[int]time.Time{}
+	s.sent = map[int]bool{}
 	if s.machine.State() == stateHolding {
 		s.pass = s.known + holdLead
 	}
@@ -159,7 +155,7 @@
 		// Late: an older version is refused; nothing is armed by it.
 		o.Op, o.Placement = OpPrepare, s.task.Placement
 		return o, s.acked[r] == 0
-	case stateHolding:
+	case stateHolding, stateGuarding:
 		// Late: refused once the pass has begun. If it has not, the hold stands in the rank's report and is released by
 		// whoever leads next.
 		o.Op = OpHold
@@ -173,7 +169,7 @@
 	case stateReleasing:
 		// Late: releases this pass only, which has begun by then.
 		o.Op = OpRelease
-		return o, r == s.task.HoldAt && s.acked[r] == 0
+		return o, slices.Contains(s.release, r) && s.acked[r] == 0
 	}
 	return Order{}, false
 }
@@ -198,11 +194,11 @@
 		return nil
 	}
 	s.sent[o.Rank] = false
-	switch {
-	case reply == ReplyLost:
+	switch reply {
+	case ReplyLost:
 		s.due[o.Rank] = now.Add(resendAfter)
 		return nil
-	case reply == ReplyRefused:
+	case ReplyRefused:
 		s.refused(now, o)
 	default:
 		s.acked[o.Rank]++
@@ -222,32 +218,44 @@
 
 func (s *Switch) accepted() {
 	switch s.machine.State() {
-	case stateHolding:
+	case stateHolding, stateGuarding:
 		s.fire(evHeld)
 	case stateArming:
-		if len(s.acked) == s.task.Ranks {
+		if s.all(1) {
 			s.switched = true
 			s.fire(evAllArmed)
 		}
 	case stateClearing:
-		s.checkCleared()
+		if s.all(2) {
+			s.fire(evAllCleared)
+		}
 	case stateReleasing:
-		s.fire(evReleased)
+		s.checkReleased()
 	}
 }
 
-func (s *Switch) checkCleared() {
+// all reports whether every rank has acknowledged that many orders.
+func (s *Switch) all(orders int) bool {
 	for r := range s.task.Ranks {
-		if s.acked[r] < 2 {
+		if s.acked[r] < orders {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Switch) checkReleased() {
+	for _, r := range s.release {
+		if s.acked[r] == 0 {
 			return
 		}
 	}
-	s.fire(evAllCleared)
+	s.fire(evReleased)
 }
 
 func (s *Switch) refused(now time.Time, o Order) {
 	switch s.machine.State() {
-	case statePreparing, stateArming:
+	case statePreparing, stateArming, stateGuarding:
 		s.fire(evRefused)
 	case stateHolding:
 		s.holds++
@@ -257,28 +265,51 @@
 		}
 		s.pass = max(s.pass, s.known) + holdLead
 	case stateClearing:
-		// A rank that is not armed for this version refuses to disarm: that is what is wanted. One that refuses the newer
-		// version has a newer one still.
-		s.acked[o.Rank]++
-		s.checkCleared()
+		s.clearRefused(now, o)
 	case stateReleasing:
-		// Nothing is held for this pass any more.
-		s.fire(evReleased)
+		// Nothing is held for this pass there any more.
+		s.acked[o.Rank]++
+		s.checkReleased()
 	}
 }
 
-// OnReport takes in a rank's report and returns the orders that follow.
-func (s *Switch) OnReport(now time.Time, r Report) []Order {
-	if r.Epoch != s.task.Epoch {
-		s.fire(evEpochChanged)
-		return nil
+// clearRefused: a rank that is not armed for the version refuses to disarm, which is what is wanted. One that refuses
+// the newer version is armed for another leader's; that one ends within milliseconds, or is undone in its turn.
+func (s *Switch) clearRefused(now time.Time, o Order) {
+	if o.Op == OpDisarm {
+		s.acked[o.Rank]++
+		return
 	}
-	s.known = max(s.known, r.Pass)
-	if s.machine.State() == statePreparing && r.Prepared == s.task.Version {
-		s.prepared[r.Rank] = true
-		if len(s.prepared) == s.task.Ranks {
-			s.fire(evAllPrepared)
+	s.refusals[o.Rank]++
+	s.due[o.Rank] = now.Add(resendAfter)
+	if s.refusals[o.Rank] >= maxClears {
+		s.fire(evLate)
+	}
+}
+
+// OnReports takes in what the ranks said when they were all asked at once, by rank; nil stands for no answer. It returns
+// the orders that follow.
+//
+// Failure: a rank's host freezes after it has prepared the map. The others are armed, that one cannot be reached, and as
+// nobody knows whether it is armed the group stays held until it wakes. So the group is held only right after a round in
+// which every rank answered, which leaves some milliseconds for it.
+func (s *Switch) OnReports(now time.Time, reports []*Report) []Order {
+	prepared := 0
+	for _, r := range reports {
+		if r == nil {
+			continue
+		}
+		if r.Epoch != s.task.Epoch {
+			s.fire(evEpochChanged)
+			return nil
 		}
+		s.known = max(s.known, r.Pass)
+		if r.Prepared == s.task.Version {
+			prepared++
+		}
+	}
+	if s.machine.State() == statePreparing && prepared == s.task.Ranks {
+		s.fire(evAllPrepared)
 	}
 	return s.Tick(now)
 }
