--- a/internal/lockstep/conductor.go
+++ b/internal/lockstep/conductor.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -397,8 +396,8 @@
 // Failure: a leader dies between holding a group and releasing it, and no rank ever begins another pass.
 func (c *Conductor) cleanUp(ctx context.Context, s *survey) bool {
 	now := time.Now()
-	holders, pass := holdersOf(s.reports)
-	if len(holders) == 0 {
+	left := FindLeft(s.reports)
+	if left == nil {
 		c.leftSince = time.Time{}
 		return false
 	}
@@ -406,48 +405,18 @@
 		c.leftSince = now
 	}
 	patience := leftBefore
-	if !s.reports[holders[0]].Fresh {
+	if !s.reports[left.Holders[0]].Fresh {
 		patience += 2 * s.group.ReportLag
 	}
-	if now.Sub(c.leftSince) < patience || !c.learnPlacement(ctx, s) {
+	if left.Pending || now.Sub(c.leftSince) < patience || !c.learnPlacement(ctx, s) {
 		return true
 	}
 	c.leftSince = time.Time{}
-	task := c.task(s)
-	task.Version = armedVersion(s.reports)
-	for slices.Contains(holders, task.HoldAt) && len(holders) < len(s.reports) {
-		task.HoldAt = (task.HoldAt + 1) % len(s.reports)
-	}
+	task := left.Task(c.task(s))
 	sw := NewSwitch(task)
-	c.carryOut(ctx, s, sw, sw.Undo(now, pass, holders))
-	_ = level.Warn(c.o.Logger).Log("msg", "switch of another leader undone", "version", task.Version, "pass", pass, "end", sw.State(),
+	c.carryOut(ctx, s, sw, sw.Undo(now, left))
+	_ = level.Warn(c.o.Logger).Log("msg", "switch of another leader undone", "version", task.Version, "pass", left.Pass, "end", sw.State(),
 		"took", time.Since(now))
 	c.forget()
 	return true
 }
-
-// holdersOf names the ranks that hold the earliest pass that is held.
-func holdersOf(reports []Report) (holders []int, pass uint64) {
-	for _, r := range reports {
-		switch {
-		case r.Held == nil:
-		case len(holders) == 0 || *r.Held < pass:
-			holders, pass = []int{r.Rank}, *r.Held
-		case *r.Held == pass:
-			holders = append(holders, r.Rank)
-		}
-	}
-	return holders, pass
-}
-
-// armedVersion is what ranks are armed for or, as long as none is, what they may be armed for next.
-func armedVersion(reports []Report) uint64 {
-	version := uint64(0)
-	for _, r := range reports {
-		if r.Armed != nil {
-			return r.Armed.Version
-		}
-		version = max(version, r.Prepared)
-	}
-	return version
-}
--- a/internal/lockstep/switch.go
+++ b/internal/lockstep/switch.go
@@ -104,11 +104,11 @@
 	return s.Tick(now)
 }
 
-// Undo begins to undo a switch that another leader left: the pass is held at the given ranks, and some ranks may be
-// armed for the task's version.
-func (s *Switch) Undo(now time.Time, pass uint64, holders []int) []Order {
-	s.pass = pass
-	s.release = append(s.release, holders...)
+// Undo begins to undo a switch that another leader left. The task must be the one that left.Task returned, and nothing
+// may be pending: disarming ranks for a pass that is not held would mix maps.
+func (s *Switch) Undo(now time.Time, left *Left) []Order {
+	s.pass = left.Pass
+	s.release = append(s.release, left.Holders...)
 	s.fire(evRescue)
 	return s.Tick(now)
 }
--- /dev/null
+++ b/internal/lockstep/switch_test.go
@@ -0,0 +1,281 @@
+package lockstep_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/lockstep"
+)
+
+var seeds = flag.Int("lockstep.seeds", 400, "random runs of two leaders against one group")
+
+// leader is one node that switches the group's map. It may be paused, and may be one of two at once.
+type leader struct {
+	fence, serial uint64
+	sw            *lockstep.Switch
+	orders        []lockstep.Order
+	paused        bool
+}
+
+// world runs leaders against a group under a random schedule: orders are carried out in any order, their answers may be
+// lost, and an order whose answer was lost may be carried out once more much later.
+type world struct {
+	t       *testing.T
+	rng     *rand.Rand
+	now     time.Time
+	group   *group
+	leaders []*leader
+	late    []lockstep.Order
+	// lateShare is the part of events, in 100, that carry out an order late.
+	lateShare int
+	done      int
+	undone    int
+	failed    int
+}
+
+func (w *world) task(l *leader) lockstep.Task {
+	l.serial += 2
+	n := len(w.group.ranks)
+	version := l.fence<<16 + l.serial
+	return lockstep.Task{
+		Epoch: w.group.epoch, Ranks: n, Version: version, Fallback: version + 1,
+		Placement: placementOf(n, w.rng), Present: placementOf(n, w.rng), HoldAt: w.rng.IntN(n), PrepareBy: w.now.Add(2 * time.Second),
+	}
+}
+
+// act lets a leader do one thing: deliver one of its orders, read the ranks, or begin a switch.
+func (w *world) act(l *leader) {
+	if l.paused {
+		return
+	}
+	switch {
+	case l.sw == nil:
+		w.begin(l)
+	case l.sw.Ended():
+		w.count(l)
+		l.sw, l.orders = nil, nil
+	case len(l.orders) > 0:
+		w.deliver(l)
+	case w.rng.IntN(2) == 0:
+		l.orders = l.sw.OnReports(w.now, w.group.reports())
+	default:
+		l.orders = l.sw.Tick(w.now)
+	}
+}
+
+func (w *world) count(l *leader) {
+	switch {
+	case l.sw.Switched():
+		w.done++
+	case l.sw.State() == "done":
+		w.undone++
+	default:
+		w.failed++
+	}
+}
+
+// begin starts a switch, or undoes what another leader left, as the conductor does.
+func (w *world) begin(l *leader) {
+	task := w.task(l)
+	l.sw = lockstep.NewSwitch(task)
+	left := lockstep.FindLeft(flat(w.group.reports()))
+	if left == nil {
+		l.sw.OnReports(w.now, w.group.reports())
+		l.orders = l.sw.Start(w.now)
+		return
+	}
+	if left.Pending {
+		l.sw = nil
+		return
+	}
+	l.sw = lockstep.NewSwitch(left.Task(task))
+	l.orders = l.sw.Undo(w.now, left)
+}
+
+func flat(reports []*lockstep.Report) []lockstep.Report {
+	var out []lockstep.Report
+	for _, r := range reports {
+		out = append(out, *r)
+	}
+	return out
+}
+
+// deliver carries out one order of the leader's, drawn at random, and perhaps loses the answer.
+func (w *world) deliver(l *leader) {
+	i := w.rng.IntN(len(l.orders))
+	o := l.orders[i]
+	l.orders = append(l.orders[:i:i], l.orders[i+1:]...)
+	reply := lockstep.ReplyLost
+	switch w.rng.IntN(10) {
+	case 0: // lost on the way, and carried out late
+		w.late = append(w.late, o)
+	case 1: // carried out, the answer lost
+		w.group.order(o)
+		w.late = append(w.late, o)
+	default:
+		reply = w.group.order(o)
+	}
+	l.orders = append(l.orders, l.sw.OnReply(w.now, o, reply)...)
+}
+
+func (w *world) lateOrder() {
+	if len(w.late) == 0 {
+		return
+	}
+	i := w.rng.IntN(len(w.late))
+	w.group.order(w.late[i])
+	w.late = append(w.late[:i:i], w.late[i+1:]...)
+}
+
+func (w *world) step() {
+	w.now = w.now.Add(5 * time.Millisecond)
+	switch n := w.rng.IntN(100); {
+	case n < 12:
+		w.group.step()
+	case n < 12+w.lateShare:
+		w.lateOrder()
+	case n < 14+w.lateShare:
+		l := w.leaders[w.rng.IntN(len(w.leaders))]
+		l.paused = !l.paused
+	default:
+		w.act(w.leaders[w.rng.IntN(len(w.leaders))])
+	}
+}
+
+// A gateway that leads is paused at any moment, another takes over, orders and answers get lost, and some orders are
+// carried out seconds later. What a caller would see of two maps in one pass is a wrong token that nothing explains.
+// No pass may ever begin with two maps, by version or by content, whatever the order of events.
+func TestNoPassBeginsWithTwoMaps(t *testing.T) {
+	done, undone := 0, 0
+	for seed := range *seeds {
+		w := runWorld(t, seed)
+		done += w.done
+		undone += w.undone
+	}
+	if done == 0 || undone == 0 {
+		t.Fatalf("%d switches were made and %d undone: the schedule is too kind or too harsh to show anything", done, undone)
+	}
+	t.Logf("%d switches made, %d undone", done, undone)
+}
+
+func runWorld(t *testing.T, seed int) *world {
+	t.Helper()
+	w := &world{t: t, rng: rand.New(rand.NewPCG(uint64(seed), 7)), now: time.Unix(0, 0), group: newGroup(2 + seed%4)}
+	w.lateShare = 2 + 10*(seed/4%3)
+	w.leaders = []*leader{{fence: 1}, {fence: 2}}
+	for range 4000 {
+		w.step()
+		if len(w.group.mixed) > 0 {
+			t.Fatalf("seed %d: %s", seed, w.group.mixed[0])
+		}
+	}
+	return w
+}
+
+// Seeds of runs that once mixed maps, with the cause.
+func TestSeedsThatFailed(t *testing.T) {
+	for seed, cause := range map[int]string{
+		2362: "ranks armed for the pass before the held one were disarmed, one of them too late",
+	} {
+		t.Run(cause, func(t *testing.T) { runWorld(t, seed) })
+	}
+}
+
+// One leader has armed all ranks for pass 6 and released it; another holds pass 7 and dies. A rescuer that disarmed the
+// ranks for pass 6, which nothing holds, would be overtaken by it, and some ranks would have switched.
+func TestACompleteSwitchIsNotUndone(t *testing.T) {
+	held := uint64(7)
+	left := lockstep.FindLeft([]lockstep.Report{
+		{Rank: 0, Pass: 5, Prepared: 131074, Armed: &lockstep.Armed{Version: 131074, Pass: 6}},
+		{Rank: 1, Pass: 5, Prepared: 131074, Armed: &lockstep.Armed{Version: 131074, Pass: 6}, Held: &held},
+	})
+	if left == nil || !left.Pending || left.Pass != 7 {
+		t.Fatalf("got %+v, want pass 7 with a switch pending", left)
+	}
+}
+
+// The gateway that leads dies at any moment of a switch. Callers would see their streams stand still for good if the
+// group stayed held; the next leader undoes the switch, so that passes begin again.
+func TestAGroupIsNotLeftHeld(t *testing.T) {
+	for stop := range 60 {
+		t.Run(fmt.Sprint(stop), func(t *testing.T) {
+			w := &world{t: t, rng: rand.New(rand.NewPCG(uint64(stop), 9)), now: time.Unix(0, 0), group: newGroup(4)}
+			first, second := &leader{fence: 1}, &leader{fence: 2}
+			for range stop {
+				w.now = w.now.Add(time.Millisecond)
+				w.act(first)
+			}
+			for range 2000 {
+				w.now = w.now.Add(5 * time.Millisecond)
+				w.act(second)
+				if second.sw == nil && !w.group.held() {
+					break
+				}
+			}
+			before := w.group.pass
+			w.group.step()
+			if w.group.pass == before || len(w.group.mixed) > 0 {
+				t.Fatalf("after %d acts of the first leader: passes begun %d, mixed %v", stop, w.group.pass-before, w.group.mixed)
+			}
+		})
+	}
+}
+
+// All answers come: the switch holds one rank, arms all and releases, and every rank has the new map from one pass on.
+func TestASwitchWithoutFaults(t *testing.T) {
+	g := newGroup(4)
+	now := time.Unix(0, 0)
+	sw := lockstep.NewSwitch(lockstep.Task{
+		Epoch: 1, Ranks: 4, Version: 10, Fallback: 11, Placement: placementOf(4, rand.New(rand.NewPCG(1, 1))), PrepareBy: now.Add(time.Second),
+	})
+	orders := sw.Start(now)
+	counts := map[lockstep.Op]int{}
+	for range 100 {
+		if sw.Ended() {
+			break
+		}
+		if len(orders) == 0 {
+			orders = sw.OnReports(now, g.reports())
+			continue
+		}
+		o := orders[0]
+		counts[o.Op]++
+		orders = append(orders[1:], sw.OnReply(now, o, g.order(o))...)
+	}
+	if !sw.Switched() || sw.State() != "done" {
+		t.Fatalf("ended as %s", sw.State())
+	}
+	if counts[lockstep.OpHold] != 1 || counts[lockstep.OpRelease] != 1 || counts[lockstep.OpArm] != 4 || counts[lockstep.OpPrepare] != 4 {
+		t.Fatalf("orders given: %v", counts)
+	}
+	for g.pass < sw.Pass() {
+		g.step()
+	}
+	for i, r := range g.ranks {
+		if r.inUse != 10 {
+			t.Fatalf("rank %d has map %d", i, r.inUse)
+		}
+	}
+}
+
+// A rank crashes while the others are armed. The group forms anew with the first map, and the switch ends: its orders
+// name the epoch before.
+func TestANewEpochEndsASwitch(t *testing.T) {
+	g := newGroup(2)
+	now := time.Unix(0, 0)
+	sw := lockstep.NewSwitch(lockstep.Task{
+		Epoch: 1, Ranks: 2, Version: 10, Fallback: 11, Placement: placementOf(2, rand.New(rand.NewPCG(1, 1))), PrepareBy: now.Add(time.Second),
+	})
+	for _, o := range sw.Start(now) {
+		sw.OnReply(now, o, g.order(o))
+	}
+	sw.OnReports(now, g.reports())
+	g.reform()
+	sw.OnReports(now, g.reports())
+	if !sw.Ended() || sw.Switched() {
+		t.Fatalf("state %s, switched %t", sw.State(), sw.Switched())
+	}
+}
