--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -238,6 +238,7 @@
 	best.own = best.own.plus(Work{1, t.request.PromptTokens})
 	best.health.chosen(now)
 	t.target = best
+	t.up = best.up
 	t.state = placed
 	return true
 }
--- a/internal/dispatch/ticket.go
+++ b/internal/dispatch/ticket.go
@@ -17,9 +17,11 @@
 
 // Ticket is a request in a pool.
 type Ticket struct {
-	request  Request
-	state    ticketState
-	target   *target
+	request Request
+	state   ticketState
+	target  *target
+	// up is the target's upstream when the request was placed.
+	up       *catalog.Upstream
 	err      error
 	answered bool
 	done     bool
@@ -28,12 +30,7 @@
 }
 
 // Upstream returns where the request was placed, or nil.
-func (t *Ticket) Upstream() *catalog.Upstream {
-	if t.target == nil {
-		return nil
-	}
-	return t.target.up
-}
+func (t *Ticket) Upstream() *catalog.Upstream { return t.up }
 
 // Err returns why the request was refused, or nil: *NoUpstreamError or *OverloadedError.
 func (t *Ticket) Err() error { return t.err }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -355,10 +356,14 @@
 // Kill ends the gateway at once, as a crash would.
 func (g *Gateway) Kill() {
 	g.cancel()
-	ctx := context.Background()
+	var wait sync.WaitGroup
 	for _, s := range []*httpserver.Server{g.servers.callers, g.servers.directory, g.servers.readiness} {
-		_ = s.Stop(ctx)
+		wait.Go(func() { _ = s.Stop(context.Background()) })
 	}
-	g.peers.stop()
+	wait.Go(g.peers.stop)
+	wait.Wait()
 	g.client.Close()
 }
+
+// Busy returns how many callers' requests are running.
+func (g *Gateway) Busy() int { return g.servers.callers.Busy() }
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -29,15 +29,23 @@
 	// unread is how many written bytes the caller had not taken when the loop last looked.
 	unread      atomic.Int64
 	unreadSince atomic.Int64
-	gone        atomic.Bool
-	out         outbox
-	mu          sync.Mutex
-	cancel      context.CancelFunc
+	// refusedAt is when bytes of this connection were refused, in ns since 1970; 0 if they were not.
+	refusedAt atomic.Int64
+	gone      atomic.Bool
+	out       outbox
+	mu        sync.Mutex
+	cancel    context.CancelFunc
 }
 
 // traffic runs on the event loop for each arrival of bytes and each wake-up.
 func (c *conn) traffic() gnet.Action {
 	c.noteUnread(c.gc.OutboundBuffered())
+	if c.refusedAt.Load() != 0 {
+		if _, err := c.gc.Discard(-1); err != nil {
+			return gnet.Close
+		}
+		return gnet.None
+	}
 	if c.running.Load() {
 		if c.gc.InboundBuffered() > maxPipelined {
 			return gnet.Close
@@ -153,6 +161,8 @@
 func (c *conn) sweep(now time.Time) {
 	l := c.srv.limits.Load()
 	switch {
+	case past(now, c.refusedAt.Load(), lingerFor):
+		_ = c.gc.Close()
 	case past(now, c.unreadSince.Load(), l.WriteTimeout.Std()):
 		_ = c.gc.Close()
 	case past(now, c.partialSince.Load(), l.ReadTimeout.Std()):
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -167,10 +167,17 @@
 	s.handler(ctx, x)
 }
 
-// refuse answers bytes that are not a request and closes the connection.
+// lingerFor is how long a connection stays open after bytes on it were refused; a caller on the same continent has read
+// the answer by then.
+const lingerFor = 500 * time.Millisecond
+
+// refuse answers bytes that are not a request, and ends the connection a little later.
+//
+// Failure: a caller is still sending a body that is too large when the connection is closed. The close resets it, and the
+// caller never sees why it was refused. What still comes is read and dropped until the caller has had time to read.
 func (s *Server) refuse(c *conn, err error) {
-	c.running.Store(true) // nothing more is read from this connection
+	c.running.Store(true) // no request is read from this connection any more
+	c.refusedAt.Store(time.Now().UnixNano())
 	x := &Exchange{conn: c, close: true}
 	x.Fail(failure.From(err))
-	_ = c.gc.Close()
 }
--- /dev/null
+++ b/internal/replica/follower_test.go
@@ -0,0 +1,68 @@
+package replica_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/replica"
+)
+
+// feed is a store's feed that may hang: calls that begin before the given time are never answered.
+type feed struct {
+	src   *source
+	hangs time.Time
+	waits []time.Duration
+}
+
+var errAway = errors.New("away")
+
+func (f *feed) Rows(context.Context, string) ([]platform.Row, uint64, error) {
+	return f.src.all(), f.src.version, nil
+}
+
+func (f *feed) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) ([]platform.Change, uint64, error) {
+	f.waits = append(f.waits, wait)
+	if time.Now().Before(f.hangs) {
+		// As with the real client: a call ends some time after it should have been answered.
+		time.Sleep(wait + 700*time.Millisecond)
+		return nil, 0, errAway
+	}
+	for end := time.Now().Add(wait); time.Now().Before(end) && len(f.src.since(after)) == 0; {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return f.src.since(after), f.src.version, ctx.Err()
+}
+
+// The store accepts calls for five seconds and answers none. Then it is sound again and a configuration changes. The
+// call under way was accepted before and is never answered; the change must be seen well before that call's time is over.
+func TestAChangeIsSeenSoonAfterASilentStoreReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		src := &source{rows: map[string]platform.Row{}}
+		src.put("config", "1")
+		f := &feed{src: src}
+		table := replica.NewTable("op")
+		var changed time.Time
+		follower := &replica.Follower{
+			Feed: f, Table: table,
+			Changed:     func(*replica.Table) { changed = time.Now() },
+			LinkChanged: func(*replica.Table, replica.Link) {},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go follower.Run(ctx)
+		time.Sleep(time.Second)
+		f.hangs = time.Now().Add(5 * time.Second)
+		time.Sleep(5*time.Second + 100*time.Millisecond)
+		src.put("config", "2")
+		sent := time.Now()
+		time.Sleep(5 * time.Second)
+		cancel()
+		if got := changed.Sub(sent); changed.Before(sent) || got > 2*time.Second {
+			t.Fatalf("seen after %s", got)
+		}
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -76,9 +76,8 @@
 	for _, r := range rows {
 		changed = t.put(platform.Change{Row: r}) || changed
 	}
-	if first {
-		t.removedSince = version
-	}
+	// A row that came and went between two whole reads left no trace here.
+	t.removedSince = version
 	t.version = version
 	return changed || first
 }
@@ -103,7 +102,11 @@
 	defer t.mu.Unlock()
 	changed := false
 	for _, c := range changes {
-		changed = t.put(c) || changed
+		// What is not newer than the copy is in it already. An answer that comes late would bring back a row that was
+		// removed before the last whole read, of which nothing is remembered.
+		if c.Version > t.version {
+			changed = t.put(c) || changed
+		}
 	}
 	t.version = max(t.version, version)
 	t.forget()
--- /dev/null
+++ b/internal/replica/table_test.go
@@ -0,0 +1,159 @@
+package replica_test
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/replica"
+)
+
+// source is the table as the store has it, with its history.
+type source struct {
+	rows    map[string]platform.Row
+	history []platform.Change
+	version uint64
+}
+
+func (s *source) put(key, value string) {
+	s.version++
+	row := platform.Row{Key: key, Version: s.version, Value: []byte(value)}
+	s.rows[key] = row
+	s.history = append(s.history, platform.Change{Row: row})
+}
+
+func (s *source) remove(key string) {
+	s.version++
+	delete(s.rows, key)
+	s.history = append(s.history, platform.Change{Row: platform.Row{Key: key, Version: s.version}, Removed: true})
+}
+
+func (s *source) since(version uint64) []platform.Change {
+	var out []platform.Change
+	for _, c := range s.history {
+		if c.Version > version {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (s *source) all() []platform.Row {
+	var out []platform.Row
+	for _, r := range s.rows {
+		out = append(out, r)
+	}
+	return out
+}
+
+func content(t *replica.Table) map[string]string {
+	out := map[string]string{}
+	for _, r := range t.Rows() {
+		out[r.Key] = fmt.Sprintf("%s@%d", r.Value, r.Version)
+	}
+	return out
+}
+
+func (s *source) content() map[string]string {
+	out := map[string]string{}
+	for k, r := range s.rows {
+		out[k] = fmt.Sprintf("%s@%d", r.Value, r.Version)
+	}
+	return out
+}
+
+// Copies follow the feed, read whole tables, and pull from each other, in any order. What requests see of a row must
+// never go back, and a copy that has pulled from one that is up to date is up to date.
+func TestCopiesOnlyMoveForward(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		src := &source{rows: map[string]platform.Row{}}
+		copies := []*replica.Table{replica.NewTable("t"), replica.NewTable("t"), replica.NewTable("t")}
+		newest := map[*replica.Table]map[string]uint64{}
+		for range rapid.IntRange(5, 80).Draw(t, "steps") {
+			c := rapid.SampledFrom(copies).Draw(t, "copy")
+			key := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "key"))
+			switch rapid.IntRange(0, 5).Draw(t, "op") {
+			case 0:
+				src.put(key, fmt.Sprint("v", src.version))
+			case 1:
+				src.remove(key)
+			case 2:
+				c.Load(src.all(), src.version)
+			case 3:
+				if after, ok := c.Position(); ok {
+					c.Apply(src.since(after), src.version)
+				}
+			case 4:
+				from := rapid.SampledFrom(copies).Draw(t, "from")
+				after, _ := c.Position()
+				c.Merge(from.Since(after))
+			case 5:
+				// An old answer that arrives late.
+				if after, ok := c.Position(); ok && after > 0 {
+					old := src.since(after / 2)
+					c.Apply(old[:min(1, len(old))], after/2)
+				}
+			}
+			forward(t, c, newest)
+		}
+		c := copies[0]
+		c.Load(src.all(), src.version)
+		if diff := cmp.Diff(src.content(), content(c)); diff != "" {
+			t.Fatal(diff)
+		}
+		for _, other := range copies[1:] {
+			after, _ := other.Position()
+			other.Merge(c.Since(after))
+			if diff := cmp.Diff(src.content(), content(other)); diff != "" {
+				t.Fatalf("after a pull: %s", diff)
+			}
+		}
+	})
+}
+
+func forward(t *rapid.T, c *replica.Table, newest map[*replica.Table]map[string]uint64) {
+	seen := newest[c]
+	if seen == nil {
+		seen = map[string]uint64{}
+	}
+	now := map[string]uint64{}
+	for _, r := range c.Rows() {
+		now[r.Key] = r.Version
+		if r.Version < seen[r.Key] {
+			t.Fatalf("row %s went back from %d to %d", r.Key, seen[r.Key], r.Version)
+		}
+	}
+	maps.Copy(seen, now)
+	newest[c] = seen
+}
+
+// A node that was cut off for long pulls from one that no longer remembers each removed row: it must get the whole table,
+// or a row that is gone would stay.
+func TestACopyThatIsFarBehindGetsTheWholeTable(t *testing.T) {
+	src := &source{rows: map[string]platform.Row{}}
+	src.put("kept", "v")
+	src.put("gone", "v")
+	behind, ahead := replica.NewTable("t"), replica.NewTable("t")
+	behind.Load(src.all(), src.version)
+	ahead.Load(src.all(), src.version)
+	src.remove("gone")
+	for i := range 2000 {
+		src.put(fmt.Sprint("x", i), "v")
+		src.remove(fmt.Sprint("x", i))
+	}
+	after, _ := ahead.Position()
+	ahead.Apply(src.since(after), src.version)
+	after, _ = behind.Position()
+	d := ahead.Since(after)
+	if !d.Whole {
+		t.Fatal("only the changes were given")
+	}
+	behind.Merge(d)
+	if diff := cmp.Diff(src.content(), content(behind)); diff != "" {
+		t.Fatal(diff)
+	}
+}
