Orders that get no answer are sent again after 15 ms

What: an order is sent once more while the first is still out; the first answer counts. Waits are not predicted from the time when a group was closed, and callers of a broken group are asked to come back in 2.2 s.

--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -49,7 +49,7 @@
 func (g *Gate) Answered(t *Ticket) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.pool.Answered(t)
+	g.pool.Answered(t, time.Now())
 }
 
 // Done ends a placed request.
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -15,7 +15,7 @@
 	Arrived time.Time
 	// Aim is until when the answer, or a stream's first event, counts as in time.
 	Aim time.Time
-	// Latest is when the request is no longer worth starting; it is refused then.
+	// Latest is when the caller leaves unless the first answer has come.
 	Latest time.Time
 	// Priority is the rank among waiting requests; 0 goes first.
 	Priority int
@@ -62,7 +62,10 @@
 	rng     *rand.Rand
 	drained rate
 	// closed says that no upstream can start anything now; requests wait.
-	closed bool
+	closed   bool
+	openedAt time.Time
+	// first is the mean time from placing a request to its first answer; 0 if none was measured.
+	first time.Duration
 }
 
 // NewPool returns a pool without upstreams.
@@ -96,6 +99,9 @@
 // Failure: a group forms again within a second or two, but each request that is sent meanwhile is refused, uses up its
 // attempts and the retry budget, and fails. Held back here it is served as soon as the group works.
 func (p *Pool) SetClosed(closed bool, now time.Time) []*Ticket {
+	if p.closed && !closed {
+		p.openedAt = now
+	}
 	p.closed = closed
 	return p.settle(now)
 }
@@ -129,7 +135,7 @@
 		t.refuse(&NoUpstreamError{RetryAfter: noUpstreamRetry})
 		return t
 	}
-	if wait := p.expectedWait(); now.Add(wait).After(r.Latest) {
+	if wait := p.expectedWait(now); now.Add(wait).After(p.startBy(r)) {
 		t.refuse(&OverloadedError{Waiting: len(p.waiting), RetryAfter: p.retryAfter(wait)})
 		return t
 	}
@@ -143,10 +149,19 @@
 }
 
 // Answered notes that the upstream has read the prompt: the answer or its first event is there.
-func (p *Pool) Answered(t *Ticket) {
+func (p *Pool) Answered(t *Ticket, now time.Time) {
 	if t.target == nil || t.answered {
 		return
 	}
+	p.noteFirst(now.Sub(t.placedAt))
+	p.unread(t)
+}
+
+// unread takes the request's prompt off what the upstream has still to read.
+func (p *Pool) unread(t *Ticket) {
+	if t.answered {
+		return
+	}
 	t.answered = true
 	t.target.own.PromptTokens -= t.request.PromptTokens
 }
@@ -156,7 +171,7 @@
 	if t.target == nil || t.done {
 		return nil
 	}
-	p.Answered(t)
+	p.unread(t)
 	t.done = true
 	t.target.own.Requests--
 	p.drained.count(now)
@@ -179,8 +194,8 @@
 	p.sortWaiting(now)
 	for _, t := range p.waiting {
 		switch {
-		case now.After(t.request.Latest):
-			t.refuse(&OverloadedError{Waiting: len(p.waiting), RetryAfter: p.retryAfter(p.expectedWait())})
+		case now.After(p.startBy(t.request)):
+			t.refuse(&OverloadedError{Waiting: len(p.waiting), RetryAfter: p.retryAfter(p.expectedWait(now))})
 			out = append(out, t)
 		case p.place(t, now):
 			out = append(out, t)
@@ -239,6 +254,7 @@
 	best.health.chosen(now)
 	t.target = best
 	t.up = best.up
+	t.placedAt = now
 	t.state = placed
 	return true
 }
--- a/internal/dispatch/ticket.go
+++ b/internal/dispatch/ticket.go
@@ -22,6 +22,7 @@
 	target  *target
 	// up is the target's upstream when the request was placed.
 	up       *catalog.Upstream
+	placedAt time.Time
 	err      error
 	answered bool
 	done     bool
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -31,24 +31,62 @@
 	}
 }
 
-// perSecond returns the rate; 0 if nothing was counted.
+// perSecond returns the rate; 0 if it was not counted for long enough.
 func (r *rate) perSecond() float64 {
 	return float64(r.before+r.since) / rateWindow.Seconds()
 }
 
-// expectedWait is how long a request that joins the queue now waits, by the measured throughput; 0 if none is known or
-// the pool is closed, so that nothing is refused on a guess.
-func (p *Pool) expectedWait() time.Duration {
+// expectedWait is how long a request that joins the queue now waits, by the measured throughput; 0 if none is known, so
+// that nothing is refused on a guess.
+//
+// Failure: a group was closed for some seconds, in which nothing ended. Measured over that time the throughput is next
+// to nothing, and for two more seconds all requests would be refused beside free slots. So it is not known as long as
+// the window reaches back into the time when the pool was closed.
+func (p *Pool) expectedWait(now time.Time) time.Duration {
 	perSecond := p.drained.perSecond()
-	if perSecond == 0 || p.closed {
+	if perSecond == 0 || p.closed || now.Sub(p.openedAt) < rateWindow {
 		return 0
 	}
 	return time.Duration(float64(len(p.waiting)) / perSecond * float64(time.Second))
 }
 
+// closedRetry is what callers are told whose group is broken: a rank that crashed is back within seconds, and callers
+// honour a third of the time that they have left.
+const closedRetry = 2200 * time.Millisecond
+
 // retryAfter spreads the callers that are refused over the time in which the queue drains, so that they do not come
 // back together.
 func (p *Pool) retryAfter(wait time.Duration) time.Duration {
+	if p.closed {
+		return closedRetry
+	}
 	base := max(leastRetry, min(mostRetry, wait))
 	return min(mostRetry, base+time.Duration(p.rng.Int64N(int64(base))))
 }
+
+const (
+	// firstGuess stands for the time to the first answer before any was measured.
+	firstGuess = 200 * time.Millisecond
+	// firstWeight is that of a new measurement in the mean.
+	firstWeight = 0.1
+	// firstMargin is the part of the mean time to the first answer that a request needs to be worth starting: callers
+	// leave if it comes later.
+	firstMargin = 1.5
+)
+
+// noteFirst takes in how long a placed request waited for its first answer.
+func (p *Pool) noteFirst(d time.Duration) {
+	if p.first == 0 {
+		p.first = firstGuess
+	}
+	p.first += time.Duration(firstWeight * float64(d-p.first))
+}
+
+// startBy is until when the request is worth starting.
+func (p *Pool) startBy(r Request) time.Time {
+	first := p.first
+	if first == 0 {
+		first = firstGuess
+	}
+	return r.Latest.Add(-time.Duration(firstMargin * float64(first)))
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -126,7 +126,7 @@
 		if n.x.Answered() {
 			since = n.lastAt
 		}
-		if leaves := since.Add(r.route.Patience() - patienceMargin); leaves.Before(latest) {
+		if leaves := since.Add(r.route.Patience()); leaves.Before(latest) {
 			latest = leaves
 		}
 	}
@@ -140,10 +140,6 @@
 	}
 }
 
-// patienceMargin is left for the first event of a stream, of the time after which its caller leaves: some passes of
-// the engine.
-const patienceMargin = 300 * time.Millisecond
-
 // attempt sends the request to one upstream and relays the answer.
 func (n *run) attempt(ctx context.Context, t *dispatch.Ticket) error {
 	a, err := n.send(ctx, t.Upstream())
--- a/internal/lockstep/conductor.go
+++ b/internal/lockstep/conductor.go
@@ -16,7 +16,7 @@
 	// pollEvery is how often a switch looks whether the ranks have prepared its map.
 	pollEvery = 40 * time.Millisecond
 	// retryTick is the period in which a switch sends again what got no answer.
-	retryTick = 10 * time.Millisecond
+	retryTick = 5 * time.Millisecond
 	// prepareSlack is added to the time that the copies take before a switch is given up.
 	prepareSlack = 1500 * time.Millisecond
 	// leftBefore is for how long a group must be seen held that no running switch explains, so that another leader's switch
@@ -345,12 +345,15 @@
 
 // carryOut runs a switch to its end, or until ctx ends.
 func (c *Conductor) carryOut(ctx context.Context, s *survey, sw *Switch, orders []Order) {
-	replies := make(chan answered, 4*len(s.upstreams))
+	replies := make(chan answered)
+	ended := make(chan struct{})
+	defer close(ended)
 	tick := time.NewTicker(retryTick)
 	defer tick.Stop()
 	polled := time.Now()
 	for !sw.Ended() {
-		c.give(ctx, s, orders, replies)
+		c.give(ctx, s, orders, replies, ended)
+		orders = nil
 		select {
 		case <-ctx.Done():
 			return
@@ -377,7 +380,7 @@
 	return sw.OnReports(time.Now(), reports)
 }
 
-func (c *Conductor) give(ctx context.Context, s *survey, orders []Order, replies chan<- answered) {
+func (c *Conductor) give(ctx context.Context, s *survey, orders []Order, replies chan<- answered, ended <-chan struct{}) {
 	for _, o := range orders {
 		u := s.upstreams[o.Rank]
 		go func() {
@@ -386,7 +389,10 @@
 				_ = level.Info(c.o.Logger).Log("msg", "order", "op", o.Op, "upstream", u.ID, "rank", o.Rank, "version", o.Version,
 					"pass", o.Pass, "reply", reply, "err", err)
 			}
-			replies <- answered{o, reply}
+			select {
+			case replies <- answered{o, reply}:
+			case <-ended:
+			}
 		}()
 	}
 }
--- a/internal/lockstep/switch.go
+++ b/internal/lockstep/switch.go
@@ -30,8 +30,11 @@
 )
 
 const (
-	// resendAfter is the pause before an order is sent again that got no answer, or that a rank cannot take yet.
-	resendAfter = 30 * time.Millisecond
+	// resendAfter is how long an answer is waited for before the order is sent once more; the first may still be answered.
+	// An answer takes some ms, and while ranks are armed the group may stand still, which every caller sees.
+	resendAfter = 15 * time.Millisecond
+	// prepareResend is the same for the order that carries a whole map, and that nothing waits for.
+	prepareResend = 100 * time.Millisecond
 	// maxHolds is how many passes are tried to be held; each begins before the order arrives only if the group is faster
 	// than it was reported to be.
 	maxHolds = 6
@@ -70,9 +73,8 @@
 	machine charts.Machine
 	// acked counts the orders of the present state that a rank has acknowledged; refusals those that it refused.
 	acked, refusals map[int]int
-	// due is when an order is sent again, by rank; sent are the ranks whose order is under way.
-	due  map[int]time.Time
-	sent map[int]bool
+	// due is when an order is sent, or sent again, by rank.
+	due map[int]time.Time
 	// release are the ranks to be told to let the pass begin.
 	release  []int
 	pass     uint64
@@ -123,7 +125,6 @@
 	s.acked = map[int]int{}
 	s.refusals = map[int]int{}
 	s.due = map[int]time.Time{}
-	s.sent = map[int]bool{}
 	if s.machine.State() == stateHolding {
 		s.pass = s.known + holdLead
 	}
@@ -136,17 +137,24 @@
 	}
 	var out []Order
 	for r := range s.task.Ranks {
-		if s.sent[r] || now.Before(s.due[r]) {
+		if now.Before(s.due[r]) {
 			continue
 		}
 		if o, ok := s.orderFor(r); ok {
-			s.sent[r] = true
+			s.due[r] = now.Add(resendOf(o.Op))
 			out = append(out, o)
 		}
 	}
 	return out
 }
 
+func resendOf(op Op) time.Duration {
+	if op == OpPrepare {
+		return prepareResend
+	}
+	return resendAfter
+}
+
 // orderFor returns what the present state still wants of a rank.
 func (s *Switch) orderFor(r int) (Order, bool) {
 	o := Order{Rank: r, Epoch: s.task.Epoch, Version: s.task.Version, Pass: s.pass}
@@ -193,23 +201,23 @@
 	if !s.current(o) {
 		return nil
 	}
-	s.sent[o.Rank] = false
 	switch reply {
 	case ReplyLost:
-		s.due[o.Rank] = now.Add(resendAfter)
 		return nil
 	case ReplyRefused:
+		s.due[o.Rank] = time.Time{}
 		s.refused(now, o)
 	default:
+		s.due[o.Rank] = time.Time{}
 		s.acked[o.Rank]++
 		s.accepted()
 	}
 	return s.Tick(now)
 }
 
-// current reports whether an order is what the present state sent.
+// current reports whether an order is what the present state still wants of its rank.
 func (s *Switch) current(o Order) bool {
-	if !s.sent[o.Rank] || s.Ended() {
+	if s.Ended() {
 		return false
 	}
 	want, ok := s.orderFor(o.Rank)
