A duty whose holder has ended is taken over between two reads as well; fewer calls, smaller digests

Cause: with a longer lease the row is read rarely, and a holder that was found to have ended after a read was replaced 2.7 s later.

--- a/internal/gateway/experts.go
+++ b/internal/gateway/experts.go
@@ -19,8 +19,9 @@
 const (
 	// expertsDuty is to place the experts of all groups.
 	expertsDuty lease.Duty = "experts"
-	// leaseLength bounds how long a group goes without a leader after its gateway died. Safety does not rest on it.
-	leaseLength = 2 * time.Second
+	// leaseLength is renewed three times. A gateway that is not heard is replaced much sooner; this bounds how long one
+	// goes on that is heard but cannot reach the store, and another can.
+	leaseLength = 3 * time.Second
 	// lookEvery is the period in which the leader looks at a group: demand drifts within seconds.
 	lookEvery = 500 * time.Millisecond
 	// demandHalf is the half-life of the estimated demand.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,9 +129,10 @@
 
 func (g *Gateway) follower(feed platform.Feed, table string) *replica.Follower {
 	return &replica.Follower{
-		Feed:    feed,
-		Table:   replica.NewTable(table),
-		Changed: func(*replica.Table) { g.loop.Post(g.reload) },
+		Feed:     feed,
+		Table:    replica.NewTable(table),
+		Sentinel: func() bool { return g.peers.sentinel(time.Now()) },
+		Changed:  func(*replica.Table) { g.loop.Post(g.reload) },
 		LinkChanged: func(t *replica.Table, l replica.Link) {
 			_ = level.Info(g.logger).Log("msg", "store link", "table", t.Name(), "up", l.Up, "cause", l.Cause)
 			g.loop.Post(func(time.Time) { g.publish() })
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -19,13 +19,17 @@
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/lease"
 	"github.com/cardamomyoke/cardamomyoke/internal/platform"
 	"github.com/cardamomyoke/cardamomyoke/internal/replica"
 )
 
 const (
-	// digestEvery is how often a gateway tells the others of itself when nothing changes.
+	// digestEvery is how often a gateway tells the others of itself when nothing changes, workEvery when its work does.
 	digestEvery = 200 * time.Millisecond
+	workEvery   = 100 * time.Millisecond
+	// namesEvery is how often a digest names other gateways.
+	namesEvery = time.Second
 	// peerSilent is after how long a gateway that is not heard is no longer given out: three digests and a margin.
 	peerSilent = 800 * time.Millisecond
 	// leaderSilent is after how long a duty is taken over from a gateway that is not heard: two digests and the way.
@@ -64,6 +68,7 @@
 	// sequence, toldAt and told belong to the control loop.
 	sequence uint64
 	toldAt   time.Time
+	namedAt  time.Time
 }
 
 func startPeers(ctx context.Context, g *Gateway) (*peers, error) {
@@ -218,7 +223,8 @@
 
 // tick tells the others of this gateway when it is due.
 func (p *peers) tick(now time.Time) {
-	if now.Sub(p.toldAt) >= digestEvery || p.workChanged() {
+	since := now.Sub(p.toldAt)
+	if since >= digestEvery || since >= workEvery && p.workChanged() {
 		p.tell(now)
 	}
 }
@@ -255,9 +261,12 @@
 		DataCentre:    string(g.settings.DataCentre),
 		HttpAddress:   g.settings.Listen.Callers,
 		DigestAddress: g.settings.Listen.Peers,
-		Peers:         p.named(now),
 		ExpertsFence:  g.experts.fence.Load(),
 	}
+	if now.Sub(p.namedAt) >= namesEvery {
+		p.namedAt = now
+		d.Peers = p.named(now)
+	}
 	for _, f := range g.followers {
 		d.News = append(d.News, &cardamomyokev1.TableNews{Table: f.Table.Name(), Newest: f.Table.Newest()})
 	}
@@ -340,6 +349,21 @@
 	return out
 }
 
+// sentinels is how many gateways of a data centre watch the store closely.
+const sentinels = 1
+
+// sentinel reports whether this gateway is one that its data centre relies on for news of the store: one of the first by
+// rendezvous hash of those that are live. Each works it out for itself; if two differ for a moment, two watch.
+func (p *peers) sentinel(now time.Time) bool {
+	names := []string{p.g.settings.Name}
+	for _, k := range p.live(now) {
+		if ids.DataCentre(k.digest.GetDataCentre()) == p.g.settings.DataCentre {
+			names = append(names, k.digest.GetNode())
+		}
+	}
+	return slices.Contains(lease.Candidates("store", names, sentinels), p.g.settings.Name)
+}
+
 // ended reports whether another gateway's life is known to be over: it is not heard, or only a later life is. A gateway
 // that has just started has not heard anyone yet.
 func (p *peers) ended(name string, life ids.Incarnation) bool {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -170,7 +170,8 @@
 	if !h.callAt.IsZero() && now.Sub(h.callAt) < h.length/answerLimit {
 		return nil
 	}
-	if now.Before(h.nextAt) {
+	takeNow := h.machine.State() == stateWatching && h.expired(now)
+	if now.Before(h.nextAt) && !takeNow {
 		return nil
 	}
 	switch h.machine.State() {
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -12,10 +12,11 @@
 )
 
 const (
-	// feedWait is how long one call waits for changes. A longer one would cost fewer calls; this bounds how long a
-	// store that accepts a call and forgets it goes unnoticed, which must be less than the time in which a change is to
-	// be in force after an outage.
-	feedWait = 2500 * time.Millisecond
+	// sentinelWait is how long one call of a sentinel waits for changes. It bounds how long a store that accepts a call and
+	// forgets it goes unnoticed, which must be less than the time in which a change is to be in force after an outage.
+	sentinelWait = 2500 * time.Millisecond
+	// usualWait is the same for a node that hears from sentinels what its own call may miss.
+	usualWait = 12 * time.Second
 	// firstPause and lastPause bound the wait after a failed call; it doubles between them.
 	firstPause = 100 * time.Millisecond
 	lastPause  = 800 * time.Millisecond
@@ -49,7 +50,10 @@
 	// Changed is called after rows changed, LinkChanged after the way to the store was lost or found again.
 	Changed     func(t *Table)
 	LinkChanged func(t *Table, l Link)
-	link        atomic.Pointer[Link]
+	// Sentinel reports whether this node is one of the few that notice soon when the store no longer answers. Calls are
+	// priced, and the others hear of changes from their peers as well. Nil means that it is.
+	Sentinel func() bool
+	link     atomic.Pointer[Link]
 }
 
 // Link returns what is known of the way to the store.
@@ -104,7 +108,10 @@
 	if !f.Link().Up {
 		return 0
 	}
-	return feedWait
+	if f.Sentinel != nil && !f.Sentinel() {
+		return usualWait
+	}
+	return sentinelWait
 }
 
 func (f *Follower) load(ctx context.Context) error {
