--- a/internal/gateway/experts.go
+++ b/internal/gateway/experts.go
@@ -67,7 +67,7 @@
 	e.last = max(e.last, held.Fence)
 	e.follow()
 	fence := uint64(0)
-	if e.leads(held, now) {
+	if e.leads(now) {
 		fence = uint64(e.last)
 	}
 	if e.fence.Swap(fence) == fence {
@@ -87,7 +87,7 @@
 	if e.g.control.node != stateReady || !e.anyGroup() {
 		return false
 	}
-	if e.leases.Held(expertsDuty).At(now) {
+	if e.leads(now) {
 		return true
 	}
 	names := []string{e.g.settings.Name}
@@ -105,10 +105,13 @@
 	return lease.Candidates(expertsDuty, names, 1)[0] == e.g.settings.Name
 }
 
-// leads reports whether this gateway may give orders. Beyond its lease it goes on while the store is away and no other
-// says that it leads: two leaders cannot mix maps, as their versions differ and a pass is held until all ranks have one.
-func (e *experts) leads(held lease.Held, now time.Time) bool {
-	if e.last == 0 || e.g.control.node != stateReady {
+// leads reports whether this gateway may give orders: until it hears of a later leader, also beyond its lease. Two
+// leaders cannot mix maps, as their versions differ and a pass is held until all ranks have one.
+//
+// Failure: the store turns the leader away for some seconds and is then down for all. The leader's lease is over, nobody
+// can get another, and the map follows no drift until the store is back. Going on is safe, so it goes on.
+func (e *experts) leads(now time.Time) bool {
+	if e.last == 0 || e.g.control.node != stateReady || e.leases.Seen(expertsDuty) > e.last {
 		return false
 	}
 	for _, p := range e.g.peers.live(now) {
@@ -116,7 +119,7 @@
 			return false
 		}
 	}
-	return held.At(now) || !e.g.config.Link().Up
+	return true
 }
 
 func (e *experts) anyGroup() bool { return len(e.running) > 0 }
--- a/internal/lease/keeper/keeper.go
+++ b/internal/lease/keeper/keeper.go
@@ -62,6 +62,14 @@
 // Held returns what this node holds of a duty. Ask its At before each deed, and name lease.Guard in each write.
 func (k *Keeper) Held(d lease.Duty) lease.Held { return (*k.view.Load())[d] }
 
+// Seen returns the newest fencing number of a duty that this node has read or got. It is called on the control loop.
+func (k *Keeper) Seen(d lease.Duty) ids.Fence {
+	if h := k.holders[d]; h != nil {
+		return h.Seen()
+	}
+	return 0
+}
+
 // Want says whether this node wants a duty; see lease.Candidates.
 func (k *Keeper) Want(now time.Time, d lease.Duty, want bool) {
 	h := k.holders[d]
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -135,6 +135,9 @@
 // Held returns what this node holds; ask its At with the time of each deed.
 func (h *Holder) Held() Held { return h.held }
 
+// Seen returns the newest fencing number that the rows were seen to have.
+func (h *Holder) Seen() ids.Fence { return ids.Fence(h.row.Fence) }
+
 // State returns the state in the chart.
 func (h *Holder) State() charts.State { return h.machine.State() }
 
