--- a/cmd/cardamomyoke-gateway/main.go
+++ b/cmd/cardamomyoke-gateway/main.go
@@ -7,9 +7,13 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
+	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/agent"
 	"github.com/cardamomyoke/cardamomyoke/internal/gateway"
@@ -35,14 +39,21 @@
 	}, os.Args[1:]))
 }
 
-func run(ctx context.Context, checked settings.Checker, _ program.Options) error {
+// reloadEvery is how often the settings file is looked at; it may change without a signal.
+const reloadEvery = 2 * time.Second
+
+func run(ctx context.Context, checked settings.Checker, o program.Options) error {
 	set := checked.(*gateway.Settings)
 	debug.SetGCPercent(gcPercent)
 	out := logging.NewAsync(os.Stdout, logLines)
 	defer out.Close()
 	logger := log.With(logging.New(out, set.Log), "node", set.Name)
-	signal.Ignore(syscall.SIGHUP)
-	store := platform.NewStore(func() string { return set.Store })
+	// Asked for before anything else: until then the signal would end the process.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	var live atomic.Pointer[gateway.Settings]
+	live.Store(set)
+	store := platform.NewStore(func() string { return live.Load().Store })
 	g, err := gateway.Start(set, gateway.Deps{
 		Feed: store, Table: store, Ranks: agent.NewClient(engine.New(), set.AgentPort),
 		Dialect: platform.Headers{}, Decoder: platform.Rows{}, Logger: logger,
@@ -50,5 +61,27 @@
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
+	go watch(ctx, o, signals, logger, func(next *gateway.Settings) []string {
+		kept := g.Reload(next)
+		live.Store(g.Settings())
+		return kept
+	})
 	return g.Run(ctx)
 }
+
+// watch reloads the settings when their file changes.
+func watch(ctx context.Context, o program.Options, signals <-chan os.Signal, logger log.Logger, reload func(*gateway.Settings) []string) {
+	w := &settings.Watcher{
+		File: o.SettingsFile, Every: reloadEvery, Signals: signals,
+		Fresh: func() settings.Checker { return &gateway.Settings{} },
+		Changed: func(next settings.Checker) {
+			kept := reload(next.(*gateway.Settings))
+			_ = level.Info(logger).Log("msg", "settings reloaded", "needs_restart", strings.Join(kept, ","))
+		},
+		Refused: func(err error) {
+			_ = level.Error(logger).Log("msg", "settings kept", "reason", "the new ones cannot be used", "err", err)
+		},
+		Unchanged: func() { _ = level.Info(logger).Log("msg", "settings kept", "reason", "the file has not changed") },
+	}
+	w.Run(ctx, o.SettingsText)
+}
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -75,9 +75,23 @@
 	g.change(func(p *Pool, now time.Time) []*Ticket { return p.SetClosed(closed, now) })
 }
 
-// SetOthers replaces what the other gateways have in flight.
-func (g *Gate) SetOthers(work map[ids.Upstream]Work) {
-	g.change(func(p *Pool, now time.Time) []*Ticket { return p.SetOthers(work, now) })
+// SetOthers replaces what the other gateways have in flight; at is when the oldest of their digests came.
+func (g *Gate) SetOthers(work map[ids.Upstream]Work, at time.Time) {
+	g.change(func(p *Pool, now time.Time) []*Ticket { return p.SetOthers(work, at, now) })
+}
+
+// Waiting returns how many requests wait.
+func (g *Gate) Waiting() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pool.Waiting()
+}
+
+// TakeEjections returns what was ejected since the last call.
+func (g *Gate) TakeEjections() []Ejection {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pool.TakeEjections()
 }
 
 // Tick lets time pass.
--- a/internal/dispatch/outlier.go
+++ b/internal/dispatch/outlier.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
 
 // Outcome is how a placed request ended, as far as it speaks for or against its upstream.
 type Outcome int
@@ -20,6 +24,15 @@
 	OutcomeGone
 )
 
+// String returns the outcome's name in logs.
+func (o Outcome) String() string {
+	return outcomeNames[o]
+}
+
+var outcomeNames = map[Outcome]string{
+	OutcomeNone: "none", OutcomeOK: "ok", OutcomeFailed: "failed", OutcomeBroken: "broken", OutcomeRefused: "refused", OutcomeGone: "gone",
+}
+
 const (
 	// brokenInRow connections that break one after the other eject an upstream: one alone may be a lost answer.
 	brokenInRow = 2
@@ -75,6 +88,30 @@
 	return false
 }
 
+// Ejection says that requests are kept away from an upstream for some time.
+type Ejection struct {
+	Upstream ids.Upstream
+	// Cause is the outcome of the last request there, InRow how many of its kind came one after the other.
+	Cause Outcome
+	InRow int
+	// For is how long requests are kept away; 0 for good.
+	For time.Duration
+}
+
+func (t *target) ejection(cause Outcome, now time.Time) Ejection {
+	e := Ejection{Upstream: t.up.ID, Cause: cause, InRow: 1}
+	switch cause {
+	case OutcomeBroken:
+		e.InRow = t.health.brokenRow
+	case OutcomeRefused:
+		e.InRow = t.health.refusedRow
+	}
+	if !t.health.gone {
+		e.For = t.health.until.Sub(now)
+	}
+	return e
+}
+
 // spare lets requests go to ejected upstreams again if no other is left: a gateway that sees all upstreams fail is more
 // likely to be at fault itself, and a request that is tried may succeed.
 func (p *Pool) spare(now time.Time) {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -60,6 +60,10 @@
 	order   []*target
 	waiting []*Ticket
 	rng     *rand.Rand
+	// othersAt is when the oldest digest came by which others' work is counted.
+	othersAt time.Time
+	// ejected collects what was ejected since TakeEjections.
+	ejected []Ejection
 	drained rate
 	// closed says that no upstream can start anything now; requests wait.
 	closed   bool
@@ -106,8 +110,9 @@
 	return p.settle(now)
 }
 
-// SetOthers replaces what the other gateways have in flight.
-func (p *Pool) SetOthers(work map[ids.Upstream]Work, now time.Time) []*Ticket {
+// SetOthers replaces what the other gateways have in flight; at is when the oldest of their digests came.
+func (p *Pool) SetOthers(work map[ids.Upstream]Work, at, now time.Time) []*Ticket {
+	p.othersAt = at
 	for _, t := range p.order {
 		t.others = work[t.up.ID]
 	}
@@ -136,13 +141,23 @@
 		return t
 	}
 	if wait := p.expectedWait(now); now.Add(wait).After(p.startBy(r)) {
-		t.refuse(&OverloadedError{Waiting: len(p.waiting), RetryAfter: p.retryAfter(wait)})
+		t.refuse(p.overloaded(r, wait, now))
 		return t
 	}
 	p.waiting = append(p.waiting, t)
 	return t
 }
 
+// overloaded is the refusal of a request that cannot be started in time.
+func (p *Pool) overloaded(r Request, wait time.Duration, now time.Time) *OverloadedError {
+	return &OverloadedError{
+		Waiting:    len(p.waiting),
+		PerSecond:  p.drained.perSecond(),
+		Waited:     now.Sub(r.Arrived),
+		RetryAfter: p.retryAfter(wait),
+	}
+}
+
 // Withdraw takes a waiting ticket out, because its caller left.
 func (p *Pool) Withdraw(t *Ticket) {
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *Ticket) bool { return w == t })
@@ -176,11 +191,22 @@
 	t.target.own.Requests--
 	p.drained.count(now)
 	if t.target.health.note(o, now) {
+		p.ejected = append(p.ejected, t.target.ejection(o, now))
 		p.spare(now)
 	}
 	return p.settle(now)
 }
 
+// Waiting returns how many requests wait.
+func (p *Pool) Waiting() int { return len(p.waiting) }
+
+// TakeEjections returns what was ejected since the last call.
+func (p *Pool) TakeEjections() []Ejection {
+	out := p.ejected
+	p.ejected = nil
+	return out
+}
+
 // Tick lets time pass: it refuses what has waited too long and places what has become free.
 func (p *Pool) Tick(now time.Time) []*Ticket { return p.settle(now) }
 
@@ -195,7 +221,7 @@
 	for _, t := range p.waiting {
 		switch {
 		case now.After(p.startBy(t.request)):
-			t.refuse(&OverloadedError{Waiting: len(p.waiting), RetryAfter: p.retryAfter(p.expectedWait(now))})
+			t.refuse(p.overloaded(t.request, p.expectedWait(now), now))
 			out = append(out, t)
 		case p.place(t, now):
 			out = append(out, t)
@@ -233,7 +259,7 @@
 		return false
 	}
 	var best *target
-	least := 0.0
+	least, usable := 0.0, 0
 	fill := p.opts.Fill
 	if now.After(t.request.Aim) {
 		fill = p.opts.LateFill
@@ -242,6 +268,7 @@
 		if !c.usable(now) || slices.Contains(t.request.Exclude, c.up.ID) || !c.room(fill) {
 			continue
 		}
+		usable++
 		score := p.load(c) + tieBreak*p.rng.Float64()
 		if best == nil || score < least {
 			best, least = c, score
@@ -250,6 +277,10 @@
 	if best == nil {
 		return false
 	}
+	t.decision = Decision{Load: p.load(best), Usable: usable, Waiting: len(p.waiting)}
+	if !p.othersAt.IsZero() {
+		t.decision.OthersAge = now.Sub(p.othersAt)
+	}
 	best.own = best.own.plus(Work{1, t.request.PromptTokens})
 	best.health.chosen(now)
 	t.target = best
--- a/internal/gateway/experts.go
+++ b/internal/gateway/experts.go
@@ -53,7 +53,7 @@
 	return &experts{
 		g: g, ctx: ctx, ranks: ranks, running: map[ids.Service]*conducted{},
 		leases: keeper.New(keeper.Config{
-			Name: g.settings.Name, Incarnation: g.incarnation, Length: leaseLength, Table: table, Loop: g.loop,
+			Name: g.Settings().Name, Incarnation: g.incarnation, Length: leaseLength, Table: table, Loop: g.loop,
 			Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Logger: g.logger, Ended: g.peers.ended,
 		}),
 	}
@@ -90,7 +90,7 @@
 	if e.leads(now) {
 		return true
 	}
-	names := []string{e.g.settings.Name}
+	names := []string{e.g.Settings().Name}
 	for _, p := range e.g.peers.live(now) {
 		if now.Sub(p.heardAt) > leaderSilent {
 			continue
@@ -102,7 +102,7 @@
 			names = append(names, p.digest.GetNode())
 		}
 	}
-	return lease.Candidates(expertsDuty, names, 1)[0] == e.g.settings.Name
+	return lease.Candidates(expertsDuty, names, 1)[0] == e.g.Settings().Name
 }
 
 // leads reports whether this gateway may give orders: until it hears of a later leader, also beyond its lease. Two
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,10 +54,11 @@
 
 // Gateway is one gateway process. Create it with Start.
 type Gateway struct {
-	settings    *Settings
+	settings    atomic.Pointer[Settings]
 	dialect     Dialect
 	decoder     Decoder
 	logger      log.Logger
+	requests    *requestLogs
 	incarnation ids.Incarnation
 	loop        *control.Loop
 	metrics     *gatewayMetrics
@@ -90,10 +91,10 @@
 func Start(set *Settings, d Deps) (*Gateway, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
-		settings:    set,
 		dialect:     d.Dialect,
 		decoder:     d.Decoder,
 		logger:      d.Logger,
+		requests:    newRequestLogs(d.Logger, set.RequestLog),
 		incarnation: ids.NewIncarnation(),
 		loop:        control.New(),
 		metrics:     newMetrics(),
@@ -107,6 +108,7 @@
 			upstreams: catalog.NewUpstreams(nil), services: map[ids.Service]*service{}, node: stateStarting,
 		},
 	}
+	g.settings.Store(set)
 	g.config = g.follower(d.Feed, d.Decoder.ConfigurationTable())
 	g.registry = g.follower(d.Feed, d.Decoder.UpstreamTable())
 	g.followers = []*replica.Follower{g.config, g.registry}
@@ -119,6 +121,7 @@
 		return nil, err
 	}
 	g.experts = newExperts(ctx, g, d.Ranks, d.Table)
+	g.metrics.watch(g)
 	for _, f := range g.followers {
 		go f.Run(ctx)
 	}
@@ -134,14 +137,14 @@
 		Sentinel: func() bool { return g.peers.sentinel(time.Now()) },
 		Changed:  func(*replica.Table) { g.loop.Post(g.reload) },
 		LinkChanged: func(t *replica.Table, l replica.Link) {
-			_ = level.Info(g.logger).Log("msg", "store link", "table", t.Name(), "up", l.Up, "cause", l.Cause)
+			g.logStoreLink(t.Name(), l.Up, l.Cause)
 			g.loop.Post(func(time.Time) { g.publish() })
 		},
 	}
 }
 
 func (g *Gateway) listen() error {
-	l := g.settings.Listen
+	l := g.Settings().Listen
 	limits := httpserver.Limits{MaxConnections: maxConnections, IdleTimeout: settings.Duration(defaultIdle)}
 	for _, s := range []struct {
 		to      **httpserver.Server
@@ -232,6 +235,7 @@
 			rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 			s = &service{gate: dispatch.NewGate(dispatch.NewPool(dispatch.Options{}, rng)), budget: retry.NewWindow()}
 			g.watchGroup(s, c)
+			g.metrics.watchService(g, name)
 		}
 		s.gate.SetOptions(optionsOf(c))
 		s.gate.SetUpstreams(g.control.upstreams.Of(name))
@@ -277,7 +281,7 @@
 
 // retryBound is this gateway's part of what all gateways may retry.
 func (g *Gateway) retryBound(now time.Time) retry.Bound {
-	b := g.settings.Bounds.Retries
+	b := g.Settings().Bounds.Retries
 	nodes := 1 + g.peers.count(now)
 	return retry.Bound{Length: b.Window.Std(), Ratio: b.Ratio, Extra: extraKept * float64(b.Extra) / float64(nodes+spareNodes)}
 }
@@ -297,6 +301,7 @@
 		services:  g.control.services,
 		state:     g.control.node,
 		current:   g.config.Link().Up,
+		linkSince: g.config.Link().Since,
 	})
 }
 
@@ -305,11 +310,38 @@
 	for name, s := range g.control.services {
 		s.budget.SetBound(g.retryBound(now))
 		s.gate.SetOthers(g.peers.work(name, g.control.upstreams, now))
+		g.logEjections(name, s)
 	}
 	g.experts.tick(now)
 	g.peers.tick(now)
 }
 
+// Settings returns the settings in use; they must not be changed.
+func (g *Gateway) Settings() *Settings { return g.settings.Load() }
+
+// Reload takes over changed settings. What is bound to listeners or to the node's identity stays until a restart; it
+// returns the keys of that kind that differ.
+func (g *Gateway) Reload(next *Settings) (kept []string) {
+	old := g.Settings()
+	merged := *next
+	if next.Name != old.Name {
+		kept = append(kept, "name")
+	}
+	if next.Listen != old.Listen {
+		kept = append(kept, "listen")
+	}
+	if next.DataCentre != old.DataCentre {
+		kept = append(kept, "data_centre")
+	}
+	if next.Log != old.Log || next.RequestLog != old.RequestLog {
+		kept = append(kept, "log")
+	}
+	merged.Name, merged.Listen, merged.DataCentre = old.Name, old.Listen, old.DataCentre
+	merged.Log, merged.RequestLog = old.Log, old.RequestLog
+	g.settings.Store(&merged)
+	return kept
+}
+
 // Run serves until ctx ends, and then leaves in the order that cuts nothing off.
 func (g *Gateway) Run(ctx context.Context) error {
 	<-ctx.Done()
@@ -326,7 +358,7 @@
 
 func (g *Gateway) shutdown() error {
 	began := time.Now()
-	grace := g.settings.Bounds.Grace.Std()
+	grace := g.Settings().Bounds.Grace.Std()
 	_ = level.Info(g.logger).Log("msg", "leaving", "grace", grace, "running", g.servers.callers.Busy())
 	g.become(stateLeaving)
 	time.Sleep(time.Duration(serveOn * float64(grace)))
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -44,7 +44,7 @@
 	v := g.view.Load()
 	r, err := g.read(v, x.Req, now)
 	if err != nil {
-		g.refuse(x, r, err)
+		g.refuse(x, v, r, err)
 		return
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
@@ -128,9 +128,9 @@
 }
 
 // refuse answers a request that did not come as far as being tried.
-func (g *Gateway) refuse(x *httpserver.Exchange, r *request, err error) {
-	g.decided(r, "refused", err)
-	g.metrics.answered(anyService, err)
+func (g *Gateway) refuse(x *httpserver.Exchange, v *view, r *request, err error) {
+	g.refused(v, r, err)
+	g.metrics.answered(anyService, err, time.Since(r.arrived).Seconds())
 	g.fail(x, r, err)
 }
 
@@ -174,7 +174,7 @@
 
 // keep is for how long callers may keep an answer of the directory.
 func (g *Gateway) keep() time.Duration {
-	return min(g.settings.Bounds.MaxKeep.Std(), directoryKeep)
+	return min(g.Settings().Bounds.MaxKeep.Std(), directoryKeep)
 }
 
 // directoryKeep is short, so that callers soon stop using a host that died; asking costs them a millisecond or two.
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -1,49 +1,110 @@
 package gateway
 
 import (
+	"errors"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/logging"
 )
 
-// decided logs what was decided about a request that was not tried.
-func (g *Gateway) decided(r *request, outcome string, err error) {
-	_ = level.Info(g.logger).Log("msg", "request", "outcome", outcome, "request", r.call.Attempt, "revision", r.revision,
-		"client", r.client, "err", err)
+// requestLogs are the bounded logs of what is decided about requests. Lines about requests that went wrong are fewer and
+// needed more, so they have a bound of their own.
+type requestLogs struct {
+	ordinary, failures *logging.Bounded
+}
+
+func newRequestLogs(l log.Logger, b LogBounds) *requestLogs {
+	return &requestLogs{
+		ordinary: logging.NewBounded(level.Info(l), b.ordinary(), time.Now),
+		failures: logging.NewBounded(level.Info(l), b.failures(), time.Now),
+	}
+}
+
+// refused logs that a request was not tried.
+func (g *Gateway) refused(v *view, r *request, err error) {
+	f := failure.From(err)
+	now := time.Now()
+	fields := []any{
+		"msg", "request", "outcome", "refused", "request", r.call.Attempt, "code", f.Code, "proof", f.Proof,
+		"retry_after_ms", f.RetryAfter.Milliseconds(), "revision", r.revision, "client", r.client,
+		"node", v.state, "store_up", v.current, "store_since_ms", ageOf(v.linkSince, now), "err", err,
+	}
+	if r.route != nil {
+		fields = append(fields, "route", r.route.Name)
+	}
+	_ = g.requests.failures.Log(fields...)
 }
 
-// placed logs where an attempt goes.
-func (g *Gateway) placed(n *run) {
-	_ = level.Debug(g.logger).Log("msg", "placed", "request", n.r.call.Attempt, "route", n.r.route.Name, "upstream", n.upstream,
-		"attempt", n.sent+n.unreached+1, "waited_ms", n.placedAt.Sub(n.r.arrived).Milliseconds())
+// placed logs where an attempt goes, and what that was decided by.
+func (g *Gateway) placed(n *run, d dispatch.Decision) {
+	_ = g.requests.ordinary.Log("msg", "placed", "request", n.r.call.Attempt, "route", n.r.route.Name, "revision", n.r.revision,
+		"upstream", n.upstream, "attempt", n.sent+n.unreached+1, "load", d.Load, "usable", d.Usable, "waiting", d.Waiting,
+		"digests_age_ms", d.OthersAge.Milliseconds(), "waited_ms", n.placedAt.Sub(n.r.arrived).Milliseconds())
 }
 
 // repeated logs that another attempt follows.
 func (g *Gateway) repeated(n *run, err error) {
 	g.metrics.repeated(n.r.service.Name)
-	_ = level.Info(g.logger).Log("msg", "another attempt", "request", n.r.call.Attempt, "route", n.r.route.Name,
-		"upstream", n.upstream, "sent", n.sent, "may_have_run", n.mayHaveRun, "after_event", n.stream.lastEvent, "err", err)
+	_ = g.requests.failures.Log("msg", "another attempt", "request", n.r.call.Attempt, "route", n.r.route.Name,
+		"upstream", n.upstream, "sent", n.sent, "unreached", n.unreached, "may_have_run", n.mayHaveRun,
+		"after_event", n.stream.lastEvent, "budget_left", n.service.budget.Left(time.Now()),
+		"left_ms", n.r.deadline.Sub(time.Now()).Milliseconds(), "err", err)
 }
 
 // answered logs how a request ended.
 func (g *Gateway) answered(n *run, err error) {
-	g.metrics.answered(n.r.service.Name, err)
-	l := level.Info(g.logger)
-	if err == nil {
-		l = level.Debug(g.logger)
-	}
+	g.metrics.answered(n.r.service.Name, err, time.Since(n.r.arrived).Seconds())
 	now := time.Now()
-	_ = l.Log("msg", "request", "outcome", outcomeText(err), "request", n.r.call.Attempt, "route", n.r.route.Name,
+	fields := []any{
+		"msg", "request", "outcome", outcomeText(n, err), "request", n.r.call.Attempt, "route", n.r.route.Name,
 		"revision", n.r.revision, "client", n.r.client, "upstream", n.upstream, "sent", n.sent, "events", n.stream.events,
-		"placed_ms", sinceArrival(n, n.placedAt), "first_ms", sinceArrival(n, n.firstAt), "total_ms", sinceArrival(n, now),
-		"left_ms", n.r.deadline.Sub(now).Milliseconds(), "err", err)
+		"placed_ms", sinceArrival(n, n.placedAt), "first_ms", sinceArrival(n, n.firstAt), "longest_gap_ms", n.stream.longestGap.Milliseconds(),
+		"total_ms", sinceArrival(n, now), "left_ms", n.r.deadline.Sub(now).Milliseconds(),
+	}
+	if err == nil {
+		_ = g.requests.ordinary.Log(fields...)
+		return
+	}
+	f := failure.From(err)
+	fields = append(fields, "code", f.Code, "proof", f.Proof, "retry_after_ms", f.RetryAfter.Milliseconds(), "err", err)
+	_ = g.requests.failures.Log(fields...)
 }
 
-func outcomeText(err error) string {
-	if err == nil {
-		return "answered"
+// Outcomes of requests in logs.
+const (
+	outcomeAnswered = "answered"
+	// outcomeLate: the answer was whole, but began after the route's target or paused for longer than it allows.
+	outcomeLate = "late"
+	// outcomeUpstreamFailure: the caller got the upstream's own failure.
+	outcomeUpstreamFailure = "upstream-failure"
+	outcomeFailed          = "failed"
+)
+
+func outcomeText(n *run, err error) string {
+	switch {
+	case err != nil:
+		return outcomeFailed
+	case n.gaveHeld:
+		return outcomeUpstreamFailure
+	case n.late():
+		return outcomeLate
 	}
-	return "failed"
+	return outcomeAnswered
+}
+
+// late reports whether the route's target was missed.
+func (n *run) late() bool {
+	route := n.r.route
+	if route.TargetLatency > 0 && n.firstAt.Sub(n.r.arrived) > route.TargetLatency {
+		return true
+	}
+	return route.TargetGap > 0 && n.stream.longestGap > route.TargetGap
 }
 
 // sinceArrival is in milliseconds; -1 if it did not come to it.
@@ -54,6 +115,14 @@
 	return t.Sub(n.r.arrived).Milliseconds()
 }
 
+// ageOf is in milliseconds; -1 for a moment that has not come.
+func ageOf(t, now time.Time) int64 {
+	if t.IsZero() {
+		return -1
+	}
+	return now.Sub(t).Milliseconds()
+}
+
 // noteFirst notes when the first piece of the answer came.
 func (n *run) noteFirst() {
 	if !n.firstAt.IsZero() {
@@ -62,3 +131,24 @@
 	n.firstAt = time.Now()
 	n.g.metrics.first(n.r.service.Name, n.firstAt.Sub(n.r.arrived).Seconds())
 }
+
+// logEjections logs what a service's gate keeps requests away from.
+func (g *Gateway) logEjections(name ids.Service, s *service) {
+	for _, e := range s.gate.TakeEjections() {
+		g.metrics.ejected(name, e.Cause)
+		_ = g.requests.failures.Log("msg", "upstream ejected", "service", name, "upstream", e.Upstream, "cause", e.Cause,
+			"in_row", e.InRow, "for_ms", e.For.Milliseconds())
+	}
+}
+
+// logStoreLink logs that the way to the store was lost or found again. A history that is no longer kept is not a loss.
+func (g *Gateway) logStoreLink(table string, up bool, cause error) {
+	msg := "store lost"
+	if up {
+		msg = "store found"
+	}
+	if cause != nil && errors.Is(cause, g.ctx.Err()) {
+		return
+	}
+	_ = level.Info(g.logger).Log("msg", msg, "table", table, "err", cause)
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -2,30 +2,78 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
 	"github.com/cardamomyoke/cardamomyoke/internal/failure"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 )
 
-// gatewayMetrics are the counters of one gateway; docs/operations.md explains them.
+// gatewayMetrics are the counters of one gateway; docs/OPERATIONS.md explains them.
 type gatewayMetrics struct{ set *metrics.Set }
 
 func newMetrics() *gatewayMetrics { return &gatewayMetrics{metrics.NewSet()} }
 
-func (m *gatewayMetrics) answered(service ids.Service, err error) {
+// watch adds the gauges that are read when somebody asks for the metrics.
+func (m *gatewayMetrics) watch(g *Gateway) {
+	gauge := func(name string, read func() float64) { m.set.NewGauge("cardamomyoke_gateway_"+name, read) }
+	gauge("requests_running", func() float64 { return float64(g.Busy()) })
+	gauge("configuration_version", func() float64 {
+		if c := g.view.Load().config; c != nil {
+			return float64(c.Version)
+		}
+		return 0
+	})
+	gauge("peers", func() float64 { return float64(g.peers.count(time.Now())) })
+	gauge("leads_experts", func() float64 { return boolean(g.experts.fence.Load() > 0) })
+	for _, f := range g.followers {
+		gauge(fmt.Sprintf("store_up{table=%q}", f.Table.Name()), func() float64 { return boolean(f.Link().Up) })
+		gauge(fmt.Sprintf("store_since_seconds{table=%q}", f.Table.Name()), func() float64 { return time.Since(f.Link().Since).Seconds() })
+	}
+	gauge(`log_lines_left_out_total{class="ordinary"}`, func() float64 { return float64(g.requests.ordinary.LeftOut()) })
+	gauge(`log_lines_left_out_total{class="failures"}`, func() float64 { return float64(g.requests.failures.LeftOut()) })
+}
+
+// watchService adds the gauges of one service; they show 0 once the service is gone.
+func (m *gatewayMetrics) watchService(g *Gateway, name ids.Service) {
+	read := func(what string, value func(s *service) float64) {
+		m.set.GetOrCreateGauge(fmt.Sprintf("cardamomyoke_gateway_%s{service=%q}", what, name), func() float64 {
+			if s := g.view.Load().services[name]; s != nil {
+				return value(s)
+			}
+			return 0
+		})
+	}
+	read("requests_waiting", func(s *service) float64 { return float64(s.gate.Waiting()) })
+	read("retries_left", func(s *service) float64 { return float64(s.budget.Left(time.Now())) })
+}
+
+func boolean(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (m *gatewayMetrics) answered(service ids.Service, err error, seconds float64) {
 	code := "ok"
 	if err != nil {
 		code = string(failure.CodeOf(err))
 	}
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_requests_total{service=%q,code=%q}", service, code)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf("cardamomyoke_gateway_answer_seconds{service=%q}", service)).Update(seconds)
 }
 
 func (m *gatewayMetrics) repeated(service ids.Service) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_retries_total{service=%q}", service)).Inc()
 }
 
+func (m *gatewayMetrics) ejected(service ids.Service, cause dispatch.Outcome) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_ejections_total{service=%q,cause=%q}", service, cause)).Inc()
+}
+
 func (m *gatewayMetrics) first(service ids.Service, seconds float64) {
 	m.set.GetOrCreateHistogram(fmt.Sprintf("cardamomyoke_gateway_first_piece_seconds{service=%q}", service)).Update(seconds)
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -58,9 +58,11 @@
 	sender   *digest.Sender
 	receiver *digest.Receiver
 	port     *controlport.Port
-	http     *http.Client
-	ctx      context.Context
-	began    time.Time
+	// metricsPort is nil unless the settings have an address of its own for it.
+	metricsPort *controlport.Port
+	http        *http.Client
+	ctx         context.Context
+	began       time.Time
 
 	mu      sync.Mutex
 	known   map[string]*peer     // by name
@@ -88,12 +90,17 @@
 	if p.sender, err = digest.NewSender(); err != nil {
 		return nil, err
 	}
-	if p.receiver, err = digest.Receive(g.settings.Listen.Peers, p.hear); err != nil {
+	if p.receiver, err = digest.Receive(g.Settings().Listen.Peers, p.hear); err != nil {
 		return nil, err
 	}
 	mux := http.NewServeMux()
 	mux.Handle(cardamomyokev1connect.NewPeerServiceHandler(p))
-	p.port, err = controlport.Start(g.settings.Listen.Peers, mux, g.metrics.set, nil, g.logger)
+	if p.port, err = controlport.Start(g.Settings().Listen.Peers, mux, g.metrics.set, nil, g.logger); err != nil {
+		return nil, err
+	}
+	if address := g.Settings().Listen.Metrics; address != "" {
+		p.metricsPort, err = controlport.Start(address, http.NewServeMux(), g.metrics.set, nil, g.logger)
+	}
 	return p, err
 }
 
@@ -101,17 +108,20 @@
 	_ = p.receiver.Stop(context.Background())
 	_ = p.sender.Close()
 	p.port.Stop()
+	if p.metricsPort != nil {
+		p.metricsPort.Stop()
+	}
 }
 
 // hear takes in a digest; one that is older than the last of its sender changes nothing.
 func (p *peers) hear(d *cardamomyokev1.Digest) {
-	if d.GetNode() == p.g.settings.Name || d.GetRole() != cardamomyokev1.NodeRole_NODE_ROLE_GATEWAY {
+	if d.GetNode() == p.g.Settings().Name || d.GetRole() != cardamomyokev1.NodeRole_NODE_ROLE_GATEWAY {
 		return
 	}
 	now := time.Now()
 	p.mu.Lock()
 	old := p.known[d.GetNode()]
-	if old != nil && !newer(d, old.digest) {
+	if old != nil && !old.replacedBy(d, now) {
 		p.mu.Unlock()
 		return
 	}
@@ -126,11 +136,16 @@
 	p.catchUp(d)
 }
 
-func newer(d, old *cardamomyokev1.Digest) bool {
-	if d.GetIncarnation() != old.GetIncarnation() {
-		return d.GetIncarnation() > old.GetIncarnation()
+// replacedBy reports whether a digest is newer than what is known. Lives are ordered by the time of day at their start.
+//
+// Failure: a gateway restarts just after its host's time of day was set back. Its new life sorts before the one that has
+// ended, and others would not hear it until they had forgotten the old one. A life that has fallen silent is therefore
+// replaced by any other; digests of an ended life do not arrive that late.
+func (k *peer) replacedBy(d *cardamomyokev1.Digest, now time.Time) bool {
+	if d.GetIncarnation() != k.digest.GetIncarnation() {
+		return d.GetIncarnation() > k.digest.GetIncarnation() || now.Sub(k.heardAt) > peerSilent
 	}
-	return d.GetSequence() > old.GetSequence()
+	return d.GetSequence() > k.digest.GetSequence()
 }
 
 // catchUp pulls the tables of which the sender knows a newer change.
@@ -256,14 +271,14 @@
 func (p *peers) compose(now time.Time) *cardamomyokev1.Digest {
 	g := p.g
 	d := &cardamomyokev1.Digest{
-		Node:          g.settings.Name,
+		Node:          g.Settings().Name,
 		Incarnation:   string(g.incarnation),
 		Sequence:      p.sequence,
 		Role:          cardamomyokev1.NodeRole_NODE_ROLE_GATEWAY,
 		State:         digestState(g.control.node),
-		DataCentre:    string(g.settings.DataCentre),
-		HttpAddress:   g.settings.Listen.Callers,
-		DigestAddress: g.settings.Listen.Peers,
+		DataCentre:    string(g.Settings().DataCentre),
+		HttpAddress:   g.Settings().Listen.Callers,
+		DigestAddress: g.Settings().Listen.Peers,
 		ExpertsFence:  g.experts.fence.Load(),
 	}
 	if now.Sub(p.namedAt) >= namesEvery {
@@ -300,7 +315,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all := map[string]bool{}
-	for _, a := range p.g.settings.Peers {
+	for _, a := range p.g.Settings().Peers {
 		all[a] = true
 	}
 	for name, k := range p.known {
@@ -317,7 +332,7 @@
 		}
 		all[a] = true
 	}
-	delete(all, p.g.settings.Listen.Peers)
+	delete(all, p.g.Settings().Listen.Peers)
 	out := slices.Sorted(maps.Keys(all))
 	if len(out) <= maxTold || p.g.experts.fence.Load() > 0 {
 		return out
@@ -368,13 +383,13 @@
 // sentinel reports whether this gateway is one that its data centre relies on for news of the store: one of the first by
 // rendezvous hash of those that are live. Each works it out for itself; if two differ for a moment, two watch.
 func (p *peers) sentinel(now time.Time) bool {
-	names := []string{p.g.settings.Name}
+	names := []string{p.g.Settings().Name}
 	for _, k := range p.live(now) {
-		if ids.DataCentre(k.digest.GetDataCentre()) == p.g.settings.DataCentre {
+		if ids.DataCentre(k.digest.GetDataCentre()) == p.g.Settings().DataCentre {
 			names = append(names, k.digest.GetNode())
 		}
 	}
-	return slices.Contains(lease.Candidates("store", names, sentinels), p.g.settings.Name)
+	return slices.Contains(lease.Candidates("store", names, sentinels), p.g.Settings().Name)
 }
 
 // ended reports whether another gateway's life is known to be over: it is not heard, or only a later life is. A gateway
@@ -384,7 +399,7 @@
 	if now.Sub(p.began) < leaderSilent {
 		return false
 	}
-	if name == p.g.settings.Name {
+	if name == p.g.Settings().Name {
 		return life != p.g.incarnation
 	}
 	p.mu.Lock()
@@ -406,7 +421,7 @@
 func (p *peers) addresses(now time.Time) []string {
 	var out []string
 	if p.g.view.Load().state == stateReady {
-		out = append(out, p.g.settings.Listen.Callers)
+		out = append(out, p.g.Settings().Listen.Callers)
 	}
 	for _, k := range p.live(now) {
 		if k.digest.GetState() == cardamomyokev1.NodeState_NODE_STATE_LIVE {
@@ -419,10 +434,14 @@
 	return out
 }
 
-// work is what the other gateways have in flight at a service's upstreams.
-func (p *peers) work(name ids.Service, upstreams *catalog.Upstreams, now time.Time) map[ids.Upstream]dispatch.Work {
+// work is what the other gateways have in flight at a service's upstreams, and when the oldest digest that says so came.
+func (p *peers) work(name ids.Service, upstreams *catalog.Upstreams, now time.Time) (map[ids.Upstream]dispatch.Work, time.Time) {
 	sum := map[uint64]dispatch.Work{}
+	var oldest time.Time
 	for _, k := range p.live(now) {
+		if oldest.IsZero() || k.heardAt.Before(oldest) {
+			oldest = k.heardAt
+		}
 		for _, w := range k.digest.GetWork() {
 			s := sum[w.GetUpstream()]
 			s.Requests += int(w.GetRequests())
@@ -436,5 +455,5 @@
 			out[u.ID] = w
 		}
 	}
-	return out
+	return out, oldest
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -33,6 +33,8 @@
 	upstream ids.Upstream
 	// held is the upstream's own failure, to be given to the caller if no other attempt succeeds.
 	held *plainAnswer
+	// gaveHeld says that the caller got it.
+	gaveHeld bool
 }
 
 func newRun(g *Gateway, v *view, x *httpserver.Exchange, r *request) *run {
@@ -89,7 +91,7 @@
 		}
 		n.placedAt = time.Now()
 		n.upstream = ticket.Upstream().ID
-		n.g.placed(n)
+		n.g.placed(n, ticket.Decision())
 		err = n.attempt(ctx, ticket)
 		n.doubtGroup(err)
 		n.service.gate.Done(ticket, outcomeOf(ctx, err))
@@ -210,6 +212,7 @@
 	case errors.As(err, &gone) || context.Cause(ctx) == context.Canceled:
 		return failure.New(failure.CodeCancelled, cause)
 	case n.held != nil && !n.x.Answered():
+		n.gaveHeld = true
 		return n.held.respond(n)
 	case n.x.Answered():
 		return failure.New(failure.CodeIncompleteAnswer, cause)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"fmt"
 	"strconv"
 	"time"
@@ -26,6 +27,37 @@
 	Limits HostLimits      `yaml:"limits"`
 	Bounds Bounds          `yaml:"bounds"`
 	Log    logging.Options `yaml:"log"`
+	// RequestLog bounds the lines about requests.
+	RequestLog LogBounds `yaml:"request_log"`
+}
+
+// LogBounds are the most lines that are logged a second; 0 means the default.
+type LogBounds struct {
+	// Ordinary bounds lines about placements and answers that went as they should.
+	Ordinary int `yaml:"ordinary"`
+	// Failures bounds lines about refusals, retries, ejections and failures.
+	Failures int `yaml:"failures"`
+}
+
+const (
+	// defaultOrdinary covers two lines for each request at twice the usual load of an entry host today, 12 a second.
+	defaultOrdinary = 50
+	// defaultFailures covers an outage in which each request fails and comes back, at five times that load.
+	defaultFailures = 150
+)
+
+func (b LogBounds) ordinary() int { return cmp.Or(b.Ordinary, defaultOrdinary) }
+
+func (b LogBounds) failures() int { return cmp.Or(b.Failures, defaultFailures) }
+
+func (b LogBounds) check() error {
+	if b.Ordinary < 0 {
+		return &settings.KeyError{Path: "$.request_log.ordinary", Want: "0 or more", Got: strconv.Itoa(b.Ordinary)}
+	}
+	if b.Failures < 0 {
+		return &settings.KeyError{Path: "$.request_log.failures", Want: "0 or more", Got: strconv.Itoa(b.Failures)}
+	}
+	return nil
 }
 
 // Listen holds the addresses to listen on, IP:PORT.
@@ -89,6 +121,7 @@
 		{"$.listen.readiness", s.Listen.Readiness},
 		{"$.listen.peers", s.Listen.Peers},
 		{"$.store", s.Store},
+		{"$.listen.metrics", cmp.Or(s.Listen.Metrics, s.Listen.Peers)},
 	} {
 		if err := settings.CheckAddress(a.path, a.value); err != nil {
 			return err
@@ -100,6 +133,9 @@
 	if err := s.Bounds.check(); err != nil {
 		return err
 	}
+	if err := s.RequestLog.check(); err != nil {
+		return err
+	}
 	if err := s.Log.Check(); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -16,7 +16,17 @@
 type relay struct {
 	// lastEvent is the id of the last event that the caller has; another upstream goes on after it.
 	lastEvent string
-	events    int
+	// events counts what was given to the caller at once, longestGap is the longest time between two of them.
+	events     int
+	longestGap time.Duration
+}
+
+// noteEvent notes that events are given to the caller some time after the last ones.
+func (r *relay) noteEvent(gap time.Duration) {
+	if r.events > 0 {
+		r.longestGap = max(r.longestGap, gap)
+	}
+	r.events++
 }
 
 // streamBuffer is the size of one read from an upstream; an event has some tens of bytes.
@@ -97,7 +107,7 @@
 	if err := n.x.Write(ctx, events); err != nil {
 		return err
 	}
-	n.stream.events++
+	n.stream.noteEvent(time.Since(n.lastAt))
 	n.lastAt = time.Now()
 	n.stream.lastEvent = last
 	return nil
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
 	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
@@ -19,6 +21,8 @@
 	// current says that the configuration is known to be the newest: a node that cannot know does not say that a route
 	// or key does not exist.
 	current bool
+	// linkSince is since when that has been so.
+	linkSince time.Time
 }
 
 // service is what one service's requests go through.
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -9,6 +9,7 @@
 	"github.com/panjf2000/gnet/v2"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/steady"
 )
 
 // maxPipelined is how many bytes a caller may send ahead while a request runs.
@@ -23,13 +24,13 @@
 	told bool
 	// running is set while a request runs on its goroutine.
 	running atomic.Bool
-	// partialSince is when the first byte of an unfinished request came, in ns since 1970; 0 if there is none.
+	// partialSince is when the first byte of an unfinished request came, by steady.Nanos; 0 if there is none.
 	partialSince atomic.Int64
 	idleSince    atomic.Int64
 	// unread is how many written bytes the caller had not taken when the loop last looked.
 	unread      atomic.Int64
 	unreadSince atomic.Int64
-	// refusedAt is when bytes of this connection were refused, in ns since 1970; 0 if they were not.
+	// refusedAt is when bytes of this connection were refused, by steady.Nanos; 0 if they were not.
 	refusedAt atomic.Int64
 	gone      atomic.Bool
 	out       outbox
@@ -77,7 +78,7 @@
 // wait notes that a request has begun to arrive.
 func (c *conn) wait(p parsed) gnet.Action {
 	c.need = p.need
-	c.partialSince.CompareAndSwap(0, time.Now().UnixNano())
+	c.partialSince.CompareAndSwap(0, steady.Nanos())
 	if p.interim && !c.told {
 		c.told = true
 		if _, err := c.gc.Write(interimRes); err != nil {
@@ -90,7 +91,7 @@
 // expire answers a request that is past the read timeout and still not whole. It runs on the event loop, like begin:
 // from the sweeper's goroutine the refusal, which promises "not run", could race with the last bytes' arrival.
 func (c *conn) expire() gnet.Action {
-	if !past(time.Now(), c.partialSince.Load(), c.srv.limits.Load().ReadTimeout.Std()) {
+	if !past(steady.Nanos(), c.partialSince.Load(), c.srv.limits.Load().ReadTimeout.Std()) {
 		return gnet.None
 	}
 	e := failure.New(failure.CodeMalformed, nil)
@@ -124,7 +125,7 @@
 		_ = c.gc.Close()
 		return
 	}
-	c.idleSince.Store(time.Now().UnixNano())
+	c.idleSince.Store(steady.Nanos())
 	c.running.Store(false)
 	// Bytes of the next request may have come meanwhile; without a wake-up the loop would not look at them again.
 	_ = c.gc.Wake(nil)
@@ -153,12 +154,12 @@
 	case n == 0:
 		c.unreadSince.Store(0)
 	case before == 0 || int64(n) < before:
-		c.unreadSince.Store(time.Now().UnixNano())
+		c.unreadSince.Store(steady.Nanos())
 	}
 }
 
 // sweep ends the connection if it is past a timeout; the event loop answers a half-sent request first.
-func (c *conn) sweep(now time.Time) {
+func (c *conn) sweep(now int64) {
 	l := c.srv.limits.Load()
 	switch {
 	case past(now, c.refusedAt.Load(), lingerFor):
@@ -178,6 +179,6 @@
 	}
 }
 
-func past(now time.Time, since int64, limit time.Duration) bool {
-	return since != 0 && now.UnixNano()-since > int64(limit)
+func past(now, since int64, limit time.Duration) bool {
+	return since != 0 && now-since > int64(limit)
 }
--- a/internal/httpserver/outbox.go
+++ b/internal/httpserver/outbox.go
@@ -9,7 +9,7 @@
 // loop, further pieces join it: under load a burst of tokens costs one wake-up and one system call, not one each.
 type outbox struct {
 	mu sync.Mutex
-	// buf waits for the loop; spare is the buffer that the loop used last.
+	// buf waits for the loop; spare is a buffer that nobody uses, or nil.
 	buf, spare []byte
 	flushing   bool
 }
@@ -17,19 +17,49 @@
 // maxSpare is the largest buffer that a connection keeps for its next answer, in bytes.
 const maxSpare = 64 << 10
 
+// add copies the pieces and reports whether a flush must be asked for.
+func (o *outbox) add(pieces ...[]byte) (first bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, p := range pieces {
+		o.buf = append(o.buf, p...)
+	}
+	first = !o.flushing
+	o.flushing = true
+	return first
+}
+
+// take returns what waits. The buffer is the loop's until it is put back.
+//
+// Failure: a buffer that is used for the next pieces is still known as the spare one. When the buffer before it was too
+// large to be kept it is taken, and at the same time used for what comes next, and the caller gets bytes of one answer
+// overwritten by another's. So the spare buffer is given up when it comes into use.
+func (o *outbox) take() []byte {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	buf := o.buf
+	o.buf = o.spare[:0]
+	o.spare = nil
+	o.flushing = false
+	return buf
+}
+
+// put gives back a buffer that take returned.
+func (o *outbox) put(buf []byte) {
+	if cap(buf) > maxSpare {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.spare = buf
+}
+
 // write copies the pieces into the outbox. Errors: *GoneError.
 func (c *conn) write(pieces ...[]byte) error {
 	if c.gone.Load() {
 		return &GoneError{"connection closed"}
 	}
-	c.out.mu.Lock()
-	for _, p := range pieces {
-		c.out.buf = append(c.out.buf, p...)
-	}
-	first := !c.out.flushing
-	c.out.flushing = true
-	c.out.mu.Unlock()
-	if !first {
+	if !c.out.add(pieces...) {
 		return nil
 	}
 	if err := c.gc.EventLoop().Execute(context.Background(), c); err != nil {
@@ -40,19 +70,13 @@
 
 // Run implements gnet.Runnable: it runs on the event loop and sends what the outbox holds.
 func (c *conn) Run(context.Context) error {
-	c.out.mu.Lock()
-	buf := c.out.buf
-	c.out.buf = c.out.spare[:0]
-	c.out.flushing = false
-	c.out.mu.Unlock()
+	buf := c.out.take()
 	if c.gone.Load() {
 		return nil
 	}
 	// gnet copies what the socket does not take, so the buffer can be used again.
 	_, err := c.gc.Write(buf)
-	if cap(buf) <= maxSpare {
-		c.out.spare = buf
-	}
+	c.out.put(buf)
 	if err != nil {
 		return c.gc.Close()
 	}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/cardamomyoke/cardamomyoke/internal/failure"
 	"github.com/cardamomyoke/cardamomyoke/internal/gnetlog"
+	"github.com/cardamomyoke/cardamomyoke/internal/steady"
 )
 
 // Handler answers one request. It must call Respond once, or Stream and then End; ctx ends when the caller goes away.
@@ -118,7 +119,7 @@
 		return nil, gnet.Close
 	}
 	c := &conn{srv: s, gc: gc}
-	c.idleSince.Store(time.Now().UnixNano())
+	c.idleSince.Store(steady.Nanos())
 	gc.SetContext(c)
 	s.conns.Store(c, struct{}{})
 	return nil, gnet.None
@@ -147,7 +148,7 @@
 
 // OnTick implements gnet.EventHandler: it ends connections that are past a timeout.
 func (s *Server) OnTick() (time.Duration, gnet.Action) {
-	now := time.Now()
+	now := steady.Nanos()
 	s.conns.Range(func(key, _ any) bool {
 		key.(*conn).sweep(now)
 		return true
@@ -177,7 +178,7 @@
 // caller never sees why it was refused. What still comes is read and dropped until the caller has had time to read.
 func (s *Server) refuse(c *conn, err error) {
 	c.running.Store(true) // no request is read from this connection any more
-	c.refusedAt.Store(time.Now().UnixNano())
+	c.refusedAt.Store(steady.Nanos())
 	x := &Exchange{conn: c, close: true}
 	x.Fail(failure.From(err))
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -39,6 +39,9 @@
 type Options struct {
 	// Grace bounds an orderly shutdown.
 	Grace time.Duration
+	// SettingsFile is where the settings were read, SettingsText what was read.
+	SettingsFile string
+	SettingsText []byte
 }
 
 // Main parses the command line and runs the program; it returns the exit code.
@@ -60,12 +63,17 @@
 	if command == check.FullCommand() {
 		return checkSettings(p, *checkFile)
 	}
+	text, err := os.ReadFile(*runFile)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, &settings.FileError{File: *runFile, Cause: err})
+		return ExitUsage
+	}
 	set := p.Settings()
-	if err := settings.Read(*runFile, set); err != nil {
+	if err := settings.Parse(*runFile, text, set); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return ExitUsage
 	}
-	return runUntilSignal(p, set, Options{Grace: *grace})
+	return runUntilSignal(p, set, Options{Grace: *grace, SettingsFile: *runFile, SettingsText: text})
 }
 
 func checkSettings(p Program, file string) int {
--- a/internal/replica/follower_test.go
+++ b/internal/replica/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,28 +14,55 @@
 
 // feed is a store's feed that may hang: calls that begin before the given time are never answered.
 type feed struct {
+	// mu guards the rest: the follower calls from a goroutine of its own.
+	mu    sync.Mutex
 	src   *source
 	hangs time.Time
-	waits []time.Duration
+}
+
+func (f *feed) put(key, value string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.src.put(key, value)
+}
+
+func (f *feed) hang(until time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hangs = until
+}
+
+func (f *feed) hanging() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Now().Before(f.hangs)
+}
+
+func (f *feed) since(after uint64) ([]platform.Change, uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.src.since(after), f.src.version
 }
 
 var errAway = errors.New("away")
 
 func (f *feed) Rows(context.Context, string) ([]platform.Row, uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return f.src.all(), f.src.version, nil
 }
 
 func (f *feed) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) ([]platform.Change, uint64, error) {
-	f.waits = append(f.waits, wait)
-	if time.Now().Before(f.hangs) {
+	if f.hanging() {
 		// As with the real client: a call ends some time after it should have been answered.
 		time.Sleep(wait + 700*time.Millisecond)
 		return nil, 0, errAway
 	}
-	for end := time.Now().Add(wait); time.Now().Before(end) && len(f.src.since(after)) == 0; {
+	changes, version := f.since(after)
+	for end := time.Now().Add(wait); time.Now().Before(end) && len(changes) == 0; changes, version = f.since(after) {
 		time.Sleep(10 * time.Millisecond)
 	}
-	return f.src.since(after), f.src.version, ctx.Err()
+	return changes, version, ctx.Err()
 }
 
 // The store accepts calls for five seconds and answers none. Then it is sound again and a configuration changes. The
@@ -45,21 +73,28 @@
 		src.put("config", "1")
 		f := &feed{src: src}
 		table := replica.NewTable("op")
+		var mu sync.Mutex
 		var changed time.Time
 		follower := &replica.Follower{
 			Feed: f, Table: table,
-			Changed:     func(*replica.Table) { changed = time.Now() },
+			Changed: func(*replica.Table) {
+				mu.Lock()
+				defer mu.Unlock()
+				changed = time.Now()
+			},
 			LinkChanged: func(*replica.Table, replica.Link) {},
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		go follower.Run(ctx)
 		time.Sleep(time.Second)
-		f.hangs = time.Now().Add(5 * time.Second)
+		f.hang(time.Now().Add(5 * time.Second))
 		time.Sleep(5*time.Second + 100*time.Millisecond)
-		src.put("config", "2")
+		f.put("config", "2")
 		sent := time.Now()
 		time.Sleep(5 * time.Second)
 		cancel()
+		mu.Lock()
+		defer mu.Unlock()
 		if got := changed.Sub(sent); changed.Before(sent) || got > 2*time.Second {
 			t.Fatalf("seen after %s", got)
 		}
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -9,8 +9,11 @@
 // plus a fixed number. Several nodes share such a bound by taking a part of the fixed number each. It is safe for
 // concurrent use.
 type Window struct {
-	mu      sync.Mutex
-	bound   Bound
+	mu    sync.Mutex
+	bound Bound
+	// began is the first moment that was counted. Buckets are numbered from it, so that differences of the monotonic clock
+	// count: if the time of day is set back, retries of the last seconds would be forgotten and the bound broken.
+	began   time.Time
 	buckets [windowBuckets]bucket
 }
 
@@ -55,14 +58,30 @@
 	}
 }
 
+// Left returns how many retries may be paid for now.
+func (w *Window) Left(now time.Time) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if b := w.at(now); b != nil {
+		return max(0, int(w.left(b)))
+	}
+	return 0
+}
+
 // Take pays for one retry; false if the budget is used up.
 func (w *Window) Take(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	b := w.at(now)
-	if b == nil {
+	if b == nil || w.left(b) < 1 {
 		return false
 	}
+	b.retries++
+	return true
+}
+
+// left is what the bound allows beyond what the window holds, whose newest bucket is b.
+func (w *Window) left(b *bucket) float64 {
 	first, retries := 0, 0
 	for i := range w.buckets {
 		age := b.index - w.buckets[i].index
@@ -73,11 +92,7 @@
 			first += w.buckets[i].first
 		}
 	}
-	if float64(retries+1) > kept*w.bound.Ratio*float64(first)+w.bound.Extra {
-		return false
-	}
-	b.retries++
-	return true
+	return kept*w.bound.Ratio*float64(first) + w.bound.Extra - float64(retries)
 }
 
 // at returns the bucket of the present, emptied if it held an older one.
@@ -86,7 +101,11 @@
 	if width <= 0 {
 		return nil
 	}
-	index := now.UnixNano() / width
+	if w.began.IsZero() {
+		w.began = now
+	}
+	// Index 0 stands for a bucket that was never used.
+	index := 1 + int64(now.Sub(w.began))/width
 	b := &w.buckets[index%windowBuckets]
 	if b.index != index {
 		*b = bucket{index: index}
--- /dev/null
+++ b/internal/settings/watch_test.go
@@ -0,0 +1,55 @@
+package settings_test
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/settings"
+)
+
+// named is a settings value with one key, which must be set.
+type named struct {
+	Name string `yaml:"name"`
+}
+
+// Check implements settings.Checker.
+func (n *named) Check() error { return settings.CheckName("$.name", n.Name, "a name") }
+
+// An operator writes settings that cannot be used, asks for a reload, and mends them. The process keeps what it has, says
+// why, and takes over what is mended; a signal without a change says so.
+func TestWatcherTakesOnlyWhatCanBeUsed(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "settings.yaml")
+	write := func(text string) {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("name: first\n")
+	signals, said := make(chan os.Signal), make(chan string)
+	w := &settings.Watcher{
+		File: file, Every: time.Hour, Signals: signals,
+		Fresh:     func() settings.Checker { return &named{} },
+		Changed:   func(c settings.Checker) { said <- "changed to " + c.(*named).Name },
+		Refused:   func(err error) { said <- "refused: " + filepath.Base(err.Error()) },
+		Unchanged: func() { said <- "unchanged" },
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go w.Run(ctx, []byte("name: first\n"))
+	for _, step := range []struct{ text, want string }{
+		{"name: first\n", "unchanged"},
+		{"name: \"\"\n", "refused: settings.yaml:1: key $.name is missing: want a name"},
+		{"name: second\n", "changed to second"},
+		{"nom: third\n", "refused: settings.yaml:1: [1:1] unknown field \"nom\"\n>  1 | nom: third\n       ^\n"},
+	} {
+		write(step.text)
+		signals <- syscall.SIGHUP
+		if got := <-said; got != step.want {
+			t.Fatalf("got %q, want %q", got, step.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/steady/steady.go
@@ -0,0 +1,13 @@
+// Package steady tells the time that has passed in this process, for fields that are read and written as integers.
+//
+// Failure: the host's time of day is set forward by seconds. Connections that were idle for a moment count as idle for
+// too long and are closed under their callers' next requests, and counts of the last seconds start anew. The monotonic
+// clock is not set, so that differences of its readings are always true.
+package steady
+
+import "time"
+
+var started = time.Now()
+
+// Nanos is the time in ns since the process started, of the monotonic clock; it is above 0, which stands for never.
+func Nanos() int64 { return max(1, int64(time.Since(started))) }
