--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -54,7 +54,7 @@
 	_ = g.requests.failures.Log("msg", "another attempt", "request", n.r.call.Attempt, "route", n.r.route.Name,
 		"upstream", n.upstream, "sent", n.sent, "unreached", n.unreached, "may_have_run", n.mayHaveRun,
 		"after_event", n.stream.lastEvent, "budget_left", n.service.budget.Left(time.Now()),
-		"left_ms", n.r.deadline.Sub(time.Now()).Milliseconds(), "err", err)
+		"left_ms", time.Until(n.r.deadline).Milliseconds(), "err", err)
 }
 
 // answered logs how a request ended.
