--- a/internal/faulttest/relay.go
+++ b/internal/faulttest/relay.go
@@ -27,6 +27,8 @@
 	Truncate
 	// Slow: hold each piece of an answer back for a while.
 	Slow
+	// Mute: let requests pass and hold answers back until the mode changes.
+	Mute
 	// Cross: swap pieces of answers between connections.
 	Cross
 )
@@ -199,6 +201,10 @@
 		return nil
 	case Slow:
 		time.Sleep(slowDelay)
+	case Mute:
+		for r.is(Mute) {
+			time.Sleep(relayPoll)
+		}
 	case Cross:
 		return r.swap(bytes.Clone(piece))
 	}
