--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -8,7 +8,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/failure"
 )
 
-// entryMetrics are the counters of one entry; docs/operations.md explains them.
+// entryMetrics are the counters of one entry; docs/OPERATIONS.md explains them.
 type entryMetrics struct {
 	set           *metrics.Set
 	retries       *metrics.Counter
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -393,6 +393,8 @@
 	g.loop.Post(func(now time.Time) {
 		g.control.node = s
 		g.publish()
+		// Before the others are told, so that they hear at once that a duty is free.
+		g.experts.tick(now)
 		g.peers.tellAll(now)
 		close(done)
 	})
--- a/internal/slot/metrics.go
+++ b/internal/slot/metrics.go
@@ -8,7 +8,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/failure"
 )
 
-// slotMetrics are the counters of one slot; docs/operations.md explains them.
+// slotMetrics are the counters of one slot; docs/OPERATIONS.md explains them.
 type slotMetrics struct {
 	set         *metrics.Set
 	fences      *metrics.Counter
--- /dev/null
+++ b/internal/story/story_test.go
@@ -0,0 +1,96 @@
+package story_test
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/story"
+)
+
+func day(t *testing.T) []*story.Line {
+	t.Helper()
+	file, err := os.Open("testdata/day.log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	lines, err := story.Read(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lines
+}
+
+// An operator has the id of a request that went wrong, and the logs of a day on which it happened. For each kind of failure
+// the story must hold the decision that explains it, with its inputs, and what the same process did around it.
+func TestFromAnIDToTheCause(t *testing.T) {
+	lines := day(t)
+	for _, c := range []struct {
+		name, id string
+		messages []string
+		// want are fields of the request's last line.
+		want map[string]string
+	}{
+		{
+			"refused as not run", "2dbdd9dd8025e43c", []string{"map switch", "configuration in force", "request", "configuration in force"},
+			map[string]string{"outcome": "failed", "code": "overloaded", "proof": "never-sent", "sent": "0", "retry_after_ms": "178"},
+		},
+		{
+			"ended as 502", "961ec035e9736b68", []string{"configuration in force", "configuration in force", "placed", "request", "configuration in force"},
+			map[string]string{"outcome": "failed", "code": "upstream-failed", "upstream": "i-f145ede250", "sent": "1"},
+		},
+		{
+			"late stream", "ac34d483ac1f5a20", []string{"placed", "request"},
+			map[string]string{"outcome": "late", "first_ms": "171", "longest_gap_ms": "772"},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var messages []string
+			var last *story.Line
+			for _, l := range story.Of(lines, c.id, 1500*time.Millisecond, time.Second) {
+				messages = append(messages, l.Message)
+				if l.Request == c.id {
+					last = l
+				}
+			}
+			if diff := cmp.Diff(c.messages, messages); diff != "" {
+				t.Fatal(diff)
+			}
+			for key, value := range c.want {
+				if got := last.Get(key); got != value {
+					t.Errorf("%s: got %q, want %q", key, got, value)
+				}
+			}
+		})
+	}
+	if got := story.Of(lines, "unknown", time.Second, time.Second); got != nil {
+		t.Fatalf("a story of nothing: %v", got)
+	}
+}
+
+// Requests that failed alike are one cause, whatever their ids, addresses and times.
+func TestWorstCountsByCause(t *testing.T) {
+	causes := story.Worst(day(t))
+	if causes[0].Code != "overloaded" || causes[0].Count < 2 || causes[0].Example == "" || causes[0].Last.Before(causes[0].First) {
+		t.Fatalf("got %+v", causes[0])
+	}
+	for _, c := range causes {
+		if strings.ContainsAny(c.Reason, "0123456789") {
+			t.Errorf("%q has a number", c.Reason)
+		}
+	}
+}
+
+// A log that was cut off in the middle of a line is refused with the line's number, and nothing is told by halves.
+func TestALineThatCannotBeRead(t *testing.T) {
+	_, err := story.Read(strings.NewReader("level=info msg=started\nlevel=info ts=yesterday msg=x\n"))
+	var bad *story.ReadError
+	if !errors.As(err, &bad) || bad.Line != 2 {
+		t.Fatalf("got %v", err)
+	}
+}
