--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -12,6 +12,7 @@
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
 	"github.com/cardamomyoke/cardamomyoke/internal/lockstep"
+	"github.com/cardamomyoke/cardamomyoke/internal/steady"
 )
 
 // Server passes calls on to the rank beside it. It implements the AgentService.
@@ -121,16 +122,7 @@
 		default:
 			return reply, err
 		}
-		sleep(ctx, preparedPoll)
+		steady.Sleep(ctx, preparedPoll)
 	}
 	return reply, err
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/gateway/groupwatch.go
+++ b/internal/gateway/groupwatch.go
@@ -12,6 +12,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
 	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
 	"github.com/cardamomyoke/cardamomyoke/internal/lockstep"
+	"github.com/cardamomyoke/cardamomyoke/internal/steady"
 )
 
 const (
@@ -70,7 +71,7 @@
 			break
 		}
 		w.mu.Unlock()
-		sleep(ctx, watchEvery)
+		steady.Sleep(ctx, watchEvery)
 	}
 	w.gate.SetClosed(false)
 	_ = level.Info(w.logger).Log("msg", "group closed to requests", "reason", reason, "for", time.Since(began))
@@ -115,12 +116,3 @@
 	}
 	return groupLaggingOpen
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/internal/gateway/news.go
@@ -0,0 +1,137 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-kit/log/level"
+
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
+	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/replica"
+)
+
+// catchUp pulls the tables of which the sender knows a newer change.
+func (p *peers) catchUp(d *cardamomyokev1.Digest) {
+	for _, news := range d.GetNews() {
+		for _, f := range p.g.followers {
+			if f.Table.Name() == news.GetTable() && news.GetNewest() > f.Table.Newest() {
+				p.pull(f, d)
+			}
+		}
+	}
+}
+
+const (
+	// newsGrace is how long a node that follows the store waits for its own feed before it asks a peer: the feed brings
+	// most changes within milliseconds, and each node pulling each change would multiply the bytes between nodes.
+	newsGrace = 100 * time.Millisecond
+	// nearGrace spreads the pulls of the nodes that hear of a change at the same moment.
+	nearGrace = 40 * time.Millisecond
+	// farGrace is how long a node waits for news from its own data centre before it pulls from another.
+	farGrace = 200 * time.Millisecond
+)
+
+// grace is how long to wait before pulling from the sender of a digest.
+func (p *peers) grace(f *replica.Follower, from *cardamomyokev1.Digest) time.Duration {
+	switch {
+	case f.Following():
+		return newsGrace
+	case !f.Link().Up:
+		return 0
+	case from.GetDataCentre() != string(p.g.Settings().DataCentre):
+		return farGrace
+	}
+	return rand.N(nearGrace)
+}
+
+func (p *peers) pull(f *replica.Follower, from *cardamomyokev1.Digest) {
+	table := f.Table.Name()
+	p.mu.Lock()
+	busy := p.pulling[table]
+	p.pulling[table] = true
+	p.mu.Unlock()
+	if busy {
+		return
+	}
+	go func() {
+		defer func() {
+			p.mu.Lock()
+			delete(p.pulling, table)
+			p.mu.Unlock()
+		}()
+		time.Sleep(p.grace(f, from))
+		if newestOf(from, table) > f.Table.Newest() {
+			p.pullNow(f, p.nearest(table, from))
+		}
+	}()
+}
+
+// nearest returns a gateway of this data centre that has news as new as the one given, or that one.
+func (p *peers) nearest(table string, from *cardamomyokev1.Digest) *cardamomyokev1.Digest {
+	own := string(p.g.Settings().DataCentre)
+	if from.GetDataCentre() == own {
+		return from
+	}
+	for _, k := range p.live(time.Now()) {
+		if k.digest.GetDataCentre() == own && newestOf(k.digest, table) >= newestOf(from, table) {
+			return k.digest
+		}
+	}
+	return from
+}
+
+func newestOf(d *cardamomyokev1.Digest, table string) uint64 {
+	for _, n := range d.GetNews() {
+		if n.GetTable() == table {
+			return n.GetNewest()
+		}
+	}
+	return 0
+}
+
+func (p *peers) pullNow(f *replica.Follower, from *cardamomyokev1.Digest) {
+	ctx, cancel := context.WithTimeout(p.ctx, pullTimeout)
+	defer cancel()
+	after, _ := f.Table.Position()
+	client := cardamomyokev1connect.NewPeerServiceClient(p.http, "http://"+from.GetDigestAddress())
+	res, err := client.Pull(ctx, &cardamomyokev1.PullRequest{Table: f.Table.Name(), After: after})
+	if err != nil {
+		_ = level.Warn(p.g.logger).Log("msg", "pull failed", "table", f.Table.Name(), "peer", from.GetNode(), "err", err)
+		return
+	}
+	changed := f.Table.Merge(deltaOf(res))
+	_ = level.Info(p.g.logger).Log("msg", "pulled", "table", f.Table.Name(), "peer", from.GetNode(), "after", after,
+		"version", res.GetVersion(), "rows", len(res.GetRows()), "changed", changed)
+	if changed {
+		f.Changed(f.Table)
+	}
+}
+
+func deltaOf(res *cardamomyokev1.PullResponse) replica.Delta {
+	d := replica.Delta{Whole: res.GetWhole(), Version: res.GetVersion()}
+	for _, r := range res.GetRows() {
+		row := platform.Row{Key: r.GetKey(), Version: r.GetVersion(), Value: r.GetValue()}
+		d.Changes = append(d.Changes, platform.Change{Row: row, Removed: r.GetRemoved()})
+	}
+	return d
+}
+
+// Pull implements the peers' service.
+func (p *peers) Pull(_ context.Context, req *cardamomyokev1.PullRequest) (*cardamomyokev1.PullResponse, error) {
+	for _, f := range p.g.followers {
+		if f.Table.Name() != req.GetTable() {
+			continue
+		}
+		d := f.Table.Since(req.GetAfter())
+		res := &cardamomyokev1.PullResponse{Version: d.Version, Whole: d.Whole}
+		for _, c := range d.Changes {
+			res.Rows = append(res.Rows, &cardamomyokev1.TableRow{Key: c.Key, Version: c.Version, Value: c.Value, Removed: c.Removed})
+		}
+		return res, nil
+	}
+	return nil, connect.NewError(connect.CodeNotFound, nil)
+}
--- /dev/null
+++ b/internal/gateway/sums.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+// maxAddresses is how many addresses one answer of the directory may name.
+const maxAddresses = 64
+
+// addresses are those that callers may use: of all gateways that are ready, this one among them.
+func (p *peers) addresses(now time.Time) []string {
+	var out []string
+	if p.g.view.Load().state == stateReady {
+		out = append(out, p.g.Settings().Listen.Callers)
+	}
+	for _, k := range p.live(now) {
+		if k.digest.GetState() == cardamomyokev1.NodeState_NODE_STATE_LIVE {
+			out = append(out, k.digest.GetHttpAddress())
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	out = out[:min(maxAddresses, len(out))]
+	slices.Sort(out)
+	return out
+}
+
+// paces are those of the slow ranks among a service's upstreams, as the leader tells them; this gateway may be the leader.
+func (p *peers) paces(name ids.Service, upstreams *catalog.Upstreams, now time.Time) map[ids.Upstream]float64 {
+	told := map[uint64]float64{}
+	for _, s := range p.g.experts.slowKnown() {
+		told[s.GetUpstream()] = s.GetPace()
+	}
+	for _, k := range p.live(now) {
+		for _, s := range k.digest.GetSlow() {
+			told[s.GetUpstream()] = s.GetPace()
+		}
+	}
+	if len(told) == 0 {
+		return nil
+	}
+	out := map[ids.Upstream]float64{}
+	for _, u := range upstreams.Of(name) {
+		if pace, ok := told[hashOf(u.ID)]; ok {
+			out[u.ID] = pace
+		}
+	}
+	return out
+}
+
+// work is what the other gateways have in flight at a service's upstreams, and when the oldest digest that says so came.
+func (p *peers) work(name ids.Service, upstreams *catalog.Upstreams, now time.Time) (map[ids.Upstream]dispatch.Work, time.Time) {
+	sum := map[uint64]dispatch.Work{}
+	var oldest time.Time
+	for _, k := range p.live(now) {
+		if oldest.IsZero() || k.heardAt.Before(oldest) {
+			oldest = k.heardAt
+		}
+		for _, w := range k.digest.GetWork() {
+			s := sum[w.GetUpstream()]
+			s.Requests += int(w.GetRequests())
+			s.PromptTokens += int(w.GetPromptTokens())
+			sum[w.GetUpstream()] = s
+		}
+	}
+	out := map[ids.Upstream]dispatch.Work{}
+	for _, u := range upstreams.Of(name) {
+		if w, ok := sum[hashOf(u.ID)]; ok {
+			out[u.ID] = w
+		}
+	}
+	return out, oldest
+}
--- /dev/null
+++ b/internal/gateway/telling.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+// tick tells the others of this gateway when it is due.
+func (p *peers) tick(now time.Time) {
+	since := now.Sub(p.toldAt)
+	if since >= digestEvery || since >= workEvery && p.workChanged() {
+		p.tell(now)
+	}
+}
+
+// workChanged reports whether there is work that others should count.
+func (p *peers) workChanged() bool {
+	for _, s := range p.g.control.services {
+		if len(s.gate.Own()) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// tell sends a digest to the others whose turn it is.
+func (p *peers) tell(now time.Time) { p.send(now, p.targets(now)) }
+
+// tellAll sends a digest to all others, as when this gateway leaves or has news of the store for them.
+func (p *peers) tellAll(now time.Time) { p.send(now, p.others(now)) }
+
+func (p *peers) send(now time.Time, to []string) {
+	p.toldAt = now
+	p.sequence++
+	d := p.compose(now)
+	for _, address := range to {
+		// A datagram that cannot be sent is like one that is lost: the next one replaces it.
+		_, _ = p.sender.Send(address, d)
+	}
+}
+
+func (p *peers) compose(now time.Time) *cardamomyokev1.Digest {
+	g := p.g
+	d := &cardamomyokev1.Digest{
+		Node:          g.Settings().Name,
+		Incarnation:   string(g.incarnation),
+		Sequence:      p.sequence,
+		Role:          cardamomyokev1.NodeRole_NODE_ROLE_GATEWAY,
+		State:         digestState(g.control.node),
+		DataCentre:    string(g.Settings().DataCentre),
+		HttpAddress:   g.Settings().Listen.Callers,
+		DigestAddress: g.Settings().Listen.Peers,
+		ExpertsFence:  g.experts.fence.Load(),
+		CpuMillis:     g.Settings().Limits.cpuMillis(),
+	}
+	if now.Sub(p.namedAt) >= p.namesEvery(now) {
+		p.namedAt = now
+		d.Peers = p.named(now)
+	}
+	for _, f := range g.followers {
+		d.News = append(d.News, &cardamomyokev1.TableNews{Table: f.Table.Name(), Newest: f.Table.Newest(), Following: f.Following()})
+	}
+	d.Slow = g.experts.slowKnown()
+	for _, s := range g.control.services {
+		for id, w := range s.gate.Own() {
+			d.Work = append(d.Work, &cardamomyokev1.UpstreamWork{
+				Upstream: hashOf(id), Requests: uint32(w.Requests), PromptTokens: uint32(max(0, w.PromptTokens)),
+			})
+		}
+	}
+	return d
+}
+
+func hashOf(id ids.Upstream) uint64 { return xxhash.Sum64String(string(id)) }
+
+func digestState(s nodeState) cardamomyokev1.NodeState {
+	switch s {
+	case stateReady:
+		return cardamomyokev1.NodeState_NODE_STATE_LIVE
+	case stateLeaving, stateClosing:
+		return cardamomyokev1.NodeState_NODE_STATE_LEAVING
+	}
+	return cardamomyokev1.NodeState_NODE_STATE_UNSPECIFIED
+}
+
+// others are the addresses of all other gateways: those of the settings, those heard of, and those that others named.
+func (p *peers) others(now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := map[string]bool{}
+	for _, a := range p.g.Settings().Peers {
+		all[a] = true
+	}
+	for name, k := range p.known {
+		if now.Sub(k.heardAt) > peerForgotten {
+			delete(p.known, name)
+			continue
+		}
+		all[k.digest.GetDigestAddress()] = true
+	}
+	for a, at := range p.hints {
+		if now.Sub(at) > peerForgotten {
+			delete(p.hints, a)
+			continue
+		}
+		all[a] = true
+	}
+	delete(all, p.g.Settings().Listen.Peers)
+	return slices.Sorted(maps.Keys(all))
+}
+
+// targets are the addresses to tell now. A leader tells all each time.
+func (p *peers) targets(now time.Time) []string {
+	out := p.others(now)
+	if len(out) <= maxTold || p.g.experts.fence.Load() > 0 {
+		return out
+	}
+	part := make([]string, 0, maxTold)
+	for i := range maxTold {
+		part = append(part, out[(p.turn+i)%len(out)])
+	}
+	p.turn = (p.turn + maxTold) % len(out)
+	return part
+}
+
+// namesEvery is how often names are told now.
+func (p *peers) namesEvery(now time.Time) time.Duration {
+	for _, k := range p.live(now) {
+		if now.Sub(k.firstAt) < newFor {
+			return newNamesEvery
+		}
+	}
+	return namesEvery
+}
+
+// named are some live gateways for others to know.
+func (p *peers) named(now time.Time) []string {
+	var out []string
+	for _, k := range p.live(now) {
+		out = append(out, k.digest.GetDigestAddress())
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(maxNamed, len(out))]
+}
--- /dev/null
+++ b/internal/lockstep/carryout.go
@@ -0,0 +1,132 @@
+package lockstep
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+)
+
+// lagPasses is how many passes a report is behind, from the reports' age and a usual pass.
+func (c *Conductor) lagPasses(s *survey) uint64 {
+	if s.reports[0].Fresh {
+		return 0
+	}
+	return uint64(s.group.ReportLag / usualPass)
+}
+
+// usualPass is the length of a pass of a loaded group; a shorter one costs another try at holding the group.
+const usualPass = 50 * time.Millisecond
+
+// task is a new task for the present leader. Its version is unique: fencing numbers are, and versions of one leader
+// count up from its own.
+func (c *Conductor) task(s *survey) Task {
+	c.serial += versionsPerTask
+	return Task{
+		Epoch:   s.epoch,
+		Ranks:   len(s.upstreams),
+		Version: uint64(c.fence)<<fenceShift + c.serial,
+		Present: c.placement,
+		HoldAt:  int(c.serial/versionsPerTask) % len(s.upstreams),
+
+		Fallback: uint64(c.fence)<<fenceShift + c.serial + 1,
+	}
+}
+
+type answered struct {
+	order Order
+	reply Reply
+}
+
+// carryOut runs a switch to its end, or until ctx ends.
+func (c *Conductor) carryOut(ctx context.Context, s *survey, sw *Switch, orders []Order) {
+	replies := make(chan answered)
+	ended := make(chan struct{})
+	defer close(ended)
+	tick := time.NewTicker(retryTick)
+	defer tick.Stop()
+	polled := time.Now()
+	prepared := map[int]bool{}
+	for !sw.Ended() {
+		c.give(ctx, s, orders, replies, ended)
+		orders = nil
+		select {
+		case <-ctx.Done():
+			return
+		case a := <-replies:
+			orders = sw.OnReply(time.Now(), a.order, a.reply)
+			if a.reply != ReplyPrepared || a.order.Op != OpPrepare || prepared[a.order.Rank] {
+				continue
+			}
+			prepared[a.order.Rank] = true
+			if len(prepared) == len(s.upstreams) && !sw.Ended() {
+				polled = time.Now()
+				orders = append(orders, c.poll(ctx, s, sw)...)
+			}
+		case now := <-tick.C:
+			orders = sw.Tick(now)
+			if !sw.Ended() && now.Sub(polled) >= pollEvery {
+				polled = now
+				orders = append(orders, c.poll(ctx, s, sw)...)
+			}
+		}
+	}
+}
+
+// poll hands the ranks' reports to a switch.
+func (c *Conductor) poll(ctx context.Context, s *survey, sw *Switch) []Order {
+	reports := c.reports(ctx, s.upstreams)
+	for _, r := range reports {
+		if r != nil && !r.Fresh {
+			r.Pass += c.lagPasses(s)
+		}
+	}
+	return sw.OnReports(time.Now(), reports)
+}
+
+func (c *Conductor) give(ctx context.Context, s *survey, orders []Order, replies chan<- answered, ended <-chan struct{}) {
+	for _, o := range orders {
+		u := s.upstreams[o.Rank]
+		go func() {
+			reply, err := c.o.Ranks.Order(ctx, u, o)
+			if err != nil {
+				_ = level.Info(c.o.Logger).Log("msg", "order", "op", o.Op, "upstream", u.ID, "rank", o.Rank, "version", o.Version,
+					"pass", o.Pass, "reply", reply, "err", err)
+			}
+			select {
+			case replies <- answered{o, reply}:
+			case <-ended:
+			}
+		}()
+	}
+}
+
+// cleanUp undoes what another leader left behind: a group that is held. It reports whether there is such a group.
+//
+// Failure: a leader dies between holding a group and releasing it, and no rank ever begins another pass.
+func (c *Conductor) cleanUp(ctx context.Context, s *survey) bool {
+	now := time.Now()
+	left := FindLeft(s.reports)
+	if left == nil {
+		c.leftSince = time.Time{}
+		return false
+	}
+	if c.leftSince.IsZero() {
+		c.leftSince = now
+	}
+	patience := leftBefore
+	if !s.reports[left.Holders[0]].Fresh {
+		patience += 2 * s.group.ReportLag
+	}
+	if left.Pending || now.Sub(c.leftSince) < patience || !c.learnPlacement(ctx, s) {
+		return true
+	}
+	c.leftSince = time.Time{}
+	task := left.Task(c.task(s))
+	sw := NewSwitch(task)
+	c.carryOut(ctx, s, sw, sw.Undo(now, left))
+	_ = level.Warn(c.o.Logger).Log("msg", "switch of another leader undone", "version", task.Version, "pass", left.Pass, "end", sw.State(),
+		"took", time.Since(now))
+	c.forget()
+	return true
+}
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/steady"
 )
 
 const (
@@ -95,7 +96,7 @@
 	for ctx.Err() == nil {
 		if f.relayed() {
 			f.note(nil)
-			sleep(ctx, relayCheck)
+			steady.Sleep(ctx, relayCheck)
 			continue
 		}
 		began := time.Now()
@@ -103,10 +104,10 @@
 		f.note(err)
 		if err == nil {
 			pause = firstPause
-			sleep(ctx, spacing-time.Since(began))
+			steady.Sleep(ctx, spacing-time.Since(began))
 			continue
 		}
-		sleep(ctx, pause/2+rand.N(pause/2))
+		steady.Sleep(ctx, pause/2+rand.N(pause/2))
 		pause = min(lastPause, 2*pause)
 	}
 }
@@ -171,12 +172,3 @@
 		f.LinkChanged(f.Table, next)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/steady/steady.go
+++ b/internal/steady/steady.go
@@ -5,9 +5,22 @@
 // clock is not set, so that differences of its readings are always true.
 package steady
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 var started = time.Now()
 
 // Nanos is the time in ns since the process started, of the monotonic clock; it is above 0, which stands for never.
 func Nanos() int64 { return max(1, int64(time.Since(started))) }
+
+// Sleep waits for d, or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
