--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -141,13 +142,13 @@
 	}
 }
 
-// logStoreLink logs that the way to the store was lost or found again. A history that is no longer kept is not a loss.
+// logStoreLink logs that the way to the store was lost or found again, but not that calls end with this gateway.
 func (g *Gateway) logStoreLink(table string, up bool, cause error) {
 	msg := "store lost"
 	if up {
 		msg = "store found"
 	}
-	if cause != nil && errors.Is(cause, g.ctx.Err()) {
+	if errors.Is(cause, context.Canceled) {
 		return
 	}
 	_ = level.Info(g.logger).Log("msg", msg, "table", table, "err", cause)
