Several groups of a service are conducted one by one

A service there has many groups of 16; the leader took all its upstreams for one group, and ranks of unlike groups with one number stood for each other. One broken group also closed its whole service to requests. What: a roster asks each upstream's life for its group's name once; a fleet runs a conductor a group, 32 at most, and shares one count of versions; a service with several groups is not closed for one of them. Test: TestEachGroupIsSwitchedByItself, which fails when the groups are not told apart.

--- a/internal/agent/codec.go
+++ b/internal/agent/codec.go
@@ -28,6 +28,7 @@
 
 func encodeReport(r lockstep.Report) *cardamomyokev1.RankReportResponse {
 	res := &cardamomyokev1.RankReportResponse{
+		Group:       r.Group,
 		Rank:        uint32(r.Rank),
 		Size:        uint32(r.Size),
 		Epoch:       r.Epoch,
@@ -49,6 +50,7 @@
 
 func decodeReport(res *cardamomyokev1.RankReportResponse) lockstep.Report {
 	r := lockstep.Report{
+		Group:       res.GetGroup(),
 		Rank:        int(res.GetRank()),
 		Size:        int(res.GetSize()),
 		Epoch:       res.GetEpoch(),
--- a/internal/gateway/experts.go
+++ b/internal/gateway/experts.go
@@ -43,14 +43,14 @@
 	leases *keeper.Keeper
 	// fence is the newest fencing number that this gateway got, for the conductors; 0 while it must not lead.
 	fence atomic.Uint64
-	// slow are the ranks that are slower than usual, by service, as the conductors read them last.
-	slow sync.Map // ids.Service → []*cardamomyokev1.UpstreamPace
+	// slow are the ranks that are slower than usual, by service and group, as the conductors read them last.
+	slow sync.Map // string → []*cardamomyokev1.UpstreamPace
 	// last and running belong to the control loop.
 	last    ids.Fence
 	running map[ids.Service]*conducted
 }
 
-// conducted is a conductor that runs.
+// conducted is a service whose groups are conducted.
 type conducted struct {
 	stop context.CancelFunc
 	wake chan struct{}
@@ -160,7 +160,7 @@
 func (e *experts) conduct(name ids.Service) *conducted {
 	ctx, cancel := context.WithCancel(e.ctx)
 	run := &conducted{stop: cancel, wake: make(chan struct{}, 1)}
-	c := lockstep.NewConductor(lockstep.ConductorOptions{
+	c := lockstep.NewFleet(lockstep.ConductorOptions{
 		Ranks:  e.ranks,
 		Logger: log.With(e.g.logger, "service", name),
 		Group:  func() *lockstep.Group { return e.group(name) },
@@ -171,7 +171,7 @@
 		Sample: sampledRanks, SampleNear: sampledNear,
 		Policy: lockstep.DefaultOptions(),
 		Read: func(upstreams []*catalog.Upstream, reports []lockstep.Report) {
-			e.slow.Store(name, slowRanks(upstreams, reports))
+			e.slow.Store(string(name)+"/"+reports[0].Group, slowRanks(upstreams, reports))
 		},
 		Switched: func(before, after float64, copies int) {
 			e.g.metrics.switched(name, before, after, copies)
--- a/internal/gateway/groupwatch.go
+++ b/internal/gateway/groupwatch.go
@@ -38,6 +38,8 @@
 	mu       sync.Mutex
 	watching bool
 	since    time.Time
+	// several is set once the service is known to have several groups.
+	several bool
 }
 
 // doubt closes the gate until a rank says that its group is open.
@@ -45,7 +47,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.since = time.Now()
-	if w.watching {
+	if w.watching || w.several {
 		return
 	}
 	w.watching = true
@@ -65,7 +67,7 @@
 		if verdict == groupUnknown {
 			open = time.Since(w.since) > watchBlind
 		}
-		if open || ctx.Err() != nil {
+		if open || w.several || ctx.Err() != nil {
 			w.watching = false
 			w.mu.Unlock()
 			break
@@ -104,11 +106,22 @@
 	return best
 }
 
+// noteSeveral notes that the service has several groups. One that is broken must not keep requests from the others; its
+// ranks refuse what is sent to them and are kept away from one by one.
+func (w *groupWatch) noteSeveral() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.several = true
+}
+
 func (w *groupWatch) ask(ctx context.Context, u *catalog.Upstream) groupVerdict {
 	r, err := w.ranks.Report(ctx, u)
 	switch {
 	case err != nil:
 		return groupUnknown
+	case r.Size > 0 && len(w.upstreams()) >= 2*r.Size:
+		w.noteSeveral()
+		return groupOpen
 	case !r.Open:
 		return groupBroken
 	case r.Fresh:
--- a/internal/lockstep/carryout.go
+++ b/internal/lockstep/carryout.go
@@ -21,15 +21,15 @@
 // task is a new task for the present leader. Its version is unique: fencing numbers are, and versions of one leader
 // count up from its own.
 func (c *Conductor) task(s *survey) Task {
-	c.serial += versionsPerTask
+	serial := c.o.Serials.next(c.fence)
 	return Task{
 		Epoch:   s.epoch,
 		Ranks:   len(s.upstreams),
-		Version: uint64(c.fence)<<fenceShift + c.serial,
+		Version: uint64(c.fence)<<fenceShift + serial,
 		Present: c.placement,
-		HoldAt:  int(c.serial/versionsPerTask) % len(s.upstreams),
+		HoldAt:  int(serial/versionsPerTask) % len(s.upstreams),
 
-		Fallback: uint64(c.fence)<<fenceShift + c.serial + 1,
+		Fallback: uint64(c.fence)<<fenceShift + serial + 1,
 	}
 }
 
--- a/internal/lockstep/conductor.go
+++ b/internal/lockstep/conductor.go
@@ -32,6 +32,8 @@
 
 // Group is the group that a Conductor leads.
 type Group struct {
+	// Name is the group's, as its ranks report it.
+	Name      string
 	Upstreams []*catalog.Upstream
 	Experts   *catalog.Experts
 	ReportLag time.Duration
@@ -49,6 +51,10 @@
 	Wake <-chan struct{}
 	// Period is the time between two looks at the group, Half the half-life of the estimated demand.
 	Period, Half time.Duration
+	// Serials count the tasks of all conductors of this node.
+	Serials *Serials
+	// Share returns by how much the period is longer, as other groups are led beside this one; it may be nil.
+	Share func() int
 	// Sample is how many ranks' counts are read each time, SampleNear the same where all can be read at no cost to the
 	// group.
 	Sample, SampleNear int
@@ -69,12 +75,30 @@
 	version   uint64
 	// switchedAt is the pass of the last switch.
 	switchedAt uint64
-	serial     uint64
 	fence      ids.Fence
 	leftSince  time.Time
 	open       bool
 }
 
+// Serials count the tasks that a node begins under each of its fencing numbers. It is safe for concurrent use.
+//
+// Failure: a conductor ends and another begins for the same group under the same fencing number, and counts from the start.
+// Two maps get one version; a rank that has prepared the first takes the second for it, and the group runs under two maps.
+type Serials struct {
+	mu   sync.Mutex
+	last map[ids.Fence]uint64
+}
+
+// NewSerials returns a counter that has counted nothing.
+func NewSerials() *Serials { return &Serials{last: map[ids.Fence]uint64{}} }
+
+func (s *Serials) next(f ids.Fence) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last[f] += versionsPerTask
+	return s.last[f]
+}
+
 // NewConductor returns a conductor that has seen nothing.
 func NewConductor(o ConductorOptions) *Conductor {
 	return &Conductor{o: o, demand: NewDemand(o.Half)}
@@ -110,11 +134,11 @@
 	}
 	if fence != c.fence {
 		c.forget()
-		c.fence, c.serial = fence, 0
+		c.fence = fence
 	}
 	state := c.survey(ctx, group)
 	if state == nil {
-		return min(c.o.Period, 2*soon)
+		return min(c.period(), 2*soon*time.Duration(c.period()/c.o.Period))
 	}
 	if c.o.Read != nil {
 		c.o.Read(state.upstreams, state.reports)
@@ -130,7 +154,14 @@
 		return 2 * soon
 	}
 	c.improve(ctx, state)
-	return c.o.Period
+	return c.period()
+}
+
+func (c *Conductor) period() time.Duration {
+	if c.o.Share == nil {
+		return c.o.Period
+	}
+	return c.o.Period * time.Duration(c.o.Share())
 }
 
 func (c *Conductor) forget() {
@@ -152,7 +183,7 @@
 	reports := c.reports(ctx, g.Upstreams)
 	s := &survey{group: g}
 	for i, r := range reports {
-		if r == nil || !r.Open || r.Rank < 0 || r.Rank >= r.Size {
+		if r == nil || !r.Open || r.Group != g.Name || r.Rank < 0 || r.Rank >= r.Size {
 			continue
 		}
 		if s.reports == nil {
--- /dev/null
+++ b/internal/lockstep/fleet.go
@@ -0,0 +1,112 @@
+package lockstep
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+const (
+	// rosterEvery is how often a leader looks for new groups and ranks. A rank that is not known yet only delays its group's
+	// next switch.
+	rosterEvery = 250 * time.Millisecond
+	// mostGroups is how many groups of a service one leader conducts; the others keep the map that they have, which is safe.
+	// Each takes about a tenth of a second of a host's processor for a switch.
+	mostGroups = 32
+	// groupsPerPeriod is how many groups are looked at in one period; with more of them each is looked at less often.
+	groupsPerPeriod = 4
+)
+
+// Fleet conducts all groups of one service. Only Run's goroutine uses it.
+type Fleet struct {
+	o       ConductorOptions
+	roster  *Roster
+	running map[string]*conducted
+	count   atomic.Int64
+}
+
+type conducted struct {
+	stop context.CancelFunc
+	wake chan struct{}
+}
+
+// NewFleet returns a fleet without groups. The options' Group returns all upstreams of the service.
+func NewFleet(o ConductorOptions) *Fleet {
+	o.Serials = NewSerials()
+	return &Fleet{o: o, roster: NewRoster(), running: map[string]*conducted{}}
+}
+
+// Run conducts until ctx ends.
+func (f *Fleet) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-f.o.Wake:
+			f.wake()
+		}
+		f.tick(ctx)
+		timer.Reset(rosterEvery)
+	}
+}
+
+func (f *Fleet) wake() {
+	for _, c := range f.running {
+		select {
+		case c.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (f *Fleet) tick(ctx context.Context) {
+	group := f.o.Group()
+	if group == nil || f.o.Fence() == 0 {
+		return
+	}
+	names := f.roster.Update(ctx, f.o.Ranks, group.Upstreams)
+	if len(names) > mostGroups {
+		if f.count.Load() != mostGroups {
+			_ = level.Warn(f.o.Logger).Log("msg", "groups left as they are", "groups", len(names), "conducted", mostGroups)
+		}
+		names = names[:mostGroups]
+	}
+	f.count.Store(int64(len(names)))
+	wanted := map[string]bool{}
+	for _, name := range names {
+		wanted[name] = true
+		if f.running[name] == nil {
+			f.running[name] = f.conduct(ctx, name)
+		}
+	}
+	for name, c := range f.running {
+		if !wanted[name] {
+			c.stop()
+			delete(f.running, name)
+		}
+	}
+}
+
+func (f *Fleet) conduct(ctx context.Context, name string) *conducted {
+	ctx, cancel := context.WithCancel(ctx)
+	c := &conducted{stop: cancel, wake: make(chan struct{}, 1)}
+	o := f.o
+	o.Logger = log.With(o.Logger, "group", name)
+	o.Wake = c.wake
+	o.Group = func() *Group {
+		all := f.o.Group()
+		if all == nil {
+			return nil
+		}
+		return &Group{Name: name, Upstreams: f.roster.Of(name, all.Upstreams), Experts: all.Experts, ReportLag: all.ReportLag}
+	}
+	o.Share = func() int { return max(1, int(f.count.Load())/groupsPerPeriod) }
+	go NewConductor(o).Run(ctx)
+	return c
+}
--- /dev/null
+++ b/internal/lockstep/fleet_test.go
@@ -0,0 +1,159 @@
+package lockstep_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/lockstep"
+)
+
+// site is a service with several groups, whose ranks have the same numbers.
+type site struct {
+	mu     sync.Mutex
+	groups map[string]*group
+	at     map[ids.Upstream]place
+	counts float64
+}
+
+type place struct {
+	group string
+	rank  int
+}
+
+var errUnknown = errors.New("no such rank")
+
+func newSite(names []string, ranks int) (*site, []*catalog.Upstream) {
+	s := &site{groups: map[string]*group{}, at: map[ids.Upstream]place{}}
+	var list []*catalog.Upstream
+	for r := range ranks {
+		for _, name := range names {
+			if s.groups[name] == nil {
+				s.groups[name] = newGroup(ranks)
+			}
+			id := ids.Upstream(fmt.Sprintf("%s-%d", name, r))
+			s.at[id] = place{name, r}
+			list = append(list, &catalog.Upstream{ID: id})
+		}
+	}
+	return s, list
+}
+
+func (s *site) find(u *catalog.Upstream) (*group, place, error) {
+	p, ok := s.at[u.ID]
+	if !ok {
+		return nil, p, errUnknown
+	}
+	return s.groups[p.group], p, nil
+}
+
+func (s *site) Report(_ context.Context, u *catalog.Upstream) (lockstep.Report, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g, p, err := s.find(u)
+	if err != nil {
+		return lockstep.Report{}, err
+	}
+	report := *g.reports()[p.rank]
+	report.Group = p.group
+	return report, nil
+}
+
+// Counts say that one expert is in demand, another in each group.
+func (s *site) Counts(_ context.Context, u *catalog.Upstream, _ int) (uint64, lockstep.Counts, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g, p, err := s.find(u)
+	if err != nil {
+		return 0, nil, err
+	}
+	s.counts += 5000
+	set := []float64{1, 1, 1, 1}
+	set[len(p.group)%4] = s.counts
+	return g.epoch, lockstep.Counts{set}, nil
+}
+
+func (s *site) Held(_ context.Context, u *catalog.Upstream) (lockstep.Held, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g, p, err := s.find(u)
+	if err != nil {
+		return lockstep.Held{}, err
+	}
+	return lockstep.Held{Epoch: g.epoch, Version: g.ranks[p.rank].inUse, Experts: [][]int{{p.rank, p.rank + 2}}}, nil
+}
+
+func (s *site) Near(*catalog.Upstream) bool { return true }
+
+func (s *site) Order(_ context.Context, u *catalog.Upstream, o lockstep.Order) (lockstep.Reply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g, p, err := s.find(u)
+	if err != nil {
+		return lockstep.ReplyLost, err
+	}
+	if o.Op == lockstep.OpPrepare && len(o.Placement[0]) != len(g.ranks) {
+		g.mixed = append(g.mixed, fmt.Sprintf("%s got a map of %d ranks", u.ID, len(o.Placement[0])))
+	}
+	o.Rank = p.rank
+	return g.order(o), nil
+}
+
+func (s *site) step() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range s.groups {
+		g.step()
+	}
+}
+
+// A service has three groups, and their ranks are listed in no order. All callers of a group whose ranks run a pass under
+// two maps get wrong answers; taken for one group, two thirds of the ranks of each would be left out of a switch. Each group
+// must be switched by itself, to a map of its own ranks.
+func TestEachGroupIsSwitchedByItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, list := newSite([]string{"a", "bb", "ccc"}, 2)
+		f := lockstep.NewFleet(lockstep.ConductorOptions{
+			Ranks: s, Logger: log.NewNopLogger(),
+			Group: func() *lockstep.Group {
+				return &lockstep.Group{Upstreams: list, Experts: &catalog.Experts{Sets: 1, PerSet: 4, Placements: 4, Spare: 2}}
+			},
+			Fence:  func() ids.Fence { return 7 },
+			Period: 500 * time.Millisecond, Half: 500 * time.Millisecond, Sample: 2, SampleNear: 2,
+			Policy: lockstep.Options{LeastGain: 0.01, LeastCounts: 1},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		for range 8000 {
+			time.Sleep(time.Millisecond)
+			s.step()
+		}
+		cancel()
+		synctest.Wait()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		var versions []uint64
+		for name, g := range s.groups {
+			if len(g.mixed) > 0 {
+				t.Fatalf("group %s: %s", name, g.mixed[0])
+			}
+			if g.ranks[0].inUse == 0 {
+				t.Errorf("group %s was never switched", name)
+			}
+			versions = append(versions, g.ranks[0].newest)
+		}
+		slices.Sort(versions)
+		if len(slices.Compact(versions)) != len(s.groups) {
+			t.Fatalf("two groups share a version: %v", versions)
+		}
+	})
+}
--- a/internal/lockstep/order.go
+++ b/internal/lockstep/order.go
@@ -52,6 +52,8 @@
 
 // Report is what a rank says of itself.
 type Report struct {
+	// Group is the name of the rank's group.
+	Group      string
 	Rank, Size int
 	Epoch      uint64
 	// Open says that the group works.
--- /dev/null
+++ b/internal/lockstep/roster.go
@@ -0,0 +1,88 @@
+package lockstep
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+)
+
+// maxRosterReads is how many upstreams are asked for their group at once.
+const maxRosterReads = 64
+
+// Roster knows which group each upstream is a rank of. It is safe for concurrent use.
+//
+// Failure: a service has several groups, whose ranks have the same numbers. Taken for one group, a part of the ranks of
+// each is switched to a map, and every group runs a pass under two maps. An upstream's life belongs to one group as long as
+// it lasts, so that asking each life once is enough.
+type Roster struct {
+	mu    sync.Mutex
+	group map[ids.Upstream]string
+}
+
+// NewRoster returns a roster that knows nobody.
+func NewRoster() *Roster { return &Roster{group: map[ids.Upstream]string{}} }
+
+// Update asks those of the upstreams that are not known yet, forgets those that are gone, and returns the groups' names in
+// order. An upstream that does not answer is asked again the next time.
+func (r *Roster) Update(ctx context.Context, ranks Ranks, list []*catalog.Upstream) []string {
+	var wait sync.WaitGroup
+	for _, u := range r.unknown(list) {
+		wait.Go(func() {
+			report, err := ranks.Report(ctx, u)
+			if err != nil {
+				return // asked again with the next update
+			}
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.group[u.ID] = report.Group
+		})
+	}
+	wait.Wait()
+	return r.names(list)
+}
+
+func (r *Roster) unknown(list []*catalog.Upstream) []*catalog.Upstream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []*catalog.Upstream
+	for _, u := range list {
+		if _, known := r.group[u.ID]; !known && len(out) < maxRosterReads {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+func (r *Roster) names(list []*catalog.Upstream) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	next := make(map[ids.Upstream]string, len(list))
+	var names []string
+	for _, u := range list {
+		name, known := r.group[u.ID]
+		if !known {
+			continue
+		}
+		next[u.ID] = name
+		names = append(names, name)
+	}
+	r.group = next
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// Of returns those of the upstreams that are known to be ranks of a group.
+func (r *Roster) Of(name string, list []*catalog.Upstream) []*catalog.Upstream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []*catalog.Upstream
+	for _, u := range list {
+		if got, known := r.group[u.ID]; known && got == name {
+			out = append(out, u)
+		}
+	}
+	return out
+}
