--- a/internal/gateway/groupwatch.go
+++ b/internal/gateway/groupwatch.go
@@ -106,6 +106,17 @@
 	return best
 }
 
+// ready counts the upstreams that take work: while all of a group's ranks are replaced, the old ones are listed, too.
+func (w *groupWatch) ready() int {
+	n := 0
+	for _, u := range w.upstreams() {
+		if u.State == catalog.StateReady {
+			n++
+		}
+	}
+	return n
+}
+
 // noteSeveral notes that the service has several groups. One that is broken must not keep requests from the others; its
 // ranks refuse what is sent to them and are kept away from one by one.
 func (w *groupWatch) noteSeveral() {
@@ -119,7 +130,7 @@
 	switch {
 	case err != nil:
 		return groupUnknown
-	case r.Size > 0 && len(w.upstreams()) >= 2*r.Size:
+	case r.Size > 0 && w.ready() >= 2*r.Size:
 		w.noteSeveral()
 		return groupOpen
 	case !r.Open:
