Model checking is bounded by processor time, not by the clock

A verdict must not depend on what else the machine does. What: ulimit -t of the same 150 s; a search that is past it is truncated as before.

--- a/internal/modelcheck/main.go
+++ b/internal/modelcheck/main.go
@@ -35,7 +35,7 @@
 	app.Flag("traces", "Write each mutant's counterexample to this folder.").StringVar(&o.traces)
 	app.Flag("jobs", "Searches that run at the same time.").Default("3").IntVar(&o.jobs)
 	app.Flag("memory", "Most memory of one search, in MB.").Default("2048").IntVar(&o.limits.MemoryMB)
-	app.Flag("time", "Most time of one search.").Default("150s").DurationVar(&o.limits.Time)
+	app.Flag("time", "Most processor time of one search.").Default("150s").DurationVar(&o.limits.Time)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	if err := run(context.Background(), o, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/modelcheck/search.go
+++ b/internal/modelcheck/search.go
@@ -10,6 +10,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -17,7 +18,7 @@
 type Limits struct {
 	// MemoryMB is the most memory that a search may take.
 	MemoryMB int
-	// Time is the most time that a search may take.
+	// Time is the most processor time that a search may take, so that a verdict does not depend on what else the machine does.
 	Time time.Duration
 }
 
@@ -51,7 +52,7 @@
 	if err := os.WriteFile(filepath.Join(dir, file), text, 0o600); err != nil {
 		return Result{}, fmt.Errorf("copy %s: %w", p.Source, err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, lim.Time)
+	ctx, cancel := context.WithTimeout(ctx, hungAfter*lim.Time)
 	defer cancel()
 	start := time.Now()
 	res := searchIn(ctx, dir, file, r, lim)
@@ -66,10 +67,10 @@
 		return Result{Verdict: VerdictBroken, Log: out}
 	}
 	gcc := []string{"-O2", "-w", "-o", "pan", "pan.c", fmt.Sprintf("-DMEMLIM=%d", lim.MemoryMB)}
-	res := compileAndRun(ctx, dir, append(gcc, compileFlags(r, true)...), r)
+	res := compileAndRun(ctx, dir, append(gcc, compileFlags(r, true)...), r, lim)
 	if res.Verdict == VerdictTruncated && r.Mutant != "" && r.Search == SearchSafety && ctx.Err() == nil {
 		// Breadth first finds the shortest counterexample but needs more memory than depth first does.
-		res = compileAndRun(ctx, dir, append(gcc, compileFlags(r, false)...), r)
+		res = compileAndRun(ctx, dir, append(gcc, compileFlags(r, false)...), r, lim)
 	}
 	if _, err := os.Stat(filepath.Join(dir, file+".trail")); err == nil {
 		res.Trace, _ = command(ctx, dir, "spin", append(append([]string{"-t", "-T"}, macros...), file)...)
@@ -77,14 +78,18 @@
 	return res
 }
 
-func compileAndRun(ctx context.Context, dir string, gcc []string, r Run) Result {
+// hungAfter times the processor time that a search may take is the time after which it is ended in any case.
+const hungAfter = 10
+
+func compileAndRun(ctx context.Context, dir string, gcc []string, r Run, lim Limits) Result {
 	built, err := command(ctx, dir, "gcc", gcc...)
 	if err != nil {
 		return Result{Verdict: VerdictBroken, Log: built}
 	}
-	found, err := command(ctx, dir, "./pan", searchFlags(r)...)
+	bounded := fmt.Sprintf(`ulimit -t %d; exec ./pan "$@"`, int(lim.Time.Seconds()))
+	found, err := command(ctx, dir, "sh", append([]string{"-c", bounded, "pan"}, searchFlags(r)...)...)
 	res := judge(found)
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) || killed(err) {
 		res.Verdict = VerdictTruncated
 	} else if err != nil && res.Verdict == VerdictHolds {
 		res.Verdict = VerdictBroken
@@ -93,6 +98,16 @@
 	return res
 }
 
+// killed reports whether a command was ended by a signal, as one is that is past its processor time.
+func killed(err error) bool {
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) {
+		return false
+	}
+	status, ok := exit.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled()
+}
+
 func command(ctx context.Context, dir, name string, args ...string) (string, error) {
 	cmd := exec.CommandContext(ctx, name, args...)
 	cmd.Dir = dir
