Addresses of test processes are their own: no port taken between its choice and its use

Cause: the soak chose a port by listening and closing, and listened again later. Reproduced without the soak: closing and listening again while four goroutines start processes failed within 0.01 s. Ruled out: ports of outgoing connections (32768 and up, the soak's are below); holding the fork lock over the close (the kernel closes a child's copies only after it has released its parent; failed after 0.08 s). Mend: one package gives each test process a loopback host of its own, and listening again is tried until the child is past its exec.

--- a/internal/daemon/node_test.go
+++ b/internal/daemon/node_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -15,6 +14,7 @@
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/keys"
 	"github.com/cardamomyoke/cardamomyoke/internal/keys/keystest"
+	"github.com/cardamomyoke/cardamomyoke/internal/loopback"
 	"github.com/cardamomyoke/cardamomyoke/internal/revision"
 	"github.com/cardamomyoke/cardamomyoke/internal/revision/agent"
 	standin "github.com/cardamomyoke/cardamomyoke/internal/standin/platform"
@@ -23,15 +23,6 @@
 // bound ends a test that would otherwise hang; it measures nothing.
 const bound = time.Minute
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // node is a running node and where its control port is.
 type node struct {
 	*daemon.Node
@@ -39,7 +30,7 @@
 }
 
 func startNode(t *testing.T, name, platform string, source *keys.Source, seeds ...string) node {
-	address := freeAddress(t)
+	address := loopback.Address()
 	n := daemon.NewNode(daemon.NodeOptions{
 		Self: &revision.Member{
 			Name: name, DataCentre: "vallejo", Role: cardamomyokev1.NodeRole_NODE_ROLE_ENTRY, Address: address,
@@ -78,7 +69,7 @@
 	if v := first.Agent.Wait(ctx, e.GetSeq()); v.Accepted < e.GetSeq() {
 		t.Fatalf("not accepted: waiting for %v", v.Pending)
 	}
-	good := startNode(t, "e2", freeAddress(t), keystest.Load(t, ca.Issue("e2", keys.RoleNode)), first.address)
+	good := startNode(t, "e2", loopback.Address(), keystest.Load(t, ca.Issue("e2", keys.RoleNode)), first.address)
 	for {
 		changed := good.Agent.Changed()
 		if good.Agent.View().Newest.Revision() == 1 {
--- a/internal/faulttest/relay.go
+++ b/internal/faulttest/relay.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/loopback"
 )
 
 // Mode is what a relay does to what passes.
@@ -64,7 +66,7 @@
 
 // Open begins to listen.
 func (r *Relay) Open() error {
-	l, err := net.Listen("tcp", r.listen)
+	l, err := loopback.Listen(r.listen)
 	if err != nil {
 		return fmt.Errorf("relay on %s: %w", r.listen, err)
 	}
--- a/internal/rebalance/group_test.go
+++ b/internal/rebalance/group_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -20,6 +19,7 @@
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/loopback"
 	"github.com/cardamomyoke/cardamomyoke/internal/rank"
 	"github.com/cardamomyoke/cardamomyoke/internal/rebalance"
 	"github.com/cardamomyoke/cardamomyoke/internal/standin/group"
@@ -52,7 +52,7 @@
 	b := &bed{store: platform.NewStore(platform.Limits{WeightBytesPerSecond: 1 << 30})}
 	var addresses []string
 	for range ranks {
-		addresses = append(addresses, freePort(t))
+		addresses = append(addresses, loopback.Address())
 	}
 	var err error
 	b.group, err = group.Start(group.Options{Addresses: addresses, Step: 2 * time.Millisecond, Cells: experts * layers, Window: 20})
@@ -66,16 +66,6 @@
 	return b
 }
 
-func freePort(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 func (b *bed) directory() *rebalance.Directory {
 	return &rebalance.Directory{Members: b.roster, Client: http.DefaultClient, Scheme: "http"}
 }
