Ranks that are left over when groups form are kept away from, one by one

Cause: a service with 22 ranks for groups of 16 has 6 that refuse all they get. They look idle, so they were chosen first; two refusals kept requests away for 0.1 s only, and a closed gate was opened by any rank of the group that works. Ruled out: too little throughput (ranks served 73 in 100 of their time), orders of maps (20 orders, none refused), the store. Mend: where a service has more ranks than one group takes, each rank that refuses is watched by itself and gets nothing until its own report says that its group is open. A group that has been closed for 8 s refuses at once with the time to come back, instead of holding requests until their callers are about to leave. Dispatch's Tick of the gate had no caller and is gone.

--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -75,6 +75,11 @@
 	g.change(func(p *Pool, now time.Time) []*Ticket { return p.SetClosed(closed, now) })
 }
 
+// SetUpstreamClosed says whether one upstream is known to refuse what is sent to it.
+func (g *Gate) SetUpstreamClosed(id ids.Upstream, closed bool) {
+	g.change(func(p *Pool, now time.Time) []*Ticket { return p.SetUpstreamClosed(id, closed, now) })
+}
+
 // SetOthers replaces what the other gateways have in flight; at is when the oldest of their digests came.
 func (g *Gate) SetOthers(work map[ids.Upstream]Work, at time.Time) {
 	g.change(func(p *Pool, now time.Time) []*Ticket { return p.SetOthers(work, at, now) })
@@ -101,9 +106,6 @@
 	return g.pool.TakeEjections()
 }
 
-// Tick lets time pass.
-func (g *Gate) Tick() { g.change((*Pool).Tick) }
-
 // Own returns what this gateway has in flight at each upstream.
 func (g *Gate) Own() map[ids.Upstream]Work {
 	g.mu.Lock()
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -44,6 +44,8 @@
 	health      outlier
 	// pace is how many times as long as usual its work takes; 0 if it is as usual.
 	pace float64
+	// closed says that it is known to refuse what is sent to it.
+	closed bool
 }
 
 // Options are what a pool needs to know of its service.
@@ -69,8 +71,8 @@
 	ejected []Ejection
 	drained rate
 	// closed says that no upstream can start anything now; requests wait.
-	closed   bool
-	openedAt time.Time
+	closed             bool
+	closedAt, openedAt time.Time
 	// first is the mean time from placing a request to its first answer; 0 if none was measured.
 	first time.Duration
 }
@@ -106,13 +108,28 @@
 // Failure: a group forms again within a second or two, but each request that is sent meanwhile is refused, uses up its
 // attempts and the retry budget, and fails. Held back here it is served as soon as the group works.
 func (p *Pool) SetClosed(closed bool, now time.Time) []*Ticket {
-	if p.closed && !closed {
+	switch {
+	case p.closed && !closed:
 		p.openedAt = now
+	case !p.closed && closed:
+		p.closedAt = now
 	}
 	p.closed = closed
 	return p.settle(now)
 }
 
+// SetUpstreamClosed says whether one upstream is known to refuse what is sent to it.
+//
+// Failure: a service has more ranks than its group takes. Those that are left over refuse all they get, so that they look
+// idle and get the next request, too. In a played day with 22 ranks for a group of 16 they took 5,577 of 6,560 requests,
+// and 0.22 of the streams were served.
+func (p *Pool) SetUpstreamClosed(id ids.Upstream, closed bool, now time.Time) []*Ticket {
+	if t := p.targets[id]; t != nil {
+		t.closed = closed
+	}
+	return p.settle(now)
+}
+
 // SetOthers replaces what the other gateways have in flight; at is when the oldest of their digests came.
 func (p *Pool) SetOthers(work map[ids.Upstream]Work, at, now time.Time) []*Ticket {
 	p.othersAt = at
@@ -150,7 +167,7 @@
 		t.refuse(&NoUpstreamError{RetryAfter: noUpstreamRetry})
 		return t
 	}
-	if wait := p.expectedWait(now); now.Add(wait).After(p.startBy(r)) {
+	if wait := p.expectedWait(now); p.lost(now) || now.Add(wait).After(p.startBy(r)) {
 		t.refuse(p.overloaded(r, wait, now))
 		return t
 	}
@@ -304,7 +321,7 @@
 const tieBreak = 0.01
 
 func (t *target) usable(now time.Time) bool {
-	return t.up.State == catalog.StateReady && t.health.usable(now)
+	return t.up.State == catalog.StateReady && !t.closed && t.health.usable(now)
 }
 
 // room reports whether the upstream may take another request: it has a slot for it.
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -136,3 +136,34 @@
 		}
 	}
 }
+
+// So many ranks are gone that the group cannot form again. At first requests wait for it, since it may be back within a
+// second or two; later a caller that is kept waiting only loses the time in which it could do something else, so it is
+// refused at once. When the group opens after all, requests are placed as before.
+func TestRequestsDoNotWaitForAGroupThatIsLost(t *testing.T) {
+	p := newPool(1, 4)
+	p.SetClosed(true, at(0))
+	if ticket := p.Offer(timed(at(0)), at(0)); ticket.Err() != nil {
+		t.Fatalf("refused at once: %v", ticket.Err())
+	}
+	long := at(9 * time.Second)
+	var overloaded *dispatch.OverloadedError
+	if ticket := p.Offer(timed(long), long); !errors.As(ticket.Err(), &overloaded) || overloaded.RetryAfter <= 0 {
+		t.Fatalf("got %v, want a refusal with the time to come back", ticket.Err())
+	}
+	p.SetClosed(false, long)
+	if ticket := p.Offer(timed(long), long); ticket.Upstream() == nil {
+		t.Fatalf("not placed: %v", ticket.Err())
+	}
+}
+
+// A rank that is known to refuse everything has the fewest requests and would be chosen first; it gets none.
+func TestAClosedUpstreamTakesNothing(t *testing.T) {
+	p := newPool(2, 4)
+	p.SetUpstreamClosed("u-00", true, at(0))
+	for range 4 {
+		if got := send(t, p, at(0), dispatch.OutcomeOK); got != "u-01" {
+			t.Fatalf("sent to %s", got)
+		}
+	}
+}
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -54,6 +54,16 @@
 // honour a third of the time that they have left.
 const closedRetry = 2200 * time.Millisecond
 
+// lostAfter is how long a group may be closed before requests no longer wait for it: twice what a rank that crashed needs
+// to be back.
+const lostAfter = 8 * time.Second
+
+// lost reports whether the group has been closed for so long that nobody can say when it works again.
+//
+// Failure: so many ranks are gone that the group cannot form. Each request waits until its caller is about to leave, only
+// to be refused then. Refused at once the caller can do something else.
+func (p *Pool) lost(now time.Time) bool { return p.closed && now.Sub(p.closedAt) > lostAfter }
+
 // retryAfter spreads the callers that are refused over the time in which the queue drains, so that they do not come
 // back together.
 func (p *Pool) retryAfter(wait time.Duration) time.Duration {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -264,14 +264,15 @@
 		return
 	}
 	s.group = &groupWatch{
-		ranks:  g.ranks,
-		gate:   s.gate,
-		logger: log.With(g.logger, "service", c.Name),
+		ranks:        g.ranks,
+		gate:         s.gate,
+		logger:       log.With(g.logger, "service", c.Name),
+		ranksWatched: map[ids.Upstream]bool{},
 		upstreams: func() []*catalog.Upstream {
 			return g.view.Load().upstreams.Of(c.Name)
 		},
 	}
-	s.group.doubt(g.ctx, "start")
+	s.group.doubt(g.ctx, nil, "start")
 }
 
 const (
--- a/internal/gateway/groupwatch.go
+++ b/internal/gateway/groupwatch.go
@@ -11,6 +11,7 @@
 
 	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
 	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/lockstep"
 	"github.com/cardamomyoke/cardamomyoke/internal/steady"
 )
@@ -38,37 +39,41 @@
 	mu       sync.Mutex
 	watching bool
 	since    time.Time
-	// several is set once the service is known to have several groups.
-	several bool
+	// size is the number of ranks that a group takes; 0 before one was asked.
+	size int
+	// ranksWatched are the ranks that are watched one by one.
+	ranksWatched map[ids.Upstream]bool
 }
 
-// doubt closes the gate until a rank says that its group is open.
-func (w *groupWatch) doubt(ctx context.Context, reason string) {
+// doubt keeps requests from a group until a rank says that it is open; u is the upstream that gave reason to doubt, or nil.
+// A service with more ranks than one group takes is doubted rank by rank.
+func (w *groupWatch) doubt(ctx context.Context, u *catalog.Upstream, reason string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.since = time.Now()
-	if w.watching || w.several {
+	if w.moreThanOne() {
+		w.doubtRank(ctx, u, reason)
+		return
+	}
+	if w.watching {
 		return
 	}
 	w.watching = true
 	w.gate.SetClosed(true)
-	go w.watch(ctx, reason)
+	go w.watch(ctx, u, reason)
 }
 
-func (w *groupWatch) watch(ctx context.Context, reason string) {
+func (w *groupWatch) watch(ctx context.Context, u *catalog.Upstream, reason string) {
 	began := time.Now()
 	for {
 		verdict := w.look(ctx)
 		w.mu.Lock()
-		open := verdict == groupOpen && time.Since(w.since) > 0
-		if verdict == groupLaggingOpen {
-			open = time.Since(w.since) > staleReport
-		}
-		if verdict == groupUnknown {
-			open = time.Since(w.since) > watchBlind
-		}
-		if open || w.several || ctx.Err() != nil {
+		several := w.moreThanOne()
+		if several || verdict.opens(time.Since(w.since)) || ctx.Err() != nil {
 			w.watching = false
+			if several {
+				w.doubtRank(ctx, u, reason)
+			}
 			w.mu.Unlock()
 			break
 		}
@@ -88,6 +93,19 @@
 	groupOpen
 )
 
+// opens reports whether requests may be sent again, so long after the latest reason to doubt.
+func (v groupVerdict) opens(since time.Duration) bool {
+	switch v {
+	case groupOpen:
+		return true
+	case groupLaggingOpen:
+		return since > staleReport
+	case groupUnknown:
+		return since > watchBlind
+	}
+	return false
+}
+
 // look reads some ranks and returns the best that one of them says; a rank that is gone says nothing.
 func (w *groupWatch) look(ctx context.Context) groupVerdict {
 	list := append([]*catalog.Upstream(nil), w.upstreams()...)
@@ -117,22 +135,19 @@
 	return n
 }
 
-// noteSeveral notes that the service has several groups. One that is broken must not keep requests from the others; its
-// ranks refuse what is sent to them and are kept away from one by one.
-func (w *groupWatch) noteSeveral() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.several = true
-}
+// moreThanOne reports whether the service has more ranks than one group takes: several groups, or ranks that are left over
+// and refuse all they get. What is true of one rank says nothing of another's then.
+func (w *groupWatch) moreThanOne() bool { return w.size > 0 && w.ready() > w.size }
 
 func (w *groupWatch) ask(ctx context.Context, u *catalog.Upstream) groupVerdict {
 	r, err := w.ranks.Report(ctx, u)
-	switch {
-	case err != nil:
+	if err != nil {
 		return groupUnknown
-	case r.Size > 0 && w.ready() >= 2*r.Size:
-		w.noteSeveral()
-		return groupOpen
+	}
+	w.mu.Lock()
+	w.size = r.Size
+	w.mu.Unlock()
+	switch {
 	case !r.Open:
 		return groupBroken
 	case r.Fresh:
--- /dev/null
+++ b/internal/gateway/groupwatch_test.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/lockstep"
+)
+
+// fakeRanks report the group of each rank; only Report is used.
+type fakeRanks struct {
+	lockstep.Ranks
+	mu   sync.Mutex
+	size int
+	// shut are the ranks whose group is not open.
+	shut map[ids.Upstream]bool
+}
+
+func (f *fakeRanks) Report(_ context.Context, u *catalog.Upstream) (lockstep.Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return lockstep.Report{Size: f.size, Open: !f.shut[u.ID], Fresh: true}, nil
+}
+
+func (f *fakeRanks) open(id ids.Upstream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.shut, id)
+}
+
+func watched(t *testing.T, ranks *fakeRanks, n int) (*groupWatch, []*catalog.Upstream) {
+	t.Helper()
+	var list []*catalog.Upstream
+	for i := range n {
+		list = append(list, &catalog.Upstream{ID: ids.Upstream(fmt.Sprintf("u-%d", i)), State: catalog.StateReady, Slots: 8})
+	}
+	gate := dispatch.NewGate(dispatch.NewPool(dispatch.Options{Fill: 1, LateFill: 1}, rand.New(rand.NewPCG(1, 2))))
+	gate.SetUpstreams(list)
+	w := &groupWatch{
+		ranks: ranks, gate: gate, logger: log.NewNopLogger(), ranksWatched: map[ids.Upstream]bool{},
+		upstreams: func() []*catalog.Upstream { return list },
+	}
+	return w, list
+}
+
+// idle waits until nothing is watched any more; no check measures time.
+func (w *groupWatch) idle() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.watching && len(w.ranksWatched) == 0
+}
+
+// taken offers requests until one is not placed at once, and returns which upstreams got some.
+func taken(g *dispatch.Gate) map[ids.Upstream]bool {
+	got := map[ids.Upstream]bool{}
+	for {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel() // what would have to wait comes back at once
+		now := time.Now()
+		ticket, err := g.Wait(ctx, dispatch.Request{Arrived: now, Aim: now.Add(time.Hour), Latest: now.Add(time.Hour)})
+		if err != nil {
+			return got
+		}
+		got[ticket.Upstream().ID] = true
+	}
+}
+
+// A service has three ranks, and a group takes two. The third refuses whatever it gets, looks idle for that, and would get
+// the next request as well: callers are refused beside a group that could serve them. It is kept away from until its own
+// report says that its group is open; the two others go on.
+func TestARankThatIsLeftOverIsKeptAwayFrom(t *testing.T) {
+	ranks := &fakeRanks{size: 2, shut: map[ids.Upstream]bool{"u-2": true}}
+	w, list := watched(t, ranks, 3)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	w.doubt(ctx, list[2], "refused")
+	for !w.ranksAre(list[2]) {
+		time.Sleep(time.Millisecond)
+	}
+	got := taken(w.gate)
+	if !got["u-0"] || !got["u-1"] || got["u-2"] {
+		t.Fatalf("placed at %v, want all but u-2", got)
+	}
+	ranks.open("u-2")
+	for !w.idle() {
+		time.Sleep(time.Millisecond)
+	}
+	if got := taken(w.gate); !got["u-2"] {
+		t.Fatalf("placed at %v after the group opened, want u-2", got)
+	}
+}
+
+// ranksAre reports whether just that rank is watched, and the group as a whole no longer.
+func (w *groupWatch) ranksAre(u *catalog.Upstream) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.watching && len(w.ranksWatched) == 1 && w.ranksWatched[u.ID]
+}
+
+// All ranks of the only group stall when one of them is gone. What is sent meanwhile is refused by each of them, so that
+// requests wait for the group as a whole, and are placed when a rank says that it is open again.
+func TestABrokenGroupIsKeptAwayFromAsAWhole(t *testing.T) {
+	ranks := &fakeRanks{size: 2, shut: map[ids.Upstream]bool{"u-0": true, "u-1": true}}
+	w, list := watched(t, ranks, 2)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	w.doubt(ctx, list[1], "refused")
+	if got := taken(w.gate); len(got) > 0 {
+		t.Fatalf("placed at %v, want nobody", got)
+	}
+	ranks.open("u-0")
+	ranks.open("u-1")
+	for !w.idle() {
+		time.Sleep(time.Millisecond)
+	}
+	if got := taken(w.gate); len(got) != 2 {
+		t.Fatalf("placed at %v, want both", got)
+	}
+}
--- /dev/null
+++ b/internal/gateway/rankwatch.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/steady"
+)
+
+// rankWatchMost is the longest pause between two reads of a rank that refuses; the pause doubles from watchEvery. A rank
+// that is left over may refuse for good, and one whose group has formed again is missed for half a second at most.
+const rankWatchMost = 500 * time.Millisecond
+
+// doubtRank keeps requests from one rank until it says that its group is open. It is called with the lock held.
+func (w *groupWatch) doubtRank(ctx context.Context, u *catalog.Upstream, reason string) {
+	if u == nil || w.ranksWatched[u.ID] {
+		return
+	}
+	w.ranksWatched[u.ID] = true
+	w.gate.SetUpstreamClosed(u.ID, true)
+	go w.watchRank(ctx, u, reason)
+}
+
+func (w *groupWatch) watchRank(ctx context.Context, u *catalog.Upstream, reason string) {
+	began := time.Now()
+	pause := watchEvery
+	for w.listed(u) && ctx.Err() == nil && !w.ask(ctx, u).opens(time.Since(began)) {
+		steady.Sleep(ctx, pause)
+		pause = min(2*pause, rankWatchMost)
+	}
+	w.mu.Lock()
+	delete(w.ranksWatched, u.ID)
+	w.mu.Unlock()
+	w.gate.SetUpstreamClosed(u.ID, false)
+	_ = level.Info(w.logger).Log("msg", "rank closed to requests", "upstream", u.ID, "reason", reason, "for", time.Since(began))
+}
+
+// listed reports whether the upstream's life is still one of the service's.
+func (w *groupWatch) listed(u *catalog.Upstream) bool {
+	for _, v := range w.upstreams() {
+		if v.ID == u.ID {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -93,7 +93,7 @@
 		n.upstream = ticket.Upstream().ID
 		n.g.placed(n, ticket.Decision())
 		err = n.attempt(ctx, ticket)
-		n.doubtGroup(err)
+		n.doubtGroup(ticket.Upstream(), err)
 		n.service.gate.Done(ticket, outcomeOf(ctx, err))
 		if err == nil {
 			return nil
@@ -107,15 +107,15 @@
 }
 
 // doubtGroup has the group looked at if an attempt failed as it does at a broken group: refused, or cut off.
-func (n *run) doubtGroup(err error) {
+func (n *run) doubtGroup(u *catalog.Upstream, err error) {
 	var refused *RefusedError
 	var broken *httpclient.BrokenError
 	switch {
 	case n.service.group == nil || err == nil:
 	case errors.As(err, &refused) && refused.Status != statusOtherInstance:
-		n.service.group.doubt(n.g.ctx, "refused")
+		n.service.group.doubt(n.g.ctx, u, "refused")
 	case errors.As(err, &broken) && n.x.Answered():
-		n.service.group.doubt(n.g.ctx, "cut off")
+		n.service.group.doubt(n.g.ctx, u, "cut off")
 	}
 }
 
