Gateways refuse a request that crashes its upstreams, after the third death

Cause: the quarantine was wired to slots and entries only. On the platform's path a request that crashes each upstream that runs it was sent on as often as its caller came back; where the upstreams are ranks of a group, each time takes the whole group down for seconds. What a gateway cannot know is what else an upstream ran, so the evidence of the slots (alone on its upstream) does not exist there. It counts deaths: a run that broke off speaks against its request if nothing listens at the upstream's address right after; a death has the id of the upstream's life, so that reports of several gateways count once; digests spread them; a run to the end clears. Three deaths refuse for a minute as not run, with the time to come back; after two gateways do not send it again by themselves. Ruled out: counting every broken connection (lost answers are common), silence as a death (it may be a cut), rows in the store (evidence is a hint; three deaths bring it back).

--- a/internal/bench/quarantine/world.go
+++ b/internal/bench/quarantine/world.go
@@ -103,7 +103,7 @@
 		})
 	}
 	for range sc.Entries {
-		e := &entry{tracker: quarantine.NewTracker(period), down: map[ids.Upstream]bool{}}
+		e := &entry{tracker: quarantine.NewTracker(quarantine.Rules{Period: period}), down: map[ids.Upstream]bool{}}
 		w.entries = append(w.entries, e)
 	}
 	w.plan()
--- a/internal/entry/audit_test.go
+++ b/internal/entry/audit_test.go
@@ -14,7 +14,7 @@
 // step to a refusal is recorded, once, with its end and the client.
 func TestRefusalsAreRecordedOnce(t *testing.T) {
 	now := time.Unix(1000, 0)
-	k := quarantine.NewKeeper(nil, time.Minute, quarantine.DefaultKeeperOptions())
+	k := quarantine.NewKeeper(nil, quarantine.Rules{Period: time.Minute}, quarantine.DefaultKeeperOptions())
 	poison := quarantine.Running{Fingerprint: quarantine.FingerprintOf("azteca", sha256.Sum256([]byte("x"))), Client: "azteca"}
 	other := quarantine.Running{Fingerprint: quarantine.FingerprintOf("norte", sha256.Sum256([]byte("y"))), Client: "norte"}
 	var got []*audit.Row
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -124,7 +124,7 @@
 	if e.loop == nil {
 		e.loop = control.New()
 	}
-	e.quarantine = quarantine.NewKeeper(d.Table, defaultQuarantine, quarantine.DefaultKeeperOptions())
+	e.quarantine = quarantine.NewKeeper(d.Table, quarantine.Rules{Period: defaultQuarantine}, quarantine.DefaultKeeperOptions())
 	e.state = newState(set, d.Config, e.limits, e.logger, now)
 	if d.Audit != nil {
 		e.state.record = d.Audit
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,6 +70,7 @@
 	registry  *replica.Follower
 	peers     *peers
 	experts   *experts
+	suspects  *suspects
 
 	servers struct{ callers, directory, readiness *httpserver.Server }
 	ranks   lockstep.Ranks
@@ -113,6 +114,7 @@
 	g.registry = g.follower(d.Feed, d.Decoder.UpstreamTable())
 	g.followers = []*replica.Follower{g.config, g.registry}
 	g.publish()
+	g.suspects = newSuspects(d.Logger)
 	var err error
 	if g.peers, err = startPeers(ctx, g); err != nil {
 		return nil, err
@@ -326,6 +328,7 @@
 		s.gate.SetOthers(g.peers.work(name, g.control.upstreams, now))
 		g.logEjections(name, s)
 	}
+	g.suspects.keeper.Expire(now)
 	g.experts.tick(now)
 	g.peers.tick(now)
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -12,6 +12,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/digest"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
+	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
 )
 
 const (
@@ -134,6 +135,7 @@
 	if old == nil || old.digest.GetState() != d.GetState() {
 		_ = level.Info(p.g.logger).Log("msg", "peer", "peer", d.GetNode(), "state", d.GetState(), "incarnation", d.GetIncarnation())
 	}
+	p.g.suspects.keeper.Merge(now, quarantine.FromDigest(d)...)
 	p.catchUp(d)
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -12,6 +12,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
 	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
 )
 
 // run is one request on its way: its attempts, and what the caller has got so far.
@@ -83,6 +84,9 @@
 	if n.service == nil {
 		return failure.New(failure.CodeNoUpstream, nil).WithRetryAfter(unknownRetry)
 	}
+	if _, refused := n.g.suspects.judge(n, n.r.arrived); refused != nil {
+		return refused.refusal(n.r.arrived)
+	}
 	n.service.budget.First(n.r.arrived)
 	for {
 		ticket, err := n.service.gate.Wait(ctx, n.place())
@@ -96,9 +100,11 @@
 		n.doubtGroup(ticket.Upstream(), err)
 		n.service.gate.Done(ticket, outcomeOf(ctx, err))
 		if err == nil {
+			n.g.suspects.completed(n, time.Now())
 			return nil
 		}
 		n.note(err)
+		n.blame(ticket.Upstream(), err)
 		if reason := n.final(ctx, err); reason != "" {
 			return n.giveUp(ctx, err, reason)
 		}
@@ -106,6 +112,14 @@
 	}
 }
 
+// blame has the upstream asked whether it died of an attempt that broke off.
+func (n *run) blame(u *catalog.Upstream, err error) {
+	var broken *httpclient.BrokenError
+	if errors.As(err, &broken) {
+		n.g.suspects.brokeOff(n.g.ctx, n, u)
+	}
+}
+
 // doubtGroup has the group looked at if an attempt failed as it does at a broken group: refused, or cut off.
 func (n *run) doubtGroup(u *catalog.Upstream, err error) {
 	var refused *RefusedError
@@ -196,6 +210,8 @@
 		return "the answer has begun"
 	case n.sent >= n.r.route.Attempts:
 		return "no attempt is left"
+	case n.suspected():
+		return "two upstreams died while they ran it"
 	case n.unreached >= maxUnreached:
 		return "no upstream can be reached"
 	case n.sent > 0 && !n.service.budget.Take(time.Now()):
@@ -204,6 +220,12 @@
 	return ""
 }
 
+// suspected reports whether the request has run at so many deaths that it is left to its caller to send it once more.
+func (n *run) suspected() bool {
+	judged, _ := n.g.suspects.judge(n, time.Now())
+	return judged >= quarantine.Alone
+}
+
 // giveUp turns the last attempt's error into the caller's answer.
 func (n *run) giveUp(ctx context.Context, err error, reason string) error {
 	cause := fmt.Errorf("%s: %w", reason, err)
--- /dev/null
+++ b/internal/gateway/suspects.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
+)
+
+const (
+	// quarantineLength is how long a request is refused after the last upstream that it crashed: many times what an
+	// upstream or a group needs to be back.
+	quarantineLength = time.Minute
+	// crashesRefused is how many upstreams must die while they run a request before it is refused. Requests that only ran
+	// beside it run to their end elsewhere, which clears them; one that ran at three deaths and never ended did not.
+	crashesRefused = 3
+	// digestSuspects is how many suspects one digest names; the newest come first.
+	digestSuspects = 16
+	// crashDial bounds the question whether an upstream that broke a connection still listens.
+	crashDial = 250 * time.Millisecond
+)
+
+// suspects keeps requests that crash each upstream which runs them from taking down one after the other.
+//
+// Failure: one request crashes the rank that runs it, and with it its whole group for seconds; its caller sends it again.
+// All other callers lose their streams each time. A gateway does not see what else an upstream ran, so that it counts the
+// deaths at which the request ran, together with what the other gateways tell, and refuses it after the third.
+type suspects struct {
+	keeper *quarantine.Keeper
+	logger log.Logger
+	dial   func(ctx context.Context, address string) error
+
+	mu sync.Mutex
+	// broken are the runs that broke off at upstreams which are being asked whether they live, by upstream.
+	broken map[ids.Upstream][]quarantine.Running
+}
+
+func newSuspects(logger log.Logger) *suspects {
+	rules := quarantine.Rules{Period: quarantineLength, Crashes: crashesRefused}
+	return &suspects{
+		// Evidence is a hint and no promise: if all gateways end at once, three more deaths bring it back.
+		keeper: quarantine.NewKeeper(nil, rules, quarantine.KeeperOptions{}),
+		logger: logger,
+		dial:   dialOnce,
+		broken: map[ids.Upstream][]quarantine.Running{},
+	}
+}
+
+func dialOnce(ctx context.Context, address string) error {
+	d := net.Dialer{Timeout: crashDial}
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
+// refused counts the requests that are refused now.
+func (s *suspects) refused(now time.Time) int {
+	n := 0
+	for _, l := range s.keeper.List(now) {
+		if l.Level == quarantine.Refused {
+			n++
+		}
+	}
+	return n
+}
+
+// fingerprint is the same for each time that a client account sends a request.
+func (n *run) fingerprint() quarantine.Fingerprint {
+	in := n.x.Req
+	h := sha256.New()
+	h.Write(in.Header.Method())
+	h.Write([]byte{0})
+	h.Write(in.Header.RequestURI())
+	h.Write([]byte{0})
+	h.Write(in.Body())
+	return quarantine.FingerprintOf(n.r.client, [sha256.Size]byte(h.Sum(nil)))
+}
+
+// QuarantinedError says that a request is refused because upstreams died that ran it.
+type QuarantinedError struct {
+	Fingerprint quarantine.Fingerprint
+	Until       time.Time
+}
+
+// Error implements error.
+func (e *QuarantinedError) Error() string {
+	return fmt.Sprintf("request %s is refused until %s: upstreams died that ran it", e.Fingerprint, e.Until.UTC().Format(time.RFC3339))
+}
+
+// judge returns how a request is treated. While nothing is suspected, which is nearly always, nothing is computed.
+func (s *suspects) judge(n *run, now time.Time) (quarantine.Level, *QuarantinedError) {
+	known := s.keeper.Snapshot()
+	if known.Empty() {
+		return quarantine.Clear, nil
+	}
+	fingerprint := n.fingerprint()
+	judged, until := known.Judge(now, fingerprint)
+	if judged != quarantine.Refused {
+		return judged, nil
+	}
+	return judged, &QuarantinedError{fingerprint, until}
+}
+
+// refusal is the answer to a refused request. Callers take it as a promise that it was not run, with the time from which
+// on it may be tried once more.
+func (e *QuarantinedError) refusal(now time.Time) error {
+	return failure.New(failure.CodeNoUpstream, e).WithRetryAfter(e.Until.Sub(now))
+}
+
+// completed notes that a request ran to its end: whatever died while it ran did not die of it.
+func (s *suspects) completed(n *run, now time.Time) {
+	if !s.keeper.Snapshot().Empty() {
+		s.keeper.Completed(now, n.fingerprint())
+	}
+}
+
+// brokeOff notes that a run broke off at an upstream and finds out whether that one died.
+func (s *suspects) brokeOff(ctx context.Context, n *run, u *catalog.Upstream) {
+	ran := quarantine.Running{Fingerprint: n.fingerprint(), Client: n.r.client}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, asked := s.broken[u.ID]
+	s.broken[u.ID] = append(s.broken[u.ID], ran)
+	if !asked {
+		go s.confirm(ctx, u)
+	}
+}
+
+// confirm blames the runs that broke off at an upstream if nothing listens at its address any more. One that does not
+// answer at all may only be cut off, and speaks against nobody.
+func (s *suspects) confirm(ctx context.Context, u *catalog.Upstream) {
+	err := s.dial(ctx, u.Address)
+	s.mu.Lock()
+	ran := s.broken[u.ID]
+	delete(s.broken, u.ID)
+	s.mu.Unlock()
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	now := time.Now()
+	// The death's id comes from the life, so that the reports of several gateways count as one death.
+	death := quarantine.Evidence{Crash: quarantine.NewCrashID(ids.Incarnation(u.ID), 1), At: now}
+	for _, r := range ran {
+		s.keeper.Merge(now, quarantine.Suspect{Fingerprint: r.Fingerprint, Client: r.Client, Evidence: []quarantine.Evidence{death}})
+		judged, _ := s.keeper.Snapshot().Judge(now, r.Fingerprint)
+		_ = level.Info(s.logger).Log("msg", "request suspected", "reason", "upstream died while it ran", "upstream", u.ID,
+			"fingerprint", r.Fingerprint, "client", r.Client, "level", judged)
+	}
+}
--- a/internal/gateway/telling.go
+++ b/internal/gateway/telling.go
@@ -10,6 +10,7 @@
 
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
 )
 
 // tick tells the others of this gateway when it is due.
@@ -68,6 +69,7 @@
 		d.News = append(d.News, &cardamomyokev1.TableNews{Table: f.Table.Name(), Newest: f.Table.Newest(), Following: f.Following()})
 	}
 	d.Slow = g.experts.slowKnown()
+	d.Suspects = quarantine.ToDigest(g.suspects.keeper.Digest(now, digestSuspects))
 	for _, s := range g.control.services {
 		for id, w := range s.gate.Own() {
 			d.Work = append(d.Work, &cardamomyokev1.UpstreamWork{
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -112,9 +112,18 @@
 	return changed
 }
 
-// judge returns the level at now and, for Refused, its end. After the end the request runs alone once more: if it
-// still crashes its upstream, that one crash refuses it again.
-func (s *Suspect) judge(now time.Time, period time.Duration) (Level, time.Time) {
+// Rules say when evidence refuses a request.
+type Rules struct {
+	// Period is how long a request is refused after its last crash: policies.quarantine_s.
+	Period time.Duration
+	// Crashes refuse a request although others may have run beside it; 0 if only a run alone can. It is for nodes that
+	// cannot know what else an upstream ran.
+	Crashes int
+}
+
+// judge returns the level at now and, for Refused, its end. After the end the request runs once more: if it still crashes
+// its upstream, that one crash refuses it again.
+func (s *Suspect) judge(now time.Time, r Rules) (Level, time.Time) {
 	if s.Override.Until.After(now) {
 		switch s.Override.Kind {
 		case cardamomyokev1.OverrideKind_OVERRIDE_KIND_TRUST:
@@ -124,8 +133,8 @@
 		}
 	}
 	crashes, lone, probes, last := s.count()
-	until := last.Add(period)
-	convicted := probes > 0 || lone > 0 && crashes > 1
+	until := last.Add(r.Period)
+	convicted := probes > 0 || lone > 0 && crashes > 1 || r.Crashes > 0 && crashes >= r.Crashes
 	switch {
 	case convicted && now.Before(until):
 		return Refused, until
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -94,7 +94,7 @@
 
 // NewGuard returns the guard of an idle upstream; period is policies.quarantine_s.
 func NewGuard(slot ids.Incarnation, period time.Duration) *Guard {
-	return &Guard{slot: slot, tracker: NewTracker(period), machine: chart.Start()}
+	return &Guard{slot: slot, tracker: NewTracker(Rules{Period: period}), machine: chart.Start()}
 }
 
 // Tracker returns what the slot knows of suspects, to be told to entries.
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -51,9 +51,10 @@
 	readAt time.Time
 }
 
-// NewKeeper returns a keeper that knows nothing; period is policies.quarantine_s.
-func NewKeeper(table platform.Table, period time.Duration, o KeeperOptions) *Keeper {
-	k := &Keeper{opts: o, table: table, tracker: NewTracker(period)}
+// NewKeeper returns a keeper that knows nothing. Without a table it must not be run, and what it knows ends with the
+// nodes that tell each other.
+func NewKeeper(table platform.Table, r Rules, o KeeperOptions) *Keeper {
+	k := &Keeper{opts: o, table: table, tracker: NewTracker(r)}
 	k.snapshot.Store(k.tracker.Snapshot())
 	return k
 }
@@ -91,6 +92,13 @@
 	k.change(func(t *Tracker) { t.Override(now, f, o) })
 }
 
+// Expire forgets what is too old to count; Run does it as well.
+func (k *Keeper) Expire(now time.Time) {
+	if !k.Snapshot().Empty() {
+		k.change(func(t *Tracker) { t.Expire(now) })
+	}
+}
+
 // Digest returns what to tell other nodes.
 func (k *Keeper) Digest(now time.Time, limit int) []Suspect {
 	k.mu.Lock()
@@ -111,7 +119,7 @@
 	defer ticker.Stop()
 	for {
 		now := time.Now()
-		k.change(func(t *Tracker) { t.Expire(now) })
+		k.Expire(now)
 		if !now.Before(k.readAt) {
 			k.read(ctx, now)
 		}
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -19,7 +19,7 @@
 		table := memtable.New(func() (memtable.Fault, time.Duration) { return memtable.Unavailable, 0 })
 		ctx, cancel := context.WithCancel(t.Context())
 		keeper := func() *Keeper {
-			k := NewKeeper(table, quarantineLength, DefaultKeeperOptions())
+			k := NewKeeper(table, Rules{Period: quarantineLength}, DefaultKeeperOptions())
 			go k.Run(ctx)
 			return k
 		}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -35,7 +35,7 @@
 // are suspects until they run to their end elsewhere, and are never refused. After the hour the request runs alone
 // once, and one crash refuses it again.
 func TestSuspicionNarrowsToOneRequest(t *testing.T) {
-	tr := NewTracker(quarantineLength)
+	tr := NewTracker(Rules{Period: quarantineLength})
 	tr.Merge(start, Crash{ID: 1, At: start, Ran: []Running{poison, other, third}}.Suspects()...)
 	wantLevel(t, tr, start, other.Fingerprint, Suspected)
 	tr.Completed(start, other.Fingerprint)
@@ -54,7 +54,7 @@
 
 // The operator lets a refused request through, or refuses one that is clear; the later decision holds on every node.
 func TestOperatorOverrides(t *testing.T) {
-	tr := NewTracker(quarantineLength)
+	tr := NewTracker(Rules{Period: quarantineLength})
 	tr.Merge(start, Crash{ID: 1, At: start, Ran: []Running{poison}, Probe: true}.Suspects()...)
 	until := start.Add(time.Minute)
 	trust := Override{Kind: cardamomyokev1.OverrideKind_OVERRIDE_KIND_TRUST, Until: until, Stamp: start}
@@ -81,7 +81,7 @@
 			s.Override.Until = s.Override.Stamp.Add(time.Hour)
 			news = append(news, s)
 		}
-		a, b := NewTracker(quarantineLength), NewTracker(quarantineLength)
+		a, b := NewTracker(Rules{Period: quarantineLength}), NewTracker(Rules{Period: quarantineLength})
 		for _, i := range rng.Perm(len(news)) {
 			a.Merge(start, news[i])
 		}
@@ -96,7 +96,7 @@
 // A caller keeps being refused after every entry was replaced: the refusal is in the table. A conflict there is
 // settled by reading and writing once more.
 func TestRefusalOutlivesTheEntries(t *testing.T) {
-	tr := NewTracker(quarantineLength)
+	tr := NewTracker(Rules{Period: quarantineLength})
 	tr.Merge(start, Crash{ID: 1, At: start, Ran: []Running{other, third}}.Suspects()...)
 	if saves := tr.Unsaved(start); len(saves) != 0 {
 		t.Fatalf("a mere suspicion is written: %v", saves)
@@ -106,7 +106,7 @@
 	if len(saves) != 1 || len(tr.Unsaved(start)) != 0 {
 		t.Fatalf("saves: %v", saves)
 	}
-	peer := NewTracker(quarantineLength)
+	peer := NewTracker(Rules{Period: quarantineLength})
 	peer.Merge(start, Crash{ID: 9, At: start, Ran: []Running{poison}, Probe: true}.Suspects()...)
 	row := platform.Row{Key: saves[0].Put.Key, Version: 7, Value: peer.Unsaved(start)[0].Put.Value}
 	if err := tr.Load(start, row); err != nil {
@@ -124,7 +124,7 @@
 	if needless := peer.Unsaved(start); len(needless) != 0 {
 		t.Fatalf("the row is written again without news: %v", needless)
 	}
-	fresh := NewTracker(quarantineLength)
+	fresh := NewTracker(Rules{Period: quarantineLength})
 	if err := fresh.Load(start, row); err != nil {
 		t.Fatal(err)
 	}
@@ -137,7 +137,7 @@
 
 // A forgotten crash does not come back from a node that still tells of it.
 func TestOldEvidenceIsForgotten(t *testing.T) {
-	tr := NewTracker(quarantineLength)
+	tr := NewTracker(Rules{Period: quarantineLength})
 	suspects := Crash{ID: 1, At: start, Ran: []Running{poison}}.Suspects()
 	tr.Merge(start, suspects...)
 	later := start.Add(quarantineLength + evidenceMemory + 1)
--- a/internal/quarantine/snapshot.go
+++ b/internal/quarantine/snapshot.go
@@ -9,19 +9,22 @@
 // Snapshot is what a Tracker knew at one time, for traffic. It is immutable and safe for concurrent use; nil is one
 // that knows nothing.
 type Snapshot struct {
-	period   time.Duration
+	rules    Rules
 	suspects map[Fingerprint]Suspect
 }
 
 // Snapshot returns what the tracker knows now.
 func (t *Tracker) Snapshot() *Snapshot {
-	out := &Snapshot{period: t.period, suspects: make(map[Fingerprint]Suspect, len(t.suspects))}
+	out := &Snapshot{rules: t.rules, suspects: make(map[Fingerprint]Suspect, len(t.suspects))}
 	for f, s := range t.suspects {
 		out.suspects[f] = s.copy()
 	}
 	return out
 }
 
+// Empty reports whether nothing is known of any request.
+func (s *Snapshot) Empty() bool { return s == nil || len(s.suspects) == 0 }
+
 // Known reports whether there is anything about a request; if so, its end has to be told with Tracker.Completed.
 func (s *Snapshot) Known(f Fingerprint) bool {
 	if s == nil {
@@ -37,7 +40,7 @@
 		return Clear, time.Time{}
 	}
 	known := s.suspects[f]
-	return known.judge(now, s.period)
+	return known.judge(now, s.rules)
 }
 
 // Refusal returns the typed answer to a refused request.
@@ -56,7 +59,7 @@
 func (t *Tracker) List(now time.Time) []Listed {
 	var out []Listed
 	for _, s := range t.sorted() {
-		level, until := s.judge(now, t.period)
+		level, until := s.judge(now, t.rules)
 		if level == Clear && !s.Override.Until.After(now) {
 			continue
 		}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -69,17 +69,17 @@
 // Tracker holds what one node knows of suspects. It is not safe for concurrent use: the control goroutine owns it and
 // publishes Snapshots.
 type Tracker struct {
-	period   time.Duration
+	rules    Rules
 	suspects map[Fingerprint]*tracked
 }
 
-// NewTracker returns an empty tracker; period is policies.quarantine_s.
-func NewTracker(period time.Duration) *Tracker {
-	return &Tracker{period: period, suspects: map[Fingerprint]*tracked{}}
+// NewTracker returns an empty tracker.
+func NewTracker(r Rules) *Tracker {
+	return &Tracker{rules: r, suspects: map[Fingerprint]*tracked{}}
 }
 
 // SetPeriod changes the length of a quarantine, also of those that have begun.
-func (t *Tracker) SetPeriod(d time.Duration) { t.period = d }
+func (t *Tracker) SetPeriod(d time.Duration) { t.rules.Period = d }
 
 // Merge takes in what another node, a slot's crash report or a row of the table says.
 func (t *Tracker) Merge(now time.Time, news ...Suspect) {
@@ -107,7 +107,9 @@
 	return s
 }
 
-func (t *Tracker) old(now time.Time, e Evidence) bool { return now.Sub(e.At) > t.period+evidenceMemory }
+func (t *Tracker) old(now time.Time, e Evidence) bool {
+	return now.Sub(e.At) > t.rules.Period+evidenceMemory
+}
 
 // Judge returns how to treat a request and, if it is refused, until when.
 func (t *Tracker) Judge(now time.Time, f Fingerprint) (Level, time.Time) {
@@ -115,7 +117,7 @@
 	if s == nil {
 		return Clear, time.Time{}
 	}
-	return s.judge(now, t.period)
+	return s.judge(now, t.rules)
 }
 
 // Completed says that a request ran to its end on some upstream: what stood against it is refuted.
@@ -178,7 +180,7 @@
 			break
 		}
 		if now.Sub(s.changed) > freshFor {
-			level, _ := s.judge(now, t.period)
+			level, _ := s.judge(now, t.rules)
 			if level != Refused || refused >= maxRefusedInDigest {
 				continue
 			}
@@ -207,7 +209,7 @@
 func (t *Tracker) Unsaved(now time.Time) []Save {
 	var out []Save
 	for _, s := range t.sorted() {
-		level, _ := s.judge(now, t.period)
+		level, _ := s.judge(now, t.rules)
 		lasting := level == Refused || s.Override.Until.After(now) || s.saved.Version > 0
 		if s.offered || !lasting {
 			continue
