--- a/cmd/cardamomyoke-gateway/main.go
+++ b/cmd/cardamomyoke-gateway/main.go
@@ -20,6 +20,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/logging"
 	"github.com/cardamomyoke/cardamomyoke/internal/program"
 	"github.com/cardamomyoke/cardamomyoke/internal/settings"
+	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
 	"github.com/cardamomyoke/cardamomyoke/platform"
 	"github.com/cardamomyoke/cardamomyoke/platform/engine"
 )
@@ -53,10 +54,16 @@
 	signal.Notify(signals, syscall.SIGHUP)
 	var live atomic.Pointer[gateway.Settings]
 	live.Store(set)
+	tracer, err := tracing.New(ctx, "cardamomyoke-gateway", set.Tracing)
+	if err != nil {
+		return fmt.Errorf("tracing: %w", err)
+	}
+	defer closeTracer(tracer, logger)
 	store := platform.NewStore(func() string { return live.Load().Store })
 	g, err := gateway.Start(set, gateway.Deps{
 		Feed: store, Table: store, Ranks: agent.NewClient(engine.New(), set.AgentPort),
 		Dialect: platform.Headers{}, Decoder: platform.Rows{}, Logger: logger,
+		Tracer: tracer,
 	})
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
@@ -69,6 +76,17 @@
 	return g.Run(ctx)
 }
 
+// flushTimeout bounds the sending of the last spans; it is within the time that a gateway leaves before it is killed.
+const flushTimeout = 200 * time.Millisecond
+
+func closeTracer(t *tracing.Tracer, logger log.Logger) {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	if err := t.Close(ctx); err != nil {
+		_ = level.Warn(logger).Log("msg", "spans lost", "reason", "the exporter did not take them at the end", "err", err)
+	}
+}
+
 // watch reloads the settings when their file changes.
 func watch(ctx context.Context, o program.Options, signals <-chan os.Signal, logger log.Logger, reload func(*gateway.Settings) []string) {
 	w := &settings.Watcher{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -23,6 +24,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/replica"
 	"github.com/cardamomyoke/cardamomyoke/internal/retry"
 	"github.com/cardamomyoke/cardamomyoke/internal/settings"
+	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
 )
 
 const (
@@ -50,6 +52,8 @@
 	Dialect Dialect
 	Decoder Decoder
 	Logger  log.Logger
+	// Tracer is nil if no spans are made.
+	Tracer *tracing.Tracer
 }
 
 // Gateway is one gateway process. Create it with Start.
@@ -62,6 +66,7 @@
 	incarnation ids.Incarnation
 	loop        *control.Loop
 	metrics     *gatewayMetrics
+	tracer      *tracing.Tracer
 	client      *httpclient.Client
 	view        atomic.Pointer[view]
 
@@ -99,6 +104,7 @@
 		incarnation: ids.NewIncarnation(),
 		loop:        control.New(),
 		metrics:     newMetrics(),
+		tracer:      cmp.Or(d.Tracer, tracing.Off()),
 		ranks:       d.Ranks,
 		ctx:         ctx,
 		cancel:      cancel,
@@ -353,8 +359,11 @@
 	if next.Log != old.Log || next.RequestLog != old.RequestLog {
 		kept = append(kept, "log")
 	}
+	if next.Tracing.OTLP != old.Tracing.OTLP || next.Tracing.File != old.Tracing.File {
+		kept = append(kept, "tracing")
+	}
 	merged.Name, merged.Listen, merged.DataCentre = old.Name, old.Listen, old.DataCentre
-	merged.Log, merged.RequestLog = old.Log, old.RequestLog
+	merged.Log, merged.RequestLog, merged.Tracing = old.Log, old.RequestLog, old.Tracing
 	g.settings.Store(&merged)
 	return kept
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -7,11 +7,13 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
 	"github.com/cardamomyoke/cardamomyoke/internal/failure"
 	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
 )
 
 const (
@@ -42,19 +44,29 @@
 func (g *Gateway) serve(ctx context.Context, x *httpserver.Exchange) {
 	now := time.Now()
 	v := g.view.Load()
+	ctx, span := g.tracer.Start(ctx, "gateway request", string(x.Req.Header.Peek(tracing.HeaderName)))
 	r, err := g.read(v, x.Req, now)
-	if err != nil {
+	if err == nil {
+		span.Note(attribute.String("attempt", r.call.Attempt), attribute.String("service", string(r.service.Name)))
+		err = g.run(ctx, v, x, r, span.Header())
+	} else {
 		g.refuse(x, v, r, err)
-		return
 	}
+	span.End(err)
+}
+
+// run tries a request that may be tried; trace is its trace context for the next hop.
+func (g *Gateway) run(ctx context.Context, v *view, x *httpserver.Exchange, r *request, trace string) error {
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	run := newRun(g, v, x, r)
-	err = run.attempts(ctx)
+	run.trace = trace
+	err := run.attempts(ctx)
 	g.answered(run, err)
 	if err != nil && !x.Answered() {
 		g.fail(x, r, err)
 	}
+	return err
 }
 
 // read checks a request. Errors: *failure.Error; the request is never nil.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+
 	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
 	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
 	"github.com/cardamomyoke/cardamomyoke/internal/failure"
@@ -36,6 +38,8 @@
 	held *plainAnswer
 	// gaveHeld says that the caller got it.
 	gaveHeld bool
+	// trace is the trace context for the next hop; empty if there is none.
+	trace string
 }
 
 func newRun(g *Gateway, v *view, x *httpserver.Exchange, r *request) *run {
@@ -96,7 +100,7 @@
 		n.placedAt = time.Now()
 		n.upstream = ticket.Upstream().ID
 		n.g.placed(n, ticket.Decision())
-		err = n.attempt(ctx, ticket)
+		err = n.traced(ctx, ticket)
 		n.doubtGroup(ticket.Upstream(), err)
 		n.service.gate.Done(ticket, outcomeOf(ctx, err))
 		if err == nil {
@@ -156,6 +160,17 @@
 	}
 }
 
+// traced is attempt with a span around it.
+func (n *run) traced(ctx context.Context, t *dispatch.Ticket) error {
+	incoming := n.trace
+	ctx, span := n.g.tracer.Start(ctx, "gateway attempt", incoming, attribute.String("upstream", string(t.Upstream().ID)))
+	n.trace = span.Header()
+	err := n.attempt(ctx, t)
+	n.trace = incoming
+	span.End(err)
+	return err
+}
+
 // attempt sends the request to one upstream and relays the answer.
 func (n *run) attempt(ctx context.Context, t *dispatch.Ticket) error {
 	a, err := n.send(ctx, t.Upstream())
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -12,6 +12,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
 	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
 	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
 )
 
 // statusOtherInstance is the answer of an upstream that is not the life that was asked for.
@@ -56,6 +57,9 @@
 	h.SetRequestURIBytes(in.Header.RequestURI())
 	h.SetHostBytes(in.Header.Host())
 	req.SetBodyRaw(in.Body())
+	if n.trace != "" {
+		h.Set(tracing.HeaderName, n.trace)
+	}
 	n.g.dialect.WriteLeg(h, Leg{
 		Upstream:  to.ID,
 		Client:    n.r.client,
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -9,6 +9,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/logging"
 	"github.com/cardamomyoke/cardamomyoke/internal/settings"
+	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
 )
 
 // Settings are the static settings of a gateway.
@@ -29,6 +30,8 @@
 	Log    logging.Options `yaml:"log"`
 	// RequestLog bounds the lines about requests.
 	RequestLog LogBounds `yaml:"request_log"`
+	// Tracing makes a span for each hop of a request; without an exporter there are none.
+	Tracing tracing.Options `yaml:"tracing"`
 }
 
 // LogBounds are the most lines that are logged a second; 0 means the default.
--- a/internal/tracing/tracing.go
+++ b/internal/tracing/tracing.go
@@ -26,8 +26,8 @@
 	Ratio *float64 `yaml:"ratio"`
 }
 
-// headerName is the field of the W3C trace context.
-const headerName = "traceparent"
+// HeaderName is the field of the W3C trace context.
+const HeaderName = "traceparent"
 
 // Tracer makes the spans of one process.
 type Tracer struct {
@@ -43,7 +43,7 @@
 		return nil, err
 	}
 	if len(exporters) == 0 {
-		return &Tracer{tracer: noop.NewTracerProvider().Tracer(process), close: func(context.Context) error { return nil }}, nil
+		return Off(), nil
 	}
 	opts := []sdktrace.TracerProviderOption{
 		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(ratioOf(o)))),
@@ -56,6 +56,11 @@
 	return &Tracer{tracer: provider.Tracer(process), close: provider.Shutdown}, nil
 }
 
+// Off returns a tracer that makes no spans; a trace context that comes in goes on unchanged.
+func Off() *Tracer {
+	return &Tracer{tracer: noop.NewTracerProvider().Tracer(""), close: func(context.Context) error { return nil }}
+}
+
 func ratioOf(o Options) float64 {
 	if o.Ratio == nil {
 		return 1
@@ -98,7 +103,7 @@
 // Start begins the span of a hop; parent is the traceparent that came in, and may be empty.
 func (t *Tracer) Start(ctx context.Context, name, parent string, attrs ...attribute.KeyValue) (context.Context, Span) {
 	if parent != "" && !trace.SpanContextFromContext(ctx).IsValid() {
-		ctx = t.prop.Extract(ctx, propagation.MapCarrier{headerName: parent})
+		ctx = t.prop.Extract(ctx, propagation.MapCarrier{HeaderName: parent})
 	}
 	ctx, span := t.tracer.Start(ctx, name, trace.WithAttributes(attrs...))
 	return ctx, Span{span, parent}
