--- a/cmd/cardamomyoke-agent/main.go
+++ b/cmd/cardamomyoke-agent/main.go
@@ -10,10 +10,10 @@
 
 	"github.com/go-kit/log"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/agent"
-	"github.com/cardamomyoke/cardamomyoke/internal/logging"
-	"github.com/cardamomyoke/cardamomyoke/internal/program"
-	"github.com/cardamomyoke/cardamomyoke/internal/settings"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/logging"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/program"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/settings"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/agent"
 	"github.com/cardamomyoke/cardamomyoke/platform/engine"
 )
 
--- a/cmd/cardamomyoke-bench/main.go
+++ b/cmd/cardamomyoke-bench/main.go
@@ -6,21 +6,21 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/claims"
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/config"
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/demo"
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/load"
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/mapswitch"
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/pages"
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/policy"
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/quarantine"
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/rebalance"
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/slopes"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/claims"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/demo"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/load"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/mapswitch"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/pages"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/policy"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/rebalance"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/slopes"
 )
 
 func main() {
 	app := kingpin.New("cardamomyoke-bench", "Load and experiments for cardamomyoke.")
-	// Each experiment lives in its own package below internal/bench and adds its command here with Register(app).
+	// Each experiment lives in its own package below internal/testing/bench and adds its command here with Register(app).
 	claims.Register(app)
 	config.Register(app)
 	demo.Register(app)
--- a/cmd/cardamomyoke-gateway/main.go
+++ b/cmd/cardamomyoke-gateway/main.go
@@ -15,12 +15,12 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/agent"
-	"github.com/cardamomyoke/cardamomyoke/internal/gateway"
-	"github.com/cardamomyoke/cardamomyoke/internal/logging"
-	"github.com/cardamomyoke/cardamomyoke/internal/program"
-	"github.com/cardamomyoke/cardamomyoke/internal/settings"
-	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/logging"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/program"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/settings"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/tracing"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/agent"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/gateway"
 	"github.com/cardamomyoke/cardamomyoke/platform"
 	"github.com/cardamomyoke/cardamomyoke/platform/engine"
 )
--- a/cmd/cardamomyoke-slot/main.go
+++ b/cmd/cardamomyoke-slot/main.go
@@ -4,8 +4,8 @@
 import (
 	"os"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/daemon/slotmain"
-	"github.com/cardamomyoke/cardamomyoke/internal/program"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/program"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/daemon/slotmain"
 )
 
 func main() {
--- a/cmd/cardamomyoke-standin/main.go
+++ b/cmd/cardamomyoke-standin/main.go
@@ -14,9 +14,9 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/standin/engine"
-	"github.com/cardamomyoke/cardamomyoke/internal/standin/plain"
-	"github.com/cardamomyoke/cardamomyoke/internal/standin/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/standin/engine"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/standin/plain"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/standin/platform"
 )
 
 func main() {
--- a/cmd/cardamomyokectl/main.go
+++ b/cmd/cardamomyokectl/main.go
@@ -4,7 +4,7 @@
 import (
 	"os"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ctl"
+	"github.com/cardamomyoke/cardamomyoke/internal/tool/ctl"
 )
 
 func main() {
--- a/internal/controlport/controlport.go
+++ b/internal/base/controlport/controlport.go
@@ -13,7 +13,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/keys"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/keys"
 )
 
 // Port is the listener for RPC, metrics and health of a daemon.
--- a/internal/failure/doc_test.go
+++ b/internal/base/failure/doc_test.go
@@ -6,12 +6,12 @@
 	"strings"
 	"testing"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
 )
 
 // TestEveryCodeIsInTheAPIPage holds docs/api.md to the table of codes.
 func TestEveryCodeIsInTheAPIPage(t *testing.T) {
-	page, err := os.ReadFile("../../docs/api.md")
+	page, err := os.ReadFile("../../../docs/api.md")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/failure/failure_test.go
+++ b/internal/base/failure/failure_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"testing"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
 )
 
 func TestNotRunCodesCarryAProof(t *testing.T) {
--- a/internal/httpclient/client_test.go
+++ b/internal/base/httpclient/client_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
 )
 
 // peer is a server that answers each connection's requests by script: one text for each request, "" to hang up.
--- a/internal/httpserver/conn.go
+++ b/internal/base/httpserver/conn.go
@@ -8,8 +8,8 @@
 
 	"github.com/panjf2000/gnet/v2"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/steady"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/steady"
 )
 
 // maxPipelined is how many bytes a caller may send ahead while a request runs.
--- a/internal/httpserver/exchange.go
+++ b/internal/base/httpserver/exchange.go
@@ -9,7 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
 )
 
 // Header names of typed failures; docs/api.md lists them.
--- a/internal/httpserver/limits.go
+++ b/internal/base/httpserver/limits.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/settings"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/settings"
 )
 
 // Limits are the static settings that keep one caller from harming others. Zero values mean the defaults.
--- a/internal/httpserver/parse.go
+++ b/internal/base/httpserver/parse.go
@@ -10,7 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
 )
 
 var (
--- a/internal/httpserver/parse_test.go
+++ b/internal/base/httpserver/parse_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
 )
 
 func FuzzCut(f *testing.F) {
--- a/internal/httpserver/server.go
+++ b/internal/base/httpserver/server.go
@@ -11,9 +11,9 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/gnetlog"
-	"github.com/cardamomyoke/cardamomyoke/internal/steady"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/gnetlog"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/steady"
 )
 
 // Handler answers one request. It must call Respond once, or Stream and then End; ctx ends when the caller goes away.
--- a/internal/httpserver/server_test.go
+++ b/internal/base/httpserver/server_test.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
-	"github.com/cardamomyoke/cardamomyoke/internal/settings"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/settings"
 )
 
 // start serves h on a free port and returns its address.
--- a/internal/ids/ids_test.go
+++ b/internal/base/ids/ids_test.go
@@ -4,7 +4,7 @@
 	"errors"
 	"testing"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 func FuzzParseAttempt(f *testing.F) {
--- a/internal/keys/keys.go
+++ b/internal/base/keys/keys.go
@@ -20,7 +20,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/settings"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/settings"
 )
 
 // reloadPeriod is how often files are compared with what is in use.
--- a/internal/keys/keys_test.go
+++ b/internal/base/keys/keys_test.go
@@ -15,10 +15,10 @@
 	"connectrpc.com/connect"
 	"github.com/go-kit/log"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/base/keys"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/keys/keystest"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
-	"github.com/cardamomyoke/cardamomyoke/internal/keys"
-	"github.com/cardamomyoke/cardamomyoke/internal/keys/keystest"
 )
 
 // answering takes every call that the guard and the interceptor let through.
--- a/internal/keys/keystest/keystest.go
+++ b/internal/base/keys/keystest/keystest.go
@@ -16,7 +16,7 @@
 
 	"github.com/go-kit/log"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/keys"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/keys"
 )
 
 // Authority issues certificates.
--- a/internal/logging/bounded_test.go
+++ b/internal/base/logging/bounded_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/go-kit/log"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/logging"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/logging"
 )
 
 // Load triples for a second. The log stays as long as it is bounded to be, and the first line of the next second tells how
--- a/internal/logging/logging_test.go
+++ b/internal/base/logging/logging_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/logging"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/logging"
 )
 
 func TestLevelAndFormat(t *testing.T) {
--- a/internal/program/program.go
+++ b/internal/base/program/program.go
@@ -11,7 +11,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/settings"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/settings"
 )
 
 // Exit codes of all programs; scripts compare them.
--- a/internal/settings/settings_test.go
+++ b/internal/base/settings/settings_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/settings"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/settings"
 )
 
 type example struct {
--- a/internal/settings/watch_test.go
+++ b/internal/base/settings/watch_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/settings"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/settings"
 )
 
 // named is a settings value with one key, which must be set.
--- a/internal/tracing/tracing_test.go
+++ b/internal/base/tracing/tracing_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/tracing"
 )
 
 // span is the part of an exported span that the tests look at.
--- a/internal/expertmap/errors.go
+++ b/internal/experts/expertmap/errors.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/charts"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/charts"
 )
 
 // FailedError says that a switch was not made, or not seen to be made.
--- a/internal/expertmap/group_test.go
+++ b/internal/experts/expertmap/group_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // fataler is what the tests of this package and of rapid have in common.
--- a/internal/expertmap/history.go
+++ b/internal/experts/expertmap/history.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/charts"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/charts"
 )
 
 // historyLength bounds what a slot remembers for operators.
--- a/internal/expertmap/messages.go
+++ b/internal/experts/expertmap/messages.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // Reason says why a slot refused a proposal or could not stage a map.
--- a/internal/expertmap/node/engine.go
+++ b/internal/experts/expertmap/node/engine.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap"
 )
 
 // Engine is the rank's engine as the slot sees it. What safety rests on:
--- a/internal/expertmap/node/hub.go
+++ b/internal/experts/expertmap/node/hub.go
@@ -7,9 +7,9 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap"
 	pb "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 )
 
 // Hub serves ExpertMapService: it hands messages to the slots and proposers of its process.
--- a/internal/expertmap/node/node_test.go
+++ b/internal/experts/expertmap/node/node_test.go
@@ -11,10 +11,10 @@
 	"github.com/go-kit/log"
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/control"
-	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/control"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap"
 	pb "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 )
 
 func TestEveryMessageSurvivesTheWire(t *testing.T) {
--- a/internal/expertmap/node/proposer.go
+++ b/internal/experts/expertmap/node/proposer.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap"
 )
 
 // ProposerOptions are what a proposer is made of.
--- a/internal/expertmap/node/slot.go
+++ b/internal/experts/expertmap/node/slot.go
@@ -8,8 +8,8 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap"
 )
 
 // Loop is a control loop; control.Loop is one. Posted functions run one after the other.
--- a/internal/expertmap/node/transport.go
+++ b/internal/experts/expertmap/node/transport.go
@@ -7,10 +7,10 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap"
 	pb "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 )
 
 // Transport carries messages between processes. It may lose, copy, delay and reorder them, and never waits.
--- a/internal/expertmap/node/wire.go
+++ b/internal/experts/expertmap/node/wire.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap"
 	pb "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 )
 
 // BodyError says that an envelope carries no message that this version knows.
--- a/internal/expertmap/proposer.go
+++ b/internal/experts/expertmap/proposer.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/charts"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/charts"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 var proposerChart = charts.MustLoad("map_proposer")
--- a/internal/expertmap/random_test.go
+++ b/internal/experts/expertmap/random_test.go
@@ -9,7 +9,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // TestMain fixes the length of the random tests; their seeds are fixed in checkSeeds, so each run gives one verdict.
--- a/internal/expertmap/replay_test.go
+++ b/internal/experts/expertmap/replay_test.go
@@ -186,7 +186,7 @@
 	var plan struct {
 		Runs []struct{ Name, Mutant string } `yaml:"runs"`
 	}
-	text, err := os.ReadFile("../../spec/expertmap.yaml")
+	text, err := os.ReadFile("../../../spec/expertmap.yaml")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/expertmap/slot.go
+++ b/internal/experts/expertmap/slot.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/charts"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/charts"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 var slotChart = charts.MustLoad("map_slot")
--- a/internal/expertmap/types.go
+++ b/internal/experts/expertmap/types.go
@@ -6,7 +6,7 @@
 	"math"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // Rank numbers the members of a group from 0.
--- a/internal/lockstep/balance_test.go
+++ b/internal/experts/lockstep/balance_test.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"testing"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/lockstep"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/lockstep"
 )
 
 // popularity is a Zipf-like demand for experts, dealt in random order.
--- a/internal/lockstep/conductor.go
+++ b/internal/experts/lockstep/conductor.go
@@ -8,8 +8,8 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 const (
--- a/internal/lockstep/fleet_test.go
+++ b/internal/experts/lockstep/fleet_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/go-kit/log"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/lockstep"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/lockstep"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 // site is a service with several groups, whose ranks have the same numbers.
--- a/internal/lockstep/group_test.go
+++ b/internal/experts/lockstep/group_test.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"slices"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/lockstep"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/lockstep"
 )
 
 // rank is an engine as the platform's pages describe it, reduced to what a switch touches.
--- a/internal/lockstep/policy.go
+++ b/internal/experts/lockstep/policy.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 // Options say when a switch earns its cost.
--- a/internal/lockstep/ranks.go
+++ b/internal/experts/lockstep/ranks.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 // Ranks reaches the engines of a group. Calls are bounded in time by the implementation.
--- a/internal/lockstep/roster.go
+++ b/internal/experts/lockstep/roster.go
@@ -5,8 +5,8 @@
 	"slices"
 	"sync"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 // maxRosterReads is how many upstreams are asked for their group at once.
--- a/internal/lockstep/switch.go
+++ b/internal/experts/lockstep/switch.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/charts"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/charts"
 )
 
 var chart = charts.MustLoad("map_orders")
--- a/internal/lockstep/switch_test.go
+++ b/internal/experts/lockstep/switch_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/lockstep"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/lockstep"
 )
 
 var seeds = flag.Int("lockstep.seeds", 400, "random runs of two leaders against one group")
--- a/internal/placement/bench_test.go
+++ b/internal/experts/placement/bench_test.go
@@ -3,8 +3,8 @@
 import (
 	"testing"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/placement"
-	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement/expert"
 )
 
 // BenchmarkObserve takes in one rank's report of a group of the size that the product is to carry.
--- a/internal/placement/decision.go
+++ b/internal/experts/placement/decision.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement/expert"
 )
 
 // PlanTimeout is when the caller gives up a plan of CauseSkew whose weights are not all loaded, and asks anew. Failure: a
--- a/internal/placement/drain.go
+++ b/internal/experts/placement/drain.go
@@ -5,7 +5,7 @@
 	"math"
 	"slices"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement/expert"
 )
 
 // drain takes every expert from the stalled ranks, whatever it costs: the group cannot complete a step with them. Only
--- a/internal/placement/expert/expert_test.go
+++ b/internal/experts/placement/expert/expert_test.go
@@ -9,7 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement/expert"
 )
 
 // TestMain fixes the seed of the random tests, so that each run gives one verdict.
--- a/internal/placement/improve.go
+++ b/internal/experts/placement/improve.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement/expert"
 )
 
 const (
--- a/internal/placement/options.go
+++ b/internal/experts/placement/options.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement/expert"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
 )
 
 // gigabyte is the unit of movement that Options.MoveWeight prices.
--- a/internal/placement/pack.go
+++ b/internal/experts/placement/pack.go
@@ -6,7 +6,7 @@
 	"math"
 	"slices"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement/expert"
 )
 
 // RoomError says that the ranks that work have too little memory for every expert.
--- a/internal/placement/placement_test.go
+++ b/internal/experts/placement/placement_test.go
@@ -13,8 +13,8 @@
 	"gonum.org/v1/gonum/floats"
 	"pgregory.net/rapid"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/placement"
-	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement/expert"
 )
 
 var (
--- a/internal/placement/popularity.go
+++ b/internal/experts/placement/popularity.go
@@ -5,7 +5,7 @@
 
 	"gonum.org/v1/gonum/floats"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement/expert"
 )
 
 const (
--- a/internal/placement/popularity_test.go
+++ b/internal/experts/placement/popularity_test.go
@@ -8,7 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 	"gonum.org/v1/gonum/floats"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement/expert"
 )
 
 var pair = expert.Shape{Ranks: 2, Experts: 2, Layers: 1}
--- a/internal/placement/staging/staging_test.go
+++ b/internal/experts/placement/staging/staging_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/placement/staging"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement/staging"
 )
 
 const step = 6 * time.Millisecond
--- a/internal/placement/stall_test.go
+++ b/internal/experts/placement/stall_test.go
@@ -6,7 +6,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/placement"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement"
 )
 
 // A rank hangs in the middle of a step. Callers see their streams stop: in lock-step the other ranks wait at the barrier
--- a/internal/rebalance/audit_test.go
+++ b/internal/experts/rebalance/audit_test.go
@@ -9,13 +9,13 @@
 
 	"github.com/go-kit/log"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/audit"
-	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/rebalance"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/rebalance"
-	platform "github.com/cardamomyoke/cardamomyoke/internal/standin/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/audit"
+	platform "github.com/cardamomyoke/cardamomyoke/internal/testing/standin/platform"
 )
 
 // empty are ranks without a map.
--- a/internal/rebalance/directory.go
+++ b/internal/experts/rebalance/directory.go
@@ -7,10 +7,10 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 )
 
 // UnknownRankError says that the roster names no slot for a rank.
--- a/internal/rebalance/group.go
+++ b/internal/experts/rebalance/group.go
@@ -9,13 +9,13 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/audit"
-	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement/expert"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/placement"
-	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/audit"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 // Ranks asks the slot of each rank for its report, without the counts of the window that is known already.
--- a/internal/rebalance/group_test.go
+++ b/internal/experts/rebalance/group_test.go
@@ -13,17 +13,17 @@
 
 	"github.com/go-kit/log"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/control"
-	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
-	"github.com/cardamomyoke/cardamomyoke/internal/expertmap/node"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/control"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap/node"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/rebalance"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/loopback"
-	"github.com/cardamomyoke/cardamomyoke/internal/rank"
-	"github.com/cardamomyoke/cardamomyoke/internal/rebalance"
-	"github.com/cardamomyoke/cardamomyoke/internal/standin/group"
-	"github.com/cardamomyoke/cardamomyoke/internal/standin/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/rank"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/loopback"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/standin/group"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/standin/platform"
 )
 
 const (
--- a/internal/rebalance/runner.go
+++ b/internal/experts/rebalance/runner.go
@@ -8,16 +8,16 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/audit"
-	"github.com/cardamomyoke/cardamomyoke/internal/config"
-	"github.com/cardamomyoke/cardamomyoke/internal/control"
-	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
-	"github.com/cardamomyoke/cardamomyoke/internal/expertmap/node"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/control"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap/node"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/lease"
-	"github.com/cardamomyoke/cardamomyoke/internal/lease/keeper"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/audit"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/lease"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/lease/keeper"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 const (
--- a/internal/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -9,11 +9,11 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/controlport"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/controlport"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/logging"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/settings"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/lockstep"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
-	"github.com/cardamomyoke/cardamomyoke/internal/lockstep"
-	"github.com/cardamomyoke/cardamomyoke/internal/logging"
-	"github.com/cardamomyoke/cardamomyoke/internal/settings"
 )
 
 // Settings are the static settings of an agent.
--- a/internal/agent/agent_test.go
+++ b/internal/node/agent/agent_test.go
@@ -12,10 +12,10 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/agent"
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/lockstep"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
-	"github.com/cardamomyoke/cardamomyoke/internal/lockstep"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/agent"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 // errLost stands for an order that got no answer.
--- a/internal/agent/codec.go
+++ b/internal/node/agent/codec.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/lockstep"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/lockstep"
 )
 
 // replies are the answers of ranks as they are sent; one that was lost is unspecified.
--- a/internal/agent/memory.go
+++ b/internal/node/agent/memory.go
@@ -3,8 +3,8 @@
 import (
 	"sync"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/lockstep"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/lockstep"
 )
 
 // keptMaps is how many maps are remembered: the one in use, the one being prepared, and one that was given up.
--- a/internal/agent/server.go
+++ b/internal/node/agent/server.go
@@ -8,11 +8,11 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/steady"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/lockstep"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
-	"github.com/cardamomyoke/cardamomyoke/internal/lockstep"
-	"github.com/cardamomyoke/cardamomyoke/internal/steady"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 // Server passes calls on to the rank beside it. It implements the AgentService.
--- a/internal/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -8,8 +8,8 @@
 	"github.com/alecthomas/kingpin/v2"
 	"google.golang.org/protobuf/encoding/protojson"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/config"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
 )
 
 // FixedFlag adds the flag for a configuration that never changes, in place of the platform's, for measurements.
--- a/internal/daemon/entrymain/entrymain.go
+++ b/internal/node/daemon/entrymain/entrymain.go
@@ -10,18 +10,18 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/go-kit/log"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/daemon"
-	"github.com/cardamomyoke/cardamomyoke/internal/entry"
-	"github.com/cardamomyoke/cardamomyoke/internal/expertmap/node"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/program"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/settings"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap/node"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/rebalance"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/lease/keeper"
-	"github.com/cardamomyoke/cardamomyoke/internal/operator"
-	"github.com/cardamomyoke/cardamomyoke/internal/program"
-	"github.com/cardamomyoke/cardamomyoke/internal/rebalance"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision"
-	"github.com/cardamomyoke/cardamomyoke/internal/settings"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/daemon"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/entry"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/operator"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/lease/keeper"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision"
 )
 
 // Program returns the entry daemon.
--- a/internal/daemon/frame.go
+++ b/internal/node/daemon/frame.go
@@ -10,9 +10,9 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/keys"
-	"github.com/cardamomyoke/cardamomyoke/internal/logging"
-	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/keys"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/logging"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/tracing"
 )
 
 // FrameOptions are the settings that all daemons have.
--- a/internal/daemon/node.go
+++ b/internal/node/daemon/node.go
@@ -12,17 +12,17 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/audit"
-	"github.com/cardamomyoke/cardamomyoke/internal/audit/writer"
-	"github.com/cardamomyoke/cardamomyoke/internal/config"
-	"github.com/cardamomyoke/cardamomyoke/internal/control"
-	"github.com/cardamomyoke/cardamomyoke/internal/controlport"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/keys"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
-	"github.com/cardamomyoke/cardamomyoke/internal/rebalance"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision/agent"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/control"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/controlport"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/keys"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/rebalance"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/audit"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/audit/writer"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision/agent"
 )
 
 const (
--- a/internal/daemon/node_test.go
+++ b/internal/node/daemon/node_test.go
@@ -10,14 +10,14 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/daemon"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/keys"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/keys/keystest"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/keys"
-	"github.com/cardamomyoke/cardamomyoke/internal/keys/keystest"
-	"github.com/cardamomyoke/cardamomyoke/internal/loopback"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision/agent"
-	standin "github.com/cardamomyoke/cardamomyoke/internal/standin/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/daemon"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision/agent"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/loopback"
+	standin "github.com/cardamomyoke/cardamomyoke/internal/testing/standin/platform"
 )
 
 // bound ends a test that would otherwise hang; it measures nothing.
--- a/internal/daemon/slotmain/slotmain.go
+++ b/internal/node/daemon/slotmain/slotmain.go
@@ -9,16 +9,16 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/go-kit/log"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/daemon"
-	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
-	"github.com/cardamomyoke/cardamomyoke/internal/expertmap/node"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/program"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/settings"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap/node"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
-	"github.com/cardamomyoke/cardamomyoke/internal/program"
-	"github.com/cardamomyoke/cardamomyoke/internal/rank"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision"
-	"github.com/cardamomyoke/cardamomyoke/internal/settings"
-	"github.com/cardamomyoke/cardamomyoke/internal/slot"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/daemon"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/rank"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/slot"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision"
 )
 
 // Program returns the slot daemon.
--- a/internal/entry/addresses.go
+++ b/internal/node/entry/addresses.go
@@ -8,8 +8,8 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
 )
 
 // AddressAnswer is the JSON body of GET /v1/addresses.
--- a/internal/entry/audit.go
+++ b/internal/node/entry/audit.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/audit"
-	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/audit"
 )
 
 // hearSuspects takes in what a digest says of requests that crash their upstreams, and records which are refused here
--- a/internal/entry/audit_test.go
+++ b/internal/node/entry/audit_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/audit"
-	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/audit"
 )
 
 // A request crashes an upstream among others, then one that it ran on alone for a probe; the news come twice. Only the
--- a/internal/entry/handler.go
+++ b/internal/node/entry/handler.go
@@ -11,14 +11,14 @@
 	"github.com/valyala/fasthttp"
 	"go.opentelemetry.io/otel/attribute"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/admission"
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/health"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
-	"github.com/cardamomyoke/cardamomyoke/internal/retry"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/admission"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/health"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/retry"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing"
 )
 
 // headerRequest names a request towards its caller, over all attempts.
--- a/internal/entry/model.go
+++ b/internal/node/entry/model.go
@@ -10,11 +10,11 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/attempt"
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/attempt"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing"
 )
 
 // modelAnswer follows one caller's answer over all attempts.
--- a/internal/entry/plain.go
+++ b/internal/node/entry/plain.go
@@ -4,9 +4,9 @@
 	"context"
 	"io"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing"
 )
 
 // plainAnswer is a plain service's whole answer.
--- a/internal/entry/request.go
+++ b/internal/node/entry/request.go
@@ -13,13 +13,13 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/attempt"
-	"github.com/cardamomyoke/cardamomyoke/internal/config"
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing/prefix"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/attempt"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing/prefix"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
 )
 
 // Paths and header fields of callers.
--- a/internal/entry/request_test.go
+++ b/internal/node/entry/request_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/config"
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
 )
 
 // secretHash is the SHA-256 of "hunter".
--- a/internal/entry/status_test.go
+++ b/internal/node/entry/status_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/go-kit/log"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/admission/limits"
-	"github.com/cardamomyoke/cardamomyoke/internal/config"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/admission/limits"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
 )
 
 // An operator drains a healthy upstream and looks at the status: it must not look as if it still took work.
--- a/internal/entry/usage.go
+++ b/internal/node/entry/usage.go
@@ -7,9 +7,9 @@
 
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/admission/limits"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/admission/limits"
 )
 
 // usageEvery is the time between two reports of what clients ask for.
--- a/internal/entry/view.go
+++ b/internal/node/entry/view.go
@@ -3,11 +3,11 @@
 import (
 	"slices"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/admission"
-	"github.com/cardamomyoke/cardamomyoke/internal/config"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/retry"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/admission"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/retry"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
 )
 
 // view is what requests see of the entry's control state. It is immutable, but for the gates and budgets that its
--- a/internal/gateway/dialect.go
+++ b/internal/node/gateway/dialect.go
@@ -5,9 +5,9 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 // Call is what a caller's request says in its header, beside what the upstream gets unchanged.
--- /dev/null
+++ b/internal/node/gateway/errors.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"fmt"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+)
+
+// RefusedError says that an upstream refused an attempt and promised that it did not run.
+type RefusedError struct {
+	Upstream ids.Upstream
+	Status   int
+	// Culprit is the upstream at fault, if it is another.
+	Culprit ids.Upstream
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("%s refused before the start with %d", e.Upstream, e.Status)
+}
+
+// AnswerError says that an upstream's answer cannot be given to the caller.
+type AnswerError struct {
+	Upstream ids.Upstream
+	Status   int
+	Reason   string
+}
+
+// Error implements error.
+func (e *AnswerError) Error() string {
+	return fmt.Sprintf("%s answered %d: %s", e.Upstream, e.Status, e.Reason)
+}
+
+// FailedError says that an upstream ran the request and answered with a failure of its own.
+type FailedError struct {
+	Upstream ids.Upstream
+	Status   int
+}
+
+// Error implements error.
+func (e *FailedError) Error() string { return fmt.Sprintf("%s failed with %d", e.Upstream, e.Status) }
--- a/internal/gateway/experts.go
+++ b/internal/node/gateway/experts.go
@@ -9,13 +9,13 @@
 
 	"github.com/go-kit/log"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/lockstep"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/lease"
-	"github.com/cardamomyoke/cardamomyoke/internal/lease/keeper"
-	"github.com/cardamomyoke/cardamomyoke/internal/lockstep"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/lease"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/lease/keeper"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 const (
--- a/internal/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -3,28 +3,22 @@
 import (
 	"cmp"
 	"context"
-	"errors"
-	"fmt"
-	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
-	"github.com/cardamomyoke/cardamomyoke/internal/control"
-	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/lockstep"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
-	"github.com/cardamomyoke/cardamomyoke/internal/replica"
-	"github.com/cardamomyoke/cardamomyoke/internal/retry"
-	"github.com/cardamomyoke/cardamomyoke/internal/settings"
-	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/control"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/settings"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/tracing"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/lockstep"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/replica"
 )
 
 const (
@@ -243,77 +237,6 @@
 	return next
 }
 
-// updateServices gives each service's gate its upstreams and options.
-func (g *Gateway) updateServices(now time.Time) {
-	if g.control.config == nil {
-		return
-	}
-	next := make(map[ids.Service]*service, len(g.control.config.Services))
-	for name, c := range g.control.config.Services {
-		s := g.control.services[name]
-		if s == nil {
-			rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-			s = &service{gate: dispatch.NewGate(dispatch.NewPool(dispatch.Options{}, rng)), budget: retry.NewWindow()}
-			g.watchGroup(s, c)
-			g.metrics.watchService(g, name)
-		}
-		s.gate.SetOptions(optionsOf(c))
-		s.gate.SetUpstreams(g.control.upstreams.Of(name))
-		s.budget.SetBound(g.retryBound(now))
-		next[name] = s
-	}
-	g.control.services = next
-}
-
-// watchGroup sets up the watch over a service whose upstreams are ranks of a group. A gateway that starts does not know
-// whether the group works: it may start because all hosts lost power.
-func (g *Gateway) watchGroup(s *service, c *catalog.Service) {
-	if c.Engine == nil || c.Engine.Experts == nil {
-		return
-	}
-	s.group = &groupWatch{
-		ranks:        g.ranks,
-		gate:         s.gate,
-		logger:       log.With(g.logger, "service", c.Name),
-		ranksWatched: map[ids.Upstream]bool{},
-		upstreams: func() []*catalog.Upstream {
-			return g.view.Load().upstreams.Of(c.Name)
-		},
-	}
-	s.group.doubt(g.ctx, nil, "start")
-}
-
-const (
-	// engineFill keeps what waits at the gateways: a request in an engine's own queue cannot go elsewhere.
-	engineFill = 1.0
-	// engineLateFill keeps slots free for requests that can still be answered in time: after an outage all that waited is
-	// late, and started at once it would make late what comes after it, too.
-	engineLateFill = 0.6
-	// plainFill lets a plain upstream queue a little, so that it does not idle for the way of the next request.
-	plainFill = 1.5
-)
-
-func optionsOf(c *catalog.Service) dispatch.Options {
-	if c.Engine != nil {
-		return dispatch.Options{Engine: c.Engine, Fill: engineFill, LateFill: engineLateFill}
-	}
-	return dispatch.Options{Fill: plainFill, LateFill: plainFill}
-}
-
-// retryBound is this gateway's part of what all gateways may retry.
-func (g *Gateway) retryBound(now time.Time) retry.Bound {
-	b := g.Settings().Bounds.Retries
-	nodes := 1 + g.peers.count(now)
-	return retry.Bound{Length: b.Window.Std(), Ratio: b.Ratio, Extra: extraKept * float64(b.Extra) / float64(nodes+spareNodes)}
-}
-
-const (
-	// extraKept leaves a rest of the fixed number for gateways that came and went within a window.
-	extraKept = 0.7
-	// spareNodes may come before all others have heard of them.
-	spareNodes = 2
-)
-
 // publish makes the present state visible to requests.
 func (g *Gateway) publish() {
 	g.view.Store(&view{
@@ -368,63 +291,5 @@
 	return kept
 }
 
-// Run serves until ctx ends, and then leaves in the order that cuts nothing off.
-func (g *Gateway) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return g.shutdown()
-}
-
-const (
-	// serveOn is the part of the grace time in which requests of callers that keep an old answer are still served: three
-	// times as long as an answer holds.
-	serveOn = 0.45
-	// leaveBefore is when the process ends at the latest, before it would be killed.
-	leaveBefore = 300 * time.Millisecond
-)
-
-func (g *Gateway) shutdown() error {
-	began := time.Now()
-	grace := g.Settings().Bounds.Grace.Std()
-	_ = level.Info(g.logger).Log("msg", "leaving", "grace", grace, "running", g.servers.callers.Busy())
-	g.become(stateLeaving)
-	time.Sleep(time.Duration(serveOn * float64(grace)))
-	g.become(stateClosing)
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-leaveBefore))
-	defer cancel()
-	err := g.servers.callers.Drain(ctx)
-	if err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		return fmt.Errorf("leave: %w", err)
-	}
-	_ = level.Info(g.logger).Log("msg", "stopped", "cut", g.servers.callers.Busy(), "after", time.Since(began))
-	g.Kill()
-	return nil
-}
-
-// become changes the node's state on the control loop and waits for it.
-func (g *Gateway) become(s nodeState) {
-	done := make(chan struct{})
-	g.loop.Post(func(now time.Time) {
-		g.control.node = s
-		g.publish()
-		// Before the others are told, so that they hear at once that a duty is free.
-		g.experts.tick(now)
-		g.peers.tellAll(now)
-		close(done)
-	})
-	<-done
-}
-
-// Kill ends the gateway at once, as a crash would.
-func (g *Gateway) Kill() {
-	g.cancel()
-	var wait sync.WaitGroup
-	for _, s := range []*httpserver.Server{g.servers.callers, g.servers.directory, g.servers.readiness} {
-		wait.Go(func() { _ = s.Stop(context.Background()) })
-	}
-	wait.Go(g.peers.stop)
-	wait.Wait()
-	g.client.Close()
-}
-
 // Busy returns how many callers' requests are running.
 func (g *Gateway) Busy() int { return g.servers.callers.Busy() }
--- a/internal/gateway/groupwatch.go
+++ b/internal/node/gateway/groupwatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -9,11 +10,12 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
-	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/lockstep"
-	"github.com/cardamomyoke/cardamomyoke/internal/steady"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/steady"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/lockstep"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 const (
@@ -155,3 +157,16 @@
 	}
 	return groupLaggingOpen
 }
+
+// doubtGroup has the group looked at if an attempt failed as it does at a broken group: refused, or cut off.
+func (n *run) doubtGroup(u *catalog.Upstream, err error) {
+	var refused *RefusedError
+	var broken *httpclient.BrokenError
+	switch {
+	case n.service.group == nil || err == nil:
+	case errors.As(err, &refused) && refused.Status != statusOtherInstance:
+		n.service.group.doubt(n.g.ctx, u, "refused")
+	case errors.As(err, &broken) && n.x.Answered():
+		n.service.group.doubt(n.g.ctx, u, "cut off")
+	}
+}
--- a/internal/gateway/groupwatch_test.go
+++ b/internal/node/gateway/groupwatch_test.go
@@ -10,10 +10,10 @@
 
 	"github.com/go-kit/log"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
-	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/lockstep"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/lockstep"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 // fakeRanks report the group of each rank; only Report is used.
--- a/internal/gateway/handler.go
+++ b/internal/node/gateway/handler.go
@@ -9,11 +9,11 @@
 	"github.com/valyala/fasthttp"
 	"go.opentelemetry.io/otel/attribute"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/tracing"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 const (
--- a/internal/gateway/log.go
+++ b/internal/node/gateway/log.go
@@ -8,10 +8,10 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/logging"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/logging"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
 )
 
 // requestLogs are the bounded logs of what is decided about requests. Lines about requests that went wrong are fewer and
--- a/internal/gateway/metrics.go
+++ b/internal/node/gateway/metrics.go
@@ -6,9 +6,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
 )
 
 // gatewayMetrics are the counters of one gateway; docs/OPERATIONS.md explains them.
--- a/internal/gateway/news.go
+++ b/internal/node/gateway/news.go
@@ -10,8 +10,8 @@
 
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
-	"github.com/cardamomyoke/cardamomyoke/internal/replica"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/replica"
 )
 
 // catchUp pulls the tables of which the sender knows a newer change.
--- a/internal/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -8,11 +8,11 @@
 
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/controlport"
-	"github.com/cardamomyoke/cardamomyoke/internal/digest"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/controlport"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
-	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/digest"
 )
 
 const (
--- a/internal/gateway/plain.go
+++ b/internal/node/gateway/plain.go
@@ -6,9 +6,9 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
 )
 
 // maxHeldBytes is how much of an answer is held until it is whole. A longer one is relayed as it comes: it can no
--- a/internal/gateway/rankwatch.go
+++ b/internal/node/gateway/rankwatch.go
@@ -6,8 +6,8 @@
 
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
-	"github.com/cardamomyoke/cardamomyoke/internal/steady"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/steady"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 // rankWatchMost is the longest pause between two reads of a rank that refuses; the pause doubles from watchEvery. A rank
--- a/internal/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -8,13 +8,12 @@
 
 	"go.opentelemetry.io/otel/attribute"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
-	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 // run is one request on its way: its attempts, and what the caller has got so far.
@@ -46,40 +45,6 @@
 	return &run{g: g, x: x, r: r, service: v.services[r.service.Name], stream: relay{lastEvent: r.call.LastEvent}}
 }
 
-// RefusedError says that an upstream refused an attempt and promised that it did not run.
-type RefusedError struct {
-	Upstream ids.Upstream
-	Status   int
-	// Culprit is the upstream at fault, if it is another.
-	Culprit ids.Upstream
-}
-
-// Error implements error.
-func (e *RefusedError) Error() string {
-	return fmt.Sprintf("%s refused before the start with %d", e.Upstream, e.Status)
-}
-
-// AnswerError says that an upstream's answer cannot be given to the caller.
-type AnswerError struct {
-	Upstream ids.Upstream
-	Status   int
-	Reason   string
-}
-
-// Error implements error.
-func (e *AnswerError) Error() string {
-	return fmt.Sprintf("%s answered %d: %s", e.Upstream, e.Status, e.Reason)
-}
-
-// FailedError says that an upstream ran the request and answered with a failure of its own.
-type FailedError struct {
-	Upstream ids.Upstream
-	Status   int
-}
-
-// Error implements error.
-func (e *FailedError) Error() string { return fmt.Sprintf("%s failed with %d", e.Upstream, e.Status) }
-
 // maxUnreached is how many attempts may fail to reach any upstream before the request is given up.
 const maxUnreached = 4
 
@@ -116,27 +81,6 @@
 	}
 }
 
-// blame has the upstream asked whether it died of an attempt that broke off.
-func (n *run) blame(u *catalog.Upstream, err error) {
-	var broken *httpclient.BrokenError
-	if errors.As(err, &broken) {
-		n.g.suspects.brokeOff(n.g.ctx, n, u)
-	}
-}
-
-// doubtGroup has the group looked at if an attempt failed as it does at a broken group: refused, or cut off.
-func (n *run) doubtGroup(u *catalog.Upstream, err error) {
-	var refused *RefusedError
-	var broken *httpclient.BrokenError
-	switch {
-	case n.service.group == nil || err == nil:
-	case errors.As(err, &refused) && refused.Status != statusOtherInstance:
-		n.service.group.doubt(n.g.ctx, u, "refused")
-	case errors.As(err, &broken) && n.x.Answered():
-		n.service.group.doubt(n.g.ctx, u, "cut off")
-	}
-}
-
 // place is what the pool must know of the request's next attempt.
 func (n *run) place() dispatch.Request {
 	r := n.r
@@ -235,12 +179,6 @@
 	return ""
 }
 
-// suspected reports whether the request has run at so many deaths that it is left to its caller to send it once more.
-func (n *run) suspected() bool {
-	judged, _ := n.g.suspects.judge(n, time.Now())
-	return judged >= quarantine.Alone
-}
-
 // giveUp turns the last attempt's error into the caller's answer.
 func (n *run) giveUp(ctx context.Context, err error, reason string) error {
 	cause := fmt.Errorf("%s: %w", reason, err)
--- a/internal/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -9,10 +9,10 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
-	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/tracing"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 // statusOtherInstance is the answer of an upstream that is not the life that was asked for.
--- a/internal/gateway/settings.go
+++ b/internal/node/gateway/settings.go
@@ -6,10 +6,10 @@
 	"strconv"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/logging"
-	"github.com/cardamomyoke/cardamomyoke/internal/settings"
-	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/logging"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/settings"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/tracing"
 )
 
 // Settings are the static settings of a gateway.
--- /dev/null
+++ b/internal/node/gateway/shutdown.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
+)
+
+// Run serves until ctx ends, and then leaves in the order that cuts nothing off.
+func (g *Gateway) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return g.shutdown()
+}
+
+const (
+	// serveOn is the part of the grace time in which requests of callers that keep an old answer are still served: three
+	// times as long as an answer holds.
+	serveOn = 0.45
+	// leaveBefore is when the process ends at the latest, before it would be killed.
+	leaveBefore = 300 * time.Millisecond
+)
+
+func (g *Gateway) shutdown() error {
+	began := time.Now()
+	grace := g.Settings().Bounds.Grace.Std()
+	_ = level.Info(g.logger).Log("msg", "leaving", "grace", grace, "running", g.servers.callers.Busy())
+	g.become(stateLeaving)
+	time.Sleep(time.Duration(serveOn * float64(grace)))
+	g.become(stateClosing)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-leaveBefore))
+	defer cancel()
+	err := g.servers.callers.Drain(ctx)
+	if err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("leave: %w", err)
+	}
+	_ = level.Info(g.logger).Log("msg", "stopped", "cut", g.servers.callers.Busy(), "after", time.Since(began))
+	g.Kill()
+	return nil
+}
+
+// become changes the node's state on the control loop and waits for it.
+func (g *Gateway) become(s nodeState) {
+	done := make(chan struct{})
+	g.loop.Post(func(now time.Time) {
+		g.control.node = s
+		g.publish()
+		// Before the others are told, so that they hear at once that a duty is free.
+		g.experts.tick(now)
+		g.peers.tellAll(now)
+		close(done)
+	})
+	<-done
+}
+
+// Kill ends the gateway at once, as a crash would.
+func (g *Gateway) Kill() {
+	g.cancel()
+	var wait sync.WaitGroup
+	for _, s := range []*httpserver.Server{g.servers.callers, g.servers.directory, g.servers.readiness} {
+		wait.Go(func() { _ = s.Stop(context.Background()) })
+	}
+	wait.Go(g.peers.stop)
+	wait.Wait()
+	g.client.Close()
+}
--- a/internal/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -8,8 +8,8 @@
 	"strconv"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
 )
 
 // relay is what a caller has got of a stream.
--- a/internal/gateway/sums.go
+++ b/internal/node/gateway/sums.go
@@ -5,10 +5,10 @@
 	"slices"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
-	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 // maxAddresses is how many addresses one answer of the directory may name.
--- a/internal/gateway/suspects.go
+++ b/internal/node/gateway/suspects.go
@@ -13,10 +13,11 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 const (
@@ -161,3 +162,17 @@
 			"fingerprint", r.Fingerprint, "client", r.Client, "level", judged)
 	}
 }
+
+// blame has the upstream asked whether it died of an attempt that broke off.
+func (n *run) blame(u *catalog.Upstream, err error) {
+	var broken *httpclient.BrokenError
+	if errors.As(err, &broken) {
+		n.g.suspects.brokeOff(n.g.ctx, n, u)
+	}
+}
+
+// suspected reports whether the request has run at so many deaths that it is left to its caller to send it once more.
+func (n *run) suspected() bool {
+	judged, _ := n.g.suspects.judge(n, time.Now())
+	return judged >= quarantine.Alone
+}
--- a/internal/gateway/suspects_test.go
+++ b/internal/node/gateway/suspects_test.go
@@ -10,10 +10,10 @@
 	"github.com/go-kit/log"
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 func runOf(body string) *run {
--- a/internal/gateway/telling.go
+++ b/internal/node/gateway/telling.go
@@ -8,9 +8,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
 )
 
 // tick tells the others of this gateway when it is due.
--- a/internal/gateway/view.go
+++ b/internal/node/gateway/view.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
-	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/retry"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/retry"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 // view is what requests see of the control state. It is immutable, but for the gates and budgets of its services,
--- a/internal/gateway/watching.go
+++ b/internal/node/gateway/watching.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/lease"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/lease"
 )
 
 const (
--- a/internal/operator/errors.go
+++ b/internal/node/operator/errors.go
@@ -6,10 +6,10 @@
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/config"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision/store"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision/store"
 )
 
 // asConnect gives an error the code and the detail that clients act on:
--- a/internal/operator/operator.go
+++ b/internal/node/operator/operator.go
@@ -13,18 +13,18 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/audit"
-	"github.com/cardamomyoke/cardamomyoke/internal/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/lease"
-	"github.com/cardamomyoke/cardamomyoke/internal/lease/keeper"
-	"github.com/cardamomyoke/cardamomyoke/internal/order"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision/agent"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision/store"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/order"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/audit"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/lease"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/lease/keeper"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision/agent"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision/store"
 )
 
 const (
@@ -45,7 +45,7 @@
 	Audit Auditor
 }
 
-// Auditor keeps the audit; see internal/audit/writer.
+// Auditor keeps the audit; see internal/state/audit/writer.
 type Auditor interface {
 	// Committed is called after an entry of the log was committed; it does not wait.
 	Committed()
--- a/internal/operator/operator_test.go
+++ b/internal/node/operator/operator_test.go
@@ -14,15 +14,15 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/testing/protocmp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/control"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/control"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/operator"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision/agent"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision/memnet"
-	standin "github.com/cardamomyoke/cardamomyoke/internal/standin/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/operator"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision/agent"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision/memnet"
+	standin "github.com/cardamomyoke/cardamomyoke/internal/testing/standin/platform"
 )
 
 type fixture struct {
--- a/internal/operator/status.go
+++ b/internal/node/operator/status.go
@@ -7,13 +7,13 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/audit"
-	"github.com/cardamomyoke/cardamomyoke/internal/config"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/lease/keeper"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision/store"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/audit"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/lease/keeper"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision/store"
 )
 
 // tableUpWithin is how old the newest read of the table may be that a node heard of for the table to count as up.
--- a/internal/order/order.go
+++ b/internal/node/order/order.go
@@ -13,10 +13,10 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 const (
--- a/internal/rank/rank.go
+++ b/internal/node/rank/rank.go
@@ -14,10 +14,10 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 )
 
 // Paths of an engine's rank.
--- a/internal/slot/digests.go
+++ b/internal/node/slot/digests.go
@@ -7,12 +7,12 @@
 
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/digest"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/membership"
-	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/digest"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/membership"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision"
 )
 
 // digestTick is how often the slot looks who is due for a digest.
--- a/internal/slot/handler.go
+++ b/internal/node/slot/handler.go
@@ -8,13 +8,13 @@
 	"github.com/valyala/fasthttp"
 	"go.opentelemetry.io/otel/attribute"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/attempt"
-	"github.com/cardamomyoke/cardamomyoke/internal/config"
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/attempt"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
 )
 
 // job is one attempt on its way through the slot.
--- a/internal/slot/metrics.go
+++ b/internal/node/slot/metrics.go
@@ -5,7 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
 )
 
 // slotMetrics are the counters of one slot; docs/OPERATIONS.md explains them.
--- a/internal/slot/model.go
+++ b/internal/node/slot/model.go
@@ -13,11 +13,11 @@
 	"github.com/tmaxmax/go-sse"
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/attempt"
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/attempt"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing"
 )
 
 // The engine's protocol: an OpenAI-style completion with these header fields besides.
--- a/internal/slot/once.go
+++ b/internal/node/slot/once.go
@@ -6,11 +6,11 @@
 	"errors"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/claims"
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/claims"
 )
 
 // runOnce runs a request that may not be repeated: it starts only while this attempt holds the claim on its key.
--- a/internal/slot/orders.go
+++ b/internal/node/slot/orders.go
@@ -10,11 +10,11 @@
 	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/lease"
-	"github.com/cardamomyoke/cardamomyoke/internal/order"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/order"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/lease"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 const (
--- a/internal/slot/orders_test.go
+++ b/internal/node/slot/orders_test.go
@@ -9,13 +9,13 @@
 	"github.com/go-kit/log"
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
-	"github.com/cardamomyoke/cardamomyoke/internal/order"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
-	"github.com/cardamomyoke/cardamomyoke/internal/standin/engine"
-	standin "github.com/cardamomyoke/cardamomyoke/internal/standin/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/order"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/standin/engine"
+	standin "github.com/cardamomyoke/cardamomyoke/internal/testing/standin/platform"
 )
 
 // startOrders returns the orders of a slot beside an engine that ignores or honours fencing numbers.
--- a/internal/slot/plain.go
+++ b/internal/node/slot/plain.go
@@ -9,10 +9,10 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/attempt"
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/attempt"
 )
 
 // maxAnswerBytes is the largest answer of a plain service that is passed on.
--- a/internal/slot/settings.go
+++ b/internal/node/slot/settings.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/keys"
-	"github.com/cardamomyoke/cardamomyoke/internal/logging"
-	"github.com/cardamomyoke/cardamomyoke/internal/settings"
-	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/keys"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/logging"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/settings"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/tracing"
 )
 
 // Kind says what stands beside a slot.
--- a/internal/slot/slot.go
+++ b/internal/node/slot/slot.go
@@ -13,16 +13,16 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/attempt"
-	"github.com/cardamomyoke/cardamomyoke/internal/claims"
-	"github.com/cardamomyoke/cardamomyoke/internal/config"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
-	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision"
-	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/tracing"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/attempt"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/claims"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision"
 )
 
 // Deps are the parts that a slot uses.
--- a/internal/slot/upstream.go
+++ b/internal/node/slot/upstream.go
@@ -12,9 +12,9 @@
 	"github.com/go-kit/log/level"
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/attempt"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
-	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/attempt"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
 )
 
 const (
--- a/internal/slot/upstream_test.go
+++ b/internal/node/slot/upstream_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
 )
 
 // An engine dies in mid-stream because of the request that it runs. The caller's request is resumed elsewhere; unless
--- a/internal/slot/work.go
+++ b/internal/node/slot/work.go
@@ -4,9 +4,9 @@
 	"sync"
 	"time"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing"
 )
 
 // work counts what runs, for each entry that sent it, so that an entry can tell its own part from the others'.
--- a/internal/admission/classqueue.go
+++ b/internal/policy/admission/classqueue.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // flow is one client's requests of one class that wait, and what the client has had of its share.
--- a/internal/admission/estimate.go
+++ b/internal/policy/admission/estimate.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
 )
 
 // rateMeter measures work per second over a sliding window of two halves.
--- a/internal/admission/gate_test.go
+++ b/internal/policy/admission/gate_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/admission"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/admission"
 )
 
 // Many traffic goroutines share one gate. Each of them is settled once, and each place is given back, also by those
--- a/internal/admission/limits/book.go
+++ b/internal/policy/admission/limits/book.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // told is what one entry told of one client, and when.
--- a/internal/admission/limits/exchange.go
+++ b/internal/policy/admission/limits/exchange.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/dgryski/go-rendezvous"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // Record is one client's demand per second at one entry, or the sum over entries in an aggregator's answer.
--- a/internal/admission/limits/limiter.go
+++ b/internal/policy/admission/limits/limiter.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // Limit is what one client may use over all entries together; 0 means no limit.
--- a/internal/admission/limits/limiter_test.go
+++ b/internal/policy/admission/limits/limiter_test.go
@@ -11,9 +11,9 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/admission/limits"
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/admission/limits"
 )
 
 var begin = time.Unix(1000, 0)
--- a/internal/admission/limits/wire.go
+++ b/internal/policy/admission/limits/wire.go
@@ -5,8 +5,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 )
 
 const centi = 100
--- a/internal/admission/limits/wire_test.go
+++ b/internal/policy/admission/limits/wire_test.go
@@ -7,8 +7,8 @@
 	"github.com/google/go-cmp/cmp"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/admission/limits"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/admission/limits"
 )
 
 func TestReportsSurviveTheWire(t *testing.T) {
--- a/internal/admission/queue_test.go
+++ b/internal/policy/admission/queue_test.go
@@ -8,9 +8,9 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/admission"
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/admission"
 )
 
 const (
--- a/internal/attempt/attempt_test.go
+++ b/internal/policy/attempt/attempt_test.go
@@ -10,8 +10,8 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/attempt"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/attempt"
 )
 
 var (
--- a/internal/attempt/event.go
+++ b/internal/policy/attempt/event.go
@@ -8,8 +8,8 @@
 
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 )
 
 // Event is one token of a model's answer, or its end.
--- a/internal/attempt/header.go
+++ b/internal/policy/attempt/header.go
@@ -7,7 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // Paths that a slot serves to entries.
--- a/internal/attempt/table.go
+++ b/internal/policy/attempt/table.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/charts"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/charts"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // KeptFor is how long a finished or fenced attempt is remembered. It is longer than any deadline that a service may
--- a/internal/dispatch/gate.go
+++ b/internal/policy/dispatch/gate.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 // Gate is a Pool for the goroutines of requests. It is safe for concurrent use.
--- a/internal/dispatch/outlier.go
+++ b/internal/policy/dispatch/outlier.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // Outcome is how a placed request ended, as far as it speaks for or against its upstream.
--- a/internal/dispatch/pool.go
+++ b/internal/policy/dispatch/pool.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 // Request is what the pool knows of a request.
--- a/internal/dispatch/pool_test.go
+++ b/internal/policy/dispatch/pool_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
-	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 var start = time.Unix(0, 0)
--- a/internal/dispatch/replay_test.go
+++ b/internal/policy/dispatch/replay_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
-	"github.com/cardamomyoke/cardamomyoke/internal/dispatch"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 // replay plays a load against a pool: upstreams serve each request in the same time as long as they have slots, and
--- a/internal/dispatch/ticket.go
+++ b/internal/policy/dispatch/ticket.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 type ticketState int
--- a/internal/health/events.go
+++ b/internal/policy/health/events.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // Reason says what makes an upstream suspect.
--- a/internal/health/judge.go
+++ b/internal/policy/health/judge.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // judge looks for evidence against one upstream and moves its state accordingly.
--- a/internal/health/life.go
+++ b/internal/policy/health/life.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/charts"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/charts"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 const (
--- a/internal/health/tracker.go
+++ b/internal/policy/health/tracker.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/charts"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/charts"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // Options are the settings of a Tracker.
--- a/internal/health/tracker_test.go
+++ b/internal/policy/health/tracker_test.go
@@ -8,9 +8,9 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/charts"
-	"github.com/cardamomyoke/cardamomyoke/internal/health"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/charts"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/health"
 )
 
 const (
--- a/internal/quarantine/evidence.go
+++ b/internal/policy/quarantine/evidence.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 )
 
 // maxEvidence is the most crashes kept of one request; the newest stay.
--- a/internal/quarantine/fingerprint.go
+++ b/internal/policy/quarantine/fingerprint.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/dgryski/go-rendezvous"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // Fingerprint identifies a request by who sent it and what it says, so that a resend has the same one.
--- a/internal/quarantine/gate.go
+++ b/internal/policy/quarantine/gate.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // Gate is a Guard for the goroutines of a slot. It is safe for concurrent use.
--- a/internal/quarantine/keeper.go
+++ b/internal/policy/quarantine/keeper.go
@@ -7,8 +7,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 // KeeperOptions are the times and bounds of a Keeper.
--- a/internal/quarantine/keeper_test.go
+++ b/internal/policy/quarantine/keeper_test.go
@@ -7,8 +7,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/faulttest/memtable"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/faulttest/memtable"
 )
 
 // The caller of a poisonous request is refused at every entry, also at one that hears no digest and starts later, while
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/policy/quarantine/quarantine_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 const quarantineLength = time.Hour
--- a/internal/quarantine/snapshot.go
+++ b/internal/policy/quarantine/snapshot.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
 )
 
 // Snapshot is what a Tracker knew at one time, for traffic. It is immutable and safe for concurrent use; nil is one
--- a/internal/retry/session.go
+++ b/internal/policy/retry/session.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // Action is what follows a failed attempt.
--- a/internal/retry/session_test.go
+++ b/internal/policy/retry/session_test.go
@@ -9,9 +9,9 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/retry"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/retry"
 )
 
 var now = time.Unix(1000, 0)
--- a/internal/retry/stream_test.go
+++ b/internal/policy/retry/stream_test.go
@@ -7,7 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/retry"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/retry"
 )
 
 // The caller reads an answer while runner after runner breaks. Each new attempt goes on somewhere at or before the
--- a/internal/routing/expectedwait/expectedwait.go
+++ b/internal/policy/routing/expectedwait/expectedwait.go
@@ -14,7 +14,7 @@
 	"slices"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/routing"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing"
 )
 
 // Options are the policy's settings.
--- a/internal/routing/expectedwait/expectedwait_test.go
+++ b/internal/policy/routing/expectedwait/expectedwait_test.go
@@ -4,10 +4,10 @@
 	"testing"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing/expectedwait"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing/prefix"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing/expectedwait"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing/prefix"
 )
 
 var now = time.Unix(1000, 0)
--- a/internal/routing/leastrequests/leastrequests.go
+++ b/internal/policy/routing/leastrequests/leastrequests.go
@@ -4,7 +4,7 @@
 import (
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/routing"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing"
 )
 
 // Picker implements routing.Picker.
--- a/internal/routing/picker.go
+++ b/internal/policy/routing/picker.go
@@ -8,8 +8,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // Request is what a policy may know about a request.
--- a/internal/routing/picker_test.go
+++ b/internal/policy/routing/picker_test.go
@@ -9,12 +9,12 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing/leastrequests"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing/randomtwo"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing/roundrobin"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing/leastrequests"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing/randomtwo"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing/roundrobin"
 )
 
 var now = time.Unix(1000, 0)
--- a/internal/routing/prefix/prefix_test.go
+++ b/internal/policy/routing/prefix/prefix_test.go
@@ -6,7 +6,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/routing/prefix"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing/prefix"
 )
 
 func TestEqualHashesMeanEqualPrefixes(t *testing.T) {
--- a/internal/routing/randomtwo/randomtwo.go
+++ b/internal/policy/routing/randomtwo/randomtwo.go
@@ -5,7 +5,7 @@
 import (
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/routing"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing"
 )
 
 // Picker implements routing.Picker.
--- a/internal/routing/upstream.go
+++ b/internal/policy/routing/upstream.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing/prefix"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing/prefix"
 )
 
 // Upstream is the state of one upstream as one entry sees it. It is immutable once it is in a picker, but for Work
--- a/internal/routing/work_test.go
+++ b/internal/policy/routing/work_test.go
@@ -6,7 +6,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/routing"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing"
 )
 
 func TestFlightMovesThroughTheCounts(t *testing.T) {
--- a/internal/audit/audit_test.go
+++ b/internal/state/audit/audit_test.go
@@ -9,7 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/audit"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/audit"
 )
 
 // whole is an audit without fault: two nodes' chains, the changes and the register.
--- a/internal/audit/writer/auditor.go
+++ b/internal/state/audit/writer/auditor.go
@@ -10,9 +10,9 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/audit"
-	"github.com/cardamomyoke/cardamomyoke/internal/lease"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/audit"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/lease"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision"
 )
 
 const (
--- a/internal/audit/writer/changes.go
+++ b/internal/state/audit/writer/changes.go
@@ -11,12 +11,12 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/reflect/protoreflect"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/audit"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision/store"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/audit"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision/store"
 )
 
 // Changes copies the configuration log into the chain of changes, row by row. The log is written together with each
--- a/internal/audit/writer/writer.go
+++ b/internal/state/audit/writer/writer.go
@@ -18,9 +18,9 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/audit"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/audit"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 const (
--- a/internal/audit/writer/writer_test.go
+++ b/internal/state/audit/writer/writer_test.go
@@ -10,14 +10,14 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/audit"
-	"github.com/cardamomyoke/cardamomyoke/internal/audit/writer"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision/store"
-	standin "github.com/cardamomyoke/cardamomyoke/internal/standin/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/audit"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/audit/writer"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision/store"
+	standin "github.com/cardamomyoke/cardamomyoke/internal/testing/standin/platform"
 )
 
 var at = time.Unix(1000, 0)
--- a/internal/catalog/catalog_test.go
+++ b/internal/state/catalog/catalog_test.go
@@ -5,8 +5,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/catalog"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 func TestRouteIsTheLongestPrefixOfTheHost(t *testing.T) {
--- a/internal/catalog/configuration.go
+++ b/internal/state/catalog/configuration.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // Kind says what may be done with a request of a route.
--- a/internal/catalog/upstreams.go
+++ b/internal/state/catalog/upstreams.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // State is what an upstream says of itself in the registry.
--- a/internal/claims/batch.go
+++ b/internal/state/claims/batch.go
@@ -6,11 +6,11 @@
 	"slices"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/charts"
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/charts"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 const (
--- a/internal/claims/ledger.go
+++ b/internal/state/claims/ledger.go
@@ -5,11 +5,11 @@
 	"time"
 	"unicode/utf8"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/charts"
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/charts"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 // Effect is something that the owner of a Ledger must do: an Answer or a Commit.
--- a/internal/claims/ledger_test.go
+++ b/internal/state/claims/ledger_test.go
@@ -9,10 +9,10 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/faulttest/memtable"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/faulttest/memtable"
 )
 
 var start = time.Date(2030, 1, 1, 5, 0, 0, 0, time.UTC)
--- a/internal/claims/metrics.go
+++ b/internal/state/claims/metrics.go
@@ -5,7 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 func (o *Options) counter(name string) *metrics.Counter {
--- a/internal/claims/options.go
+++ b/internal/state/claims/options.go
@@ -5,7 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // Options bounds a Ledger.
--- a/internal/claims/random_test.go
+++ b/internal/state/claims/random_test.go
@@ -6,10 +6,10 @@
 	"testing"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/faulttest/memtable"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/faulttest/memtable"
 )
 
 const (
--- a/internal/claims/request.go
+++ b/internal/state/claims/request.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // Request is one attempt at a request that may not be repeated.
--- a/internal/claims/row.go
+++ b/internal/state/claims/row.go
@@ -9,10 +9,10 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 // Prefixes of the table's keys that belong to this package.
--- a/internal/claims/store.go
+++ b/internal/state/claims/store.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 // eventBuffer is how many events may wait for the goroutine that owns the ledger.
--- a/internal/claims/store_test.go
+++ b/internal/state/claims/store_test.go
@@ -8,9 +8,9 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/faulttest/memtable"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/faulttest/memtable"
 )
 
 // inStore runs f with a running store inside a bubble of synthetic time.
--- a/internal/claims/sweep.go
+++ b/internal/state/claims/sweep.go
@@ -10,9 +10,9 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 // Sweeper removes claims whose outcomes were kept long enough. Several may run at once: each deletes on condition that
--- a/internal/config/apply_test.go
+++ b/internal/state/config/apply_test.go
@@ -9,8 +9,8 @@
 	"google.golang.org/protobuf/testing/protocmp"
 	"pgregory.net/rapid"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/config"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
 )
 
 const (
--- a/internal/config/check_test.go
+++ b/internal/state/config/check_test.go
@@ -7,8 +7,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/config"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
 )
 
 func valid() *cardamomyokev1.Configuration {
--- a/internal/config/config.go
+++ b/internal/state/config/config.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 )
 
 // FieldError says which field of a configuration cannot be accepted.
--- a/internal/config/source.go
+++ b/internal/state/config/source.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // Source gives traffic the configuration in force. It is safe for concurrent use.
--- a/internal/digest/digest.go
+++ b/internal/state/digest/digest.go
@@ -14,8 +14,8 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/base/gnetlog"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/gnetlog"
 )
 
 // MaxBytes is the largest datagram that is sent or taken; it fits one packet on any network in use.
--- a/internal/digest/digest_test.go
+++ b/internal/state/digest/digest_test.go
@@ -5,8 +5,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/digest"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/digest"
 )
 
 func FuzzDecode(f *testing.F) {
--- a/internal/lease/gate.go
+++ b/internal/state/lease/gate.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // OldFenceError says that an order came from a holder that has lost its lease.
--- a/internal/lease/keeper/keeper.go
+++ b/internal/state/lease/keeper/keeper.go
@@ -12,11 +12,11 @@
 	"github.com/go-kit/log/level"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/control"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/control"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/lease"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/lease"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 // DefaultLength is the length of a lease: a lost holder is replaced after it and an eighth.
--- a/internal/lease/keeper/keeper_test.go
+++ b/internal/state/lease/keeper/keeper_test.go
@@ -9,12 +9,12 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/control"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/lease"
-	"github.com/cardamomyoke/cardamomyoke/internal/lease/keeper"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
-	standin "github.com/cardamomyoke/cardamomyoke/internal/standin/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/control"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/lease"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/lease/keeper"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	standin "github.com/cardamomyoke/cardamomyoke/internal/testing/standin/platform"
 )
 
 const duty lease.Duty = "map/desk-model"
--- a/internal/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -8,10 +8,10 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/charts"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/charts"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 var chart = charts.MustLoad("lease")
--- a/internal/membership/addresses.go
+++ b/internal/state/membership/addresses.go
@@ -4,8 +4,8 @@
 	"cmp"
 	"slices"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 )
 
 // maxAddresses is the most addresses that a caller is given.
--- a/internal/membership/large_test.go
+++ b/internal/state/membership/large_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/membership"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/membership"
 )
 
 // A client with a limit gets many times of it in a deployment of 360 entries. Each entry hears a few neighbours only;
--- a/internal/membership/membership_test.go
+++ b/internal/state/membership/membership_test.go
@@ -7,10 +7,10 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/charts"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/charts"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/membership"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/membership"
 )
 
 const (
--- a/internal/membership/roster.go
+++ b/internal/state/membership/roster.go
@@ -1,8 +1,8 @@
 package membership
 
 import (
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 )
 
 // FromRevision turns the members of the configuration log's roster into what SetRoster takes.
--- a/internal/membership/table.go
+++ b/internal/state/membership/table.go
@@ -9,9 +9,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/charts"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/charts"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 )
 
 // Options are the settings of a Table.
--- a/internal/platform/client.go
+++ b/internal/state/platform/client.go
@@ -8,7 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/sony/gobreaker/v2"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // Options are the settings of Client; a zero value stands for the default.
--- a/internal/platform/client_test.go
+++ b/internal/state/platform/client_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
-	standin "github.com/cardamomyoke/cardamomyoke/internal/standin/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	standin "github.com/cardamomyoke/cardamomyoke/internal/testing/standin/platform"
 )
 
 func put(op, key, value string, version uint64) platform.Txn {
--- a/internal/platform/http.go
+++ b/internal/state/platform/http.go
@@ -11,7 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 const (
--- a/internal/platform/platform.go
+++ b/internal/state/platform/platform.go
@@ -9,7 +9,7 @@
 	"fmt"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // Row is one row of the table. Version 0 means that the row does not exist; each write raises it by one.
--- a/internal/replica/follower.go
+++ b/internal/state/replica/follower.go
@@ -8,8 +8,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
-	"github.com/cardamomyoke/cardamomyoke/internal/steady"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/steady"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 const (
--- a/internal/replica/follower_test.go
+++ b/internal/state/replica/follower_test.go
@@ -9,8 +9,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
-	"github.com/cardamomyoke/cardamomyoke/internal/replica"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/replica"
 )
 
 // feed is a store's feed that may hang: calls that begin before the given time are never answered.
--- a/internal/replica/table.go
+++ b/internal/state/replica/table.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 // Table is the copy of one table. It is safe for concurrent use.
--- a/internal/replica/table_test.go
+++ b/internal/state/replica/table_test.go
@@ -8,8 +8,8 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
-	"github.com/cardamomyoke/cardamomyoke/internal/replica"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/replica"
 )
 
 // source is the table as the store has it, with its history.
--- a/internal/revision/agent/agent.go
+++ b/internal/state/revision/agent/agent.go
@@ -23,13 +23,13 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/config"
-	"github.com/cardamomyoke/cardamomyoke/internal/control"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/control"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision/store"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision/store"
 )
 
 const (
--- a/internal/revision/agent/cluster_test.go
+++ b/internal/state/revision/agent/cluster_test.go
@@ -7,14 +7,14 @@
 	"testing"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/control"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/control"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision/agent"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision/memnet"
-	standin "github.com/cardamomyoke/cardamomyoke/internal/standin/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision/agent"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision/memnet"
+	standin "github.com/cardamomyoke/cardamomyoke/internal/testing/standin/platform"
 )
 
 const (
--- a/internal/revision/agent/failure_test.go
+++ b/internal/state/revision/agent/failure_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
-	standin "github.com/cardamomyoke/cardamomyoke/internal/standin/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	standin "github.com/cardamomyoke/cardamomyoke/internal/testing/standin/platform"
 )
 
 const (
--- a/internal/revision/agent/rpc.go
+++ b/internal/state/revision/agent/rpc.go
@@ -9,7 +9,7 @@
 
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision"
 )
 
 // service answers the RPC of other nodes.
--- a/internal/revision/agent/scenario_test.go
+++ b/internal/state/revision/agent/scenario_test.go
@@ -17,10 +17,10 @@
 	"google.golang.org/protobuf/proto"
 
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision/store"
-	standin "github.com/cardamomyoke/cardamomyoke/internal/standin/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision/store"
+	standin "github.com/cardamomyoke/cardamomyoke/internal/testing/standin/platform"
 )
 
 const (
--- a/internal/revision/join.go
+++ b/internal/state/revision/join.go
@@ -5,7 +5,7 @@
 	"time"
 
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 const (
--- a/internal/revision/memnet/memnet.go
+++ b/internal/state/revision/memnet/memnet.go
@@ -12,7 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision"
 )
 
 // Receiver is a node that takes messages.
--- a/internal/revision/state.go
+++ b/internal/state/revision/state.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/config"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
 )
 
 // Entry is one step of the log.
--- a/internal/revision/view.go
+++ b/internal/state/revision/view.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/config"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
 )
 
 // View is what traffic and operators see of a node. It is immutable.
--- a/internal/bench/caller/caller.go
+++ b/internal/testing/bench/caller/caller.go
@@ -15,9 +15,9 @@
 
 	"github.com/tmaxmax/go-sse"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/entry"
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/entry"
 )
 
 // maxSends is how often one request is sent at most.
--- a/internal/bench/claims/command.go
+++ b/internal/testing/bench/claims/command.go
@@ -9,8 +9,8 @@
 	"github.com/alecthomas/kingpin/v2"
 	"gonum.org/v1/gonum/stat"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/report"
-	"github.com/cardamomyoke/cardamomyoke/internal/claims"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/claims"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/report"
 )
 
 // Bounds of the experiment.
--- a/internal/bench/claims/world.go
+++ b/internal/testing/bench/claims/world.go
@@ -6,11 +6,11 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/agenda"
-	"github.com/cardamomyoke/cardamomyoke/internal/claims"
-	"github.com/cardamomyoke/cardamomyoke/internal/faulttest/memtable"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/claims"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/agenda"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/faulttest/memtable"
 )
 
 // Shapes of the drawn times.
--- a/internal/bench/config/config.go
+++ b/internal/testing/bench/config/config.go
@@ -8,9 +8,9 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/report"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/report"
 )
 
 // The target that the figures are held against.
--- a/internal/bench/config/overhead.go
+++ b/internal/testing/bench/config/overhead.go
@@ -10,8 +10,8 @@
 
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision/agent"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision/agent"
 )
 
 // sink takes messages and does nothing with them.
--- a/internal/bench/config/verdict.go
+++ b/internal/testing/bench/config/verdict.go
@@ -6,7 +6,7 @@
 
 	"gonum.org/v1/gonum/stat"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/report"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/report"
 )
 
 // fullTree is the number of nodes from which on some node has all the children that the fan-out allows, and what the
--- a/internal/bench/demo/demo.go
+++ b/internal/testing/bench/demo/demo.go
@@ -18,10 +18,10 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/caller"
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/standin/engine"
-	"github.com/cardamomyoke/cardamomyoke/internal/standin/plain"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/caller"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/standin/engine"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/standin/plain"
 )
 
 // Options of the demo.
--- a/internal/bench/load/cost.go
+++ b/internal/testing/bench/load/cost.go
@@ -7,8 +7,8 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/meter"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/meter"
 )
 
 // Coster measures the processor time of one request along each path: that of the whole process, client and stand-ins
--- a/internal/bench/load/load.go
+++ b/internal/testing/bench/load/load.go
@@ -19,8 +19,8 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/report"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/report"
 )
 
 // Options of the measurement.
--- a/internal/bench/load/stub.go
+++ b/internal/testing/bench/load/stub.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/digest"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/digest"
 )
 
 // announceEvery is the time between two digests of the stub.
--- a/internal/bench/mapswitch/engines.go
+++ b/internal/testing/bench/mapswitch/engines.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap"
 )
 
 // lockstep runs the engines of a group: a step begins when every rank may start it and ends for all together.
--- a/internal/bench/mapswitch/group.go
+++ b/internal/testing/bench/mapswitch/group.go
@@ -11,11 +11,11 @@
 
 	"github.com/go-kit/log"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/control"
-	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
-	"github.com/cardamomyoke/cardamomyoke/internal/expertmap/node"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/control"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap/node"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 )
 
 const (
--- a/internal/bench/mapswitch/run.go
+++ b/internal/testing/bench/mapswitch/run.go
@@ -8,8 +8,8 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/report"
-	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/report"
 )
 
 type options struct {
--- a/internal/bench/mapswitch/switches.go
+++ b/internal/testing/bench/mapswitch/switches.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/report"
-	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/report"
 )
 
 // Figures are the means over some switches without a fault.
--- a/internal/bench/pages/page.go
+++ b/internal/testing/bench/pages/page.go
@@ -8,7 +8,7 @@
 	"io"
 	"os"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/report"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/report"
 )
 
 // Plot is one picture with the words that stand below it.
--- a/internal/bench/pages/page_test.go
+++ b/internal/testing/bench/pages/page_test.go
@@ -6,8 +6,8 @@
 	"strings"
 	"testing"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/report"
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/slopes"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/report"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/slopes"
 )
 
 func TestPageHoldsTablesVerdictsAndPlots(t *testing.T) {
--- a/internal/bench/pages/sections.go
+++ b/internal/testing/bench/pages/sections.go
@@ -7,12 +7,12 @@
 	"strings"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/config"
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/load"
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/policy"
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/rebalance"
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/report"
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/slopes"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/load"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/policy"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/rebalance"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/report"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/slopes"
 )
 
 // loadSection measures what entry and slot add to a request.
--- a/internal/bench/pages/slopes.go
+++ b/internal/testing/bench/pages/slopes.go
@@ -11,7 +11,7 @@
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/slopes"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/slopes"
 )
 
 const (
--- a/internal/bench/policy/admit.go
+++ b/internal/testing/bench/policy/admit.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/admission"
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/admission"
 )
 
 // The ways of admission of the tables.
--- a/internal/bench/policy/entry.go
+++ b/internal/testing/bench/policy/entry.go
@@ -6,17 +6,17 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/admission/limits"
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/health"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/retry"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing/expectedwait"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing/leastrequests"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing/prefix"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing/randomtwo"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing/roundrobin"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/admission/limits"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/health"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/retry"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing/expectedwait"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing/leastrequests"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing/prefix"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing/randomtwo"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing/roundrobin"
 )
 
 // The routing policies of the tables.
--- a/internal/bench/policy/policy_test.go
+++ b/internal/testing/bench/policy/policy_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // The figures of docs/measurements.md hold for this trace. A change of it must be made known and not slip in with the
--- a/internal/bench/policy/result.go
+++ b/internal/testing/bench/policy/result.go
@@ -7,7 +7,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
 // result is what one run measured, from arrivals after the warm-up.
--- a/internal/bench/policy/runner.go
+++ b/internal/testing/bench/policy/runner.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing"
 )
 
 // The model of a runner: a continuous batch whose step takes longer with each request in it and with each prompt
--- a/internal/bench/policy/subset.go
+++ b/internal/testing/bench/policy/subset.go
@@ -8,10 +8,10 @@
 	"slices"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/report"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing/expectedwait"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing/expectedwait"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/report"
 )
 
 // The target size, and the load of it that the subsets are measured at.
--- a/internal/bench/policy/trace.go
+++ b/internal/testing/bench/policy/trace.go
@@ -5,8 +5,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing"
 )
 
 // The trace. It was fixed before any policy was tuned; a change makes all earlier figures incomparable.
--- a/internal/bench/policy/write.go
+++ b/internal/testing/bench/policy/write.go
@@ -9,7 +9,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/report"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/report"
 )
 
 // The limits of the claims.
--- a/internal/bench/quarantine/command.go
+++ b/internal/testing/bench/quarantine/command.go
@@ -8,7 +8,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/report"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/report"
 )
 
 type options struct {
--- a/internal/bench/quarantine/slot.go
+++ b/internal/testing/bench/quarantine/slot.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
 )
 
 // arrive hands a request to an upstream's slot.
--- a/internal/bench/quarantine/world.go
+++ b/internal/testing/bench/quarantine/world.go
@@ -6,9 +6,9 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/agenda"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/agenda"
 )
 
 // Times and sizes that all scenarios share.
--- a/internal/bench/rebalance/bench.go
+++ b/internal/testing/bench/rebalance/bench.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/report"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/report"
 )
 
 // contenders are the rows of each table, in order.
--- a/internal/bench/rebalance/claims.go
+++ b/internal/testing/bench/rebalance/claims.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/report"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/report"
 )
 
 // The limits that the users set; see docs/design/rebalancing.md.
--- a/internal/bench/rebalance/command.go
+++ b/internal/testing/bench/rebalance/command.go
@@ -6,7 +6,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/report"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/report"
 )
 
 // ShortError says that a claim was not met.
--- a/internal/bench/rebalance/contender.go
+++ b/internal/testing/bench/rebalance/contender.go
@@ -5,8 +5,8 @@
 	"math"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/placement"
-	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement/expert"
 )
 
 // The names of the contenders in the tables.
--- a/internal/bench/rebalance/cost.go
+++ b/internal/testing/bench/rebalance/cost.go
@@ -7,9 +7,9 @@
 
 	"gonum.org/v1/gonum/floats"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/report"
-	"github.com/cardamomyoke/cardamomyoke/internal/placement"
-	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement/expert"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/report"
 )
 
 // decisionRuns is how often each size is timed; the median is taken.
--- a/internal/bench/rebalance/pieces.go
+++ b/internal/testing/bench/rebalance/pieces.go
@@ -6,9 +6,9 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/report"
-	"github.com/cardamomyoke/cardamomyoke/internal/placement"
-	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement/expert"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/report"
 )
 
 const (
--- a/internal/bench/rebalance/run_test.go
+++ b/internal/testing/bench/rebalance/run_test.go
@@ -7,7 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 	"gonum.org/v1/gonum/floats"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/report"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/report"
 )
 
 func runOn(t *testing.T, d Deployment, sc Scenario, name string) Result {
--- a/internal/bench/rebalance/scenario.go
+++ b/internal/testing/bench/rebalance/scenario.go
@@ -4,8 +4,8 @@
 	"math"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/placement"
-	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement/expert"
 )
 
 // Scenario names a kind of trace.
--- a/internal/bench/rebalance/stage.go
+++ b/internal/testing/bench/rebalance/stage.go
@@ -5,9 +5,9 @@
 
 	"gonum.org/v1/gonum/floats"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/placement"
-	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
-	"github.com/cardamomyoke/cardamomyoke/internal/placement/staging"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement/expert"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement/staging"
 )
 
 // stage loads the weights of changes, step by step.
--- a/internal/bench/rebalance/trace.go
+++ b/internal/testing/bench/rebalance/trace.go
@@ -8,7 +8,7 @@
 	"gonum.org/v1/gonum/floats"
 	"gonum.org/v1/gonum/stat/distuv"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement/expert"
 )
 
 const (
--- a/internal/bench/report/report_test.go
+++ b/internal/testing/bench/report/report_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/report"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/report"
 )
 
 func TestTable(t *testing.T) {
--- a/internal/bench/slopes/digests.go
+++ b/internal/testing/bench/slopes/digests.go
@@ -7,9 +7,9 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/membership"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/membership"
 )
 
 const (
--- a/internal/bench/slopes/duties.go
+++ b/internal/testing/bench/slopes/duties.go
@@ -9,15 +9,15 @@
 	"gonum.org/v1/gonum/floats"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/claims"
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/mapswitch"
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/rebalance"
-	ledger "github.com/cardamomyoke/cardamomyoke/internal/claims"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement/expert"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/lease"
-	"github.com/cardamomyoke/cardamomyoke/internal/lease/keeper"
-	"github.com/cardamomyoke/cardamomyoke/internal/placement"
-	"github.com/cardamomyoke/cardamomyoke/internal/placement/expert"
+	ledger "github.com/cardamomyoke/cardamomyoke/internal/state/claims"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/lease"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/lease/keeper"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/claims"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/mapswitch"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/rebalance"
 )
 
 const (
--- a/internal/bench/slopes/entry.go
+++ b/internal/testing/bench/slopes/entry.go
@@ -7,19 +7,19 @@
 
 	"github.com/go-kit/log"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/meter"
-	"github.com/cardamomyoke/cardamomyoke/internal/config"
-	"github.com/cardamomyoke/cardamomyoke/internal/control"
-	"github.com/cardamomyoke/cardamomyoke/internal/digest"
-	"github.com/cardamomyoke/cardamomyoke/internal/entry"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/control"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/tracing"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/membership"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing/expectedwait"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing/prefix"
-	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/entry"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing/expectedwait"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing/prefix"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/digest"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/membership"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/meter"
 )
 
 // controlled is a real entry whose control loop this package drives: a tick runs only when it is asked for.
--- a/internal/bench/slopes/requests.go
+++ b/internal/testing/bench/slopes/requests.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/load"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/load"
 )
 
 const costWorkers = 8
--- a/internal/bench/slopes/run.go
+++ b/internal/testing/bench/slopes/run.go
@@ -6,7 +6,7 @@
 	"runtime"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/bench/report"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/report"
 )
 
 // The target's size.
--- a/internal/bench/slopes/slopes_test.go
+++ b/internal/testing/bench/slopes/slopes_test.go
@@ -42,7 +42,7 @@
 }
 
 func TestEveryNumberOfTheTargetHasARow(t *testing.T) {
-	data, err := os.ReadFile("../../../docs/CAPACITY.md")
+	data, err := os.ReadFile("../../../../docs/CAPACITY.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -61,7 +61,7 @@
 
 // The committed fit must have at least four sizes for each figure, else its residual says nothing.
 func TestCommittedSlopesHaveFourSizes(t *testing.T) {
-	series, err := Read("../../../docs/slopes.json")
+	series, err := Read("../../../../docs/slopes.json")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/bench/slopes/state.go
+++ b/internal/testing/bench/slopes/state.go
@@ -6,12 +6,12 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/admission/limits"
-	"github.com/cardamomyoke/cardamomyoke/internal/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/membership"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/admission/limits"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/membership"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision"
 )
 
 // configuration has three models, two plain services and so many client accounts.
--- a/internal/bench/slopes/usage.go
+++ b/internal/testing/bench/slopes/usage.go
@@ -7,8 +7,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/admission/limits"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/admission/limits"
 )
 
 // usageFigures lets one of so many entries take its part of the target's requests, from clients drawn evenly, and returns
--- a/internal/faulttest/caller.go
+++ b/internal/testing/faulttest/caller.go
@@ -13,12 +13,12 @@
 	"github.com/tmaxmax/go-sse"
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/attempt"
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpclient"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
-	"github.com/cardamomyoke/cardamomyoke/internal/standin/engine"
-	"github.com/cardamomyoke/cardamomyoke/internal/standin/plain"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/attempt"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/standin/engine"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/standin/plain"
 )
 
 // callerPatience is for how long a caller waits; it is longer than any deadline of the deployment.
--- a/internal/faulttest/cluster.go
+++ b/internal/testing/faulttest/cluster.go
@@ -8,14 +8,14 @@
 
 	"github.com/go-kit/log"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/config"
-	"github.com/cardamomyoke/cardamomyoke/internal/entry"
-	"github.com/cardamomyoke/cardamomyoke/internal/faulttest/memtable"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/tracing"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/slot"
-	"github.com/cardamomyoke/cardamomyoke/internal/standin/engine"
-	"github.com/cardamomyoke/cardamomyoke/internal/standin/plain"
-	"github.com/cardamomyoke/cardamomyoke/internal/tracing"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/entry"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/slot"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/faulttest/memtable"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/standin/engine"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/standin/plain"
 )
 
 // Sizes and times of a cluster.
--- a/internal/faulttest/faults.go
+++ b/internal/testing/faulttest/faults.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/faulttest/memtable"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/faulttest/memtable"
 )
 
 // Heal ends a fault.
--- a/internal/faulttest/history.go
+++ b/internal/testing/faulttest/history.go
@@ -6,7 +6,7 @@
 	"slices"
 	"strings"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
 )
 
 // Class is what one send came to, as its caller sees it.
--- a/internal/faulttest/host.go
+++ b/internal/testing/faulttest/host.go
@@ -4,11 +4,11 @@
 	"context"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/entry"
-	"github.com/cardamomyoke/cardamomyoke/internal/settings"
-	"github.com/cardamomyoke/cardamomyoke/internal/slot"
-	"github.com/cardamomyoke/cardamomyoke/internal/standin/engine"
-	"github.com/cardamomyoke/cardamomyoke/internal/standin/plain"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/settings"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/entry"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/slot"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/standin/engine"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/standin/plain"
 )
 
 func setting(d time.Duration) settings.Duration { return settings.Duration(d) }
--- a/internal/faulttest/memtable/memtable.go
+++ b/internal/testing/faulttest/memtable/memtable.go
@@ -12,8 +12,8 @@
 	"sync"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 // Memory holds the rows. It is not safe for concurrent use.
--- a/internal/faulttest/relay.go
+++ b/internal/testing/faulttest/relay.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/loopback"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/loopback"
 )
 
 // Mode is what a relay does to what passes.
--- a/internal/loopback/loopback_test.go
+++ b/internal/testing/loopback/loopback_test.go
@@ -5,7 +5,7 @@
 	"sync"
 	"testing"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/loopback"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/loopback"
 )
 
 // A relay is closed and opened again at its address while another goroutine starts processes. Between fork and exec a
--- a/internal/standin/engine/batch.go
+++ b/internal/testing/standin/engine/batch.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/routing/prefix"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing/prefix"
 )
 
 // Options shape the engine.
--- a/internal/standin/engine/engine.go
+++ b/internal/testing/standin/engine/engine.go
@@ -13,8 +13,8 @@
 	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
-	"github.com/cardamomyoke/cardamomyoke/internal/routing/prefix"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing/prefix"
 )
 
 const (
--- a/internal/standin/engine/orders.go
+++ b/internal/testing/standin/engine/orders.go
@@ -6,8 +6,8 @@
 	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
 )
 
 // Orders returns the orders that the engine took, as NAME:VERSION or the role.
--- a/internal/standin/group/group.go
+++ b/internal/testing/standin/group/group.go
@@ -14,9 +14,9 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/expertmap"
-	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
-	"github.com/cardamomyoke/cardamomyoke/internal/rank"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/rank"
 )
 
 // Options shape a group.
--- a/internal/standin/plain/plain.go
+++ b/internal/testing/standin/plain/plain.go
@@ -13,7 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
 )
 
 // PathRuns answers how often each key ran, as a JSON object.
--- a/internal/standin/platform/client.go
+++ b/internal/testing/standin/platform/client.go
@@ -6,8 +6,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	api "github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	api "github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 // Client is one node's way to the store; cutting it isolates this node only. It implements platform.Service.
--- a/internal/standin/platform/handler.go
+++ b/internal/testing/standin/platform/handler.go
@@ -7,8 +7,8 @@
 	"net/http"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	api "github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	api "github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 // Paths of the control endpoint, which only tests and the demo use.
--- a/internal/standin/platform/parts.go
+++ b/internal/testing/standin/platform/parts.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	api "github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	api "github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 // hostList keeps the published list and the newer truth that it lags behind.
--- a/internal/standin/platform/store.go
+++ b/internal/testing/standin/platform/store.go
@@ -10,8 +10,8 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	api "github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	api "github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 // Limits are what the platform can carry; a call over the limit waits. Zero means no limit.
--- a/internal/ctl/audit.go
+++ b/internal/tool/ctl/audit.go
@@ -9,8 +9,8 @@
 	"github.com/alecthomas/kingpin/v2"
 	"google.golang.org/protobuf/encoding/protojson"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/audit"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/audit"
 )
 
 // auditPage is how many rows one call brings.
--- a/internal/ctl/audit_test.go
+++ b/internal/tool/ctl/audit_test.go
@@ -6,10 +6,10 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/audit"
-	"github.com/cardamomyoke/cardamomyoke/internal/ctl"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/audit"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/tool/ctl"
 )
 
 // Somebody with access to the table changes or removes a row of the audit. The export must end with its own exit code
--- a/internal/ctl/change.go
+++ b/internal/tool/ctl/change.go
@@ -11,8 +11,8 @@
 	"github.com/alecthomas/kingpin/v2"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
 )
 
 // changeFlags are the flags of every command that changes something.
--- a/internal/ctl/connect.go
+++ b/internal/tool/ctl/connect.go
@@ -11,8 +11,8 @@
 	"connectrpc.com/connect"
 	"github.com/go-kit/log"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/base/keys"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
-	"github.com/cardamomyoke/cardamomyoke/internal/keys"
 )
 
 const (
--- a/internal/ctl/ctl.go
+++ b/internal/tool/ctl/ctl.go
@@ -13,8 +13,8 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/base/keys"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
-	"github.com/cardamomyoke/cardamomyoke/internal/keys"
 )
 
 // Exit codes; scripts compare them.
--- a/internal/ctl/ctl_test.go
+++ b/internal/tool/ctl/ctl_test.go
@@ -19,18 +19,18 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/audit/writer"
-	"github.com/cardamomyoke/cardamomyoke/internal/control"
-	"github.com/cardamomyoke/cardamomyoke/internal/ctl"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/control"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/keys"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
-	"github.com/cardamomyoke/cardamomyoke/internal/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/keys"
-	"github.com/cardamomyoke/cardamomyoke/internal/operator"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision/agent"
-	"github.com/cardamomyoke/cardamomyoke/internal/revision/memnet"
-	standin "github.com/cardamomyoke/cardamomyoke/internal/standin/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/operator"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/audit/writer"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision/agent"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/revision/memnet"
+	standin "github.com/cardamomyoke/cardamomyoke/internal/testing/standin/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/tool/ctl"
 )
 
 // deployment is one entry with its platform.
--- a/internal/ctl/errors.go
+++ b/internal/tool/ctl/errors.go
@@ -65,7 +65,7 @@
 	return codes[connect.CodeOf(err)]
 }
 
-// codes maps the codes of RPC errors (see internal/operator) to exit codes.
+// codes maps the codes of RPC errors (see internal/node/operator) to exit codes.
 var codes = map[connect.Code]int{
 	connect.CodeCanceled:           ExitFailed,
 	connect.CodeUnknown:            ExitFailed,
--- a/internal/ctl/explain.go
+++ b/internal/tool/ctl/explain.go
@@ -11,7 +11,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/story"
+	"github.com/cardamomyoke/cardamomyoke/internal/tool/story"
 )
 
 // explainFlags are the flags and arguments of explain.
--- a/internal/ctl/keys_test.go
+++ b/internal/tool/ctl/keys_test.go
@@ -4,9 +4,9 @@
 	"strings"
 	"testing"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/ctl"
-	"github.com/cardamomyoke/cardamomyoke/internal/keys"
-	"github.com/cardamomyoke/cardamomyoke/internal/keys/keystest"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/keys"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/keys/keystest"
+	"github.com/cardamomyoke/cardamomyoke/internal/tool/ctl"
 )
 
 func TestCommandsWithKeys(t *testing.T) {
--- a/internal/story/story_test.go
+++ b/internal/tool/story/story_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/story"
+	"github.com/cardamomyoke/cardamomyoke/internal/tool/story"
 )
 
 func day(t *testing.T) []*story.Line {
--- a/mk/faults.mk
+++ b/mk/faults.mk
@@ -5,8 +5,8 @@
 ## test-faults: joint tests of failures: every fault, named pairs, and FAULT_SEEDS seeds of random pairs
 test-faults:
 	@mkdir -p out
-	@$(GO) test -count=1 ./internal/claims ./internal/quarantine ./internal/bench/quarantine
-	@$(GO) test -count=1 -timeout 30m -v ./internal/faulttest -args -faults.seeds=$(FAULT_SEEDS) > out/test-faults.txt 2>&1 || { cat out/test-faults.txt; exit 1; }
+	@$(GO) test -count=1 ./internal/state/claims ./internal/policy/quarantine ./internal/testing/bench/quarantine
+	@$(GO) test -count=1 -timeout 30m -v ./internal/testing/faulttest -args -faults.seeds=$(FAULT_SEEDS) > out/test-faults.txt 2>&1 || { cat out/test-faults.txt; exit 1; }
 	@grep -E ' violations [0-9]+$$' out/test-faults.txt
 	@grep '^violations:' out/test-faults.txt
 
--- a/mk/model.mk
+++ b/mk/model.mk
@@ -2,8 +2,8 @@
 
 ## model: run every specification in spec/ and each of its mutants through Spin
 model:
-	$(GO) run ./internal/modelcheck --dir spec
+	$(GO) run ./internal/testing/modelcheck --dir spec
 
 ## model-traces: write the counterexamples of the mutants to the folders of the Go tests that replay them
 model-traces:
-	$(GO) run ./internal/modelcheck --dir spec --only expertmap --traces internal/expertmap/testdata
+	$(GO) run ./internal/testing/modelcheck --dir spec --only expertmap --traces internal/experts/expertmap/testdata
