--- a/internal/node/entry/request.go
+++ b/internal/node/entry/request.go
@@ -57,7 +57,7 @@
 	promptTokens, outputTokens int
 	// tokenLimit is the most tokens that the caller asked for; 0 if it did not say.
 	tokenLimit int
-	blocks                     []uint64
+	blocks     []uint64
 	// print identifies the request, whoever sends it again.
 	print quarantine.Fingerprint
 	// suspicion is the level at which the present attempt is sent.
