--- a/internal/node/gateway/experts.go
+++ b/internal/node/gateway/experts.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/experts/lockstep"
@@ -171,7 +172,7 @@
 		Sample: sampledRanks, SampleNear: sampledNear,
 		Policy: lockstep.DefaultOptions(),
 		Read: func(upstreams []*catalog.Upstream, reports []lockstep.Report) {
-			e.slow.Store(string(name)+"/"+reports[0].Group, slowRanks(upstreams, reports))
+			e.notePaces(string(name)+"/"+reports[0].Group, upstreams, reports)
 		},
 		Switched: func(before, after float64, copies int) {
 			e.g.metrics.switched(name, before, after, copies)
@@ -184,6 +185,30 @@
 // slowPace is from when on a rank counts as slow. A rank's reports vary by some hundredths.
 const slowPace = 1.25
 
+// notePaces keeps a group's slow ranks for the digests, and logs those that have become slow or are as usual again.
+func (e *experts) notePaces(group string, upstreams []*catalog.Upstream, reports []lockstep.Report) {
+	slow := slowRanks(upstreams, reports)
+	before, _ := e.slow.Swap(group, slow)
+	was, _ := before.([]*cardamomyokev1.UpstreamPace)
+	for rank, u := range upstreams {
+		now, then := paceOf(slow, u), paceOf(was, u)
+		if (now > 0) != (then > 0) {
+			_ = level.Info(e.g.logger).Log("msg", "rank pace", "group", group, "rank", rank, "upstream", u.ID, "slow", now > 0,
+				"pace", reports[rank].Pace, "fresh", reports[rank].Fresh, "running", reports[rank].Running)
+		}
+	}
+}
+
+// paceOf returns an upstream's pace among slow ones; 0 if it is none of them.
+func paceOf(slow []*cardamomyokev1.UpstreamPace, u *catalog.Upstream) float64 {
+	for _, s := range slow {
+		if s.GetUpstream() == hashOf(u.ID) {
+			return s.GetPace()
+		}
+	}
+	return 0
+}
+
 func slowRanks(upstreams []*catalog.Upstream, reports []lockstep.Report) []*cardamomyokev1.UpstreamPace {
 	var slow []*cardamomyokev1.UpstreamPace
 	for rank, u := range upstreams {
