--- a/internal/experts/lockstep/fleet.go
+++ b/internal/experts/lockstep/fleet.go
@@ -24,19 +24,14 @@
 type Fleet struct {
 	o       ConductorOptions
 	roster  *Roster
-	running map[string]*conducted
+	running map[string]*Running
 	count   atomic.Int64
 }
 
-type conducted struct {
-	stop context.CancelFunc
-	wake chan struct{}
-}
-
 // NewFleet returns a fleet without groups. The options' Group returns all upstreams of the service.
 func NewFleet(o ConductorOptions) *Fleet {
 	o.Serials = NewSerials()
-	return &Fleet{o: o, roster: NewRoster(), running: map[string]*conducted{}}
+	return &Fleet{o: o, roster: NewRoster(), running: map[string]*Running{}}
 }
 
 // Run conducts until ctx ends.
@@ -58,10 +53,7 @@
 
 func (f *Fleet) wake() {
 	for _, c := range f.running {
-		select {
-		case c.wake <- struct{}{}:
-		default:
-		}
+		c.Wake()
 	}
 }
 
@@ -87,18 +79,15 @@
 	}
 	for name, c := range f.running {
 		if !wanted[name] {
-			c.stop()
+			c.Stop()
 			delete(f.running, name)
 		}
 	}
 }
 
-func (f *Fleet) conduct(ctx context.Context, name string) *conducted {
-	ctx, cancel := context.WithCancel(ctx)
-	c := &conducted{stop: cancel, wake: make(chan struct{}, 1)}
+func (f *Fleet) conduct(ctx context.Context, name string) *Running {
 	o := f.o
 	o.Logger = log.With(o.Logger, "group", name)
-	o.Wake = c.wake
 	o.Group = func() *Group {
 		all := f.o.Group()
 		if all == nil {
@@ -107,6 +96,8 @@
 		return &Group{Name: name, Upstreams: f.roster.Of(name, all.Upstreams), Experts: all.Experts, ReportLag: all.ReportLag}
 	}
 	o.Share = func() int { return max(1, int(f.count.Load())/groupsPerPeriod) }
-	go NewConductor(o).Run(ctx)
-	return c
+	return Start(ctx, func(ctx context.Context, wake <-chan struct{}) {
+		o.Wake = wake
+		NewConductor(o).Run(ctx)
+	})
 }
--- a/internal/node/gateway/experts.go
+++ b/internal/node/gateway/experts.go
@@ -48,18 +48,12 @@
 	slow sync.Map // string → []*cardamomyokev1.UpstreamPace
 	// last and running belong to the control loop.
 	last    ids.Fence
-	running map[ids.Service]*conducted
-}
-
-// conducted is a service whose groups are conducted.
-type conducted struct {
-	stop context.CancelFunc
-	wake chan struct{}
+	running map[ids.Service]*lockstep.Running
 }
 
 func newExperts(ctx context.Context, g *Gateway, ranks lockstep.Ranks, table platform.Table) *experts {
 	return &experts{
-		g: g, ctx: ctx, ranks: ranks, running: map[ids.Service]*conducted{},
+		g: g, ctx: ctx, ranks: ranks, running: map[ids.Service]*lockstep.Running{},
 		leases: keeper.New(keeper.Config{
 			Name: g.Settings().Name, Incarnation: g.incarnation, Length: leaseLength, Table: table, Loop: g.loop,
 			Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Logger: g.logger, Ended: g.peers.ended,
@@ -82,10 +76,7 @@
 		return
 	}
 	for _, c := range e.running {
-		select {
-		case c.wake <- struct{}{}:
-		default:
-		}
+		c.Wake()
 	}
 }
 
@@ -152,21 +143,18 @@
 		case grouped && c == nil:
 			e.running[name] = e.conduct(name)
 		case !grouped && c != nil:
-			c.stop()
+			c.Stop()
 			delete(e.running, name)
 		}
 	}
 }
 
-func (e *experts) conduct(name ids.Service) *conducted {
-	ctx, cancel := context.WithCancel(e.ctx)
-	run := &conducted{stop: cancel, wake: make(chan struct{}, 1)}
-	c := lockstep.NewFleet(lockstep.ConductorOptions{
+func (e *experts) conduct(name ids.Service) *lockstep.Running {
+	o := lockstep.ConductorOptions{
 		Ranks:  e.ranks,
 		Logger: log.With(e.g.logger, "service", name),
 		Group:  func() *lockstep.Group { return e.group(name) },
 		Fence:  func() ids.Fence { return ids.Fence(e.fence.Load()) },
-		Wake:   run.wake,
 		Period: lookEvery,
 		Half:   demandHalf,
 		Sample: sampledRanks, SampleNear: sampledNear,
@@ -177,9 +165,11 @@
 		Switched: func(before, after float64, copies int) {
 			e.g.metrics.switched(name, before, after, copies)
 		},
+	}
+	return lockstep.Start(e.ctx, func(ctx context.Context, wake <-chan struct{}) {
+		o.Wake = wake
+		lockstep.NewFleet(o).Run(ctx)
 	})
-	go c.Run(ctx)
-	return run
 }
 
 // slowPace is from when on a rank counts as slow. A rank's reports vary by some hundredths.
