A broken group with a rank to spare is closed as a whole again

A rank that says that its group is broken has the others asked: the gate closes if none is open, else the broken ones do.

--- a/internal/node/gateway/groupwatch.go
+++ b/internal/node/gateway/groupwatch.go
@@ -23,8 +23,10 @@
 	watchEvery = 80 * time.Millisecond
 	// staleReport is how long after a refusal a report that is not fresh may still show the group as it was before.
 	staleReport = 300 * time.Millisecond
-	// watchReads is how many ranks are read at once, in case one of them is the one that is gone.
-	watchReads = 3
+	// watchReads is how many ranks are read at once, in case one of them is the one that is gone; surveyReads is the same
+	// where ranks may be of several groups, or of none.
+	watchReads  = 3
+	surveyReads = 24
 	// watchBlind is how long a group whose ranks do not answer is held to be closed, before requests may try it.
 	watchBlind = 400 * time.Millisecond
 )
@@ -48,44 +50,63 @@
 }
 
 // doubt keeps requests from a group until a rank says that it is open; u is the upstream that gave reason to doubt, or nil.
-// A service with more ranks than one group takes is doubted rank by rank.
+// Where a service has more ranks than one group takes, only u is kept away from until it is known how the others are.
 func (w *groupWatch) doubt(ctx context.Context, u *catalog.Upstream, reason string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.since = time.Now()
-	if w.moreThanOne() {
+	switch {
+	case u != nil && w.moreThanOne():
 		w.doubtRank(ctx, u, reason)
-		return
+	case !w.watching:
+		w.watching = true
+		w.gate.SetClosed(true)
+		go w.watch(ctx, reason)
 	}
-	if w.watching {
-		return
+}
+
+// survey finds out how the other ranks are once one has said that its group is broken.
+func (w *groupWatch) survey(ctx context.Context, reason string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.watching {
+		w.watching = true
+		go w.watch(ctx, reason)
 	}
-	w.watching = true
-	w.gate.SetClosed(true)
-	go w.watch(ctx, u, reason)
 }
 
-func (w *groupWatch) watch(ctx context.Context, u *catalog.Upstream, reason string) {
+// watch closes the gate as long as no rank says that its group is open. Ranks whose group is broken beside one that is
+// open are closed one by one.
+func (w *groupWatch) watch(ctx context.Context, reason string) {
 	began := time.Now()
-	for {
-		verdict := w.look(ctx)
-		w.mu.Lock()
-		several := w.moreThanOne()
-		if several || verdict.opens(time.Since(w.since)) || ctx.Err() != nil {
-			w.watching = false
-			if several {
-				w.doubtRank(ctx, u, reason)
-			}
-			w.mu.Unlock()
-			break
-		}
-		w.mu.Unlock()
+	for !w.opened(ctx, w.look(ctx), reason) {
+		w.gate.SetClosed(true)
 		steady.Sleep(ctx, watchEvery)
 	}
 	w.gate.SetClosed(false)
 	_ = level.Info(w.logger).Log("msg", "group closed to requests", "reason", reason, "for", time.Since(began))
 }
 
+// opened ends the watch if what the ranks said allows it.
+func (w *groupWatch) opened(ctx context.Context, said map[*catalog.Upstream]groupVerdict, reason string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	best := groupUnknown
+	for _, v := range said {
+		best = max(best, v)
+	}
+	if !best.opens(time.Since(w.since)) && ctx.Err() == nil {
+		return false
+	}
+	w.watching = false
+	for u, v := range said {
+		if v == groupBroken && w.moreThanOne() {
+			w.doubtRank(ctx, u, reason)
+		}
+	}
+	return true
+}
+
 type groupVerdict int
 
 const (
@@ -108,22 +129,31 @@
 	return false
 }
 
-// look reads some ranks and returns the best that one of them says; a rank that is gone says nothing.
-func (w *groupWatch) look(ctx context.Context) groupVerdict {
+// look reads some ranks; a rank that is gone says nothing.
+func (w *groupWatch) look(ctx context.Context) map[*catalog.Upstream]groupVerdict {
 	list := append([]*catalog.Upstream(nil), w.upstreams()...)
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	list = list[:min(watchReads, len(list))]
+	list = list[:min(w.reads(), len(list))]
 	verdicts := make([]groupVerdict, len(list))
 	var wait sync.WaitGroup
 	for i, u := range list {
 		wait.Go(func() { verdicts[i] = w.ask(ctx, u) })
 	}
 	wait.Wait()
-	best := groupUnknown
-	for _, v := range verdicts {
-		best = max(best, v)
+	said := make(map[*catalog.Upstream]groupVerdict, len(list))
+	for i, u := range list {
+		said[u] = verdicts[i]
+	}
+	return said
+}
+
+func (w *groupWatch) reads() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.moreThanOne() {
+		return surveyReads
 	}
-	return best
+	return watchReads
 }
 
 // ready counts the upstreams that take work: while all of a group's ranks are replaced, the old ones are listed, too.
--- a/internal/node/gateway/groupwatch_test.go
+++ b/internal/node/gateway/groupwatch_test.go
@@ -59,9 +59,15 @@
 	return !w.watching && len(w.ranksWatched) == 0
 }
 
-// taken offers requests until one is not placed at once, and returns which upstreams got some.
+// taken offers requests until one is not placed at once, ends them, and returns which upstreams got some.
 func taken(g *dispatch.Gate) map[ids.Upstream]bool {
 	got := map[ids.Upstream]bool{}
+	var tickets []*dispatch.Ticket
+	defer func() {
+		for _, t := range tickets {
+			g.Done(t, dispatch.OutcomeNone)
+		}
+	}()
 	for {
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel() // what would have to wait comes back at once
@@ -71,6 +77,7 @@
 			return got
 		}
 		got[ticket.Upstream().ID] = true
+		tickets = append(tickets, ticket)
 	}
 }
 
@@ -106,6 +113,28 @@
 	return !w.watching && len(w.ranksWatched) == 1 && w.ranksWatched[u.ID]
 }
 
+// A rank is replaced: the new one is listed beside the old, so that there are more ranks than a group takes, and the only
+// group is broken. Tried one by one each of them would refuse a request; none gets one, and all wait until the group is open.
+func TestABrokenGroupWithARankToSpareIsKeptAwayFromAsAWhole(t *testing.T) {
+	ranks := &fakeRanks{size: 2, shut: map[ids.Upstream]bool{"u-0": true, "u-1": true, "u-2": true}}
+	w, list := watched(t, ranks, 3)
+	w.size = 2
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	w.doubt(ctx, list[1], "refused")
+	for len(taken(w.gate)) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	ranks.open("u-0")
+	ranks.open("u-1")
+	for !w.ranksAre(list[2]) {
+		time.Sleep(time.Millisecond)
+	}
+	if got := taken(w.gate); !got["u-0"] || !got["u-1"] || got["u-2"] {
+		t.Fatalf("placed at %v, want all but u-2", got)
+	}
+}
+
 // All ranks of the only group stall when one of them is gone. What is sent meanwhile is refused by each of them, so that
 // requests wait for the group as a whole, and are placed when a rank says that it is open again.
 func TestABrokenGroupIsKeptAwayFromAsAWhole(t *testing.T) {
--- a/internal/node/gateway/rankwatch.go
+++ b/internal/node/gateway/rankwatch.go
@@ -27,9 +27,14 @@
 func (w *groupWatch) watchRank(ctx context.Context, u *catalog.Upstream, reason string) {
 	began := time.Now()
 	pause := watchEvery
-	for w.listed(u) && ctx.Err() == nil && !w.ask(ctx, u).opens(time.Since(began)) {
+	verdict := w.ask(ctx, u)
+	if verdict == groupBroken {
+		w.survey(ctx, reason)
+	}
+	for w.listed(u) && ctx.Err() == nil && !verdict.opens(time.Since(began)) {
 		steady.Sleep(ctx, pause)
 		pause = min(2*pause, rankWatchMost)
+		verdict = w.ask(ctx, u)
 	}
 	w.mu.Lock()
 	delete(w.ranksWatched, u.ID)
