Entries and slots share their settings' common part

Files are read as before: the examples are accepted, and a key that nobody knows, a missing name and a bad address are refused with the same words.

--- a/internal/node/entry/status_test.go
+++ b/internal/node/entry/status_test.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log"
 
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/host"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/admission/limits"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
 )
@@ -15,7 +16,7 @@
 // An operator drains a healthy upstream and looks at the status: it must not look as if it still took work.
 func TestStatusShowsWhatAnOperatorDrained(t *testing.T) {
 	now := time.Unix(1000, 0)
-	s := newState(&Settings{Name: "e1", DataCentre: "vallejo"}, nil, limits.New(limits.Defaults(), 1), log.NewNopLogger(), now)
+	s := newState(&Settings{Settings: host.Settings{Name: "e1", DataCentre: "vallejo"}}, nil, limits.New(limits.Defaults(), 1), log.NewNopLogger(), now)
 	for _, name := range []string{"u1", "u2"} {
 		s.hearSlot(&cardamomyokev1.Digest{
 			Node: name, Incarnation: "a", Role: cardamomyokev1.NodeRole_NODE_ROLE_SLOT,
--- a/internal/node/slot/orders_test.go
+++ b/internal/node/slot/orders_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/host"
 	"github.com/cardamomyoke/cardamomyoke/internal/node/order"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
@@ -32,7 +33,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(e.Stop)
-	set := &Settings{Name: "u1"}
+	set := &Settings{Settings: host.Settings{Name: "u1"}}
 	set.Upstream.Address = address
 	s := &Slot{settings: set, config: config.Static{}, logger: log.NewNopLogger(), client: httpclient.New(httpclient.Options{})}
 	return &orders{slot: s, table: table}, e
--- a/internal/node/slot/settings.go
+++ b/internal/node/slot/settings.go
@@ -3,12 +3,9 @@
 import (
 	"fmt"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
-	"github.com/cardamomyoke/cardamomyoke/internal/base/keys"
-	"github.com/cardamomyoke/cardamomyoke/internal/base/logging"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/settings"
-	"github.com/cardamomyoke/cardamomyoke/internal/base/tracing"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/host"
 )
 
 // Kind says what stands beside a slot.
@@ -22,27 +19,9 @@
 
 // Settings are the static settings of a slot.
 type Settings struct {
-	// Name of the upstream host; it must be unique.
-	Name string `yaml:"name"`
-	// DataCentre that the host stands in.
-	DataCentre ids.DataCentre `yaml:"data_centre"`
+	host.Settings `yaml:",inline"`
 	// Service that the upstream answers for.
 	Service ids.Service `yaml:"service"`
-	// HTTP is where entries send work.
-	HTTP struct {
-		// Address to listen on, IP:PORT.
-		Address string `yaml:"address"`
-		// Loops is the number of event loops; default 1.
-		Loops  int               `yaml:"loops"`
-		Limits httpserver.Limits `yaml:"limits"`
-	} `yaml:"http"`
-	// Control is where RPC, metrics and health are served.
-	Control struct {
-		// Address to listen on, IP:PORT.
-		Address string `yaml:"address"`
-		// Seeds are control addresses of other nodes, IP:PORT, to ask for the configuration while the platform is down.
-		Seeds []string `yaml:"seeds"`
-	} `yaml:"control"`
 	// Upstream is the engine or plain service beside the slot.
 	Upstream struct {
 		// Kind is model or plain.
@@ -63,49 +42,17 @@
 		// Ranks of the whole group.
 		Ranks int `yaml:"ranks"`
 	} `yaml:"group"`
-	// Digests says whom the slot tells of itself.
-	Digests struct {
-		// Address to listen on for digests, IP:PORT (UDP).
-		Address string `yaml:"address"`
-		// Seeds are digest addresses of entries, IP:PORT; others are learned from them.
-		Seeds []string `yaml:"seeds"`
-	} `yaml:"digests"`
-	// TLS names the keys of the control port and of RPC to other nodes; empty: both are plain.
-	TLS keys.Settings `yaml:"tls"`
-	// Platform is the address of the platform's service, IP:PORT.
-	Platform string          `yaml:"platform"`
-	Log      logging.Options `yaml:"log"`
-	Tracing  tracing.Options `yaml:"tracing"`
 }
 
 // Check implements settings.Checker.
 func (s *Settings) Check() error {
-	names := []struct{ path, value, want string }{
-		{"$.name", s.Name, "the upstream host's name"},
-		{"$.data_centre", string(s.DataCentre), "the data centre's name"},
-		{"$.service", string(s.Service), "the name of the service that the upstream answers for"},
-	}
-	for _, n := range names {
-		if err := settings.CheckName(n.path, n.value, n.want); err != nil {
-			return err
-		}
-	}
-	addresses := []struct{ path, value string }{
-		{"$.http.address", s.HTTP.Address},
-		{"$.control.address", s.Control.Address},
-		{"$.upstream.address", s.Upstream.Address},
-		{"$.digests.address", s.Digests.Address},
-		{"$.platform", s.Platform},
-	}
-	for _, a := range addresses {
-		if err := settings.CheckAddress(a.path, a.value); err != nil {
-			return err
-		}
+	if err := s.Settings.Check("upstream"); err != nil {
+		return err
 	}
-	if err := settings.CheckAddresses("$.digests.seeds", s.Digests.Seeds); err != nil {
+	if err := settings.CheckName("$.service", string(s.Service), "the name of the service that the upstream answers for"); err != nil {
 		return err
 	}
-	if err := settings.CheckAddresses("$.control.seeds", s.Control.Seeds); err != nil {
+	if err := settings.CheckAddress("$.upstream.address", s.Upstream.Address); err != nil {
 		return err
 	}
 	return s.checkUpstream()
@@ -121,11 +68,5 @@
 	if s.Group.Name != "" && int(s.Group.Rank) >= s.Group.Ranks {
 		return &settings.KeyError{Path: "$.group.rank", Want: "less than group.ranks", Got: fmt.Sprint(s.Group.Rank)}
 	}
-	if err := s.TLS.Check(); err != nil {
-		return fmt.Errorf("settings: %w", err)
-	}
-	if err := s.Log.Check(); err != nil {
-		return fmt.Errorf("settings: %w", err)
-	}
 	return nil
 }
--- a/internal/testing/bench/load/bed.go
+++ b/internal/testing/bench/load/bed.go
@@ -13,6 +13,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/tracing"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/node/entry"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/host"
 	"github.com/cardamomyoke/cardamomyoke/internal/node/slot"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/attempt"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
@@ -122,7 +123,7 @@
 }
 
 func (b *bed) startSlot(name string, kind slot.Kind, upstream string, ports []string, digests string, o Options, d slot.Deps) error {
-	set := &slot.Settings{Name: name, DataCentre: "here", Service: ids.Service(name), Platform: digests}
+	set := &slot.Settings{Settings: host.Settings{Name: name, DataCentre: "here", Platform: digests}, Service: ids.Service(name)}
 	set.HTTP.Address = ports[0]
 	set.Control.Address = ports[1]
 	set.Digests.Address = ports[2]
@@ -157,7 +158,7 @@
 }
 
 func (b *bed) startEntry(digests, control string, source config.Source, tracer *tracing.Tracer) error {
-	set := &entry.Settings{Name: "entry", DataCentre: "here", Platform: control}
+	set := &entry.Settings{Settings: host.Settings{Name: "entry", DataCentre: "here", Platform: control}}
 	set.HTTP.Address = b.entryAddr
 	set.Control.Address = control
 	set.Digests.Address = digests
--- a/internal/testing/bench/slopes/entry.go
+++ b/internal/testing/bench/slopes/entry.go
@@ -12,6 +12,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/tracing"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/node/entry"
+	"github.com/cardamomyoke/cardamomyoke/internal/node/host"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing/expectedwait"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing/prefix"
@@ -37,7 +38,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-	c := &controlled{loop: control.New(), set: &entry.Settings{Name: "entry-self", DataCentre: "centre-0"}}
+	c := &controlled{loop: control.New(), set: &entry.Settings{Settings: host.Settings{Name: "entry-self", DataCentre: "centre-0"}}}
 	for _, a := range []*string{&c.set.HTTP.Address, &c.set.Control.Address, &c.set.Digests.Address, &c.set.Platform} {
 		if *a, err = meter.FreePort(); err != nil {
 			return nil, err
