Gateways lead without the lease under numbers drawn ahead while the store is away

Nobody could get the lease, so that the group stayed held until the store was back. Change: safety rests on numbers that are drawn once and only grow, not on the lease. Up to five candidates draw one ahead and tell the others; while the store does not answer the lowest that is later than all leaders' goes first. A leader learns from its ranks' versions that it is outdated (a frozen one that nobody told gave refused orders for as long as it believed to lead), and takes a new number before the versions of its own are used up.

--- a/internal/experts/lockstep/carryout.go
+++ b/internal/experts/lockstep/carryout.go
@@ -18,18 +18,18 @@
 // usualPass is the length of a pass of a loaded group; a shorter one costs another try at holding the group.
 const usualPass = 50 * time.Millisecond
 
-// task is a new task for the present leader. Its version is unique: fencing numbers are, and versions of one leader
+// task is a new task for the present leader. Its version is unique: leaders' numbers are, and versions of one leader
 // count up from its own.
 func (c *Conductor) task(s *survey) Task {
 	serial := c.o.Serials.next(c.fence)
 	return Task{
 		Epoch:   s.epoch,
 		Ranks:   len(s.upstreams),
-		Version: uint64(c.fence)<<fenceShift + serial,
+		Version: versionOf(c.fence, serial),
 		Present: c.placement,
 		HoldAt:  int(serial/versionsPerTask) % len(s.upstreams),
 
-		Fallback: uint64(c.fence)<<fenceShift + serial + 1,
+		Fallback: versionOf(c.fence, serial+1),
 	}
 }
 
--- a/internal/experts/lockstep/conductor.go
+++ b/internal/experts/lockstep/conductor.go
@@ -24,10 +24,6 @@
 	// leftBefore is for how long a group must be seen held that no running switch explains, so that another leader's switch
 	// may end; one takes some milliseconds. Reports that are not fresh show a hold for as long as they lag.
 	leftBefore = 100 * time.Millisecond
-	// versionsPerTask are reserved for each switch: the new map, and the present one again if it is undone.
-	versionsPerTask = 2
-	// fenceShift leaves room for the versions of one leader below those of the next.
-	fenceShift = 16
 )
 
 // Group is the group that a Conductor leads.
@@ -61,6 +57,9 @@
 	Policy             Options
 	// Read is called with the reports of a whole group, by rank; it may be nil.
 	Read func(upstreams []*catalog.Upstream, reports []Report)
+	// Outdated is called with the number of a later leader whose maps the ranks have, or with the next one when this one's
+	// versions are used up; the present number is good for nothing then. It may be nil.
+	Outdated func(newer ids.Fence)
 	// Switched is called after each switch; it may be nil.
 	Switched func(before, after float64, copies int)
 }
@@ -80,25 +79,6 @@
 	open       bool
 }
 
-// Serials count the tasks that a node begins under each of its fencing numbers. It is safe for concurrent use.
-//
-// Failure: a conductor ends and another begins for the same group under the same fencing number, and counts from the start.
-// Two maps get one version; a rank that has prepared the first takes the second for it, and the group runs under two maps.
-type Serials struct {
-	mu   sync.Mutex
-	last map[ids.Fence]uint64
-}
-
-// NewSerials returns a counter that has counted nothing.
-func NewSerials() *Serials { return &Serials{last: map[ids.Fence]uint64{}} }
-
-func (s *Serials) next(f ids.Fence) uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.last[f] += versionsPerTask
-	return s.last[f]
-}
-
 // NewConductor returns a conductor that has seen nothing.
 func NewConductor(o ConductorOptions) *Conductor {
 	return &Conductor{o: o, demand: NewDemand(o.Half)}
@@ -143,6 +123,10 @@
 	if c.o.Read != nil {
 		c.o.Read(state.upstreams, state.reports)
 	}
+	if newer := c.outdated(state); newer > 0 {
+		c.outdatedBy(newer)
+		return c.period()
+	}
 	if c.cleanUp(ctx, state) {
 		return soon
 	}
--- /dev/null
+++ b/internal/experts/lockstep/serials.go
@@ -0,0 +1,73 @@
+package lockstep
+
+import (
+	"sync"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+)
+
+const (
+	// versionsPerTask are reserved for each switch: the new map, and the present one again if it is undone.
+	versionsPerTask = 2
+	// fenceShift leaves room for the versions of one leader below those of the next.
+	fenceShift = 16
+	// lastSerial is the last task that one number has versions for.
+	lastSerial = 1<<fenceShift - versionsPerTask
+)
+
+// Serials count the tasks that a node begins under each of its numbers. It is safe for concurrent use.
+//
+// Failure: a conductor ends and another begins for the same group under the same number, and counts from the start. Two
+// maps get one version; a rank that has prepared the first takes the second for it, and the group runs under two maps.
+type Serials struct {
+	mu   sync.Mutex
+	last map[ids.Fence]uint64
+}
+
+// NewSerials returns a counter that has counted nothing.
+func NewSerials() *Serials { return &Serials{last: map[ids.Fence]uint64{}} }
+
+func (s *Serials) next(f ids.Fence) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last[f] += versionsPerTask
+	return s.last[f]
+}
+
+// usedUp reports whether a number has no versions left: the next ones would be those of a later leader.
+func (s *Serials) usedUp(f ids.Fence) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.last[f] >= lastSerial
+}
+
+// versionOf is the version of a task's map under a number.
+func versionOf(f ids.Fence, serial uint64) uint64 { return uint64(f)<<fenceShift + serial }
+
+// outdated returns why the leader's present number is good for nothing: a later one, or 0.
+//
+// Failure: a leader is paused, another takes over and ends in its turn before the first wakes. The first never hears of it,
+// and all its orders are refused, as the ranks have later versions. A group that the second left held would stay held for as
+// long as the first believes that it leads. What the ranks report tells it.
+func (c *Conductor) outdated(s *survey) ids.Fence {
+	newest := c.fence
+	for _, r := range s.reports {
+		newest = max(newest, ids.Fence(max(r.Version, r.Prepared)>>fenceShift))
+	}
+	switch {
+	case newest > c.fence:
+		return newest
+	case c.o.Serials.usedUp(c.fence):
+		return c.fence + 1
+	}
+	return 0
+}
+
+func (c *Conductor) outdatedBy(newer ids.Fence) {
+	_ = level.Info(c.o.Logger).Log("msg", "number outdated", "number", c.fence, "newer", newer)
+	if c.o.Outdated != nil {
+		c.o.Outdated(newer)
+	}
+}
--- a/internal/node/gateway/experts.go
+++ b/internal/node/gateway/experts.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +32,12 @@
 	lookEvery = 500 * time.Millisecond
 	// demandHalf is the half-life of the estimated demand.
 	demandHalf = 500 * time.Millisecond
+	// standbys is how many gateways have a number ready, so that one may lead at once although the store is away: the leader
+	// is one of them, and others may end before the store is back.
+	standbys = 5
+	// drawEvery is the most time between two tries to draw a number ahead, drawTimeout bounds one.
+	drawEvery   = 500 * time.Millisecond
+	drawTimeout = 2 * time.Second
 	// sampledRanks is how many ranks' counts are read each time; reading from afar makes the group pause.
 	sampledRanks = 4
 	// sampledNear is the same where each rank has an agent beside it. The group does not pause for it, but each reading has
@@ -42,18 +51,21 @@
 	ctx    context.Context
 	ranks  lockstep.Ranks
 	leases *keeper.Keeper
-	// fence is the newest fencing number that this gateway got, for the conductors; 0 while it must not lead.
-	fence atomic.Uint64
+	table  platform.Table
+	// number is what this gateway leads under, for the conductors; 0 while it does not lead.
+	number atomic.Uint64
 	// slow are the ranks that are slower than usual, by service and group, as the conductors read them last.
 	slow sync.Map // string → []*cardamomyokev1.UpstreamPace
-	// last and running belong to the control loop.
-	last    ids.Fence
+	// The rest belongs to the control loop. drawing says that a number is being drawn, drawAt from when on the next may be.
+	leading leadership
+	drawing bool
+	drawAt  time.Time
 	running map[ids.Service]*lockstep.Running
 }
 
 func newExperts(ctx context.Context, g *Gateway, ranks lockstep.Ranks, table platform.Table) *experts {
 	return &experts{
-		g: g, ctx: ctx, ranks: ranks, running: map[ids.Service]*lockstep.Running{},
+		g: g, ctx: ctx, ranks: ranks, table: table, running: map[ids.Service]*lockstep.Running{},
 		leases: keeper.New(keeper.Config{
 			Name: g.Settings().Name, Incarnation: g.incarnation, Length: leaseLength, Table: table, Loop: g.loop,
 			Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Logger: g.logger, Ended: g.peers.ended,
@@ -63,70 +75,122 @@
 
 // tick runs on the control loop.
 func (e *experts) tick(now time.Time) {
-	e.leases.Want(now, expertsDuty, e.wanted(now))
-	e.leases.Tick(now)
-	held := e.leases.Held(expertsDuty)
-	e.last = max(e.last, held.Fence)
 	e.follow()
-	fence := uint64(0)
-	if e.leads(now) {
-		fence = uint64(e.last)
+	c := e.candidates(now)
+	known := e.rivals(now, c)
+	e.leases.Want(now, expertsDuty, e.wanted(now, known))
+	e.leases.Tick(now)
+	number, draw := e.leading.decide(now, known)
+	if draw || e.standby(c) && e.drawDue(now) {
+		e.draw()
 	}
-	if e.fence.Swap(fence) == fence {
+	if e.number.Swap(uint64(number)) == uint64(number) {
 		return
 	}
+	_ = level.Info(e.g.logger).Log("msg", "leading", "duty", expertsDuty, "number", number, "lease_held", known.Held != 0,
+		"lease_seen", known.Seen, "newest_heard", e.leading.newest, "place", known.Place)
 	for _, c := range e.running {
 		c.Wake()
 	}
 }
 
-// wanted reports whether this gateway should lead: it does already, or no other does and it is the first of those that
-// are ready.
-func (e *experts) wanted(now time.Time) bool {
-	if e.g.control.node != stateReady || !e.anyGroup() {
-		return false
+// rivals is what this gateway knows of itself and others that may lead.
+func (e *experts) rivals(now time.Time, c candidates) rivals {
+	r := rivals{
+		Ready:      e.g.control.node == stateReady,
+		Seen:       e.leases.Seen(expertsDuty),
+		Unanswered: e.leases.Unanswered(now, expertsDuty),
+		Place:      e.place(c),
 	}
-	if e.leads(now) {
-		return true
+	if held := e.leases.Held(expertsDuty); held.At(now) {
+		r.Held = held.Fence
 	}
-	names := []string{e.g.Settings().Name}
-	power := e.g.Settings().Limits.cpuMillis()
 	for _, p := range e.g.peers.live(now) {
-		if now.Sub(p.heardAt) > leaderSilent {
-			continue
-		}
-		if p.digest.GetExpertsFence() > 0 {
-			return false
+		r.Heard = max(r.Heard, ids.Fence(p.digest.GetExpertsFence()))
+		if spare := ids.Fence(p.digest.GetExpertsSpare()); spare > e.leading.newest && spare < e.leading.spare {
+			r.Lower++
 		}
-		if p.digest.GetState() != cardamomyokev1.NodeState_NODE_STATE_LIVE {
+	}
+	return r
+}
+
+// wanted reports whether this gateway should have the lease: it leads already, or no other does and it is its turn.
+func (e *experts) wanted(now time.Time, r rivals) bool {
+	e.leading.note(now, r)
+	return r.Ready && (e.number.Load() > 0 || e.leading.turn(now, r))
+}
+
+// place is this gateway's among the candidates, negative if another leads or there is nothing to lead.
+func (e *experts) place(c candidates) int {
+	if c.led || !e.anyGroup() {
+		return -1
+	}
+	return slices.Index(c.names, e.g.Settings().Name)
+}
+
+// candidates are the gateways that are ready, those first that should lead first, this one among them; led says that
+// another one leads.
+type candidates struct {
+	names []string
+	led   bool
+}
+
+// candidates puts the hosts with the most processor time first, as the duty takes a tenth of a core.
+func (e *experts) candidates(now time.Time) candidates {
+	c := candidates{}
+	own := e.g.Settings().Name
+	power := map[string]uint32{own: e.g.Settings().Limits.cpuMillis()}
+	for _, p := range e.g.peers.live(now) {
+		if now.Sub(p.heardAt) > leaderSilent {
 			continue
 		}
-		// The duty takes a tenth of a core, so that the hosts with the most processor time go first.
-		switch other := p.digest.GetCpuMillis(); {
-		case other > power:
-			power, names = other, []string{p.digest.GetNode()}
-		case other == power:
-			names = append(names, p.digest.GetNode())
+		c.led = c.led || p.digest.GetExpertsFence() > 0
+		if p.digest.GetState() == cardamomyokev1.NodeState_NODE_STATE_LIVE {
+			power[p.digest.GetNode()] = p.digest.GetCpuMillis()
 		}
 	}
-	return lease.Candidates(expertsDuty, names, 1)[0] == e.g.Settings().Name
+	c.names = lease.Candidates(expertsDuty, slices.Collect(maps.Keys(power)), len(power))
+	slices.SortStableFunc(c.names, func(a, b string) int { return cmp.Compare(power[b], power[a]) })
+	return c
 }
 
-// leads reports whether this gateway may give orders: until it hears of a later leader, also beyond its lease. Two
-// leaders cannot mix maps, as their versions differ and a pass is held until all ranks have one.
-//
-// Failure: the store turns the leader away for some seconds and is then down for all. The leader's lease is over, nobody
-// can get another, and the map follows no drift until the store is back. Going on is safe, so it goes on.
-func (e *experts) leads(now time.Time) bool {
-	if e.last == 0 || e.g.control.node != stateReady || e.leases.Seen(expertsDuty) > e.last {
+// standby reports whether this gateway should have a number ready that is later than those of all leaders.
+func (e *experts) standby(c candidates) bool {
+	if e.g.control.node != stateReady || !e.anyGroup() || e.leading.spareIsNewest() {
 		return false
 	}
-	for _, p := range e.g.peers.live(now) {
-		if ids.Fence(p.digest.GetExpertsFence()) > e.last {
-			return false
-		}
+	return slices.Contains(c.names[:min(standbys, len(c.names))], e.g.Settings().Name)
+}
+
+// drawDue spreads the draws of numbers that are not needed yet: of those drawn at one moment only the last can be used.
+func (e *experts) drawDue(now time.Time) bool {
+	first := e.drawAt.IsZero()
+	if !first && now.Before(e.drawAt) {
+		return false
+	}
+	e.drawAt = now.Add(rand.N(drawEvery))
+	return !first
+}
+
+// draw gets a number from the store, one call at a time.
+func (e *experts) draw() {
+	if e.drawing {
+		return
 	}
-	return true
+	e.drawing = true
+	go func() {
+		ctx, cancel := context.WithTimeout(e.ctx, drawTimeout)
+		defer cancel()
+		n, err := keeper.Draw(ctx, e.table, expertsDuty)
+		e.g.loop.Post(func(time.Time) {
+			e.drawing = false
+			if err != nil {
+				_ = level.Info(e.g.logger).Log("msg", "no number drawn", "duty", expertsDuty, "err", err)
+				return
+			}
+			e.leading.drawn(n)
+		})
+	}()
 }
 
 func (e *experts) anyGroup() bool { return len(e.running) > 0 }
@@ -154,7 +218,7 @@
 		Ranks:  e.ranks,
 		Logger: log.With(e.g.logger, "service", name),
 		Group:  func() *lockstep.Group { return e.group(name) },
-		Fence:  func() ids.Fence { return ids.Fence(e.fence.Load()) },
+		Fence:  func() ids.Fence { return ids.Fence(e.number.Load()) },
 		Period: lookEvery,
 		Half:   demandHalf,
 		Sample: sampledRanks, SampleNear: sampledNear,
@@ -162,6 +226,7 @@
 		Read: func(upstreams []*catalog.Upstream, reports []lockstep.Report) {
 			e.notePaces(string(name)+"/"+reports[0].Group, upstreams, reports)
 		},
+		Outdated: func(newer ids.Fence) { e.g.loop.Post(func(time.Time) { e.leading.outdated(newer) }) },
 		Switched: func(before, after float64, copies int) {
 			e.g.metrics.switched(name, before, after, copies)
 		},
@@ -211,7 +276,7 @@
 
 // slowKnown returns the slow ranks of all services while this gateway leads.
 func (e *experts) slowKnown() []*cardamomyokev1.UpstreamPace {
-	if e.fence.Load() == 0 {
+	if e.number.Load() == 0 {
 		return nil
 	}
 	var all []*cardamomyokev1.UpstreamPace
--- a/internal/node/gateway/metrics.go
+++ b/internal/node/gateway/metrics.go
@@ -27,7 +27,7 @@
 		return 0
 	})
 	gauge("peers", func() float64 { return float64(g.peers.count(time.Now())) })
-	gauge("leads_experts", func() float64 { return boolean(g.experts.fence.Load() > 0) })
+	gauge("leads_experts", func() float64 { return boolean(g.experts.number.Load() > 0) })
 	gauge("requests_quarantined", func() float64 { return float64(g.suspects.refused(time.Now())) })
 	for _, f := range g.followers {
 		gauge(fmt.Sprintf("store_up{table=%q}", f.Table.Name()), func() float64 { return boolean(f.Link().Up) })
--- a/internal/node/gateway/telling.go
+++ b/internal/node/gateway/telling.go
@@ -58,7 +58,8 @@
 		DataCentre:    string(g.Settings().DataCentre),
 		HttpAddress:   g.Settings().Listen.Callers,
 		DigestAddress: g.Settings().Listen.Peers,
-		ExpertsFence:  g.experts.fence.Load(),
+		ExpertsFence:  g.experts.number.Load(),
+		ExpertsSpare:  uint64(g.experts.leading.spare),
 		CpuMillis:     g.Settings().Limits.cpuMillis(),
 	}
 	if now.Sub(p.namedAt) >= p.namesEvery(now) {
@@ -121,7 +122,7 @@
 // targets are the addresses to tell now. A leader tells all each time.
 func (p *peers) targets(now time.Time) []string {
 	out := p.others(now)
-	if len(out) <= maxTold || p.g.experts.fence.Load() > 0 {
+	if len(out) <= maxTold || p.g.experts.number.Load() > 0 {
 		return out
 	}
 	part := make([]string, 0, maxTold)
--- a/internal/state/lease/keeper/keeper.go
+++ b/internal/state/lease/keeper/keeper.go
@@ -70,6 +70,15 @@
 	return 0
 }
 
+// Unanswered returns for how long the table has not answered the present call for a duty; 0 if there is none. It is called
+// on the control loop.
+func (k *Keeper) Unanswered(now time.Time, d lease.Duty) time.Duration {
+	if h := k.holders[d]; h != nil {
+		return h.Unanswered(now)
+	}
+	return 0
+}
+
 // Want says whether this node wants a duty; see lease.Candidates.
 func (k *Keeper) Want(now time.Time, d lease.Duty, want bool) {
 	h := k.holders[d]
--- a/internal/state/lease/keeper/keeper_test.go
+++ b/internal/state/lease/keeper/keeper_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -219,3 +220,38 @@
 		}
 	})
 }
+
+// Several gateways draw numbers at the same time, and one of them may have to lead while the table is away. Two leaders under
+// one number would give two maps the same version. No number may be drawn twice, and each is above those before it.
+func TestNumbersAreDrawnOnce(t *testing.T) {
+	s := standin.NewStore(standin.Limits{})
+	seen := map[ids.Fence]bool{}
+	var mu sync.Mutex
+	last := ids.Fence(0)
+	for range 20 {
+		var wait sync.WaitGroup
+		for i := range 4 {
+			client := s.Client(fmt.Sprint("gateway-", i))
+			wait.Go(func() {
+				n, err := keeper.Draw(context.Background(), client, duty)
+				var drawn *keeper.DrawError
+				if errors.As(err, &drawn) {
+					return
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil || seen[n] || n <= last {
+					t.Errorf("drew %d after %d, seen before: %t, err %v", n, last, seen[n], err)
+				}
+				seen[n] = true
+			})
+		}
+		wait.Wait()
+		for n := range seen {
+			last = max(last, n)
+		}
+	}
+	if len(seen) < 20 {
+		t.Fatalf("%d numbers were drawn in 20 rounds", len(seen))
+	}
+}
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -33,6 +33,8 @@
 const (
 	prefixLease = "leases/"
 	prefixFence = "fences/"
+	// prefixNumber is that of rows whose versions are numbers drawn for a duty; see keeper.Draw.
+	prefixNumber = "numbers/"
 	// renewals are the tries that fit into one length.
 	renewals = 3
 	// marginPart is the part of the length by which the holder stops early, and others wait longer.
@@ -50,6 +52,9 @@
 // FenceKey returns the key of the row whose version is the fencing number.
 func (d Duty) FenceKey() string { return prefixFence + string(d) }
 
+// NumberKey returns the key of the row whose versions are the numbers drawn for the duty.
+func (d Duty) NumberKey() string { return prefixNumber + string(d) }
+
 // Guard returns the check that a table write of the duty must name: it fails once there is a later holder.
 func Guard(d Duty, f ids.Fence) platform.Check {
 	return platform.Check{Key: d.FenceKey(), Version: uint64(f)}
@@ -138,6 +143,14 @@
 // Seen returns the newest fencing number that the rows were seen to have.
 func (h *Holder) Seen() ids.Fence { return ids.Fence(h.row.Fence) }
 
+// Unanswered returns for how long the call under way has waited for its answer; 0 if there is none.
+func (h *Holder) Unanswered(now time.Time) time.Duration {
+	if h.callAt.IsZero() {
+		return 0
+	}
+	return now.Sub(h.callAt)
+}
+
 // State returns the state in the chart.
 func (h *Holder) State() charts.State { return h.machine.State() }
 
