A copy that was pulled counts as loaded; news are pulled from their teller if the nearest gives nothing

The second pulled the tables from one that had followed them since version 0, so that the delta was the whole table but not marked as such; its copy had the newest change, told of it, and gave nothing to those that asked, as it counted as not loaded. A third gateway, calm and in reach of the store, asked it 14 times in 3 s, handled requests by the old configuration and answered 404 for a new route. Ruled out: the feed (followers had the change 20 ms after its acknowledgement), the digests (the news came). Change: a merged delta makes a copy loaded; a pull that brings nothing goes on to the teller; a copy that lacks a change for 600 ms is read from the store itself; a gateway that knows it is behind says 'come back' and not 404 or 401.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -135,11 +135,12 @@
 }
 
 func (g *Gateway) follower(feed platform.Feed, table string) *replica.Follower {
+	copied := replica.NewTable(table)
 	return &replica.Follower{
 		Feed:     feed,
-		Table:    replica.NewTable(table),
+		Table:    copied,
 		Sentinel: func() bool { return g.peers.sentinel(time.Now()) },
-		Relayed:  func() bool { return g.peers.relayed(table, time.Now()) },
+		Relayed:  func() bool { return g.peers.relayed(copied, time.Now()) },
 		FollowingChanged: func(t *replica.Table, following bool) {
 			_ = level.Info(g.logger).Log("msg", "store feed", "table", t.Name(), "following", following, "version", t.Newest())
 		},
--- a/internal/node/gateway/handler.go
+++ b/internal/node/gateway/handler.go
@@ -86,13 +86,13 @@
 	path, _, _ := bytes.Cut(in.Header.RequestURI(), []byte("?"))
 	r.route = v.config.Route(string(in.Header.Host()), string(path))
 	if r.route == nil {
-		return r, v.missing(failure.CodeUnknownService)
+		return r, g.missing(v, failure.CodeUnknownService)
 	}
 	r.priority = r.route.Priority
 	if v.config.NeedsKey(r.route) {
 		account := v.config.Account(call.Key)
 		if account == nil {
-			return r, v.missing(failure.CodeUnknownKey)
+			return r, g.missing(v, failure.CodeUnknownKey)
 		}
 		r.client = account.Name
 		if account.HasPriority {
@@ -112,10 +112,11 @@
 
 // missing says that a route or key does not exist, or only that it is not known here.
 //
-// Failure: a node that the store turns away does not hear of a new route and answers 404, which callers take as final.
-// A refusal that asks to come back is enough, since the caller then meets a node that knows.
-func (v *view) missing(code failure.Code) error {
-	if !v.current {
+// Failure: a node that the store turns away does not hear of a new route and answers 404, which callers take as final. So
+// does one that others have told of a newer configuration, and that has not got it yet. A refusal that asks to come back is
+// enough, since the caller then meets a node that knows.
+func (g *Gateway) missing(v *view, code failure.Code) error {
+	if !v.current || g.peers.behind(g.config.Table, time.Now()) > 0 {
 		return failure.New(failure.CodeStaleRevision, failure.New(code, nil)).WithRetryAfter(unknownRetry)
 	}
 	return failure.New(code, nil)
--- a/internal/node/gateway/news.go
+++ b/internal/node/gateway/news.go
@@ -16,15 +16,46 @@
 
 // catchUp pulls the tables of which the sender knows a newer change.
 func (p *peers) catchUp(d *cardamomyokev1.Digest) {
-	for _, news := range d.GetNews() {
-		for _, f := range p.g.followers {
-			if f.Table.Name() == news.GetTable() && news.GetNewest() > f.Table.Newest() {
-				p.pull(f, d)
-			}
+	for _, f := range p.g.followers {
+		if newestOf(d, f.Table.Name()) > f.Table.Newest() {
+			p.noteBehind(f.Table.Name(), newestOf(d, f.Table.Name()))
+			p.pull(f, d)
 		}
 	}
 }
 
+// lag says that a table's copy lacks a change of which others have told.
+type lag struct {
+	newest uint64
+	since  time.Time
+}
+
+func (p *peers) noteBehind(table string, newest uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, known := p.lags[table]
+	if !known {
+		l.since = time.Now()
+	}
+	l.newest = max(l.newest, newest)
+	p.lags[table] = l
+}
+
+// behind returns for how long the table's copy has lacked a change of which others have told; 0 if it lacks none.
+func (p *peers) behind(t *replica.Table, now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, known := p.lags[t.Name()]
+	if !known {
+		return 0
+	}
+	if t.Newest() >= l.newest {
+		delete(p.lags, t.Name())
+		return 0
+	}
+	return max(1, now.Sub(l.since))
+}
+
 const (
 	// newsGrace is how long a node that follows the store waits for its own feed before it asks a peer: the feed brings
 	// most changes within milliseconds, and each node pulling each change would multiply the bytes between nodes.
@@ -64,12 +95,26 @@
 			p.mu.Unlock()
 		}()
 		time.Sleep(p.grace(f, from))
-		if newestOf(from, table) > f.Table.Newest() {
-			p.pullNow(f, p.nearest(table, from))
-		}
+		p.pullFirst(f, p.nearest(table, from), from)
 	}()
 }
 
+// pullFirst pulls from the first of the gateways that brings the table up to what the last one told of.
+//
+// Failure: the nearest gateway that tells of a change does not answer or does not give it, and is asked again with each
+// digest. The one that brought the news has it.
+func (p *peers) pullFirst(f *replica.Follower, from ...*cardamomyokev1.Digest) {
+	wanted := newestOf(from[len(from)-1], f.Table.Name())
+	asked := ""
+	for _, d := range from {
+		if wanted <= f.Table.Newest() || d.GetDigestAddress() == asked {
+			continue
+		}
+		asked = d.GetDigestAddress()
+		p.pullNow(f, d)
+	}
+}
+
 // nearest returns a gateway of this data centre that has news as new as the one given, or that one.
 func (p *peers) nearest(table string, from *cardamomyokev1.Digest) *cardamomyokev1.Digest {
 	own := string(p.g.Settings().DataCentre)
--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -66,6 +66,7 @@
 	known   map[string]*peer     // by name
 	hints   map[string]time.Time // addresses that were named, with the time of it
 	pulling map[string]bool      // tables that are being pulled
+	lags    map[string]lag       // tables whose copy lacks a change
 
 	// The rest belongs to the control loop. turn is where the next digest goes on in the list of targets.
 	turn     int
@@ -83,6 +84,7 @@
 		known:   map[string]*peer{},
 		hints:   map[string]time.Time{},
 		pulling: map[string]bool{},
+		lags:    map[string]lag{},
 	}
 	var err error
 	if p.sender, err = digest.NewSender(); err != nil {
--- a/internal/node/gateway/peers_test.go
+++ b/internal/node/gateway/peers_test.go
@@ -1,10 +1,21 @@
 package gateway
 
 import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/replica"
 )
 
 // A gateway's host has its time of day ahead, the gateway starts, the time is set back, and the gateway starts again. Its
@@ -60,3 +71,90 @@
 		}
 	}
 }
+
+// teller is another gateway that gives the same answer to each pull.
+type teller struct {
+	answer *cardamomyokev1.PullResponse
+	asked  atomic.Int32
+}
+
+func (t *teller) Pull(context.Context, *cardamomyokev1.PullRequest) (*cardamomyokev1.PullResponse, error) {
+	t.asked.Add(1)
+	return t.answer, nil
+}
+
+// start serves it on loopback and returns its digest, which tells of the table's version.
+func (t *teller) start(tt *testing.T, centre string, newest uint64) *cardamomyokev1.Digest {
+	tt.Helper()
+	mux := http.NewServeMux()
+	mux.Handle(cardamomyokev1connect.NewPeerServiceHandler(t))
+	server := httptest.NewServer(mux)
+	tt.Cleanup(server.Close)
+	return &cardamomyokev1.Digest{
+		Node: centre, DataCentre: centre, DigestAddress: server.Listener.Addr().String(),
+		News: []*cardamomyokev1.TableNews{{Table: "op", Newest: newest}},
+	}
+}
+
+// behindGateway is a gateway of the data centre "near" whose copy of a table is at a version.
+func behindGateway(t *testing.T, version uint64) (*peers, *replica.Follower) {
+	t.Helper()
+	f := &replica.Follower{Table: replica.NewTable("op"), Changed: func(*replica.Table) {}}
+	f.Table.Load([]platform.Row{{Key: "config", Version: version}}, version)
+	g := &Gateway{logger: log.NewNopLogger(), followers: []*replica.Follower{f}}
+	g.settings.Store(&Settings{Name: "own", DataCentre: "near"})
+	return &peers{
+		g: g, ctx: t.Context(), http: http.DefaultClient, known: map[string]*peer{}, pulling: map[string]bool{}, lags: map[string]lag{},
+	}, f
+}
+
+// A configuration changes. The nearest gateway tells of it, too, but gives nothing when it is asked. Callers would be served
+// by the old configuration for as long as that one is the nearest; the gateway that brought the news is asked next.
+func TestNewsIsPulledFromItsTellerIfTheNearestGivesNothing(t *testing.T) {
+	p, f := behindGateway(t, 80)
+	near := &teller{answer: &cardamomyokev1.PullResponse{}}
+	far := &teller{answer: &cardamomyokev1.PullResponse{
+		Version: 90, Rows: []*cardamomyokev1.TableRow{{Key: "config", Version: 90, Value: []byte("new")}},
+	}}
+	told := far.start(t, "far", 90)
+	p.known["near"] = &peer{digest: near.start(t, "near", 90), heardAt: time.Now()}
+	p.pullFirst(f, p.nearest("op", told), told)
+	if got := f.Table.Newest(); got != 90 || near.asked.Load() != 1 || far.asked.Load() != 1 {
+		t.Fatalf("version %d after asking the nearest %d times and the teller %d times", got, near.asked.Load(), far.asked.Load())
+	}
+}
+
+// Nobody gives a gateway the change that all tell of. It must not say that a route does not exist, which its callers would
+// take as final, and it asks the store itself after some pulls.
+func TestAGatewayThatIsKnownToBeBehindAsksTheStore(t *testing.T) {
+	p, f := behindGateway(t, 80)
+	late := time.Now().Add(mostBehind + time.Second)
+	following := []*cardamomyokev1.TableNews{{Table: "op", Newest: 90, Following: true}}
+	for i := range 20 {
+		d := &cardamomyokev1.Digest{Node: fmt.Sprint("gateway-", i), DataCentre: "near", News: following}
+		p.known[d.GetNode()] = &peer{digest: d, heardAt: late}
+	}
+	if !p.relayed(f.Table, late) {
+		t.Fatal("a gateway among 20 others follows the store itself")
+	}
+	g := p.g
+	g.peers, g.config = p, f
+	now := time.Now()
+	missing := func() failure.Code {
+		return failure.From(g.missing(&view{current: true}, failure.CodeUnknownService)).Code
+	}
+	if got := missing(); got != failure.CodeUnknownService || p.behind(f.Table, now) != 0 {
+		t.Fatalf("a gateway that lacks nothing answered %s", got)
+	}
+	p.noteBehind("op", 90)
+	if got := missing(); got != failure.CodeStaleRevision {
+		t.Fatalf("a gateway that is behind answered %s", got)
+	}
+	if behind := p.behind(f.Table, late); behind <= mostBehind || p.relayed(f.Table, late) {
+		t.Fatalf("%s behind, and still relayed", behind)
+	}
+	f.Table.Apply([]platform.Change{{Row: platform.Row{Key: "config", Version: 90}}}, 90)
+	if got := missing(); got != failure.CodeUnknownService {
+		t.Fatalf("a gateway that is up to date again answered %s", got)
+	}
+}
--- a/internal/node/gateway/watching.go
+++ b/internal/node/gateway/watching.go
@@ -6,6 +6,7 @@
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/lease"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/replica"
 )
 
 const (
@@ -15,6 +16,9 @@
 	// leastRelays is how many gateways that follow the store must be heard by one that does not: of two, one may have been
 	// turned away by the store and not noticed yet.
 	leastRelays = 2
+	// mostBehind is for how long a copy may lack a change that others have told of before the store is asked for it: some
+	// pulls from the nearest gateway and the one that told.
+	mostBehind = 600 * time.Millisecond
 )
 
 // sentinel reports whether this gateway is one that its data centre relies on for news of the store: one of the first by
@@ -33,15 +37,15 @@
 	return slices.Contains(lease.Candidates("store", names, each), own.Name)
 }
 
-// relayed reports whether this gateway hears of changes from others that follow the table in the store.
-func (p *peers) relayed(table string, now time.Time) bool {
-	if p.sentinel(now) {
+// relayed reports whether this gateway hears of changes from others that follow the table in the store, and gets them.
+func (p *peers) relayed(t *replica.Table, now time.Time) bool {
+	if p.sentinel(now) || p.behind(t, now) > mostBehind {
 		return false
 	}
 	relays := 0
 	for _, k := range p.live(now) {
 		for _, n := range k.digest.GetNews() {
-			if n.GetTable() == table && n.GetFollowing() {
+			if n.GetTable() == t.Name() && n.GetFollowing() {
 				relays++
 			}
 		}
--- a/internal/state/replica/table.go
+++ b/internal/state/replica/table.go
@@ -171,12 +171,21 @@
 }
 
 // Merge takes in another copy's delta. It reports whether a row changed.
+//
+// Failure: a gateway starts while the store is away and pulls the table from a peer that has followed it from the beginning,
+// so that all changes are the whole table. It tells others of the newest change; if it counts as not loaded it has nothing
+// for those that ask, and these go on by the old configuration: for 2.7 s until the store was back. A peer gives a delta only
+// from a copy that is complete, which makes this one complete, too.
 func (t *Table) Merge(d Delta) bool {
 	if !d.Whole {
 		if d.Version == 0 {
 			return false
 		}
-		return t.Apply(d.Changes, d.Version)
+		changed := t.Apply(d.Changes, d.Version)
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.loaded = true
+		return changed
 	}
 	rows := make([]platform.Row, 0, len(d.Changes))
 	for _, c := range d.Changes {
--- a/internal/state/replica/table_test.go
+++ b/internal/state/replica/table_test.go
@@ -157,3 +157,24 @@
 		t.Fatal(diff)
 	}
 }
+
+// Two gateways start again one after the other while the store cannot be reached. The first pulls the table from one that has
+// followed it from the beginning; the second asks the first, which has the change that it tells of. It must be given it, or
+// the second handles requests by the old configuration for as long as it believes the first.
+func TestACopyThatWasPulledCanBePulledFrom(t *testing.T) {
+	src := &source{rows: map[string]platform.Row{}}
+	first, second, third := replica.NewTable("t"), replica.NewTable("t"), replica.NewTable("t")
+	first.Load(src.all(), src.version)
+	src.put("a", "1")
+	src.put("b", "1")
+	src.remove("a")
+	first.Apply(src.since(0), src.version)
+	second.Merge(first.Since(0))
+	if _, loaded := second.Position(); !loaded {
+		t.Error("a copy that was pulled whole counts as not loaded")
+	}
+	third.Merge(second.Since(0))
+	if diff := cmp.Diff(src.content(), content(third)); diff != "" {
+		t.Fatal(diff)
+	}
+}
