--- a/internal/base/program/program.go
+++ b/internal/base/program/program.go
@@ -55,13 +55,22 @@
 	}
 	check := app.Command("check-settings", "Check a settings file and say where its first fault is.")
 	checkFile := check.Arg("file", "Settings file (YAML).").Required().ExistingFile()
+	show := app.Command("print-settings", "Check a settings file and print all keys as they are taken, also those that it leaves out.")
+	showFile := show.Arg("file", "Settings file (YAML).").Required().ExistingFile()
+	version := app.Command("version", "Print the program's version.")
 	command, err := app.Parse(args)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", p.Name, err)
 		return ExitUsage
 	}
-	if command == check.FullCommand() {
+	switch command {
+	case check.FullCommand():
 		return checkSettings(p, *checkFile)
+	case show.FullCommand():
+		return printSettings(p, *showFile)
+	case version.FullCommand():
+		fmt.Println(p.Name, Version())
+		return ExitOK
 	}
 	text, err := os.ReadFile(*runFile)
 	if err != nil {
@@ -85,6 +94,21 @@
 	return ExitOK
 }
 
+func printSettings(p Program, file string) int {
+	set := p.Settings()
+	if err := settings.Read(file, set); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitUsage
+	}
+	text, err := settings.Format(set)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitFailed
+	}
+	fmt.Print(string(text))
+	return ExitOK
+}
+
 func runUntilSignal(p Program, set settings.Checker, o Options) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/internal/base/settings/duration.go
+++ b/internal/base/settings/duration.go
@@ -31,3 +31,6 @@
 	}
 	return time.Duration(d)
 }
+
+// MarshalYAML writes the duration as UnmarshalYAML reads it.
+func (d Duration) MarshalYAML() (any, error) { return time.Duration(d).String(), nil }
--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -78,6 +78,15 @@
 	return nil
 }
 
+// Format returns settings as a file that Parse reads to the same value.
+func Format(set Checker) ([]byte, error) {
+	text, err := yaml.Marshal(set)
+	if err != nil {
+		return nil, fmt.Errorf("print settings: %w", err)
+	}
+	return text, nil
+}
+
 func lineOf(text []byte, err error) int {
 	var ye yaml.Error
 	if errors.As(err, &ye) && ye.GetToken() != nil {
--- a/internal/node/gateway/rankwatch.go
+++ b/internal/node/gateway/rankwatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -48,10 +49,5 @@
 
 // listed reports whether the upstream's life is still one of the service's.
 func (w *groupWatch) listed(u *catalog.Upstream) bool {
-	for _, v := range w.upstreams() {
-		if v.ID == u.ID {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(w.upstreams(), func(v *catalog.Upstream) bool { return v.ID == u.ID })
 }
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -13,6 +13,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
@@ -39,6 +40,9 @@
 	gaveHeld bool
 	// trace is the trace context for the next hop; empty if there is none.
 	trace string
+	// print is the request's fingerprint once hashed is set.
+	print  quarantine.Fingerprint
+	hashed bool
 }
 
 func newRun(g *Gateway, v *view, x *httpserver.Exchange, r *request) *run {
--- /dev/null
+++ b/internal/node/gateway/settings_test.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/base/settings"
+)
+
+const settingsText = `
+name: gateway-1
+data_centre: near
+listen:
+  callers: "127.0.0.1:8000"
+  directory: "127.0.0.1:8001"
+  readiness: "127.0.0.1:8002"
+  peers: "127.0.0.1:8003"
+peers: ["127.0.0.1:9003"]
+store: "127.0.0.1:7000"
+limits: {memory_mb: 284, file_descriptors: 4100, cores: 0.4}
+bounds:
+  drain: 2s
+  grace: 8s
+  stability: 3s
+  config_apply: 2s
+  max_keep: 5s
+  stall: 1500ms
+  retries: {ratio: 0.2, extra: 90, window: 10s}
+`
+
+// An operator prints the settings of a gateway, changes a key in what was printed, and uses that.
+func TestPrintedSettingsCanBeRead(t *testing.T) {
+	var set, again Settings
+	if err := settings.Parse("first", []byte(settingsText), &set); err != nil {
+		t.Fatal(err)
+	}
+	text, err := settings.Format(&set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := settings.Parse("printed", text, &again); err != nil {
+		t.Fatalf("%v in\n%s", err, text)
+	}
+	if diff := cmp.Diff(set, again); diff != "" {
+		t.Fatal(diff)
+	}
+}
--- a/internal/node/gateway/suspects.go
+++ b/internal/node/gateway/suspects.go
@@ -79,8 +79,15 @@
 	return n
 }
 
-// fingerprint is the same for each time that a client account sends a request.
+// fingerprint is the same for each time that a client account sends a request. It is computed when it is first asked for.
 func (n *run) fingerprint() quarantine.Fingerprint {
+	if !n.hashed {
+		n.print, n.hashed = n.computeFingerprint(), true
+	}
+	return n.print
+}
+
+func (n *run) computeFingerprint() quarantine.Fingerprint {
 	in := n.x.Req
 	h := sha256.New()
 	h.Write(in.Header.Method())
