A hold that is carried out after its switch was released is undone

All ranks stood still until they lost power or their leader. The leader saw the hold, and waited for the reports to show its new map before it would undo anything, which they cannot while the pass is held: for good. Streams of all ranks had no event for 2.2 s, from 70 ms after 'map switch ... end=done'. Ruled out: a rank that hangs, is cut off or slow (no other order or report was lost), a broken group (reports said open), the outage of the store (leaders go on without it). Change: what is held is undone from the map in use, read anew; after a switch whose hold was sent twice the group is looked at again within 0.1 s; a hold before a complete switch ahead is only released, which waited for ever as well.

--- a/internal/experts/lockstep/carryout.go
+++ b/internal/experts/lockstep/carryout.go
@@ -148,9 +148,10 @@
 	}
 }
 
-// cleanUp undoes what another leader left behind: a group that is held. It reports whether there is such a group.
+// cleanUp undoes what was left behind: a group that is held. It reports whether there is such a group.
 //
-// Failure: a leader dies between holding a group and releasing it, and no rank ever begins another pass.
+// Failure: a leader dies between holding a group and releasing it, and no rank ever begins another pass. The same is left by
+// a leader's own order to hold, sent again for want of an answer, that is carried out after the group was released.
 func (c *Conductor) cleanUp(ctx context.Context, s *survey) bool {
 	now := time.Now()
 	left := FindLeft(s.reports)
@@ -165,14 +166,19 @@
 	if !s.reports[left.Holders[0]].Fresh {
 		patience += 2 * s.group.ReportLag
 	}
-	if left.Pending || now.Sub(c.leftSince) < patience || !c.learnPlacement(ctx, s) {
+	if left.Pending && !left.Ahead || now.Sub(c.leftSince) < patience {
+		return true
+	}
+	// The map in use is read anew: the one that this leader has switched to is not in use as long as the pass is held.
+	c.forgetPlacement()
+	if !c.learnPlacement(ctx, s) {
 		return true
 	}
 	c.leftSince = time.Time{}
 	task := left.Task(c.task(s))
 	sw := NewSwitch(task)
 	c.carryOut(ctx, s, sw, sw.Undo(now, left))
-	_ = level.Warn(c.o.Logger).Log("msg", "switch of another leader undone", "version", task.Version, "pass", left.Pass, "end", sw.State(),
+	_ = level.Warn(c.o.Logger).Log("msg", "switch undone", "reason", "the group was held", "version", task.Version, "pass", left.Pass, "end", sw.State(),
 		"took", time.Since(now))
 	c.forget()
 	return true
--- a/internal/experts/lockstep/conductor.go
+++ b/internal/experts/lockstep/conductor.go
@@ -137,7 +137,9 @@
 	if c.demand.Value() == nil {
 		return 2 * soon
 	}
-	c.improve(ctx, state)
+	if c.improve(ctx, state) {
+		return 2 * soon
+	}
 	return c.period()
 }
 
@@ -149,10 +151,12 @@
 }
 
 func (c *Conductor) forget() {
-	c.placement = nil
+	c.forgetPlacement()
 	c.leftSince = time.Time{}
 }
 
+func (c *Conductor) forgetPlacement() { c.placement = nil }
+
 // survey is the group as its ranks reported it, by rank.
 type survey struct {
 	group     *Group
@@ -349,8 +353,9 @@
 	}
 }
 
-// improve switches to a better placement if there is one.
-func (c *Conductor) improve(ctx context.Context, s *survey) {
+// improve switches to a better placement if there is one. It reports whether the group should be looked at soon: an order
+// to hold it was sent more than once, and one that comes late would hold it again.
+func (c *Conductor) improve(ctx context.Context, s *survey) bool {
 	speed := make([]float64, len(s.reports))
 	for r, report := range s.reports {
 		speed[r] = 1 / max(1, report.Pace)
@@ -358,7 +363,7 @@
 	plan, before := Decide(c.o.Policy, c.placement, c.demand, speed, s.group.Experts)
 	if plan == nil {
 		_ = level.Debug(c.o.Logger).Log("msg", "map kept", "version", c.version, "skew", before)
-		return
+		return false
 	}
 	now := time.Now()
 	task := c.task(s)
@@ -373,10 +378,11 @@
 		"took", time.Since(now))
 	if !sw.Switched() {
 		c.forget()
-		return
+		return false
 	}
 	c.placement, c.version, c.switchedAt = plan.Placement, task.Version, sw.Pass()
 	if c.o.Switched != nil {
 		c.o.Switched(plan.Before, plan.After, plan.Copies)
 	}
+	return sw.HoldResent()
 }
--- /dev/null
+++ b/internal/experts/lockstep/latehold_test.go
@@ -0,0 +1,80 @@
+package lockstep_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/lockstep"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
+)
+
+// lateHold is a site where the first order to hold a group is carried out only after the group was released.
+type lateHold struct {
+	*site
+	first *lockstep.Order
+	at    *catalog.Upstream
+	done  bool
+}
+
+func (l *lateHold) Order(ctx context.Context, up *catalog.Upstream, o lockstep.Order) (lockstep.Reply, error) {
+	if o.Op == lockstep.OpHold && l.first == nil {
+		l.first, l.at = &o, up
+		time.Sleep(lostAfter)
+		return lockstep.ReplyLost, errUnknown
+	}
+	reply, err := l.site.Order(ctx, up, o)
+	if o.Op == lockstep.OpRelease && !l.done {
+		l.done = true
+		_, _ = l.site.Order(ctx, l.at, *l.first)
+	}
+	return reply, err
+}
+
+// All streams of a group stand still until their callers leave, and no line tells why. An order to hold the group got no
+// answer and was sent again; the ranks were armed and the group released; then the first order arrived, before the pass had
+// begun, and held the group once more. Its leader takes its own switch for complete.
+func TestAHoldThatComesAfterTheReleaseIsUndone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, list := newSite([]string{"a"}, 2)
+		l := &lateHold{site: s}
+		c := lockstep.NewConductor(lockstep.ConductorOptions{
+			Ranks: l, Logger: log.NewNopLogger(), Serials: lockstep.NewSerials(),
+			Group: func() *lockstep.Group {
+				return &lockstep.Group{Name: "a", Upstreams: list, Experts: &catalog.Experts{Sets: 1, PerSet: 4, Placements: 4, Spare: 2}}
+			},
+			Fence:  func() ids.Fence { return 7 },
+			Period: 500 * time.Millisecond, Half: 500 * time.Millisecond, Sample: 2, SampleNear: 2,
+			Policy: lockstep.Options{LeastGain: 0.01, LeastCounts: 1},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go c.Run(ctx)
+		g, held := s.groups["a"], 0
+		for ms := range 6000 {
+			time.Sleep(time.Millisecond)
+			s.mu.Lock()
+			if g.held() {
+				held++
+			}
+			s.mu.Unlock()
+			if ms%50 == 0 {
+				s.step()
+			}
+		}
+		cancel()
+		time.Sleep(2 * lostAfter) // calls that are on their way end
+		if len(g.mixed) > 0 {
+			t.Fatal(g.mixed[0])
+		}
+		if !l.done {
+			t.Fatal("the late order was not carried out")
+		}
+		if held > 400 {
+			t.Fatalf("the group was held for %d ms", held)
+		}
+	})
+}
--- a/internal/experts/lockstep/left.go
+++ b/internal/experts/lockstep/left.go
@@ -11,6 +11,9 @@
 	Version uint64
 	// Pending says that ranks are armed for another pass: a switch that is complete, and begins before the held pass.
 	Pending bool
+	// Ahead says that all ranks are armed for one version at one pass after the held one, so that none is, or can be, armed
+	// for the held pass.
+	Ahead bool
 }
 
 // FindLeft returns the switch that the reports show, or nil if no rank holds the group.
@@ -43,9 +46,19 @@
 	if armed != 0 {
 		l.Version = armed
 	}
+	l.Ahead = armedAhead(reports, l.Pass)
 	return l
 }
 
+// armedAhead reports whether all ranks are armed for one version at one pass after the given one.
+func armedAhead(reports []Report, pass uint64) bool {
+	first := reports[0].Armed
+	if first == nil || first.Pass <= pass {
+		return false
+	}
+	return !slices.ContainsFunc(reports, func(r Report) bool { return r.Armed == nil || *r.Armed != *first })
+}
+
 // Task returns the task of undoing it: t for another rank to hold the group at, and the version to take back.
 func (l *Left) Task(t Task) Task {
 	t.Version = l.Version
--- a/internal/experts/lockstep/switch.go
+++ b/internal/experts/lockstep/switch.go
@@ -19,6 +19,7 @@
 
 	evBegin        charts.Event = "begin"
 	evRescue       charts.Event = "rescue"
+	evUnneeded     charts.Event = "unneeded"
 	evAllPrepared  charts.Event = "all_prepared"
 	evRefused      charts.Event = "refused"
 	evLate         charts.Event = "late"
@@ -80,11 +81,13 @@
 	// due is when an order is sent, or sent again, by rank.
 	due map[int]time.Time
 	// release are the ranks to be told to let the pass begin.
-	release  []int
-	pass     uint64
-	holds    int
-	known    uint64
-	switched bool
+	release []int
+	pass    uint64
+	holds   int
+	// holdsGiven counts the orders to hold a pass.
+	holdsGiven int
+	known      uint64
+	switched   bool
 }
 
 // NewSwitch returns a switch that has not begun.
@@ -104,6 +107,9 @@
 // Pass is the pass of the switch; 0 before it is chosen.
 func (s *Switch) Pass() uint64 { return s.pass }
 
+// HoldResent reports whether the order to hold the group was given more than once.
+func (s *Switch) HoldResent() bool { return s.holdsGiven > 1+s.holds }
+
 // Start begins the switch.
 func (s *Switch) Start(now time.Time) []Order {
 	s.fire(evBegin)
@@ -112,8 +118,17 @@
 
 // Undo begins to undo a switch that another leader left. The task must be the one that left.Task returned, and nothing
 // may be pending: disarming ranks for a pass that is not held would mix maps.
+//
+// Failure: an order to hold a pass is carried out late, while all ranks are armed for a later pass. No rank begins a pass any
+// more, and nothing is to be disarmed: the switch ahead is complete. Nobody can be armed for the held pass, as a rank is
+// armed for one at a time, so that releasing it is enough.
 func (s *Switch) Undo(now time.Time, left *Left) []Order {
 	s.pass = left.Pass
+	if left.Ahead {
+		s.release = left.Holders
+		s.fire(evUnneeded)
+		return s.Tick(now)
+	}
 	s.release = append(s.release, left.Holders...)
 	s.fire(evRescue)
 	return s.Tick(now)
@@ -147,6 +162,9 @@
 		if o, ok := s.orderFor(r); ok {
 			s.due[r] = now.Add(resendOf(o))
 			out = append(out, o)
+			if o.Op == OpHold {
+				s.holdsGiven++
+			}
 		}
 	}
 	return out
--- a/internal/experts/lockstep/switch_test.go
+++ b/internal/experts/lockstep/switch_test.go
@@ -87,7 +87,7 @@
 		l.orders = l.sw.Start(w.now)
 		return
 	}
-	if left.Pending {
+	if left.Pending && !left.Ahead {
 		l.sw = nil
 		return
 	}
@@ -197,6 +197,33 @@
 	}
 }
 
+// A hold is carried out late, for the pass before the one that all ranks are armed for. Callers would wait for good: the
+// switch ahead is complete and must not be undone, and no rank begins the pass before it. Only the hold is taken away.
+func TestAHoldBeforeACompleteSwitchIsReleased(t *testing.T) {
+	g := newGroup(3)
+	g.pass = 5
+	late := uint64(6)
+	for _, r := range g.ranks {
+		r.prepared, r.newest, r.placement[20] = 20, 20, "next"
+		r.armed = &lockstep.Armed{Version: 20, Pass: 7}
+	}
+	g.ranks[1].held = &late
+	left := lockstep.FindLeft(flat(g.reports()))
+	if left == nil || !left.Ahead {
+		t.Fatalf("got %+v, want a switch ahead", left)
+	}
+	now := time.Unix(0, 0)
+	sw := lockstep.NewSwitch(left.Task(lockstep.Task{Epoch: 1, Ranks: 3, Version: 30, Fallback: 31}))
+	for _, o := range sw.Undo(now, left) {
+		sw.OnReply(now, o, g.order(o))
+	}
+	g.step()
+	g.step()
+	if !sw.Ended() || g.pass != 7 || g.ranks[0].inUse != 20 || len(g.mixed) > 0 {
+		t.Fatalf("ended %t, pass %d, map %d, mixed %v", sw.Ended(), g.pass, g.ranks[0].inUse, g.mixed)
+	}
+}
+
 // The gateway that leads dies at any moment of a switch. Callers would see their streams stand still for good if the
 // group stayed held; the next leader undoes the switch, so that passes begin again.
 func TestAGroupIsNotLeftHeld(t *testing.T) {
