Gateways do not ask for changes that a copy read whole has already

Seen while tracing a held group: a gateway that had started after an upstream was removed asked for that removal with each digest that it heard, 24 times in 3 s, as a table that is read whole shows no removed rows. A copy that is complete up to a version has all changes up to it.

--- a/internal/node/gateway/news.go
+++ b/internal/node/gateway/news.go
@@ -17,8 +17,8 @@
 // catchUp pulls the tables of which the sender knows a newer change.
 func (p *peers) catchUp(d *cardamomyokev1.Digest) {
 	for _, f := range p.g.followers {
-		if newestOf(d, f.Table.Name()) > f.Table.Newest() {
-			p.noteBehind(f.Table.Name(), newestOf(d, f.Table.Name()))
+		if newest := newestOf(d, f.Table.Name()); !f.Table.Has(newest) {
+			p.noteBehind(f.Table.Name(), newest)
 			p.pull(f, d)
 		}
 	}
@@ -49,7 +49,7 @@
 	if !known {
 		return 0
 	}
-	if t.Newest() >= l.newest {
+	if t.Has(l.newest) {
 		delete(p.lags, t.Name())
 		return 0
 	}
@@ -107,7 +107,7 @@
 	wanted := newestOf(from[len(from)-1], f.Table.Name())
 	asked := ""
 	for _, d := range from {
-		if wanted <= f.Table.Newest() || d.GetDigestAddress() == asked {
+		if f.Table.Has(wanted) || d.GetDigestAddress() == asked {
 			continue
 		}
 		asked = d.GetDigestAddress()
--- a/internal/node/gateway/peers_test.go
+++ b/internal/node/gateway/peers_test.go
@@ -158,3 +158,14 @@
 		t.Fatalf("a gateway that is up to date again answered %s", got)
 	}
 }
+
+// Others tell of a change that came before this gateway read the whole table: it asks nobody for it.
+func TestNewsOfWhatIsKnownAreNotPulled(t *testing.T) {
+	p, f := behindGateway(t, 80)
+	f.Table.Load([]platform.Row{{Key: "config", Version: 80}}, 95)
+	told := &teller{answer: &cardamomyokev1.PullResponse{}}
+	p.catchUp(told.start(t, "far", 90))
+	if p.behind(f.Table, time.Now()) != 0 || len(p.pulling) > 0 {
+		t.Fatal("a copy that is complete up to 95 lacks a change of 90")
+	}
+}
--- a/internal/state/replica/table.go
+++ b/internal/state/replica/table.go
@@ -46,6 +46,16 @@
 	return t.newest
 }
 
+// Has reports whether the copy holds what was changed at a version: it has a later change, or is complete up to there.
+//
+// Failure: a copy that was read whole knows nothing of rows that were removed before. The latest change of others is such a
+// removal; by its own latest change the copy lacks it, and asks for it with each digest that it hears, for good.
+func (t *Table) Has(version uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return version <= t.newest || t.loaded && version <= t.version
+}
+
 // Rows returns the rows that exist, in no order.
 func (t *Table) Rows() []platform.Row {
 	t.mu.Lock()
--- a/internal/state/replica/table_test.go
+++ b/internal/state/replica/table_test.go
@@ -178,3 +178,21 @@
 		t.Fatal(diff)
 	}
 }
+
+// A gateway starts after the latest change, the removal of a row, and reads the whole table. Others tell of that change. It
+// lacks nothing: asking for it again and again would cost each of them an answer for each digest.
+func TestACopyThatWasReadWholeHasWhatWasRemovedBefore(t *testing.T) {
+	src := &source{rows: map[string]platform.Row{}}
+	src.put("kept", "v")
+	src.put("gone", "v")
+	src.remove("gone")
+	removed := src.version
+	fresh := replica.NewTable("t")
+	if fresh.Has(removed) {
+		t.Fatal("an empty copy has a change")
+	}
+	fresh.Load(src.all(), src.version)
+	if !fresh.Has(removed) || fresh.Has(removed+1) {
+		t.Fatalf("has %d: %t, has %d: %t", removed, fresh.Has(removed), removed+1, fresh.Has(removed+1))
+	}
+}
