--- a/internal/experts/lockstep/conductor.go
+++ b/internal/experts/lockstep/conductor.go
@@ -69,6 +69,8 @@
 	o      ConductorOptions
 	demand *Demand
 	epoch  uint64
+	// formedAt is when the group was first seen in its epoch.
+	formedAt time.Time
 	// placement is the one in use at version; nil if it must be read.
 	placement Placement
 	version   uint64
@@ -134,7 +136,7 @@
 		return 2 * soon
 	}
 	c.readCounts(ctx, state)
-	if c.demand.Value() == nil {
+	if c.demand.Value() == nil || c.countsDue(time.Now()) {
 		return 2 * soon
 	}
 	if c.improve(ctx, state) {
@@ -143,6 +145,18 @@
 	return c.period()
 }
 
+// formedLately is how long a group counts as one that has just formed: it has counted enough within some passes.
+const formedLately = 2 * time.Second
+
+// countsDue reports whether a group that has just formed should be looked at again soon, as it has counted too little yet.
+//
+// Failure: all ranks and gateways start again after a loss of power. The group runs on its first map, with three times the
+// mean's load at one rank, until the first switch; a look that comes a pass too early is followed by the next half a second
+// later, while the requests of the whole outage are read.
+func (c *Conductor) countsDue(now time.Time) bool {
+	return c.demand.Total() < c.o.Policy.LeastCounts && now.Sub(c.formedAt) < formedLately
+}
+
 func (c *Conductor) period() time.Duration {
 	if c.o.Share == nil {
 		return c.o.Period
@@ -198,7 +212,7 @@
 	}
 	if s.epoch != c.epoch {
 		// What is in demand does not change because the group formed anew, and its first map knows nothing of it.
-		c.epoch = s.epoch
+		c.epoch, c.formedAt = s.epoch, time.Now()
 		c.forget()
 	}
 	return s
--- /dev/null
+++ b/internal/experts/lockstep/formed_test.go
@@ -0,0 +1,62 @@
+package lockstep_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/lockstep"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
+)
+
+// slowToCount is a site whose ranks have counted next to nothing before some time.
+type slowToCount struct {
+	*site
+	from time.Time
+}
+
+func (s *slowToCount) Counts(ctx context.Context, u *catalog.Upstream, sets int) (uint64, lockstep.Counts, error) {
+	if time.Now().Before(s.from) {
+		return s.groups["a"].epoch, lockstep.Counts{{1, 1, 1, 1}}, nil
+	}
+	return s.site.Counts(ctx, u, sets)
+}
+
+// A group has just formed. It runs on its first map, which knows nothing of the demand, and callers who waited for it are
+// late for as long as it does. The leader's second look finds too few counts, and the next one must not be a period away.
+func TestAGroupThatHasJustFormedIsSwitchedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, list := newSite([]string{"a"}, 2)
+		began := time.Now()
+		ranks := &slowToCount{site: s, from: began.Add(130 * time.Millisecond)}
+		c := lockstep.NewConductor(lockstep.ConductorOptions{
+			Ranks: ranks, Logger: log.NewNopLogger(), Serials: lockstep.NewSerials(),
+			Group: func() *lockstep.Group {
+				return &lockstep.Group{Name: "a", Upstreams: list, Experts: &catalog.Experts{Sets: 1, PerSet: 4, Placements: 4, Spare: 2}}
+			},
+			Fence:  func() ids.Fence { return 7 },
+			Period: 500 * time.Millisecond, Half: 500 * time.Millisecond, Sample: 2, SampleNear: 2,
+			Policy: lockstep.Options{LeastGain: 0.01, LeastCounts: 100},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go c.Run(ctx)
+		switched := func() bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.groups["a"].ranks[0].inUse != 0
+		}
+		for !switched() && time.Since(began) < 3*time.Second {
+			time.Sleep(10 * time.Millisecond)
+			s.step()
+		}
+		cancel()
+		synctest.Wait()
+		if took := time.Since(began); took > 400*time.Millisecond {
+			t.Fatalf("the first switch took %s", took)
+		}
+	})
+}
--- a/internal/experts/lockstep/latehold_test.go
+++ b/internal/experts/lockstep/latehold_test.go
@@ -22,19 +22,36 @@
 }
 
 func (l *lateHold) Order(ctx context.Context, up *catalog.Upstream, o lockstep.Order) (lockstep.Reply, error) {
-	if o.Op == lockstep.OpHold && l.first == nil {
-		l.first, l.at = &o, up
+	if o.Op == lockstep.OpHold && l.keep(up, o) {
 		time.Sleep(lostAfter)
 		return lockstep.ReplyLost, errUnknown
 	}
 	reply, err := l.site.Order(ctx, up, o)
-	if o.Op == lockstep.OpRelease && !l.done {
-		l.done = true
+	if o.Op == lockstep.OpRelease && l.take() {
 		_, _ = l.site.Order(ctx, l.at, *l.first)
 	}
 	return reply, err
 }
 
+// keep keeps the first order back; take reports once that it is to be carried out.
+func (l *lateHold) keep(up *catalog.Upstream, o lockstep.Order) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.first != nil {
+		return false
+	}
+	l.first, l.at = &o, up
+	return true
+}
+
+func (l *lateHold) take() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	first := !l.done
+	l.done = true
+	return first
+}
+
 // All streams of a group stand still until their callers leave, and no line tells why. An order to hold the group got no
 // answer and was sent again; the ranks were armed and the group released; then the first order arrived, before the pass had
 // begun, and held the group once more. Its leader takes its own switch for complete.
