--- /dev/null
+++ b/internal/experts/lockstep/conducted_test.go
@@ -0,0 +1,31 @@
+package lockstep_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/lockstep"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
+)
+
+// conduct leads a group of two ranks with four experts, which switches for any gain once it has counted so much, until the
+// test's end or stop.
+func conduct(t *testing.T, ranks lockstep.Ranks, list []*catalog.Upstream, leastCounts float64) (stop func()) {
+	t.Helper()
+	c := lockstep.NewConductor(lockstep.ConductorOptions{
+		Ranks: ranks, Logger: log.NewNopLogger(), Serials: lockstep.NewSerials(),
+		Group: func() *lockstep.Group {
+			return &lockstep.Group{Name: "a", Upstreams: list, Experts: &catalog.Experts{Sets: 1, PerSet: 4, Placements: 4, Spare: 2}}
+		},
+		Fence:  func() ids.Fence { return 7 },
+		Period: 500 * time.Millisecond, Half: 500 * time.Millisecond, Sample: 2, SampleNear: 2,
+		Policy: lockstep.Options{LeastGain: 0.01, LeastCounts: leastCounts},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go c.Run(ctx)
+	return cancel
+}
--- /dev/null
+++ b/internal/experts/lockstep/counts.go
@@ -0,0 +1,81 @@
+package lockstep
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
+)
+
+// counted reports whether counts are of the service's experts.
+func counted(counts Counts, x *catalog.Experts) bool {
+	if len(counts) != x.Sets {
+		return false
+	}
+	for _, set := range counts {
+		if len(set) != x.PerSet {
+			return false
+		}
+	}
+	return true
+}
+
+// sample names the ranks whose counts are read now: many that cost the group nothing, and else a few of the others. The same few each
+// time, since two reads of one rank are needed to tell what it did between them.
+func (c *Conductor) sample(s *survey) []int {
+	var near, far []int
+	for r, u := range s.upstreams {
+		if c.o.Ranks.Near(u) {
+			near = append(near, r)
+		} else {
+			far = append(far, r)
+		}
+	}
+	near = spread(near, c.o.SampleNear)
+	return append(near, spread(far, c.o.Sample-len(near))...)
+}
+
+// spread returns n of the ranks, evenly apart.
+func spread(ranks []int, n int) []int {
+	n = max(0, min(n, len(ranks)))
+	out := make([]int, 0, n)
+	for i := range n {
+		out = append(out, ranks[i*len(ranks)/n])
+	}
+	return out
+}
+
+// readCounts reads the counts of the sampled ranks.
+func (c *Conductor) readCounts(ctx context.Context, s *survey) {
+	ranks := c.sample(s)
+	type read struct {
+		rank   int
+		epoch  uint64
+		counts Counts
+	}
+	reads := make([]*read, len(ranks))
+	var wait sync.WaitGroup
+	for i, rank := range ranks {
+		wait.Go(func() {
+			epoch, counts, err := c.o.Ranks.Counts(ctx, s.upstreams[rank], s.group.Experts.Sets)
+			switch {
+			case err != nil:
+				_ = level.Debug(c.o.Logger).Log("msg", "no counts", "rank", rank, "err", err)
+			case !counted(counts, s.group.Experts):
+				_ = level.Warn(c.o.Logger).Log("msg", "counts not taken", "reason", "they are not of the service's experts", "rank", rank)
+			default:
+				reads[i] = &read{rank, epoch, counts}
+			}
+		})
+	}
+	wait.Wait()
+	now := time.Now()
+	for _, r := range reads {
+		if r != nil && r.epoch == s.epoch {
+			c.demand.Observe(now, r.rank, r.epoch, r.counts)
+		}
+	}
+}
--- a/internal/experts/lockstep/formed_test.go
+++ b/internal/experts/lockstep/formed_test.go
@@ -6,9 +6,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/go-kit/log"
-
-	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/experts/lockstep"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
@@ -33,17 +30,7 @@
 		s, list := newSite([]string{"a"}, 2)
 		began := time.Now()
 		ranks := &slowToCount{site: s, from: began.Add(130 * time.Millisecond)}
-		c := lockstep.NewConductor(lockstep.ConductorOptions{
-			Ranks: ranks, Logger: log.NewNopLogger(), Serials: lockstep.NewSerials(),
-			Group: func() *lockstep.Group {
-				return &lockstep.Group{Name: "a", Upstreams: list, Experts: &catalog.Experts{Sets: 1, PerSet: 4, Placements: 4, Spare: 2}}
-			},
-			Fence:  func() ids.Fence { return 7 },
-			Period: 500 * time.Millisecond, Half: 500 * time.Millisecond, Sample: 2, SampleNear: 2,
-			Policy: lockstep.Options{LeastGain: 0.01, LeastCounts: 100},
-		})
-		ctx, cancel := context.WithCancel(t.Context())
-		go c.Run(ctx)
+		cancel := conduct(t, ranks, list, 100)
 		switched := func() bool {
 			s.mu.Lock()
 			defer s.mu.Unlock()
--- a/internal/experts/lockstep/latehold_test.go
+++ b/internal/experts/lockstep/latehold_test.go
@@ -6,9 +6,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/go-kit/log"
-
-	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/experts/lockstep"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
@@ -59,17 +56,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s, list := newSite([]string{"a"}, 2)
 		l := &lateHold{site: s}
-		c := lockstep.NewConductor(lockstep.ConductorOptions{
-			Ranks: l, Logger: log.NewNopLogger(), Serials: lockstep.NewSerials(),
-			Group: func() *lockstep.Group {
-				return &lockstep.Group{Name: "a", Upstreams: list, Experts: &catalog.Experts{Sets: 1, PerSet: 4, Placements: 4, Spare: 2}}
-			},
-			Fence:  func() ids.Fence { return 7 },
-			Period: 500 * time.Millisecond, Half: 500 * time.Millisecond, Sample: 2, SampleNear: 2,
-			Policy: lockstep.Options{LeastGain: 0.01, LeastCounts: 1},
-		})
-		ctx, cancel := context.WithCancel(t.Context())
-		go c.Run(ctx)
+		cancel := conduct(t, l, list, 1)
 		g, held := s.groups["a"], 0
 		for ms := range 6000 {
 			time.Sleep(time.Millisecond)
--- a/internal/experts/lockstep/resend_test.go
+++ b/internal/experts/lockstep/resend_test.go
@@ -6,8 +6,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/go-kit/log"
-
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/experts/lockstep"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
@@ -68,17 +66,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s, list := newSite([]string{"a"}, 2)
 		u := &unlucky{site: s, late: "a-0", losing: "a-1", toLose: 12}
-		c := lockstep.NewConductor(lockstep.ConductorOptions{
-			Ranks: u, Logger: log.NewNopLogger(), Serials: lockstep.NewSerials(),
-			Group: func() *lockstep.Group {
-				return &lockstep.Group{Name: "a", Upstreams: list, Experts: &catalog.Experts{Sets: 1, PerSet: 4, Placements: 4, Spare: 2}}
-			},
-			Fence:  func() ids.Fence { return 7 },
-			Period: 500 * time.Millisecond, Half: 500 * time.Millisecond, Sample: 2, SampleNear: 2,
-			Policy: lockstep.Options{LeastGain: 0.01, LeastCounts: 1},
-		})
-		ctx, cancel := context.WithCancel(t.Context())
-		go c.Run(ctx)
+		cancel := conduct(t, u, list, 1)
 		held := 0
 		for range 6000 {
 			time.Sleep(time.Millisecond)
--- /dev/null
+++ b/internal/node/gateway/candidates.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/lease"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/lease/keeper"
+)
+
+const (
+	// standbys is how many gateways have a number ready, so that one may lead at once although the store is away: the leader
+	// is one of them, and others may end before the store is back.
+	standbys = 5
+	// drawEvery is the most time between two tries to draw a number ahead, drawTimeout bounds one.
+	drawEvery   = 500 * time.Millisecond
+	drawTimeout = 2 * time.Second
+)
+
+// rivals is what this gateway knows of itself and others that may lead.
+func (e *experts) rivals(now time.Time, c candidates) rivals {
+	r := rivals{
+		Ready:      e.g.control.node == stateReady,
+		Seen:       e.leases.Seen(expertsDuty),
+		Unanswered: e.leases.Unanswered(now, expertsDuty),
+		Place:      e.place(c),
+	}
+	if held := e.leases.Held(expertsDuty); held.At(now) {
+		r.Held = held.Fence
+	}
+	for _, p := range e.g.peers.live(now) {
+		r.Heard = max(r.Heard, ids.Fence(p.digest.GetExpertsFence()))
+		if spare := ids.Fence(p.digest.GetExpertsSpare()); spare > e.leading.newest && spare < e.leading.spare {
+			r.Lower++
+		}
+	}
+	return r
+}
+
+// wanted reports whether this gateway should have the lease: it leads already, or no other does and it is its turn.
+func (e *experts) wanted(now time.Time, r rivals) bool {
+	e.leading.note(now, r)
+	return r.Ready && (e.number.Load() > 0 || e.leading.turn(now, r))
+}
+
+// place is this gateway's among the candidates, negative if another leads or there is nothing to lead.
+func (e *experts) place(c candidates) int {
+	if c.led || !e.anyGroup() {
+		return -1
+	}
+	return slices.Index(c.names, e.g.Settings().Name)
+}
+
+// candidates are the gateways that are ready, those first that should lead first, this one among them; led says that
+// another one leads.
+type candidates struct {
+	names []string
+	led   bool
+}
+
+// candidates puts the hosts with the most processor time first, as the duty takes a tenth of a core.
+func (e *experts) candidates(now time.Time) candidates {
+	c := candidates{}
+	own := e.g.Settings().Name
+	power := map[string]uint32{own: e.g.Settings().Limits.cpuMillis()}
+	for _, p := range e.g.peers.live(now) {
+		if now.Sub(p.heardAt) > leaderSilent {
+			continue
+		}
+		c.led = c.led || p.digest.GetExpertsFence() > 0
+		if p.digest.GetState() == cardamomyokev1.NodeState_NODE_STATE_LIVE {
+			power[p.digest.GetNode()] = p.digest.GetCpuMillis()
+		}
+	}
+	c.names = lease.Candidates(expertsDuty, slices.Collect(maps.Keys(power)), len(power))
+	slices.SortStableFunc(c.names, func(a, b string) int { return cmp.Compare(power[b], power[a]) })
+	return c
+}
+
+// standby reports whether this gateway should have a number ready that is later than those of all leaders.
+func (e *experts) standby(c candidates) bool {
+	if e.g.control.node != stateReady || !e.anyGroup() || e.leading.spareIsNewest() {
+		return false
+	}
+	return slices.Contains(c.names[:min(standbys, len(c.names))], e.g.Settings().Name)
+}
+
+// drawDue spreads the draws of numbers that are not needed yet: of those drawn at one moment only the last can be used.
+func (e *experts) drawDue(now time.Time) bool {
+	first := e.drawAt.IsZero()
+	if !first && now.Before(e.drawAt) {
+		return false
+	}
+	e.drawAt = now.Add(rand.N(drawEvery))
+	return !first
+}
+
+// draw gets a number from the store, one call at a time.
+func (e *experts) draw() {
+	if e.drawing {
+		return
+	}
+	e.drawing = true
+	go func() {
+		ctx, cancel := context.WithTimeout(e.ctx, drawTimeout)
+		defer cancel()
+		n, err := keeper.Draw(ctx, e.table, expertsDuty)
+		e.g.loop.Post(func(time.Time) {
+			e.drawing = false
+			if err != nil {
+				_ = level.Info(e.g.logger).Log("msg", "no number drawn", "duty", expertsDuty, "err", err)
+				return
+			}
+			e.leading.drawn(n)
+		})
+	}()
+}
