--- a/internal/experts/lockstep/conductor.go
+++ b/internal/experts/lockstep/conductor.go
@@ -58,7 +58,7 @@
 	// Read is called with the reports of a whole group, by rank; it may be nil.
 	Read func(upstreams []*catalog.Upstream, reports []Report)
 	// Outdated is called with the number of a later leader whose maps the ranks have, or with the next one when this one's
-	// versions are used up; the present number is good for nothing then. It may be nil.
+	// versions are used up; the present number is obsolete then. It may be nil.
 	Outdated func(newer ids.Fence)
 	// Switched is called after each switch; it may be nil.
 	Switched func(before, after float64, copies int)
--- a/internal/experts/lockstep/serials.go
+++ b/internal/experts/lockstep/serials.go
@@ -46,7 +46,7 @@
 // versionOf is the version of a task's map under a number.
 func versionOf(f ids.Fence, serial uint64) uint64 { return uint64(f)<<fenceShift + serial }
 
-// outdated returns why the leader's present number is good for nothing: a later one, or 0.
+// outdated returns the later number that makes the leader's present one obsolete, or 0.
 //
 // Failure: a leader is paused, another takes over and ends in its turn before the first wakes. The first never hears of it,
 // and all its orders are refused, as the ranks have later versions. A group that the second left held would stay held for as
--- a/internal/experts/lockstep/serials_test.go
+++ b/internal/experts/lockstep/serials_test.go
@@ -15,7 +15,7 @@
 
 // A leader is paused while another takes over, switches the group, holds it once more and ends. The first wakes, is still
 // believed by all to lead, and has each of its orders refused, so that the group stays held. The ranks' versions tell it
-// that its number is good for nothing.
+// that its number is obsolete.
 func TestALeaderLearnsFromTheRanksThatItIsOutdated(t *testing.T) {
 	c := NewConductor(ConductorOptions{Serials: NewSerials(), Logger: log.NewNopLogger()})
 	c.fence = 6
--- a/internal/node/gateway/candidates.go
+++ b/internal/node/gateway/candidates.go
@@ -29,7 +29,7 @@
 func (e *experts) rivals(now time.Time, c candidates) rivals {
 	r := rivals{
 		Ready:      e.g.control.node == stateReady,
-		Seen:       e.leases.Seen(expertsDuty),
+		Seen:       e.leases.SeenOfOthers(expertsDuty),
 		Unanswered: e.leases.Unanswered(now, expertsDuty),
 		Place:      e.place(c),
 	}
--- a/internal/node/gateway/leading.go
+++ b/internal/node/gateway/leading.go
@@ -34,7 +34,8 @@
 type rivals struct {
 	// Ready says that this gateway serves callers and is to go on doing so.
 	Ready bool
-	// Held is the lease's fencing number while this gateway holds it, else 0; Seen is the newest that the store showed.
+	// Held is the lease's fencing number while this gateway holds it, else 0; Seen is the newest that the store showed another
+	// to have. A lease that this gateway got, and does not know of as the answer was lost, is no later leader's.
 	Held, Seen ids.Fence
 	// Heard is the highest number under which another gateway says that it leads, 0 if none does.
 	Heard ids.Fence
@@ -43,7 +44,7 @@
 	// Place is this gateway's among those that should lead, 0 for the first; negative if it should not, or another one leads.
 	Place int
 	// Lower counts the others that have a spare number which is lower than this one's, and yet later than all leaders'.
-	// They go first where the lease is not to be got: the other way round their numbers would be of no use to anybody.
+	// They go first while the lease cannot be had: in the other order their numbers would be too low for anybody to use.
 	Lower int
 }
 
--- a/internal/policy/dispatch/choice.go
+++ b/internal/policy/dispatch/choice.go
@@ -17,8 +17,9 @@
 //
 // Failure: many gateways place by what they told each other a tenth of a second ago. Each finds the same upstream the least
 // loaded, all send there, and some of these requests wait in its queue for a slot while others stand empty: with 41 gateways
-// at half the load 0.15 of the streams are late for it, of which none is with two choices. So a placement compares as many as there are for each of the
-// placements that nobody has heard of yet, at least two, and all of them if no other gateway places.
+// at half the load 0.15 of the streams were late for it, and none is with a few choices. So a placement compares as many
+// upstreams as there are for each placement that was not heard of yet, at least two, and all of them if no other gateway
+// places.
 func (p *Pool) choices(able int, now time.Time) int {
 	unheard := p.unheard(now)
 	if unheard <= 0 {
--- a/internal/policy/dispatch/pool.go
+++ b/internal/policy/dispatch/pool.go
@@ -70,7 +70,8 @@
 	// ejected collects what was ejected since TakeEjections.
 	ejected []Ejection
 	drained rate
-	// placed counts placements, lately those since others were last told of them; sharing is what is known of the gateways that place at the same upstreams.
+	// placed counts placements, lately those since others were last told of them; sharing is what is known of the gateways
+	// that place at the same upstreams.
 	placed  rate
 	lately  rate
 	sharing Sharing
--- a/internal/state/lease/keeper/keeper.go
+++ b/internal/state/lease/keeper/keeper.go
@@ -62,10 +62,11 @@
 // Held returns what this node holds of a duty. Ask its At before each deed, and name lease.Guard in each write.
 func (k *Keeper) Held(d lease.Duty) lease.Held { return (*k.view.Load())[d] }
 
-// Seen returns the newest fencing number of a duty that this node has read or got. It is called on the control loop.
-func (k *Keeper) Seen(d lease.Duty) ids.Fence {
+// SeenOfOthers returns the newest fencing number of a duty that this node has read; 0 if the duty's holder is this node, or
+// none was read. It is called on the control loop.
+func (k *Keeper) SeenOfOthers(d lease.Duty) ids.Fence {
 	if h := k.holders[d]; h != nil {
-		return h.Seen()
+		return h.SeenOfOthers()
 	}
 	return 0
 }
--- a/internal/state/lease/keeper/keeper_test.go
+++ b/internal/state/lease/keeper/keeper_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/control"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/lease"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/lease/keeper"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
@@ -255,3 +256,25 @@
 		t.Fatalf("%d numbers were drawn in 20 rounds", len(seen))
 	}
 }
+
+// A takeover takes effect and its answer is lost. The row names this node; that is no sign of a later holder, which would
+// make it give up a duty that nobody else has.
+func TestOwnLeaseIsNoOthers(t *testing.T) {
+	h := lease.NewHolder(duty, "a", "life-1", time.Second, rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(0, 0)
+	h.Want(now, true)
+	read := func(name, life string, fence uint64) {
+		h.Tick(now)
+		row := lease.Row{Lease: &cardamomyokev1.Lease{Holder: name, Incarnation: life, LengthMs: 1000}, Version: fence, Fence: fence}
+		h.OnRead(now, h.Call(), row, true)
+		now = now.Add(400 * time.Millisecond)
+	}
+	read("a", "life-1", 7)
+	if got := h.SeenOfOthers(); got != 0 || h.Seen() != 7 {
+		t.Fatalf("saw %d of others, %d in all", got, h.Seen())
+	}
+	read("a", "life-0", 8)
+	if got := h.SeenOfOthers(); got != 8 {
+		t.Fatalf("saw %d of an earlier life, want 8", got)
+	}
+}
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -143,6 +143,18 @@
 // Seen returns the newest fencing number that the rows were seen to have.
 func (h *Holder) Seen() ids.Fence { return ids.Fence(h.row.Fence) }
 
+// SeenOfOthers is Seen unless the rows name this very life as the holder; then it is 0.
+func (h *Holder) SeenOfOthers() ids.Fence {
+	if h.own(h.row.Lease) {
+		return 0
+	}
+	return h.Seen()
+}
+
+func (h *Holder) own(l *cardamomyokev1.Lease) bool {
+	return l.GetHolder() == h.name && l.GetIncarnation() == string(h.life)
+}
+
 // Unanswered returns for how long the call under way has waited for its answer; 0 if there is none.
 func (h *Holder) Unanswered(now time.Time) time.Duration {
 	if h.callAt.IsZero() {
@@ -285,8 +297,7 @@
 
 // confirm gives the duty up if the rows name another holder.
 func (h *Holder) confirm() {
-	mine := h.row.Lease.GetHolder() == h.name && h.row.Lease.GetIncarnation() == string(h.life)
-	if mine && h.row.Fence == uint64(h.held.Fence) {
+	if h.own(h.row.Lease) && h.row.Fence == uint64(h.held.Fence) {
 		return
 	}
 	h.held = Held{}
