Lives of upstreams, and entries of other writers

Cause: the id alone stood for a life, but an upstream may start again under its id; and an entry of any writer became a target, or took the address of a healthy upstream over, since of two entries with one address the later counts.

ids.Life (id and start) is what everything is kept by that hangs on an upstream. Only configured services contend for an address, and one whose address answers as another upstream is left out. A new life under an id proves a death.

Ruled out: ordering lives by their start (a clock may be set back); keeping the last readable entry.

--- a/internal/experts/lockstep/carryout.go
+++ b/internal/experts/lockstep/carryout.go
@@ -25,6 +25,7 @@
 	return Task{
 		Epoch:   s.epoch,
 		Ranks:   len(s.upstreams),
+		Lives:   s.lives(),
 		Version: versionOf(c.fence, serial),
 		Present: c.placement,
 		HoldAt:  int(serial/versionsPerTask) % len(s.upstreams),
--- a/internal/experts/lockstep/conductor.go
+++ b/internal/experts/lockstep/conductor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -69,7 +70,10 @@
 	o      ConductorOptions
 	demand *Demand
 	epoch  uint64
-	// formedAt is when the group was first seen in its epoch.
+	// lives are the starts of its ranks: all of a group may start again and form with the same epoch, with nothing of what
+	// they held.
+	lives []int64
+	// formedAt is when the group was first seen in its epoch and its ranks' lives.
 	formedAt time.Time
 	// placement is the one in use at version; nil if it must be read.
 	placement Placement
@@ -180,6 +184,15 @@
 	pass      uint64
 }
 
+// lives are the starts of the ranks, by rank.
+func (s *survey) lives() []int64 {
+	out := make([]int64, len(s.reports))
+	for rank, r := range s.reports {
+		out[rank] = r.Born
+	}
+	return out
+}
+
 // survey reads all ranks; nil unless the group is whole and works.
 func (c *Conductor) survey(ctx context.Context, g *Group) *survey {
 	reports := c.reports(ctx, g.Upstreams)
@@ -210,9 +223,9 @@
 	if !whole {
 		return nil
 	}
-	if s.epoch != c.epoch {
+	if lives := s.lives(); s.epoch != c.epoch || !slices.Equal(lives, c.lives) {
 		// What is in demand does not change because the group formed anew, and its first map knows nothing of it.
-		c.epoch, c.formedAt = s.epoch, time.Now()
+		c.epoch, c.lives, c.formedAt = s.epoch, lives, time.Now()
 		c.forget()
 	}
 	return s
--- a/internal/experts/lockstep/counts.go
+++ b/internal/experts/lockstep/counts.go
@@ -53,29 +53,29 @@
 	ranks := c.sample(s)
 	type read struct {
 		rank   int
-		epoch  uint64
+		since  Since
 		counts Counts
 	}
 	reads := make([]*read, len(ranks))
 	var wait sync.WaitGroup
 	for i, rank := range ranks {
 		wait.Go(func() {
-			epoch, counts, err := c.o.Ranks.Counts(ctx, s.upstreams[rank], s.group.Experts.Sets)
+			since, counts, err := c.o.Ranks.Counts(ctx, s.upstreams[rank], s.group.Experts.Sets)
 			switch {
 			case err != nil:
 				_ = level.Debug(c.o.Logger).Log("msg", "no counts", "rank", rank, "err", err)
 			case !counted(counts, s.group.Experts):
 				_ = level.Warn(c.o.Logger).Log("msg", "counts not taken", "reason", "they are not of the service's experts", "rank", rank)
 			default:
-				reads[i] = &read{rank, epoch, counts}
+				reads[i] = &read{rank, since, counts}
 			}
 		})
 	}
 	wait.Wait()
 	now := time.Now()
 	for _, r := range reads {
-		if r != nil && r.epoch == s.epoch {
-			c.demand.Observe(now, r.rank, r.epoch, r.counts)
+		if r != nil && r.since.Epoch == s.epoch {
+			c.demand.Observe(now, r.rank, r.since, r.counts)
 		}
 	}
 }
--- a/internal/experts/lockstep/demand.go
+++ b/internal/experts/lockstep/demand.go
@@ -18,7 +18,7 @@
 }
 
 type sample struct {
-	epoch  uint64
+	since  Since
 	counts Counts
 }
 
@@ -28,10 +28,10 @@
 }
 
 // Observe takes in one rank's counts.
-func (d *Demand) Observe(now time.Time, rank int, epoch uint64, counts Counts) {
+func (d *Demand) Observe(now time.Time, rank int, since Since, counts Counts) {
 	old, known := d.last[rank]
-	d.last[rank] = sample{epoch, counts}
-	if !known || old.epoch != epoch || !sameShape(old.counts, counts) {
+	d.last[rank] = sample{since, counts}
+	if !known || old.since != since || !sameShape(old.counts, counts) {
 		return
 	}
 	if !sameShape(Counts(d.value), counts) {
--- a/internal/experts/lockstep/fleet_test.go
+++ b/internal/experts/lockstep/fleet_test.go
@@ -69,17 +69,17 @@
 }
 
 // Counts say that one expert is in demand, another in each group.
-func (s *site) Counts(_ context.Context, u *catalog.Upstream, _ int) (uint64, lockstep.Counts, error) {
+func (s *site) Counts(_ context.Context, u *catalog.Upstream, _ int) (lockstep.Since, lockstep.Counts, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g, p, err := s.find(u)
 	if err != nil {
-		return 0, nil, err
+		return lockstep.Since{}, nil, err
 	}
 	s.counts += 5000
 	set := []float64{1, 1, 1, 1}
 	set[len(p.group)%4] = s.counts
-	return g.epoch, lockstep.Counts{set}, nil
+	return lockstep.Since{Epoch: g.epoch}, lockstep.Counts{set}, nil
 }
 
 func (s *site) Held(_ context.Context, u *catalog.Upstream) (lockstep.Held, error) {
@@ -172,10 +172,10 @@
 	return h, err
 }
 
-func (s *strange) Counts(ctx context.Context, u *catalog.Upstream, sets int) (uint64, lockstep.Counts, error) {
-	epoch, counts, err := s.site.Counts(ctx, u, sets)
+func (s *strange) Counts(ctx context.Context, u *catalog.Upstream, sets int) (lockstep.Since, lockstep.Counts, error) {
+	since, counts, err := s.site.Counts(ctx, u, sets)
 	counts[0] = append(counts[0], 1)
-	return epoch, counts, err
+	return since, counts, err
 }
 
 // The operators' configuration names fewer experts than the ranks have. Nothing may be decided on such numbers, and the
--- a/internal/experts/lockstep/formed_test.go
+++ b/internal/experts/lockstep/formed_test.go
@@ -16,9 +16,9 @@
 	from time.Time
 }
 
-func (s *slowToCount) Counts(ctx context.Context, u *catalog.Upstream, sets int) (uint64, lockstep.Counts, error) {
+func (s *slowToCount) Counts(ctx context.Context, u *catalog.Upstream, sets int) (lockstep.Since, lockstep.Counts, error) {
 	if time.Now().Before(s.from) {
-		return s.groups["a"].epoch, lockstep.Counts{{1, 1, 1, 1}}, nil
+		return lockstep.Since{Epoch: s.groups["a"].epoch}, lockstep.Counts{{1, 1, 1, 1}}, nil
 	}
 	return s.site.Counts(ctx, u, sets)
 }
--- a/internal/experts/lockstep/ranks.go
+++ b/internal/experts/lockstep/ranks.go
@@ -10,8 +10,8 @@
 type Ranks interface {
 	// Report reads what a rank says of itself; it may be some hundred ms old.
 	Report(ctx context.Context, u *catalog.Upstream) (Report, error)
-	// Counts reads how often the rank's requests chose each expert since it started, and its epoch.
-	Counts(ctx context.Context, u *catalog.Upstream, sets int) (uint64, Counts, error)
+	// Counts reads how often the rank's requests chose each expert, and since when.
+	Counts(ctx context.Context, u *catalog.Upstream, sets int) (Since, Counts, error)
 	// Held reads the rank's part of the map in use.
 	Held(ctx context.Context, u *catalog.Upstream) (Held, error)
 	// Near reports whether reading the rank costs nothing, now.
@@ -20,6 +20,12 @@
 	Order(ctx context.Context, u *catalog.Upstream, o Order) (Reply, error)
 }
 
+// Since says from when on a rank has counted: a rank that starts again, or whose group forms anew, counts from 0.
+type Since struct {
+	Born  int64
+	Epoch uint64
+}
+
 // Held is a rank's part of the map in use.
 type Held struct {
 	Epoch, Version uint64
--- a/internal/experts/lockstep/roster.go
+++ b/internal/experts/lockstep/roster.go
@@ -19,11 +19,11 @@
 // it lasts, so that asking each life once is enough.
 type Roster struct {
 	mu    sync.Mutex
-	group map[ids.Upstream]string
+	group map[ids.Life]string
 }
 
 // NewRoster returns a roster that knows nobody.
-func NewRoster() *Roster { return &Roster{group: map[ids.Upstream]string{}} }
+func NewRoster() *Roster { return &Roster{group: map[ids.Life]string{}} }
 
 // Update asks those of the upstreams that are not known yet, forgets those that are gone, and returns the groups' names in
 // order. An upstream that does not answer is asked again the next time.
@@ -37,7 +37,7 @@
 			}
 			r.mu.Lock()
 			defer r.mu.Unlock()
-			r.group[u.ID] = report.Group
+			r.group[u.Life()] = report.Group
 		})
 	}
 	wait.Wait()
@@ -49,7 +49,7 @@
 	defer r.mu.Unlock()
 	var out []*catalog.Upstream
 	for _, u := range list {
-		if _, known := r.group[u.ID]; !known && len(out) < maxRosterReads {
+		if _, known := r.group[u.Life()]; !known && len(out) < maxRosterReads {
 			out = append(out, u)
 		}
 	}
@@ -59,14 +59,14 @@
 func (r *Roster) names(list []*catalog.Upstream) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	next := make(map[ids.Upstream]string, len(list))
+	next := make(map[ids.Life]string, len(list))
 	var names []string
 	for _, u := range list {
-		name, known := r.group[u.ID]
+		name, known := r.group[u.Life()]
 		if !known {
 			continue
 		}
-		next[u.ID] = name
+		next[u.Life()] = name
 		names = append(names, name)
 	}
 	r.group = next
@@ -80,7 +80,7 @@
 	defer r.mu.Unlock()
 	var out []*catalog.Upstream
 	for _, u := range list {
-		if got, known := r.group[u.ID]; known && got == name {
+		if got, known := r.group[u.Life()]; known && got == name {
 			out = append(out, u)
 		}
 	}
--- a/internal/experts/lockstep/switch.go
+++ b/internal/experts/lockstep/switch.go
@@ -52,6 +52,8 @@
 type Task struct {
 	Epoch uint64
 	Ranks int
+	// Lives are the ranks' starts, by rank. A rank in another life holds nothing that it acknowledged.
+	Lives []int64
 	// Version names the new map, and Fallback the present one if the switch is undone. No two tasks of any node may share
 	// one: a rank would take one map for the other.
 	Version, Fallback uint64
@@ -238,6 +240,14 @@
 	return s.Tick(now)
 }
 
+// reborn reports whether a rank has started again since the switch began.
+//
+// Failure: a rank acknowledges that it is armed and starts again, and its group forms with the epoch that it had. Its
+// acknowledgement would still count, and the group be released with one rank that has nothing to switch to.
+func (s *Switch) reborn(rank int, r *Report) bool {
+	return rank < len(s.task.Lives) && r.Born != s.task.Lives[rank]
+}
+
 // current reports whether an order is what the present state still wants of its rank.
 func (s *Switch) current(o Order) bool {
 	if s.Ended() {
@@ -326,11 +336,11 @@
 // which every rank answered, which leaves some milliseconds for it.
 func (s *Switch) OnReports(now time.Time, reports []*Report) []Order {
 	prepared := 0
-	for _, r := range reports {
+	for rank, r := range reports {
 		if r == nil {
 			continue
 		}
-		if r.Epoch != s.task.Epoch {
+		if r.Epoch != s.task.Epoch || s.reborn(rank, r) {
 			s.fire(evEpochChanged)
 			return nil
 		}
--- a/internal/node/agent/agent_test.go
+++ b/internal/node/agent/agent_test.go
@@ -42,8 +42,8 @@
 	return lockstep.Report{Prepared: r.prepared}, nil
 }
 
-func (r *rank) Counts(context.Context, *catalog.Upstream, int) (uint64, lockstep.Counts, error) {
-	return 0, nil, errLost
+func (r *rank) Counts(context.Context, *catalog.Upstream, int) (lockstep.Since, lockstep.Counts, error) {
+	return lockstep.Since{}, nil, errLost
 }
 
 func (r *rank) Held(context.Context, *catalog.Upstream) (lockstep.Held, error) {
--- a/internal/node/agent/client.go
+++ b/internal/node/agent/client.go
@@ -140,7 +140,7 @@
 }
 
 // Counts implements lockstep.Ranks.
-func (c *Client) Counts(ctx context.Context, u *catalog.Upstream, sets int) (uint64, lockstep.Counts, error) {
+func (c *Client) Counts(ctx context.Context, u *catalog.Upstream, sets int) (lockstep.Since, lockstep.Counts, error) {
 	a, host, ok := c.agent(u)
 	if !ok {
 		return c.direct.Counts(ctx, u, sets)
@@ -150,7 +150,7 @@
 	res, err := a.RankCounts(ctx, &cardamomyokev1.RankCountsRequest{Sets: uint32(sets)})
 	if err != nil {
 		c.failed(host, err)
-		return 0, nil, err
+		return lockstep.Since{}, nil, err
 	}
 	counts := make(lockstep.Counts, sets)
 	perSet := len(res.GetCounts()) / max(1, sets)
@@ -160,7 +160,7 @@
 			counts[s][e] = float64(res.GetCounts()[s*perSet+e])
 		}
 	}
-	return res.GetEpoch(), counts, nil
+	return lockstep.Since{Born: res.GetBorn(), Epoch: res.GetEpoch()}, counts, nil
 }
 
 // Held implements lockstep.Ranks.
--- a/internal/node/agent/server.go
+++ b/internal/node/agent/server.go
@@ -41,11 +41,11 @@
 
 // RankCounts implements the AgentService.
 func (s *Server) RankCounts(ctx context.Context, req *cardamomyokev1.RankCountsRequest) (*cardamomyokev1.RankCountsResponse, error) {
-	epoch, counts, err := s.ranks.Counts(ctx, s.rank, int(req.GetSets()))
+	since, counts, err := s.ranks.Counts(ctx, s.rank, int(req.GetSets()))
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	res := &cardamomyokev1.RankCountsResponse{Epoch: epoch, Sets: req.GetSets()}
+	res := &cardamomyokev1.RankCountsResponse{Epoch: since.Epoch, Born: since.Born, Sets: req.GetSets()}
 	for _, set := range counts {
 		for _, n := range set {
 			res.Counts = append(res.Counts, uint64(n))
--- a/internal/node/gateway/dialect.go
+++ b/internal/node/gateway/dialect.go
@@ -50,6 +50,8 @@
 	Sealed bool
 	// Culprit is the upstream whose fault it is, if it is another.
 	Culprit ids.Upstream
+	// Instance is the upstream that answered, where it says so.
+	Instance ids.Upstream
 	// Load is nil if the upstream does not tell.
 	Load *Load
 }
--- a/internal/node/gateway/errors.go
+++ b/internal/node/gateway/errors.go
@@ -12,6 +12,13 @@
 	Status   int
 	// Culprit is the upstream at fault, if it is another.
 	Culprit ids.Upstream
+	// Instance is the upstream that answered; empty if it did not say.
+	Instance ids.Upstream
+}
+
+// stranger reports whether another upstream than the one that was asked for answered.
+func (e *RefusedError) stranger() bool {
+	return e.Status == statusOtherInstance && e.Instance != "" && e.Instance != e.Upstream
 }
 
 // Error implements error.
--- a/internal/node/gateway/experts.go
+++ b/internal/node/gateway/experts.go
@@ -149,7 +149,7 @@
 // paceOf returns an upstream's pace among slow ones; 0 if it is none of them.
 func paceOf(slow []*cardamomyokev1.UpstreamPace, u *catalog.Upstream) float64 {
 	for _, s := range slow {
-		if s.GetUpstream() == hashOf(u.ID) {
+		if s.GetUpstream() == hashOf(u.Life()) {
 			return s.GetPace()
 		}
 	}
@@ -160,7 +160,7 @@
 	var slow []*cardamomyokev1.UpstreamPace
 	for rank, u := range upstreams {
 		if pace := reports[rank].Pace; pace >= slowPace {
-			slow = append(slow, &cardamomyokev1.UpstreamPace{Upstream: hashOf(u.ID), Pace: pace})
+			slow = append(slow, &cardamomyokev1.UpstreamPace{Upstream: hashOf(u.Life()), Pace: pace})
 		}
 	}
 	return slow
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/experts/lockstep"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/registry"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/replica"
 )
 
@@ -84,8 +85,10 @@
 type state struct {
 	config    *catalog.Configuration
 	upstreams *catalog.Upstreams
-	services  map[ids.Service]*service
-	node      nodeState
+	// entries tells which entries of the registry name upstreams.
+	entries  *registry.Registry
+	services map[ids.Service]*service
+	node     nodeState
 }
 
 // Start opens the listeners and begins to follow the store. Errors: *httpserver.ListenError, or the network's.
@@ -108,7 +111,8 @@
 			DialTimeout: dialTimeout, IdleTimeout: upstreamIdle, SilentAfter: upstreamSilent,
 		}),
 		control: state{
-			upstreams: catalog.NewUpstreams(nil), services: map[ids.Service]*service{}, node: stateStarting,
+			upstreams: catalog.NewUpstreams(nil), entries: registry.New(d.Decoder.Upstream),
+			services: map[ids.Service]*service{}, node: stateStarting,
 		},
 	}
 	g.settings.Store(set)
@@ -190,7 +194,7 @@
 	case config != nil && (g.control.config == nil || config.Version > g.control.config.Version):
 		g.adopt(config)
 	}
-	g.control.upstreams = g.readUpstreams()
+	g.control.upstreams = g.readUpstreams(now)
 	g.updateServices(now)
 	g.publish()
 }
@@ -215,31 +219,6 @@
 	_ = level.Info(g.logger).Log("msg", "configuration in force", "version", c.Version, "before", before, "routes", c.Routes())
 }
 
-func (g *Gateway) readUpstreams() *catalog.Upstreams {
-	var list []*catalog.Upstream
-	for _, row := range g.registry.Table.Rows() {
-		u, err := g.decoder.Upstream(row)
-		if err != nil {
-			_ = level.Error(g.logger).Log("msg", "upstream left out", "reason", "its entry cannot be read", "err", err)
-			continue
-		}
-		list = append(list, u)
-	}
-	next := catalog.NewUpstreams(list)
-	for _, u := range list {
-		old := g.control.upstreams.Get(u.ID)
-		if old == nil || old.State != u.State {
-			_ = level.Info(g.logger).Log("msg", "upstream", "upstream", u.ID, "service", u.Service, "address", u.Address, "state", u.State)
-		}
-	}
-	for _, u := range g.control.upstreams.All() {
-		if next.Get(u.ID) == nil {
-			_ = level.Info(g.logger).Log("msg", "upstream", "upstream", u.ID, "service", u.Service, "state", "gone")
-		}
-	}
-	return next
-}
-
 // publish makes the present state visible to requests.
 func (g *Gateway) publish() {
 	g.view.Store(&view{
--- a/internal/node/gateway/groupwatch.go
+++ b/internal/node/gateway/groupwatch.go
@@ -46,7 +46,7 @@
 	// size is the number of ranks that a group takes; 0 before one was asked.
 	size int
 	// ranksWatched are the ranks that are watched one by one.
-	ranksWatched map[ids.Upstream]bool
+	ranksWatched map[ids.Life]bool
 }
 
 // doubt keeps requests from a group until a rank says that it is open; u is the upstream that gave reason to doubt, or nil.
--- a/internal/node/gateway/groupwatch_test.go
+++ b/internal/node/gateway/groupwatch_test.go
@@ -46,7 +46,7 @@
 	gate := dispatch.NewGate(dispatch.NewPool(dispatch.Options{Fill: 1, LateFill: 1}, rand.New(rand.NewPCG(1, 2))))
 	gate.SetUpstreams(list)
 	w := &groupWatch{
-		ranks: ranks, gate: gate, logger: log.NewNopLogger(), ranksWatched: map[ids.Upstream]bool{},
+		ranks: ranks, gate: gate, logger: log.NewNopLogger(), ranksWatched: map[ids.Life]bool{},
 		upstreams: func() []*catalog.Upstream { return list },
 	}
 	return w, list
@@ -110,7 +110,7 @@
 func (w *groupWatch) ranksAre(u *catalog.Upstream) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return !w.watching && len(w.ranksWatched) == 1 && w.ranksWatched[u.ID]
+	return !w.watching && len(w.ranksWatched) == 1 && w.ranksWatched[u.Life()]
 }
 
 // A rank is replaced: the new one is listed beside the old, so that there are more ranks than a group takes, and the only
--- a/internal/node/gateway/move.go
+++ b/internal/node/gateway/move.go
@@ -23,7 +23,7 @@
 	return fmt.Sprintf("%s is slow, the stream goes on elsewhere", e.Upstream)
 }
 
-// moves are the attempts at ranks from which the stream may be taken away, by upstream. It is safe for concurrent use.
+// moves are the attempts at ranks from which the stream may be taken away, by upstream's life. It is safe for concurrent use.
 //
 // Failure: one rank of a group works at a twelfth of its pace. It gets nothing new, but each pass of the whole group waits
 // for the few streams that it has, and these last twelve times as long. All callers of the group get their answers late for
@@ -31,12 +31,12 @@
 // had been, and the worst seconds gave 0.30 of their worth instead of 0.12.
 type moves struct {
 	mu      sync.Mutex
-	running map[ids.Upstream]map[*run]context.CancelCauseFunc
+	running map[ids.Life]map[*run]context.CancelCauseFunc
 }
 
-func newMoves() *moves { return &moves{running: map[ids.Upstream]map[*run]context.CancelCauseFunc{}} }
+func newMoves() *moves { return &moves{running: map[ids.Life]map[*run]context.CancelCauseFunc{}} }
 
-func (m *moves) add(u ids.Upstream, n *run, cancel context.CancelCauseFunc) {
+func (m *moves) add(u ids.Life, n *run, cancel context.CancelCauseFunc) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.running[u] == nil {
@@ -45,7 +45,7 @@
 	m.running[u][n] = cancel
 }
 
-func (m *moves) remove(u ids.Upstream, n *run) {
+func (m *moves) remove(u ids.Life, n *run) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.running[u], n)
@@ -56,7 +56,7 @@
 
 // away takes the streams from ranks that are slow, as long as the retry budget of their service has room: one that could
 // not be sent again must stay.
-func (m *moves) away(paces map[ids.Upstream]float64, now time.Time) {
+func (m *moves) away(paces map[ids.Life]float64, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for u, pace := range paces {
@@ -68,7 +68,7 @@
 				return
 			}
 			delete(m.running[u], n)
-			cancel(&MovedError{u})
+			cancel(&MovedError{u.Upstream})
 		}
 	}
 }
@@ -84,7 +84,7 @@
 	if !n.mayMove() {
 		return n.attempt(ctx, t)
 	}
-	u := t.Upstream().ID
+	u := t.Upstream().Life()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	n.g.moves.add(u, n, cancel)
--- a/internal/node/gateway/rankwatch.go
+++ b/internal/node/gateway/rankwatch.go
@@ -17,11 +17,11 @@
 
 // doubtRank keeps requests from one rank until it says that its group is open. It is called with the lock held.
 func (w *groupWatch) doubtRank(ctx context.Context, u *catalog.Upstream, reason string) {
-	if u == nil || w.ranksWatched[u.ID] {
+	if u == nil || w.ranksWatched[u.Life()] {
 		return
 	}
-	w.ranksWatched[u.ID] = true
-	w.gate.SetUpstreamClosed(u.ID, true)
+	w.ranksWatched[u.Life()] = true
+	w.gate.SetUpstreamClosed(u.Life(), true)
 	go w.watchRank(ctx, u, reason)
 }
 
@@ -38,8 +38,8 @@
 		verdict = w.ask(ctx, u)
 	}
 	w.mu.Lock()
-	delete(w.ranksWatched, u.ID)
-	w.gate.SetUpstreamClosed(u.ID, false)
+	delete(w.ranksWatched, u.Life())
+	w.gate.SetUpstreamClosed(u.Life(), false)
 	w.mu.Unlock()
 	if time.Since(began) < watchEvery {
 		return // it was only full
@@ -49,5 +49,5 @@
 
 // listed reports whether the upstream's life is still one of the service's.
 func (w *groupWatch) listed(u *catalog.Upstream) bool {
-	return slices.ContainsFunc(w.upstreams(), func(v *catalog.Upstream) bool { return v.ID == u.ID })
+	return slices.ContainsFunc(w.upstreams(), func(v *catalog.Upstream) bool { return v.Life() == u.Life() })
 }
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -78,6 +78,7 @@
 		}
 		n.note(err)
 		n.blame(ticket.Upstream(), err)
+		n.disown(ticket.Upstream(), err)
 		if reason := n.final(ctx, err); reason != "" {
 			return n.giveUp(ctx, err, reason)
 		}
@@ -129,7 +130,7 @@
 	switch {
 	case reply.NotRun:
 		drop(a)
-		return &RefusedError{t.Upstream().ID, a.Status, reply.Culprit}
+		return &RefusedError{t.Upstream().ID, a.Status, reply.Culprit, reply.Instance}
 	case isStream(a) && n.r.route.Kind == catalog.KindStream && a.Status/100 == 2:
 		return n.relayStream(ctx, t, a, reply)
 	default:
@@ -137,6 +138,14 @@
 	}
 }
 
+// disown has the registry's entry left out whose address another upstream answered at.
+func (n *run) disown(u *catalog.Upstream, err error) {
+	var refused *RefusedError
+	if errors.As(err, &refused) && refused.stranger() {
+		n.g.loop.Post(func(now time.Time) { n.g.disown(u, refused.Instance, now) })
+	}
+}
+
 // note remembers what an attempt proved.
 func (n *run) note(err error) {
 	var dial *httpclient.DialError
--- a/internal/node/gateway/suspects.go
+++ b/internal/node/gateway/suspects.go
@@ -45,7 +45,15 @@
 
 	mu sync.Mutex
 	// broken are the runs that broke off at upstreams which are being asked whether they live, by upstream.
-	broken map[ids.Upstream][]quarantine.Running
+	broken map[ids.Life][]quarantine.Running
+	// answered are the runs that broke off at upstreams where something listened when asked.
+	answered map[ids.Life]brokenRuns
+}
+
+// brokenRuns are runs that broke off at one life of an upstream, the last of them at a time.
+type brokenRuns struct {
+	runs []quarantine.Running
+	at   time.Time
 }
 
 func newSuspects(logger log.Logger) *suspects {
@@ -55,7 +63,9 @@
 		keeper: quarantine.NewKeeper(nil, rules, quarantine.KeeperOptions{}),
 		logger: logger,
 		dial:   dialOnce,
-		broken: map[ids.Upstream][]quarantine.Running{},
+		broken: map[ids.Life][]quarantine.Running{},
+
+		answered: map[ids.Life]brokenRuns{},
 	}
 }
 
@@ -141,8 +151,8 @@
 	ran := quarantine.Running{Fingerprint: n.fingerprint(), Client: n.r.client}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, asked := s.broken[u.ID]
-	s.broken[u.ID] = append(s.broken[u.ID], ran)
+	_, asked := s.broken[u.Life()]
+	s.broken[u.Life()] = append(s.broken[u.Life()], ran)
 	if !asked {
 		go s.confirm(ctx, u)
 	}
@@ -153,19 +163,54 @@
 func (s *suspects) confirm(ctx context.Context, u *catalog.Upstream) {
 	err := s.dial(ctx, u.Address)
 	s.mu.Lock()
-	ran := s.broken[u.ID]
-	delete(s.broken, u.ID)
+	ran := s.broken[u.Life()]
+	delete(s.broken, u.Life())
+	if err == nil {
+		s.noteAnswered(u.Life(), ran, time.Now())
+	}
 	s.mu.Unlock()
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		s.blameRuns(u.Life(), ran, "nothing listens where it was")
+	}
+}
+
+// restartHeard is for how long after a connection broke off an upstream's new life still tells that the old one died of it: a
+// restart takes some seconds, and its entry some heartbeats.
+const restartHeard = 10 * time.Second
+
+func (s *suspects) noteAnswered(l ids.Life, ran []quarantine.Running, now time.Time) {
+	for known, b := range s.answered {
+		if now.Sub(b.at) > restartHeard {
+			delete(s.answered, known)
+		}
 	}
+	s.answered[l] = brokenRuns{append(s.answered[l].runs, ran...), now}
+}
+
+// restarted takes in that an upstream has a new life under its id.
+//
+// Failure: an upstream that a request crashed is back before it is asked whether it listens, and answers. Its death would
+// not be counted, and the request would crash one upstream after the other. The new life proves that the old one has ended.
+func (s *suspects) restarted(before ids.Life, now time.Time) {
+	s.mu.Lock()
+	b, known := s.answered[before]
+	delete(s.answered, before)
+	s.mu.Unlock()
+	if known && now.Sub(b.at) <= restartHeard {
+		s.blameRuns(before, b.runs, "it has a new life")
+	}
+}
+
+// blameRuns counts a death against the runs that broke off at it.
+func (s *suspects) blameRuns(l ids.Life, ran []quarantine.Running, proof string) {
 	now := time.Now()
-	// The death's id comes from the life, so that the reports of several gateways count as one death.
-	death := quarantine.Evidence{Crash: quarantine.NewCrashID(ids.Incarnation(u.ID), 1), At: now}
+	// The death's id comes from the life, so that the reports of several gateways count as one death, and two deaths of one
+	// id as two.
+	death := quarantine.Evidence{Crash: quarantine.NewCrashID(ids.Incarnation(l.String()), 1), At: now}
 	for _, r := range ran {
 		s.keeper.Merge(now, quarantine.Suspect{Fingerprint: r.Fingerprint, Client: r.Client, Evidence: []quarantine.Evidence{death}})
 		judged, _ := s.keeper.Snapshot().Judge(now, r.Fingerprint)
-		_ = level.Info(s.logger).Log("msg", "request suspected", "reason", "upstream died while it ran", "upstream", u.ID,
+		_ = level.Info(s.logger).Log("msg", "request suspected", "reason", "upstream died while it ran", "upstream", l, "proof", proof,
 			"fingerprint", r.Fingerprint, "client", r.Client, "level", judged)
 	}
 }
--- a/internal/node/gateway/suspects_test.go
+++ b/internal/node/gateway/suspects_test.go
@@ -24,7 +24,11 @@
 
 // breakOff has a run break off at an upstream, and waits until that one was asked whether it lives.
 func breakOff(s *suspects, n *run, life ids.Upstream) {
-	s.brokeOff(context.Background(), n, &catalog.Upstream{ID: life})
+	breakOffAt(s, n, ids.Life{Upstream: life})
+}
+
+func breakOffAt(s *suspects, n *run, life ids.Life) {
+	s.brokeOff(context.Background(), n, &catalog.Upstream{ID: life.Upstream, Born: life.Born})
 	for asking := true; asking; time.Sleep(time.Millisecond) {
 		s.mu.Lock()
 		_, asking = s.broken[life]
@@ -112,3 +116,37 @@
 		t.Fatalf("level %s at its end, %v", judged, after)
 	}
 }
+
+// A request crashes an upstream that is back under its id before anybody asks whether it listens, three times in a row. Each
+// new life in the registry proves a death, and the third refuses the request. Asked only whether something listens, the
+// gateways would count none.
+func TestARestartUnderItsIDIsADeath(t *testing.T) {
+	s := newSuspects(log.NewNopLogger())
+	s.dial = func(context.Context, string) error { return nil }
+	n := runOf("x")
+	for born := range int64(3) {
+		if got := levelOf(s, n); got == quarantine.Refused {
+			t.Fatalf("refused after %d deaths", born)
+		}
+		life := ids.Life{Upstream: "a", Born: born + 1}
+		breakOffAt(s, n, life)
+		s.restarted(life, time.Now())
+	}
+	if got := levelOf(s, n); got != quarantine.Refused {
+		t.Fatalf("%v after three deaths of one id", got)
+	}
+}
+
+// A connection breaks under a request, and long after that its upstream is restarted for another reason. That speaks against
+// nobody.
+func TestALaterRestartIsNoDeath(t *testing.T) {
+	s := newSuspects(log.NewNopLogger())
+	s.dial = func(context.Context, string) error { return nil }
+	n := runOf("x")
+	life := ids.Life{Upstream: "a", Born: 1}
+	breakOffAt(s, n, life)
+	s.restarted(life, time.Now().Add(restartHeard+time.Second))
+	if got := levelOf(s, n); got != quarantine.Clear {
+		t.Fatalf("%v, want clear", got)
+	}
+}
--- a/internal/node/gateway/telling.go
+++ b/internal/node/gateway/telling.go
@@ -73,16 +73,17 @@
 	d.Slow = g.experts.slowKnown()
 	d.Suspects = quarantine.ToDigest(g.suspects.keeper.Digest(now, digestSuspects))
 	for _, s := range g.control.services {
-		for id, w := range s.gate.Own() {
+		for life, w := range s.gate.Own() {
 			d.Work = append(d.Work, &cardamomyokev1.UpstreamWork{
-				Upstream: hashOf(id), Requests: uint32(w.Requests), PromptTokens: uint32(max(0, w.PromptTokens)),
+				Upstream: hashOf(life), Requests: uint32(w.Requests), PromptTokens: uint32(max(0, w.PromptTokens)),
 			})
 		}
 	}
 	return d
 }
 
-func hashOf(id ids.Upstream) uint64 { return xxhash.Sum64String(string(id)) }
+// hashOf stands for an upstream's life in digests: what others tell of an ended life matches no present one.
+func hashOf(l ids.Life) uint64 { return xxhash.Sum64String(l.String()) }
 
 func digestState(s nodeState) cardamomyokev1.NodeState {
 	switch s {
--- a/internal/policy/dispatch/gate.go
+++ b/internal/policy/dispatch/gate.go
@@ -76,12 +76,12 @@
 }
 
 // SetUpstreamClosed says whether one upstream is known to refuse what is sent to it.
-func (g *Gate) SetUpstreamClosed(id ids.Upstream, closed bool) {
-	g.change(func(p *Pool, now time.Time) []*Ticket { return p.SetUpstreamClosed(id, closed, now) })
+func (g *Gate) SetUpstreamClosed(l ids.Life, closed bool) {
+	g.change(func(p *Pool, now time.Time) []*Ticket { return p.SetUpstreamClosed(l, closed, now) })
 }
 
 // SetOthers replaces what the other gateways have in flight; at is when the oldest of their digests came.
-func (g *Gate) SetOthers(work map[ids.Upstream]Work, at time.Time) {
+func (g *Gate) SetOthers(work map[ids.Life]Work, at time.Time) {
 	g.change(func(p *Pool, now time.Time) []*Ticket { return p.SetOthers(work, at, now) })
 }
 
@@ -93,7 +93,7 @@
 }
 
 // SetPaces replaces what is known of upstreams that are slower than usual.
-func (g *Gate) SetPaces(paces map[ids.Upstream]float64) {
+func (g *Gate) SetPaces(paces map[ids.Life]float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.pool.SetPaces(paces)
@@ -114,7 +114,7 @@
 }
 
 // Own returns what this gateway has in flight at each upstream.
-func (g *Gate) Own() map[ids.Upstream]Work {
+func (g *Gate) Own() map[ids.Life]Work {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.pool.Own()
--- a/internal/policy/dispatch/group_replay_test.go
+++ b/internal/policy/dispatch/group_replay_test.go
@@ -40,7 +40,7 @@
 	pool    *dispatch.Pool
 	waiting map[*dispatch.Ticket]dispatch.Request
 	// told is what the others were told last of what this gateway has in flight, tellAt when they are told next.
-	told   map[ids.Upstream]dispatch.Work
+	told   map[ids.Life]dispatch.Work
 	tellAt time.Time
 }
 
@@ -194,7 +194,7 @@
 		}
 	}
 	for _, gw := range g.gateways {
-		sum := map[ids.Upstream]dispatch.Work{}
+		sum := map[ids.Life]dispatch.Work{}
 		for _, o := range g.gateways {
 			if o == gw {
 				continue
--- a/internal/policy/dispatch/pool.go
+++ b/internal/policy/dispatch/pool.go
@@ -22,7 +22,7 @@
 	Priority int
 	// PromptTokens are read before the first token; 0 for plain services.
 	PromptTokens int
-	// Exclude names upstreams that must not get the request.
+	// Exclude names upstreams that must not get the request, whatever their life: one that failed it may fail it again.
 	Exclude []ids.Upstream
 }
 
@@ -60,7 +60,7 @@
 // Pool places the requests of one service. It is not safe for concurrent use.
 type Pool struct {
 	opts    Options
-	targets map[ids.Upstream]*target
+	targets map[ids.Life]*target
 	// order lists the targets by id, so that equal inputs give equal decisions.
 	order   []*target
 	waiting []*Ticket
@@ -86,26 +86,35 @@
 
 // NewPool returns a pool without upstreams.
 func NewPool(o Options, rng *rand.Rand) *Pool {
-	return &Pool{opts: o, targets: map[ids.Upstream]*target{}, rng: rng}
+	return &Pool{opts: o, targets: map[ids.Life]*target{}, rng: rng}
 }
 
 // SetOptions follows a change of the configuration.
 func (p *Pool) SetOptions(o Options) { p.opts = o }
 
-// SetUpstreams replaces the list of upstreams; what is known of those that stay is kept. It returns the tickets that
+// SetUpstreams replaces the list of upstreams; what is known of lives that stay is kept. It returns the tickets that
 // are settled by it.
+//
+// Failure: an entry lapses while the store is away and is back two seconds later, with its upstream at work all the time.
+// Taken for a new one it seems idle, and gets as many requests again as it has slots. So a life that leaves the list is
+// remembered for as long as something is in flight there.
 func (p *Pool) SetUpstreams(list []*catalog.Upstream, now time.Time) []*Ticket {
-	next := make(map[ids.Upstream]*target, len(list))
+	next := make(map[ids.Life]*target, len(list))
 	p.order = p.order[:0]
 	for _, u := range list {
-		t := p.targets[u.ID]
+		t := p.targets[u.Life()]
 		if t == nil {
 			t = &target{}
 		}
 		t.up = u
-		next[u.ID] = t
+		next[u.Life()] = t
 		p.order = append(p.order, t)
 	}
+	for l, t := range p.targets {
+		if next[l] == nil && t.own.Requests > 0 {
+			next[l] = t
+		}
+	}
 	p.targets = next
 	return p.settle(now)
 }
@@ -130,18 +139,18 @@
 // Failure: a service has more ranks than its group takes. Those that are left over refuse all they get, so that they look
 // idle and get the next request, too. With 22 ranks for a group of 16 they took 5,577 of 6,560 requests, and 0.22 of the
 // streams were served; kept away from they took 42, and 0.99 were.
-func (p *Pool) SetUpstreamClosed(id ids.Upstream, closed bool, now time.Time) []*Ticket {
-	if t := p.targets[id]; t != nil {
+func (p *Pool) SetUpstreamClosed(l ids.Life, closed bool, now time.Time) []*Ticket {
+	if t := p.targets[l]; t != nil {
 		t.closed = closed
 	}
 	return p.settle(now)
 }
 
 // SetOthers replaces what the other gateways have in flight; at is when the oldest of their digests came.
-func (p *Pool) SetOthers(work map[ids.Upstream]Work, at, now time.Time) []*Ticket {
+func (p *Pool) SetOthers(work map[ids.Life]Work, at, now time.Time) []*Ticket {
 	p.othersAt = at
 	for _, t := range p.order {
-		t.others = work[t.up.ID]
+		t.others = work[t.up.Life()]
 	}
 	return p.settle(now)
 }
@@ -153,18 +162,18 @@
 }
 
 // SetPaces replaces what is known of upstreams that are slower than usual; all others are as usual.
-func (p *Pool) SetPaces(paces map[ids.Upstream]float64) {
+func (p *Pool) SetPaces(paces map[ids.Life]float64) {
 	for _, t := range p.order {
-		t.pace = paces[t.up.ID]
+		t.pace = paces[t.up.Life()]
 	}
 }
 
 // Own returns what this gateway has in flight at each upstream.
-func (p *Pool) Own() map[ids.Upstream]Work {
-	out := make(map[ids.Upstream]Work, len(p.order))
+func (p *Pool) Own() map[ids.Life]Work {
+	out := make(map[ids.Life]Work, len(p.order))
 	for _, t := range p.order {
 		if t.own.Requests > 0 {
-			out[t.up.ID] = t.own
+			out[t.up.Life()] = t.own
 		}
 	}
 	return out
--- a/internal/policy/dispatch/pool_test.go
+++ b/internal/policy/dispatch/pool_test.go
@@ -95,7 +95,7 @@
 // What the other gateways have in flight counts as much as what this one has, and the placement says how old it was.
 func TestOthersWorkCounts(t *testing.T) {
 	p := newPool(2, 4)
-	p.SetOthers(map[ids.Upstream]dispatch.Work{"u-00": {Requests: 3}}, at(0), at(0))
+	p.SetOthers(map[ids.Life]dispatch.Work{{Upstream: "u-00"}: {Requests: 3}}, at(0), at(0))
 	for range 3 {
 		ticket := p.Offer(timed(at(0)), at(150*time.Millisecond))
 		if ticket.Upstream().ID != "u-01" {
@@ -124,7 +124,7 @@
 		want int
 	}{{0, 12}, {1.6, 4}, {2.5, 1}, {12, 0}} {
 		p := newPool(2, 12)
-		p.SetPaces(map[ids.Upstream]float64{"u-00": c.pace})
+		p.SetPaces(map[ids.Life]float64{{Upstream: "u-00"}: c.pace})
 		placed := map[ids.Upstream]int{}
 		for range 30 {
 			if u := p.Offer(timed(start), start).Upstream(); u != nil {
@@ -160,7 +160,7 @@
 // A rank that is known to refuse everything has the fewest requests and would be chosen first; it gets none.
 func TestAClosedUpstreamTakesNothing(t *testing.T) {
 	p := newPool(2, 4)
-	p.SetUpstreamClosed("u-00", true, at(0))
+	p.SetUpstreamClosed(ids.Life{Upstream: "u-00"}, true, at(0))
 	for range 4 {
 		if got := send(t, p, at(0), dispatch.OutcomeOK); got != "u-01" {
 			t.Fatalf("sent to %s", got)
--- a/internal/state/catalog/upstreams.go
+++ b/internal/state/catalog/upstreams.go
@@ -17,9 +17,11 @@
 	StateDraining State = "draining"
 )
 
-// Upstream is one life of a back end: a restart gets a new ID, and the address may then belong to another service.
+// Upstream is one life of a back end. A restart may keep its ID, and the address may belong to another service after it.
 type Upstream struct {
-	ID         ids.Upstream
+	ID ids.Upstream
+	// Born tells the lives of one ID apart; see ids.Life.
+	Born       int64
 	Service    ids.Service
 	Address    string
 	DataCentre ids.DataCentre
@@ -32,6 +34,9 @@
 	Version uint64
 }
 
+// Life names the upstream's life.
+func (u *Upstream) Life() ids.Life { return ids.Life{Upstream: u.ID, Born: u.Born} }
+
 // Upstreams is the list of all upstreams that are registered. It is immutable.
 type Upstreams struct {
 	byID      map[ids.Upstream]*Upstream
@@ -62,9 +67,15 @@
 	return u
 }
 
-// Get returns the upstream of that life, or nil.
+// Get returns the upstream with that id, or nil.
 func (u *Upstreams) Get(id ids.Upstream) *Upstream { return u.byID[id] }
 
+// Has reports whether that life is in the list.
+func (u *Upstreams) Has(l ids.Life) bool {
+	up := u.byID[l.Upstream]
+	return up != nil && up.Born == l.Born
+}
+
 // Of returns the upstreams of a service, ordered by ID; the list must not be changed.
 func (u *Upstreams) Of(s ids.Service) []*Upstream { return u.byService[s] }
 
