--- a/internal/node/gateway/candidates.go
+++ b/internal/node/gateway/candidates.go
@@ -87,7 +87,7 @@
 
 // standby reports whether this gateway should have a number ready that is later than those of all leaders.
 func (e *experts) standby(c candidates) bool {
-	if e.g.control.node != stateReady || !e.anyGroup() || e.leading.spareIsNewest() {
+	if e.g.control.node != stateReady || !e.anyGroup() || e.g.off(offStandby) || e.leading.spareIsNewest() {
 		return false
 	}
 	return slices.Contains(c.names[:min(standbys, len(c.names))], e.g.Settings().Name)
--- a/internal/node/gateway/experts.go
+++ b/internal/node/gateway/experts.go
@@ -26,9 +26,9 @@
 	// goes on that is heard but cannot reach the store, and another can.
 	leaseLength = 3 * time.Second
 	// lookEvery is the period in which the leader looks at a group: demand drifts within seconds.
-	lookEvery = 500 * time.Millisecond
+	lookEvery = 250 * time.Millisecond
 	// demandHalf is the half-life of the estimated demand.
-	demandHalf = 500 * time.Millisecond
+	demandHalf = 300 * time.Millisecond
 	// sampledRanks is how many ranks' counts are read each time; reading from afar makes the group pause.
 	sampledRanks = 4
 	// sampledNear is the same where each rank has an agent beside it. The group does not pause for it, but each reading has
@@ -181,7 +181,7 @@
 
 func (e *experts) group(name ids.Service) *lockstep.Group {
 	v := e.g.view.Load()
-	if v.config == nil {
+	if v.config == nil || e.g.off(offMaps) {
 		return nil
 	}
 	s := v.config.Services[name]
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -239,10 +239,13 @@
 		s.budget.SetBound(g.retryBound(now))
 		paces := g.peers.paces(name, g.control.upstreams, now)
 		s.gate.SetPaces(paces)
-		g.moves.away(paces, now)
+		if !g.off(offMoves) {
+			g.moves.away(paces, now)
+		}
 		s.gate.SetOthers(g.peers.work(name, g.control.upstreams, now))
 		g.logEjections(name, s)
 	}
+	g.lookForStalls(now)
 	g.suspects.keeper.Expire(now)
 	g.experts.tick(now)
 	g.peers.tick(now)
@@ -274,6 +277,7 @@
 	merged.Name, merged.Listen, merged.DataCentre = old.Name, old.Listen, old.DataCentre
 	merged.Log, merged.RequestLog, merged.Tracing = old.Log, old.RequestLog, old.Tracing
 	g.settings.Store(&merged)
+	g.loop.Post(g.reload)
 	return kept
 }
 
--- a/internal/node/gateway/groupwatch.go
+++ b/internal/node/gateway/groupwatch.go
@@ -45,6 +45,13 @@
 	since    time.Time
 	// size is the number of ranks that a group takes; 0 before one was asked.
 	size int
+	// off reports whether a mechanism is switched off; nil for none.
+	off func(dispatch.Mechanism) bool
+	// still is a group that stands still although its ranks say that it is open; stall is the longest time for that.
+	still standstill
+	stall time.Duration
+	// version is that of the map which a rank reported last.
+	version uint64
 	// ranksWatched are the ranks that are watched one by one.
 	ranksWatched map[ids.Life]bool
 }
@@ -55,6 +62,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.since = time.Now()
+	if w.off != nil && w.off(offClosedGroups) {
+		return
+	}
 	switch {
 	case u != nil && w.moreThanOne():
 		w.doubtRank(ctx, u, reason)
@@ -99,6 +109,10 @@
 		return false
 	}
 	w.watching = false
+	if best == groupOpen && w.version == 0 && !w.moreThanOne() {
+		w.gate.SetFirstMap(true)
+		go w.watchFirstMap(ctx)
+	}
 	w.gate.SetClosed(false)
 	for u, v := range said {
 		if v == groupBroken && w.moreThanOne() {
@@ -178,10 +192,10 @@
 		return groupUnknown
 	}
 	w.mu.Lock()
-	w.size = r.Size
+	w.size, w.version = r.Size, r.Version
 	w.mu.Unlock()
 	switch {
-	case !r.Open:
+	case !r.Open || !w.moves(r):
 		return groupBroken
 	case r.Fresh:
 		return groupOpen
@@ -189,6 +203,12 @@
 	return groupLaggingOpen
 }
 
+func (w *groupWatch) moves(r lockstep.Report) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.still.over(r, time.Now(), w.stall)
+}
+
 // doubtGroup has the group looked at if an attempt failed as it does at a broken group: refused, or cut off.
 func (n *run) doubtGroup(u *catalog.Upstream, err error) {
 	var refused *RefusedError
--- a/internal/node/gateway/services.go
+++ b/internal/node/gateway/services.go
@@ -26,7 +26,7 @@
 			g.watchGroup(s, c)
 			g.metrics.watchService(g, name)
 		}
-		s.gate.SetOptions(optionsOf(c))
+		s.gate.SetOptions(optionsOf(c, g.dispatchOff()))
 		s.gate.SetUpstreams(g.control.upstreams.Of(name))
 		s.budget.SetBound(g.retryBound(now))
 		next[name] = s
@@ -45,6 +45,8 @@
 		gate:         s.gate,
 		logger:       log.With(g.logger, "service", c.Name),
 		ranksWatched: map[ids.Life]bool{},
+		off:          g.off,
+		stall:        g.Settings().Bounds.Stall.Std() + stallSlack,
 		upstreams: func() []*catalog.Upstream {
 			return g.view.Load().upstreams.Of(c.Name)
 		},
@@ -52,6 +54,9 @@
 	s.group.doubt(g.ctx, nil, "start")
 }
 
+// stallSlack is added to the time that work hangs at a dead rank, until all of it was cut off.
+const stallSlack = 500 * time.Millisecond
+
 const (
 	// engineFill keeps what waits at the gateways: a request in an engine's own queue cannot go elsewhere.
 	engineFill = 1.0
@@ -62,11 +67,11 @@
 	plainFill = 1.5
 )
 
-func optionsOf(c *catalog.Service) dispatch.Options {
+func optionsOf(c *catalog.Service, off dispatch.Off) dispatch.Options {
 	if c.Engine != nil {
-		return dispatch.Options{Engine: c.Engine, Fill: engineFill, LateFill: engineLateFill}
+		return dispatch.Options{Engine: c.Engine, Fill: engineFill, LateFill: engineLateFill, Off: off}
 	}
-	return dispatch.Options{Fill: plainFill, LateFill: plainFill}
+	return dispatch.Options{Fill: plainFill, LateFill: plainFill, Off: off}
 }
 
 // retryBound is this gateway's part of what all gateways may retry.
--- a/internal/node/gateway/settings.go
+++ b/internal/node/gateway/settings.go
@@ -10,6 +10,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/logging"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/settings"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/tracing"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
 )
 
 // Settings are the static settings of a gateway.
@@ -32,6 +33,8 @@
 	RequestLog LogBounds `yaml:"request_log"`
 	// Tracing makes a span for each hop of a request; without an exporter there are none.
 	Tracing tracing.Options `yaml:"tracing"`
+	// Off names mechanisms that are switched off; none in usual operation.
+	Off []dispatch.Mechanism `yaml:"off"`
 }
 
 // LogBounds are the most lines that are logged a second; 0 means the default.
@@ -143,6 +146,12 @@
 	if err := s.RequestLog.check(); err != nil {
 		return err
 	}
+	if s.Off == nil {
+		s.Off = []dispatch.Mechanism{} // so that it is printed as a list
+	}
+	if err := checkOff(s.Off); err != nil {
+		return err
+	}
 	if err := s.Log.Check(); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
--- a/internal/node/gateway/settings_test.go
+++ b/internal/node/gateway/settings_test.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"errors"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/settings"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
 )
 
 const settingsText = `
@@ -29,6 +31,25 @@
   retries: {ratio: 0.2, extra: 90, window: 10s}
 `
 
+// An operator switches a mechanism off, and then one whose name has a typing error: that must be refused with the names that
+// there are, and not leave on what was meant to be off.
+func TestMechanismsAreSwitchedOffByName(t *testing.T) {
+	var set Settings
+	if err := settings.Parse("off", []byte(settingsText+"off: [first-map, moves]\n"), &set); err != nil {
+		t.Fatal(err)
+	}
+	g := &Gateway{}
+	g.settings.Store(&set)
+	if got := []bool{g.off(offMoves), g.dispatchOff()[dispatch.FirstMap], g.off(offStalls)}; !cmp.Equal(got, []bool{true, true, false}) {
+		t.Fatalf("off: %v", got)
+	}
+	var wrong *settings.KeyError
+	err := settings.Parse("wrong", []byte(settingsText+"off: [first_map]\n"), &Settings{})
+	if !errors.As(err, &wrong) || wrong.Path != "$.off[0]" {
+		t.Fatalf("got %v, want an error at $.off[0]", err)
+	}
+}
+
 // An operator prints the settings of a gateway, changes a key in what was printed, and uses that.
 func TestPrintedSettingsCanBeRead(t *testing.T) {
 	var set, again Settings
--- a/internal/node/gateway/suspects.go
+++ b/internal/node/gateway/suspects.go
@@ -218,7 +218,7 @@
 // blame has the upstream asked whether it died of an attempt that broke off.
 func (n *run) blame(u *catalog.Upstream, err error) {
 	var broken *httpclient.BrokenError
-	if errors.As(err, &broken) {
+	if errors.As(err, &broken) && !n.g.off(offSuspects) {
 		n.g.suspects.brokeOff(n.g.ctx, n, u)
 	}
 }
--- a/internal/node/gateway/view.go
+++ b/internal/node/gateway/view.go
@@ -31,6 +31,7 @@
 	budget *retry.Window
 	// group is nil unless the upstreams are ranks of a group.
 	group *groupWatch
+	pulse pulse
 }
 
 // nodeState is what a gateway says of itself.
--- a/internal/policy/dispatch/choice.go
+++ b/internal/policy/dispatch/choice.go
@@ -22,7 +22,7 @@
 // places.
 func (p *Pool) choices(able int, now time.Time) int {
 	unheard := p.unheard(now)
-	if unheard <= 0 {
+	if unheard <= 0 || p.opts.Off[FewChoices] {
 		return able
 	}
 	return min(able, max(leastChoices, int(float64(able)/(1+unheard))))
@@ -53,7 +53,7 @@
 // and those who are late wait in the upstream's queue, where nothing can be done for them. With 41 gateways at 1.2 times the
 // load 0.41 of the streams waited there, 4,686 of 11,749 were in time; with this 0.21 and 7,708.
 func (p *Pool) beyondShare(now time.Time) bool {
-	if p.sharing.Gateways < 2 {
+	if p.sharing.Gateways < 2 || p.opts.Off[SlotShare] {
 		return false
 	}
 	free, slots, own := 0.0, 0.0, 0.0
--- a/internal/policy/dispatch/group_replay_test.go
+++ b/internal/policy/dispatch/group_replay_test.go
@@ -30,15 +30,23 @@
 	gateway *gatewayReplay
 	ticket  *dispatch.Ticket
 	request dispatch.Request
-	unread  int
-	events  int
-	late    bool
+	// due is until when its caller wants the first event.
+	due    time.Time
+	unread int
+	events int
+	late   bool
+}
+
+// caller is a request and until when its caller wants the first event.
+type caller struct {
+	request dispatch.Request
+	due     time.Time
 }
 
 // gatewayReplay is one of the gateways before the group, with its own pool.
 type gatewayReplay struct {
 	pool    *dispatch.Pool
-	waiting map[*dispatch.Ticket]dispatch.Request
+	waiting map[*dispatch.Ticket]caller
 	// told is what the others were told last of what this gateway has in flight, tellAt when they are told next.
 	told   map[ids.Life]dispatch.Work
 	tellAt time.Time
@@ -56,12 +64,21 @@
 	// interval is the time between two tellings of a gateway.
 	interval time.Duration
 	closed   bool
+	// openedAt is when the group formed last. For firstMap after that its passes take firstMapSlow times as long, as its map
+	// knows nothing of the demand.
+	openedAt     time.Time
+	firstMap     time.Duration
+	firstMapSlow float64
+	// stall is for how long streams stand still before they are cut; their callers come back then.
+	stall     time.Duration
+	returning []caller
+	returnAt  time.Time
 	// The counts are of requests by their end, queued of those that waited in an engine for a slot.
 	onTime, late, refused, queued int
 }
 
 // newGroupReplay returns a group that is idle; the pools know of each other's placing only if told.
-func newGroupReplay(seed uint64, gateways, ranks, slots int, interval time.Duration, told bool) *groupReplay {
+func newGroupReplay(seed uint64, gateways, ranks, slots int, interval time.Duration, told bool, off ...dispatch.Mechanism) *groupReplay {
 	g := &groupReplay{
 		now: time.Unix(0, 0), rng: rand.New(rand.NewPCG(seed, 3)), slots: slots,
 		at: map[ids.Upstream][]*stream{}, interval: interval,
@@ -70,12 +87,16 @@
 	for _, u := range list {
 		g.order = append(g.order, u.ID)
 	}
+	switched := dispatch.Off{}
+	for _, m := range off {
+		switched[m] = true
+	}
 	engine := &catalog.Engine{Chunk: passChunk, Stride: passStride}
 	for i := range gateways {
 		gw := &gatewayReplay{
 			pool: dispatch.NewPool(
-				dispatch.Options{Engine: engine, Fill: 1, LateFill: 0.6}, rand.New(rand.NewPCG(seed, uint64(10+i)))),
-			waiting: map[*dispatch.Ticket]dispatch.Request{},
+				dispatch.Options{Engine: engine, Fill: 1, LateFill: 0.6, Off: switched}, rand.New(rand.NewPCG(seed, uint64(10+i)))),
+			waiting: map[*dispatch.Ticket]caller{},
 			tellAt:  g.now.Add(time.Duration(g.rng.Int64N(int64(interval)))),
 		}
 		gw.pool.SetUpstreams(list, g.now)
@@ -93,16 +114,15 @@
 }
 
 func (g *groupReplay) arrive() {
-	g.offer(dispatch.Request{
-		Arrived: g.now, Aim: g.now.Add(aimFirst), Latest: g.now.Add(leavesAfter), PromptTokens: g.prompt(),
-	})
+	due := g.now.Add(aimFirst)
+	g.offer(caller{dispatch.Request{Arrived: g.now, Aim: due, Latest: g.now.Add(leavesAfter), PromptTokens: g.prompt()}, due})
 }
 
 // offer sends a request to any of the gateways.
-func (g *groupReplay) offer(q dispatch.Request) {
+func (g *groupReplay) offer(c caller) {
 	gw := g.gateways[g.rng.IntN(len(g.gateways))]
-	t := gw.pool.Offer(q, g.now)
-	gw.waiting[t] = q
+	t := gw.pool.Offer(c.request, g.now)
+	gw.waiting[t] = c
 	if t.Upstream() != nil || t.Err() != nil {
 		g.settle(gw, []*dispatch.Ticket{t})
 	}
@@ -110,7 +130,8 @@
 
 func (g *groupReplay) settle(gw *gatewayReplay, list []*dispatch.Ticket) {
 	for _, t := range list {
-		q := gw.waiting[t]
+		c := gw.waiting[t]
+		q := c.request
 		delete(gw.waiting, t)
 		if t.Err() != nil {
 			g.refused++
@@ -121,7 +142,7 @@
 			g.queued++
 		}
 		events := 1 + g.rng.IntN(2*streamEvents)
-		g.at[u] = append(g.at[u], &stream{gateway: gw, ticket: t, request: q, unread: q.PromptTokens, events: events})
+		g.at[u] = append(g.at[u], &stream{gateway: gw, ticket: t, request: q, due: c.due, unread: q.PromptTokens, events: events})
 	}
 }
 
@@ -149,9 +170,12 @@
 func (g *groupReplay) pass() time.Duration {
 	first, most := g.read()
 	length := passBase + time.Duration(float64(most)/readPerMS*float64(time.Millisecond))
+	if g.hasFirstMap() {
+		length = time.Duration(float64(length) * g.firstMapSlow)
+	}
 	g.now = g.now.Add(length)
 	for _, s := range first {
-		s.late = g.now.After(s.request.Aim)
+		s.late = g.now.After(s.due)
 		s.gateway.pool.Answered(s.ticket, g.now)
 	}
 	for _, s := range g.write(length) {
@@ -207,13 +231,15 @@
 	}
 }
 
-// setClosed breaks the group off with all that it runs, or lets it work again. Callers whose streams are cut come back at once.
+// setClosed breaks the group off with all that it runs, or lets it work again.
 func (g *groupReplay) setClosed(closed bool) {
 	g.closed = closed
 	for _, gw := range g.gateways {
+		g.tellFirstMap(gw, !closed && g.firstMap > 0)
 		g.settle(gw, gw.pool.SetClosed(closed, g.now))
 	}
 	if !closed {
+		g.openedAt = g.now
 		return
 	}
 	for _, u := range g.order {
@@ -221,11 +247,32 @@
 		g.at[u] = nil
 		for _, s := range cut {
 			s.gateway.pool.Done(s.ticket, dispatch.OutcomeNone, g.now)
-			q := s.request
-			q.Latest = g.now.Add(leavesAfter)
-			g.offer(q)
+			g.returning = append(g.returning, caller{s.request, s.due})
 		}
 	}
+	g.returnAt = g.now.Add(g.stall)
+	g.comeBack()
+}
+
+// comeBack offers the requests of streams that were cut once more, when it is time.
+func (g *groupReplay) comeBack() {
+	if g.now.Before(g.returnAt) {
+		return
+	}
+	for _, c := range g.returning {
+		// A gateway takes it for a new one, though its caller counts from the first request.
+		c.request.Arrived, c.request.Aim, c.request.Latest = g.now, g.now.Add(aimFirst), g.now.Add(leavesAfter)
+		g.offer(c)
+	}
+	g.returning = nil
+}
+
+func (g *groupReplay) hasFirstMap() bool {
+	return !g.openedAt.IsZero() && g.now.Sub(g.openedAt) < g.firstMap
+}
+
+func (g *groupReplay) tellFirstMap(gw *gatewayReplay, first bool) {
+	g.settle(gw, gw.pool.SetFirstMap(first, g.now))
 }
 
 // outage is a time in which the group does not work.
@@ -253,8 +300,12 @@
 			g.arrive()
 		}
 		g.now = end
+		g.comeBack()
 		g.tell()
 		for _, gw := range g.gateways {
+			if g.firstMap > 0 && !g.closed && !g.hasFirstMap() {
+				g.tellFirstMap(gw, false)
+			}
 			g.settle(gw, gw.pool.Tick(g.now))
 		}
 	}
--- a/internal/policy/dispatch/pool.go
+++ b/internal/policy/dispatch/pool.go
@@ -55,6 +55,8 @@
 	// Fill is how many requests may be in flight at an upstream for each of its slots; LateFill is the same for a request
 	// that can no longer be answered in time.
 	Fill, LateFill float64
+	// Off are mechanisms that are switched off.
+	Off Off
 }
 
 // Pool places the requests of one service. It is not safe for concurrent use.
@@ -80,6 +82,10 @@
 	// closed says that no upstream can start anything now; requests wait.
 	closed             bool
 	closedAt, openedAt time.Time
+	// firstMap says that the group has just formed and works with the map that it began with.
+	firstMap bool
+	// lateUnread are the prompt tokens of late requests that were placed by this gateway and are not read yet.
+	lateUnread int
 	// first is the mean time from placing a request to its first answer; 0 if none was measured.
 	first time.Duration
 }
@@ -165,6 +171,9 @@
 func (p *Pool) SetPaces(paces map[ids.Life]float64) {
 	for _, t := range p.order {
 		t.pace = paces[t.up.Life()]
+		if p.opts.Off[SlowRanks] {
+			t.pace = 0
+		}
 	}
 }
 
@@ -228,6 +237,9 @@
 	}
 	t.answered = true
 	t.target.own.PromptTokens -= t.request.PromptTokens
+	if t.late {
+		p.lateUnread -= t.request.PromptTokens
+	}
 }
 
 // Done takes in the end of a placed request and returns the tickets that are settled by it.
@@ -239,13 +251,16 @@
 	t.done = true
 	t.target.own.Requests--
 	p.drained.count(now)
-	if t.target.health.note(o, now) {
+	if p.ejects(o) && t.target.health.note(o, now) {
 		p.ejected = append(p.ejected, t.target.ejection(o, now))
 		p.spare(now)
 	}
 	return p.settle(now)
 }
 
+// ejects reports whether an outcome may keep requests away from its upstream.
+func (p *Pool) ejects(o Outcome) bool { return o == OutcomeGone || !p.opts.Off[EjectFailing] }
+
 // Waiting returns how many requests wait.
 func (p *Pool) Waiting() int { return len(p.waiting) }
 
@@ -304,7 +319,7 @@
 
 // place gives the ticket an upstream if one has room.
 func (p *Pool) place(t *Ticket, now time.Time) bool {
-	if p.closed || p.beyondShare(now) {
+	if p.closed || p.beyondFirst() || p.beyondShare(now) {
 		return false
 	}
 	able := p.able(t.request, now)
@@ -318,6 +333,9 @@
 		t.decision.OthersAge = now.Sub(p.othersAt)
 	}
 	best.own = best.own.plus(Work{1, t.request.PromptTokens})
+	if t.late = p.late(t.request, now); t.late {
+		p.lateUnread += t.request.PromptTokens
+	}
 	best.health.chosen(now)
 	t.target = best
 	t.up = best.up
@@ -329,10 +347,15 @@
 // able are the targets that may take the request now.
 func (p *Pool) able(r Request, now time.Time) []*target {
 	fill := p.opts.Fill
+	p.scratch = p.scratch[:0]
 	if p.late(r, now) {
-		fill = p.opts.LateFill
+		if !p.opts.Off[LateFill] {
+			fill = p.opts.LateFill
+		}
+		if p.beyondLateReading() {
+			return nil
+		}
 	}
-	p.scratch = p.scratch[:0]
 	for _, c := range p.order {
 		if c.usable(now) && !slices.Contains(r.Exclude, c.up.ID) && c.room(fill) {
 			p.scratch = append(p.scratch, c)
--- a/internal/policy/dispatch/wait.go
+++ b/internal/policy/dispatch/wait.go
@@ -112,6 +112,9 @@
 // after it, while others that still had time become late behind them. With the time to the first answer taken off, a
 // replayed burst of twice the capacity leaves 3,359 instead of 2,276 of 4,956 requests in time.
 func (p *Pool) late(r Request, now time.Time) bool {
+	if p.opts.Off[FirstAnswerTime] {
+		return now.After(r.Aim)
+	}
 	return now.Add(min(p.first, r.Aim.Sub(r.Arrived)/2)).After(r.Aim)
 }
 
