A death is counted before its question is closed

Cause: the test that breaks a run off waits until nothing is asked about the upstream any more, but the death was counted after that; TestAQuarantineEnds failed once (level suspected after three deaths) on a busy machine. Both happen under one lock now.

--- a/internal/node/gateway/suspects.go
+++ b/internal/node/gateway/suspects.go
@@ -163,13 +163,13 @@
 func (s *suspects) confirm(ctx context.Context, u *catalog.Upstream) {
 	err := s.dial(ctx, u.Address)
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	ran := s.broken[u.Life()]
 	delete(s.broken, u.Life())
-	if err == nil {
+	switch {
+	case err == nil:
 		s.noteAnswered(u.Life(), ran, time.Now())
-	}
-	s.mu.Unlock()
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	case errors.Is(err, syscall.ECONNREFUSED):
 		s.blameRuns(u.Life(), ran, "nothing listens where it was")
 	}
 }
@@ -193,15 +193,16 @@
 // not be counted, and the request would crash one upstream after the other. The new life proves that the old one has ended.
 func (s *suspects) restarted(before ids.Life, now time.Time) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	b, known := s.answered[before]
 	delete(s.answered, before)
-	s.mu.Unlock()
 	if known && now.Sub(b.at) <= restartHeard {
 		s.blameRuns(before, b.runs, "it has a new life")
 	}
 }
 
-// blameRuns counts a death against the runs that broke off at it.
+// blameRuns counts a death against the runs that broke off at it. It is called with the lock held, so that whoever finds no
+// question open finds its answer as well.
 func (s *suspects) blameRuns(l ids.Life, ran []quarantine.Running, proof string) {
 	now := time.Now()
 	// The death's id comes from the life, so that the reports of several gateways count as one death, and two deaths of one
