--- a/internal/node/gateway/groupwatch.go
+++ b/internal/node/gateway/groupwatch.go
@@ -50,8 +50,6 @@
 	// still is a group that stands still although its ranks say that it is open; stall is the longest time for that.
 	still standstill
 	stall time.Duration
-	// version is that of the map which a rank reported last.
-	version uint64
 	// ranksWatched are the ranks that are watched one by one.
 	ranksWatched map[ids.Life]bool
 }
@@ -109,10 +107,6 @@
 		return false
 	}
 	w.watching = false
-	if best == groupOpen && w.version == 0 && !w.moreThanOne() {
-		w.gate.SetFirstMap(true)
-		go w.watchFirstMap(ctx)
-	}
 	w.gate.SetClosed(false)
 	for u, v := range said {
 		if v == groupBroken && w.moreThanOne() {
@@ -192,7 +186,7 @@
 		return groupUnknown
 	}
 	w.mu.Lock()
-	w.size, w.version = r.Size, r.Version
+	w.size = r.Size
 	w.mu.Unlock()
 	switch {
 	case !r.Open || !w.moves(r):
--- a/internal/policy/dispatch/gate.go
+++ b/internal/policy/dispatch/gate.go
@@ -75,11 +75,6 @@
 	g.change(func(p *Pool, now time.Time) []*Ticket { return p.SetClosed(closed, now) })
 }
 
-// SetFirstMap says whether the upstreams are a group that has just formed and has no map for the demand yet.
-func (g *Gate) SetFirstMap(first bool) {
-	g.change(func(p *Pool, now time.Time) []*Ticket { return p.SetFirstMap(first, now) })
-}
-
 // SetUpstreamClosed says whether one upstream is known to refuse what is sent to it.
 func (g *Gate) SetUpstreamClosed(l ids.Life, closed bool) {
 	g.change(func(p *Pool, now time.Time) []*Ticket { return p.SetUpstreamClosed(l, closed, now) })
--- a/internal/policy/dispatch/mechanism.go
+++ b/internal/policy/dispatch/mechanism.go
@@ -12,8 +12,6 @@
 	LateFill Mechanism = "late-fill"
 	// LateReading has the prompts of late requests read a part of a pass at a time.
 	LateReading Mechanism = "late-reading"
-	// FirstMap gives a group that has just formed few requests until it has a map for the demand.
-	FirstMap Mechanism = "first-map"
 	// SlowRanks gives fewer requests to upstreams that are slower than usual.
 	SlowRanks Mechanism = "slow-ranks"
 	// EjectFailing keeps requests away from upstreams that break connections or refuse.
@@ -24,7 +22,7 @@
 
 // Mechanisms lists all of them.
 func Mechanisms() []Mechanism {
-	return []Mechanism{FewChoices, SlotShare, LateFill, LateReading, FirstMap, SlowRanks, EjectFailing, FirstAnswerTime}
+	return []Mechanism{FewChoices, SlotShare, LateFill, LateReading, SlowRanks, EjectFailing, FirstAnswerTime}
 }
 
 // Off are the mechanisms that are switched off.
--- a/internal/policy/dispatch/pool.go
+++ b/internal/policy/dispatch/pool.go
@@ -82,8 +82,6 @@
 	// closed says that no upstream can start anything now; requests wait.
 	closed             bool
 	closedAt, openedAt time.Time
-	// firstMap says that the group has just formed and works with the map that it began with.
-	firstMap bool
 	// lateUnread are the prompt tokens of late requests that were placed by this gateway and are not read yet.
 	lateUnread int
 	// first is the mean time from placing a request to its first answer; 0 if none was measured.
@@ -319,7 +317,7 @@
 
 // place gives the ticket an upstream if one has room.
 func (p *Pool) place(t *Ticket, now time.Time) bool {
-	if p.closed || p.beyondFirst() || p.beyondShare(now) {
+	if p.closed || p.beyondShare(now) {
 		return false
 	}
 	able := p.able(t.request, now)
