--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -245,7 +245,6 @@
 		s.gate.SetOthers(g.peers.work(name, g.control.upstreams, now))
 		g.logEjections(name, s)
 	}
-	g.lookForStalls(now)
 	g.suspects.keeper.Expire(now)
 	g.experts.tick(now)
 	g.peers.tick(now)
--- a/internal/node/gateway/groupwatch.go
+++ b/internal/node/gateway/groupwatch.go
@@ -47,9 +47,6 @@
 	size int
 	// off reports whether a mechanism is switched off; nil for none.
 	off func(dispatch.Mechanism) bool
-	// still is a group that stands still although its ranks say that it is open; stall is the longest time for that.
-	still standstill
-	stall time.Duration
 	// ranksWatched are the ranks that are watched one by one.
 	ranksWatched map[ids.Life]bool
 }
@@ -189,7 +186,7 @@
 	w.size = r.Size
 	w.mu.Unlock()
 	switch {
-	case !r.Open || !w.moves(r):
+	case !r.Open:
 		return groupBroken
 	case r.Fresh:
 		return groupOpen
@@ -197,12 +194,6 @@
 	return groupLaggingOpen
 }
 
-func (w *groupWatch) moves(r lockstep.Report) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.still.over(r, time.Now(), w.stall)
-}
-
 // doubtGroup has the group looked at if an attempt failed as it does at a broken group: refused, or cut off.
 func (n *run) doubtGroup(u *catalog.Upstream, err error) {
 	var refused *RefusedError
--- a/internal/node/gateway/mechanism.go
+++ b/internal/node/gateway/mechanism.go
@@ -11,8 +11,6 @@
 
 // Mechanisms of gateways beside those of dispatch; see settings.Off.
 const (
-	// offStalls: groups whose streams get no events are closed.
-	offStalls dispatch.Mechanism = "stalls"
 	// offClosedGroups: requests are held back while a group does not work.
 	offClosedGroups dispatch.Mechanism = "closed-groups"
 	// offMoves: streams are moved away from very slow ranks.
@@ -27,7 +25,7 @@
 
 // mechanisms are all that may be switched off.
 func mechanisms() []dispatch.Mechanism {
-	own := []dispatch.Mechanism{offStalls, offClosedGroups, offMoves, offStandby, offSuspects, offMaps}
+	own := []dispatch.Mechanism{offClosedGroups, offMoves, offStandby, offSuspects, offMaps}
 	return append(dispatch.Mechanisms(), own...)
 }
 
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -31,8 +31,6 @@
 	stream     relay
 	// placedAt is when the latest attempt got its upstream, firstAt when the first piece of the answer came.
 	placedAt, firstAt time.Time
-	// beating says that the present attempt's stream has had an event.
-	beating bool
 	// lastAt is when the latest events were given to the caller.
 	lastAt   time.Time
 	upstream ids.Upstream
--- a/internal/node/gateway/services.go
+++ b/internal/node/gateway/services.go
@@ -46,7 +46,6 @@
 		logger:       log.With(g.logger, "service", c.Name),
 		ranksWatched: map[ids.Life]bool{},
 		off:          g.off,
-		stall:        g.Settings().Bounds.Stall.Std() + stallSlack,
 		upstreams: func() []*catalog.Upstream {
 			return g.view.Load().upstreams.Of(c.Name)
 		},
@@ -54,9 +53,6 @@
 	s.group.doubt(g.ctx, nil, "start")
 }
 
-// stallSlack is added to the time that work hangs at a dead rank, until all of it was cut off.
-const stallSlack = 500 * time.Millisecond
-
 const (
 	// engineFill keeps what waits at the gateways: a request in an engine's own queue cannot go elsewhere.
 	engineFill = 1.0
--- a/internal/node/gateway/settings_test.go
+++ b/internal/node/gateway/settings_test.go
@@ -40,7 +40,7 @@
 	}
 	g := &Gateway{}
 	g.settings.Store(&set)
-	if got := []bool{g.off(offMoves), g.dispatchOff()[dispatch.LateReading], g.off(offStalls)}; !cmp.Equal(got, []bool{true, true, false}) {
+	if got := []bool{g.off(offMoves), g.dispatchOff()[dispatch.LateReading], g.off(offMaps)}; !cmp.Equal(got, []bool{true, true, false}) {
 		t.Fatalf("off: %v", got)
 	}
 	var wrong *settings.KeyError
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -52,10 +52,6 @@
 		return &AnswerError{t.Upstream().ID, a.Status, "a stream without a signature"}
 	}
 	err := n.copyEvents(ctx, t, a)
-	if n.beating {
-		n.beating = false
-		n.service.pulse.running.Add(-1)
-	}
 	a.Release(err == nil)
 	if err != nil {
 		return err
@@ -94,7 +90,6 @@
 
 // giveEvents writes whole events to the caller, with the answer's header before the first.
 func (n *run) giveEvents(ctx context.Context, t *dispatch.Ticket, a *httpclient.Answer, events []byte) error {
-	n.beat()
 	events, last, err := after(events, n.stream.lastEvent)
 	if err != nil {
 		return err
@@ -118,15 +113,6 @@
 	return nil
 }
 
-// beat notes that the attempt's stream has got events.
-func (n *run) beat() {
-	n.service.pulse.beat(time.Now())
-	if !n.beating {
-		n.beating = true
-		n.service.pulse.running.Add(1)
-	}
-}
-
 var eventEnd = []byte("\n\n")
 
 // wholeEvents is how many bytes at the start of b are whole events.
--- a/internal/node/gateway/view.go
+++ b/internal/node/gateway/view.go
@@ -31,7 +31,6 @@
 	budget *retry.Window
 	// group is nil unless the upstreams are ranks of a group.
 	group *groupWatch
-	pulse pulse
 }
 
 // nodeState is what a gateway says of itself.
