--- a/internal/node/gateway/experts.go
+++ b/internal/node/gateway/experts.go
@@ -25,9 +25,14 @@
 	// leaseLength is renewed three times. A gateway that is not heard is replaced much sooner; this bounds how long one
 	// goes on that is heard but cannot reach the store, and another can.
 	leaseLength = 3 * time.Second
-	// lookEvery is the period in which the leader looks at a group: demand drifts within seconds.
-	lookEvery = 250 * time.Millisecond
-	// demandHalf is the half-life of the estimated demand.
+	// lookEvery is the period in which the leader looks at a group, a few passes; demandHalf is the half-life of the estimated
+	// demand.
+	//
+	// Load: other experts are in demand all of a sudden, and until the map follows, the most loaded rank has twice the mean.
+	// Passes come within some ms of the longest pause that callers accept, and each stream is late by the first that is above.
+	// Replayed shifts leave a mean skew of 1.48, where looks each 500 ms with as long a half-life leave 1.60, for 7 in 100
+	// more copies; five played days gave 0.758 instead of 0.745 of their worth. More often costs in copies what it gains.
+	lookEvery  = 250 * time.Millisecond
 	demandHalf = 300 * time.Millisecond
 	// sampledRanks is how many ranks' counts are read each time; reading from afar makes the group pause.
 	sampledRanks = 4
