Few requests wait for a group that is closed

As many wait as a quarter of the slots, the latest; the longest waiting and the least urgent are told at once when to come back.

--- a/internal/policy/dispatch/mechanism.go
+++ b/internal/policy/dispatch/mechanism.go
@@ -12,6 +12,8 @@
 	LateFill Mechanism = "late-fill"
 	// LateReading has the prompts of late requests read a part of a pass at a time.
 	LateReading Mechanism = "late-reading"
+	// BoundedHold has few requests wait while no upstream can start anything.
+	BoundedHold Mechanism = "bounded-hold"
 	// SlowRanks gives fewer requests to upstreams that are slower than usual.
 	SlowRanks Mechanism = "slow-ranks"
 	// EjectFailing keeps requests away from upstreams that break connections or refuse.
@@ -22,7 +24,7 @@
 
 // Mechanisms lists all of them.
 func Mechanisms() []Mechanism {
-	return []Mechanism{FewChoices, SlotShare, LateFill, LateReading, SlowRanks, EjectFailing, FirstAnswerTime}
+	return []Mechanism{FewChoices, SlotShare, LateFill, LateReading, BoundedHold, SlowRanks, EjectFailing, FirstAnswerTime}
 }
 
 // Off are the mechanisms that are switched off.
--- a/internal/policy/dispatch/opening_test.go
+++ b/internal/policy/dispatch/opening_test.go
@@ -22,11 +22,11 @@
 	return onTime, late, refused
 }
 
-// A group forms again, and what waited is late whatever is done. Read at once its prompts hold up those who ask meanwhile, whose
+// A group forms again, and all that came meanwhile has waited, and is late whatever is done. Read at once its prompts hold up those who ask meanwhile, whose
 // first events come too late, and make every pass too long.
 func TestLatePromptsLeaveRoomForOthers(t *testing.T) {
-	with, _, _ := opening()
-	without, _, _ := opening(dispatch.LateReading)
+	with, _, _ := opening(dispatch.BoundedHold)
+	without, _, _ := opening(dispatch.BoundedHold, dispatch.LateReading)
 	if t.Logf("in time with it %d, without %d", with, without); with <= without {
 		t.Fatalf("%d in time, %d without", with, without)
 	}
--- a/internal/policy/dispatch/pool.go
+++ b/internal/policy/dispatch/pool.go
@@ -42,6 +42,8 @@
 	// Fill is how many requests may be in flight at an upstream for each of its slots; LateFill is the same for a request
 	// that can no longer be answered in time.
 	Fill, LateFill float64
+	// HoldFill is how many requests may wait for each slot while no upstream can start anything; 0 for no bound.
+	HoldFill float64
 	// Off are mechanisms that are switched off.
 	Off Off
 }
@@ -53,7 +55,9 @@
 	// order lists the targets by id, so that equal inputs give equal decisions.
 	order   []*target
 	waiting []*Ticket
-	rng     *rand.Rand
+	// pushedOut are waiting requests that were refused for later ones; the next call that settles tickets returns them.
+	pushedOut []*Ticket
+	rng       *rand.Rand
 	// othersAt is when the oldest digest came by which others' work is counted.
 	othersAt time.Time
 	// ejected collects what was ejected since TakeEjections.
@@ -187,7 +191,9 @@
 		t.refuse(p.overloaded(r, wait, now))
 		return t
 	}
-	p.waiting = append(p.waiting, t)
+	if p.makeRoom(t, now) {
+		p.waiting = append(p.waiting, t)
+	}
 	return t
 }
 
@@ -261,10 +267,11 @@
 
 // settle places waiting requests, the best first, and refuses those that are past their latest time.
 func (p *Pool) settle(now time.Time) []*Ticket {
+	out := p.pushedOut
+	p.pushedOut = nil
 	if len(p.waiting) == 0 {
-		return nil
+		return out
 	}
-	var out []*Ticket
 	rest := p.waiting[:0]
 	p.sortWaiting(now)
 	for _, t := range p.waiting {
