The bounded hold: reverted

After a loss of power those who wait have been cut off before and come back for the last time; pushed out, they are lost, and for that customer a lost request weighs more than a late one.

--- a/internal/node/gateway/services.go
+++ b/internal/node/gateway/services.go
@@ -59,18 +59,15 @@
 	// engineLateFill keeps slots free for requests that can still be answered in time: after an outage all that waited is
 	// late, and started at once it would make late what comes after it, too.
 	engineLateFill = 0.6
-	// engineHoldFill is what a group that forms again takes beside new requests, which need some 0.7 of its slots. With 0.1
-	// a played day of restarts and late orders gave 0.623 instead of 0.665 of its worth, others the same within 0.01.
-	engineHoldFill = 0.25
 	// plainFill lets a plain upstream queue a little, so that it does not idle for the way of the next request.
 	plainFill = 1.5
 )
 
 func optionsOf(c *catalog.Service, off dispatch.Off) dispatch.Options {
 	if c.Engine != nil {
-		return dispatch.Options{Engine: c.Engine, Fill: engineFill, LateFill: engineLateFill, HoldFill: engineHoldFill, Off: off}
+		return dispatch.Options{Engine: c.Engine, Fill: engineFill, LateFill: engineLateFill, Off: off}
 	}
-	return dispatch.Options{Fill: plainFill, LateFill: plainFill, HoldFill: plainFill, Off: off}
+	return dispatch.Options{Fill: plainFill, LateFill: plainFill, Off: off}
 }
 
 // retryBound is this gateway's part of what all gateways may retry.
--- a/internal/node/gateway/settings_test.go
+++ b/internal/node/gateway/settings_test.go
@@ -35,16 +35,16 @@
 // there are, and not leave on what was meant to be off.
 func TestMechanismsAreSwitchedOffByName(t *testing.T) {
 	var set Settings
-	if err := settings.Parse("off", []byte(settingsText+"off: [bounded-hold, moves]\n"), &set); err != nil {
+	if err := settings.Parse("off", []byte(settingsText+"off: [late-reading, moves]\n"), &set); err != nil {
 		t.Fatal(err)
 	}
 	g := &Gateway{}
 	g.settings.Store(&set)
-	if got := []bool{g.off(offMoves), g.dispatchOff()[dispatch.BoundedHold], g.off(offMaps)}; !cmp.Equal(got, []bool{true, true, false}) {
+	if got := []bool{g.off(offMoves), g.dispatchOff()[dispatch.LateReading], g.off(offMaps)}; !cmp.Equal(got, []bool{true, true, false}) {
 		t.Fatalf("off: %v", got)
 	}
 	var wrong *settings.KeyError
-	err := settings.Parse("wrong", []byte(settingsText+"off: [bounded_hold]\n"), &Settings{})
+	err := settings.Parse("wrong", []byte(settingsText+"off: [late_reading]\n"), &Settings{})
 	if !errors.As(err, &wrong) || wrong.Path != "$.off[0]" {
 		t.Fatalf("got %v, want an error at $.off[0]", err)
 	}
--- a/internal/policy/dispatch/group_replay_test.go
+++ b/internal/policy/dispatch/group_replay_test.go
@@ -95,7 +95,7 @@
 	for i := range gateways {
 		gw := &gatewayReplay{
 			pool: dispatch.NewPool(
-				dispatch.Options{Engine: engine, Fill: 1, LateFill: 0.6, HoldFill: 0.25, Off: switched}, rand.New(rand.NewPCG(seed, uint64(10+i)))),
+				dispatch.Options{Engine: engine, Fill: 1, LateFill: 0.6, Off: switched}, rand.New(rand.NewPCG(seed, uint64(10+i)))),
 			waiting: map[*dispatch.Ticket]caller{},
 			tellAt:  g.now.Add(time.Duration(g.rng.Int64N(int64(interval)))),
 		}
--- a/internal/policy/dispatch/mechanism.go
+++ b/internal/policy/dispatch/mechanism.go
@@ -10,8 +10,8 @@
 	SlotShare Mechanism = "slot-share"
 	// LateFill gives late requests a part of the slots only.
 	LateFill Mechanism = "late-fill"
-	// BoundedHold has few requests wait while no upstream can start anything.
-	BoundedHold Mechanism = "bounded-hold"
+	// LateReading has the prompts of late requests read a part of a pass at a time.
+	LateReading Mechanism = "late-reading"
 	// SlowRanks gives fewer requests to upstreams that are slower than usual.
 	SlowRanks Mechanism = "slow-ranks"
 	// EjectFailing keeps requests away from upstreams that break connections or refuse.
@@ -22,7 +22,7 @@
 
 // Mechanisms lists all of them.
 func Mechanisms() []Mechanism {
-	return []Mechanism{FewChoices, SlotShare, LateFill, BoundedHold, SlowRanks, EjectFailing, FirstAnswerTime}
+	return []Mechanism{FewChoices, SlotShare, LateFill, LateReading, SlowRanks, EjectFailing, FirstAnswerTime}
 }
 
 // Off are the mechanisms that are switched off.
--- a/internal/policy/dispatch/pool.go
+++ b/internal/policy/dispatch/pool.go
@@ -42,8 +42,6 @@
 	// Fill is how many requests may be in flight at an upstream for each of its slots; LateFill is the same for a request
 	// that can no longer be answered in time.
 	Fill, LateFill float64
-	// HoldFill is how many requests may wait for each slot while no upstream can start anything; 0 for no bound.
-	HoldFill float64
 	// Off are mechanisms that are switched off.
 	Off Off
 }
@@ -55,9 +53,7 @@
 	// order lists the targets by id, so that equal inputs give equal decisions.
 	order   []*target
 	waiting []*Ticket
-	// pushedOut are waiting requests that were refused for later ones; the next call that settles tickets returns them.
-	pushedOut []*Ticket
-	rng       *rand.Rand
+	rng     *rand.Rand
 	// othersAt is when the oldest digest came by which others' work is counted.
 	othersAt time.Time
 	// ejected collects what was ejected since TakeEjections.
@@ -73,6 +69,8 @@
 	// closed says that no upstream can start anything now; requests wait.
 	closed             bool
 	closedAt, openedAt time.Time
+	// lateUnread are the prompt tokens of late requests that were placed by this gateway and are not read yet.
+	lateUnread int
 	// first is the mean time from placing a request to its first answer; 0 if none was measured.
 	first time.Duration
 }
@@ -189,9 +187,7 @@
 		t.refuse(p.overloaded(r, wait, now))
 		return t
 	}
-	if p.makeRoom(t, now) {
-		p.waiting = append(p.waiting, t)
-	}
+	p.waiting = append(p.waiting, t)
 	return t
 }
 
@@ -226,6 +222,9 @@
 	}
 	t.answered = true
 	t.target.own.PromptTokens -= t.request.PromptTokens
+	if t.late {
+		p.lateUnread -= t.request.PromptTokens
+	}
 }
 
 // Done takes in the end of a placed request and returns the tickets that are settled by it.
@@ -262,11 +261,10 @@
 
 // settle places waiting requests, the best first, and refuses those that are past their latest time.
 func (p *Pool) settle(now time.Time) []*Ticket {
-	out := p.pushedOut
-	p.pushedOut = nil
 	if len(p.waiting) == 0 {
-		return out
+		return nil
 	}
+	var out []*Ticket
 	rest := p.waiting[:0]
 	p.sortWaiting(now)
 	for _, t := range p.waiting {
@@ -320,6 +318,9 @@
 		t.decision.OthersAge = now.Sub(p.othersAt)
 	}
 	best.own = best.own.plus(Work{1, t.request.PromptTokens})
+	if t.late = p.late(t.request, now); t.late {
+		p.lateUnread += t.request.PromptTokens
+	}
 	best.health.chosen(now)
 	t.target = best
 	t.up = best.up
@@ -332,8 +333,13 @@
 func (p *Pool) able(r Request, now time.Time) []*target {
 	fill := p.opts.Fill
 	p.scratch = p.scratch[:0]
-	if p.late(r, now) && !p.opts.Off[LateFill] {
-		fill = p.opts.LateFill
+	if p.late(r, now) {
+		if !p.opts.Off[LateFill] {
+			fill = p.opts.LateFill
+		}
+		if p.beyondLateReading() {
+			return nil
+		}
 	}
 	for _, c := range p.order {
 		if c.usable(now) && !slices.Contains(r.Exclude, c.up.ID) && c.room(fill) {
--- a/internal/policy/dispatch/ticket.go
+++ b/internal/policy/dispatch/ticket.go
@@ -26,6 +26,8 @@
 	err      error
 	answered bool
 	done     bool
+	// late says that it could no longer be answered in time when it was placed.
+	late     bool
 	decision Decision
 	// settled is closed once the ticket is placed or refused; it is the Gate's.
 	settled chan struct{}
