--- a/internal/node/gateway/suspects.go
+++ b/internal/node/gateway/suspects.go
@@ -60,11 +60,10 @@
 	rules := quarantine.Rules{Period: quarantineLength, Crashes: crashesRefused}
 	return &suspects{
 		// Evidence is a hint and no promise: if all gateways end at once, three more deaths bring it back.
-		keeper: quarantine.NewKeeper(nil, rules, quarantine.KeeperOptions{}),
-		logger: logger,
-		dial:   dialOnce,
-		broken: map[ids.Life][]quarantine.Running{},
-
+		keeper:   quarantine.NewKeeper(nil, rules, quarantine.KeeperOptions{}),
+		logger:   logger,
+		dial:     dialOnce,
+		broken:   map[ids.Life][]quarantine.Running{},
 		answered: map[ids.Life]brokenRuns{},
 	}
 }
