--- a/internal/node/gateway/candidates.go
+++ b/internal/node/gateway/candidates.go
@@ -51,32 +51,44 @@
 	return r.Ready && (e.number.Load() > 0 || e.leading.turn(now, r))
 }
 
-// place is this gateway's among the candidates, negative if another leads or there is nothing to lead.
+// place is this gateway's among the candidates, negative if another leads, there is nothing to lead, or this one is new or
+// alone.
 func (e *experts) place(c candidates) int {
-	if c.led || !e.anyGroup() {
+	if c.led || !e.anyGroup() || e.newOrAlone(time.Now()) {
 		return -1
 	}
 	return slices.Index(c.names, e.g.Settings().Name)
 }
 
-// candidates are the gateways that are ready, those first that should lead first, this one among them; led says that
-// another one leads.
+// newOrAlone reports whether this gateway knows too little of the others to take a duty.
+func (e *experts) newOrAlone(now time.Time) bool {
+	return e.g.peers.joining(now) || e.g.peers.isolated(now)
+}
+
+// candidates are the gateways that are ready or about to be, those first that should lead first, this one among them; led
+// says that another one leads.
 type candidates struct {
 	names []string
 	led   bool
 }
 
 // candidates puts the hosts with the most processor time first, as the duty takes a tenth of a core.
+//
+// Among many gateways each hears another only now and then. Those that have just not been heard still count, and so do those
+// that have not said yet that they are ready, or each gateway finds another one first, and several lead or draw numbers at
+// once.
 func (e *experts) candidates(now time.Time) candidates {
 	c := candidates{}
 	own := e.g.Settings().Name
 	power := map[string]uint32{own: e.g.Settings().Limits.cpuMillis()}
+	quiet := e.g.peers.silence(leaderSilent)
 	for _, p := range e.g.peers.live(now) {
-		if now.Sub(p.heardAt) > leaderSilent {
+		silent := now.Sub(p.heardAt)
+		if silent > quiet || p.leads() && silent > leaderSilent {
 			continue
 		}
-		c.led = c.led || p.digest.GetExpertsFence() > 0
-		if p.digest.GetState() == cardamomyokev1.NodeState_NODE_STATE_LIVE {
+		c.led = c.led || p.leads()
+		if p.digest.GetState() != cardamomyokev1.NodeState_NODE_STATE_LEAVING {
 			power[p.digest.GetNode()] = p.digest.GetCpuMillis()
 		}
 	}
@@ -87,7 +99,7 @@
 
 // standby reports whether this gateway should have a number ready that is later than those of all leaders.
 func (e *experts) standby(c candidates) bool {
-	if e.g.control.node != stateReady || !e.anyGroup() || e.g.off(offStandby) || e.leading.spareIsNewest() {
+	if e.g.control.node != stateReady || e.newOrAlone(time.Now()) || !e.anyGroup() || e.g.off(offStandby) || e.leading.spareIsNewest() {
 		return false
 	}
 	return slices.Contains(c.names[:min(standbys, len(c.names))], e.g.Settings().Name)
--- a/internal/node/gateway/experts.go
+++ b/internal/node/gateway/experts.go
@@ -28,16 +28,14 @@
 	// lookEvery is the period in which the leader looks at a group, a few passes; demandHalf is the half-life of the estimated
 	// demand.
 	//
-	// Load: other experts are in demand all of a sudden, and until the map follows, the most loaded rank has twice the mean.
-	// Passes come within some ms of the longest pause that callers accept, and each stream is late by the first that is above.
-	// Replayed shifts leave a mean skew of 1.48, where looks each 500 ms with as long a half-life leave 1.60, for 7 in 100
-	// more copies; five played days gave 0.758 instead of 0.745 of their worth. More often costs in copies what it gains.
+	// Until the map follows a shift of demand, passes take longer than callers accept, and each stream is late by one of them.
+	// Looking more often costs in copies what it gains in passes.
 	lookEvery  = 250 * time.Millisecond
 	demandHalf = 300 * time.Millisecond
 	// sampledRanks is how many ranks' counts are read each time; reading from afar makes the group pause.
 	sampledRanks = 4
 	// sampledNear is the same where each rank has an agent beside it. The group does not pause for it, but each reading has
-	// some KB; with 72 ranks, all of them took a seventh of a host's link.
+	// some KB of the leader's link.
 	sampledNear = 24
 )
 
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -147,11 +147,15 @@
 		Relayed:  func() bool { return g.peers.relayed(copied, time.Now()) },
 		FollowingChanged: func(t *replica.Table, following bool) {
 			_ = level.Info(g.logger).Log("msg", "store feed", "table", t.Name(), "following", following, "version", t.Newest())
+			g.loop.Post(g.peers.announce)
 		},
 		Changed: func(*replica.Table) { g.loop.Post(g.changed) },
 		LinkChanged: func(t *replica.Table, l replica.Link) {
 			g.logStoreLink(t.Name(), l.Up, l.Cause)
-			g.loop.Post(func(time.Time) { g.publish() })
+			g.loop.Post(func(now time.Time) {
+				g.publish()
+				g.peers.announce(now)
+			})
 		},
 	}
 }
@@ -181,12 +185,13 @@
 func (g *Gateway) changed(now time.Time) {
 	g.reload(now)
 	if g.config.Following() || g.registry.Following() {
-		g.peers.tellAll(now)
+		g.peers.announce(now)
 	}
 }
 
 // reload takes over what the copies of the store's tables hold.
 func (g *Gateway) reload(now time.Time) {
+	before := g.control.node
 	config, err := g.decoder.Configuration(g.config.Table.Rows())
 	switch {
 	case err != nil:
@@ -197,6 +202,9 @@
 	g.control.upstreams = g.readUpstreams(now)
 	g.updateServices(now)
 	g.publish()
+	if g.control.node != before {
+		g.peers.tellAll(now)
+	}
 }
 
 func (g *Gateway) adopt(c *catalog.Configuration) {
--- a/internal/node/gateway/handler.go
+++ b/internal/node/gateway/handler.go
@@ -112,9 +112,8 @@
 
 // missing says that a route or key does not exist, or only that it is not known here.
 //
-// Failure: a node that the store turns away does not hear of a new route and answers 404, which callers take as final. So
-// does one that others have told of a newer configuration, and that has not got it yet. A refusal that asks to come back is
-// enough, since the caller then meets a node that knows.
+// A node that the store turns away, or that others have told of a newer configuration, may not know a new route yet. Callers
+// take a 404 as final, so it asks them to come back instead.
 func (g *Gateway) missing(v *view, code failure.Code) error {
 	if !v.current || g.peers.behind(g.config.Table, time.Now()) > 0 {
 		return failure.New(failure.CodeStaleRevision, failure.New(code, nil)).WithRetryAfter(unknownRetry)
--- a/internal/node/gateway/leading.go
+++ b/internal/node/gateway/leading.go
@@ -16,9 +16,8 @@
 // armed for the same version, and a rank refuses versions below the highest that it had. So the lease only keeps gateways
 // from doing the same work twice, and whoever has a number that is later than all others' may lead without it.
 //
-// Failure: the leader ends while the store is away, at worst in the middle of a switch, with its group held. Nobody can get
-// the lease, all callers of the group wait until the store is back, and the map follows no drift. The first candidates
-// therefore draw a number ahead of need.
+// If the leader ends while the store is away, nobody can get the lease, and a group that it held waits until the store is
+// back. The first candidates therefore draw a number ahead of need.
 type leadership struct {
 	// number is what this gateway leads under or led under last, 0 before that; spare is one that was drawn ahead.
 	number, spare ids.Fence
--- a/internal/node/gateway/metrics.go
+++ b/internal/node/gateway/metrics.go
@@ -67,6 +67,14 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf("cardamomyoke_gateway_answer_seconds{service=%q}", service)).Update(seconds)
 }
 
+func (m *gatewayMetrics) digestFailed() {
+	m.set.GetOrCreateCounter("cardamomyoke_gateway_digests_failed_total").Inc()
+}
+
+func (m *gatewayMetrics) peerEnded(told bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_peers_ended_total{told_by_others=\"%t\"}", told)).Inc()
+}
+
 func (m *gatewayMetrics) repeated(service ids.Service) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_retries_total{service=%q}", service)).Inc()
 }
--- a/internal/node/gateway/move.go
+++ b/internal/node/gateway/move.go
@@ -25,10 +25,8 @@
 
 // moves are the attempts at ranks from which the stream may be taken away, by upstream's life. It is safe for concurrent use.
 //
-// Failure: one rank of a group works at a twelfth of its pace. It gets nothing new, but each pass of the whole group waits
-// for the few streams that it has, and these last twelve times as long. All callers of the group get their answers late for
-// ten seconds. Moved, the streams go on after their last event within a second: 0.84 of the callers were served where 0.73
-// had been, and the worst seconds gave 0.30 of their worth instead of 0.12.
+// Each pass of a group waits for its slowest rank, so that a rank at a small part of its pace makes the streams of all ranks
+// late for as long as it has any. Moved, they go on after their last event.
 type moves struct {
 	mu      sync.Mutex
 	running map[ids.Life]map[*run]context.CancelCauseFunc
--- a/internal/node/gateway/news.go
+++ b/internal/node/gateway/news.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -18,42 +19,54 @@
 func (p *peers) catchUp(d *cardamomyokev1.Digest) {
 	for _, f := range p.g.followers {
 		if newest := newestOf(d, f.Table.Name()); !f.Table.Has(newest) {
-			p.noteBehind(f.Table.Name(), newest)
+			p.noteBehind(f.Table, newest)
 			p.pull(f, d)
 		}
 	}
 }
 
-// lag says that a table's copy lacks a change of which others have told.
-type lag struct {
-	newest uint64
-	since  time.Time
+// lag is what a table's copy lacks, by what others have told: the versions, the oldest first, and since when it lacks them.
+type lag []lacked
+
+type lacked struct {
+	version uint64
+	since   time.Time
+}
+
+// maxLacked bounds a lag; beyond it the last version stands for the next ones, too.
+const maxLacked = 16
+
+// without returns what the copy still lacks.
+func (l lag) without(t *replica.Table) lag {
+	return slices.DeleteFunc(l, func(v lacked) bool { return t.Has(v.version) })
+}
+
+// with returns the lag after another version was told.
+func (l lag) with(version uint64, now time.Time) lag {
+	if len(l) == 0 || version > l[len(l)-1].version && len(l) < maxLacked {
+		return append(l, lacked{version, now})
+	}
+	l[len(l)-1].version = max(l[len(l)-1].version, version)
+	return l
 }
 
-func (p *peers) noteBehind(table string, newest uint64) {
+func (p *peers) noteBehind(t *replica.Table, newest uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l, known := p.lags[table]
-	if !known {
-		l.since = time.Now()
-	}
-	l.newest = max(l.newest, newest)
-	p.lags[table] = l
+	p.lags[t.Name()] = p.lags[t.Name()].without(t).with(newest, time.Now())
 }
 
-// behind returns for how long the table's copy has lacked a change of which others have told; 0 if it lacks none.
+// behind returns for how long the table's copy has lacked a change of which others have told; 0 if it lacks none. A copy that
+// gets each change soon is not behind for long, however many there are.
 func (p *peers) behind(t *replica.Table, now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l, known := p.lags[t.Name()]
-	if !known {
-		return 0
-	}
-	if t.Has(l.newest) {
-		delete(p.lags, t.Name())
+	l := p.lags[t.Name()].without(t)
+	p.lags[t.Name()] = l
+	if len(l) == 0 {
 		return 0
 	}
-	return max(1, now.Sub(l.since))
+	return max(1, now.Sub(l[0].since))
 }
 
 const (
@@ -101,8 +114,7 @@
 
 // pullFirst pulls from the first of the gateways that brings the table up to what the last one told of.
 //
-// Failure: the nearest gateway that tells of a change does not answer or does not give it, and is asked again with each
-// digest. The one that brought the news has it.
+// The nearest gateway that tells of a change may not give it; the one that brought the news has it.
 func (p *peers) pullFirst(f *replica.Follower, from ...*cardamomyokev1.Digest) {
 	wanted := newestOf(from[len(from)-1], f.Table.Name())
 	asked := ""
--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -2,17 +2,21 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/controlport"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/logging"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/digest"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/liveness"
 )
 
 const (
@@ -24,27 +28,39 @@
 	newNamesEvery = 200 * time.Millisecond
 	// newFor is for how long a gateway counts as new: until others have named it a few times.
 	newFor = 1500 * time.Millisecond
+	// joinTime is for how long a gateway that has started only gets to know the others: names pass to the gateways of its
+	// settings and back. It takes no duty before that.
+	joinTime = 450 * time.Millisecond
+	// joinEvery is the time between its questions for names.
+	joinEvery = 150 * time.Millisecond
 	// unknownFor is how long after its start a gateway takes a leader that it has not heard for one that it does not know
-	// yet: with 40 gateways that start together names reach all within a second.
+	// yet: names of gateways that start together reach all within a second.
 	unknownFor = 1200 * time.Millisecond
-	// peerSilent is after how long a gateway that is not heard is no longer given out: three digests and a margin.
+	// peerSilent is after how long a gateway that is not heard is no longer given out, also if nobody could tell whether it
+	// has ended: three digests and a margin.
 	peerSilent = 800 * time.Millisecond
 	// leaderSilent is after how long a duty is taken over from a gateway that is not heard: two digests and the way.
 	leaderSilent = 450 * time.Millisecond
 	// peerForgotten is after how long a gateway that is not heard is no longer told anything.
 	peerForgotten = 30 * time.Second
-	// maxTold is how many gateways one digest goes to; with more of them they are told in turn, and are silent for longer
-	// before they count as gone. A leader tells all, so that no other takes its place.
+	// maxTold is how many gateways one digest goes to; with more of them they are told in turn. A leader tells all, so that
+	// no other takes its place.
 	maxTold = 20
 	// maxNamed is how many other gateways a digest names.
 	maxNamed = 12
+	// sendFailuresLogged is how many datagrams that could not be sent are logged a second.
+	sendFailuresLogged = 2
 	// pullTimeout bounds one pull of a table from another gateway.
 	pullTimeout = time.Second
 )
 
-// peer is another gateway.
+// peer is another gateway. It is not changed once it is known: each datagram makes a new one.
 type peer struct {
-	digest  *cardamomyokev1.Digest
+	digest *cardamomyokev1.Digest
+	// parts has a bit for each part of the digest that came.
+	parts uint64
+	// newest is the highest sequence that was heard; probes have numbers, too.
+	newest  uint64
 	heardAt time.Time
 	// firstAt is when this life was heard first.
 	firstAt time.Time
@@ -62,17 +78,28 @@
 	ctx         context.Context
 	began       time.Time
 
-	mu      sync.Mutex
-	known   map[string]*peer     // by name
-	hints   map[string]time.Time // addresses that were named, with the time of it
-	pulling map[string]bool      // tables that are being pulled
-	lags    map[string]lag       // tables whose copy lacks a change
+	// sequence numbers the datagrams.
+	sequence atomic.Uint64
+	// failures logs what could not be sent.
+	failures *logging.Bounded
+
+	mu       sync.Mutex
+	detector *liveness.Detector
+	known    map[string]*peer     // by name
+	hints    map[string]time.Time // addresses that were named, with the time of it
+	pulling  map[string]bool      // tables that are being pulled
+	lags     map[string]lag       // tables whose copy lacks a change
+
+	// strangers are addresses that were never told anything.
+	strangers []string
+	// relaysAt is when enough gateways that follow a table were heard last, by table.
+	relaysAt map[string]time.Time
 
 	// The rest belongs to the control loop. turn is where the next digest goes on in the list of targets.
-	turn     int
-	sequence uint64
-	toldAt   time.Time
-	namedAt  time.Time
+	turn    int
+	toldAt  time.Time
+	namedAt time.Time
+	askedAt time.Time // for names
 }
 
 func startPeers(ctx context.Context, g *Gateway) (*peers, error) {
@@ -85,6 +112,10 @@
 		hints:   map[string]time.Time{},
 		pulling: map[string]bool{},
 		lags:    map[string]lag{},
+
+		relaysAt: map[string]time.Time{},
+		detector: newDetector(),
+		failures: logging.NewBounded(level.Warn(g.logger), sendFailuresLogged, time.Now),
 	}
 	var err error
 	if p.sender, err = digest.NewSender(); err != nil {
@@ -113,7 +144,7 @@
 	}
 }
 
-// hear takes in a digest; one that is older than the last of its sender changes nothing.
+// hear takes in a datagram; one that is older than the last of its sender changes nothing.
 func (p *peers) hear(d *cardamomyokev1.Digest) {
 	if d.GetNode() == p.g.Settings().Name || d.GetRole() != cardamomyokev1.NodeRole_NODE_ROLE_GATEWAY {
 		return
@@ -121,31 +152,69 @@
 	now := time.Now()
 	p.mu.Lock()
 	old := p.known[d.GetNode()]
-	if old != nil && !old.replacedBy(d, now) {
+	next := old.with(d, now)
+	if next == nil {
 		p.mu.Unlock()
 		return
 	}
-	first := now
-	if old != nil && old.digest.GetIncarnation() == d.GetIncarnation() {
-		first = old.firstAt
-	}
-	p.known[d.GetNode()] = &peer{d, now, first}
-	for _, address := range d.GetPeers() {
-		p.hints[address] = now
+	p.known[d.GetNode()] = next
+	p.meet(now, append(d.GetPeers(), d.GetDigestAddress())...)
+	if old != nil && old.digest.GetDigestAddress() != d.GetDigestAddress() {
+		p.detector.Forget(liveness.Address(old.digest.GetDigestAddress()))
 	}
+	replies := p.observe(d, now)
+	changes := p.detector.Changes()
 	p.mu.Unlock()
-	if old == nil || old.digest.GetState() != d.GetState() {
+	if old == nil || old.digest.GetState() != next.digest.GetState() {
 		_ = level.Info(p.g.logger).Log("msg", "peer", "peer", d.GetNode(), "state", d.GetState(), "incarnation", d.GetIncarnation())
 	}
-	p.g.suspects.keeper.Merge(now, quarantine.FromDigest(d)...)
-	p.catchUp(d)
+	p.note(changes)
+	p.sendProbes(replies)
+	if d.GetProbe().GetJoin() {
+		p.g.loop.Post(func(now time.Time) { p.sendNames(now, d.GetDigestAddress()) })
+	}
+	if d.GetProbe() == nil {
+		p.g.suspects.keeper.Merge(now, quarantine.FromDigest(d)...)
+		p.catchUp(d)
+	}
 }
 
+// with returns the peer as it is known after one more datagram, nil if that is not news. k is nil if nothing was known.
+func (k *peer) with(d *cardamomyokev1.Digest, now time.Time) *peer {
+	first := &peer{d, partBit(d), d.GetSequence(), now, now}
+	switch {
+	case k == nil:
+		return first
+	case d.GetIncarnation() != k.digest.GetIncarnation():
+		if !k.replacedBy(d, now) {
+			return nil
+		}
+		return first
+	}
+	next := *k
+	switch {
+	case d.GetProbe() != nil:
+		if d.GetSequence() <= k.newest {
+			return nil
+		}
+	case k.replacedBy(d, now):
+		next.digest, next.parts = d, partBit(d)
+	case d.GetSequence() == k.digest.GetSequence() && k.parts&partBit(d) == 0:
+		next.digest, next.parts = digest.Join(k.digest, d), k.parts|partBit(d)
+	default:
+		return nil
+	}
+	next.newest = max(k.newest, d.GetSequence())
+	next.heardAt = now
+	return &next
+}
+
+func partBit(d *cardamomyokev1.Digest) uint64 { return 1 << d.GetPart().GetIndex() }
+
 // replacedBy reports whether a digest is newer than what is known. Lives are ordered by the time of day at their start.
 //
-// Failure: a gateway restarts just after its host's time of day was set back. Its new life sorts before the one that has
-// ended, and others would not hear it until they had forgotten the old one. A life that has fallen silent is therefore
-// replaced by any other; digests of an ended life do not arrive that late.
+// A gateway whose host's time of day was set back has a new life that sorts before the ended one. So a life that has fallen
+// silent is replaced by any other; digests of an ended life do not arrive that late.
 func (k *peer) replacedBy(d *cardamomyokev1.Digest, now time.Time) bool {
 	if d.GetIncarnation() != k.digest.GetIncarnation() {
 		return d.GetIncarnation() > k.digest.GetIncarnation() || now.Sub(k.heardAt) > peerSilent
@@ -155,25 +224,41 @@
 
 // silence scales a time after which a gateway that is not heard counts as gone to how often it is heard.
 func (p *peers) silence(d time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silenceLocked(d)
+}
+
+func (p *peers) silenceLocked(d time.Duration) time.Duration {
 	if n := len(p.known); n > maxTold {
 		return d * time.Duration(n) / maxTold
 	}
 	return d
 }
 
-// live are the gateways that were heard lately, in no order.
+// live are the gateways that were heard lately and are not known to have ended, in no order.
 func (p *peers) live(now time.Time) []*peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []*peer
-	limit := p.silence(peerSilent)
+	limit := p.silenceLocked(peerSilent)
 	for _, k := range p.known {
-		if now.Sub(k.heardAt) <= limit {
+		if now.Sub(k.heardAt) <= limit && !p.detector.Ended(k.address()) {
 			out = append(out, k)
 		}
 	}
 	return out
 }
 
+// address is where the peer takes datagrams.
+func (k *peer) address() liveness.Address { return liveness.Address(k.digest.GetDigestAddress()) }
+
+// leads reports whether the peer says that it places experts; it then tells all others each time.
+func (k *peer) leads() bool { return k.digest.GetExpertsFence() > 0 }
+
 // count is how many other gateways are live.
 func (p *peers) count(now time.Time) int { return len(p.live(now)) }
+
+func newDetector() *liveness.Detector {
+	return liveness.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+}
--- a/internal/node/gateway/peers_test.go
+++ b/internal/node/gateway/peers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -62,7 +63,7 @@
 		{"silent", unknownFor + time.Second, leaderSilent + time.Second, true},
 		{"silent, just started", 200 * time.Millisecond, leaderSilent + time.Second, false},
 	} {
-		p := &peers{g: g, began: time.Now().Add(-c.since), known: map[string]*peer{}}
+		p := &peers{g: g, began: time.Now().Add(-c.since), known: map[string]*peer{}, detector: newDetector()}
 		if c.heard >= 0 {
 			p.known["other"] = &peer{digest: &cardamomyokev1.Digest{Incarnation: "a"}, heardAt: time.Now().Add(-c.heard)}
 		}
@@ -105,6 +106,7 @@
 	g.settings.Store(&Settings{Name: "own", DataCentre: "near"})
 	return &peers{
 		g: g, ctx: t.Context(), http: http.DefaultClient, known: map[string]*peer{}, pulling: map[string]bool{}, lags: map[string]lag{},
+		detector: newDetector(), relaysAt: map[string]time.Time{},
 	}, f
 }
 
@@ -146,7 +148,7 @@
 	if got := missing(); got != failure.CodeUnknownService || p.behind(f.Table, now) != 0 {
 		t.Fatalf("a gateway that lacks nothing answered %s", got)
 	}
-	p.noteBehind("op", 90)
+	p.noteBehind(f.Table, 90)
 	if got := missing(); got != failure.CodeStaleRevision {
 		t.Fatalf("a gateway that is behind answered %s", got)
 	}
@@ -169,3 +171,65 @@
 		t.Fatal("a copy that is complete up to 95 lacks a change of 90")
 	}
 }
+
+// Failure: the work of a busy gateway comes in parts, or a probe comes between two digests, and the others count less work
+// than it has, and send more to upstreams that are full.
+func TestPartsAndProbesKeepTheWorkOfAPeer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	part := func(sequence uint64, index, upstream uint32) *cardamomyokev1.Digest {
+		return &cardamomyokev1.Digest{
+			Node: "other", Incarnation: "a", Sequence: sequence, Part: &cardamomyokev1.Part{Index: index, Count: 2},
+			Work: &cardamomyokev1.WorkColumns{Upstreams: []uint32{upstream}, Requests: []uint32{1}, PromptTokens: []uint32{0}},
+		}
+	}
+	asked := &cardamomyokev1.Digest{Node: "other", Incarnation: "a", Sequence: 4, Probe: &cardamomyokev1.Probe{Ask: true}}
+	var k *peer
+	for i, c := range []struct {
+		d    *cardamomyokev1.Digest
+		news bool
+		want []uint32
+	}{
+		{part(3, 1, 31), true, []uint32{31}},
+		{part(3, 0, 30), true, []uint32{31, 30}},
+		{part(3, 0, 30), false, []uint32{31, 30}},
+		{asked, true, []uint32{31, 30}},
+		{asked, false, []uint32{31, 30}},
+		{part(5, 0, 50), true, []uint32{50}},
+		{part(3, 1, 31), false, []uint32{50}},
+	} {
+		next := k.with(c.d, now.Add(time.Duration(i)*time.Second))
+		if (next != nil) != c.news {
+			t.Errorf("datagram %d: news %v", i, next != nil)
+		}
+		if next != nil {
+			k = next
+		}
+		if got := k.digest.GetWork().GetUpstreams(); !slices.Equal(got, c.want) {
+			t.Errorf("after datagram %d there is work at %v", i, got)
+		}
+	}
+}
+
+// Failure: changes come faster than one pull after the other, each pull brings the last change but one, and all gateways count
+// as behind for good and call the store.
+func TestACopyThatKeepsUpWithManyChangesIsNotBehind(t *testing.T) {
+	p, f := behindGateway(t, 80)
+	for version := uint64(81); version < 120; version++ {
+		p.noteBehind(f.Table, version)
+		f.Table.Load([]platform.Row{{Key: "config", Version: version - 1}}, version-1)
+		late := p.lags["op"].without(f.Table)
+		if len(late) != 1 || late[0].version != version {
+			t.Fatalf("at version %d the copy lacks %v", version, late)
+		}
+	}
+	for version := uint64(120); version < 200; version++ {
+		p.noteBehind(f.Table, version)
+	}
+	if n := len(p.lags["op"]); n != maxLacked {
+		t.Errorf("%d versions are remembered", n)
+	}
+	f.Table.Load([]platform.Row{{Key: "config", Version: 199}}, 199)
+	if p.behind(f.Table, time.Now()) != 0 {
+		t.Error("a copy that has all is behind")
+	}
+}
--- a/internal/node/gateway/plain.go
+++ b/internal/node/gateway/plain.go
@@ -27,8 +27,8 @@
 
 // relayPlain reads an answer and gives it to the caller.
 //
-// Failure: the upstream's connection breaks in the middle of a body, and the caller takes the part for the whole. An
-// answer that is given on only when it is whole, and with its length, cannot be mistaken.
+// If the upstream's connection breaks in the middle of a body, a caller must not take the part for the whole: the answer is
+// given on only when it is whole, and with its length.
 func (n *run) relayPlain(ctx context.Context, t *dispatch.Ticket, a *httpclient.Answer, reply Reply) error {
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxHeldBytes))
 	if err != nil {
--- /dev/null
+++ b/internal/node/gateway/probing.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/liveness"
+)
+
+// maxRumors is how many rumors one datagram has at most.
+const maxRumors = 80
+
+// probe is a short datagram to another gateway.
+type probe struct {
+	to liveness.Address
+	*cardamomyokev1.Probe
+	rumors []liveness.Rumor
+}
+
+// probeOthers asks those that are due, and tells what is new of others.
+func (p *peers) probeOthers(now time.Time) {
+	p.mu.Lock()
+	asks := p.detector.Tick(now)
+	urgent := p.detector.Urgent()
+	changes := p.detector.Changes()
+	rumors := p.detector.Rumors(maxRumors)
+	p.mu.Unlock()
+	p.note(changes)
+	var probes []probe
+	for _, a := range asks {
+		probes = append(probes, probe{a.To, &cardamomyokev1.Probe{Ask: true, About: string(a.About)}, rumors})
+	}
+	for _, to := range urgent {
+		probes = append(probes, probe{to, &cardamomyokev1.Probe{}, rumors})
+	}
+	p.sendProbes(probes)
+}
+
+// observe gives the detector what a datagram says of its sender and of others, and returns what to answer. The lock is held.
+func (p *peers) observe(d *cardamomyokev1.Digest, now time.Time) []probe {
+	from := liveness.Address(d.GetDigestAddress())
+	about := liveness.Address(d.GetProbe().GetAbout())
+	waiting := p.detector.Heard(now, liveness.Sign{
+		Address: from, Incarnation: ids.Incarnation(d.GetIncarnation()), Sequence: d.GetSequence(), Answer: d.GetProbe().GetAnswer(),
+	})
+	p.detector.Take(now, rumorsOf(d))
+	var out []probe
+	for _, by := range waiting {
+		out = append(out, probe{by, &cardamomyokev1.Probe{}, []liveness.Rumor{p.detector.Known(from)}})
+	}
+	if d.GetProbe().GetAsk() {
+		out = append(out, probe{from, &cardamomyokev1.Probe{Answer: true}, p.detector.Rumors(maxRumors)})
+	}
+	if about != "" {
+		p.detector.AskedFor(now, from, about)
+		out = append(out, probe{about, &cardamomyokev1.Probe{Ask: true}, nil})
+	}
+	return out
+}
+
+func (p *peers) sendProbes(probes []probe) {
+	for _, q := range probes {
+		d := p.header()
+		d.Probe = q.Probe
+		d.Rumors = rumorColumns(q.rumors)
+		p.sendTo([]string{string(q.to)}, d)
+	}
+}
+
+// note logs what has become known of other gateways.
+func (p *peers) note(changes []liveness.Change) {
+	for _, c := range changes {
+		msg := "peer lives"
+		if c.Ended {
+			msg = "peer ended"
+			p.g.metrics.peerEnded(c.Told)
+		}
+		_ = level.Info(p.g.logger).Log("msg", msg, "peer_address", c.Address, "incarnation", c.Incarnation, "silent", c.Silent,
+			"sequence", c.Sequence, "told_by_others", c.Told)
+	}
+}
+
+func rumorsOf(d *cardamomyokev1.Digest) []liveness.Rumor {
+	columns := d.GetRumors()
+	out := make([]liveness.Rumor, len(columns.GetLives()))
+	for i, life := range columns.GetLives() {
+		out[i] = liveness.Rumor{Life: life, Sequence: columns.GetSequences()[i], Ended: columns.GetEnded()[i]}
+	}
+	return out
+}
+
+func rumorColumns(rumors []liveness.Rumor) *cardamomyokev1.Rumors {
+	if len(rumors) == 0 {
+		return nil
+	}
+	columns := &cardamomyokev1.Rumors{}
+	for _, r := range rumors {
+		columns.Lives = append(columns.Lives, r.Life)
+		columns.Sequences = append(columns.Sequences, r.Sequence)
+		columns.Ended = append(columns.Ended, r.Ended)
+	}
+	return columns
+}
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -167,8 +167,8 @@
 
 // final says why the request must not be tried again, or nothing.
 //
-// Failure: a request that may not be repeated is sent again after its connection broke, and runs twice. Only two proofs
-// allow another attempt then: no connection was made, or the upstream promised that it did not run.
+// A request that may not be repeated must not run twice after its connection broke. Only two proofs allow another attempt: no
+// connection was made, or the upstream promised that it did not run.
 func (n *run) final(ctx context.Context, err error) string {
 	var gone *httpserver.GoneError
 	var moved *MovedError
--- a/internal/node/gateway/shutdown.go
+++ b/internal/node/gateway/shutdown.go
@@ -31,8 +31,8 @@
 
 // servesOn is for how long a gateway that leaves still takes requests.
 //
-// Failure: it takes a stream 3.3 s after its SIGTERM, when hardly a caller has its address any more, and ends 4.4 s later in
-// the middle of it. A caller that is refused at once goes to another address.
+// A stream that is taken late in the grace time may not end in it. By then hardly a caller has this address any more, and one
+// that is refused goes to another.
 func servesOn(grace, keep time.Duration) time.Duration {
 	return min(time.Duration(serveOn*float64(grace)), time.Duration(keptTimes*float64(keep)))
 }
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -43,9 +43,8 @@
 
 // relayStream gives on a stream's events as they come.
 //
-// Failure: an upstream breaks off in the middle of an event, the stream goes on elsewhere, and the caller reads a joint
-// of two halves. Only whole events are given on, and one that the caller has already is left out, so that what the
-// caller gets is a sequence of whole events without a gap or repetition.
+// An upstream may break off in the middle of an event and the stream go on elsewhere. Only whole events are given on, and
+// none that the caller has already, so that no event is a joint of two halves.
 func (n *run) relayStream(ctx context.Context, t *dispatch.Ticket, a *httpclient.Answer, reply Reply) error {
 	if !reply.Sealed {
 		a.Release(false)
--- a/internal/node/gateway/sums.go
+++ b/internal/node/gateway/sums.go
@@ -56,22 +56,23 @@
 
 // work is what the other gateways have in flight at a service's upstreams, and when the oldest digest that says so came.
 func (p *peers) work(name ids.Service, upstreams *catalog.Upstreams, now time.Time) (map[ids.Life]dispatch.Work, time.Time) {
-	sum := map[uint64]dispatch.Work{}
+	sum := map[uint32]dispatch.Work{}
 	var oldest time.Time
 	for _, k := range p.live(now) {
 		if oldest.IsZero() || k.heardAt.Before(oldest) {
 			oldest = k.heardAt
 		}
-		for _, w := range k.digest.GetWork() {
-			s := sum[w.GetUpstream()]
-			s.Requests += int(w.GetRequests())
-			s.PromptTokens += int(w.GetPromptTokens())
-			sum[w.GetUpstream()] = s
+		w := k.digest.GetWork()
+		for i, upstream := range w.GetUpstreams() {
+			s := sum[upstream]
+			s.Requests += int(w.GetRequests()[i])
+			s.PromptTokens += int(w.GetPromptTokens()[i])
+			sum[upstream] = s
 		}
 	}
 	out := map[ids.Life]dispatch.Work{}
 	for _, u := range upstreams.Of(name) {
-		if w, ok := sum[hashOf(u.Life())]; ok {
+		if w, ok := sum[shortHashOf(u.Life())]; ok {
 			out[u.Life()] = w
 		}
 	}
--- a/internal/node/gateway/suspects.go
+++ b/internal/node/gateway/suspects.go
@@ -35,9 +35,9 @@
 
 // suspects keeps requests that crash each upstream which runs them from taking down one after the other.
 //
-// Failure: one request crashes the rank that runs it, and with it its whole group for seconds; its caller sends it again.
-// All other callers lose their streams each time. A gateway does not see what else an upstream ran, so that it counts the
-// deaths at which the request ran, together with what the other gateways tell, and refuses it after the third.
+// A request that crashes the rank that runs it takes its whole group down, and its caller sends it again. A gateway does not
+// see what else an upstream ran, so it counts the deaths at which the request ran, with those that others tell, and refuses
+// it after the third.
 type suspects struct {
 	keeper *quarantine.Keeper
 	logger log.Logger
@@ -188,8 +188,7 @@
 
 // restarted takes in that an upstream has a new life under its id.
 //
-// Failure: an upstream that a request crashed is back before it is asked whether it listens, and answers. Its death would
-// not be counted, and the request would crash one upstream after the other. The new life proves that the old one has ended.
+// An upstream may be back before it is asked whether it listens. Its new life proves that the old one has ended.
 func (s *suspects) restarted(before ids.Life, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/node/gateway/telling.go
+++ b/internal/node/gateway/telling.go
@@ -12,10 +12,14 @@
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/digest"
 )
 
-// tick tells the others of this gateway when it is due.
+// tick asks others for signs of life, and tells them of this gateway when it is due.
 func (p *peers) tick(now time.Time) {
+	p.join(now)
+	p.greet()
+	p.probeOthers(now)
 	since := now.Sub(p.toldAt)
 	if since >= digestEvery || since >= workEvery && p.workChanged() {
 		p.tell(now)
@@ -40,48 +44,88 @@
 
 func (p *peers) send(now time.Time, to []string) {
 	p.toldAt = now
-	p.sequence++
-	d := p.compose(now)
+	d := p.compose()
+	if now.Sub(p.namedAt) >= p.namesEvery(now) {
+		p.namedAt = now
+		d.Peers = p.named(now)
+	}
+	p.sendTo(to, d)
+}
+
+// sendTo sends one digest to some others. What does not arrive is replaced by the next one.
+func (p *peers) sendTo(to []string, d *cardamomyokev1.Digest) {
+	datagrams, err := digest.Encode(d)
+	if err != nil {
+		p.sendFailed("", err)
+		return
+	}
 	for _, address := range to {
-		// A datagram that cannot be sent is like one that is lost: the next one replaces it.
-		_, _ = p.sender.Send(address, d)
+		if _, err := p.sender.SendEncoded(address, datagrams); err != nil {
+			p.sendFailed(address, err)
+		}
 	}
 }
 
-func (p *peers) compose(now time.Time) *cardamomyokev1.Digest {
-	g := p.g
-	d := &cardamomyokev1.Digest{
-		Node:          g.Settings().Name,
-		Incarnation:   string(g.incarnation),
-		Sequence:      p.sequence,
+func (p *peers) sendFailed(address string, err error) {
+	p.g.metrics.digestFailed()
+	_ = p.failures.Log("msg", "digest not sent", "peer_address", address, "err", err)
+}
+
+// header is what each datagram says of this gateway.
+func (p *peers) header() *cardamomyokev1.Digest {
+	s := p.g.Settings()
+	return &cardamomyokev1.Digest{
+		Node:          s.Name,
+		Incarnation:   string(p.g.incarnation),
+		Sequence:      p.sequence.Add(1),
 		Role:          cardamomyokev1.NodeRole_NODE_ROLE_GATEWAY,
-		State:         digestState(g.control.node),
-		DataCentre:    string(g.Settings().DataCentre),
-		HttpAddress:   g.Settings().Listen.Callers,
-		DigestAddress: g.Settings().Listen.Peers,
-		ExpertsFence:  g.experts.number.Load(),
-		ExpertsSpare:  uint64(g.experts.leading.spare),
-		CpuMillis:     g.Settings().Limits.cpuMillis(),
-	}
-	if now.Sub(p.namedAt) >= p.namesEvery(now) {
-		p.namedAt = now
-		d.Peers = p.named(now)
+		State:         digestState(p.g.view.Load().state),
+		DataCentre:    string(s.DataCentre),
+		HttpAddress:   s.Listen.Callers,
+		DigestAddress: s.Listen.Peers,
+		CpuMillis:     s.Limits.cpuMillis(),
 	}
+}
+
+// compose is a digest with all that this gateway tells the others of itself.
+func (p *peers) compose() *cardamomyokev1.Digest {
+	g := p.g
+	d := p.header()
+	d.ExpertsFence = g.experts.number.Load()
+	d.ExpertsSpare = uint64(g.experts.leading.spare)
 	for _, f := range g.followers {
-		d.News = append(d.News, &cardamomyokev1.TableNews{Table: f.Table.Name(), Newest: f.Table.Newest(), Following: f.Following()})
+		d.News = append(d.News, &cardamomyokev1.TableNews{
+			Table: f.Table.Name(), Newest: f.Table.Newest(), Following: f.Following(), Lost: !f.Link().Up,
+		})
 	}
 	d.Slow = g.experts.slowKnown()
-	d.Suspects = quarantine.ToDigest(g.suspects.keeper.Digest(now, digestSuspects))
+	d.Suspects = quarantine.ToDigest(g.suspects.keeper.Digest(time.Now(), digestSuspects))
+	d.Work = g.workColumns()
+	p.mu.Lock()
+	d.Rumors = rumorColumns(p.detector.Rumors(maxRumors))
+	p.mu.Unlock()
+	return d
+}
+
+// workColumns is what this gateway has in flight, nil if it is nothing.
+func (g *Gateway) workColumns() *cardamomyokev1.WorkColumns {
+	var columns *cardamomyokev1.WorkColumns
 	for _, s := range g.control.services {
 		for life, w := range s.gate.Own() {
-			d.Work = append(d.Work, &cardamomyokev1.UpstreamWork{
-				Upstream: hashOf(life), Requests: uint32(w.Requests), PromptTokens: uint32(max(0, w.PromptTokens)),
-			})
+			if columns == nil {
+				columns = &cardamomyokev1.WorkColumns{}
+			}
+			columns.Upstreams = append(columns.Upstreams, shortHashOf(life))
+			columns.Requests = append(columns.Requests, uint32(w.Requests))
+			columns.PromptTokens = append(columns.PromptTokens, uint32(max(0, w.PromptTokens)))
 		}
 	}
-	return d
+	return columns
 }
 
+// shortHashOf is hashOf in half as many bytes, for what may be mistaken once in a while.
+func shortHashOf(l ids.Life) uint32 { return uint32(hashOf(l)) }
+
 // hashOf stands for an upstream's life in digests: what others tell of an ended life matches no present one.
 func hashOf(l ids.Life) uint64 { return xxhash.Sum64String(l.String()) }
 
@@ -106,6 +150,7 @@
 	for name, k := range p.known {
 		if now.Sub(k.heardAt) > peerForgotten {
 			delete(p.known, name)
+			p.detector.Forget(k.address())
 			continue
 		}
 		all[k.digest.GetDigestAddress()] = true
--- a/internal/node/gateway/watching.go
+++ b/internal/node/gateway/watching.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/lease"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/replica"
 )
@@ -16,20 +17,24 @@
 	// leastRelays is how many gateways that follow the store must be heard by one that does not: of two, one may have been
 	// turned away by the store and not noticed yet.
 	leastRelays = 2
+	// relayGrace is for how long a gateway goes on without enough others that follow the store: another one takes the place of
+	// one that ended or was turned away, and tells all.
+	relayGrace = 300 * time.Millisecond
 	// mostBehind is for how long a copy may lack a change that others have told of before the store is asked for it: some
 	// pulls from the nearest gateway and the one that told.
 	mostBehind = 600 * time.Millisecond
 )
 
 // sentinel reports whether this gateway is one that its data centre relies on for news of the store: one of the first by
-// rendezvous hash of those that are live. Each works it out for itself; if two differ for a moment, two watch.
+// rendezvous hash of those that are live and that the store answers. Each works it out for itself; if two differ for a
+// moment, two watch.
 func (p *peers) sentinel(now time.Time) bool {
 	own := p.g.Settings()
 	names := []string{own.Name}
 	centres := map[string]bool{string(own.DataCentre): true}
 	for _, k := range p.live(now) {
 		centres[k.digest.GetDataCentre()] = true
-		if ids.DataCentre(k.digest.GetDataCentre()) == own.DataCentre {
+		if ids.DataCentre(k.digest.GetDataCentre()) == own.DataCentre && !k.turnedAway() {
 			names = append(names, k.digest.GetNode())
 		}
 	}
@@ -37,11 +42,37 @@
 	return slices.Contains(lease.Candidates("store", names, each), own.Name)
 }
 
-// relayed reports whether this gateway hears of changes from others that follow the table in the store, and gets them.
+// turnedAway reports whether the store does not answer a gateway for some table.
+func (k *peer) turnedAway() bool {
+	return slices.ContainsFunc(k.digest.GetNews(), (*cardamomyokev1.TableNews).GetLost)
+}
+
+// relayed reports whether this gateway hears of changes from others that follow the table in the store, and gets them, or may
+// soon.
+//
+// When a gateway that followed the store ends or is turned away, all others would call the store at once.
 func (p *peers) relayed(t *replica.Table, now time.Time) bool {
+	if p.joining(now) {
+		return true
+	}
 	if p.sentinel(now) || p.behind(t, now) > mostBehind {
 		return false
 	}
+	enough := p.relays(t, now) >= leastRelays
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if enough {
+		p.relaysAt[t.Name()] = now
+	}
+	last := p.relaysAt[t.Name()]
+	if began := p.began.Add(joinTime); last.Before(began) {
+		last = began
+	}
+	return now.Sub(last) < relayGrace
+}
+
+// relays counts the gateways that follow a table in the store.
+func (p *peers) relays(t *replica.Table, now time.Time) int {
 	relays := 0
 	for _, k := range p.live(now) {
 		for _, n := range k.digest.GetNews() {
@@ -50,15 +81,14 @@
 			}
 		}
 	}
-	return relays >= leastRelays
+	return relays
 }
 
-// ended reports whether another gateway's life is known to be over: it is not heard, or only a later life is. A gateway
-// that has just started has not heard anyone yet.
+// ended reports whether another gateway's life is known to be over: it does not answer, is not heard, or only a later life
+// is. A gateway that has just started has not heard anyone yet.
 //
-// Failure: all gateways start again after a loss of power, and each knows a few others only. Each finds that the holder of
-// a duty is none of them and takes it over: 18 of 41 led one after the other within 0.3 s. Names spread within a second,
-// so that waiting this long for a holder that was never heard is enough.
+// After a loss of power each gateway knows a few others only, and the holder of a duty is none of them. Names spread within a
+// second, so that waiting this long for a holder that was never heard is enough.
 func (p *peers) ended(name string, life ids.Incarnation) bool {
 	now := time.Now()
 	if now.Sub(p.began) < leaderSilent {
@@ -73,7 +103,14 @@
 	if k == nil {
 		return now.Sub(p.began) > unknownFor
 	}
-	if now.Sub(k.heardAt) > leaderSilent {
+	if p.isolatedLocked(now) {
+		return false
+	}
+	limit := leaderSilent
+	if !k.leads() {
+		limit = p.silenceLocked(leaderSilent)
+	}
+	if now.Sub(k.heardAt) > limit || p.detector.Ended(k.address()) {
 		return true
 	}
 	return k.digest.GetIncarnation() > string(life)
--- a/internal/state/digest/digest.go
+++ b/internal/state/digest/digest.go
@@ -41,23 +41,31 @@
 	return &Sender{conn}, nil
 }
 
-// Send sends d to address (IP:PORT) and returns its size in bytes. Errors: *TooLargeError, or the network's.
+// Send sends d to address (IP:PORT), in parts if it does not fit one datagram, and returns its size in bytes. Errors:
+// those of Encode, or the network's.
 func (s *Sender) Send(address string, d *cardamomyokev1.Digest) (int, error) {
-	data, err := proto.Marshal(d)
+	datagrams, err := Encode(d)
 	if err != nil {
-		return 0, fmt.Errorf("encode digest: %w", err)
-	}
-	if len(data) > MaxBytes {
-		return 0, &TooLargeError{len(data)}
+		return 0, err
 	}
+	return s.SendEncoded(address, datagrams)
+}
+
+// SendEncoded sends what Encode returned to address (IP:PORT) and returns its size in bytes.
+func (s *Sender) SendEncoded(address string, datagrams [][]byte) (int, error) {
 	to, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return 0, fmt.Errorf("digest address: %w", err)
 	}
-	if _, err := s.conn.WriteToUDPAddrPort(data, to); err != nil {
-		return 0, fmt.Errorf("send digest to %s: %w", address, err)
+	sent := 0
+	for _, data := range datagrams {
+		n, err := s.conn.WriteToUDPAddrPort(data, to)
+		if err != nil {
+			return sent, fmt.Errorf("send digest to %s: %w", address, err)
+		}
+		sent += n
 	}
-	return len(data), nil
+	return sent, nil
 }
 
 // Close closes the socket.
@@ -129,5 +137,8 @@
 	if d.GetRole() == cardamomyokev1.NodeRole_NODE_ROLE_SLOT && d.GetSlot() == nil {
 		return nil, &FieldError{"slot"}
 	}
+	if err := checkColumns(d); err != nil {
+		return nil, err
+	}
 	return d, nil
 }
--- /dev/null
+++ b/internal/state/digest/split.go
@@ -0,0 +1,147 @@
+package digest
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+)
+
+const (
+	// MaxParts is the most parts of one digest.
+	MaxParts = 64
+	// partBytes is what the number of a part and the lengths of the lists of rows take at most.
+	partBytes = 32
+	// workBytes and rumorBytes are what one row of these takes at most.
+	workBytes  = 4 + 5 + 5
+	rumorBytes = 4 + 10 + 1
+	// tagBytes is what the tag and the length of one message in a list take at most.
+	tagBytes = 4
+)
+
+// Encode returns the datagrams in which d is sent: one, or parts if it does not fit. Each part names the sender and its
+// state. Errors: *TooLargeError if the sender alone does not fit, or those of the encoder.
+func Encode(d *cardamomyokev1.Digest) ([][]byte, error) {
+	parts := Split(d)
+	out := make([][]byte, 0, len(parts))
+	for _, part := range parts {
+		data, err := proto.Marshal(part)
+		if err != nil {
+			return nil, fmt.Errorf("encode digest: %w", err)
+		}
+		if len(data) > MaxBytes {
+			return nil, &TooLargeError{len(data)}
+		}
+		out = append(out, data)
+	}
+	return out, nil
+}
+
+// Split cuts a digest into parts of at most MaxBytes each. What is not in a list is in each part; Join puts the lists
+// together again. Beyond MaxParts rows are left out, the last ones of the longest list.
+func Split(d *cardamomyokev1.Digest) []*cardamomyokev1.Digest {
+	if proto.Size(d) <= MaxBytes {
+		return []*cardamomyokev1.Digest{d}
+	}
+	header := headerOf(d)
+	room := MaxBytes - partBytes - proto.Size(header)
+	var parts []*cardamomyokev1.Digest
+	left := 0
+	for _, r := range rowsOf(d) {
+		if r.bytes > left {
+			if len(parts) == MaxParts {
+				break
+			}
+			parts = append(parts, proto.CloneOf(header))
+			left = room
+		}
+		r.add(parts[len(parts)-1])
+		left -= r.bytes
+	}
+	for i, p := range parts {
+		p.Part = &cardamomyokev1.Part{Index: uint32(i), Count: uint32(len(parts))}
+	}
+	return parts
+}
+
+// Join returns a digest that has the lists of both, parts of one digest.
+func Join(a, b *cardamomyokev1.Digest) *cardamomyokev1.Digest {
+	both := proto.CloneOf(a)
+	proto.Merge(both, b)
+	return both
+}
+
+func headerOf(d *cardamomyokev1.Digest) *cardamomyokev1.Digest {
+	header := proto.CloneOf(d)
+	header.News, header.Peers, header.Slow, header.Suspects, header.Rumors, header.Work = nil, nil, nil, nil, nil, nil
+	return header
+}
+
+// row is one entry of a list of a digest.
+type row struct {
+	bytes int
+	add   func(*cardamomyokev1.Digest)
+}
+
+// rowsOf returns the entries of all lists, those first that others wait for.
+func rowsOf(d *cardamomyokev1.Digest) []row {
+	var rows []row
+	message := func(m proto.Message, add func(*cardamomyokev1.Digest)) {
+		rows = append(rows, row{tagBytes + proto.Size(m), add})
+	}
+	for _, n := range d.GetNews() {
+		message(n, func(p *cardamomyokev1.Digest) { p.News = append(p.News, n) })
+	}
+	for i := range d.GetRumors().GetLives() {
+		rows = append(rows, row{rumorBytes, func(p *cardamomyokev1.Digest) { addRumor(p, d.GetRumors(), i) }})
+	}
+	for _, s := range d.GetSuspects() {
+		message(s, func(p *cardamomyokev1.Digest) { p.Suspects = append(p.Suspects, s) })
+	}
+	for _, s := range d.GetSlow() {
+		message(s, func(p *cardamomyokev1.Digest) { p.Slow = append(p.Slow, s) })
+	}
+	for _, a := range d.GetPeers() {
+		rows = append(rows, row{tagBytes + len(a), func(p *cardamomyokev1.Digest) { p.Peers = append(p.Peers, a) }})
+	}
+	for i := range d.GetWork().GetUpstreams() {
+		rows = append(rows, row{workBytes, func(p *cardamomyokev1.Digest) { addWork(p, d.GetWork(), i) }})
+	}
+	return rows
+}
+
+func addRumor(to *cardamomyokev1.Digest, from *cardamomyokev1.Rumors, i int) {
+	if to.Rumors == nil {
+		to.Rumors = &cardamomyokev1.Rumors{}
+	}
+	to.Rumors.Lives = append(to.Rumors.Lives, from.GetLives()[i])
+	to.Rumors.Sequences = append(to.Rumors.Sequences, from.GetSequences()[i])
+	to.Rumors.Ended = append(to.Rumors.Ended, from.GetEnded()[i])
+}
+
+func addWork(to *cardamomyokev1.Digest, from *cardamomyokev1.WorkColumns, i int) {
+	if to.Work == nil {
+		to.Work = &cardamomyokev1.WorkColumns{}
+	}
+	to.Work.Upstreams = append(to.Work.Upstreams, from.GetUpstreams()[i])
+	to.Work.Requests = append(to.Work.Requests, from.GetRequests()[i])
+	to.Work.PromptTokens = append(to.Work.PromptTokens, from.GetPromptTokens()[i])
+}
+
+// checkColumns finds columns of different length and parts that cannot be.
+func checkColumns(d *cardamomyokev1.Digest) error {
+	w, r, part := d.GetWork(), d.GetRumors(), d.GetPart()
+	rows := len(w.GetUpstreams())
+	if len(w.GetRequests()) != rows || len(w.GetPromptTokens()) != rows {
+		return &FieldError{"some columns of work"}
+	}
+	rows = len(r.GetLives())
+	if len(r.GetSequences()) != rows || len(r.GetEnded()) != rows {
+		return &FieldError{"some columns of rumors"}
+	}
+	if part != nil && (part.GetIndex() >= part.GetCount() || part.GetCount() > MaxParts) {
+		return &FieldError{"a part that is one of its count"}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/state/liveness/detector_test.go
@@ -0,0 +1,189 @@
+package liveness_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/liveness"
+)
+
+// addressKept is for how long callers keep an address: an ended gateway should not be named for longer than that.
+const addressKept = time.Second
+
+// known returns after how long all that live have known that the given ones have ended; negative if not all do.
+func (n *network) known(since time.Time, ended map[int]bool) time.Duration {
+	first := map[[2]int]time.Time{}
+	for _, c := range n.changes {
+		for i := range ended {
+			if c.Ended && c.Address == addressOf(i) {
+				if _, ok := first[[2]int{c.by, i}]; !ok {
+					first[[2]int{c.by, i}] = c.at
+				}
+			}
+		}
+	}
+	latest := time.Duration(0)
+	for _, m := range n.members {
+		for i := range ended {
+			if m.dead {
+				continue
+			}
+			at, ok := first[[2]int{m.index, i}]
+			if !ok {
+				return -1
+			}
+			latest = max(latest, at.Sub(since))
+		}
+	}
+	return latest
+}
+
+// falsely counts verdicts on members that live.
+func (n *network) falsely(ended map[int]bool) (verdicts, believed int) {
+	for _, c := range n.changes {
+		for i := range n.members {
+			if c.Ended && !ended[i] && c.Address == addressOf(i) {
+				believed++
+				if !c.Told {
+					verdicts++
+				}
+			}
+		}
+	}
+	return verdicts, believed
+}
+
+// Failure: with more members each hears of each other more rarely, and callers are sent to gateways that have been dead for
+// seconds.
+func TestTheTimeToKnowOfADeathDoesNotDependOnTheSize(t *testing.T) {
+	for _, size := range []int{7, 41, 149, 360} {
+		for seed := range uint64(3) {
+			n := newNetwork(seed, size, 0.03)
+			n.run(2 * time.Second)
+			n.members[3].dead = true
+			since, before := n.now, n.bytes
+			n.run(3 * time.Second)
+			ended := map[int]bool{3: true}
+			took := n.known(since, ended)
+			verdicts, believed := n.falsely(ended)
+			t.Logf("%3d members, seed %d: all know after %v; %d false verdicts, believed %d times; %d B/s a member, digests among them",
+				size, seed, took, verdicts, believed, (n.bytes-before)/3/size)
+			if took < 0 || took > addressKept+250*time.Millisecond {
+				t.Errorf("%d members, seed %d: all know after %v", size, seed, took)
+			}
+			if verdicts > 1 {
+				t.Errorf("%d members, seed %d: %d false verdicts in 5 s", size, seed, verdicts)
+			}
+		}
+	}
+}
+
+// Failure: half of all gateways are killed at once, and those asked for help are dead themselves.
+func TestHalfOfAllMembersEndAtOnce(t *testing.T) {
+	n := newNetwork(1, 149, 0)
+	n.run(2 * time.Second)
+	ended := map[int]bool{}
+	for i := range 82 {
+		n.members[i].dead, ended[i] = true, true
+	}
+	since := n.now
+	n.run(4 * time.Second)
+	took := n.known(since, ended)
+	verdicts, _ := n.falsely(ended)
+	t.Logf("all know of 82 deaths after %v", took)
+	if took < 0 || took > 2*addressKept || verdicts > 0 {
+		t.Errorf("all know after %v, %d false verdicts", took, verdicts)
+	}
+}
+
+// Failure: a gateway whose link is broken one way takes all others for ended and tells them so.
+func TestAMemberThatIsCutOffEndsNobodyElse(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		cut, deaf bool
+	}{{"sends nothing", true, false}, {"hears nothing", false, true}, {"both", true, true}} {
+		n := newNetwork(4, 41, 0)
+		n.run(2 * time.Second)
+		n.members[5].cut, n.members[5].deaf = c.cut, c.deaf
+		n.run(4 * time.Second)
+		for _, s := range n.changes {
+			if s.Ended && s.Address != addressOf(5) {
+				t.Errorf("%s: member %d takes %s for ended", c.name, s.by, s.Address)
+			}
+		}
+	}
+}
+
+// Failure: a link between two members is broken, and one of them takes the other for ended though all others reach it.
+func TestABrokenLinkBetweenTwoEndsNeither(t *testing.T) {
+	d, now := four()
+	d.Tick(now)
+	now = now.Add(time.Second)
+	asks := d.Tick(now)
+	if len(asks) != 1 {
+		t.Fatalf("%d questions at once", len(asks))
+	}
+	quiet := asks[0].To
+	now = now.Add(200 * time.Millisecond)
+	helped := d.Tick(now)
+	for _, a := range helped {
+		if a.About == quiet {
+			d.Heard(now, liveness.Sign{Address: a.To, Incarnation: "a", Sequence: 2, Answer: true})
+		}
+	}
+	now = now.Add(100 * time.Millisecond)
+	known := d.Known(quiet)
+	d.Take(now, []liveness.Rumor{{Life: known.Life, Sequence: known.Sequence + 1}})
+	d.Tick(now.Add(time.Second))
+	if d.Ended(quiet) {
+		t.Error("a member that answers others has ended")
+	}
+}
+
+func TestOfTwoRumorsTheLaterSignHolds(t *testing.T) {
+	const a = liveness.Address("10.1.0.1:1")
+	for _, c := range []struct {
+		name  string
+		told  []liveness.Rumor
+		ended bool
+	}{
+		{"ended at the sign that is known", []liveness.Rumor{{Sequence: 1, Ended: true}}, true},
+		{"ended before it", []liveness.Rumor{{Sequence: 0, Ended: true}}, false},
+		{"lives after it", []liveness.Rumor{{Sequence: 1, Ended: true}, {Sequence: 2}}, false},
+		{"lived at it", []liveness.Rumor{{Sequence: 1, Ended: true}, {Sequence: 1}}, true},
+		{"of another life", []liveness.Rumor{{Life: 7, Sequence: 9, Ended: true}}, false},
+	} {
+		d, now := four()
+		for i := range c.told {
+			if c.told[i].Life == 0 {
+				c.told[i].Life = d.Known(a).Life
+			}
+		}
+		d.Take(now, c.told)
+		if d.Ended(a) != c.ended {
+			t.Errorf("%s: ended %v", c.name, d.Ended(a))
+		}
+	}
+}
+
+func TestANewLifeOfAMemberIsNotEnded(t *testing.T) {
+	const a = liveness.Address("10.1.0.1:1")
+	d, now := four()
+	d.Take(now, []liveness.Rumor{{Life: d.Known(a).Life, Sequence: 5, Ended: true}})
+	d.Heard(now, liveness.Sign{Address: a, Incarnation: "b", Sequence: 1})
+	if d.Ended(a) {
+		t.Error("the new life is taken for the old one")
+	}
+}
+
+// four is a detector that has heard four members.
+func four() (*liveness.Detector, time.Time) {
+	now := time.Unix(1000, 0)
+	d := liveness.New(rand.New(rand.NewPCG(1, 1)))
+	for _, a := range []liveness.Address{"10.1.0.1:1", "10.1.0.2:1", "10.1.0.3:1", "10.1.0.4:1"} {
+		d.Heard(now, liveness.Sign{Address: a, Incarnation: ids.Incarnation("a"), Sequence: 1})
+	}
+	return d, now
+}
