A lease that others still renew is not taken from them

A row that changes proves that its holder lives, for the time of a renewal. Ruled out: a majority of those heard, as half of the gateways may be killed at once.

--- /dev/null
+++ b/internal/state/lease/ended_test.go
@@ -0,0 +1,98 @@
+package lease_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/lease"
+)
+
+const (
+	testLength = 3 * time.Second
+	testTick   = 50 * time.Millisecond
+)
+
+// row is the table's row of the duty.
+type row struct {
+	lease.Row
+	next uint64
+}
+
+// carryOut answers the effects of a holder at once.
+func (r *row) carryOut(now time.Time, h *lease.Holder, effects []lease.Effect) {
+	for len(effects) > 0 {
+		e := effects[0]
+		effects = effects[1:]
+		switch e := e.(type) {
+		case *lease.Read:
+			effects = append(effects, h.OnRead(now, h.Call(), r.Row, true)...)
+		case *lease.Write:
+			effects = append(effects, h.OnWrite(now, h.Call(), r.write(e))...)
+		}
+	}
+}
+
+func (r *row) write(w *lease.Write) lease.Written {
+	if w.Version != r.Version || w.Fence != r.Fence {
+		return lease.Written{Conflict: true}
+	}
+	r.next++
+	r.Lease, r.Version = w.Lease, r.next
+	if w.NewFence {
+		r.Fence = r.next
+	}
+	return lease.Written{OK: true, Version: r.Version, Fence: r.Fence}
+}
+
+// node is a holder that takes all others for ended.
+func node(name string, seed uint64) *lease.Holder {
+	h := lease.NewHolder("duty", name, ids.Incarnation(name), testLength, rand.New(rand.NewPCG(seed, 1)))
+	h.SetEnded(func(holder string, _ ids.Incarnation) bool { return holder != name })
+	return h
+}
+
+// Failure: two nodes that do not hear each other depose each other again and again while the table answers both.
+func TestNodesThatDoNotHearEachOtherDoNotTakeTurns(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := &row{}
+	a, b := node("a", 1), node("b", 2)
+	r.carryOut(now, a, a.Want(now, true))
+	fences := map[uint64]bool{}
+	for i := range 400 {
+		now = now.Add(testTick)
+		r.carryOut(now, a, a.Tick(now))
+		if i == 20 {
+			r.carryOut(now, b, b.Want(now, true))
+		}
+		if i > 20 {
+			r.carryOut(now, b, b.Tick(now))
+		}
+		fences[r.Fence] = true
+	}
+	if len(fences) > 2 {
+		t.Errorf("the duty changed hands %d times", len(fences)-1)
+	}
+}
+
+// A holder that has ended is still replaced long before its lease is over.
+func TestAHolderThatHasEndedIsReplacedSoon(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := &row{}
+	a, b := node("a", 1), node("b", 2)
+	r.carryOut(now, a, a.Want(now, true))
+	for range 30 {
+		now = now.Add(testTick)
+		r.carryOut(now, a, a.Tick(now))
+	}
+	died := now
+	r.carryOut(now, b, b.Want(now, true))
+	for !b.Held().At(now) {
+		now = now.Add(testTick)
+		r.carryOut(now, b, b.Tick(now))
+	}
+	if took := now.Sub(died); took > testLength/2 {
+		t.Errorf("replaced after %v", took)
+	}
+}
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -126,6 +126,8 @@
 	released bool   // the call under way gives the duty back
 	// ended tells of a holder that is known to have ended; nil if that is never known.
 	ended func(holder string, life ids.Incarnation) bool
+	// readAt is when the row was known last, changedAt when another holder was last seen to have written it.
+	readAt, changedAt time.Time
 }
 
 // SetEnded lets the duty be taken over before the lease is over from a holder that is known to have ended. It is for
@@ -239,13 +241,32 @@
 	if h.row.Lease.GetHolder() == "" {
 		return true
 	}
-	if h.ended != nil && h.ended(h.row.Lease.GetHolder(), ids.Incarnation(h.row.Lease.GetIncarnation())) {
+	if h.ended != nil && !h.livedLately(now) && h.ended(h.row.Lease.GetHolder(), ids.Incarnation(h.row.Lease.GetIncarnation())) {
 		return true
 	}
 	length := time.Duration(h.row.Lease.GetLengthMs()) * time.Millisecond
 	return now.Sub(h.seenAt) > length+length/marginPart
 }
 
+// livedLately reports whether the holder has written the row within the time of a renewal.
+//
+// Two nodes that do not hear each other, and that the table answers, would take each other for ended and depose each other
+// again and again. A row that changes proves that its holder lives.
+func (h *Holder) livedLately(now time.Time) bool {
+	return !h.changedAt.IsZero() && now.Sub(h.changedAt) < h.renewal()
+}
+
+// renewal is within which time a holder that lives renews.
+func (h *Holder) renewal() time.Duration { return h.length / renewals * 3 / 2 }
+
+// know takes in the row as it is now.
+func (h *Holder) know(now time.Time, row Row) {
+	if row.Version != h.row.Version && now.Sub(h.readAt) < h.renewal() && !h.own(row.Lease) {
+		h.changedAt = now
+	}
+	h.row, h.readAt = row, now
+}
+
 func (h *Holder) start(now time.Time) {
 	h.callAt = now
 	h.call++
@@ -278,7 +299,7 @@
 	if h.seenAt.IsZero() || row.Version != h.row.Version || row.Fence != h.row.Fence {
 		h.seenAt = now
 	}
-	h.row = row
+	h.know(now, row)
 	switch h.machine.State() {
 	case stateAcquiring:
 		// A takeover whose answer was lost counts as refused, even if the row names this very life: it is not known
@@ -325,7 +346,7 @@
 	}
 	switch {
 	case w.OK:
-		h.row = Row{h.ownLease(), w.Version, w.Fence}
+		h.know(now, Row{h.ownLease(), w.Version, w.Fence})
 		h.seenAt = now
 		h.fire(evTaken)
 		// From before the write was sent: the others count from when they see it, which is later.
