--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -83,7 +83,7 @@
 	// tickEvery is how often the control loop judges health.
 	tickEvery = 25 * time.Millisecond
 	// viewEvery is how often it builds a view without a change that cannot wait. Digests come every 250 ms or more, and
-	// building a view at each tick took more than the whole control budget at 60 known slots (docs/CAPACITY.md).
+	// building a view at each tick would take most of the processor time that control may have.
 	viewEvery = 100 * time.Millisecond
 )
 
--- a/internal/testing/bench/pages/sections.go
+++ b/internal/testing/bench/pages/sections.go
@@ -95,7 +95,7 @@
 func slopesSection(o Options, log io.Writer) (Section, error) {
 	s := Section{
 		ID: "slopes", Title: "Slopes", Text: "How state, messages and processor time of each role grow with what drives them. " +
-			"docs/CAPACITY.md says what follows for the target's size.",
+			"docs/capacity-entries.md says what follows for the target's size.",
 		Command: "cardamomyoke-bench slopes",
 	}
 	series, err := o.slopes(log)
--- a/internal/testing/bench/slopes/slopes_test.go
+++ b/internal/testing/bench/slopes/slopes_test.go
@@ -42,7 +42,7 @@
 }
 
 func TestEveryNumberOfTheTargetHasARow(t *testing.T) {
-	data, err := os.ReadFile("../../../../docs/CAPACITY.md")
+	data, err := os.ReadFile("../../../../docs/capacity-entries.md")
 	if err != nil {
 		t.Fatal(err)
 	}
