A leader of many gateways has ended when it answers nobody, not when one does not hear it for 0.45 s

No gateway had found it dead. With more gateways than one digest goes to, the detector's verdict counts, or silence stretched as for the others; with few nothing changes. Ruled out: a longer time for all, as with few gateways the leader is heard by each digest.

--- a/internal/node/gateway/candidates.go
+++ b/internal/node/gateway/candidates.go
@@ -83,8 +83,7 @@
 	power := map[string]uint32{own: e.g.Settings().Limits.cpuMillis()}
 	quiet := e.g.peers.silence(leaderSilent)
 	for _, p := range e.g.peers.live(now) {
-		silent := now.Sub(p.heardAt)
-		if silent > quiet || p.leads() && silent > leaderSilent {
+		if now.Sub(p.heardAt) > quiet {
 			continue
 		}
 		c.led = c.led || p.leads()
--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -39,7 +39,7 @@
 	// peerSilent is after how long a gateway that is not heard is no longer given out, also if nobody could tell whether it
 	// has ended: three digests and a margin.
 	peerSilent = 800 * time.Millisecond
-	// leaderSilent is after how long a duty is taken over from a gateway that is not heard: two digests and the way.
+	// leaderSilent is after how long a duty is taken over from a gateway that is not heard, of few: two digests and the way.
 	leaderSilent = 450 * time.Millisecond
 	// peerForgotten is after how long a gateway that is not heard is no longer told anything.
 	peerForgotten = 30 * time.Second
--- a/internal/node/gateway/peers_test.go
+++ b/internal/node/gateway/peers_test.go
@@ -15,6 +15,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/liveness"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/replica"
 )
@@ -73,6 +74,30 @@
 	}
 }
 
+// Failure: a leader of many gateways is busy as all start again, one of them does not hear it for half a second, and takes the
+// duty from it.
+func TestABusyLeaderOfManyHasNotEnded(t *testing.T) {
+	now := time.Now()
+	g := &Gateway{}
+	g.settings.Store(&Settings{Name: "own"})
+	p := &peers{g: g, began: now.Add(-time.Minute), known: map[string]*peer{}, detector: newDetector()}
+	for i := range 148 {
+		d := &cardamomyokev1.Digest{Node: fmt.Sprint("gateway-", i), Incarnation: "a", Sequence: 1, DigestAddress: fmt.Sprint("10.1.0.", i, ":1")}
+		p.known[d.GetNode()] = &peer{digest: d, heardAt: now}
+		p.observe(d, now)
+	}
+	leader := p.known["gateway-7"]
+	leader.digest.ExpertsFence = 12
+	leader.heardAt = now.Add(-leaderSilent - 200*time.Millisecond)
+	if p.ended("gateway-7", "a") {
+		t.Error("a leader that nobody found dead has ended")
+	}
+	p.detector.Take(now, []liveness.Rumor{{Life: p.detector.Known(leader.address()).Life, Sequence: 1, Ended: true}})
+	if !p.ended("gateway-7", "a") {
+		t.Error("a leader that answers nobody has not ended")
+	}
+}
+
 // teller is another gateway that gives the same answer to each pull.
 type teller struct {
 	answer *cardamomyokev1.PullResponse
--- a/internal/node/gateway/watching.go
+++ b/internal/node/gateway/watching.go
@@ -104,6 +104,8 @@
 // ended reports whether another gateway's life is known to be over: it does not answer, is not heard, or only a later life
 // is. A gateway that has just started has not heard anyone yet.
 //
+// A leader of many tells all of them, and is late with it when it is busiest. That it does not answer is what counts then.
+//
 // After a loss of power each gateway knows a few others only, and the holder of a duty is none of them. Names spread within a
 // second, so that waiting this long for a holder that was never heard is enough.
 func (p *peers) ended(name string, life ids.Incarnation) bool {
@@ -123,11 +125,7 @@
 	if p.isolatedLocked(now) {
 		return false
 	}
-	limit := leaderSilent
-	if !k.leads() {
-		limit = p.silenceLocked(leaderSilent)
-	}
-	if now.Sub(k.heardAt) > limit || p.detector.Ended(k.address()) {
+	if now.Sub(k.heardAt) > p.silenceLocked(leaderSilent) || p.detector.Ended(k.address()) {
 		return true
 	}
 	return k.digest.GetIncarnation() > string(life)
