--- a/internal/node/gateway/watching.go
+++ b/internal/node/gateway/watching.go
@@ -18,41 +18,28 @@
 	// turned away by the store and not noticed yet.
 	leastRelays = 2
 	// relayGrace is for how long a gateway goes on without enough others that follow the store: another one takes the place of
-	// one that ended or was turned away, and tells all. aloneGrace is the same for one that hears nobody.
-	relayGrace = time.Second
-	aloneGrace = 300 * time.Millisecond
+	// one that ended or was turned away, and tells all.
+	relayGrace = 300 * time.Millisecond
 	// mostBehind is for how long a copy may lack a change that others have told of before the store is asked for it: some
 	// pulls from the nearest gateway and the one that told.
 	mostBehind = 600 * time.Millisecond
 )
 
 // sentinel reports whether this gateway is one that its data centre relies on for news of the store: one of the first by
-// rendezvous hash of those that are live, or, while the store answers it, of those that the store answers. Each works it out
-// for itself; if two differ for a moment, two watch.
-//
-// While the store is away for all, the first ones alone ask for it. The others hear from them when it is back.
+// rendezvous hash of those that are live and that the store answers. Each works it out for itself; if two differ for a
+// moment, two watch.
 func (p *peers) sentinel(now time.Time) bool {
 	own := p.g.Settings()
-	all, answered := []string{own.Name}, []string{own.Name}
+	names := []string{own.Name}
 	centres := map[string]bool{string(own.DataCentre): true}
 	for _, k := range p.live(now) {
 		centres[k.digest.GetDataCentre()] = true
-		if ids.DataCentre(k.digest.GetDataCentre()) != own.DataCentre {
-			continue
-		}
-		all = append(all, k.digest.GetNode())
-		if !k.turnedAway() {
-			answered = append(answered, k.digest.GetNode())
+		if ids.DataCentre(k.digest.GetDataCentre()) == own.DataCentre && !k.turnedAway() {
+			names = append(names, k.digest.GetNode())
 		}
 	}
 	each := (leastSentinels + len(centres) - 1) / len(centres)
-	first := func(names []string) bool { return slices.Contains(lease.Candidates("store", names, each), own.Name) }
-	return first(all) || p.answered() && first(answered)
-}
-
-// answered reports whether the store answered this gateway's last call for each table.
-func (p *peers) answered() bool {
-	return !slices.ContainsFunc(p.g.followers, func(f *replica.Follower) bool { return !f.Link().Up })
+	return slices.Contains(lease.Candidates("store", names, each), own.Name)
 }
 
 // turnedAway reports whether the store does not answer a gateway for some table.
@@ -77,15 +64,11 @@
 	if enough {
 		p.relaysAt[t.Name()] = now
 	}
-	grace := relayGrace
-	if p.isolatedLocked(now) {
-		grace = aloneGrace
-	}
 	last := p.relaysAt[t.Name()]
 	if began := p.began.Add(joinTime); last.Before(began) {
 		last = began
 	}
-	return now.Sub(last) < grace
+	return now.Sub(last) < relayGrace
 }
 
 // relays counts the gateways that follow a table in the store.
--- a/internal/state/replica/follower.go
+++ b/internal/state/replica/follower.go
@@ -23,11 +23,9 @@
 	spacing = 150 * time.Millisecond
 	// relayCheck is how often a node that hears of changes from others looks whether they are still heard.
 	relayCheck = 100 * time.Millisecond
-	// firstPause and lastPause bound the wait after a failed call; it doubles between them. usualFactor is how many times as
-	// long a node waits that hears from sentinels when the store is back.
-	firstPause  = 100 * time.Millisecond
-	lastPause   = 800 * time.Millisecond
-	usualFactor = 8
+	// firstPause and lastPause bound the wait after a failed call; it doubles between them.
+	firstPause = 100 * time.Millisecond
+	lastPause  = 800 * time.Millisecond
 )
 
 // StaleError says that the store answered with an older table than is known.
@@ -108,21 +106,11 @@
 			steady.Sleep(ctx, spacing-time.Since(began))
 			continue
 		}
-		f.rest(ctx, pause/2+rand.N(pause/2))
+		steady.Sleep(ctx, pause/2+rand.N(pause/2))
 		pause = min(lastPause, 2*pause)
 	}
 }
 
-// rest waits after a failed call, but no longer than until others bring the changes.
-func (f *Follower) rest(ctx context.Context, pause time.Duration) {
-	if !f.sentinel() {
-		pause *= usualFactor
-	}
-	for until := time.Now().Add(pause); ctx.Err() == nil && time.Now().Before(until) && !f.relayed(); {
-		steady.Sleep(ctx, min(relayCheck, time.Until(until)))
-	}
-}
-
 // step makes one call. A history that is no longer kept is no failure: the whole table is read.
 func (f *Follower) step(ctx context.Context) error {
 	after, loaded := f.Table.Position()
@@ -143,8 +131,6 @@
 	return nil
 }
 
-func (f *Follower) sentinel() bool { return f.Sentinel == nil || f.Sentinel() }
-
 // wait is how long the next call waits for changes: not at all after a failure.
 //
 // A store that was stuck never answers the calls that it accepted before. A call that does not wait fails soon, and the next
@@ -153,10 +139,10 @@
 	if !f.Link().Up {
 		return 0
 	}
-	if f.sentinel() {
-		return sentinelWait
+	if f.Sentinel != nil && !f.Sentinel() {
+		return usualWait
 	}
-	return usualWait
+	return sentinelWait
 }
 
 func (f *Follower) load(ctx context.Context) error {
