--- a/internal/state/liveness/detector_test.go
+++ b/internal/state/liveness/detector_test.go
@@ -116,6 +116,28 @@
 	}
 }
 
+// Failure: some members are reached by a part of the others only, which refute each verdict of the rest, and all tell each
+// other of each change at once: more datagrams than hosts can take.
+func TestMembersThatSomeReachMakeNoStorm(t *testing.T) {
+	const size, odd, near = 149, 45, 30
+	n := newNetwork(6, size, 0)
+	n.run(2 * time.Second)
+	before := n.sent
+	n.run(4 * time.Second)
+	calm := n.sent - before
+	n.parted = func(from, to int) bool {
+		return (from < odd && to >= near) || (to < odd && from >= near)
+	}
+	n.run(2 * time.Second)
+	before = n.sent
+	n.run(4 * time.Second)
+	parted := n.sent - before
+	t.Logf("%d datagrams in 4 s while all is well, %d while %d members are reached by %d", calm, parted, odd, near)
+	if parted > 2*calm {
+		t.Errorf("%d datagrams in 4 s, %d while all is well", parted, calm)
+	}
+}
+
 // Failure: a link between two members is broken, and one of them takes the other for ended though all others reach it.
 func TestABrokenLinkBetweenTwoEndsNeither(t *testing.T) {
 	d, now := four()
