--- a/cmd/cardamomyoke-agent/main.go
+++ b/cmd/cardamomyoke-agent/main.go
@@ -17,8 +17,7 @@
 	"github.com/cardamomyoke/cardamomyoke/platform/engine"
 )
 
-// gcPercent trades processor time, of which an agent uses next to none, for memory: with Go's own value its heap grows to
-// 4 MB before the first collection, of which it uses a quarter.
+// gcPercent trades processor time, of which an agent uses next to none, for memory.
 const gcPercent = 25
 
 // logLines is how many log lines may wait to be written; an agent writes a few at its start and end.
--- a/internal/base/httpclient/client.go
+++ b/internal/base/httpclient/client.go
@@ -125,9 +125,8 @@
 
 // DoMatching is Do for peers that may send an answer twice or late: answers that do not match are dropped.
 //
-// Failure: the second copy of an earlier request's answer arrives where this request's answer is due, and the caller
-// gets another caller's answer. Dropping it is enough, since a peer serves one request at a time on a connection, so
-// what is foreign comes before what is due.
+// A second copy of an earlier answer may arrive where this request's answer is due. A peer serves one request at a time on a
+// connection, so that what is foreign comes before what is due and can be dropped.
 func (c *Client) DoMatching(ctx context.Context, address string, req *fasthttp.Request, match Match) (*Answer, error) {
 	conn, reused, err := c.get(ctx, address)
 	if err != nil {
--- a/internal/base/httpserver/outbox.go
+++ b/internal/base/httpserver/outbox.go
@@ -31,9 +31,8 @@
 
 // take returns what waits. The buffer is the loop's until it is put back.
 //
-// Failure: a buffer that is used for the next pieces is still known as the spare one. When the buffer before it was too
-// large to be kept it is taken, and at the same time used for what comes next, and the caller gets bytes of one answer
-// overwritten by another's. So the spare buffer is given up when it comes into use.
+// The spare buffer is given up when it comes into use: kept as the spare one, it would be taken again after a burst, and one
+// answer's bytes overwritten by another's.
 func (o *outbox) take() []byte {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/base/httpserver/server.go
+++ b/internal/base/httpserver/server.go
@@ -174,8 +174,8 @@
 
 // refuse answers bytes that are not a request, and ends the connection a little later.
 //
-// Failure: a caller is still sending a body that is too large when the connection is closed. The close resets it, and the
-// caller never sees why it was refused. What still comes is read and dropped until the caller has had time to read.
+// A caller may still be sending a body that is too large. Closing at once would reset the connection before it has read why
+// it is refused; what still comes is read and dropped until it has had time to read.
 func (s *Server) refuse(c *conn, err error) {
 	c.running.Store(true) // no request is read from this connection any more
 	c.refusedAt.Store(steady.Nanos())
--- a/internal/base/logging/async.go
+++ b/internal/base/logging/async.go
@@ -9,8 +9,8 @@
 
 // Async writes lines from a goroutine of its own and never makes a caller wait.
 //
-// Failure: whoever reads the log stops, the pipe fills, and every request that logs a line hangs. Lines that find the
-// queue full are dropped and counted, and the next line that is written says how many.
+// If whoever reads the log stops, requests that log must not hang. Lines that find the queue full are dropped and counted,
+// and the next line that is written says how many.
 type Async struct {
 	out     io.Writer
 	lines   chan []byte
--- a/internal/base/logging/bounded.go
+++ b/internal/base/logging/bounded.go
@@ -13,9 +13,8 @@
 
 // Bounded passes on at most so many lines a second, and counts the others. It is safe for concurrent use.
 //
-// Failure: load triples, each request still logs its lines, and writing them takes the processor time that requests need.
-// A bound for each class of lines is enough: what a process logs no longer follows its load, and the next line that is
-// written says how many are missing.
+// Under overload, writing lines would take the processor time that requests need. With a bound for each class of lines, what
+// a process logs does not follow its load; the next line that is written says how many are missing.
 type Bounded struct {
 	next    log.Logger
 	limiter *rate.Limiter
--- a/internal/base/steady/steady.go
+++ b/internal/base/steady/steady.go
@@ -1,8 +1,7 @@
 // Package steady tells the time that has passed in this process, for fields that are read and written as integers.
 //
-// Failure: the host's time of day is set forward by seconds. Connections that were idle for a moment count as idle for
-// too long and are closed under their callers' next requests, and counts of the last seconds start anew. The monotonic
-// clock is not set, so that differences of its readings are always true.
+// The host's time of day may be set forward by seconds: idle connections would be closed under their callers' next requests,
+// and counts of the last seconds start anew. The monotonic clock is not set.
 package steady
 
 import (
--- a/internal/node/entry/model.go
+++ b/internal/node/entry/model.go
@@ -119,8 +119,8 @@
 
 // full reports whether all tokens are delivered that the caller asked for.
 //
-// Failure: an upstream dies between the last token and the event that says so. Another one, asked to go on, makes one token
-// more, and the caller takes a longer answer for the whole one. Nothing is left to ask for, so nobody is asked.
+// An upstream may die between the last token and the event that says so. Nothing is left to ask another one for, and asking
+// would make one token more.
 func (m *modelAnswer) full() bool {
 	return m.r.chat != nil && m.r.tokenLimit > 0 && m.tokens >= m.r.tokenLimit
 }
--- a/internal/policy/dispatch/choice.go
+++ b/internal/policy/dispatch/choice.go
@@ -15,11 +15,9 @@
 
 // choices is how many of the upstreams a placement compares, drawn at random.
 //
-// Failure: many gateways place by what they told each other a tenth of a second ago. Each finds the same upstream the least
-// loaded, all send there, and some of these requests wait in its queue for a slot while others stand empty: with 41 gateways
-// at half the load 0.15 of the streams were late for it, and none is with a few choices. So a placement compares as many
-// upstreams as there are for each placement that was not heard of yet, at least two, and all of them if no other gateway
-// places.
+// Many gateways that place by the same old news all choose the same upstream, and requests wait there beside free slots. So a
+// placement compares as many upstreams as there are for each placement that was not heard of yet, at least two, and all of
+// them if no other gateway places.
 func (p *Pool) choices(able int, now time.Time) int {
 	unheard := p.unheard(now)
 	if unheard <= 0 || p.opts.Off[FewChoices] {
@@ -30,9 +28,8 @@
 
 // unheard is how many placements of others this gateway has not heard of, on average: callers go to all gateways alike.
 //
-// Failure: a group has formed again, and all gateways place at once what has waited: 1,000 streams for 720 slots, with first
-// tokens after 0.65 s for three seconds. The rate of the last seconds does not tell of it; what this gateway has placed since
-// the last telling does. Replayed, 3,706 streams are in time instead of 2,786.
+// When a group has formed again all gateways place at once what has waited. The rate of the last seconds does not tell of it;
+// what this gateway has placed since the last telling does.
 func (p *Pool) unheard(now time.Time) float64 {
 	p.placed.roll(now)
 	p.lately.roll(now)
@@ -49,9 +46,8 @@
 // beyondShare reports whether this gateway must leave the few slots that seem to be free to others: those with less than
 // their part of all slots in use.
 //
-// Failure: the upstreams are nearly full. A slot that a gateway thinks is free is one that some others think is free as well,
-// and those who are late wait in the upstream's queue, where nothing can be done for them. With 41 gateways at 1.2 times the
-// load 0.41 of the streams waited there, 4,686 of 11,749 were in time; with this 0.21 and 7,708.
+// Near the limit a slot that one gateway takes for free is taken for free by others as well, and who is late waits in the
+// upstream's queue, where nothing can be done for the request.
 func (p *Pool) beyondShare(now time.Time) bool {
 	if p.sharing.Gateways < 2 || p.opts.Off[SlotShare] {
 		return false
--- a/internal/policy/dispatch/pool.go
+++ b/internal/policy/dispatch/pool.go
@@ -86,9 +86,8 @@
 // SetUpstreams replaces the list of upstreams; what is known of lives that stay is kept. It returns the tickets that
 // are settled by it.
 //
-// Failure: an entry lapses while the store is away and is back two seconds later, with its upstream at work all the time.
-// Taken for a new one it seems idle, and gets as many requests again as it has slots. So a life that leaves the list is
-// remembered for as long as something is in flight there.
+// An entry may lapse while the store is away, with its upstream at work. Taken for a new one when it is back, the upstream
+// would get as many requests again as it has slots.
 func (p *Pool) SetUpstreams(list []*catalog.Upstream, now time.Time) []*Ticket {
 	next := make(map[ids.Life]*target, len(list))
 	p.order = p.order[:0]
@@ -112,8 +111,8 @@
 
 // SetClosed says whether all upstreams are known to refuse what is sent to them, as the ranks of a broken group do.
 //
-// Failure: a group forms again within a second or two, but each request that is sent meanwhile is refused, uses up its
-// attempts and the retry budget, and fails. Held back here it is served as soon as the group works.
+// A group forms again within seconds; requests that are sent meanwhile use up their attempts and the retry budget. Held back
+// here they are served as soon as it works.
 func (p *Pool) SetClosed(closed bool, now time.Time) []*Ticket {
 	switch {
 	case p.closed && !closed:
@@ -127,9 +126,7 @@
 
 // SetUpstreamClosed says whether one upstream is known to refuse what is sent to it.
 //
-// Failure: a service has more ranks than its group takes. Those that are left over refuse all they get, so that they look
-// idle and get the next request, too. With 22 ranks for a group of 16 they took 5,577 of 6,560 requests, and 0.22 of the
-// streams were served; kept away from they took 42, and 0.99 were.
+// Ranks that no group takes refuse all they get, seem idle for it, and would get the next request, too.
 func (p *Pool) SetUpstreamClosed(l ids.Life, closed bool, now time.Time) []*Ticket {
 	if t := p.targets[l]; t != nil {
 		t.closed = closed
--- a/internal/policy/dispatch/target.go
+++ b/internal/policy/dispatch/target.go
@@ -25,10 +25,8 @@
 
 // room reports whether the upstream may take another request: it has a slot for it.
 //
-// Failure: one rank of a group works at a twelfth of its pace. Each of its requests makes every pass of the whole group
-// longer by what twelve take elsewhere, so that all callers wait for those few. A slow rank gets the part of the slots that
-// it can serve in the time of the others, by the square of its pace: a stream that has begun stays. Played days with such a
-// rank gave 0.689 instead of 0.621 and 0.417 instead of 0.364 of their worth.
+// Each request at a slow rank makes every pass of its group longer. The rank gets the part of the slots that it can serve in
+// the time of the others, by the square of its pace, as a stream that has begun stays.
 func (t *target) room(fill float64) bool {
 	return float64(t.own.Requests+t.others.Requests) < t.limit(fill)
 }
--- a/internal/policy/dispatch/wait.go
+++ b/internal/policy/dispatch/wait.go
@@ -49,9 +49,8 @@
 // expectedWait is how long a request that joins the queue now waits, by the measured throughput; 0 if none is known, so
 // that nothing is refused on a guess.
 //
-// Failure: a group was closed for some seconds, in which nothing ended. Measured over that time the throughput is next
-// to nothing, and for two more seconds all requests would be refused beside free slots. So it is not known as long as
-// the window reaches back into the time when the pool was closed.
+// Measured over a time in which the pool was closed the throughput is next to nothing, and requests would be refused beside
+// free slots. It is not known until the window has passed that time.
 func (p *Pool) expectedWait(now time.Time) time.Duration {
 	perSecond := p.drained.perSecond()
 	if perSecond == 0 || p.closed || now.Sub(p.openedAt) < rateWindow {
@@ -70,8 +69,7 @@
 
 // lost reports whether the group has been closed for so long that nobody can say when it works again.
 //
-// Failure: so many ranks are gone that the group cannot form. Each request waits until its caller is about to leave, only
-// to be refused then. Refused at once the caller can do something else.
+// With so many ranks gone that the group cannot form, requests are refused at once, so that callers can do something else.
 func (p *Pool) lost(now time.Time) bool { return p.closed && now.Sub(p.closedAt) > lostAfter }
 
 // retryAfter spreads the callers that are refused over the time in which the queue drains, so that they do not come
@@ -108,9 +106,8 @@
 
 // late reports whether a request that is started now would be answered after its target.
 //
-// Failure: under overload the requests go first whose target is nearest. Started just before it they are all answered just
-// after it, while others that still had time become late behind them. With the time to the first answer taken off, a
-// replayed burst of twice the capacity leaves 3,359 instead of 2,276 of 4,956 requests in time.
+// Started just before their targets, requests are all answered just after them, and others that had time become late behind
+// them. So the time to the first answer is taken off.
 func (p *Pool) late(r Request, now time.Time) bool {
 	if p.opts.Off[FirstAnswerTime] {
 		return now.After(r.Aim)
--- a/internal/state/catalog/upstreams.go
+++ b/internal/state/catalog/upstreams.go
@@ -45,9 +45,8 @@
 
 // NewUpstreams indexes a list. Of two entries with one address only the later one counts.
 //
-// Failure: a host restarts and its new life registers at once, while the entry of the old one stays for some heartbeats.
-// Half of the requests then go to lives that are gone and are refused. An address has one owner at a time, so the later
-// entry proves that the earlier one's life has ended.
+// After a restart the entry of the old life stays for some heartbeats beside the new one. An address has one owner at a time,
+// so the later entry proves that the earlier one's life has ended.
 func NewUpstreams(list []*Upstream) *Upstreams {
 	latest := make(map[string]uint64, len(list))
 	for _, up := range list {
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -60,9 +60,8 @@
 
 // usable reports whether the entry names an upstream that requests may go to.
 //
-// Failure: an entry of a service that nobody configured, or one whose address answered as another upstream, names the
-// address of a healthy upstream. Of two entries with one address the later counts, so that the healthy one would get nothing
-// for as long as the other is there.
+// An entry of a service that nobody configured, or one whose address answered as another upstream, may name the address of a
+// healthy one, which would get nothing: of two entries with one address the later counts.
 func (r *Registry) usable(e *entry, services map[ids.Service]*catalog.Service) bool {
 	return e.up != nil && services[e.up.Service] != nil && !r.disowned[e.up.Life()]
 }
@@ -121,9 +120,8 @@
 
 // after follows an entry of the same id.
 //
-// Failure: the last heartbeat of an ended life is carried out after the first of the next, or a peer tells of it late. Taken
-// for news, the new life would count as ended, and what is in flight there would be forgotten. Starts do not order lives, as
-// a clock may have been set back, but a life that was replaced never comes back.
+// The last heartbeat of an ended life may come after the first of the next. Starts do not order lives, as a clock may have
+// been set back, but a life that was replaced never comes back.
 func (e *entry) after(old *entry) (*entry, *Finding) {
 	was, is := old.up.Life(), e.up.Life()
 	if was == is {
--- a/internal/state/replica/follower.go
+++ b/internal/state/replica/follower.go
@@ -71,8 +71,7 @@
 // Following reports whether the node follows the table in the store itself, and its last call succeeded.
 func (f *Follower) Following() bool { return f.following.Load() && f.Link().Up }
 
-// relayed reports whether the table is followed through others. Each node of 40 with a call of its own for each change
-// made 1,600 calls in 46 s; three that follow and tell the others make 360.
+// relayed reports whether the table is followed through others: calls to the store would otherwise grow with the nodes.
 func (f *Follower) relayed() bool {
 	_, loaded := f.Table.Position()
 	relayed := loaded && f.Relayed != nil && f.Relayed()
@@ -134,8 +133,7 @@
 
 // wait is how long the next call waits for changes: not at all after a failure.
 //
-// Failure: the store accepts calls but answers none. The call under way when it is sound again was accepted before, so
-// nobody answers it, and changes stay unseen until its time is over. A call that does not wait fails soon, and the next
+// A store that was stuck never answers the calls that it accepted before. A call that does not wait fails soon, and the next
 // one is answered.
 func (f *Follower) wait() time.Duration {
 	if !f.Link().Up {
--- a/internal/state/replica/table.go
+++ b/internal/state/replica/table.go
@@ -48,8 +48,8 @@
 
 // Has reports whether the copy holds what was changed at a version: it has a later change, or is complete up to there.
 //
-// Failure: a copy that was read whole knows nothing of rows that were removed before. The latest change of others is such a
-// removal; by its own latest change the copy lacks it, and asks for it with each digest that it hears, for good.
+// A copy that was read whole knows nothing of rows that were removed before. If the latest change of others is such a removal,
+// it would ask for it with each digest, for good.
 func (t *Table) Has(version uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -72,8 +72,7 @@
 // Load replaces the copy by a whole table as of a version. A table that is older than the copy changes nothing. It
 // reports whether a row changed.
 //
-// Failure: a node reads the whole table from a peer that is behind; requests would again be handled by a configuration
-// that had been replaced. The check is enough because versions are the store's own and only grow.
+// A peer that is behind must not bring back a configuration that was replaced. Versions are the store's own and only grow.
 func (t *Table) Load(rows []platform.Row, version uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -182,10 +181,8 @@
 
 // Merge takes in another copy's delta. It reports whether a row changed.
 //
-// Failure: a gateway starts while the store is away and pulls the table from a peer that has followed it from the beginning,
-// so that all changes are the whole table. It tells others of the newest change; if it counts as not loaded it has nothing
-// for those that ask, and these go on by the old configuration: for 2.7 s until the store was back. A peer gives a delta only
-// from a copy that is complete, which makes this one complete, too.
+// All changes from the beginning are the whole table. A gateway that got them from a peer has a complete copy: a peer gives a
+// delta only from one. Not counted as loaded, it would tell of news and have nothing for those that ask.
 func (t *Table) Merge(d Delta) bool {
 	if !d.Whole {
 		if d.Version == 0 {
--- a/internal/state/revision/roster.go
+++ b/internal/state/revision/roster.go
@@ -26,8 +26,7 @@
 	rank    []int    // of each member, by index
 }
 
-// centreFanout is how many data centres hear from one. With all of them at one node that node sent and received 7 KB a
-// second at 300 nodes, over the budget of 6.
+// centreFanout is how many data centres hear from one; one node that told all would be over its budget of bytes.
 const centreFanout = 2
 
 // centre is one data centre's members, as indexes, in order.
--- a/internal/testing/bench/slopes/requests.go
+++ b/internal/testing/bench/slopes/requests.go
@@ -35,8 +35,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("start: %w", err)
 	}
-	// The first requests of a path make its connections and fill its pools. Without them gone, the difference between
-	// two paths at the smallest size was 7 ms in one run and 106 ms in another.
+	// The first requests of a path make its connections and fill its pools, which would hide what one request takes.
 	if _, err := c.Plain(warmRequests); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/scripts/regression.sh
@@ -0,0 +1,25 @@
+#!/usr/bin/env bash
+# Scores the sites of deploy/regression.txt one after the other and prints the scores beside those that must be kept.
+# Usage: regression.sh BENCH SITES WHY [JOBS]: the users' bench, the folder of its site files, a reason for the journal.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+bench=$1 sites=$2 why=$3 jobs=${4:-4}
+slack=0.03
+out=out/regression
+mkdir -p "$out"
+
+failed=0
+printf '%-40s %8s %8s  %s\n' site before now verdict
+while read -r site _ before; do
+  case $site in '' | '#'*) continue ;; esac
+  log=$out/$(basename "$site" .toml).txt
+  "$bench" score "$sites/$site" --jobs "$jobs" --why "$why" > "$log" 2>&1 || true
+  now=$(grep -oE 'score [0-9.]+' "$log" | tail -n 1 | cut -d' ' -f2 || true)
+  verdict=ok
+  grep -q 'GATE passed' "$log" || verdict='gate failed'
+  awk -v b="$before" -v n="${now:-0}" -v s="$slack" 'BEGIN { exit !(n < b - s) }' && verdict="$verdict, fell"
+  [ "$verdict" = ok ] || failed=1
+  printf '%-40s %8s %8s  %s\n' "$site" "$before" "${now:-none}" "$verdict"
+done < deploy/regression.txt
+exit $failed
