A gateway that is cut off does not ask everybody at once

Cause: an inquiry that is not answered within 0.1 s starts another, so that many deaths at once are found soon.

--- a/internal/state/liveness/detector.go
+++ b/internal/state/liveness/detector.go
@@ -73,7 +73,9 @@
 	order  []Address
 	byHash map[uint32]Address
 	// open are the members that have been asked and have not answered.
-	open     map[Address]*inquiry
+	open map[Address]*inquiry
+	// alone says that nobody has answered the last inquiry, neither the member nor a helper.
+	alone    bool
 	askedAt  time.Time
 	tickedAt time.Time
 	// waiting are those that have others ask for them, by whom they ask about.
@@ -125,6 +127,7 @@
 	}
 	m.sequence = s.Sequence
 	if s.Answer {
+		d.alone = false
 		d.witness(s.Address)
 	}
 	d.lives(now, s.Address, m, false)
@@ -197,7 +200,8 @@
 }
 
 // advance takes an open inquiry on. One that is not answered starts another: where many end at once, asking one after the
-// other would take as many times as long.
+// other would take as many times as long. A member that is cut off gets no answers at all and would soon ask everybody at once,
+// so one whose inquiries end without any answer starts none but those of its own turn.
 //
 // A member whose own link is broken hears no answer from anybody, but may be heard. So there is no verdict unless a helper has
 // answered.
@@ -210,9 +214,13 @@
 		for _, h := range q.helpers {
 			asks = append(asks, Ask{To: h, About: a})
 		}
+		if d.alone {
+			return asks
+		}
 		return append(asks, d.inquire(now)...)
 	case !q.helpedAt.IsZero() && now.Sub(q.helpedAt) >= helpWithin:
 		delete(d.open, a)
+		d.alone = !q.reached
 		if q.reached {
 			d.ends(now, a, d.members[a], false)
 		}
--- a/internal/state/liveness/detector_test.go
+++ b/internal/state/liveness/detector_test.go
@@ -138,6 +138,25 @@
 	}
 }
 
+// Failure: a member that reaches nobody, or two of all others, gets no verdict, and asks everybody again and again.
+func TestAMemberThatReachesHardlyAnybodyMakesNoStorm(t *testing.T) {
+	const size, lone = 149, 7
+	for _, near := range []int{0, 2} {
+		n := newNetwork(6, size, 0)
+		n.run(2 * time.Second)
+		reached := func(a, b int) bool { return a != lone || b < near }
+		n.parted = func(from, to int) bool { return !reached(from, to) || !reached(to, from) }
+		n.run(2 * time.Second)
+		before := n.members[lone].sequence
+		n.run(4 * time.Second)
+		own, usual := n.members[lone].sequence-before, 4*uint64(time.Second/digestEvery)*toldEach
+		t.Logf("%d datagrams in 4 s while it reaches %d others, %d of them digests", own, near, usual)
+		if own > 2*usual {
+			t.Errorf("%d datagrams in 4 s while it reaches %d others, %d of them digests", own, near, usual)
+		}
+	}
+}
+
 // Failure: a link between two members is broken, and one of them takes the other for ended though all others reach it.
 func TestABrokenLinkBetweenTwoEndsNeither(t *testing.T) {
 	d, now := four()
