A first attempt that is counted late ends no process and forgets no retries

Cause: the retry window numbers its buckets from the first moment that it counted. A request that is counted with a moment of more than half a second before that (its goroutine stood still, or it waited) has a negative index, and the process ends with 'index out of range [-1]'. One that is a whole window old takes the bucket of the present for an older one's, empties it, and the retries of the last half second are forgotten.

Change: what is counted late counts for the latest moment that was counted. TestAFirstAttemptThatIsCountedLateForgetsNothing ended with the panic before.

--- a/internal/policy/retry/window.go
+++ b/internal/policy/retry/window.go
@@ -13,7 +13,9 @@
 	bound Bound
 	// began is the first moment that was counted. Buckets are numbered from it, so that differences of the monotonic clock
 	// count: if the time of day is set back, retries of the last seconds would be forgotten and the bound broken.
-	began   time.Time
+	began time.Time
+	// latest is the latest moment that was counted.
+	latest  time.Time
 	buckets [windowBuckets]bucket
 }
 
@@ -95,7 +97,8 @@
 	return kept*w.bound.Ratio*float64(first) + w.bound.Extra - float64(retries)
 }
 
-// at returns the bucket of the present, emptied if it held an older one.
+// at returns the bucket of the present, emptied if it held an older one. What is counted late, as its request waited, counts for
+// the present: a bucket of the past may hold newer counts by now.
 func (w *Window) at(now time.Time) *bucket {
 	width := int64(w.bound.Length) / (windowBuckets - 1)
 	if width <= 0 {
@@ -104,8 +107,11 @@
 	if w.began.IsZero() {
 		w.began = now
 	}
+	if now.After(w.latest) {
+		w.latest = now
+	}
 	// Index 0 stands for a bucket that was never used.
-	index := 1 + int64(now.Sub(w.began))/width
+	index := 1 + int64(w.latest.Sub(w.began))/width
 	b := &w.buckets[index%windowBuckets]
 	if b.index != index {
 		*b = bucket{index: index}
