A successor of the leader knows the groups before it leads

Cause: a leader that freezes within a switch leaves the group held. Its successor led 0.72 s after the freeze, and then asked all 72 ranks to which group they belong, over connections that it did not have yet, before it looked at the group: 0.35 s from 'leading' to the first look, in which no pass begins. Ruled out: the lease (31 ms) and the undoing itself (89 to 110 ms).

Change: the gateways that lead next keep the roster of groups, one report of each rank once.

TestASuccessorKnowsTheGroups did not compile before (no such option).

--- a/internal/experts/lockstep/conductor.go
+++ b/internal/experts/lockstep/conductor.go
@@ -44,6 +44,8 @@
 	// lead.
 	Group func() *Group
 	Fence func() ids.Fence
+	// Standby reports whether this node may lead soon; it may be nil.
+	Standby func() bool
 	// Wake makes the conductor look at once, as when its node begins to lead; it may be nil.
 	Wake <-chan struct{}
 	// Period is the time between two looks at the group, Half the half-life of the estimated demand.
--- a/internal/experts/lockstep/fleet.go
+++ b/internal/experts/lockstep/fleet.go
@@ -59,10 +59,14 @@
 
 func (f *Fleet) tick(ctx context.Context) {
 	group := f.o.Group()
-	if group == nil || f.o.Fence() == 0 {
+	leads := f.o.Fence() != 0
+	if group == nil || !leads && !f.standsBy() {
 		return
 	}
 	names := f.roster.Update(ctx, f.o.Ranks, group.Upstreams)
+	if !leads {
+		return
+	}
 	if len(names) > mostGroups {
 		if f.count.Load() != mostGroups {
 			_ = level.Warn(f.o.Logger).Log("msg", "groups left as they are", "groups", len(names), "conducted", mostGroups)
@@ -85,6 +89,11 @@
 	}
 }
 
+// standsBy reports whether the roster is kept without leading.
+//
+// The group may be held by a leader that has ended, and stands still while its successor asks every rank for its group.
+func (f *Fleet) standsBy() bool { return f.o.Standby != nil && f.o.Standby() }
+
 func (f *Fleet) conduct(ctx context.Context, name string) *Running {
 	o := f.o
 	o.Logger = log.With(o.Logger, "group", name)
--- a/internal/experts/lockstep/fleet_test.go
+++ b/internal/experts/lockstep/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -158,6 +159,76 @@
 	})
 }
 
+// asked is a site that counts the reports it gives, each after some time.
+type asked struct {
+	*site
+	reports atomic.Int64
+}
+
+const reportTakes = 100 * time.Millisecond
+
+func (a *asked) Report(ctx context.Context, u *catalog.Upstream) (lockstep.Report, error) {
+	a.reports.Add(1)
+	time.Sleep(reportTakes)
+	return a.site.Report(ctx, u)
+}
+
+// Failure: a leader ends while it holds a group, and the group stands still while its successor asks every rank to which group it
+// belongs before it looks at the group.
+func TestASuccessorKnowsTheGroups(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		standby bool
+		before  int64
+	}{{"that stands by", true, 2}, {"that does not", false, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, list := newSite([]string{"a"}, 2)
+				ranks := &asked{site: s}
+				var leads atomic.Bool
+				looked := make(chan time.Time, 1)
+				wake := make(chan struct{}, 1)
+				f := lockstep.NewFleet(lockstep.ConductorOptions{
+					Ranks: ranks, Logger: log.NewNopLogger(), Wake: wake,
+					Group: func() *lockstep.Group {
+						return &lockstep.Group{Upstreams: list, Experts: &catalog.Experts{Sets: 1, PerSet: 4, Placements: 4, Spare: 2}}
+					},
+					Fence: func() ids.Fence {
+						if leads.Load() {
+							return 7
+						}
+						return 0
+					},
+					Standby: func() bool { return c.standby },
+					Period:  500 * time.Millisecond, Half: 500 * time.Millisecond, Sample: 2, SampleNear: 2,
+					Read: func([]*catalog.Upstream, []lockstep.Report) {
+						select {
+						case looked <- time.Now():
+						default:
+						}
+					},
+				})
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go f.Run(ctx)
+				time.Sleep(3 * time.Second)
+				if got := ranks.reports.Load(); got != c.before {
+					t.Errorf("%d reports before it leads, %d are due", got, c.before)
+				}
+				leads.Store(true)
+				began := time.Now()
+				wake <- struct{}{}
+				took := (<-looked).Sub(began)
+				if known := took == reportTakes; known != c.standby {
+					t.Errorf("the first look took %v, one report %v", took, reportTakes)
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
 // strange is a site whose ranks hold an expert, and count experts, that the configuration does not have.
 type strange struct {
 	*site
--- a/internal/node/gateway/candidates.go
+++ b/internal/node/gateway/candidates.go
@@ -98,7 +98,12 @@
 
 // standby reports whether this gateway should have a number ready that is later than those of all leaders.
 func (e *experts) standby(c candidates) bool {
-	if e.g.control.node != stateReady || e.newOrAlone(time.Now()) || !e.anyGroup() || e.g.off(offStandby) || e.leading.spareIsNewest() {
+	return e.mayLead(c) && !e.g.off(offStandby) && !e.leading.spareIsNewest()
+}
+
+// mayLead reports whether this gateway is one of those that lead next.
+func (e *experts) mayLead(c candidates) bool {
+	if e.g.control.node != stateReady || e.newOrAlone(time.Now()) || !e.anyGroup() {
 		return false
 	}
 	return slices.Contains(c.names[:min(standbys, len(c.names))], e.g.Settings().Name)
--- a/internal/node/gateway/experts.go
+++ b/internal/node/gateway/experts.go
@@ -48,6 +48,8 @@
 	table  platform.Table
 	// number is what this gateway leads under, for the conductors; 0 while it does not lead.
 	number atomic.Uint64
+	// next says that this gateway is one of those that lead next.
+	next atomic.Bool
 	// slow are the ranks that are slower than usual, by service and group, as the conductors read them last.
 	slow sync.Map // string → []*cardamomyokev1.UpstreamPace
 	// The rest belongs to the control loop. drawing says that a number is being drawn, drawAt from when on the next may be.
@@ -75,6 +77,7 @@
 	e.leases.Want(now, expertsDuty, e.wanted(now, known))
 	e.leases.Tick(now)
 	number, draw := e.leading.decide(now, known)
+	e.next.Store(e.mayLead(c))
 	if draw || e.standby(c) && e.drawDue(now) {
 		e.draw()
 	}
@@ -110,13 +113,14 @@
 
 func (e *experts) conduct(name ids.Service) *lockstep.Running {
 	o := lockstep.ConductorOptions{
-		Ranks:  e.ranks,
-		Logger: log.With(e.g.logger, "service", name),
-		Group:  func() *lockstep.Group { return e.group(name) },
-		Fence:  func() ids.Fence { return ids.Fence(e.number.Load()) },
-		Period: lookEvery,
-		Half:   demandHalf,
-		Sample: sampledRanks, SampleNear: sampledNear,
+		Ranks:   e.ranks,
+		Logger:  log.With(e.g.logger, "service", name),
+		Group:   func() *lockstep.Group { return e.group(name) },
+		Fence:   func() ids.Fence { return ids.Fence(e.number.Load()) },
+		Standby: e.next.Load,
+		Period:  lookEvery,
+		Half:    demandHalf,
+		Sample:  sampledRanks, SampleNear: sampledNear,
 		Policy: lockstep.DefaultOptions(),
 		Read: func(upstreams []*catalog.Upstream, reports []lockstep.Report) {
 			e.notePaces(string(name)+"/"+reports[0].Group, upstreams, reports)
