Requests wait for a gateway that starts, a third of their callers' time at most

Cause: after all gateways were killed while the store is away none of them knows a configuration. Callers whose answers were cut off ask again for the last time then, and are told to come back in 0.5 s, which they cannot. Ruled out: a longer time to come back, as most have no try left; a copy of the configuration elsewhere, as the agents are killed as well.

Change: a request waits until configuration and upstreams are known, 1.5 s and a third of its caller's time at most, and is refused as before then.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -58,6 +58,7 @@
 	decoder     Decoder
 	logger      log.Logger
 	requests    *requestLogs
+	starting    *starting
 	incarnation ids.Incarnation
 	loop        *control.Loop
 	metrics     *gatewayMetrics
@@ -103,6 +104,7 @@
 		loop:        control.New(),
 		metrics:     newMetrics(),
 		moves:       newMoves(),
+		starting:    newStarting(),
 		tracer:      cmp.Or(d.Tracer, tracing.Off()),
 		ranks:       d.Ranks,
 		ctx:         ctx,
@@ -237,6 +239,9 @@
 		current:   g.config.Link().Up,
 		linkSince: g.config.Link().Since,
 	})
+	if g.control.config != nil && g.registry.Table.Newest() > 0 {
+		g.starting.end()
+	}
 }
 
 // tick runs on the control loop.
--- a/internal/node/gateway/handler.go
+++ b/internal/node/gateway/handler.go
@@ -43,6 +43,7 @@
 // serve answers one request of a caller, once.
 func (g *Gateway) serve(ctx context.Context, x *httpserver.Exchange) {
 	now := time.Now()
+	g.awaitStart(ctx, x.Req)
 	v := g.view.Load()
 	ctx, span := g.tracer.Start(ctx, "gateway request", string(x.Req.Header.Peek(tracing.HeaderName)))
 	r, err := g.read(v, x.Req, now)
