--- a/internal/node/gateway/mechanism.go
+++ b/internal/node/gateway/mechanism.go
@@ -19,13 +19,15 @@
 	offStandby dispatch.Mechanism = "standby"
 	// offSuspects: requests that crash upstreams are refused.
 	offSuspects dispatch.Mechanism = "suspects"
+	// offStartWait: requests wait for a gateway that starts.
+	offStartWait dispatch.Mechanism = "start-wait"
 	// offMaps: experts are placed by demand.
 	offMaps dispatch.Mechanism = "maps"
 )
 
 // mechanisms are all that may be switched off.
 func mechanisms() []dispatch.Mechanism {
-	own := []dispatch.Mechanism{offClosedGroups, offMoves, offStandby, offSuspects, offMaps}
+	own := []dispatch.Mechanism{offClosedGroups, offMoves, offStandby, offSuspects, offStartWait, offMaps}
 	return append(dispatch.Mechanisms(), own...)
 }
 
--- a/internal/node/gateway/starting.go
+++ b/internal/node/gateway/starting.go
@@ -41,25 +41,30 @@
 	}
 }
 
-// wait waits at most so long.
-func (s *starting) wait(ctx context.Context, most time.Duration) {
+// wait waits at most so long. It reports whether the start is over.
+func (s *starting) wait(ctx context.Context, most time.Duration) bool {
 	timer := time.NewTimer(most)
 	defer timer.Stop()
 	select {
 	case <-s.known:
+		return true
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	return false
 }
 
 // awaitStart has a request wait while this gateway starts. A request that cannot be read is refused without waiting.
 func (g *Gateway) awaitStart(ctx context.Context, in *fasthttp.Request) {
-	if g.starting.over() {
+	if g.starting.over() || g.off(offStartWait) {
 		return
 	}
 	call, err := g.dialect.ReadCall(&in.Header)
 	if err != nil || !call.HasRemaining {
 		return
 	}
-	g.starting.wait(ctx, min(startWait, time.Duration(startShare*float64(call.Remaining))))
+	began := time.Now()
+	over := g.starting.wait(ctx, min(startWait, time.Duration(startShare*float64(call.Remaining))))
+	_ = g.requests.ordinary.Log("msg", "start awaited", "request", call.Attempt, "over", over, "store_up", g.config.Link().Up,
+		"waited_ms", time.Since(began).Milliseconds(), "left_ms", call.Remaining.Milliseconds())
 }
