Agents give an order again at once that their rank leaves unanswered

An agent waited 150 ms for such an answer, which is all that it was allowed to wait, and the leader gave the order again after 250 ms: a switch took 0.5 to 1.1 s, with the group held for some rounds of 15 ms beside. With a shift of demand each 2.2 s the group ran on an old map most of the time, ranks filled up, and passes were 160 to 190 ms for 25 s where callers accept 150.

Now the agent waits 5 ms for the first answer, twice as long for each further one, for as long as the order allows; an order that follows ends the tries of the one before. A second order was harmless before: the model of orders (spec/maporders.pml) has repeated and late ones.

Tests fail before: 60 s for an order that is lost three times; tries to arm that go on after a disarm.

--- a/internal/experts/lockstep/order.go
+++ b/internal/experts/lockstep/order.go
@@ -27,7 +27,8 @@
 	Version   uint64
 	Pass      uint64
 	Placement Placement
-	// Wait is how long an answer to OpPrepare may take to be ReplyPrepared.
+	// Wait is for how long an agent beside the rank gives the order again while it gets no answer, and how long the answer to
+	// OpPrepare may take to be ReplyPrepared.
 	Wait time.Duration
 }
 
--- a/internal/experts/lockstep/switch.go
+++ b/internal/experts/lockstep/switch.go
@@ -38,6 +38,8 @@
 	// that is waited for the first of each.
 	answersTaken = 3
 	mostFirst    = 100 * time.Millisecond
+	// armWait is for how long agents try to have their ranks armed or disarmed: some tries, while the group may stand still.
+	armWait = 60 * time.Millisecond
 	// prepareResend is the same for the order that carries a whole map, and that nothing waits for.
 	prepareResend = 100 * time.Millisecond
 	// prepareMargin is added to the time that copies take, as passes meanwhile take longer.
@@ -205,7 +207,7 @@
 		return o, r == s.task.HoldAt && s.acked[r] == 0
 	case stateArming:
 		// Late: refused once the pass has begun, or a newer map is prepared.
-		o.Op = OpArm
+		o.Op, o.Wait = OpArm, armWait
 		return o, s.acked[r] == 0
 	case stateClearing:
 		return s.clearOrder(o)
@@ -222,7 +224,7 @@
 func (s *Switch) clearOrder(o Order) (Order, bool) {
 	switch s.acked[o.Rank] {
 	case 0:
-		o.Op = OpDisarm
+		o.Op, o.Wait = OpDisarm, armWait
 		return o, true
 	case 1:
 		o.Op, o.Version, o.Placement = OpPrepare, s.task.Fallback, s.task.Present
--- a/internal/node/agent/agent_test.go
+++ b/internal/node/agent/agent_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/base/steady"
 	"github.com/cardamomyoke/cardamomyoke/internal/experts/lockstep"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
 	"github.com/cardamomyoke/cardamomyoke/internal/node/agent"
@@ -30,6 +31,10 @@
 	orders    []lockstep.Order
 	prepared  uint64
 	preparing uint64
+	// silent is for how long an order without an answer keeps its sender waiting.
+	silent time.Duration
+	// deafTo is an operation whose orders never get an answer.
+	deafTo lockstep.Op
 }
 
 func (r *rank) Report(context.Context, *catalog.Upstream) (lockstep.Report, error) {
@@ -52,20 +57,34 @@
 
 func (r *rank) Near(*catalog.Upstream) bool { return false }
 
-func (r *rank) Order(_ context.Context, _ *catalog.Upstream, o lockstep.Order) (lockstep.Reply, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.orders = append(r.orders, o)
-	if r.lose > 0 {
-		r.lose--
+func (r *rank) Order(ctx context.Context, _ *catalog.Upstream, o lockstep.Order) (lockstep.Reply, error) {
+	if r.loses(o) {
+		steady.Sleep(ctx, r.silent)
 		return lockstep.ReplyLost, errLost
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if o.Op == lockstep.OpPrepare {
 		r.preparing = o.Version
 	}
 	return lockstep.ReplyBegun, nil
 }
 
+// loses takes in an order and reports whether it is one that gets no answer.
+func (r *rank) loses(o lockstep.Order) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.orders = append(r.orders, o)
+	r.lose--
+	return r.lose >= 0 || o.Op == r.deafTo
+}
+
+func (r *rank) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.orders)
+}
+
 func (r *rank) last() lockstep.Order {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -143,6 +162,46 @@
 	}
 }
 
+// A rank leaves orders unanswered: the group stood still for as long as the call to it may take, on each of them.
+func TestAnAgentGivesAnOrderAgainBeforeItsCallIsOver(t *testing.T) {
+	for _, op := range []lockstep.Op{lockstep.OpPrepare, lockstep.OpArm, lockstep.OpDisarm} {
+		r := &rank{lose: 3, silent: time.Minute}
+		h := startHost(t, r)
+		c := agent.NewClient(r, h.port)
+		began := time.Now()
+		reply, err := c.Order(t.Context(), h.upstream, lockstep.Order{Op: op, Version: 1, Placement: lockstep.Placement{{{0}}}, Wait: time.Minute})
+		if err != nil || reply == lockstep.ReplyLost || len(r.orders) != 4 {
+			t.Fatalf("%s: %v, %v after %d orders", op, reply, err, len(r.orders))
+		}
+		if took := time.Since(began); took > 2*time.Second {
+			t.Fatalf("%s: took %s", op, took)
+		}
+	}
+}
+
+// A rank is to be disarmed: tries to arm it that go on would arm it once more.
+func TestAnOrderThatFollowsEndsTheTriesOfTheOneBefore(t *testing.T) {
+	r := &rank{deafTo: lockstep.OpArm, silent: time.Minute}
+	h := startHost(t, r)
+	c := agent.NewClient(r, h.port)
+	armed := make(chan struct{})
+	go func() {
+		defer close(armed)
+		_, _ = c.Order(t.Context(), h.upstream, lockstep.Order{Op: lockstep.OpArm, Version: 1, Pass: 9, Wait: time.Hour})
+	}()
+	for r.count() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if _, err := c.Order(t.Context(), h.upstream, lockstep.Order{Op: lockstep.OpDisarm, Version: 1, Wait: time.Hour}); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-armed:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the rank is still being armed")
+	}
+}
+
 // Without time to wait the agent passes on what the rank said, and an order without an answer stays one.
 func TestAnAgentDoesNotGuess(t *testing.T) {
 	r := &rank{lose: 1}
--- a/internal/node/agent/server.go
+++ b/internal/node/agent/server.go
@@ -21,6 +21,9 @@
 	rank  *catalog.Upstream
 	mu    sync.Mutex
 	told  placements
+	// newest is the order that came last; followed is closed once another one has come.
+	newest   orderKey
+	followed chan struct{}
 }
 
 var _ cardamomyokev1connect.AgentServiceHandler = (*Server)(nil)
@@ -109,20 +112,88 @@
 // ask each rank again and again.
 func (s *Server) carryOut(ctx context.Context, o lockstep.Order) (lockstep.Reply, error) {
 	until := time.Now().Add(o.Wait)
-	reply, err := s.ranks.Order(ctx, s.rank, o)
-	for o.Op == lockstep.OpPrepare && time.Now().Before(until) && ctx.Err() == nil {
-		switch reply {
-		case lockstep.ReplyLost:
-			// A second order is harmless: it finds the first carried out, or is the only one.
-			reply, err = s.ranks.Order(ctx, s.rank, o)
-		case lockstep.ReplyBegun, lockstep.ReplyHolds:
-			if r, rerr := s.ranks.Report(ctx, s.rank); rerr == nil && r.Prepared == o.Version {
-				return lockstep.ReplyPrepared, nil
-			}
-		default:
-			return reply, err
+	reply, err := s.give(ctx, o, until)
+	if o.Op != lockstep.OpPrepare {
+		return reply, err
+	}
+	for (reply == lockstep.ReplyBegun || reply == lockstep.ReplyHolds) && time.Now().Before(until) && ctx.Err() == nil {
+		if r, rerr := s.ranks.Report(ctx, s.rank); rerr == nil && r.Prepared == o.Version {
+			return lockstep.ReplyPrepared, nil
 		}
 		steady.Sleep(ctx, preparedPoll)
 	}
 	return reply, err
 }
+
+const (
+	// firstTry is how long the rank's first answer is waited for; it runs beside the agent. Each further try is given twice as
+	// long as the one before, up to mostTry, so that a rank that is slow to answer is heard in the end.
+	firstTry = 5 * time.Millisecond
+	mostTry  = 80 * time.Millisecond
+)
+
+// give gives the rank an order until it answers, the time is over, or another order follows.
+//
+// An engine may leave an order unanswered. While one rank of a group is not known to be armed, all of them stand still; tries
+// from beside the rank cost no way through the network. A second order is harmless: it finds the first one carried out, or is
+// the only one.
+func (s *Server) give(ctx context.Context, o lockstep.Order, until time.Time) (lockstep.Reply, error) {
+	followed := s.follow(o)
+	for wait := firstTry; ; wait = min(2*wait, mostTry) {
+		next := time.After(wait)
+		reply, err := s.try(ctx, o, wait, until)
+		if reply != lockstep.ReplyLost || !time.Now().Before(until) {
+			return reply, err
+		}
+		select {
+		case <-next:
+		case <-followed:
+		case <-ctx.Done():
+		}
+		if isClosed(followed) || ctx.Err() != nil {
+			return reply, err
+		}
+	}
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// try gives the rank an order once. The answer to the last try is waited for as long as the caller allows.
+func (s *Server) try(ctx context.Context, o lockstep.Order, wait time.Duration, until time.Time) (lockstep.Reply, error) {
+	if time.Until(until) > wait {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, wait)
+		defer cancel()
+	}
+	return s.ranks.Order(ctx, s.rank, o)
+}
+
+// orderKey tells orders apart that are not the same one sent again.
+type orderKey struct {
+	op                   lockstep.Op
+	epoch, version, pass uint64
+}
+
+// follow returns a channel that is closed once another order has come.
+//
+// Tries of an order that the leader takes back would undo what the next one does.
+func (s *Server) follow(o lockstep.Order) <-chan struct{} {
+	key := orderKey{o.Op, o.Epoch, o.Version, o.Pass}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.followed != nil && s.newest == key {
+		return s.followed
+	}
+	if s.followed != nil {
+		close(s.followed)
+	}
+	s.newest, s.followed = key, make(chan struct{})
+	return s.followed
+}
