What is read right after a standstill counts as that old

The process notices that it did not run (0.3 s without a beat; the control loop beats each 50 ms and so does each request). What is read within 0.1 s after it counts as having arrived when the standstill began; a deadline that has passed is refused as not run. Ruled out: reading the time of arrival from the kernel, which is told per connection and not per request. The cost: a request that arrives just after the gateway woke, with less time than the standstill took, is refused, too.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/settings"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/steady"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/tracing"
 	"github.com/cardamomyoke/cardamomyoke/internal/experts/lockstep"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
@@ -59,6 +60,7 @@
 	logger      log.Logger
 	requests    *requestLogs
 	starting    *starting
+	pulse       steady.Pulse
 	incarnation ids.Incarnation
 	loop        *control.Loop
 	metrics     *gatewayMetrics
@@ -246,6 +248,7 @@
 
 // tick runs on the control loop.
 func (g *Gateway) tick(now time.Time) {
+	g.pulse.Beat(now)
 	sharing := g.peers.sharing(now)
 	for name, s := range g.control.services {
 		s.gate.SetSharing(sharing)
--- a/internal/node/gateway/handler.go
+++ b/internal/node/gateway/handler.go
@@ -43,10 +43,14 @@
 // serve answers one request of a caller, once.
 func (g *Gateway) serve(ctx context.Context, x *httpserver.Exchange) {
 	now := time.Now()
+	stood := g.pulse.Beat(now)
 	g.awaitStart(ctx, x.Req)
 	v := g.view.Load()
 	ctx, span := g.tracer.Start(ctx, "gateway request", string(x.Req.Header.Peek(tracing.HeaderName)))
-	r, err := g.read(v, x.Req, now)
+	r, err := g.read(v, x.Req, now.Add(-stood))
+	if stood > 0 {
+		g.readLate(r, stood)
+	}
 	if err == nil {
 		span.Note(attribute.String("attempt", r.call.Attempt), attribute.String("service", string(r.service.Name)))
 		err = g.run(ctx, v, x, r, span.Header())
@@ -70,9 +74,9 @@
 	return err
 }
 
-// read checks a request. Errors: *failure.Error; the request is never nil.
-func (g *Gateway) read(v *view, in *fasthttp.Request, now time.Time) (*request, error) {
-	r := &request{arrived: now}
+// read checks a request that arrived at a time. Errors: *failure.Error; the request is never nil.
+func (g *Gateway) read(v *view, in *fasthttp.Request, arrived time.Time) (*request, error) {
+	r := &request{arrived: arrived}
 	call, err := g.dialect.ReadCall(&in.Header)
 	r.call = call
 	switch {
@@ -104,9 +108,12 @@
 	if r.service == nil {
 		return r, failure.New(failure.CodeNoUpstream, nil).WithRetryAfter(unknownRetry)
 	}
-	r.deadline = now.Add(r.route.Timeout)
+	r.deadline = arrived.Add(r.route.Timeout)
 	if call.HasRemaining && call.Remaining < r.route.Timeout {
-		r.deadline = now.Add(call.Remaining)
+		r.deadline = arrived.Add(call.Remaining)
+	}
+	if !time.Now().Before(r.deadline) {
+		return r, failure.New(failure.CodeDeadlinePassed, nil)
 	}
 	return r, nil
 }
--- a/internal/node/gateway/log.go
+++ b/internal/node/gateway/log.go
@@ -42,6 +42,12 @@
 	_ = g.requests.failures.Log(fields...)
 }
 
+// readLate logs that a request may have waited unread while this process stood still, and counts as that old.
+func (g *Gateway) readLate(r *request, stood time.Duration) {
+	_ = g.requests.failures.Log("msg", "read after a standstill", "request", r.call.Attempt, "stood_ms", stood.Milliseconds(),
+		"told_left_ms", r.call.Remaining.Milliseconds())
+}
+
 // placed logs where an attempt goes, and what that was decided by.
 func (g *Gateway) placed(n *run, d dispatch.Decision) {
 	_ = g.requests.ordinary.Log("msg", "placed", "request", n.r.call.Attempt, "route", n.r.route.Name, "revision", n.r.revision,
