Tests in virtual time share one agenda

Two copies of the same event queue in tests (members' network, replay of a pool) beside testing/bench/agenda; both use it now. Events of the same moment run in the order of planning, which was the heap's chance.

--- a/internal/policy/dispatch/replay_test.go
+++ b/internal/policy/dispatch/replay_test.go
@@ -1,7 +1,6 @@
 package dispatch_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -10,38 +9,21 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/agenda"
 )
 
 // replay plays a load against a pool: upstreams serve each request in the same time as long as they have slots, and
 // callers leave when they have waited for too long. Time is a variable.
 type replay struct {
+	*agenda.Agenda
 	pool    *dispatch.Pool
-	now     time.Time
 	service time.Duration
-	events  events
 	// onTime, late, refused and left count requests by their end; retryAfter collects what refused callers were told.
 	onTime, late, refused, left int
 	retryAfter                  []time.Duration
 	waiting                     map[*dispatch.Ticket]dispatch.Request
 }
 
-type event struct {
-	at  time.Time
-	run func()
-}
-
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 func upstreams(n, slots int) []*catalog.Upstream {
 	var out []*catalog.Upstream
 	for i := range n {
@@ -53,27 +35,23 @@
 
 func newReplay(o dispatch.Options, n, slots int, service time.Duration) *replay {
 	r := &replay{
-		pool: dispatch.NewPool(o, rand.New(rand.NewPCG(1, 2))), now: time.Unix(0, 0), service: service,
+		pool: dispatch.NewPool(o, rand.New(rand.NewPCG(1, 2))), Agenda: agenda.New(time.Unix(0, 0)), service: service,
 		waiting: map[*dispatch.Ticket]dispatch.Request{},
 	}
-	r.settle(r.pool.SetUpstreams(upstreams(n, slots), r.now))
+	r.settle(r.pool.SetUpstreams(upstreams(n, slots), r.Now()))
 	return r
 }
 
-func (r *replay) at(t time.Time, run func()) { heap.Push(&r.events, event{t, run}) }
-
-// run plays all events, with a tick of the pool every 50 ms as the gateway gives it.
-func (r *replay) run() {
-	for len(r.events) > 0 {
-		e := heap.Pop(&r.events).(event)
-		r.now = e.at
-		e.run()
-		r.settle(r.pool.Tick(r.now))
-	}
+// at plans what happens at a time, with a tick of the pool after it.
+func (r *replay) at(t time.Time, run func()) {
+	r.In(t.Sub(r.Now()), func() {
+		run()
+		r.settle(r.pool.Tick(r.Now()))
+	})
 }
 
 func (r *replay) offer(q dispatch.Request) {
-	t := r.pool.Offer(q, r.now)
+	t := r.pool.Offer(q, r.Now())
 	r.waiting[t] = q
 	if t.Upstream() != nil || t.Err() != nil {
 		r.settle([]*dispatch.Ticket{t})
@@ -91,21 +69,21 @@
 			}
 			continue
 		}
-		r.at(r.now.Add(r.service), func() { r.finish(t, q) })
+		r.at(r.Now().Add(r.service), func() { r.finish(t, q) })
 	}
 }
 
 func (r *replay) finish(t *dispatch.Ticket, q dispatch.Request) {
 	switch {
-	case r.now.After(q.Latest):
+	case r.Now().After(q.Latest):
 		r.left++
-	case r.now.After(q.Aim):
+	case r.Now().After(q.Aim):
 		r.late++
 	default:
 		r.onTime++
 	}
-	r.pool.Answered(t, r.now)
-	r.settle(r.pool.Done(t, dispatch.OutcomeOK, r.now))
+	r.pool.Answered(t, r.Now())
+	r.settle(r.pool.Done(t, dispatch.OutcomeOK, r.Now()))
 }
 
 // arrivals offers requests at a rate for a while; aim is what the pool is told of the target.
@@ -141,11 +119,11 @@
 				return q
 			}
 		}
-		begin := r.now
+		begin := r.Now()
 		r.arrivals(begin, 3*time.Second, 0.7*capacity, shape)
 		r.arrivals(begin.Add(3*time.Second), 4*time.Second, 2*capacity, shape)
 		r.arrivals(begin.Add(7*time.Second), 3*time.Second, 0.7*capacity, shape)
-		r.run()
+		r.RunAll()
 		return r
 	}
 	ours := play(1, 0.6, false)
@@ -166,14 +144,14 @@
 // come back; when it works again they are served, and what arrives after it is not held up behind them.
 func TestRequestsWaitForABrokenGroup(t *testing.T) {
 	r := newReplay(dispatch.Options{Fill: 1, LateFill: 0.6}, 4, 10, 100*time.Millisecond)
-	begin := r.now
+	begin := r.Now()
 	patient := func(arrived time.Time) dispatch.Request {
 		return dispatch.Request{Arrived: arrived, Aim: arrived.Add(400 * time.Millisecond), Latest: arrived.Add(4 * time.Second)}
 	}
 	r.arrivals(begin, 8*time.Second, 150, patient)
-	r.at(begin.Add(2*time.Second), func() { r.settle(r.pool.SetClosed(true, r.now)) })
-	r.at(begin.Add(4*time.Second), func() { r.settle(r.pool.SetClosed(false, r.now)) })
-	r.run()
+	r.at(begin.Add(2*time.Second), func() { r.settle(r.pool.SetClosed(true, r.Now())) })
+	r.at(begin.Add(4*time.Second), func() { r.settle(r.pool.SetClosed(false, r.Now())) })
+	r.RunAll()
 	if r.refused > 0 || r.left > 0 {
 		t.Fatalf("%d refused and %d left of a group that was back soon", r.refused, r.left)
 	}
@@ -187,8 +165,8 @@
 // times, so that they do not collide.
 func TestRefusedCallersComeBackApart(t *testing.T) {
 	r := newReplay(dispatch.Options{Fill: 1, LateFill: 0.6}, 2, 4, 80*time.Millisecond)
-	r.arrivals(r.now, 6*time.Second, 200, timed)
-	r.run()
+	r.arrivals(r.Now(), 6*time.Second, 200, timed)
+	r.RunAll()
 	if r.refused == 0 {
 		t.Fatal("nobody was refused at twice the load")
 	}
--- a/internal/state/liveness/detector_test.go
+++ b/internal/state/liveness/detector_test.go
@@ -61,10 +61,10 @@
 	for size, seeds := range map[int]int{7: 3, 41: 3, 149: 2, 360: 1} {
 		for seed := range uint64(seeds) {
 			n := newNetwork(seed, size, 0.03)
-			n.run(2 * time.Second)
+			n.RunFor(2 * time.Second)
 			n.members[3].dead = true
-			since, before := n.now, n.bytes
-			n.run(3 * time.Second)
+			since, before := n.Now(), n.bytes
+			n.RunFor(3 * time.Second)
 			ended := map[int]bool{3: true}
 			took := n.known(since, ended)
 			verdicts, believed := n.falsely(ended)
@@ -83,13 +83,13 @@
 // Failure: half of all gateways are killed at once, and those asked for help are dead themselves.
 func TestHalfOfAllMembersEndAtOnce(t *testing.T) {
 	n := newNetwork(1, 149, 0)
-	n.run(2 * time.Second)
+	n.RunFor(2 * time.Second)
 	ended := map[int]bool{}
 	for i := range 82 {
 		n.members[i].dead, ended[i] = true, true
 	}
-	since := n.now
-	n.run(4 * time.Second)
+	since := n.Now()
+	n.RunFor(4 * time.Second)
 	took := n.known(since, ended)
 	verdicts, _ := n.falsely(ended)
 	t.Logf("all know of 82 deaths after %v", took)
@@ -105,9 +105,9 @@
 		cut, deaf bool
 	}{{"sends nothing", true, false}, {"hears nothing", false, true}, {"both", true, true}} {
 		n := newNetwork(4, 41, 0)
-		n.run(2 * time.Second)
+		n.RunFor(2 * time.Second)
 		n.members[5].cut, n.members[5].deaf = c.cut, c.deaf
-		n.run(4 * time.Second)
+		n.RunFor(4 * time.Second)
 		for _, s := range n.changes {
 			if s.Ended && s.Address != addressOf(5) {
 				t.Errorf("%s: member %d takes %s for ended", c.name, s.by, s.Address)
@@ -121,16 +121,16 @@
 func TestMembersThatSomeReachMakeNoStorm(t *testing.T) {
 	const size, odd, near = 149, 45, 30
 	n := newNetwork(6, size, 0)
-	n.run(2 * time.Second)
+	n.RunFor(2 * time.Second)
 	before := n.sent
-	n.run(4 * time.Second)
+	n.RunFor(4 * time.Second)
 	calm := n.sent - before
 	n.parted = func(from, to int) bool {
 		return (from < odd && to >= near) || (to < odd && from >= near)
 	}
-	n.run(2 * time.Second)
+	n.RunFor(2 * time.Second)
 	before = n.sent
-	n.run(4 * time.Second)
+	n.RunFor(4 * time.Second)
 	parted := n.sent - before
 	t.Logf("%d datagrams in 4 s while all is well, %d while %d members are reached by %d", calm, parted, odd, near)
 	if parted > 2*calm {
@@ -143,12 +143,12 @@
 	const size, lone = 149, 7
 	for _, near := range []int{0, 2} {
 		n := newNetwork(6, size, 0)
-		n.run(2 * time.Second)
+		n.RunFor(2 * time.Second)
 		reached := func(a, b int) bool { return a != lone || b < near }
 		n.parted = func(from, to int) bool { return !reached(from, to) || !reached(to, from) }
-		n.run(2 * time.Second)
+		n.RunFor(2 * time.Second)
 		before := n.members[lone].sequence
-		n.run(4 * time.Second)
+		n.RunFor(4 * time.Second)
 		own, usual := n.members[lone].sequence-before, 4*uint64(time.Second/digestEvery)*toldEach
 		t.Logf("%d datagrams in 4 s while it reaches %d others, %d of them digests", own, near, usual)
 		if own > 2*usual {
--- a/internal/state/liveness/network_test.go
+++ b/internal/state/liveness/network_test.go
@@ -1,13 +1,13 @@
 package liveness_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/liveness"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/bench/agenda"
 )
 
 const (
@@ -23,11 +23,10 @@
 
 // network is members in virtual time: datagrams are late and lost, hosts stand still for moments.
 type network struct {
+	*agenda.Agenda
 	rand    *rand.Rand
-	now     time.Time
 	loss    float64
 	stall   time.Duration
-	queue   events
 	members []*node
 	// byAddress has the members again.
 	byAddress map[liveness.Address]*node
@@ -64,31 +63,13 @@
 	rumors []liveness.Rumor
 }
 
-type event struct {
-	at time.Time
-	do func()
-}
-
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 func addressOf(i int) liveness.Address {
 	return liveness.Address(fmt.Sprintf("10.1.%d.%d:8229", i/250, i%250))
 }
 
 // newNetwork is of members that all know each other.
 func newNetwork(seed uint64, size int, loss float64) *network {
-	n := &network{rand: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), loss: loss, stall: 70 * time.Millisecond, byAddress: map[liveness.Address]*node{}}
+	n := &network{Agenda: agenda.New(time.Unix(1000, 0)), rand: rand.New(rand.NewPCG(seed, 1)), loss: loss, stall: 70 * time.Millisecond, byAddress: map[liveness.Address]*node{}}
 	for i := range size {
 		m := &node{net: n, index: i, turn: n.rand.IntN(size), detector: liveness.New(rand.New(rand.NewPCG(seed, uint64(i)+2)))}
 		n.members = append(n.members, m)
@@ -97,28 +78,16 @@
 	for _, m := range n.members {
 		for _, other := range n.members {
 			if other != m {
-				m.detector.Heard(n.now, other.sign(0, false))
+				m.detector.Heard(n.Now(), other.sign(0, false))
 			}
 		}
-		n.after(n.upTo(stepTime), m.step)
+		n.In(n.upTo(stepTime), m.step)
 	}
 	return n
 }
 
 func (n *network) upTo(d time.Duration) time.Duration { return time.Duration(n.rand.Int64N(int64(d))) }
 
-func (n *network) after(d time.Duration, do func()) { heap.Push(&n.queue, event{n.now.Add(d), do}) }
-
-func (n *network) run(d time.Duration) {
-	end := n.now.Add(d)
-	for len(n.queue) > 0 && !n.queue[0].at.After(end) {
-		e := heap.Pop(&n.queue).(event)
-		n.now = e.at
-		e.do()
-	}
-	n.now = end
-}
-
 func (m *node) sign(sequence uint64, answer bool) liveness.Sign {
 	return liveness.Sign{Address: addressOf(m.index), Incarnation: ids.Incarnation(fmt.Sprint("life-", m.index)), Sequence: sequence, Answer: answer}
 }
@@ -127,22 +96,22 @@
 	if m.dead {
 		return
 	}
-	for _, a := range m.detector.Tick(m.net.now) {
+	for _, a := range m.detector.Tick(m.net.Now()) {
 		m.send(a.To, datagram{ask: true, about: a.About})
 	}
 	for _, a := range m.detector.Urgent() {
 		m.send(a, datagram{})
 	}
-	if m.net.now.Sub(m.toldAt) >= digestEvery {
+	if m.net.Now().Sub(m.toldAt) >= digestEvery {
 		m.tell()
 	}
 	m.note()
-	m.net.after(stepTime, m.step)
+	m.net.In(stepTime, m.step)
 }
 
 // tell sends a digest to the next others in turn, each after a pause of at most a step.
 func (m *node) tell() {
-	m.toldAt = m.net.now
+	m.toldAt = m.net.Now()
 	for range min(toldEach, len(m.net.members)-1) {
 		m.turn = (m.turn + 1) % len(m.net.members)
 		if m.turn == m.index {
@@ -154,7 +123,7 @@
 
 func (m *node) note() {
 	for _, c := range m.detector.Changes() {
-		m.net.changes = append(m.net.changes, seen{m.net.now, m.index, c})
+		m.net.changes = append(m.net.changes, seen{m.net.Now(), m.index, c})
 	}
 }
 
@@ -169,14 +138,14 @@
 	if m.cut || m.net.rand.Float64() < m.net.loss || m.net.parted != nil && m.net.parted(m.index, other.index) {
 		return
 	}
-	m.net.after(3*time.Millisecond+m.net.upTo(m.net.stall), func() { other.receive(d) })
+	m.net.In(3*time.Millisecond+m.net.upTo(m.net.stall), func() { other.receive(d) })
 }
 
 func (m *node) receive(d datagram) {
 	if m.dead || m.deaf {
 		return
 	}
-	now := m.net.now
+	now := m.net.Now()
 	for _, asker := range m.detector.Heard(now, d.Sign) {
 		m.send(asker, datagram{rumors: []liveness.Rumor{m.detector.Known(d.Address)}})
 	}
--- a/internal/testing/bench/agenda/agenda.go
+++ b/internal/testing/bench/agenda/agenda.go
@@ -62,6 +62,13 @@
 	}
 }
 
+// RunFor does what is planned for the next d, and moves the clock by d.
+func (a *Agenda) RunFor(d time.Duration) {
+	end := a.now.Add(d)
+	a.Run(end.Add(1))
+	a.now = end
+}
+
 // RunAll does all that is planned.
 func (a *Agenda) RunAll() {
 	for len(a.items) > 0 {
