--- a/internal/state/catalog/configuration.go
+++ b/internal/state/catalog/configuration.go
@@ -94,8 +94,7 @@
 	Sets, PerSet int
 	// Placements is the most experts of a set on one rank; Spare is how many new ones one switch may bring there.
 	Placements, Spare int
-	// Bytes is the size of one expert's weights; CopyTime is how long a rank takes to copy them.
-	Bytes    float64
+	// CopyTime is how long a rank takes to copy one expert's weights.
 	CopyTime time.Duration
 	// Share is the part of the work for tokens that experts do.
 	Share float64
