--- a/scripts/paired.sh
+++ b/scripts/paired.sh
@@ -6,7 +6,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-bench=$1 sites=$(realpath -m "$2") why=$3 before=$4 after=$5 plays=$(realpath "$6")
+bench=$(realpath -m "$1") sites=$(realpath -m "$2") why=$3 before=$4 after=$5 plays=$(realpath "$6")
 out=$(realpath -m "${PAIRED_OUT:-out/paired}")
 here=$PWD
 
