--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -6,7 +6,7 @@
 
 bench=$1 sites=$2 why=$3 jobs=${4:-4}
 slack=0.03
-out=out/regression
+out=${REGRESSION_OUT:-out/regression}
 mkdir -p "$out"
 
 failed=0
@@ -15,7 +15,7 @@
   case $site in '' | '#'*) continue ;; esac
   log=$out/$(basename "$site" .toml).txt
   "$bench" score "$sites/$site" --jobs "$jobs" --why "$why" > "$log" 2>&1 || true
-  now=$(grep -oE 'score [0-9.]+' "$log" | tail -n 1 | cut -d' ' -f2 || true)
+  now=$(sed -nE 's/^score on [^:]*: ([0-9.]+).*/\1/p' "$log" | tail -n 1)
   verdict=ok
   grep -q 'GATE passed' "$log" || verdict='gate failed'
   awk -v b="$before" -v n="${now:-0}" -v s="$slack" 'BEGIN { exit !(n < b - s) }' && verdict="$verdict, fell"
