Responses that end with their connection are logged and counted

The HTTP client now marks such a response (neither a length nor chunks, RFC 9112, 6.3), and the gateway logs it with its size and outcome and counts it by service and kind. Decisions are unchanged.

--- a/internal/base/httpclient/client.go
+++ b/internal/base/httpclient/client.go
@@ -105,6 +105,9 @@
 	Header *fasthttp.ResponseHeader
 	// Reused is set if the connection has carried other requests before.
 	Reused bool
+	// CloseDelimited is set if the response has neither a length nor chunks, so that its body ends when the peer closes the
+	// connection (RFC 9112, section 6.3). Such a body that was cut off may look complete.
+	CloseDelimited bool
 	// Body returns io.EOF after the complete body, and another error if the response was truncated.
 	Body     io.Reader
 	raw      *fasthttp.Response
@@ -113,6 +116,8 @@
 	address  string
 	stop     func() bool
 	complete bool
+	// bodyBytes counts the bytes of the body that were read.
+	bodyBytes int64
 	// written is the result of writing the request.
 	written *writeResult
 }
@@ -146,10 +151,17 @@
 		return nil, &BrokenError{address, stage, errors.Join(err, ctx.Err())}
 	}
 	res := &Response{Status: raw.StatusCode(), Header: &raw.Header, Reused: reused, raw: raw, client: c, conn: conn, address: address, stop: stop, written: written}
+	res.CloseDelimited = raw.Header.ContentLength() == closeDelimited && raw.BodyStream() != nil
 	res.Body = &bodyReader{res}
 	return res, nil
 }
 
+// closeDelimited is fasthttp's content length for a body that ends with its connection.
+const closeDelimited = -2
+
+// BodyBytes returns how many bytes of the body were read.
+func (res *Response) BodyBytes() int64 { return res.bodyBytes }
+
 // bodyReader reads the body and records when it was read to its end.
 type bodyReader struct{ response *Response }
 
@@ -161,6 +173,7 @@
 		return 0, io.EOF
 	}
 	n, err := stream.Read(p)
+	r.response.bodyBytes += int64(n)
 	if err == io.EOF {
 		r.response.complete = true
 	}
--- a/internal/base/httpclient/exchange.go
+++ b/internal/base/httpclient/exchange.go
@@ -87,7 +87,7 @@
 // discardBody reads a mismatched response to its end. It fails for a response without a length, which only ends with the
 // connection.
 func discardBody(res *fasthttp.Response) error {
-	if res.Header.ContentLength() < -1 {
+	if res.Header.ContentLength() == closeDelimited {
 		return &MismatchedResponseError{1}
 	}
 	if stream := res.BodyStream(); stream != nil {
--- a/internal/node/gateway/metrics.go
+++ b/internal/node/gateway/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 // gatewayMetrics are the metrics of one gateway; docs/OPERATIONS.md explains them.
@@ -91,6 +92,10 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_rests_total{service=%q}", service)).Inc()
 }
 
+func (m *gatewayMetrics) closeDelimited(service ids.Service, kind catalog.Kind, relayed bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_close_delimited_responses_total{service=%q,kind=%q,relayed=\"%t\"}", service, kind, relayed)).Inc()
+}
+
 func (m *gatewayMetrics) firstPiece(service ids.Service, seconds float64) {
 	m.set.GetOrCreateHistogram(fmt.Sprintf("cardamomyoke_gateway_first_piece_seconds{service=%q}", service)).Update(seconds)
 }
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -139,10 +139,14 @@
 		discard(res)
 		return &RefusedError{t.Upstream().ID, res.Status, info.FaultyUpstream, info.Instance, info.Rest.Length}
 	case isStream(res) && n.r.route.Kind == catalog.KindStream && res.Status/100 == 2:
-		return n.relayStream(ctx, t, res, info)
+		err = n.relayStream(ctx, t, res, info)
 	default:
-		return n.relayPlain(ctx, t, res, info)
+		err = n.relayPlain(ctx, t, res, info)
 	}
+	if res.CloseDelimited {
+		n.recordCloseDelimited(t.Upstream(), res, err)
+	}
+	return err
 }
 
 // responder returns the upstream that sent a response to an attempt at u; nil if it is not known.
