A response that ends with its connection no longer reaches callers as one with a known end

Cause: the gateway read the body to the close of the connection and then stated its own length, or sent a last chunk, so it promised what nobody knew.

Change: what shows a cut is never relayed (a reset, another response within the body, an upstream that accepts no connection afterwards, an empty body, an incomplete JSON document). Where the request may be repeated and such answers are not usual for the service, another upstream is asked or the stream is resumed, within the retry budget. The rest is relayed as the upstream sent it, without a length; until its end was sent, closing the caller's connection for any reason resets it.

A probe that fails after a response must not count as proof that nothing was sent; the case "unsafe, crash" caught that while this was written.

--- a/internal/base/httpclient/client.go
+++ b/internal/base/httpclient/client.go
@@ -108,7 +108,8 @@
 	// CloseDelimited is set if the response has neither a length nor chunks, so that its body ends when the peer closes the
 	// connection (RFC 9112, section 6.3). Such a body that was cut off may look complete.
 	CloseDelimited bool
-	// Body returns io.EOF after the complete body, and another error if the response was truncated.
+	// Body returns io.EOF after the complete body, and another error if the response was truncated. If CloseDelimited is set,
+	// io.EOF only means that the peer closed the connection; *SecondResponseError that another response follows.
 	Body     io.Reader
 	raw      *fasthttp.Response
 	client   *Client
@@ -153,6 +154,9 @@
 	res := &Response{Status: raw.StatusCode(), Header: &raw.Header, Reused: reused, raw: raw, client: c, conn: conn, address: address, stop: stop, written: written}
 	res.CloseDelimited = raw.Header.ContentLength() == closeDelimited && raw.BodyStream() != nil
 	res.Body = &bodyReader{res}
+	if res.CloseDelimited {
+		res.Body = &closeDelimitedReader{src: res.Body}
+	}
 	return res, nil
 }
 
--- /dev/null
+++ b/internal/base/httpclient/closedelimited.go
@@ -0,0 +1,60 @@
+package httpclient
+
+import (
+	"bytes"
+	"io"
+	"regexp"
+)
+
+// SecondResponseError reports that a body that ends with its connection contains the start of another response.
+//
+// A peer or a link that sends a response twice is otherwise noticed by the bytes after the body. Such a body has no end
+// before that of its connection, so the other response would be taken for a part of it.
+type SecondResponseError struct{}
+
+// Error implements error.
+func (*SecondResponseError) Error() string {
+	return "body without a length contains another response"
+}
+
+// statusLine matches the status line of a response. Text in JSON or in an event has no carriage return.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9]{2}[^\r\n]{0,64}\r\n`)
+
+// partialStatusLine matches the beginning of a status line at the end of a body.
+var partialStatusLine = regexp.MustCompile(`HTTP/1\.([01]( ([1-5]([0-9]([0-9][^\r\n]{0,64}\r?)?)?)?)?)?$`)
+
+const (
+	// statusLinePrefix begins each status line.
+	statusLinePrefix = "HTTP/1."
+	// maxStatusLineBytes is the length in bytes of the longest text that statusLine matches.
+	maxStatusLineBytes = len(statusLinePrefix) + 5 + 64 + 2
+)
+
+// closeDelimitedReader reads a body that ends with its connection. It fails with *SecondResponseError where another response
+// begins.
+type closeDelimitedReader struct {
+	src io.Reader
+	// recent holds the last bytes that were read, in which a status line may have begun.
+	recent []byte
+}
+
+// Read implements io.Reader.
+func (r *closeDelimitedReader) Read(p []byte) (int, error) {
+	n, err := r.src.Read(p)
+	r.recent = append(r.recent, p[:n]...)
+	if statusLine.Match(r.recent) || err == io.EOF && partialStatusLine.Match(r.recent) {
+		return r.bytesBefore(n), &SecondResponseError{}
+	}
+	if i := bytes.LastIndex(r.recent, []byte(statusLinePrefix)); i >= 0 && len(r.recent)-i < maxStatusLineBytes {
+		r.recent = append(r.recent[:0], r.recent[i:]...)
+	} else {
+		r.recent = append(r.recent[:0], r.recent[max(0, len(r.recent)-len(statusLinePrefix)):]...)
+	}
+	return n, err
+}
+
+// bytesBefore returns how many of the last n bytes precede the other response.
+func (r *closeDelimitedReader) bytesBefore(n int) int {
+	begin := bytes.Index(r.recent, []byte(statusLinePrefix))
+	return max(0, begin-(len(r.recent)-n))
+}
--- a/internal/base/httpserver/exchange.go
+++ b/internal/base/httpserver/exchange.go
@@ -36,7 +36,9 @@
 	close     bool
 	responded bool
 	streaming bool
-	chunkSize [chunkSizeBytes]byte
+	// untilClose is set if the body ends with the connection.
+	untilClose bool
+	chunkSize  [chunkSizeBytes]byte
 }
 
 // Close makes the server close the connection after this response.
@@ -112,6 +114,9 @@
 	if err := x.waitForReader(ctx); err != nil {
 		return err
 	}
+	if x.untilClose {
+		return x.conn.write(piece)
+	}
 	size := append(strconv.AppendInt(x.chunkSize[:0], int64(len(piece)), 16), lineEnd...)
 	return x.conn.write(size, piece, lineEnd)
 }
@@ -119,6 +124,9 @@
 // End completes a streamed body. If the handler returns without calling End, the connection is closed and the caller sees
 // a truncated response.
 func (x *Exchange) End() error {
+	if x.untilClose {
+		return x.endByClose()
+	}
 	x.streaming = false
 	return x.conn.write(lastChunk)
 }
@@ -148,7 +156,9 @@
 	h.Reset()
 	h.SetNoDefaultContentType(true)
 	h.SetStatusCode(status)
-	h.SetContentLength(length)
+	if length != untilClose {
+		h.SetContentLength(length)
+	}
 	for _, v := range headers {
 		h.Add(v.Name, v.Value)
 	}
--- a/internal/base/httpserver/outbox.go
+++ b/internal/base/httpserver/outbox.go
@@ -43,6 +43,13 @@
 	return buf
 }
 
+// empty reports whether the event loop has fetched all bytes.
+func (o *outbox) empty() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.buf) == 0
+}
+
 // recycle keeps a buffer that take returned for reuse, unless it is larger than maxSpare.
 func (o *outbox) recycle(buf []byte) {
 	if cap(buf) > maxSpare {
--- a/internal/node/gateway/plain.go
+++ b/internal/node/gateway/plain.go
@@ -11,8 +11,8 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
 )
 
-// maxBufferedBytes bounds the part of a response that is buffered before relaying. A response of this size or more is
-// relayed as it arrives: it can no longer be retried elsewhere, and its caller sees a truncated response if the
+// maxBufferedBytes bounds the part of a response that is buffered before relaying. A longer response is relayed as it
+// arrives: it can no longer be retried elsewhere, and its caller sees a truncated response if the
 // connection breaks.
 const maxBufferedBytes = 1 << 20
 
@@ -21,17 +21,30 @@
 	status  int
 	headers []httpserver.Header
 	body    []byte
+	// endUnproven is set if only the close of the upstream's connection tells that the body is complete.
+	endUnproven bool
 }
 
-// respond sends the response to the caller.
-func (p *plainResponse) respond(n *run) error { return n.x.Respond(p.status, p.headers, p.body) }
+// respond sends the response to the caller. If the upstream did not say where the body ends, neither does the gateway.
+func (p *plainResponse) respond(ctx context.Context, n *run) error {
+	if !p.endUnproven {
+		return n.x.Respond(p.status, p.headers, p.body)
+	}
+	if err := n.x.StreamUntilClose(p.status, p.headers); err != nil {
+		return err
+	}
+	if err := n.x.Write(ctx, p.body); err != nil {
+		return err
+	}
+	return n.x.End()
+}
 
 // relayPlain reads a response that is not a stream and relays it to the caller.
 //
 // If the connection to the upstream breaks within a body, the caller must not mistake the received part for the full
 // body: the response is relayed only once it is complete, with its length.
 func (n *run) relayPlain(ctx context.Context, t *dispatch.Ticket, res *httpclient.Response, info ResponseInfo) error {
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedBytes))
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedBytes+1))
 	if err != nil {
 		res.Release(false)
 		return &httpclient.BrokenError{Address: t.Upstream().Address, Stage: "read body from", Cause: err}
@@ -41,17 +54,22 @@
 		return &ResponseError{t.Upstream().ID, res.Status, reason}
 	}
 	n.service.gate.Responded(t)
-	n.recordFirstPiece()
-	p := &plainResponse{res.Status, responseHeaders(res.Header), body}
-	if len(body) == maxBufferedBytes {
-		return n.relayRest(ctx, res, p)
+	p := &plainResponse{res.Status, responseHeaders(res.Header), body, res.CloseDelimited}
+	if len(body) > maxBufferedBytes {
+		n.recordFirstPiece()
+		return n.relayRest(ctx, t, res, p)
 	}
+	contentType := string(res.Header.ContentType())
 	res.Release(true)
+	if err := n.checkEnd(ctx, t, p, contentType); err != nil {
+		return err
+	}
+	n.recordFirstPiece()
 	if res.Status >= fasthttp.StatusInternalServerError {
 		n.bufferedFailure = p
 		return &FailedError{t.Upstream().ID, res.Status}
 	}
-	return p.respond(n)
+	return p.respond(ctx, n)
 }
 
 // unusable returns why a response must not reach the caller, or "". A success without a signature may come from another
@@ -71,12 +89,8 @@
 }
 
 // relayRest relays a response that is too long to be buffered.
-func (n *run) relayRest(ctx context.Context, res *httpclient.Response, p *plainResponse) error {
-	if err := n.x.Stream(p.status, p.headers); err != nil {
-		res.Release(false)
-		return err
-	}
-	err := n.x.Write(ctx, p.body)
+func (n *run) relayRest(ctx context.Context, t *dispatch.Ticket, res *httpclient.Response, p *plainResponse) error {
+	err := n.startRest(ctx, p)
 	buf := make([]byte, 32<<10)
 	for err == nil {
 		var size int
@@ -91,5 +105,22 @@
 	if err != io.EOF {
 		return err
 	}
+	if p.endUnproven {
+		if err := n.checkAlive(ctx, t.Upstream()); err != nil {
+			return err
+		}
+	}
 	return n.x.End()
 }
+
+// startRest sends the header and the buffered part of the body.
+func (n *run) startRest(ctx context.Context, p *plainResponse) error {
+	start := n.x.Stream
+	if p.endUnproven {
+		start = n.x.StreamUntilClose
+	}
+	if err := start(p.status, p.headers); err != nil {
+		return err
+	}
+	return n.x.Write(ctx, p.body)
+}
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -37,6 +37,8 @@
 	upstream    ids.Upstream
 	// bufferedFailure is the upstream's own failure, which is relayed to the caller if no other attempt succeeds.
 	bufferedFailure *plainResponse
+	// unproven is a response whose end is not proven, which is relayed to the caller if no other attempt succeeds.
+	unproven *plainResponse
 	// relayedFailure is set if the caller received bufferedFailure.
 	relayedFailure bool
 	// trace is the trace context for the next hop; empty if there is none.
@@ -63,17 +65,18 @@
 		return refused.asFailure(n.r.arrived)
 	}
 	n.service.budget.RecordFirst(n.r.arrived)
+	attemptCtx := ctx
 	for {
-		ticket, err := n.service.gate.Wait(ctx, n.dispatchRequest())
+		ticket, err := n.service.gate.Wait(attemptCtx, n.dispatchRequest())
 		if err != nil {
 			return n.unplacedError(ctx, err)
 		}
 		n.placedAt = time.Now()
 		n.upstream = ticket.Upstream().ID
 		n.g.logPlaced(n, ticket.Upstream().Incarnation(), ticket.PlacementInputs())
-		err = n.tracedAttempt(ctx, ticket)
+		err = n.tracedAttempt(attemptCtx, ticket)
 		n.reportGroupFailure(ticket.Upstream(), err)
-		n.service.gate.Done(ticket, outcomeOf(ctx, err))
+		n.service.gate.Done(ticket, outcomeOf(attemptCtx, err))
 		if err == nil {
 			n.g.suspects.completed(n, time.Now())
 			return nil
@@ -81,10 +84,15 @@
 		n.recordFailure(err)
 		n.checkCrash(ticket.Upstream(), err)
 		n.reject(ticket.Upstream(), err)
-		if reason := n.stopReason(ctx, err); reason != "" {
+		if reason := n.stopReason(attemptCtx, err); reason != "" {
 			return n.finalError(ctx, err, reason)
 		}
 		n.g.logRetry(n, err)
+		if n.unproven != nil {
+			var cancel context.CancelFunc
+			attemptCtx, cancel = context.WithDeadline(ctx, n.confirmationDeadline(time.Now()))
+			defer cancel()
+		}
 	}
 }
 
@@ -134,6 +142,9 @@
 	n.g.recordLimit(responder, res.Status, info, n.placedAt)
 	n.recordRest(responder, info.Rest)
 	n.recordLeaving(responder, info.Leaving)
+	if res.Status/100 == 2 {
+		n.service.habit.Record(res.CloseDelimited)
+	}
 	switch {
 	case info.NotRun:
 		discard(res)
@@ -224,9 +235,12 @@
 	switch {
 	case errors.As(err, &closed) || context.Cause(ctx) == context.Canceled:
 		return failure.New(failure.CodeCancelled, cause)
+	case n.unproven != nil && !n.x.Responded():
+		n.recordFirstPiece()
+		return n.unproven.respond(ctx, n)
 	case n.bufferedFailure != nil && !n.x.Responded():
 		n.relayedFailure = true
-		return n.bufferedFailure.respond(n)
+		return n.bufferedFailure.respond(ctx, n)
 	case n.x.Responded():
 		return failure.New(failure.CodeIncompleteAnswer, cause)
 	case ctx.Err() != nil && n.mayHaveRun:
@@ -269,8 +283,9 @@
 	var refused *RefusedError
 	var failed *FailedError
 	var moved *MovedError
+	var unproven *UnprovenEndError
 	switch {
-	case err == nil:
+	case err == nil || errors.As(err, &unproven):
 		return dispatch.OutcomeOK
 	case errors.As(err, &closed) || errors.As(err, &moved) || ctx.Err() != nil:
 		return dispatch.OutcomeNone
--- a/internal/node/gateway/services.go
+++ b/internal/node/gateway/services.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/completeness"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/retry"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
@@ -22,7 +23,7 @@
 		s := g.control.services[name]
 		if s == nil {
 			rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-			s = &service{gate: dispatch.NewGate(dispatch.NewPool(dispatch.Options{}, rng)), budget: retry.NewWindow()}
+			s = &service{gate: dispatch.NewGate(dispatch.NewPool(dispatch.Options{}, rng)), budget: retry.NewWindow(), habit: &completeness.Habit{}}
 			g.watchGroup(s, c)
 			g.metrics.addServiceGauges(g, name)
 		}
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 // streamState is the part of a stream that the caller has received.
@@ -19,6 +20,8 @@
 	// events counts the writes of events to the caller; longestGap is the longest time between two of them.
 	events     int
 	longestGap time.Duration
+	// untilClose is set if the caller's response ends with its connection, as that of the upstream.
+	untilClose bool
 }
 
 // recordEvents records a write of events; gap is the time since the previous one.
@@ -58,9 +61,36 @@
 	if !n.x.Responded() {
 		return &EventError{"contains no event"}
 	}
+	if res.CloseDelimited {
+		if err := n.checkStreamEnd(ctx, t.Upstream()); err != nil {
+			return err
+		}
+	}
 	return n.x.End()
 }
 
+// checkStreamEnd returns an error if the end of a stream that ended with its connection must not be passed on. A stream that
+// may be resumed is resumed after its last event, and the end that the other upstream gives it counts.
+func (n *run) checkStreamEnd(ctx context.Context, u *catalog.Upstream) error {
+	if err := n.checkAlive(ctx, u); err != nil {
+		return err
+	}
+	if n.stream.untilClose {
+		return nil
+	}
+	return &UnprovenEndError{u.ID}
+}
+
+// startStream sends the response header. The caller is told where the stream ends only if the upstream will tell, or another
+// one may be asked.
+func (n *run) startStream(res *httpclient.Response) error {
+	n.stream.untilClose = res.CloseDelimited && !n.mayConfirm()
+	if n.stream.untilClose {
+		return n.x.StreamUntilClose(res.Status, responseHeaders(res.Header))
+	}
+	return n.x.Stream(res.Status, responseHeaders(res.Header))
+}
+
 func (n *run) copyEvents(ctx context.Context, t *dispatch.Ticket, res *httpclient.Response) error {
 	var pending []byte
 	buf := make([]byte, streamBufferBytes)
@@ -99,7 +129,7 @@
 	n.service.gate.Responded(t)
 	n.recordFirstPiece()
 	if !n.x.Responded() {
-		if err := n.x.Stream(res.Status, responseHeaders(res.Header)); err != nil {
+		if err := n.startStream(res); err != nil {
 			return err
 		}
 	}
--- a/internal/node/gateway/view.go
+++ b/internal/node/gateway/view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/completeness"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/retry"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
@@ -29,6 +30,8 @@
 type service struct {
 	gate   *dispatch.Gate
 	budget *retry.Window
+	// habit records how the service's upstreams end their responses.
+	habit *completeness.Habit
 	// group is nil unless the upstreams are ranks of a group.
 	group *groupWatch
 }
