Streams of other services are moved from a slow rank although one service's retry budget is used up

Cause: moveStreams returned at the first stream whose service had no budget left, inside both loops, so the streams of all services visited later stayed on their very slow rank. Now only that stream stays. TestUsedUpBudgetDoesNotKeepStreamsOfOtherServices failed before, passes now.

--- a/internal/node/gateway/move.go
+++ b/internal/node/gateway/move.go
@@ -65,7 +65,7 @@
 		}
 		for n, cancel := range m.running[u] {
 			if !n.service.budget.Allow(now) {
-				return
+				continue
 			}
 			delete(m.running[u], n)
 			cancel(&MovedError{u.Upstream})
--- a/internal/node/gateway/move_test.go
+++ b/internal/node/gateway/move_test.go
@@ -52,6 +52,30 @@
 	}
 }
 
+// Guards against streams that stay on a very slow rank because the retry budget of another service is used up.
+func TestUsedUpBudgetDoesNotKeepStreamsOfOtherServices(t *testing.T) {
+	for range 32 { // the ranks are visited in random order
+		m := newMoves()
+		slowdowns := map[ids.UpstreamIncarnation]float64{}
+		add := func(u ids.Upstream, budget *retry.Window) context.Context {
+			ctx, cancel := context.WithCancelCause(t.Context())
+			t.Cleanup(func() { cancel(nil) })
+			m.add(ids.UpstreamIncarnation{Upstream: u}, movableRun(&service{group: &groupWatch{}, budget: budget}, true), cancel)
+			slowdowns[ids.UpstreamIncarnation{Upstream: u}] = 12
+			return ctx
+		}
+		used := retryBudget(0)
+		add("a", used)
+		add("b", used)
+		other := add("c", retryBudget(1))
+		m.moveStreams(slowdowns, time.Now())
+		var moved *MovedError
+		if !errors.As(context.Cause(other), &moved) {
+			t.Fatal("the stream of the other service was not moved")
+		}
+	}
+}
+
 // Guards against moving a stream that may not be resumed, or has no attempt left. It ends where it is.
 func TestOnlyResumableStreamsMayMove(t *testing.T) {
 	s := &service{group: &groupWatch{}, budget: retryBudget(9)}
