The controller of a service that is removed from the configuration stops

Cause: updateControllers went through the configured services only, so a controller whose service was gone kept its goroutine, and its group watch state, until the process ended. TestControllerOfRemovedServiceStops failed before, passes now.

--- a/internal/node/gateway/experts.go
+++ b/internal/node/gateway/experts.go
@@ -103,17 +103,23 @@
 	if e.g.control.config == nil {
 		return
 	}
-	for name, s := range e.g.control.config.Services {
-		grouped := s.Engine != nil && s.Engine.Experts != nil
-		c := e.controllers[name]
-		switch {
-		case grouped && c == nil:
-			e.controllers[name] = e.startController(name)
-		case !grouped && c != nil:
+	services := e.g.control.config.Services
+	for name, c := range e.controllers {
+		if !hasGroups(services[name]) {
 			c.Stop()
 			delete(e.controllers, name)
 		}
 	}
+	for name, s := range services {
+		if hasGroups(s) && e.controllers[name] == nil {
+			e.controllers[name] = e.startController(name)
+		}
+	}
+}
+
+// hasGroups reports whether the upstreams of a service are ranks of groups; the service is nil if it is not configured.
+func hasGroups(s *catalog.Service) bool {
+	return s != nil && s.Engine != nil && s.Engine.Experts != nil
 }
 
 func (e *experts) startController(name ids.Service) *lockstep.Running {
--- a/internal/node/gateway/services.go
+++ b/internal/node/gateway/services.go
@@ -38,7 +38,7 @@
 // watchGroup creates the groupWatch of a service whose upstreams are ranks of a group. The group starts closed: a
 // gateway that starts has no evidence that the group works, as all hosts may just have lost power.
 func (g *Gateway) watchGroup(s *service, c *catalog.Service) {
-	if c.Engine == nil || c.Engine.Experts == nil {
+	if !hasGroups(c) {
 		return
 	}
 	s.group = &groupWatch{
