--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -206,7 +206,7 @@
 	var closed *httpserver.ConnectionClosedError
 	var moved *MovedError
 	switch {
-	case errors.As(err, &closed):
+	case errors.As(err, &closed) || context.Cause(ctx) == context.Canceled:
 		return "the caller disconnected"
 	case ctx.Err() != nil:
 		return "the deadline passed"
