--- a/internal/node/gateway/groupwatch.go
+++ b/internal/node/gateway/groupwatch.go
@@ -67,6 +67,7 @@
 	case !w.watching:
 		w.watching = true
 		w.gate.SetClosed(true)
+		_ = level.Info(w.logger).Log("msg", "group closed to requests", "reason", reason)
 		go w.watch(ctx, reason)
 	}
 }
@@ -90,7 +91,7 @@
 		w.gate.SetClosed(true)
 		monotonic.Sleep(ctx, watchInterval)
 	}
-	_ = level.Info(w.logger).Log("msg", "group closed to requests", "reason", reason, "for", time.Since(began))
+	_ = level.Info(w.logger).Log("msg", "group open to requests", "closed_for", reason, "took_ms", time.Since(began).Milliseconds())
 }
 
 // tryOpen opens the gate and ends the watch if the ranks' states permit it. Both happen under one lock: a closeGroup in
