Slots and entries state no length of a response that ended with its connection

The same cause as in the gateway: a slot read a plain service's body to the close of the connection, stored it as the outcome and sent it on with a length, so a cut body or two responses in one reached callers, and those who repeated the request, as complete.

Slots now check it for a second response, an incomplete document, an empty body and an upstream that accepts no connection afterwards, log and count it, and mark what stays unproven. A slot's own response without a length is an error for the entry. The new tests of slot and entry do not compile before; by the old code's readPlain all of "empty", "twice" and "document cut off" counted as whole.

--- a/internal/base/httpserver/untilclose.go
+++ b/internal/base/httpserver/untilclose.go
@@ -31,6 +31,17 @@
 	return x.conn.write(x.header(status, headers, untilClose))
 }
 
+// RespondUntilClose sends a complete response without a length, as StreamUntilClose does. Errors: *ConnectionClosedError.
+func (x *Exchange) RespondUntilClose(ctx context.Context, status int, headers []Header, body []byte) error {
+	if err := x.StreamUntilClose(status, headers); err != nil {
+		return err
+	}
+	if err := x.Write(ctx, body); err != nil {
+		return err
+	}
+	return x.End()
+}
+
 // endByClose waits until the socket has accepted the whole body, so that closing the connection ends the body where it ends.
 // Errors: *ConnectionClosedError.
 func (x *Exchange) endByClose() error {
--- a/internal/node/entry/handler.go
+++ b/internal/node/entry/handler.go
@@ -214,7 +214,7 @@
 		if err != nil {
 			return err
 		}
-		return res.respond(m.x, m.r)
+		return res.respond(ctx, m.x, m.r)
 	}
 	if err := e.attemptModel(ctx, v, c, m, trace); err != nil {
 		return err
--- a/internal/node/entry/plain.go
+++ b/internal/node/entry/plain.go
@@ -5,7 +5,9 @@
 	"io"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/attempt"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/routing"
 )
 
@@ -14,6 +16,8 @@
 	status int
 	mime   string
 	body   []byte
+	// endUnproven is set if only the close of the upstream's connection tells that the body is complete.
+	endUnproven bool
 }
 
 // attemptPlain runs one attempt at a plain service and returns the complete response.
@@ -24,19 +28,42 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(res.Body)
+	out, err := readPlain(res)
+	res.Release(err == nil)
 	if err != nil {
-		res.Release(false)
 		return nil, failure.New(interruptedCode(ctx), err)
 	}
-	out := &plainResponse{res.Header.StatusCode(), string(res.Header.ContentType()), body}
-	res.Release(true)
 	return out, nil
 }
 
-func (p *plainResponse) respond(x *httpserver.Exchange, r *request) error {
-	return x.Respond(p.status, []httpserver.Header{
-		{Name: "Content-Type", Value: p.mime},
-		{Name: headerRequest, Value: r.id},
-	}, p.body)
+// UnframedError reports that a slot's response has no length. Slots always state it, so the response was damaged on the way.
+type UnframedError struct{}
+
+// Error implements error.
+func (*UnframedError) Error() string { return "slot's response has no length" }
+
+// readPlain reads the complete response of a slot.
+func readPlain(res *httpclient.Response) (*plainResponse, error) {
+	if res.CloseDelimited {
+		return nil, &UnframedError{}
+	}
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return nil, err
+	}
+	return &plainResponse{
+		status:      res.Header.StatusCode(),
+		mime:        string(res.Header.ContentType()),
+		body:        body,
+		endUnproven: len(res.Header.Peek(attempt.HeaderEndUnproven)) > 0,
+	}, nil
+}
+
+// respond sends the response to the caller. If the upstream did not say where the body ends, neither does the entry.
+func (p *plainResponse) respond(ctx context.Context, x *httpserver.Exchange, r *request) error {
+	headers := []httpserver.Header{{Name: "Content-Type", Value: p.mime}, {Name: headerRequest, Value: r.id}}
+	if p.endUnproven {
+		return x.RespondUntilClose(ctx, p.status, headers, p.body)
+	}
+	return x.Respond(p.status, headers, p.body)
 }
--- /dev/null
+++ b/internal/node/entry/plain_test.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/loopback"
+)
+
+// readFrom returns what readPlain returns for a slot's response.
+func readFrom(t *testing.T, text string) (*plainResponse, error) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = io.WriteString(c, text)
+		_ = c.Close()
+	}()
+	req := &fasthttp.Request{}
+	req.SetRequestURI("/")
+	req.Header.SetHost("slot")
+	res, err := httpclient.New(httpclient.Options{}).Do(t.Context(), l.Addr().String(), req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Release(false)
+	return readPlain(res)
+}
+
+// Guards against a caller that is told a length of a response whose end nothing proves.
+func TestEntryStatesLengthOnlyIfEndIsProven(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
+	for name, tc := range map[string]struct {
+		text   string
+		stated bool
+	}{
+		"proven":   {head + "\r\nbody", true},
+		"unproven": {head + "Cardamomyoke-End-Unproven: 1\r\n\r\nbody", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, err := readFrom(t, tc.text)
+			if err != nil {
+				t.Fatal(err)
+			}
+			address := loopback.Address()
+			server, err := httpserver.Start(address, 1, httpserver.Limits{}, func(ctx context.Context, x *httpserver.Exchange) {
+				if err := p.respond(ctx, x, &request{}); err != nil {
+					t.Error(err)
+				}
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = server.Stop(context.Background()) }()
+			res, err := http.Get("http://" + address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = res.Body.Close() }()
+			body, err := io.ReadAll(res.Body)
+			if err != nil || string(body) != "body" || (res.ContentLength == 4) != tc.stated {
+				t.Fatalf("%q, length %d, %v", body, res.ContentLength, err)
+			}
+		})
+	}
+}
+
+// Guards against a slot's response that lost its header field with the length, and that the entry takes for complete.
+func TestSlotResponseWithoutLengthIsAnError(t *testing.T) {
+	var unframed *UnframedError
+	if p, err := readFrom(t, "HTTP/1.1 200 OK\r\n\r\nbody"); !errors.As(err, &unframed) {
+		t.Fatalf("got %+v, %v", p, err)
+	}
+}
--- a/internal/node/gateway/plain.go
+++ b/internal/node/gateway/plain.go
@@ -27,16 +27,10 @@
 
 // respond sends the response to the caller. If the upstream did not say where the body ends, neither does the gateway.
 func (p *plainResponse) respond(ctx context.Context, n *run) error {
-	if !p.endUnproven {
-		return n.x.Respond(p.status, p.headers, p.body)
-	}
-	if err := n.x.StreamUntilClose(p.status, p.headers); err != nil {
-		return err
-	}
-	if err := n.x.Write(ctx, p.body); err != nil {
-		return err
+	if p.endUnproven {
+		return n.x.RespondUntilClose(ctx, p.status, p.headers, p.body)
 	}
-	return n.x.End()
+	return n.x.Respond(p.status, p.headers, p.body)
 }
 
 // relayPlain reads a response that is not a stream and relays it to the caller.
--- a/internal/node/slot/metrics.go
+++ b/internal/node/slot/metrics.go
@@ -14,6 +14,8 @@
 	fences      *metrics.Counter
 	digestBytes *metrics.Counter
 	crashes     *metrics.Counter
+	// closeDelimited counts responses whose end only the close of their connection tells.
+	closeDelimited *metrics.Counter
 }
 
 func newSlotMetrics() *slotMetrics {
@@ -23,6 +25,8 @@
 		fences:      set.NewCounter("cardamomyoke_slot_fences_total"),
 		digestBytes: set.NewCounter("cardamomyoke_slot_digest_bytes_total"),
 		crashes:     set.NewCounter("cardamomyoke_slot_upstream_crashes_total"),
+
+		closeDelimited: set.NewCounter("cardamomyoke_slot_close_delimited_responses_total"),
 	}
 }
 
--- a/internal/node/slot/once.go
+++ b/internal/node/slot/once.go
@@ -23,7 +23,7 @@
 	case verdict.Refusal != nil:
 		return verdict.Refusal
 	case verdict.Outcome != nil:
-		return respondPlain(x, j, &plainResponse{verdict.Outcome.Status, verdict.Outcome.ContentType, verdict.Outcome.Body})
+		return respondPlain(x, j, replayed(verdict.Outcome))
 	}
 	permit, err := s.acquirePermit(ctx, j)
 	if err != nil {
@@ -43,10 +43,15 @@
 	if err != nil {
 		return s.resolveClaim(j.Attempt, err)
 	}
-	s.claims.Finished(j.Attempt, claims.Outcome{Status: res.status, ContentType: res.mime, Body: res.body})
+	s.claims.Finished(j.Attempt, claims.Outcome{Status: res.status, ContentType: res.mime, Body: res.body, EndUnproven: res.endUnproven})
 	return respondPlain(x, j, res)
 }
 
+// replayed returns the response that another attempt of the same request got.
+func replayed(o *claims.Outcome) *plainResponse {
+	return &plainResponse{status: o.Status, mime: o.ContentType, body: o.Body, endUnproven: o.EndUnproven}
+}
+
 // resolveClaim releases a claim if the request provably did not run. Otherwise it marks the outcome as lost.
 func (s *Slot) resolveClaim(a ids.Attempt, err error) error {
 	var f *failure.Error
--- a/internal/node/slot/plain.go
+++ b/internal/node/slot/plain.go
@@ -7,12 +7,14 @@
 	"io"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/valyala/fasthttp"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/attempt"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/completeness"
 )
 
 // maxResponseBytes is the maximum size of an upstream's response that is read in full.
@@ -23,6 +25,8 @@
 	status int
 	mime   string
 	body   []byte
+	// endUnproven is set if only the close of the upstream's connection tells that the body is complete.
+	endUnproven bool
 }
 
 // forwardPlain runs an attempt on the plain service and forwards the response once it is complete: a truncated response
@@ -36,7 +40,11 @@
 }
 
 func respondPlain(x *httpserver.Exchange, j *incomingAttempt, res *plainResponse) error {
-	return x.Respond(res.status, []httpserver.Header{attemptHeader(j.Attempt), {Name: "Content-Type", Value: res.mime}}, res.body)
+	headers := []httpserver.Header{attemptHeader(j.Attempt), {Name: "Content-Type", Value: res.mime}}
+	if res.endUnproven {
+		headers = append(headers, httpserver.Header{Name: attempt.HeaderEndUnproven, Value: "1"})
+	}
+	return x.Respond(res.status, headers, res.body)
 }
 
 func (s *Slot) callPlain(ctx context.Context, j *incomingAttempt) (*plainResponse, error) {
@@ -52,6 +60,9 @@
 	reusable := false
 	defer func() { res.Release(reusable) }()
 	out, err := readPlain(j, res)
+	if err == nil && res.CloseDelimited {
+		err = s.checkEnd(ctx, j, out)
+	}
 	if err != nil {
 		return nil, failure.New(failure.CodeUpstreamFailed, err)
 	}
@@ -93,9 +104,38 @@
 	if len(body) > maxResponseBytes {
 		return nil, &ResponseSizeError{maxResponseBytes}
 	}
-	return &plainResponse{res.Header.StatusCode(), string(res.Header.ContentType()), body}, nil
+	return &plainResponse{status: res.Header.StatusCode(), mime: string(res.Header.ContentType()), body: body}, nil
+}
+
+// checkEnd checks a body that ends with its connection, and marks the response if nothing proves that the body is complete.
+// It returns *attempt.TruncatedError if the body was cut off: what it holds is no whole document, or the upstream accepts no
+// more connections, as after a crash in mid-body.
+func (s *Slot) checkEnd(ctx context.Context, j *incomingAttempt, p *plainResponse) error {
+	verdict := completeness.Judge(p.mime, p.body)
+	p.endUnproven = verdict == completeness.Unknown
+	var cause error
+	switch {
+	case p.status/100 != 2:
+		p.endUnproven = verdict != completeness.Complete
+	case verdict == completeness.Incomplete:
+		cause = errIncompleteBody
+	case verdict == completeness.Unknown:
+		if err := s.client.Probe(ctx, s.settings.Upstream.Address); err != nil {
+			cause = errors.New(err.Error()) // a *DialError would prove that nothing was sent
+		}
+	}
+	s.metrics.closeDelimited.Inc()
+	_ = level.Info(s.logger).Log("msg", "response ends with its connection", "attempt", j.Attempt, "status", p.status,
+		"body_bytes", len(p.body), "end", verdict, "relayed", cause == nil, "err", cause)
+	if cause != nil {
+		return &attempt.TruncatedError{Attempt: j.Attempt, Cause: cause}
+	}
+	return nil
 }
 
+// errIncompleteBody is the cause of a TruncatedError if a body that ends with its connection is not a whole one.
+var errIncompleteBody = errors.New("body without a length is not complete")
+
 // ResponseSizeError reports that a response is too large to be forwarded.
 type ResponseSizeError struct{ Limit int }
 
--- /dev/null
+++ b/internal/node/slot/plain_test.go
@@ -0,0 +1,79 @@
+package slot
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/attempt"
+)
+
+// serveOnce answers one request with text and closes the connection, and the listener if crash is set.
+func serveOnce(t *testing.T, text string, crash bool) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		if crash {
+			_ = l.Close()
+		}
+		_, _ = io.WriteString(c, text)
+		_ = c.Close()
+	}()
+	return l.Addr().String()
+}
+
+// Guards against a plain service's response without a length that was cut off, or holds a second response, and that the slot
+// passes on or stores as complete.
+func TestResponseWithoutLengthIsNotTakenForComplete(t *testing.T) {
+	const (
+		head     = "HTTP/1.1 200 OK\r\n"
+		jsonType = "Content-Type: application/json\r\n\r\n"
+	)
+	tests := map[string]struct {
+		text      string
+		crash     bool
+		truncated bool
+		unproven  bool
+	}{
+		"with its length":    {head + "Content-Length: 4\r\n\r\nbody", false, false, false},
+		"whole document":     {head + jsonType + `{"a":1}`, false, false, false},
+		"document cut off":   {head + jsonType + `{"a":`, false, true, false},
+		"empty":              {head + "\r\n", false, true, false},
+		"text":               {head + "\r\nbody", false, false, true},
+		"text, then a crash": {head + "\r\nbody", true, true, false},
+		"twice":              {head + "\r\nbody" + head + "\r\nbody", false, true, false},
+		"failure":            {"HTTP/1.1 500 Internal Server Error\r\n\r\n", false, false, true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := &Slot{settings: &Settings{}, client: httpclient.New(httpclient.Options{}), work: newWork(), metrics: newSlotMetrics(), logger: log.NewNopLogger()}
+			s.settings.Upstream.Address = serveOnce(t, tc.text, tc.crash)
+			j := &incomingAttempt{Header: attempt.Header{Service: "bridge", Method: "POST", Target: "/", Remaining: time.Minute}}
+			res, err := s.callPlain(t.Context(), j)
+			switch {
+			case tc.truncated:
+				if !isBrokenConnection(err) || failure.CodeOf(err) != failure.CodeUpstreamFailed {
+					t.Fatalf("got %+v, %v", res, err)
+				}
+			case err != nil || res.endUnproven != tc.unproven:
+				t.Fatalf("got %+v, %v; want endUnproven %t", res, err, tc.unproven)
+			}
+		})
+	}
+}
--- a/internal/policy/attempt/header.go
+++ b/internal/policy/attempt/header.go
@@ -32,6 +32,8 @@
 	HeaderMethod      = "Cardamomyoke-Method"
 	HeaderTarget      = "Cardamomyoke-Target"
 	HeaderTrace       = "Traceparent"
+	// HeaderEndUnproven is set in a slot's response if only the close of the upstream's connection tells that it is complete.
+	HeaderEndUnproven = "Cardamomyoke-End-Unproven"
 )
 
 // Header holds the metadata of an attempt that an entry sends to a slot.
--- a/internal/state/claims/ledger.go
+++ b/internal/state/claims/ledger.go
@@ -213,16 +213,22 @@
 		return l.flush(now)
 	}
 	c.row.State = cardamomyokev1.ClaimState_CLAIM_STATE_DONE
-	c.row.Outcome = &cardamomyokev1.ClaimOutcome{
+	c.row.Outcome = storedOutcome(o, l.opts.MaxOutcomeBytes)
+	l.fire(now, c, evFinished)
+	return l.flush(now)
+}
+
+// storedOutcome returns the outcome as it is stored, without a body over maxBytes.
+func storedOutcome(o Outcome, maxBytes int) *cardamomyokev1.ClaimOutcome {
+	if len(o.Body) > maxBytes {
+		return &cardamomyokev1.ClaimOutcome{Status: uint32(o.Status), TooLarge: true}
+	}
+	return &cardamomyokev1.ClaimOutcome{
 		Status:      uint32(o.Status),
 		ContentType: strings.ToValidUTF8(o.ContentType, replacementCharacter),
 		Body:        o.Body,
+		EndUnproven: o.EndUnproven,
 	}
-	if len(o.Body) > l.opts.MaxOutcomeBytes {
-		c.row.Outcome = &cardamomyokev1.ClaimOutcome{Status: uint32(o.Status), TooLarge: true}
-	}
-	l.fire(now, c, evFinished)
-	return l.flush(now)
 }
 
 // Lost records that a started attempt may have run but has no response, for example because the upstream crashed.
--- a/internal/state/claims/ledger_test.go
+++ b/internal/state/claims/ledger_test.go
@@ -410,3 +410,13 @@
 	h.runUntilIdle()
 	h.wantVerdicts(map[uint64][]string{1: {"start"}})
 }
+
+// Guards against a repeated caller that is told a length of a response whose end nothing proved.
+func TestStoredOutcomeKeepsUnprovenEnd(t *testing.T) {
+	for _, unproven := range []bool{false, true} {
+		stored := storedOutcome(Outcome{Status: 200, Body: []byte("slip"), EndUnproven: unproven}, 1<<10)
+		if v := replay(stored); v.Outcome.EndUnproven != unproven {
+			t.Errorf("stored %t, replayed %t", unproven, v.Outcome.EndUnproven)
+		}
+	}
+}
--- a/internal/state/claims/request.go
+++ b/internal/state/claims/request.go
@@ -30,6 +30,8 @@
 	Status      int
 	ContentType string
 	Body        []byte
+	// EndUnproven is set if only the close of the upstream's connection tells that the body is complete.
+	EndUnproven bool
 }
 
 // Verdict is the decision on an attempt. Exactly one of its three fields is set.
--- a/internal/state/claims/row.go
+++ b/internal/state/claims/row.go
@@ -50,8 +50,8 @@
 func encode(m proto.Message) []byte {
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
 	if err != nil {
-		// Marshal fails only for strings that are not valid UTF-8. Submit refuses requests with such strings, but the
-		// Content-Type of an outcome is not checked.
+		// Marshal fails only for strings that are not valid UTF-8. Submit refuses requests with such strings, and
+		// storedOutcome replaces such bytes of a Content-Type.
 		panic(err)
 	}
 	return data
@@ -96,5 +96,6 @@
 		Status:      int(o.GetStatus()),
 		ContentType: o.GetContentType(),
 		Body:        o.GetBody(),
+		EndUnproven: o.GetEndUnproven(),
 	}}
 }
