Header fields that an upstream's Connection names stay on that connection

Callers saw X-Hop of 'Connection: close, X-Hop'. Cause: only a fixed list was left out of responses, and of several Connection fields of a request only the first was read (RFC 9110, 7.6.1). Both ways now use one function.

--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -47,10 +48,7 @@
 	in := n.x.Req
 	in.Header.CopyTo(&req.Header)
 	h := &req.Header
-	for _, name := range strings.Split(string(in.Header.Peek("Connection")), ",") {
-		h.Del(strings.TrimSpace(name))
-	}
-	for _, name := range hopByHopHeaders {
+	for _, name := range append(connectionFields(in.Header.PeekAll("Connection")), hopByHopHeaders...) {
 		h.Del(name)
 	}
 	h.ResetConnectionClose()
@@ -72,25 +70,28 @@
 
 // responseHeaders returns the header fields of an upstream's response that are relayed to the caller.
 func responseHeaders(h *fasthttp.ResponseHeader) []httpserver.Header {
+	omitted := append(connectionFields(h.PeekAll("Connection")), hopByHopHeaders...)
+	omitted = append(omitted, "Content-Length")
 	var out []httpserver.Header
 	for key, value := range h.All() {
-		if !isOmittedHeader(key) {
-			out = append(out, httpserver.Header{Name: string(key), Value: string(value)})
+		name := string(key)
+		isName := func(o string) bool { return strings.EqualFold(o, name) }
+		if !slices.ContainsFunc(omitted, isName) {
+			out = append(out, httpserver.Header{Name: name, Value: string(value)})
 		}
 	}
 	return out
 }
 
-func isOmittedHeader(key []byte) bool {
-	if bytes.EqualFold(key, []byte("Content-Length")) {
-		return true
-	}
-	for _, name := range hopByHopHeaders {
-		if bytes.EqualFold(key, []byte(name)) {
-			return true
+// connectionFields returns the names of the header fields that the values of Connection name.
+func connectionFields(values [][]byte) []string {
+	var names []string
+	for _, value := range values {
+		for name := range strings.SplitSeq(string(value), ",") {
+			names = append(names, strings.TrimSpace(name))
 		}
 	}
-	return false
+	return names
 }
 
 func isStream(res *httpclient.Response) bool {
