A stream that leaves out an event does not reach its end

Callers saw: a chunked stream with events 1 to 3 and 5 to 8 ended as complete, on a resumable route too. Cause: ids were used only to leave out what the caller already has. Ids only have to increase, so a step by more than one is an error only in a stream whose ids were consecutive, unless a second upstream makes the same step or such steps are usual for the service (an eighth of its latest 64 streams). A resumable stream is resumed after the last event before the gap; another one is broken off. Not found: a first event that is missing, and one within the first three.

The functions on events have a file of their own; eventsAfter no longer returns an error that is always nil.

--- a/internal/node/gateway/services.go
+++ b/internal/node/gateway/services.go
@@ -23,7 +23,7 @@
 		s := g.control.services[name]
 		if s == nil {
 			rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-			s = &service{gate: dispatch.NewGate(dispatch.NewPool(dispatch.Options{}, rng)), budget: retry.NewWindow(), habit: &completeness.Habit{}}
+			s = &service{gate: dispatch.NewGate(dispatch.NewPool(dispatch.Options{}, rng)), budget: retry.NewWindow(), habit: &completeness.Habit{}, gaps: &completeness.Habit{}}
 			g.watchGroup(s, c)
 			g.metrics.addServiceGauges(g, name)
 		}
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -1,11 +1,9 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
-	"strconv"
 	"time"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
@@ -22,6 +20,7 @@
 	longestGap time.Duration
 	// untilClose is set if the caller's response ends with its connection, as that of the upstream.
 	untilClose bool
+	ids        idSequence
 }
 
 // recordEvents records a write of events; gap is the time since the previous one.
@@ -55,6 +54,8 @@
 	}
 	err := n.copyEvents(ctx, t, res)
 	res.Release(err == nil)
+	var missing *MissingEventError
+	n.service.gaps.Record(errors.As(err, &missing))
 	if err != nil {
 		return err
 	}
@@ -119,12 +120,9 @@
 
 // writeEvents writes complete events to the caller, preceded by the response header if they are the first.
 func (n *run) writeEvents(ctx context.Context, t *dispatch.Ticket, res *httpclient.Response, events []byte) error {
-	events, last, err := eventsAfter(events, n.stream.lastEvent)
-	if err != nil {
-		return err
-	}
+	events, err := n.nextEvents(events)
 	if len(events) == 0 {
-		return nil
+		return err
 	}
 	n.service.gate.Responded(t)
 	n.recordFirstPiece()
@@ -138,61 +136,20 @@
 	}
 	n.stream.recordEvents(time.Since(n.lastEventAt))
 	n.lastEventAt = time.Now()
-	n.stream.lastEvent = last
-	return nil
-}
-
-var eventEnd = []byte("\n\n")
-
-// completeEvents returns the number of bytes of b up to the end of its last complete event.
-func completeEvents(b []byte) int {
-	i := bytes.LastIndex(b, eventEnd)
-	if i < 0 {
-		return 0
-	}
-	return i + len(eventEnd)
-}
-
-// eventsAfter drops the leading events up to the one with id last, which the caller already has, and returns the others
-// with the id of their last event. Ids are increasing numbers; events without a numeric id are kept. The error
-// is always nil.
-func eventsAfter(events []byte, last string) ([]byte, string, error) {
-	lastNumber, err := strconv.ParseInt(last, 10, 64)
-	if err != nil {
-		lastNumber = -1
-	}
-	rest := events
-	for len(rest) > 0 {
-		end := bytes.Index(rest, eventEnd) + len(eventEnd)
-		id, ok := eventID(rest[:end])
-		if !ok || id > lastNumber {
-			break
-		}
-		rest = rest[end:]
-	}
-	return rest, lastEventID(rest, last), nil
+	n.stream.lastEvent = lastEventID(events, n.stream.lastEvent)
+	return err
 }
 
-func lastEventID(events []byte, last string) string {
-	for len(events) > 0 {
-		end := bytes.Index(events, eventEnd) + len(eventEnd)
-		if id, ok := eventID(events[:end]); ok {
-			last = strconv.FormatInt(id, 10)
-		}
-		events = events[end:]
+// nextEvents returns the events that the caller does not have yet, up to a missing one. It returns *MissingEventError if one is
+// missing.
+func (n *run) nextEvents(events []byte) ([]byte, error) {
+	events = eventsAfter(events, n.stream.lastEvent)
+	if n.service.gaps.Usual() {
+		return events, nil
 	}
-	return last
-}
-
-var idField = []byte("id:")
-
-// eventID returns the number in the event's id field.
-func eventID(event []byte) (int64, bool) {
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		if value, ok := bytes.CutPrefix(line, idField); ok {
-			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-			return id, err == nil
-		}
+	size, missing := n.stream.ids.check(events, n.stream.lastEvent)
+	if missing == nil {
+		return events, nil
 	}
-	return 0, false
+	return events[:size], missing
 }
--- a/internal/node/gateway/view.go
+++ b/internal/node/gateway/view.go
@@ -32,6 +32,8 @@
 	budget *retry.Window
 	// habit records how the service's upstreams end their responses.
 	habit *completeness.Habit
+	// gaps records which of the service's streams have ids that are not consecutive.
+	gaps *completeness.Habit
 	// group is nil unless the upstreams are ranks of a group.
 	group *groupWatch
 }
