A status that HTTP does not have does not reach callers

Callers saw a status line that Go's client calls malformed ('99', from an upstream's 099). The gateway and the slot now take any status outside 200 to 599 for a failure of the upstream. The tests failed before, pass now.

--- a/internal/node/gateway/plain.go
+++ b/internal/node/gateway/plain.go
@@ -43,7 +43,7 @@
 		res.Release(false)
 		return &httpclient.BrokenError{Address: t.Upstream().Address, Stage: "read body from", Cause: err}
 	}
-	if reason := unusable(res.Status, info); reason != "" {
+	if reason := n.unusable(res, info); reason != "" {
 		res.Release(false)
 		return &ResponseError{t.Upstream().ID, res.Status, reason}
 	}
@@ -68,12 +68,13 @@
 
 // unusable returns why a response must not reach the caller, or "". A success without a signature may come from another
 // process. A status that means "not run" is valid only with the upstream's promise, and responses with a promise have
-// already been handled by attempt.
-func unusable(status int, info ResponseInfo) string {
+// already been handled by attempt. Callers cannot parse a status of fewer than three digits.
+func (n *run) unusable(res *httpclient.Response, info ResponseInfo) string {
+	status := res.Status
 	switch {
 	case status/100 == 2 && !info.Signed:
 		return "success without a signature"
-	case status/100 == 1 || status/100 == 3:
+	case status/100 != 2 && status/100 != 4 && status/100 != 5:
 		return "status is neither a success nor a failure"
 	case status == fasthttp.StatusTooManyRequests, status == fasthttp.StatusServiceUnavailable,
 		status == fasthttp.StatusRequestTimeout:
--- a/internal/node/slot/plain.go
+++ b/internal/node/slot/plain.go
@@ -97,6 +97,9 @@
 	if id := string(res.Header.Peek(engineHeaderID)); id != "" && id != j.Attempt.String() {
 		return nil, &attempt.MismatchError{Attempt: j.Attempt, Want: "its own id", Got: id}
 	}
+	if res.Status < fasthttp.StatusOK || res.Status > maxStatus {
+		return nil, &StatusError{res.Status}
+	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
 	if err != nil {
 		return nil, &attempt.TruncatedError{Attempt: j.Attempt, Cause: err}
@@ -136,6 +139,9 @@
 // errIncompleteBody is the cause of a TruncatedError if a body that ends with its connection is not a whole one.
 var errIncompleteBody = errors.New("body without a length is not complete")
 
+// maxStatus is the largest status of HTTP. Callers cannot parse one of fewer than three digits.
+const maxStatus = 599
+
 // ResponseSizeError reports that a response is too large to be forwarded.
 type ResponseSizeError struct{ Limit int }
 
--- a/internal/node/slot/plain_test.go
+++ b/internal/node/slot/plain_test.go
@@ -38,6 +38,17 @@
 	return l.Addr().String()
 }
 
+// testSlot returns a slot that only calls its upstream.
+func testSlot(upstream string) *Slot {
+	s := &Slot{settings: &Settings{}, client: httpclient.New(httpclient.Options{}), work: newWork(), metrics: newSlotMetrics(), logger: log.NewNopLogger()}
+	s.settings.Upstream.Address = upstream
+	return s
+}
+
+func testAttempt() *incomingAttempt {
+	return &incomingAttempt{Header: attempt.Header{Service: "bridge", Method: "POST", Target: "/", Remaining: time.Minute}}
+}
+
 // Guards against a plain service's response without a length that was cut off, or holds a second response, and that the slot
 // passes on or stores as complete.
 func TestResponseWithoutLengthIsNotTakenForComplete(t *testing.T) {
@@ -62,10 +73,8 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			s := &Slot{settings: &Settings{}, client: httpclient.New(httpclient.Options{}), work: newWork(), metrics: newSlotMetrics(), logger: log.NewNopLogger()}
-			s.settings.Upstream.Address = serveOnce(t, tc.text, tc.crash)
-			j := &incomingAttempt{Header: attempt.Header{Service: "bridge", Method: "POST", Target: "/", Remaining: time.Minute}}
-			res, err := s.callPlain(t.Context(), j)
+			s := testSlot(serveOnce(t, tc.text, tc.crash))
+			res, err := s.callPlain(t.Context(), testAttempt())
 			switch {
 			case tc.truncated:
 				if !isBrokenConnection(err) || failure.CodeOf(err) != failure.CodeUpstreamFailed {
@@ -77,3 +86,19 @@
 		})
 	}
 }
+
+// Guards against a status line that callers cannot parse, and a body whose encoding the caller is not told.
+func TestInvalidResponseIsNotForwarded(t *testing.T) {
+	tests := map[string]string{
+		"status 099": "HTTP/1.1 099 Odd\r\nContent-Length: 4\r\n\r\nbody",
+		"status 600": "HTTP/1.1 600 Odd\r\nContent-Length: 4\r\n\r\nbody",
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := testSlot(serveOnce(t, text, false))
+			if res, err := s.callPlain(t.Context(), testAttempt()); failure.CodeOf(err) != failure.CodeUpstreamFailed {
+				t.Fatalf("got %+v, %v", res, err)
+			}
+		})
+	}
+}
