A body in an encoding that nobody asked for does not reach callers

Callers saw a 200 with gzip's bytes; behind a slot even without its Content-Encoding, which is not passed on. Such a body is not the upstream's answer. A gateway lets one through only if the caller named an encoding in Accept-Encoding. The tests failed before, pass now.

--- a/internal/node/gateway/plain.go
+++ b/internal/node/gateway/plain.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"io"
 
@@ -74,6 +75,8 @@
 	switch {
 	case status/100 == 2 && !info.Signed:
 		return "success without a signature"
+	case status/100 == 2 && n.isEncoded(res):
+		return "success in an encoding that the caller did not ask for"
 	case status/100 != 2 && status/100 != 4 && status/100 != 5:
 		return "status is neither a success nor a failure"
 	case status == fasthttp.StatusTooManyRequests, status == fasthttp.StatusServiceUnavailable,
@@ -83,6 +86,16 @@
 	return ""
 }
 
+// isEncoded reports whether a body has an encoding that the caller did not ask for, and so is not the upstream's answer to it.
+func (n *run) isEncoded(res *httpclient.Response) bool {
+	return !isIdentity(res.Header.Peek("Content-Encoding")) && isIdentity(n.x.Req.Header.Peek("Accept-Encoding"))
+}
+
+// isIdentity reports whether the value of an encoding field stands for an unencoded body.
+func isIdentity(value []byte) bool {
+	return len(value) == 0 || bytes.EqualFold(value, []byte("identity"))
+}
+
 // relayRest relays a response that is too long to be buffered.
 func (n *run) relayRest(ctx context.Context, t *dispatch.Ticket, res *httpclient.Response, p *plainResponse) error {
 	err := n.startRest(ctx, p)
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -48,9 +48,9 @@
 // An upstream may fail within an event, and the stream then resumes on another one. Only complete events are relayed,
 // and none that the caller already has, so that no event consists of two halves.
 func (n *run) relayStream(ctx context.Context, t *dispatch.Ticket, res *httpclient.Response, info ResponseInfo) error {
-	if !info.Signed {
+	if reason := n.unusable(res, info); reason != "" {
 		res.Release(false)
-		return &ResponseError{t.Upstream().ID, res.Status, "stream without a signature"}
+		return &ResponseError{t.Upstream().ID, res.Status, reason}
 	}
 	err := n.copyEvents(ctx, t, res)
 	res.Release(err == nil)
--- a/internal/node/slot/plain.go
+++ b/internal/node/slot/plain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -100,6 +101,9 @@
 	if res.Status < fasthttp.StatusOK || res.Status > maxStatus {
 		return nil, &StatusError{res.Status}
 	}
+	if encoding := string(res.Header.Peek("Content-Encoding")); encoding != "" && !strings.EqualFold(encoding, "identity") {
+		return nil, &EncodingError{encoding}
+	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
 	if err != nil {
 		return nil, &attempt.TruncatedError{Attempt: j.Attempt, Cause: err}
@@ -142,6 +146,12 @@
 // maxStatus is the largest status of HTTP. Callers cannot parse one of fewer than three digits.
 const maxStatus = 599
 
+// EncodingError reports that a body has an encoding that the slot did not ask for.
+type EncodingError struct{ Encoding string }
+
+// Error implements error.
+func (e *EncodingError) Error() string { return fmt.Sprintf("response is encoded as %q", e.Encoding) }
+
 // ResponseSizeError reports that a response is too large to be forwarded.
 type ResponseSizeError struct{ Limit int }
 
--- a/internal/node/slot/plain_test.go
+++ b/internal/node/slot/plain_test.go
@@ -92,6 +92,7 @@
 	tests := map[string]string{
 		"status 099": "HTTP/1.1 099 Odd\r\nContent-Length: 4\r\n\r\nbody",
 		"status 600": "HTTP/1.1 600 Odd\r\nContent-Length: 4\r\n\r\nbody",
+		"encoded":    "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody",
 	}
 	for name, text := range tests {
 		t.Run(name, func(t *testing.T) {
