A lease that is no longer wanted is released although a write of it was in flight

Cause: SetWanted(false) released only a duty that was held. An acquisition in flight then succeeded, and the row named a node that did not carry out the duty until the lease had expired; the contender even reported it as held. A renewal in flight made the release fail on its condition, with the same end. Now an acquisition that succeeds unwanted is released, and a release that meets a changed row reads it and is repeated while the row names this incarnation.

--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -195,6 +195,11 @@
 	if !wasHeld {
 		return nil
 	}
+	return h.release(now)
+}
+
+// release writes that nobody holds the duty.
+func (h *Contender) release(now time.Time) []Effect {
 	return h.write(now, &Write{Lease: &cardamomyokev1.Lease{LengthMs: h.length.Milliseconds()}, Version: h.row.Version, Fence: h.row.Fence})
 }
 
@@ -307,6 +312,9 @@
 		h.unchangedSince = now
 	}
 	h.recordRow(now, row)
+	if !h.wanted {
+		return h.releaseOwn(now)
+	}
 	switch h.machine.State() {
 	case stateAcquiring:
 		// A takeover whose response was lost counts as refused, even if the row names this incarnation, because it is not
@@ -323,6 +331,15 @@
 	return nil
 }
 
+// releaseOwn releases the duty if the rows name this incarnation although it does not want the duty: a write that was in flight
+// took effect after it had stopped to want it.
+func (h *Contender) releaseOwn(now time.Time) []Effect {
+	if !h.isOwn(h.row.Lease) {
+		return nil
+	}
+	return h.release(now)
+}
+
 // verifyHolder drops the held duty unless the rows name this incarnation with the held fencing token.
 func (h *Contender) verifyHolder() {
 	if h.isOwn(h.row.Lease) && h.row.Fence == uint64(h.held.Fence) {
@@ -349,10 +366,14 @@
 	}
 	started := h.callStartedAt
 	h.callStartedAt = time.Time{}
-	if h.releasing {
-		return nil
-	}
 	switch {
+	case h.releasing && w.Conflict && !h.wanted:
+		return h.read(now)
+	case h.releasing:
+		return nil
+	case w.OK && !h.wanted:
+		h.recordRow(now, Row{h.ownLease(), w.Version, w.Fence})
+		return h.release(now)
 	case w.OK:
 		h.recordRow(now, Row{h.ownLease(), w.Version, w.Fence})
 		h.unchangedSince = now
