A service that is removed while a request is checked no longer ends the entry

Cause: admitAndRun read the view a second time; without a pool for the service it dereferenced nil and the process ended with all its requests. It now works from the view that the request was checked against, and refuses as not run if there is no pool.

--- a/internal/node/entry/handler.go
+++ b/internal/node/entry/handler.go
@@ -75,7 +75,7 @@
 	r.trace = span.Header()
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
-	err = e.admitAndRun(ctx, x, r)
+	err = e.admitAndRun(ctx, v, x, r)
 	span.End(err)
 	e.metrics.countResponse(r.service.GetName(), err)
 	if err != nil && !x.Responded() {
@@ -95,12 +95,15 @@
 }
 
 // admitAndRun waits until the request is admitted, then runs it.
-func (e *Entry) admitAndRun(ctx context.Context, x *httpserver.Exchange, r *request) error {
+func (e *Entry) admitAndRun(ctx context.Context, v *view, x *httpserver.Exchange, r *request) error {
+	p := v.pools[ids.Service(r.service.GetName())]
+	if p == nil {
+		return failure.New(failure.CodeNoUpstream, nil).WithRetryAfter(retryAfter)
+	}
 	tokens := float64(r.promptTokens + r.outputTokens)
 	if err := e.limits.Consume(r.client, tokens, time.Now()); err != nil {
 		return err
 	}
-	p := e.view.Load().pools[ids.Service(r.service.GetName())]
 	ticket := p.gate.Submit(admission.Request{
 		ID:       e.sequence.Add(1),
 		Client:   r.client,
