--- a/internal/node/entry/admit_test.go
+++ b/internal/node/entry/admit_test.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/admission"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/admission/limits"
 )
 
@@ -26,3 +28,18 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+// Guards against a client account that is charged for a request that was cancelled before it started.
+func TestRequestCancelledInQueueIsNotCharged(t *testing.T) {
+	e, r := admittingEntry()
+	r.service = testSnapshot(t).Service("slips")
+	full := admission.NewGate(admission.NewQueue(admission.Options{Classes: []admission.Class{{Name: "first", QueueLimit: 10}}}, admission.Capacity{TokensPerSecond: 1e9}))
+	v := &view{pools: map[ids.Service]*pool{"slips": {gate: full}}}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 5 {
+		if err := e.admitAndRun(ctx, v, nil, r); failure.CodeOf(err) != failure.CodeDeadlineUnmet {
+			t.Fatalf("got %v", err)
+		}
+	}
+}
--- a/internal/node/entry/handler.go
+++ b/internal/node/entry/handler.go
@@ -116,6 +116,7 @@
 	select {
 	case <-ticket.Decided():
 	case <-ctx.Done():
+		e.limits.Adjust(r.client, -tokens)
 		return failure.New(failure.CodeDeadlineUnmet, ctx.Err())
 	}
 	if err := ticket.Err(); err != nil {
