--- a/internal/node/slot/model.go
+++ b/internal/node/slot/model.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -65,8 +67,8 @@
 	}
 	reusable := false
 	defer func() { res.Release(reusable) }()
-	if code := res.Header.StatusCode(); code != fasthttp.StatusOK {
-		return engineStatus(code)
+	if res.Status != fasthttp.StatusOK {
+		return engineStatus(res.Header)
 	}
 	relay := &modelRelay{x: x, incoming: j, id: j.Attempt.String(), flight: flight, speed: &s.speed, progress: &s.progress, lastTokenAt: sent, stallTimeout: s.settings.Upstream.StopAfter.Or(defaultStallTimeout)}
 	relay.stallTimer = relay.newStallTimer(cancel)
@@ -108,11 +110,12 @@
 }
 
 // engineStatus returns the failure for an engine's response with a status other than 200. With a 4xx status the engine
-// rejects the request as invalid without running it; 429 and 503 mean that it is overloaded.
-func engineStatus(code int) error {
+// rejects the request as invalid without running it; 429 and 503 mean that it is overloaded, for as long as it says.
+func engineStatus(h *fasthttp.ResponseHeader) error {
+	code := h.StatusCode()
 	cause := &StatusError{code}
 	if code == fasthttp.StatusServiceUnavailable || code == fasthttp.StatusTooManyRequests {
-		return refuse(failure.CodeOverloaded, cause)
+		return refuse(failure.CodeOverloaded, cause).WithRetryAfter(retryAfterOf(h))
 	}
 	if code >= 400 && code < 500 {
 		return refuse(failure.CodeMalformed, cause)
@@ -120,6 +123,18 @@
 	return failure.New(failure.CodeUpstreamFailed, cause)
 }
 
+// maxRetryAfter is the longest time that an engine's Retry-After stands for; one that asks for more is replaced sooner.
+const maxRetryAfter = time.Hour
+
+// retryAfterOf returns the time in the Retry-After field, in seconds on the wire; 0 if there is none that can be read.
+func retryAfterOf(h *fasthttp.ResponseHeader) time.Duration {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(string(h.Peek("Retry-After"))), 64)
+	if err != nil || math.IsNaN(seconds) || seconds < 0 {
+		return 0
+	}
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+}
+
 // StatusError reports that an upstream responded with an unsuccessful status.
 type StatusError struct{ Status int }
 
