Any response of an agent ends its backoff

Cause: only a report did. After one lost call a rank was reached directly, which pauses its group for reads, although its agent had answered an order, a read of counts or with an error of its rank meanwhile. All calls now record their result in one way.

--- a/internal/node/agent/client.go
+++ b/internal/node/agent/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -102,26 +101,19 @@
 	return a, host, true
 }
 
-// recordFailure starts the agent's backoff unless err is a response of the agent itself, for example because its rank
-// is unavailable.
-func (c *Client) recordFailure(host string, err error) {
-	var connectErr *connect.Error
-	if errors.As(err, &connectErr) && connect.IsWireError(err) {
-		return
-	}
+// recordResult starts the agent's backoff if it could not be reached, and ends it after any response of the agent itself, also
+// after an error, for example because its rank is unavailable.
+func (c *Client) recordResult(host string, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if err == nil || connect.IsWireError(err) {
+		delete(c.backoffs, host)
+		return
+	}
 	c.backoffs[host] = c.backoffs[host].next(time.Now())
 	delete(c.agents, host)
 }
 
-// recordSuccess ends the agent's backoff.
-func (c *Client) recordSuccess(host string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.backoffs, host)
-}
-
 // Report implements lockstep.RankClient.
 func (c *Client) Report(ctx context.Context, u *catalog.Upstream) (lockstep.Report, error) {
 	a, host, ok := c.agent(u)
@@ -131,11 +123,10 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	res, err := a.RankReport(ctx, &cardamomyokev1.RankReportRequest{})
+	c.recordResult(host, err)
 	if err != nil {
-		c.recordFailure(host, err)
 		return lockstep.Report{}, err
 	}
-	c.recordSuccess(host)
 	r := decodeReport(res)
 	r.Fresh = true
 	return r, nil
@@ -150,8 +141,8 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	res, err := a.RankCounts(ctx, &cardamomyokev1.RankCountsRequest{Sets: uint32(sets)})
+	c.recordResult(host, err)
 	if err != nil {
-		c.recordFailure(host, err)
 		return lockstep.CountStart{}, nil, err
 	}
 	counts := make(lockstep.Counts, sets)
@@ -174,8 +165,8 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	res, err := a.RankHeld(ctx, &cardamomyokev1.RankHeldRequest{})
+	c.recordResult(host, err)
 	if err != nil {
-		c.recordFailure(host, err)
 		return lockstep.HeldExperts{}, err
 	}
 	return lockstep.HeldExperts{Epoch: res.GetEpoch(), Version: res.GetVersion(), Experts: decodeLists(res.GetSets())}, nil
@@ -200,8 +191,8 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout+o.Wait)
 	defer cancel()
 	res, err := c.sendOrder(ctx, a, host, o)
+	c.recordResult(host, err)
 	if err != nil {
-		c.recordFailure(host, err)
 		return lockstep.ReplyLost, err
 	}
 	if res.GetReason() != "" {
