--- a/internal/base/tracing/tracing.go
+++ b/internal/base/tracing/tracing.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
@@ -107,7 +108,7 @@
 	if parent != "" && !trace.SpanContextFromContext(ctx).IsValid() {
 		ctx = t.prop.Extract(ctx, propagation.MapCarrier{HeaderName: parent})
 	}
-	ctx, span := t.tracer.Start(ctx, name, trace.WithAttributes(attrs...))
+	ctx, span := t.tracer.Start(ctx, name, trace.WithAttributes(valid(attrs)...))
 	return ctx, Span{span, parent}
 }
 
@@ -121,12 +122,35 @@
 }
 
 // SetAttributes sets attributes of the span.
-func (s Span) SetAttributes(attrs ...attribute.KeyValue) { s.span.SetAttributes(attrs...) }
+func (s Span) SetAttributes(attrs ...attribute.KeyValue) { s.span.SetAttributes(valid(attrs)...) }
 
 // End ends the span and records err on it if err is not nil.
 func (s Span) End(err error) {
 	if err != nil {
-		s.span.RecordError(err)
+		s.span.RecordError(validError{err})
 	}
 	s.span.End()
 }
+
+// replacementCharacter stands for bytes that are not UTF-8.
+const replacementCharacter = "\uFFFD"
+
+// valid replaces the bytes of text attributes that are not UTF-8. Callers and upstreams choose such text, and the encoder of a
+// batch of spans fails for the whole batch.
+func valid(attrs []attribute.KeyValue) []attribute.KeyValue {
+	for i, a := range attrs {
+		if a.Value.Type() == attribute.STRING {
+			attrs[i].Value = attribute.StringValue(strings.ToValidUTF8(a.Value.AsString(), replacementCharacter))
+		}
+	}
+	return attrs
+}
+
+// validError is an error whose text is UTF-8.
+type validError struct{ cause error }
+
+// Error implements error.
+func (e validError) Error() string { return strings.ToValidUTF8(e.cause.Error(), replacementCharacter) }
+
+// Unwrap returns the cause.
+func (e validError) Unwrap() error { return e.cause }
--- a/internal/base/tracing/tracing_test.go
+++ b/internal/base/tracing/tracing_test.go
@@ -1,13 +1,20 @@
 package tracing_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
+	"go.opentelemetry.io/otel/attribute"
+
 	"github.com/cardamomyoke/cardamomyoke/internal/base/tracing"
 )
 
@@ -82,3 +89,38 @@
 		t.Fatalf("got %q", got)
 	}
 }
+
+// Guards against the loss of all spans of a batch because one has text of a caller that is not UTF-8, such as an attempt id.
+func TestSpanWithInvalidTextIsExported(t *testing.T) {
+	bodies := make(chan []byte, 1)
+	collector := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			t.Error(err)
+		}
+		bodies <- body
+	}))
+	defer collector.Close()
+	tracer, err := tracing.New(t.Context(), "p", tracing.Options{OTLP: collector.URL})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, sound := tracer.Start(t.Context(), "sound", "")
+	sound.End(nil)
+	_, span := tracer.Start(t.Context(), "invalid", "", attribute.String("attempt", "a\xff"))
+	span.SetAttributes(attribute.String("service", "s\xfe"))
+	span.End(errors.New("response to \xfd"))
+	if err := tracer.Close(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case body := <-bodies:
+		for _, name := range []string{"sound", "invalid", "a\uFFFD"} {
+			if !bytes.Contains(body, []byte(name)) {
+				t.Errorf("no %q in the export", name)
+			}
+		}
+	default:
+		t.Error("nothing was exported")
+	}
+}
