--- a/internal/base/tracing/tracing.go
+++ b/internal/base/tracing/tracing.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"strings"
@@ -40,7 +41,7 @@
 
 // New returns the tracer for the named process.
 func New(ctx context.Context, process string, o Options) (*Tracer, error) {
-	exporters, err := newExporters(ctx, o)
+	exporters, file, err := newExporters(ctx, o)
 	if err != nil {
 		return nil, err
 	}
@@ -55,7 +56,14 @@
 		opts = append(opts, sdktrace.WithBatcher(e))
 	}
 	provider := sdktrace.NewTracerProvider(opts...)
-	return &Tracer{tracer: provider.Tracer(process), close: provider.Shutdown}, nil
+	shutdown := func(ctx context.Context) error {
+		err := provider.Shutdown(ctx)
+		if file != nil {
+			err = errors.Join(err, file.Close())
+		}
+		return err
+	}
+	return &Tracer{tracer: provider.Tracer(process), close: shutdown}, nil
 }
 
 // Disabled returns a tracer that records no spans and forwards an incoming trace context unchanged.
@@ -70,27 +78,27 @@
 	return *o.Ratio
 }
 
-func newExporters(ctx context.Context, o Options) ([]sdktrace.SpanExporter, error) {
-	var exporters []sdktrace.SpanExporter
+// newExporters returns the exporters of the options and the file that one of them writes to; nil if there is none.
+func newExporters(ctx context.Context, o Options) (exporters []sdktrace.SpanExporter, file *os.File, err error) {
 	if o.OTLP != "" {
 		e, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(o.OTLP))
 		if err != nil {
-			return nil, fmt.Errorf("trace exporter: %w", err)
+			return nil, nil, fmt.Errorf("trace exporter: %w", err)
 		}
 		exporters = append(exporters, e)
 	}
 	if o.File != "" {
-		f, err := os.OpenFile(o.File, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+		file, err = os.OpenFile(o.File, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
 		if err != nil {
-			return nil, fmt.Errorf("trace file: %w", err)
+			return nil, nil, fmt.Errorf("trace file: %w", err)
 		}
-		e, err := stdouttrace.New(stdouttrace.WithWriter(f))
+		e, err := stdouttrace.New(stdouttrace.WithWriter(file))
 		if err != nil {
-			return nil, fmt.Errorf("trace exporter: %w", err)
+			return nil, nil, fmt.Errorf("trace exporter: %w", err)
 		}
 		exporters = append(exporters, e)
 	}
-	return exporters, nil
+	return exporters, file, nil
 }
 
 // Close exports the buffered spans and shuts the tracer down.
--- a/internal/base/tracing/tracing_test.go
+++ b/internal/base/tracing/tracing_test.go
@@ -124,3 +124,36 @@
 		t.Error("nothing was exported")
 	}
 }
+
+// Guards against a file that stays open after each tracer that was closed.
+func TestCloseClosesTheFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "spans")
+	tracer, err := tracing.New(t.Context(), "p", tracing.Options{File: path})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !isOpen(t, path) {
+		t.Fatal("the file is not open")
+	}
+	if err := tracer.Close(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if isOpen(t, path) {
+		t.Fatal("the file is still open")
+	}
+}
+
+// isOpen reports whether this process has the file open.
+func isOpen(t *testing.T, path string) bool {
+	t.Helper()
+	links, err := filepath.Glob("/proc/self/fd/*")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, link := range links {
+		if to, err := os.Readlink(link); err == nil && to == path {
+			return true
+		}
+	}
+	return false
+}
