The quarantine reads all rows of its table

Cause: one read of 1,000 rows was taken for all, so an entry that starts admitted requests whose refusal came later in key order, and rows of forgotten suspects beyond them were never removed. It now reads page by page. The test failed before (10 of 25), passes now.

--- a/internal/policy/quarantine/persistent.go
+++ b/internal/policy/quarantine/persistent.go
@@ -137,7 +137,7 @@
 func (p *PersistentTracker) read(ctx context.Context, now time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, p.opts.Timeout)
 	defer cancel()
-	rows, err := p.table.List(ctx, RowPrefix, "", p.opts.MaxRows)
+	rows, err := p.readRows(ctx)
 	if err != nil {
 		p.reportError(err)
 		return
@@ -153,6 +153,23 @@
 	p.remove(ctx, rows)
 }
 
+// readRows reads all rows, MaxRows at a time.
+func (p *PersistentTracker) readRows(ctx context.Context) ([]platform.Row, error) {
+	var rows []platform.Row
+	after := ""
+	for {
+		page, err := p.table.List(ctx, RowPrefix, after, p.opts.MaxRows)
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, page...)
+		if len(page) < p.opts.MaxRows {
+			return rows, nil
+		}
+		after = page[len(page)-1].Key
+	}
+}
+
 // remove deletes the rows of forgotten suspects. The version check prevents the deletion of a row that another node has
 // just written.
 func (p *PersistentTracker) remove(ctx context.Context, rows []platform.Row) {
--- a/internal/policy/quarantine/persistent_test.go
+++ b/internal/policy/quarantine/persistent_test.go
@@ -61,3 +61,30 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against an entry that admits a request which crashes upstreams, because its row comes after more rows than one read
+// returns.
+func TestRowsBeyondOneReadAreLoaded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const suspects, rowsPerRead = 25, 10
+		table := memtable.New(nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		options := DefaultPersistentTrackerOptions()
+		options.MaxRows = rowsPerRead
+		first := NewPersistentTracker(table, Rules{Period: quarantineLength}, options)
+		go first.Run(ctx)
+		for i := range suspects {
+			running := Running{Fingerprint: Fingerprint{byte(i)}, Client: "c"}
+			first.Merge(time.Now(), Crash{ID: CrashID(1 + i), At: time.Now(), Ran: []Running{running}, RanAlone: true}.Suspects()...)
+		}
+		time.Sleep(5 * time.Second)
+		late := NewPersistentTracker(table, Rules{Period: quarantineLength}, options)
+		go late.Run(ctx)
+		time.Sleep(5 * time.Second)
+		if got := len(late.List(time.Now())); got != suspects {
+			t.Errorf("%d of %d suspects were loaded", got, suspects)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
