The line about dropped log lines is in the log's format

Cause: Async wrote it as logfmt, also into JSON logs, and without a time. It now uses a logger of the same format.

--- a/cmd/cardamomyoke-agent/main.go
+++ b/cmd/cardamomyoke-agent/main.go
@@ -36,7 +36,7 @@
 func run(ctx context.Context, checked settings.Checker, _ program.Options) error {
 	set := checked.(*agent.Settings)
 	debug.SetGCPercent(gcPercent)
-	out := logging.NewAsync(os.Stdout, logLines)
+	out := logging.NewAsync(os.Stdout, logLines, set.Log.Format)
 	defer out.Close()
 	signal.Ignore(syscall.SIGHUP)
 	return agent.Run(ctx, set, engine.New(), log.With(logging.New(out, set.Log), "node", set.Name))
--- a/cmd/cardamomyoke-gateway/main.go
+++ b/cmd/cardamomyoke-gateway/main.go
@@ -46,7 +46,7 @@
 func run(ctx context.Context, checked settings.Checker, o program.Options) error {
 	set := checked.(*gateway.Settings)
 	debug.SetGCPercent(gcPercent)
-	out := logging.NewAsync(os.Stdout, logLines)
+	out := logging.NewAsync(os.Stdout, logLines, set.Log.Format)
 	defer out.Close()
 	logger := log.With(logging.New(out, set.Log), "node", set.Name)
 	// SIGHUP is registered before anything else is started: until then it would terminate the process.
--- a/internal/base/logging/async.go
+++ b/internal/base/logging/async.go
@@ -1,10 +1,12 @@
 package logging
 
 import (
-	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 )
 
 // Async writes lines from its own goroutine, so that Write never blocks.
@@ -12,17 +14,20 @@
 // Requests that log must not hang when the process that reads the log stops reading. If the queue is full, lines are
 // dropped and counted, and a line with their number is written before the next one.
 type Async struct {
-	out       io.Writer
-	lines     chan []byte
+	out   io.Writer
+	lines chan []byte
+	// own writes the lines of Async itself.
+	own       log.Logger
 	dropped   atomic.Uint64
 	total     atomic.Uint64
 	closeOnce sync.Once
 	done      chan struct{}
 }
 
-// NewAsync returns a writer that queues up to the given number of lines for out. Close writes the remaining lines.
-func NewAsync(out io.Writer, lines int) *Async {
-	a := &Async{out: out, lines: make(chan []byte, lines), done: make(chan struct{})}
+// NewAsync returns a writer that queues up to the given number of lines for out and writes its own lines in the format.
+// Close writes the remaining lines.
+func NewAsync(out io.Writer, lines int, f Format) *Async {
+	a := &Async{out: out, lines: make(chan []byte, lines), own: New(out, Options{Format: f}), done: make(chan struct{})}
 	go a.run()
 	return a
 }
@@ -52,7 +57,7 @@
 	for line := range a.lines {
 		if n := a.dropped.Swap(0); n > 0 {
 			// A failure to write the log cannot be reported anywhere.
-			_, _ = fmt.Fprintf(a.out, "level=warn msg=\"log lines dropped\" lines=%d\n", n)
+			_ = level.Warn(a.own).Log("msg", "log lines dropped", "lines", n)
 		}
 		_, _ = a.out.Write(line)
 	}
--- a/internal/base/logging/ratelimited_test.go
+++ b/internal/base/logging/ratelimited_test.go
@@ -47,7 +47,7 @@
 func TestBlockedOutputDoesNotBlockLogging(t *testing.T) {
 	const queue, lines = 8, 1000
 	out := blockedWriter{make(chan struct{})}
-	a := logging.NewAsync(out, queue)
+	a := logging.NewAsync(out, queue, logging.FormatLogfmt)
 	logger := logging.New(a, logging.Options{})
 	for range lines {
 		_ = logger.Log("msg", "placed")
