The audit says why a revision that is not accepted yet is in force

Cause: a node that knows of no recent read of the table puts a committed revision in force early, and its audit row gave the reason of an accepted one, "every live node holds it", which may be false. The test failed before, passes now.

--- a/internal/state/audit/writer/auditor.go
+++ b/internal/state/audit/writer/auditor.go
@@ -76,16 +76,25 @@
 	if rev == r.last {
 		return
 	}
+	reason := reasonAccepted
+	if v.Accepted < v.InForce.Seq {
+		reason = reasonNoTable
+	}
 	r.Writer.Record(now, &audit.Row{
 		Kind: audit.KindInForce, Subject: "configuration", Revision: rev,
 		Before: fmt.Sprintf("revision %d", r.last), After: fmt.Sprintf("revision %d", rev),
-		// Stored text. It describes acceptance, but a node that is aware of no table read within
-		// revision.Options.ForceAfter puts a held revision in force before it is accepted.
-		Reason: "every live node holds it",
+		Reason: reason,
 	})
 	r.last = rev
 }
 
+// Stored reasons why a revision was put in force: it was accepted, or the node was aware of no table read within
+// revision.Options.ForceAfter.
+const (
+	reasonAccepted = "every live node holds it"
+	reasonNoTable  = "it is committed, and no recent read of the table is known"
+)
+
 // LeaseAcquired records that this node acquired the lease of a duty. It is meant as the OnAcquired callback of a lease
 // manager.
 func (w *Writer) LeaseAcquired(now time.Time, h lease.HeldLease) {
--- a/internal/state/audit/writer/writer_test.go
+++ b/internal/state/audit/writer/writer_test.go
@@ -14,6 +14,7 @@
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/audit"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/audit/writer"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/revision"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/revision/store"
@@ -273,3 +274,31 @@
 		t.Fatalf("rows %v", got)
 	}
 }
+
+// Guards against an audit that says that every live node held a revision, while the node put it in force because it knew of no
+// recent read of the table.
+func TestRevisionInForceBeforeAcceptanceIsAuditedAsSuch(t *testing.T) {
+	s := standin.NewStore(standin.Limits{})
+	w := newWriter(s, "a")
+	r := &writer.RevisionRecorder{Writer: w}
+	const accepted = 3
+	for _, revisionNumber := range []uint64{3, 4} {
+		snap, err := config.NewSnapshot(&cardamomyokev1.Configuration{Revision: revisionNumber, Policies: &cardamomyokev1.Policies{AddressKeepMs: 1000, QuarantineS: 60}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Observe(at, &revision.View{InForce: &revision.State{Seq: revisionNumber, Config: snap}, Accepted: accepted})
+	}
+	if err := w.Flush(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for _, row := range storedRows(t, s) {
+		if row.GetKind() != audit.KindInForce {
+			continue
+		}
+		held := row.GetReason() == "every live node holds it"
+		if held != (row.GetRevision() == 3) {
+			t.Errorf("revision %d: %q", row.GetRevision(), row.GetReason())
+		}
+	}
+}
