A client whose long backlog ends keeps its place in the sharing

Cause: forget counted from the start of the last backlog, so a client with a backlog of over a minute was deleted at the first empty moment and returned with its credit renewed, ahead of the others. It now counts from the end.

--- a/internal/policy/admission/classqueue.go
+++ b/internal/policy/admission/classqueue.go
@@ -23,7 +23,9 @@
 	// without an empty backlog.
 	rate            rateMeter
 	backloggedSince time.Time
-	index           int
+	// idleSince is when forget first found the backlog empty; zero while there is one.
+	idleSince time.Time
+	index     int
 }
 
 // creditRequests is the number of requests by which a client that returns from idle may be served ahead of the others.
@@ -55,6 +57,7 @@
 	f.share = share
 	if len(f.items) == 0 {
 		f.backloggedSince = it.submitted
+		f.idleSince = time.Time{}
 	}
 	f.items = append(f.items, it)
 	f.backlog += it.req.Tokens
@@ -111,19 +114,21 @@
 	f.items = nil
 }
 
-// forget deletes the flows that are idle and whose last backlog began more than idleAfter ago, so that memory grows
-// with the number of active clients and not of all clients ever seen. A flow that is deleted too early would return
-// with its credit renewed.
+// forget deletes the flows that have been idle for idleAfter, so that memory grows with the number of active clients and not
+// of all clients ever seen. A flow that is deleted too early would return with its credit renewed.
 func (c *classQueue) forget(now time.Time) {
 	for client, f := range c.flows {
-		if f.index < 0 && now.Sub(f.backloggedSince) > idleAfter {
+		switch {
+		case f.index >= 0:
+		case f.idleSince.IsZero():
+			f.idleSince = now
+		case now.Sub(f.idleSince) > idleAfter:
 			delete(c.flows, client)
 		}
 	}
 }
 
-// idleAfter is how long after the start of its last backlog an idle client is remembered, with the work that was
-// started for it beyond its share.
+// idleAfter is how long an idle client is remembered, with the work that was started for it beyond its share.
 const idleAfter = time.Minute
 
 // adjust charges a client for the difference between its real and its estimated work.
