--- a/internal/node/operator/operator.go
+++ b/internal/node/operator/operator.go
@@ -110,8 +110,8 @@
 
 // change commits the edits that build returns and waits up to waitMS for their acceptance.
 func (s *Server) change(ctx context.Context, meta *cardamomyokev1.ChangeMeta, waitMS uint32, build store.Build) (*cardamomyokev1.Outcome, *revision.LogEntry, error) {
-	if waitMS > maxWaitMS {
-		return nil, nil, &config.FieldError{Field: "wait_ms", Want: "0 to 60000"}
+	if err := checkWait(waitMS); err != nil {
+		return nil, nil, err
 	}
 	e, err := s.o.Agent.Change(ctx, meta, build)
 	if err != nil {
@@ -121,6 +121,14 @@
 	return s.wait(ctx, e, waitMS), e, nil
 }
 
+// checkWait returns *config.FieldError if a request asks for a longer wait than the server permits.
+func checkWait(waitMS uint32) error {
+	if waitMS > maxWaitMS {
+		return &config.FieldError{Field: "wait_ms", Want: "0 to 60000"}
+	}
+	return nil
+}
+
 func (s *Server) wait(ctx context.Context, e *revision.LogEntry, waitMS uint32) *cardamomyokev1.Outcome {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(waitMS)*time.Millisecond)
 	defer cancel()
@@ -266,6 +274,9 @@
 	if err := config.CheckMeta(r.GetMeta()); err != nil {
 		return nil, err
 	}
+	if err := checkWait(r.GetWaitMs()); err != nil {
+		return nil, err
+	}
 	v := s.o.Agent.View()
 	for _, name := range names {
 		isMember := v.Newest != nil && v.Newest.Roster.Member(name) != nil
@@ -281,7 +292,7 @@
 		return nil, err
 	}
 	s.o.Audit.Committed()
-	return s.wait(ctx, e, min(r.GetWaitMs(), maxWaitMS)), nil
+	return s.wait(ctx, e, r.GetWaitMs()), nil
 }
 
 func (s *Server) releaseLease(ctx context.Context, meta *cardamomyokev1.ChangeMeta, duty string) error {
--- a/internal/node/operator/operator_test.go
+++ b/internal/node/operator/operator_test.go
@@ -188,6 +188,10 @@
 	_, err = f.RollForward(ctx, &cardamomyokev1.RollForwardRequest{Meta: f.meta(1), ToRevision: 9})
 	requireRefused(t, err, connect.CodeInvalidArgument, &cardamomyokev1.FieldViolation{Field: "to_revision"})
 
+	remove := &cardamomyokev1.ActRequest_RemoveNodes{RemoveNodes: &cardamomyokev1.RemoveNodes{Names: []string{"entry-1"}}}
+	_, err = f.Act(ctx, &cardamomyokev1.ActRequest{Meta: f.meta(1), Action: remove, WaitMs: waitMS + 1})
+	requireRefused(t, err, connect.CodeInvalidArgument, &cardamomyokev1.FieldViolation{Field: "wait_ms"})
+
 	late := &cardamomyokev1.ChangeRequest{Meta: f.meta(0), Edits: []*cardamomyokev1.Edit{editOf(&cardamomyokev1.PriorityClass{Name: "b", QueueLimit: 1})}}
 	_, err = f.Change(ctx, late)
 	requireRefused(t, err, connect.CodeAborted, &cardamomyokev1.ConflictDetail{CommittedRevision: 1, BaseRevision: 0})
