--- a/internal/experts/expertmap/errors.go
+++ b/internal/experts/expertmap/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/charts"
 )
@@ -10,14 +11,20 @@
 type FailedError struct {
 	To     MapID
 	Reason Reason
-	// Rank is the rank that caused the failure. It is also 0 if no rank did.
+	// Rank is the rank that caused the failure, or NoRank.
 	Rank Rank
 	// Current is the map that the ranks run, as far as they have reported it.
 	Current MapID
 }
 
+// NoRank stands for the absence of a rank.
+const NoRank Rank = math.MaxUint32
+
 // Error implements error.
 func (e *FailedError) Error() string {
+	if e.Rank == NoRank {
+		return fmt.Sprintf("switch to map %s: %s (the group runs map %s)", e.To, e.Reason, e.Current)
+	}
 	return fmt.Sprintf("switch to map %s: %s (rank %d; the group runs map %s)", e.To, e.Reason, e.Rank, e.Current)
 }
 
--- a/internal/experts/expertmap/proposer.go
+++ b/internal/experts/expertmap/proposer.go
@@ -116,7 +116,7 @@
 // Stop aborts the switch in progress, for example because the lease is lost. A proposal that was already sent may
 // still be committed.
 func (p *Proposer) Stop(now time.Time) []Effect {
-	p.fail(ReasonStopped, 0, MapID{})
+	p.fail(ReasonStopped, NoRank, MapID{})
 	return p.fire(now, "stop")
 }
 
@@ -232,7 +232,11 @@
 	return effects
 }
 
-// unreadyRank returns the first rank that has not replied that it is ready, or 0 if all have.
+// unreadyRank returns the first rank that has not replied that it is ready, or NoRank if all have.
 func (p *Proposer) unreadyRank() Rank {
-	return Rank(max(0, slices.IndexFunc(p.replies, func(r *stageReply) bool { return r == nil || !r.Ready })))
+	i := slices.IndexFunc(p.replies, func(r *stageReply) bool { return r == nil || !r.Ready })
+	if i < 0 {
+		return NoRank
+	}
+	return Rank(i)
 }
--- a/internal/experts/expertmap/proposer_test.go
+++ b/internal/experts/expertmap/proposer_test.go
@@ -1,7 +1,9 @@
 package expertmap
 
 import (
+	"errors"
 	"slices"
+	"strings"
 	"testing"
 )
 
@@ -50,3 +52,18 @@
 		t.Fatalf("results %+v, factor %v, first %d", g.results, p.exchangeFactor, first)
 	}
 }
+
+// Guards against an error that blames rank 0 for a switch that was stopped.
+func TestStoppedSwitchNamesNoRank(t *testing.T) {
+	g := newGroup(t, 3)
+	g.switchToFirstMap()
+	p := g.addProposer("a")
+	g.propose("a", 2, MapID{2, "next"})
+	g.results = nil
+	g.proposerEffects("a", p.Stop(g.now))
+	g.runSteps(100)
+	var failed *FailedError
+	if len(g.results) != 1 || !errors.As(g.results[0].Err, &failed) || failed.Rank != NoRank || strings.Contains(failed.Error(), "rank ") {
+		t.Fatalf("results %+v", g.results)
+	}
+}
