Alarms of a proposer of expert maps are logged

Cause: execute had no case for Alarm, so a state that the protocol excludes was dropped without a line. The test failed before (no logger was to be had), passes now.

--- a/internal/experts/expertmap/node/proposer.go
+++ b/internal/experts/expertmap/node/proposer.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap"
 )
@@ -16,6 +19,8 @@
 	Config    expertmap.ProposerConfig
 	Loop      Loop
 	Transport Transport
+	// Logger gets the alarms; nil discards them.
+	Logger log.Logger
 	// Poll is the interval of the state machine's ticks; 0 means DefaultPoll.
 	Poll time.Duration
 }
@@ -33,6 +38,9 @@
 	if o.Poll == 0 {
 		o.Poll = DefaultPoll
 	}
+	if o.Logger == nil {
+		o.Logger = log.NewNopLogger()
+	}
 	return &Proposer{opts: o, node: o.Node, machine: expertmap.NewProposer(o.Config)}
 }
 
@@ -85,6 +93,8 @@
 			p.opts.Transport.Send(p.opts.Group, expertmap.Addr{Proposer: p.node}, e.To, e.Message)
 		case expertmap.Result:
 			p.result <- e
+		case expertmap.Alarm:
+			_ = level.Error(p.opts.Logger).Log("msg", "expert map alarm", "group", p.opts.Group, "proposer", p.node, "err", e.Err)
 		}
 	}
 }
--- a/internal/experts/rebalance/runner.go
+++ b/internal/experts/rebalance/runner.go
@@ -120,6 +120,7 @@
 		},
 		Loop:      r.opts.Loop,
 		Transport: node.NewTransport(ctx, r.opts.Directory.Client, r.opts.Directory.Resolve),
+		Logger:    r.opts.Logger,
 	})
 	r.opts.Hub.AddProposer(name, proposer)
 	go proposer.Run(ctx)
