A map of another size than its group's is refused

Cause: loadCurrentMap took whatever map the ranks name for the current one. After a change of the group's size the policy would have decided on lists of another length. The round now ends with a typed error, and the map stays. The test failed before, passes now.

--- a/internal/experts/rebalance/audit_test.go
+++ b/internal/experts/rebalance/audit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -58,3 +59,36 @@
 		}
 	}
 }
+
+// ranksWithMap reports ranks that run one stored map.
+type ranksWithMap struct{ name string }
+
+func (r ranksWithMap) Report(_ context.Context, _ ids.Group, rank int, _ uint64) (*cardamomyokev1.GetRankReportResponse, error) {
+	return &cardamomyokev1.GetRankReportResponse{Rank: uint32(rank), MapVersion: 1, MapName: r.name, Window: 1, Tokens: make([]uint32, 4)}, nil
+}
+
+// recordingProposer records the maps that are proposed.
+type recordingProposer struct{ to []expertmap.MapID }
+
+func (p *recordingProposer) Propose(_ context.Context, _ ids.Fence, to expertmap.MapID) (expertmap.Result, error) {
+	p.to = append(p.to, to)
+	return expertmap.Result{To: to, Start: 42}, nil
+}
+
+// Guards against decisions, and a crash, on a map of another size than the group has.
+func TestMapOfAnotherShapeIsRefused(t *testing.T) {
+	s := platform.NewStore(platform.Limits{})
+	options := rebalance.Options{Group: "g", Objects: s, Weights: s, Logger: log.NewNopLogger()}
+	first := options
+	proposer := &recordingProposer{}
+	first.Config, first.RankClient, first.Proposer = &cardamomyokev1.ModelGroup{Name: "g", Ranks: 2, Experts: 4, Layers: 1}, ranksWithoutMap{}, proposer
+	if _, err := rebalance.New(t.Context(), first).RunRound(t.Context(), time.Unix(1000, 0), 1); err != nil || len(proposer.to) != 1 {
+		t.Fatalf("proposed %v, %v", proposer.to, err)
+	}
+	second := options
+	second.Config, second.RankClient, second.Proposer = &cardamomyokev1.ModelGroup{Name: "g", Ranks: 3, Experts: 6, Layers: 2}, ranksWithMap{proposer.to[0].Name}, proposer
+	var shape *rebalance.ShapeError
+	if _, err := rebalance.New(t.Context(), second).RunRound(t.Context(), time.Unix(1001, 0), 1); !errors.As(err, &shape) {
+		t.Fatalf("got %v", err)
+	}
+}
--- a/internal/experts/rebalance/group.go
+++ b/internal/experts/rebalance/group.go
@@ -197,10 +197,24 @@
 	if err != nil {
 		return fmt.Errorf("read map %s: %w", newest.GetMapName(), err)
 	}
+	if m.Shape() != g.shape {
+		return &ShapeError{Map: newest.GetMapName(), Got: m.Shape(), Want: g.shape}
+	}
 	g.current = m
 	return nil
 }
 
+// ShapeError reports that the map that a group runs has another size than the group is configured with.
+type ShapeError struct {
+	Map       string
+	Got, Want expert.Shape
+}
+
+// Error implements error.
+func (e *ShapeError) Error() string {
+	return fmt.Sprintf("map %s is for %+v, the group has %+v", e.Map, e.Got, e.Want)
+}
+
 // startFirstMap switches a group without a map to its first one, which assumes that all experts are equally popular.
 func (g *GroupRebalancer) startFirstMap(ctx context.Context, fence ids.Fence) error {
 	popularity := make([]float64, g.shape.Cells())
