A group whose configured size changes is run with its new shape

Cause: the runner kept the proposer, and its number of ranks, of the configuration in force when it started. Its rounds now start again when the shape changes.

--- a/internal/experts/rebalance/group.go
+++ b/internal/experts/rebalance/group.go
@@ -76,9 +76,7 @@
 
 // New returns a GroupRebalancer without any reports or map.
 func New(ctx context.Context, o Options) *GroupRebalancer {
-	shape := expert.Shape{
-		Ranks: int(o.Config.GetRanks()), Experts: int(o.Config.GetExperts()), Layers: int(o.Config.GetLayers()),
-	}
+	shape := shapeOf(o.Config)
 	g := placement.Group{
 		Shape:       shape,
 		Slots:       memorySlots(shape),
@@ -88,6 +86,10 @@
 	return &GroupRebalancer{opts: o, shape: shape, group: g, policy: placement.NewPolicy(g), windows: make([]uint64, shape.Ranks)}
 }
 
+func shapeOf(g *cardamomyokev1.ModelGroup) expert.Shape {
+	return expert.Shape{Ranks: int(g.GetRanks()), Experts: int(g.GetExperts()), Layers: int(g.GetLayers())}
+}
+
 func memorySlots(s expert.Shape) int {
 	each := (s.Cells() + s.Ranks - 1) / s.Ranks
 	return each + max(minHeadroom, int(memoryHeadroom*float64(each)))
--- a/internal/experts/rebalance/runner.go
+++ b/internal/experts/rebalance/runner.go
@@ -12,6 +12,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap"
 	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap/node"
+	"github.com/cardamomyoke/cardamomyoke/internal/experts/placement/expert"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/audit"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
@@ -48,13 +49,19 @@
 // Runner carries out the duty for every group whose lease its entry holds.
 type Runner struct {
 	opts      RunnerOptions
-	groups    map[ids.Group]context.CancelFunc
+	groups    map[ids.Group]runningGroup
 	lastCheck time.Time
 }
 
+// runningGroup is a group whose rounds run; its shape is fixed for as long as they do.
+type runningGroup struct {
+	shape expert.Shape
+	stop  context.CancelFunc
+}
+
 // NewRunner returns a runner without groups.
 func NewRunner(o RunnerOptions) *Runner {
-	return &Runner{opts: o, groups: map[ids.Group]context.CancelFunc{}}
+	return &Runner{opts: o, groups: map[ids.Group]runningGroup{}}
 }
 
 // DutyOf returns the name of a group's lease.
@@ -72,21 +79,31 @@
 		name := ids.Group(g.GetName())
 		wanted[name] = true
 		r.opts.Leases.SetWanted(now, DutyOf(name), r.isCandidate(DutyOf(name)))
-		if r.groups[name] == nil {
-			ctx, cancel := context.WithCancel(context.Background())
-			r.groups[name] = cancel
-			go r.runGroup(ctx, name, g)
-		}
+		r.startGroup(name, g)
 	}
-	for name, cancel := range r.groups {
+	for name, running := range r.groups {
 		if !wanted[name] {
-			cancel()
+			running.stop()
 			delete(r.groups, name)
 			r.opts.Leases.SetWanted(now, DutyOf(name), false)
 		}
 	}
 }
 
+// startGroup starts the rounds of a group, or starts them again if the group's shape has changed.
+func (r *Runner) startGroup(name ids.Group, g *cardamomyokev1.ModelGroup) {
+	running, found := r.groups[name]
+	if found && running.shape == shapeOf(g) {
+		return
+	}
+	if found {
+		running.stop()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.groups[name] = runningGroup{shape: shapeOf(g), stop: cancel}
+	go r.runGroup(ctx, name, g)
+}
+
 // isCandidate reports whether this entry is among the few that contend for the duty.
 func (r *Runner) isCandidate(d lease.Duty) bool {
 	var names []string
@@ -105,8 +122,8 @@
 
 // Stop ends all duties.
 func (r *Runner) Stop() {
-	for _, cancel := range r.groups {
-		cancel()
+	for _, running := range r.groups {
+		running.stop()
 	}
 }
 
