A switch of expert maps is aborted when its lease is lost

Cause: the lease was read once before a round, and Propose may wait for minutes. The round's context now ends with the lease, and the proposer aborts as on Stop. The test does not compile before.

--- a/internal/experts/rebalance/runner.go
+++ b/internal/experts/rebalance/runner.go
@@ -169,6 +169,8 @@
 		})
 	}
 	rebalancer.opts.Config = snap.Group(name)
+	ctx, cancel := whileHeld(ctx, func() lease.HeldLease { return r.opts.Leases.Held(DutyOf(name)) }, held.Fence)
+	defer cancel()
 	stay, err := rebalancer.RunRound(ctx, now, held.Fence)
 	if err != nil {
 		_ = level.Warn(r.opts.Logger).Log("msg", "rebalancing round failed", "group", name, "err", err)
@@ -177,3 +179,27 @@
 	}
 	return rebalancer
 }
+
+// leaseCheckInterval is the interval at which a running round checks that its lease is still held.
+const leaseCheckInterval = 100 * time.Millisecond
+
+// whileHeld returns a context that is done once the lease is no longer held under the fencing token. A switch may take minutes,
+// and the next holder could not begin its own before this one is aborted.
+func whileHeld(ctx context.Context, held func() lease.HeldLease, f ids.Fence) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		tick := time.NewTicker(leaseCheckInterval)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case now := <-tick.C:
+				if h := held(); h.Fence != f || !h.ValidAt(now) {
+					cancel()
+				}
+			}
+		}
+	}()
+	return ctx, cancel
+}
--- a/internal/experts/rebalance/runner_test.go
+++ b/internal/experts/rebalance/runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/experts/expertmap/node"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/config"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/lease"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/lease/manager"
 	"github.com/cardamomyoke/cardamomyoke/internal/testing/faulttest/memtable"
 )
@@ -45,3 +47,25 @@
 		}
 	}
 }
+
+// Guards against a switch that goes on for minutes after its lease was lost.
+func TestRoundEndsWhenLeaseIsLost(t *testing.T) {
+	for name, lost := range map[string]lease.HeldLease{
+		"expired":     {Fence: 7, Until: time.Now()},
+		"other token": {Fence: 8, Until: time.Now().Add(time.Hour)},
+		"released":    {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var current atomic.Pointer[lease.HeldLease]
+			current.Store(&lease.HeldLease{Fence: 7, Until: time.Now().Add(time.Hour)})
+			ctx, cancel := whileHeld(t.Context(), func() lease.HeldLease { return *current.Load() }, 7)
+			defer cancel()
+			time.Sleep(3 * leaseCheckInterval)
+			if ctx.Err() != nil {
+				t.Fatal("ended while the lease is held")
+			}
+			current.Store(&lost)
+			<-ctx.Done()
+		})
+	}
+}
