A pause of the entry does not count as slowness of its upstreams

Cause: compensateOwnPause moved the times of the last report and the last step, but not since when an upstream is slow, so one that was slow for a moment was ejected after a pause of the entry's own host. The test failed before, passes now.

--- a/internal/policy/health/tracker.go
+++ b/internal/policy/health/tracker.go
@@ -151,6 +151,9 @@
 	for _, u := range t.upstreams {
 		u.lastSeenAt = u.lastSeenAt.Add(gap)
 		u.lastStepAt = u.lastStepAt.Add(gap)
+		if !u.slowSince.IsZero() {
+			u.slowSince = u.slowSince.Add(gap)
+		}
 	}
 }
 
--- a/internal/policy/health/tracker_test.go
+++ b/internal/policy/health/tracker_test.go
@@ -315,6 +315,20 @@
 	f.wantStatus("u0", stateReady, health.ReasonNone)
 }
 
+// Guards against an upstream that was slow for a moment and is ejected because the entry itself was paused meanwhile.
+func TestPauseOfEntryDoesNotCountAsSlowness(t *testing.T) {
+	f := newFleet(t, 6)
+	f.slots["u0"].stepTime = 3 * normalStep
+	f.run(time.Second)
+	f.now = f.now.Add(10 * time.Second)
+	f.run(period)
+	f.wantStatus("u0", stateReady, health.ReasonNone)
+	f.run(2 * time.Second)
+	if s := f.status("u0"); s.Reason != health.ReasonSlow {
+		t.Errorf("a slow upstream is %s (%s)", s.State, s.Reason)
+	}
+}
+
 func TestDeadUpstreamsAreForgotten(t *testing.T) {
 	f := newFleet(t, 4)
 	f.slots["u1"].draining = true
