The tables of tests agree on versions of deleted rows and on transactions without an operation id

Two faults of the stand-ins, shown by one table test of both: the platform's stand-in gave a row that was written again the version of the deleted one, so a late transaction on it was applied; the in-memory table took every transaction without an id for a repetition of the first. The comment on maxRetry says what closedRetry replaces.

--- a/internal/policy/dispatch/wait.go
+++ b/internal/policy/dispatch/wait.go
@@ -9,8 +9,8 @@
 	// rateWindow is the window over which the pool's throughput is measured: long enough for several responses of the
 	// slowest service.
 	rateWindow = 2 * time.Second
-	// minRetry and maxRetry bound the Retry-After of refusals. A caller with a deadline of six seconds honours up to
-	// maxRetry.
+	// minRetry and maxRetry bound the Retry-After of refusals while the pool is open; closedRetry replaces it while it is
+	// closed. A caller with a deadline of six seconds honours up to maxRetry.
 	minRetry = 200 * time.Millisecond
 	maxRetry = 2 * time.Second
 )
--- a/internal/testing/faulttest/memtable/memtable.go
+++ b/internal/testing/faulttest/memtable/memtable.go
@@ -56,7 +56,7 @@
 
 // Apply applies a transaction as platform.Table describes. The only error is *platform.ConflictError.
 func (m *Memory) Apply(t platform.Txn) (platform.Result, error) {
-	if res, ok := m.applied[t.Operation]; ok {
+	if res, ok := m.applied[t.Operation]; ok && t.Operation != "" {
 		return res, nil
 	}
 	var conflicts []platform.Row
--- a/internal/testing/standin/platform/store.go
+++ b/internal/testing/standin/platform/store.go
@@ -34,10 +34,12 @@
 	reads  *rate.Limiter
 	writes *rate.Limiter
 
-	mu      sync.Mutex
-	faults  map[Part]Faults
-	usage   Usage
-	rows    map[string]api.Row
+	mu     sync.Mutex
+	faults map[Part]Faults
+	usage  Usage
+	rows   map[string]api.Row
+	// deleted holds the last versions of deleted rows, so that a new row with that key never repeats a version.
+	deleted map[string]uint64
 	keys    []string // sorted
 	applied map[ids.Operation]api.Result
 	objects map[string][]byte
@@ -54,6 +56,7 @@
 		writes:  limiter(l.WritesPerSecond),
 		faults:  map[Part]Faults{},
 		rows:    map[string]api.Row{},
+		deleted: map[string]uint64{},
 		applied: map[ids.Operation]api.Result{},
 		objects: map[string][]byte{},
 	}
@@ -216,6 +219,7 @@
 	if p.Value == nil {
 		if found {
 			s.keys = slices.Delete(s.keys, i, i+1)
+			s.deleted[p.Key] = s.rows[p.Key].Version + 1
 			delete(s.rows, p.Key)
 		}
 		return 0
@@ -223,7 +227,7 @@
 	if !found {
 		s.keys = slices.Insert(s.keys, i, p.Key)
 	}
-	row := api.Row{Key: p.Key, Version: s.rows[p.Key].Version + 1, Value: p.Value}
+	row := api.Row{Key: p.Key, Version: max(s.rows[p.Key].Version, s.deleted[p.Key]) + 1, Value: p.Value}
 	s.rows[p.Key] = row
 	return row.Version
 }
