--- a/internal/node/gateway/events.go
+++ b/internal/node/gateway/events.go
@@ -85,25 +85,32 @@
 	gap *MissingEventError
 }
 
-// check returns how many bytes of the events precede a missing one, and that one; nil if none is missing. last is the id of the
-// event before the first.
-func (s *idSequence) check(events []byte, last string) (int, *MissingEventError) {
+// check returns how many bytes of the events precede a missing one, the id of the last event before it, and the missing one; nil
+// if none is missing. last is the id of the event before the first.
+func (s *idSequence) check(events []byte, last string) (int, string, *MissingEventError) {
 	previous, err := strconv.ParseInt(last, 10, 64)
 	known := err == nil
+	id := func() string {
+		if !known {
+			return last
+		}
+		return strconv.FormatInt(previous, 10)
+	}
 	for begin := 0; begin < len(events); {
 		event := firstEvent(events[begin:])
-		id, ok := eventID(event)
-		if ok && known {
-			if missing := s.step(previous, id); missing != nil {
-				return begin, missing
-			}
+		begin += len(event)
+		number, ok := eventID(event)
+		if !ok {
+			continue
 		}
-		if ok {
-			previous, known = id, true
+		if known {
+			if missing := s.step(previous, number); missing != nil {
+				return begin - len(event), id(), missing
+			}
 		}
-		begin += len(event)
+		previous, known = number, true
 	}
-	return len(events), nil
+	return len(events), id(), nil
 }
 
 func (s *idSequence) step(previous, id int64) *MissingEventError {
--- a/internal/node/gateway/events_test.go
+++ b/internal/node/gateway/events_test.go
@@ -32,10 +32,13 @@
 		t.Run(name, func(t *testing.T) {
 			var s idSequence
 			events := eventsWithIDs(tc.ids...)
-			size, missing := s.check(events, tc.last)
+			size, last, missing := s.check(events, tc.last)
 			if want := string(eventsWithIDs(tc.ids[:tc.kept]...)); string(events[:size]) != want {
 				t.Fatalf("kept %q, want %q", events[:size], want)
 			}
+			if want := fmt.Sprint(tc.ids[tc.kept-1]); last != want {
+				t.Fatalf("last event %s, want %s", last, want)
+			}
 			if (missing != nil) != (tc.kept < len(tc.ids)) {
 				t.Fatalf("missing: %v", missing)
 			}
@@ -46,11 +49,11 @@
 // Guards against a stream that can never be resumed because both upstreams leave out the same id on purpose.
 func TestSameGapFromSecondUpstreamIsKept(t *testing.T) {
 	var s idSequence
-	if _, missing := s.check(eventsWithIDs(1, 2, 3, 5), ""); missing == nil {
+	if _, _, missing := s.check(eventsWithIDs(1, 2, 3, 5), ""); missing == nil {
 		t.Fatal("the gap was not found")
 	}
 	rest := eventsWithIDs(5, 6)
-	if size, missing := s.check(rest, "3"); missing != nil || size != len(rest) {
+	if size, _, missing := s.check(rest, "3"); missing != nil || size != len(rest) {
 		t.Fatalf("kept %d of %d bytes, %v", size, len(rest), missing)
 	}
 }
--- a/internal/node/gateway/plain.go
+++ b/internal/node/gateway/plain.go
@@ -13,8 +13,7 @@
 )
 
 // maxBufferedBytes bounds the part of a response that is buffered before relaying. A longer response is relayed as it
-// arrives: it can no longer be retried elsewhere, and its caller sees a truncated response if the
-// connection breaks.
+// arrives: it can no longer be retried elsewhere, and its caller sees a truncated response if the connection breaks.
 const maxBufferedBytes = 1 << 20
 
 // plainResponse is the buffered status, header and body of a response.
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -120,7 +120,7 @@
 
 // writeEvents writes complete events to the caller, preceded by the response header if they are the first.
 func (n *run) writeEvents(ctx context.Context, t *dispatch.Ticket, res *httpclient.Response, events []byte) error {
-	events, err := n.nextEvents(events)
+	events, last, err := n.nextEvents(events)
 	if len(events) == 0 {
 		return err
 	}
@@ -136,20 +136,20 @@
 	}
 	n.stream.recordEvents(time.Since(n.lastEventAt))
 	n.lastEventAt = time.Now()
-	n.stream.lastEvent = lastEventID(events, n.stream.lastEvent)
+	n.stream.lastEvent = last
 	return err
 }
 
-// nextEvents returns the events that the caller does not have yet, up to a missing one. It returns *MissingEventError if one is
-// missing.
-func (n *run) nextEvents(events []byte) ([]byte, error) {
+// nextEvents returns the events that the caller does not have yet, up to a missing one, and the id of the last. It returns
+// *MissingEventError if one is missing.
+func (n *run) nextEvents(events []byte) ([]byte, string, error) {
 	events = eventsAfter(events, n.stream.lastEvent)
 	if n.service.gaps.Usual() {
-		return events, nil
+		return events, lastEventID(events, n.stream.lastEvent), nil
 	}
-	size, missing := n.stream.ids.check(events, n.stream.lastEvent)
+	size, last, missing := n.stream.ids.check(events, n.stream.lastEvent)
 	if missing == nil {
-		return events, nil
+		return events, last, nil
 	}
-	return events[:size], missing
+	return events[:size], last, missing
 }
