--- a/internal/testing/bench/caller/caller.go
+++ b/internal/testing/bench/caller/caller.go
@@ -84,7 +84,7 @@
 	var last error
 	for _, address := range append(append([]string{}, c.cachedAddresses...), c.bootstrap...) {
 		response, err := c.fetchAddresses(ctx, address)
-		if err == nil && len(response.Addresses) > 0 {
+		if err == nil {
 			c.cachedAddresses = response.Addresses
 			c.cachedUntil = time.Now().Add(time.Duration(response.KeepMS) * time.Millisecond)
 			return c.cachedAddresses, nil
@@ -94,7 +94,18 @@
 	return nil, &ResponseError{"no entry returned addresses", last}
 }
 
-// fetchAddresses requests the entries' addresses from one entry. It returns no addresses if the status is not 200.
+// NoAddressesError reports a response without addresses.
+type NoAddressesError struct {
+	From   string
+	Status int
+}
+
+// Error implements error.
+func (e *NoAddressesError) Error() string {
+	return fmt.Sprintf("%s returned no addresses: status %d", e.From, e.Status)
+}
+
+// fetchAddresses requests the entries' addresses from one entry. It returns *NoAddressesError if there are none in the response.
 func (c *Caller) fetchAddresses(ctx context.Context, address string) (*entry.AddressResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
@@ -108,10 +119,15 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	out := &entry.AddressResponse{}
-	if res.StatusCode != http.StatusOK {
-		return out, nil
+	if res.StatusCode == http.StatusOK {
+		if err := json.NewDecoder(res.Body).Decode(out); err != nil {
+			return nil, err
+		}
+	}
+	if len(out.Addresses) == 0 {
+		return nil, &NoAddressesError{address, res.StatusCode}
 	}
-	return out, json.NewDecoder(res.Body).Decode(out)
+	return out, nil
 }
 
 // Chat requests a streamed completion and checks that the stream is complete.
