TestSubsetTargets tells the even rule from the other one

Its first part would have passed with any rule, since each slot reported to all five entries. Slots that report to two of six entries must now be spread evenly by the one rule, and are not by the other; what it checked before is checked as it was.

--- a/internal/testing/bench/policy/policy_test.go
+++ b/internal/testing/bench/policy/policy_test.go
@@ -180,6 +180,23 @@
 
 // Guards against a slot that reports to an entry twice or not at all when the subset size exceeds the number of local
 // entries, and against a rendezvous choice that changes when the entries that were not chosen leave.
+// reportsPerEntry returns the most and the least slots of one model that report to an entry.
+func reportsPerEntry(w *subsetWorld, local []int) (most, least int) {
+	nextIndex := make([]int, targetModels)
+	reports := make(map[int]int)
+	const slots = 30
+	for i := range slots {
+		for _, e := range w.targetsOf(i, &subsetRunner{model: 0}, local, nextIndex) {
+			reports[e]++
+		}
+	}
+	least = slots
+	for _, e := range local {
+		most, least = max(most, reports[e]), min(least, reports[e])
+	}
+	return most, least
+}
+
 func TestSubsetTargets(t *testing.T) {
 	w := &subsetWorld{setup: subsetSetup{seed: 1, size: 8, rule: chooseEven}}
 	local := []int{0, 6, 12, 18, 24, 30}
@@ -193,6 +210,12 @@
 	if diff := cmp.Diff(map[int]int{0: 30, 6: 30, 12: 30, 18: 30, 24: 30}, reports); diff != "" {
 		t.Fatal(diff)
 	}
+	for rule, even := range map[string]bool{chooseEven: true, chooseRendezvous: false} {
+		w.setup = subsetSetup{seed: 1, size: 2, rule: rule}
+		if most, least := reportsPerEntry(w, local); (most-least <= 1) != even {
+			t.Errorf("%s: an entry gets the reports of %d to %d slots", rule, least, most)
+		}
+	}
 	w.setup = subsetSetup{seed: 1, size: 2, rule: chooseRendezvous}
 	before := w.targetsOf(3, &subsetRunner{}, local, nextIndex)
 	after := w.targetsOf(3, &subsetRunner{}, append([]int{}, before...), nextIndex)
