--- a/internal/base/httpclient/closedelimited.go
+++ b/internal/base/httpclient/closedelimited.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"io"
+	"net/http"
 	"regexp"
+	"strconv"
+	"strings"
 )
 
 // SecondResponseError reports that a body that ends with its connection contains the start of another response.
@@ -20,9 +23,6 @@
 // statusLine matches the status line of a response. Text in JSON or in an event has no carriage return.
 var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9]{2}[^\r\n]{0,64}\r\n`)
 
-// partialStatusLine matches the beginning of a status line at the end of a body.
-var partialStatusLine = regexp.MustCompile(`HTTP/1\.([01]( ([1-5]([0-9]([0-9][^\r\n]{0,64}\r?)?)?)?)?)?$`)
-
 const (
 	// statusLinePrefix begins each status line.
 	statusLinePrefix = "HTTP/1."
@@ -42,7 +42,7 @@
 func (r *closeDelimitedReader) Read(p []byte) (int, error) {
 	n, err := r.src.Read(p)
 	r.recent = append(r.recent, p[:n]...)
-	if statusLine.Match(r.recent) || err == io.EOF && partialStatusLine.Match(r.recent) {
+	if statusLine.Match(r.recent) || err == io.EOF && endsInStatusLine(r.recent) {
 		return r.bytesBefore(n), &SecondResponseError{}
 	}
 	if i := bytes.LastIndex(r.recent, []byte(statusLinePrefix)); i >= 0 && len(r.recent)-i < maxStatusLineBytes {
@@ -58,3 +58,25 @@
 	begin := bytes.Index(r.recent, []byte(statusLinePrefix))
 	return max(0, begin-(len(r.recent)-n))
 }
+
+// endsInStatusLine reports whether b ends with the beginning of a status line, as a second response that was cut off leaves it.
+// Text after the status that is not the status's own does not count, so that a body about HTTP is not taken for two responses.
+func endsInStatusLine(b []byte) bool {
+	begin := bytes.LastIndex(b, []byte(statusLinePrefix))
+	if begin < 0 {
+		return false
+	}
+	tail := string(b[begin:])
+	for _, version := range []string{"0", "1"} {
+		for status := range maxStatus + 1 {
+			line := statusLinePrefix + version + " " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r"
+			if status >= http.StatusContinue && strings.HasPrefix(line, tail) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// maxStatus is the largest status of HTTP.
+const maxStatus = 599
