--- a/internal/base/httpclient/client_test.go
+++ b/internal/base/httpclient/client_test.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/rawpeer"
 )
 
 // peer is a server that responds to requests from a script: one response text for each request, "" to close the
@@ -145,23 +146,10 @@
 	}
 	for name, text := range tests {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = l.Close() }()
-			go func() {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				_, _ = http.ReadRequest(bufio.NewReader(c))
-				_, _ = io.WriteString(c, text)
-				_ = c.Close()
-			}()
+			address := rawpeer.ServeOnce(t, rawpeer.Response{Text: text})
 			c := httpclient.New(httpclient.Options{})
 			defer c.Close()
-			if body, err := get(t, c, &peer{address: l.Addr().String()}); err == nil {
+			if body, err := get(t, c, &peer{address: address}); err == nil {
 				t.Fatalf("truncated response %q was read as complete", body)
 			}
 		})
--- a/internal/node/entry/plain_test.go
+++ b/internal/node/entry/plain_test.go
@@ -1,11 +1,9 @@
 package entry
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 
@@ -14,29 +12,17 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/testing/loopback"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/rawpeer"
 )
 
 // readFrom returns what readPlain returns for a slot's response.
 func readFrom(t *testing.T, text string) (*plainResponse, error) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		_, _ = http.ReadRequest(bufio.NewReader(c))
-		_, _ = io.WriteString(c, text)
-		_ = c.Close()
-	}()
+	address := rawpeer.ServeOnce(t, rawpeer.Response{Text: text})
 	req := &fasthttp.Request{}
 	req.SetRequestURI("/")
 	req.Header.SetHost("slot")
-	res, err := httpclient.New(httpclient.Options{}).Do(t.Context(), l.Addr().String(), req)
+	res, err := httpclient.New(httpclient.Options{}).Do(t.Context(), address, req)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/slot/plain_test.go
+++ b/internal/node/slot/plain_test.go
@@ -1,10 +1,6 @@
 package slot
 
 import (
-	"bufio"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 	"time"
 
@@ -13,31 +9,9 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/attempt"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/rawpeer"
 )
 
-// serveOnce answers one request with text and closes the connection, and the listener if crash is set.
-func serveOnce(t *testing.T, text string, crash bool) (address string) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		_, _ = http.ReadRequest(bufio.NewReader(c))
-		if crash {
-			_ = l.Close()
-		}
-		_, _ = io.WriteString(c, text)
-		_ = c.Close()
-	}()
-	return l.Addr().String()
-}
-
 // testSlot returns a slot that only calls its upstream.
 func testSlot(upstream string) *Slot {
 	s := &Slot{settings: &Settings{}, client: httpclient.New(httpclient.Options{}), work: newWork(), metrics: newSlotMetrics(), logger: log.NewNopLogger()}
@@ -73,7 +47,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			s := testSlot(serveOnce(t, tc.text, tc.crash))
+			s := testSlot(rawpeer.ServeOnce(t, rawpeer.Response{Text: tc.text, Crash: tc.crash}))
 			res, err := s.callPlain(t.Context(), testAttempt())
 			switch {
 			case tc.truncated:
@@ -96,7 +70,7 @@
 	}
 	for name, text := range tests {
 		t.Run(name, func(t *testing.T) {
-			s := testSlot(serveOnce(t, text, false))
+			s := testSlot(rawpeer.ServeOnce(t, rawpeer.Response{Text: text}))
 			if res, err := s.callPlain(t.Context(), testAttempt()); failure.CodeOf(err) != failure.CodeUpstreamFailed {
 				t.Fatalf("got %+v, %v", res, err)
 			}
