The same bytes from two upstreams do not prove that a response without a length is complete

Upstreams run the same software and may cut at the same byte, for instance at the size of a buffer; the caller was then told a length again. The case "the same from both" asks for the response as the upstream sent it, failed before, passes now.

--- a/internal/node/gateway/closedelimited.go
+++ b/internal/node/gateway/closedelimited.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -47,10 +46,6 @@
 	if err := n.checkAlive(ctx, u); err != nil {
 		return err
 	}
-	if n.unproven != nil && bytes.Equal(n.unproven.body, p.body) {
-		p.endUnproven = false // two upstreams do not cut off a body at the same byte
-		return nil
-	}
 	if !n.mayConfirm() {
 		return nil
 	}
