--- a/internal/base/httpclient/client.go
+++ b/internal/base/httpclient/client.go
@@ -212,6 +212,23 @@
 	return conn.Close()
 }
 
+// ConfirmAlive is Probe after a request was sent to address. Errors: *NotAliveError.
+func (c *Client) ConfirmAlive(ctx context.Context, address string) error {
+	if err := c.Probe(ctx, address); err != nil {
+		return &NotAliveError{address, err.Error()}
+	}
+	return nil
+}
+
+// NotAliveError reports that a peer accepts no connections after a request. It does not wrap the *DialError, which would prove
+// that nothing was sent.
+type NotAliveError struct{ Address, Reason string }
+
+// Error implements error.
+func (e *NotAliveError) Error() string {
+	return fmt.Sprintf("%s accepts no connections: %s", e.Address, e.Reason)
+}
+
 // Close closes the idle connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/node/gateway/closedelimited.go
+++ b/internal/node/gateway/closedelimited.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -61,10 +60,8 @@
 // checkAlive returns *httpclient.BrokenError if the upstream accepts no connections after it has closed the one of a response
 // without a length. The system closes the connections of a process that crashed, in mid-body, too.
 func (n *run) checkAlive(ctx context.Context, u *catalog.Upstream) error {
-	if err := n.g.client.Probe(ctx, u.Address); err != nil {
-		// The *DialError is not wrapped: on an attempt it would prove that nothing was sent.
-		cause := errors.New(err.Error())
-		return &httpclient.BrokenError{Address: u.Address, Stage: "confirm the end of the response from", Cause: cause}
+	if err := n.g.client.ConfirmAlive(ctx, u.Address); err != nil {
+		return &httpclient.BrokenError{Address: u.Address, Stage: "confirm the end of the response from", Cause: err}
 	}
 	return nil
 }
--- a/internal/node/slot/plain.go
+++ b/internal/node/slot/plain.go
@@ -125,11 +125,9 @@
 	case p.status/100 != 2:
 		p.endUnproven = verdict != completeness.Complete
 	case verdict == completeness.Incomplete:
-		cause = errIncompleteBody
+		cause = &IncompleteBodyError{len(p.body)}
 	case verdict == completeness.Unknown:
-		if err := s.client.Probe(ctx, s.settings.Upstream.Address); err != nil {
-			cause = errors.New(err.Error()) // a *DialError would prove that nothing was sent
-		}
+		cause = s.client.ConfirmAlive(ctx, s.settings.Upstream.Address)
 	}
 	s.metrics.closeDelimited.Inc()
 	_ = level.Info(s.logger).Log("msg", "response ends with its connection", "attempt", j.Attempt, "status", p.status,
@@ -140,8 +138,13 @@
 	return nil
 }
 
-// errIncompleteBody is the cause of a TruncatedError if a body that ends with its connection is not a whole one.
-var errIncompleteBody = errors.New("body without a length is not complete")
+// IncompleteBodyError reports that a body that ends with its connection is no whole one.
+type IncompleteBodyError struct{ Bytes int }
+
+// Error implements error.
+func (e *IncompleteBodyError) Error() string {
+	return fmt.Sprintf("body without a length is not complete: %d bytes", e.Bytes)
+}
 
 // maxStatus is the largest status of HTTP. Callers cannot parse one of fewer than three digits.
 const maxStatus = 599
