A failed call to the store is logged with the copy's version and the store's

Of an outage only the first error was logged, so that an older full read, a refusal (429, 503) and a lost response looked the same afterwards. 'store call failed' has the table, the copy's version and the error, which names the status or the version read; at most four lines a second.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/logging"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/monotonic"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/settings"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/tracing"
@@ -60,6 +61,7 @@
 	decoder     Decoder
 	logger      log.Logger
 	requests    *requestLogs
+	storeCalls  *logging.RateLimited
 	startup     *startupWait
 	pauses      monotonic.PauseDetector
 	incarnation ids.Incarnation
@@ -104,6 +106,7 @@
 		decoder:     d.Decoder,
 		logger:      d.Logger,
 		requests:    newRequestLogs(d.Logger, set.RequestLog),
+		storeCalls:  logging.NewRateLimited(level.Warn(d.Logger), maxStoreCallLogs, time.Now),
 		incarnation: ids.NewIncarnation(),
 		loop:        control.New(),
 		metrics:     newMetrics(),
@@ -156,7 +159,9 @@
 			_ = level.Info(g.logger).Log("msg", "store feed", "table", r.Name(), "following", following, "version", r.Newest())
 			g.loop.Post(g.peers.announce)
 		},
-		Changed: func(*replica.Replica) { g.loop.Post(g.onStoreChange) },
+		Changed:     func(*replica.Replica) { g.loop.Post(g.onStoreChange) },
+		CallFailed:  func(r *replica.Replica, err error) { g.logStoreCallFailed(r, err) },
+		HistoryLost: func(r *replica.Replica, err *platform.HistoryLostError) { g.logStoreCallFailed(r, err) },
 		ConnectionChanged: func(r *replica.Replica, c replica.StoreConnection) {
 			g.logStoreConnection(r.Name(), c.Up, c.Cause)
 			g.loop.Post(func(now time.Time) {
--- a/internal/node/gateway/log.go
+++ b/internal/node/gateway/log.go
@@ -12,6 +12,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/logging"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/replica"
 )
 
 // requestLogs are the rate-limited logs of decisions about requests. Lines about failed requests are fewer and more
@@ -163,3 +164,16 @@
 	}
 	_ = level.Info(g.logger).Log("msg", msg, "table", table, "err", cause)
 }
+
+// maxStoreCallLogs is how many failed calls to the store are logged per second.
+const maxStoreCallLogs = 4
+
+// logStoreCallFailed logs a failed call for a table: what the copy has, and the status or version that the store
+// returned.
+func (g *Gateway) logStoreCallFailed(r *replica.Replica, err error) {
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	version, loaded := r.Position()
+	_ = g.storeCalls.Log("msg", "store call failed", "table", r.Name(), "loaded", loaded, "version", version, "err", err)
+}
--- a/internal/state/replica/follower.go
+++ b/internal/state/replica/follower.go
@@ -73,8 +73,12 @@
 	// FollowingChanged is called when the node starts or stops following the table in the store itself; it may be
 	// nil.
 	FollowingChanged func(r *Replica, following bool)
-	connection       atomic.Pointer[StoreConnection]
-	following        atomic.Bool
+	// CallFailed is called after each call that failed, and HistoryLost when the store no longer has the history after a
+	// version, before the table is read in full. Both may be nil.
+	CallFailed  func(r *Replica, err error)
+	HistoryLost func(r *Replica, err *platform.HistoryLostError)
+	connection  atomic.Pointer[StoreConnection]
+	following   atomic.Bool
 }
 
 // Following reports whether the node follows the table in the store itself and its last call succeeded.
@@ -116,6 +120,9 @@
 			monotonic.Sleep(ctx, minCallInterval-time.Since(start))
 			continue
 		}
+		if f.CallFailed != nil {
+			f.CallFailed(f.Replica, err)
+		}
 		monotonic.Sleep(ctx, pause/2+rand.N(pause/2))
 		pause = min(maxBackoff, 2*pause)
 	}
@@ -131,6 +138,9 @@
 	changes, version, err := f.Feed.Changes(ctx, f.Replica.Name(), after, f.callWait())
 	var lost *platform.HistoryLostError
 	if errors.As(err, &lost) {
+		if f.HistoryLost != nil {
+			f.HistoryLost(f.Replica, lost)
+		}
 		return f.load(ctx)
 	}
 	if err != nil {
