--- a/internal/state/platform/platform.go
+++ b/internal/state/platform/platform.go
@@ -27,6 +27,9 @@
 	Version uint64 `json:"version"`
 }
 
+// Unchanged returns the condition that the row is as it was read.
+func (r Row) Unchanged() Check { return Check{Key: r.Key, Version: r.Version} }
+
 // Put writes one row; a nil Value deletes it.
 type Put struct {
 	Key   string `json:"key"`
