--- a/internal/node/gateway/digests.go
+++ b/internal/node/gateway/digests.go
@@ -13,6 +13,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/digest"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/replica"
 )
 
 // tick sends the join requests, probes and digests that are due. It runs on the control loop.
@@ -110,12 +111,13 @@
 func (p *peers) compose() *cardamomyokev1.Digest {
 	g := p.g
 	d := p.header()
+	if c := g.view.Load().config; c != nil {
+		d.Revision = uint64(c.Revision)
+	}
 	d.ExpertsFence = g.experts.fence.Load()
 	d.ExpertsSpare = uint64(g.experts.election.spare)
 	for _, f := range g.followers {
-		d.News = append(d.News, &cardamomyokev1.TableNews{
-			Table: f.Replica.Name(), Newest: f.Replica.Newest(), Following: f.Following(), Lost: !f.Connection().Up,
-		})
+		d.News = append(d.News, tableNews(f))
 	}
 	d.Slow = g.experts.allSlowRanks()
 	d.Suspects = quarantine.ToDigest(g.suspects.tracker.Digest(time.Now(), maxDigestSuspects))
@@ -126,6 +128,16 @@
 	return d
 }
 
+// tableNews returns what a digest says about a followed table.
+func tableNews(f *replica.Follower) *cardamomyokev1.TableNews {
+	newest := f.Replica.Newest()
+	return &cardamomyokev1.TableNews{
+		Table: f.Replica.Name(), Newest: newest.Version, Era: newest.Era,
+		EraAgeMs: uint32(f.Replica.EraAge().Milliseconds()), Earlier: f.Replica.EarlierFingerprint(),
+		Following: f.Following(), Lost: !f.Connection().Up,
+	}
+}
+
 // workColumns returns the requests that this gateway has in flight by upstream, nil if there are none.
 func (g *Gateway) workColumns() *cardamomyokev1.WorkColumns {
 	var columns *cardamomyokev1.WorkColumns
--- /dev/null
+++ b/internal/node/gateway/earlierrows.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"time"
+
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/replica"
+)
+
+const (
+	// earlierPullInterval is the minimum time between two pulls of a table's rows of earlier eras. Peers drop these rows at
+	// slightly different times, and must not pull them from each other with each digest meanwhile.
+	earlierPullInterval = 300 * time.Millisecond
+	// earlierCheckInterval is how often the tables are applied again while there are rows of earlier eras, which count for a
+	// limited time.
+	earlierCheckInterval = 100 * time.Millisecond
+)
+
+// catchUpEarlier pulls a table's rows of earlier eras from a peer of the same era that has others than this gateway. A
+// gateway that starts after the store came back older learns in this way what was in force before.
+func (p *peers) catchUpEarlier(f *replica.Follower, sender *cardamomyokev1.Digest, n *cardamomyokev1.TableNews) {
+	own, _ := f.Replica.Position()
+	if n.GetEra() != own.Era {
+		return
+	}
+	f.Replica.ObserveEraAge(time.Duration(n.GetEraAgeMs()) * time.Millisecond)
+	if n.GetEarlier() == 0 || n.GetEarlier() == f.Replica.EarlierFingerprint() || !p.earlierPullDue(f.Replica.Name()) {
+		return
+	}
+	p.startPull(f.Replica.Name(), func() { p.pullFrom(f, sender) })
+}
+
+// earlierPullDue reports whether rows of earlier eras may be pulled again, and records the pull.
+func (p *peers) earlierPullDue(table string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if now.Sub(p.earlierPulledAt[table]) < earlierPullInterval {
+		return false
+	}
+	p.earlierPulledAt[table] = now
+	return true
+}
+
+func encodeEarlierRows(rows []replica.EarlierRow) []*cardamomyokev1.EarlierRow {
+	out := make([]*cardamomyokev1.EarlierRow, 0, len(rows))
+	for _, e := range rows {
+		out = append(out, &cardamomyokev1.EarlierRow{
+			Row: tableRow(e.Change), Era: e.Era, OverEra: e.Over.Era, OverVersion: e.Over.Version,
+		})
+	}
+	return out
+}
+
+func earlierRowsOf(rows []*cardamomyokev1.EarlierRow) []replica.EarlierRow {
+	out := make([]replica.EarlierRow, 0, len(rows))
+	for _, r := range rows {
+		over := platform.Position{Era: r.GetOverEra(), Version: r.GetOverVersion()}
+		out = append(out, replica.EarlierRow{Change: changeOf(r.GetRow(), r.GetEra()), Over: over})
+	}
+	return out
+}
+
+// checkEarlierRows applies the tables again while rows of earlier eras count. It runs on the control loop.
+func (g *Gateway) checkEarlierRows(now time.Time) {
+	if now.Sub(g.control.earlierCheckedAt) < earlierCheckInterval {
+		return
+	}
+	g.control.earlierCheckedAt = now
+	for _, f := range g.followers {
+		if f.Replica.EarlierFingerprint() != 0 {
+			g.applyTables(now)
+			return
+		}
+	}
+}
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -96,6 +96,14 @@
 	validEntries *registry.Registry
 	services     map[ids.Service]*service
 	ownState     nodeState
+	// awaitsConfiguration is set while this gateway starts and waits for a configuration of its peers.
+	awaitsConfiguration bool
+	// configurationError is the last error of a configuration that was logged.
+	configurationError string
+	// eras holds the era of each table's replica when it was last applied.
+	eras map[string]uint64
+	// earlierCheckedAt is when rows of earlier eras were last considered again.
+	earlierCheckedAt time.Time
 }
 
 // Start opens the listeners and begins to follow the store. It returns *httpserver.ListenError or a network error.
@@ -122,7 +130,7 @@
 		}),
 		control: controlState{
 			upstreams: catalog.NewUpstreams(nil), validEntries: registry.New(d.Decoder.Upstream),
-			services: map[ids.Service]*service{}, ownState: stateStarting,
+			services: map[ids.Service]*service{}, ownState: stateStarting, eras: map[string]uint64{},
 		},
 	}
 	g.settings.Store(set)
@@ -205,13 +213,8 @@
 // applyTables applies the current rows of the replicated tables.
 func (g *Gateway) applyTables(now time.Time) {
 	before := g.control.ownState
-	config, err := g.decoder.Configuration(g.configFollower.Replica.Rows())
-	switch {
-	case err != nil:
-		_ = level.Error(g.logger).Log("msg", "keeping the previous configuration", "reason", "the new one cannot be decoded", "err", err)
-	case config != nil && (g.control.config == nil || config.Revision > g.control.config.Revision):
-		g.adopt(config)
-	}
+	g.logEras()
+	g.updateConfiguration(now)
 	g.control.upstreams = g.readUpstreams(now)
 	g.updateServices(now)
 	g.limits.invalidate()
@@ -221,26 +224,6 @@
 	}
 }
 
-func (g *Gateway) adopt(c *catalog.Configuration) {
-	before := ids.Revision(0)
-	if g.control.config != nil {
-		before = g.control.config.Revision
-	}
-	g.control.config = c
-	if g.control.ownState == stateStarting {
-		g.control.ownState = stateReady
-	}
-	g.servers.callers.SetLimits(httpserver.Limits{
-		MaxHeaderBytes: c.Limits.HeaderBytes,
-		MaxBodyBytes:   c.Limits.BodyBytes,
-		MaxConnections: maxConnections,
-		ReadTimeout:    settings.Duration(c.Limits.HeaderTimeout),
-		IdleTimeout:    settings.Duration(c.Limits.IdleTimeout),
-		WriteTimeout:   settings.Duration(writeTimeout),
-	})
-	_ = level.Info(g.logger).Log("msg", "configuration in force", "version", c.Revision, "before", before, "routes", c.Routes())
-}
-
 // publish makes the current control state visible to requests.
 func (g *Gateway) publish() {
 	g.view.Store(&view{
@@ -251,7 +234,7 @@
 		storeUp:    g.configFollower.Connection().Up,
 		storeSince: g.configFollower.Connection().Since,
 	})
-	if g.control.config != nil && g.registryFollower.Replica.Newest() > 0 {
+	if g.control.config != nil && g.registryFollower.Replica.Newest().Version > 0 {
 		g.startup.finish()
 	}
 }
@@ -259,6 +242,8 @@
 // tick runs once per tickInterval on the control loop.
 func (g *Gateway) tick(now time.Time) {
 	g.pauses.Observe(now)
+	g.finishStart(now)
+	g.checkEarlierRows(now)
 	sharing := g.peers.sharing(now)
 	g.updateAllowances(now)
 	for name, s := range g.control.services {
@@ -277,6 +262,13 @@
 	g.peers.tick(now)
 }
 
+// finishStart applies the tables again while this gateway waits for a configuration of its peers.
+func (g *Gateway) finishStart(now time.Time) {
+	if g.control.awaitsConfiguration {
+		g.applyTables(now)
+	}
+}
+
 // Settings returns the settings in use; the caller must not change them.
 func (g *Gateway) Settings() *Settings { return g.settings.Load() }
 
--- a/internal/node/gateway/log.go
+++ b/internal/node/gateway/log.go
@@ -177,3 +177,19 @@
 	version, loaded := r.Position()
 	_ = g.storeCalls.Log("msg", "store call failed", "table", r.Name(), "loaded", loaded, "version", version, "err", err)
 }
+
+// logEras logs each table whose replica has moved to another era of the store.
+func (g *Gateway) logEras() {
+	for _, f := range g.followers {
+		r := f.Replica
+		to, loaded := r.Position()
+		before := g.control.eras[r.Name()]
+		if !loaded || to.Era == before {
+			continue
+		}
+		g.control.eras[r.Name()] = to.Era
+		earlier, age := r.Earlier()
+		_ = level.Warn(g.logger).Log("msg", "store era", "table", r.Name(), "era", to.Era, "before", before, "version", to,
+			"earlier_rows", len(earlier), "age_ms", age.Milliseconds(), "following", f.Following())
+	}
+}
--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -97,6 +97,8 @@
 	newAddresses []string
 	// followersSeenAt is when enough peers that follow a table were last seen, by table.
 	followersSeenAt map[string]time.Time
+	// earlierPulledAt is when rows of earlier eras were last pulled, by table.
+	earlierPulledAt map[string]time.Time
 
 	// The fields below belong to the control loop. nextTarget is the index of the next digest's first target.
 	nextTarget     int
@@ -117,6 +119,7 @@
 		lags:      map[string]lag{},
 
 		followersSeenAt: map[string]time.Time{},
+		earlierPulledAt: map[string]time.Time{},
 		detector:        newDetector(),
 		failures:        logging.NewRateLimited(level.Warn(g.logger), maxSendFailureLogs, time.Now),
 	}
--- a/internal/node/gateway/peers_test.go
+++ b/internal/node/gateway/peers_test.go
@@ -122,16 +122,18 @@
 	}
 }
 
+func at(version uint64) platform.Position { return platform.Position{Version: version} }
+
 // laggingGateway is a gateway of the data centre "near" whose replica of a table is at the given version.
 func laggingGateway(t *testing.T, version uint64) (*peers, *replica.Follower) {
 	t.Helper()
 	f := &replica.Follower{Replica: replica.NewReplica("op"), Changed: func(*replica.Replica) {}}
-	f.Replica.Load([]platform.Row{{Key: "config", Version: version}}, version)
+	f.Replica.Load([]platform.Row{{Key: "config", Version: version}}, at(version))
 	g := &Gateway{logger: log.NewNopLogger(), followers: []*replica.Follower{f}}
 	g.settings.Store(&Settings{Name: "own", DataCentre: "near"})
 	return &peers{
 		g: g, ctx: t.Context(), http: http.DefaultClient, byName: map[string]*peer{}, pulling: map[string]bool{}, lags: map[string]lag{},
-		detector: newDetector(), followersSeenAt: map[string]time.Time{},
+		detector: newDetector(), followersSeenAt: map[string]time.Time{}, earlierPulledAt: map[string]time.Time{},
 	}, f
 }
 
@@ -146,8 +148,8 @@
 	sender := remote.start(t, "far", 90)
 	p.byName["near"] = &peer{digest: local.start(t, "near", 90), lastSeen: time.Now()}
 	p.pullUntilCurrent(f, p.nearestSource("op", sender), sender)
-	if got := f.Replica.Newest(); got != 90 || local.pulls.Load() != 1 || remote.pulls.Load() != 1 {
-		t.Fatalf("version %d after pulling from the nearest %d times and from the sender %d times", got, local.pulls.Load(), remote.pulls.Load())
+	if got := f.Replica.Newest(); got.Version != 90 || local.pulls.Load() != 1 || remote.pulls.Load() != 1 {
+		t.Fatalf("version %s after pulling from the nearest %d times and from the sender %d times", got, local.pulls.Load(), remote.pulls.Load())
 	}
 }
 
@@ -173,14 +175,14 @@
 	if got := missing(); got != failure.CodeUnknownService || p.replicaLag(f.Replica, now) != 0 {
 		t.Fatalf("a gateway that lacks nothing responded %s", got)
 	}
-	p.recordMissing(f.Replica, 90)
+	p.recordMissing(f.Replica, at(90))
 	if got := missing(); got != failure.CodeStaleRevision {
 		t.Fatalf("a lagging gateway responded %s", got)
 	}
 	if behind := p.replicaLag(f.Replica, late); behind <= maxReplicaLag || p.relayed(f.Replica, late) {
 		t.Fatalf("lag of %s, and still relayed", behind)
 	}
-	f.Replica.Apply([]platform.Change{{Row: platform.Row{Key: "config", Version: 90}}}, 90)
+	f.Replica.Apply([]platform.Change{{Row: platform.Row{Key: "config", Version: 90}}}, at(90))
 	if got := missing(); got != failure.CodeUnknownService {
 		t.Fatalf("a gateway that is up to date again responded %s", got)
 	}
@@ -189,7 +191,7 @@
 // Guards against needless pulls: peers announce a change that precedes this gateway's full read of the table.
 func TestVersionCoveredByFullReadIsNotPulled(t *testing.T) {
 	p, f := laggingGateway(t, 80)
-	f.Replica.Load([]platform.Row{{Key: "config", Version: 80}}, 95)
+	f.Replica.Load([]platform.Row{{Key: "config", Version: 80}}, at(95))
 	sender := &fakePeer{response: &cardamomyokev1.PullResponse{}}
 	p.catchUp(sender.start(t, "far", 90))
 	if p.replicaLag(f.Replica, time.Now()) != 0 || len(p.pulling) > 0 {
@@ -240,20 +242,20 @@
 func TestReplicaThatKeepsUpHasNoLag(t *testing.T) {
 	p, f := laggingGateway(t, 80)
 	for version := uint64(81); version < 120; version++ {
-		p.recordMissing(f.Replica, version)
-		f.Replica.Load([]platform.Row{{Key: "config", Version: version - 1}}, version-1)
+		p.recordMissing(f.Replica, at(version))
+		f.Replica.Load([]platform.Row{{Key: "config", Version: version - 1}}, at(version-1))
 		late := p.lags["op"].missing(f.Replica)
-		if len(late) != 1 || late[0].version != version {
+		if len(late) != 1 || late[0].position != at(version) {
 			t.Fatalf("at version %d the replica lacks %v", version, late)
 		}
 	}
 	for version := uint64(120); version < 200; version++ {
-		p.recordMissing(f.Replica, version)
+		p.recordMissing(f.Replica, at(version))
 	}
-	if n := len(p.lags["op"]); n != maxMissingVersions {
+	if n := len(p.lags["op"]); n != maxMissingChanges {
 		t.Errorf("lag has %d versions", n)
 	}
-	f.Replica.Load([]platform.Row{{Key: "config", Version: 199}}, 199)
+	f.Replica.Load([]platform.Row{{Key: "config", Version: 199}}, at(199))
 	if p.replicaLag(f.Replica, time.Now()) != 0 {
 		t.Error("a complete replica has a lag")
 	}
--- a/internal/node/gateway/pull.go
+++ b/internal/node/gateway/pull.go
@@ -15,49 +15,53 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/state/replica"
 )
 
-// catchUp pulls the tables for which the sender announces a newer change.
+// catchUp pulls the tables for which the sender announces a newer change, or rows of earlier eras that this gateway does not
+// have.
 func (p *peers) catchUp(d *cardamomyokev1.Digest) {
 	for _, f := range p.g.followers {
-		if newest := newestVersion(d, f.Replica.Name()); !f.Replica.Has(newest) {
+		news := newsOf(d, f.Replica.Name())
+		if newest := newestPosition(news); !f.Replica.Has(newest) {
 			p.recordMissing(f.Replica, newest)
 			p.pull(f, d)
+			continue
 		}
+		p.catchUpEarlier(f, d, news)
 	}
 }
 
-// lag lists the versions that peers have announced and a table's replica lacks, oldest first, each with the time of its
+// lag lists the positions that peers have announced and a table's replica lacks, oldest first, each with the time of its
 // announcement.
-type lag []missingVersion
+type lag []missingChange
 
-type missingVersion struct {
-	version uint64
-	since   time.Time
+type missingChange struct {
+	position platform.Position
+	since    time.Time
 }
 
-// maxMissingVersions bounds a lag; beyond it the last version also represents all later ones.
-const maxMissingVersions = 16
+// maxMissingChanges bounds a lag; beyond it the last position also represents all later ones.
+const maxMissingChanges = 16
 
-// missing returns the versions that the replica still lacks.
+// missing returns the positions that the replica still lacks.
 func (l lag) missing(r *replica.Replica) lag {
-	return slices.DeleteFunc(l, func(v missingVersion) bool { return r.Has(v.version) })
+	return slices.DeleteFunc(l, func(c missingChange) bool { return r.Has(c.position) })
 }
 
-// add returns the lag after a peer announced a version.
-func (l lag) add(version uint64, now time.Time) lag {
-	if len(l) == 0 || version > l[len(l)-1].version && len(l) < maxMissingVersions {
-		return append(l, missingVersion{version, now})
+// add returns the lag after a peer announced a position.
+func (l lag) add(p platform.Position, now time.Time) lag {
+	if len(l) == 0 || l[len(l)-1].position.Before(p) && len(l) < maxMissingChanges {
+		return append(l, missingChange{p, now})
 	}
-	l[len(l)-1].version = max(l[len(l)-1].version, version)
+	l[len(l)-1].position = l[len(l)-1].position.Max(p)
 	return l
 }
 
-func (p *peers) recordMissing(r *replica.Replica, newest uint64) {
+func (p *peers) recordMissing(r *replica.Replica, newest platform.Position) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lags[r.Name()] = p.lags[r.Name()].missing(r).add(newest, time.Now())
 }
 
-// replicaLag returns how long the table's replica has lacked its oldest missing version, 0 if it lacks none. A replica
+// replicaLag returns how long the table's replica has lacked its oldest missing change, 0 if it lacks none. A replica
 // that receives each change soon has a short lag, however many changes there are.
 func (p *peers) replicaLag(r *replica.Replica, now time.Time) time.Duration {
 	p.mu.Lock()
@@ -95,7 +99,14 @@
 }
 
 func (p *peers) pull(f *replica.Follower, sender *cardamomyokev1.Digest) {
-	table := f.Replica.Name()
+	p.startPull(f.Replica.Name(), func() {
+		time.Sleep(p.pullDelay(f, sender))
+		p.pullUntilCurrent(f, p.nearestSource(f.Replica.Name(), sender), sender)
+	})
+}
+
+// startPull runs a pull of a table in a goroutine unless one is in progress.
+func (p *peers) startPull(table string, run func()) {
 	p.mu.Lock()
 	busy := p.pulling[table]
 	p.pulling[table] = true
@@ -109,8 +120,7 @@
 			delete(p.pulling, table)
 			p.mu.Unlock()
 		}()
-		time.Sleep(p.pullDelay(f, sender))
-		p.pullUntilCurrent(f, p.nearestSource(table, sender), sender)
+		run()
 	}()
 }
 
@@ -118,7 +128,7 @@
 //
 // The nearest gateway that announces a change may fail to deliver it; the sender of the digest has it.
 func (p *peers) pullUntilCurrent(f *replica.Follower, sources ...*cardamomyokev1.Digest) {
-	wanted := newestVersion(sources[len(sources)-1], f.Replica.Name())
+	wanted := newestPosition(newsOf(sources[len(sources)-1], f.Replica.Name()))
 	previous := ""
 	for _, d := range sources {
 		if f.Replica.Has(wanted) || d.GetDigestAddress() == previous {
@@ -135,21 +145,29 @@
 	if sender.GetDataCentre() == own {
 		return sender
 	}
+	wanted := newestPosition(newsOf(sender, table))
 	for _, k := range p.live(time.Now()) {
-		if k.digest.GetDataCentre() == own && newestVersion(k.digest, table) >= newestVersion(sender, table) {
+		if k.digest.GetDataCentre() == own && !newestPosition(newsOf(k.digest, table)).Before(wanted) {
 			return k.digest
 		}
 	}
 	return sender
 }
 
-func newestVersion(d *cardamomyokev1.Digest, table string) uint64 {
+// newsOf returns what a digest says about a table, or nil.
+func newsOf(d *cardamomyokev1.Digest, table string) *cardamomyokev1.TableNews {
 	for _, n := range d.GetNews() {
 		if n.GetTable() == table {
-			return n.GetNewest()
+			return n
 		}
 	}
-	return 0
+	return nil
+}
+
+// newestPosition returns the position of the newest change that a peer announces. Peers of releases without eras announce
+// era 0.
+func newestPosition(n *cardamomyokev1.TableNews) platform.Position {
+	return platform.Position{Era: n.GetEra(), Version: n.GetNewest()}
 }
 
 func (p *peers) pullFrom(f *replica.Follower, source *cardamomyokev1.Digest) {
@@ -157,38 +175,59 @@
 	defer cancel()
 	after, _ := f.Replica.Position()
 	client := cardamomyokev1connect.NewPeerServiceClient(p.http, "http://"+source.GetDigestAddress())
-	res, err := client.Pull(ctx, &cardamomyokev1.PullRequest{Table: f.Replica.Name(), After: after})
+	res, err := client.Pull(ctx, &cardamomyokev1.PullRequest{
+		Table: f.Replica.Name(), After: after.Version, Era: after.Era, Earlier: f.Replica.EarlierFingerprint(),
+	})
 	if err != nil {
 		_ = level.Warn(p.g.logger).Log("msg", "pull failed", "table", f.Replica.Name(), "peer", source.GetNode(), "err", err)
 		return
 	}
 	changed := f.Replica.Merge(deltaOf(res))
 	_ = level.Info(p.g.logger).Log("msg", "pulled", "table", f.Replica.Name(), "peer", source.GetNode(), "after", after,
-		"version", res.GetVersion(), "rows", len(res.GetRows()), "changed", changed)
+		"version", deltaOf(res).To, "rows", len(res.GetRows()), "earlier_rows", len(res.GetEarlier()), "changed", changed)
 	if changed {
 		f.Changed(f.Replica)
 	}
 }
 
 func deltaOf(res *cardamomyokev1.PullResponse) replica.Delta {
-	d := replica.Delta{Full: res.GetWhole(), Version: res.GetVersion()}
+	d := replica.Delta{
+		Full:    res.GetWhole(),
+		To:      platform.Position{Era: res.GetEra(), Version: res.GetVersion()},
+		Earlier: earlierRowsOf(res.GetEarlier()),
+		EraAge:  time.Duration(res.GetEraAgeMs()) * time.Millisecond,
+	}
 	for _, r := range res.GetRows() {
-		row := platform.Row{Key: r.GetKey(), Version: r.GetVersion(), Value: r.GetValue()}
-		d.Changes = append(d.Changes, platform.Change{Row: row, Removed: r.GetRemoved()})
+		d.Changes = append(d.Changes, changeOf(r, res.GetEra()))
 	}
 	return d
 }
 
-// Pull implements PeerService: it returns the changes of a table after a version.
+func changeOf(r *cardamomyokev1.TableRow, era uint64) platform.Change {
+	row := platform.Row{Key: r.GetKey(), Version: r.GetVersion(), Era: era, Value: r.GetValue()}
+	return platform.Change{Row: row, Removed: r.GetRemoved()}
+}
+
+func tableRow(c platform.Change) *cardamomyokev1.TableRow {
+	return &cardamomyokev1.TableRow{Key: c.Key, Version: c.Version, Value: c.Value, Removed: c.Removed}
+}
+
+// Pull implements PeerService: it returns the changes of a table after a position. Callers of releases without eras get the
+// full table unless the store names no era.
 func (p *peers) Pull(_ context.Context, req *cardamomyokev1.PullRequest) (*cardamomyokev1.PullResponse, error) {
 	for _, f := range p.g.followers {
 		if f.Replica.Name() != req.GetTable() {
 			continue
 		}
-		d := f.Replica.Since(req.GetAfter())
-		res := &cardamomyokev1.PullResponse{Version: d.Version, Whole: d.Full}
+		d := f.Replica.Since(platform.Position{Era: req.GetEra(), Version: req.GetAfter()})
+		res := &cardamomyokev1.PullResponse{
+			Version: d.To.Version, Era: d.To.Era, Whole: d.Full, EraAgeMs: uint32(d.EraAge.Milliseconds()),
+		}
 		for _, c := range d.Changes {
-			res.Rows = append(res.Rows, &cardamomyokev1.TableRow{Key: c.Key, Version: c.Version, Value: c.Value, Removed: c.Removed})
+			res.Rows = append(res.Rows, tableRow(c))
+		}
+		if req.GetEarlier() != f.Replica.EarlierFingerprint() {
+			res.Earlier = encodeEarlierRows(d.Earlier)
 		}
 		return res, nil
 	}
--- a/internal/node/gateway/registry.go
+++ b/internal/node/gateway/registry.go
@@ -20,7 +20,11 @@
 	if g.control.config != nil {
 		services = g.control.config.Services
 	}
-	next, findings := g.control.validEntries.Update(g.registryFollower.Replica.Rows(), services)
+	r := g.registryFollower.Replica
+	earlier, age := r.Earlier()
+	table := registry.Table{Rows: r.Rows(), Earlier: earlier, EraAge: age, Heartbeat: g.Settings().Bounds.heartbeat()}
+	next, findings, settled := g.control.validEntries.UpdateTable(table, services)
+	r.Forget(settled)
 	g.processFindings(findings, now)
 	g.logUpstreams(g.control.upstreams, next)
 	return next
@@ -62,6 +66,6 @@
 		return
 	}
 	_ = level.Warn(g.logger).Log("msg", "registry entry rejected", "reason", "another upstream responds at its address", "upstream", u.Incarnation(),
-		"address", u.Address, "answered", responder, "entry_version", u.Version)
+		"address", u.Address, "answered", responder, "entry_version", u.Written)
 	g.applyTables(now)
 }
--- a/internal/node/gateway/sentinel.go
+++ b/internal/node/gateway/sentinel.go
@@ -71,14 +71,14 @@
 	return now.Sub(last) < followersGrace
 }
 
-// countFollowers returns the number of live peers that follow a table in the store.
+// countFollowers returns the number of live peers that follow a table in the store. A peer of an earlier era does not
+// count: what it has tells this gateway nothing new.
 func (p *peers) countFollowers(r *replica.Replica, now time.Time) int {
+	own, _ := r.Position()
 	relays := 0
 	for _, k := range p.live(now) {
-		for _, n := range k.digest.GetNews() {
-			if n.GetTable() == r.Name() && n.GetFollowing() {
-				relays++
-			}
+		if n := newsOf(k.digest, r.Name()); n.GetFollowing() && n.GetEra() >= own.Era {
+			relays++
 		}
 	}
 	return relays
--- a/internal/node/gateway/settings.go
+++ b/internal/node/gateway/settings.go
@@ -98,6 +98,8 @@
 	Drain settings.Duration `yaml:"drain"`
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace settings.Duration `yaml:"grace"`
+	// Heartbeat is the interval at which upstreams write to the registry; 0 selects defaultHeartbeat.
+	Heartbeat settings.Duration `yaml:"heartbeat"`
 	// Stability is the time after a fault until a node counts as healthy again.
 	Stability settings.Duration `yaml:"stability"`
 	// ConfigApply is the time within which an accepted configuration must be in force.
@@ -158,7 +160,17 @@
 	return nil
 }
 
+// defaultHeartbeat is the usual interval at which upstreams write to the registry.
+const defaultHeartbeat = 1200 * time.Millisecond
+
+func (b *Bounds) heartbeat() time.Duration {
+	return cmp.Or(time.Duration(b.Heartbeat), defaultHeartbeat)
+}
+
 func (b *Bounds) check() error {
+	if b.Heartbeat < 0 {
+		return &settings.KeyError{Path: "$.bounds.heartbeat", Want: "a duration above 0", Got: time.Duration(b.Heartbeat).String()}
+	}
 	for _, d := range []struct {
 		path  string
 		value settings.Duration
--- a/internal/node/gateway/statements.go
+++ b/internal/node/gateway/statements.go
@@ -27,5 +27,5 @@
 		return
 	}
 	_ = n.g.requests.failures.Log("msg", "upstream leaves", "upstream", u.Incarnation(), "service", u.Service, "request", n.r.call.Attempt,
-		"registered_as", u.State, "entry_version", u.Version)
+		"registered_as", u.State, "entry_version", u.Written)
 }
--- a/internal/policy/quarantine/persistent.go
+++ b/internal/policy/quarantine/persistent.go
@@ -178,7 +178,7 @@
 		if p.keepRow(row.Key) {
 			continue
 		}
-		txn.Checks = append(txn.Checks, platform.Check{Key: row.Key, Version: row.Version})
+		txn.Checks = append(txn.Checks, row.Unchanged())
 		txn.Puts = append(txn.Puts, platform.Put{Key: row.Key})
 	}
 	if len(txn.Puts) == 0 {
@@ -215,7 +215,7 @@
 	res, err := p.table.Commit(ctx, txn)
 	p.update(func(t *Tracker) {
 		if err == nil {
-			t.Saved(s.Fingerprint, platform.Row{Key: s.Put.Key, Version: res.Versions[0], Value: s.Put.Value})
+			t.Saved(s.Fingerprint, platform.Row{Key: s.Put.Key, Version: res.Versions[0], Era: res.Era, Value: s.Put.Value})
 			return
 		}
 		t.SaveFailed(s.Fingerprint)
--- a/internal/policy/quarantine/tracker.go
+++ b/internal/policy/quarantine/tracker.go
@@ -228,7 +228,7 @@
 		key := RowKey(s.Fingerprint)
 		out = append(out, Save{
 			Fingerprint: s.Fingerprint,
-			Check:       platform.Check{Key: key, Version: s.storedRow.Version},
+			Check:       platform.CheckAt(key, s.storedRow.Position()),
 			Put:         platform.Put{Key: key, Value: value},
 		})
 	}
--- a/internal/state/catalog/catalog_test.go
+++ b/internal/state/catalog/catalog_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 func TestRouteIsLongestMatchingPrefix(t *testing.T) {
@@ -55,9 +56,9 @@
 // of the requests would go to ended incarnations and be refused.
 func TestLaterEntryReplacesEarlierAtSameAddress(t *testing.T) {
 	u := catalog.NewUpstreams([]*catalog.Upstream{
-		{ID: "old", Service: "s", Address: "10.0.0.1:1", Version: 5},
-		{ID: "new", Service: "s", Address: "10.0.0.1:1", Version: 9},
-		{ID: "other", Service: "s", Address: "10.0.0.2:1", Version: 2},
+		{ID: "old", Service: "s", Address: "10.0.0.1:1", Written: platform.Position{Version: 5}},
+		{ID: "new", Service: "s", Address: "10.0.0.1:1", Written: platform.Position{Version: 9}},
+		{ID: "other", Service: "s", Address: "10.0.0.2:1", Written: platform.Position{Version: 2}},
 	})
 	var got []ids.Upstream
 	for _, up := range u.Of("s") {
--- a/internal/state/catalog/upstreams.go
+++ b/internal/state/catalog/upstreams.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 // State is the state that an upstream reports in the registry.
@@ -31,8 +32,8 @@
 	// Slots is the number of requests that the upstream runs concurrently.
 	Slots int
 	State State
-	// Version is the version of the registry entry; registry entries that were written later have higher versions.
-	Version uint64
+	// Written is the position of the registry entry; registry entries that were written later have later positions.
+	Written platform.Position
 }
 
 // Incarnation returns the upstream's incarnation.
@@ -51,13 +52,13 @@
 // After a restart the registry entry of the old incarnation remains for some heartbeats in addition to the new one. An
 // address has one owner at a time, so the later registry entry proves that the earlier incarnation has ended.
 func NewUpstreams(list []*Upstream) *Upstreams {
-	latest := make(map[string]uint64, len(list))
+	latest := make(map[string]platform.Position, len(list))
 	for _, up := range list {
-		latest[up.Address] = max(latest[up.Address], up.Version)
+		latest[up.Address] = latest[up.Address].Max(up.Written)
 	}
 	u := &Upstreams{byID: make(map[ids.Upstream]*Upstream, len(list)), byService: map[ids.Service][]*Upstream{}}
 	for _, up := range list {
-		if up.Version < latest[up.Address] {
+		if up.Written.Before(latest[up.Address]) {
 			continue
 		}
 		u.byID[up.ID] = up
--- a/internal/state/claims/sweep.go
+++ b/internal/state/claims/sweep.go
@@ -78,11 +78,11 @@
 		if row.Version == 0 || !s.rowExpired(now, row) {
 			continue
 		}
-		t.Checks = append(t.Checks, platform.Check{Key: row.Key, Version: row.Version})
+		t.Checks = append(t.Checks, row.Unchanged())
 		t.Puts = append(t.Puts, platform.Put{Key: row.Key})
 	}
 	n := len(t.Puts)
-	t.Checks = append(t.Checks, platform.Check{Key: list.Key, Version: list.Version})
+	t.Checks = append(t.Checks, list.Unchanged())
 	t.Puts = append(t.Puts, platform.Put{Key: list.Key})
 	_, err = s.Table.Commit(ctx, t)
 	var conflict *platform.ConflictError
--- a/internal/state/lease/deadholder_test.go
+++ b/internal/state/lease/deadholder_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/lease"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 const (
@@ -17,7 +18,7 @@
 // row simulates the table's rows of the duty.
 type row struct {
 	lease.Row
-	next uint64
+	next platform.Position
 }
 
 // execute carries out the effects of a holder immediately.
@@ -38,7 +39,7 @@
 	if w.Version != r.Version || w.Fence != r.Fence {
 		return lease.WriteResult{Conflict: true}
 	}
-	r.next++
+	r.next.Version++
 	r.Lease, r.Version = w.Lease, r.next
 	if w.NewFence {
 		r.Fence = r.next
@@ -60,7 +61,7 @@
 	r := &row{}
 	a, b := holderSeeingOthersDead("a", 1), holderSeeingOthersDead("b", 2)
 	r.execute(now, a, a.SetWanted(now, true))
-	fences := map[uint64]bool{}
+	fences := map[platform.Position]bool{}
 	for i := range 400 {
 		now = now.Add(testTick)
 		r.execute(now, a, a.Tick(now))
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -58,7 +58,7 @@
 
 // FenceCheck returns the condition that each table write of the duty must include. It fails once there is a later holder.
 func FenceCheck(d Duty, f ids.Fence) platform.Check {
-	return platform.Check{Key: d.FenceKey(), Version: uint64(f)}
+	return platform.CheckAt(d.FenceKey(), platform.PositionOfFence(f))
 }
 
 // Candidates returns the n names that should contend for a duty, best first. Each node computes this by itself; the nodes
@@ -70,12 +70,12 @@
 	return out[:min(n, len(out))]
 }
 
-// Row is the state of a duty's rows: the lease, the version of its row, and the version of the fence row. A version of 0
+// Row is the state of a duty's rows: the lease, the position of its row, and the position of the fence row. A version of 0
 // means that the row does not exist.
 type Row struct {
 	Lease   *cardamomyokev1.Lease
-	Version uint64
-	Fence   uint64
+	Version platform.Position
+	Fence   platform.Position
 }
 
 // Effect is an action that the owner of a Contender must carry out. The pointer types below are the only effects.
@@ -84,12 +84,12 @@
 // Read reads both rows and calls OnRead.
 type Read struct{}
 
-// Write commits Lease on condition that the rows have these versions, and calls OnWrite. If NewFence is set it also writes
-// the fence row, whose new version is the new fencing token.
+// Write commits Lease on condition that the rows have these positions, and calls OnWrite. If NewFence is set it also writes
+// the fence row, whose new position is the new fencing token.
 type Write struct {
 	Lease    *cardamomyokev1.Lease
-	Version  uint64
-	Fence    uint64
+	Version  platform.Position
+	Fence    platform.Position
 	NewFence bool
 }
 
@@ -131,6 +131,8 @@
 	holderDead func(holder string, incarnation ids.Incarnation) bool
 	// readAt is when the row was last read or written, changedAt when another holder's write of it was last seen.
 	readAt, changedAt time.Time
+	// restored is set while the row may be one from before the store came back older: it has not changed since.
+	restored bool
 }
 
 // SetHolderDead sets the function that reports whether a holder is dead, so that the duty of a dead holder is acquired before
@@ -148,12 +150,19 @@
 // Held returns the lease that this node holds. Call its ValidAt with the time of each action.
 func (h *Contender) Held() HeldLease { return h.held }
 
-// NewestFence returns the fencing token in the rows as last seen.
-func (h *Contender) NewestFence() ids.Fence { return ids.Fence(h.row.Fence) }
+// NewestFence returns the fencing token in the rows as last seen, or 0 if it is beyond the range of tokens.
+func (h *Contender) NewestFence() ids.Fence {
+	f, err := h.row.Fence.Fence()
+	if err != nil {
+		return 0
+	}
+	return f
+}
 
-// NewestFenceOfOthers returns NewestFence, or 0 if the rows name this incarnation as the holder.
+// NewestFenceOfOthers returns NewestFence, or 0 if the rows name this incarnation as the holder or may be older than its
+// lease. A restored row names a holder from before as if it were a later one.
 func (h *Contender) NewestFenceOfOthers() ids.Fence {
-	if h.isOwn(h.row.Lease) {
+	if h.isOwn(h.row.Lease) || h.restored {
 		return 0
 	}
 	return h.NewestFence()
@@ -271,9 +280,13 @@
 // renewalTimeout returns the time within which a live holder renews its lease.
 func (h *Contender) renewalTimeout() time.Duration { return h.length / renewalsPerLength * 3 / 2 }
 
-// recordRow records the present state of the rows.
+// recordRow records the present state of the rows. A change of era is no sign of life of the holder.
 func (h *Contender) recordRow(now time.Time, row Row) {
-	if row.Version != h.row.Version && now.Sub(h.readAt) < h.renewalTimeout() && !h.isOwn(row.Lease) {
+	newEra := row.Version.Era != h.row.Version.Era
+	if row.Version != h.row.Version {
+		h.restored = newEra && !h.readAt.IsZero()
+	}
+	if row.Version != h.row.Version && !newEra && now.Sub(h.readAt) < h.renewalTimeout() && !h.isOwn(row.Lease) {
 		h.changedAt = now
 	}
 	h.row, h.readAt = row, now
@@ -342,7 +355,7 @@
 
 // verifyHolder drops the held duty unless the rows name this incarnation with the held fencing token.
 func (h *Contender) verifyHolder() {
-	if h.isOwn(h.row.Lease) && h.row.Fence == uint64(h.held.Fence) {
+	if h.isOwn(h.row.Lease) && h.row.Fence == platform.PositionOfFence(h.held.Fence) {
 		return
 	}
 	h.held = HeldLease{}
@@ -353,8 +366,8 @@
 type WriteResult struct {
 	// OK is set if the write took effect.
 	OK bool
-	// Version and Fence are the new versions of the rows if OK is set.
-	Version, Fence uint64
+	// Version and Fence are the new positions of the rows if OK is set.
+	Version, Fence platform.Position
 	// Conflict is set if the write did not and never will take effect, because the rows have changed.
 	Conflict bool
 }
@@ -379,7 +392,7 @@
 		h.unchangedSince = now
 		h.fire(evAcquired)
 		// The lease counts from before the write was sent; other nodes count from when they see it, which is later.
-		h.held = HeldLease{h.duty, ids.Fence(w.Fence), started.Add(h.length - h.length/marginDivisor)}
+		h.held = HeldLease{h.duty, h.NewestFence(), started.Add(h.length - h.length/marginDivisor)}
 		if !h.held.ValidAt(now) {
 			h.lapse()
 		}
--- a/internal/state/lease/manager/fence.go
+++ b/internal/state/lease/manager/fence.go
@@ -10,7 +10,8 @@
 )
 
 // AllocateFence allocates a fencing token for the duty that no other call returns and that is larger than every one allocated
-// before. A node may allocate one before it holds the duty. Errors: *AllocationConflictError, or the table's.
+// before. A node may allocate one before it holds the duty. Errors: *AllocationConflictError, *platform.FenceRangeError, or
+// the table's.
 func AllocateFence(ctx context.Context, table platform.Table, d lease.Duty) (ids.Fence, error) {
 	op := ids.NewOperation()
 	key := d.AllocationKey()
@@ -26,7 +27,7 @@
 	if string(rows[0].Value) != string(op) {
 		return 0, &AllocationConflictError{d}
 	}
-	return ids.Fence(rows[0].Version), nil
+	return rows[0].Position().Fence()
 }
 
 // AllocationConflictError reports that another node allocated a fencing token before this node's could be read back. The
--- a/internal/state/lease/manager/manager.go
+++ b/internal/state/lease/manager/manager.go
@@ -148,7 +148,7 @@
 	if err := proto.Unmarshal(rows[0].Value, l); err != nil {
 		return lease.Row{}, &RowError{d, err}
 	}
-	return lease.Row{Lease: l, Version: rows[0].Version, Fence: rows[1].Version}, nil
+	return lease.Row{Lease: l, Version: rows[0].Position(), Fence: rows[1].Position()}, nil
 }
 
 // RowError reports that the row of a duty cannot be decoded or encoded.
@@ -177,7 +177,7 @@
 	}
 	t := platform.Txn{
 		Operation: ids.NewOperation(),
-		Checks:    []platform.Check{{Key: d.Key(), Version: w.Version}, {Key: d.FenceKey(), Version: w.Fence}},
+		Checks:    []platform.Check{platform.CheckAt(d.Key(), w.Version), platform.CheckAt(d.FenceKey(), w.Fence)},
 		Puts:      []platform.Put{{Key: d.Key(), Value: value}},
 	}
 	if w.NewFence {
@@ -191,9 +191,12 @@
 	case err != nil:
 		return lease.WriteResult{}
 	}
-	out := lease.WriteResult{OK: true, Version: res.Versions[0], Fence: w.Fence}
+	out := lease.WriteResult{OK: true, Version: res.Position(0), Fence: w.Fence}
 	if w.NewFence {
-		out.Fence = res.Versions[1]
+		out.Fence = res.Position(1)
+	}
+	if _, err := out.Fence.Fence(); err != nil {
+		return lease.WriteResult{}
 	}
 	return out
 }
@@ -211,13 +214,13 @@
 	}
 	res, err := table.Commit(ctx, platform.Txn{
 		Operation: op,
-		Checks:    []platform.Check{{Key: d.FenceKey(), Version: row.Fence}},
+		Checks:    []platform.Check{platform.CheckAt(d.FenceKey(), row.Fence)},
 		Puts:      []platform.Put{{Key: d.Key(), Value: value}, {Key: d.FenceKey(), Value: []byte(op)}},
 	})
 	if err != nil {
 		return 0, err
 	}
-	return ids.Fence(res.Versions[1]), nil
+	return res.Position(1).Fence()
 }
 
 // List returns the lease status of all duties, for operators.
@@ -233,8 +236,12 @@
 		if err != nil {
 			return nil, err
 		}
+		fence, err := row.Fence.Fence()
+		if err != nil {
+			return nil, err
+		}
 		out = append(out, &cardamomyokev1.LeaseStatus{
-			Duty: string(d), Holder: row.Lease.GetHolder(), Fence: row.Fence, LengthMs: row.Lease.GetLengthMs(),
+			Duty: string(d), Holder: row.Lease.GetHolder(), Fence: uint64(fence), LengthMs: row.Lease.GetLengthMs(),
 		})
 	}
 	return out, nil
--- a/internal/state/lease/manager/manager_test.go
+++ b/internal/state/lease/manager/manager_test.go
@@ -269,7 +269,7 @@
 	h.SetWanted(now, true)
 	read := func(name, incarnation string, fence uint64) {
 		h.Tick(now)
-		row := lease.Row{Lease: &cardamomyokev1.Lease{Holder: name, Incarnation: incarnation, LengthMs: 1000}, Version: fence, Fence: fence}
+		row := lease.Row{Lease: &cardamomyokev1.Lease{Holder: name, Incarnation: incarnation, LengthMs: 1000}, Version: platform.Position{Version: fence}, Fence: platform.Position{Version: fence}}
 		h.OnRead(now, h.CallID(), row, true)
 		now = now.Add(400 * time.Millisecond)
 	}
--- a/internal/state/lease/release_test.go
+++ b/internal/state/lease/release_test.go
@@ -6,17 +6,20 @@
 	"time"
 
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
+func at(version uint64) platform.Position { return platform.Position{Version: version} }
+
 // wantRelease fails unless the effects are one write that names no holder and depends on the versions of the rows.
-func wantRelease(t *testing.T, effects []Effect, version, fence uint64) {
+func wantRelease(t *testing.T, effects []Effect, version, fence platform.Position) {
 	t.Helper()
 	if len(effects) != 1 {
 		t.Fatalf("got %d effects, want a release", len(effects))
 	}
 	w, ok := effects[0].(*Write)
 	if !ok || w.Lease.GetHolder() != "" || w.Version != version || w.Fence != fence || w.NewFence {
-		t.Fatalf("got %+v, want a release at versions %d and %d", effects[0], version, fence)
+		t.Fatalf("got %+v, want a release at versions %s and %s", effects[0], version, fence)
 	}
 }
 
@@ -40,7 +43,7 @@
 	if effects := h.SetWanted(now, false); len(effects) != 0 {
 		t.Fatalf("effects %v", effects)
 	}
-	wantRelease(t, h.OnWrite(now, h.CallID(), WriteResult{OK: true, Version: 5, Fence: 6}), 5, 6)
+	wantRelease(t, h.OnWrite(now, h.CallID(), WriteResult{OK: true, Version: at(5), Fence: at(6)}), at(5), at(6))
 	if held := h.Held(); held.ValidAt(now) {
 		t.Fatalf("holds %+v", held)
 	}
@@ -51,21 +54,21 @@
 func TestReleaseThatMeetsRenewalIsRepeated(t *testing.T) {
 	now := time.Now()
 	h := acquiring(t, now)
-	h.OnWrite(now, h.CallID(), WriteResult{OK: true, Version: 5, Fence: 6})
+	h.OnWrite(now, h.CallID(), WriteResult{OK: true, Version: at(5), Fence: at(6)})
 	now = now.Add(4 * time.Second)
 	if effects := h.Tick(now); len(effects) != 1 {
 		t.Fatalf("no renewal: %v", effects)
 	}
-	wantRelease(t, h.SetWanted(now, false), 5, 6)
+	wantRelease(t, h.SetWanted(now, false), at(5), at(6))
 	effects := h.OnWrite(now, h.CallID(), WriteResult{Conflict: true})
 	if len(effects) != 1 {
 		t.Fatalf("got %v, want a read", effects)
 	}
 	own := &cardamomyokev1.Lease{Holder: "node", Incarnation: "i-1"}
-	wantRelease(t, h.OnRead(now, h.CallID(), Row{Lease: own, Version: 7, Fence: 6}, true), 7, 6)
+	wantRelease(t, h.OnRead(now, h.CallID(), Row{Lease: own, Version: at(7), Fence: at(6)}, true), at(7), at(6))
 	h.OnWrite(now, h.CallID(), WriteResult{Conflict: true})
 	other := &cardamomyokev1.Lease{Holder: "other", Incarnation: "i-2"}
-	if effects := h.OnRead(now, h.CallID(), Row{Lease: other, Version: 8, Fence: 9}, true); len(effects) != 0 {
+	if effects := h.OnRead(now, h.CallID(), Row{Lease: other, Version: at(8), Fence: at(9)}, true); len(effects) != 0 {
 		t.Fatalf("released the lease of another node: %v", effects)
 	}
 }
--- a/internal/state/platform/platform.go
+++ b/internal/state/platform/platform.go
@@ -18,17 +18,30 @@
 type Row struct {
 	Key     string `json:"key"`
 	Version uint64 `json:"version"`
-	Value   []byte `json:"value"`
+	// Era is the era in which the row was read; see Position.
+	Era   uint64 `json:"era,omitempty"`
+	Value []byte `json:"value"`
 }
 
-// Check is a precondition of a transaction: the row must have exactly this version; 0 means that it must not exist.
+// Position returns the position at which the row was written, in the era in which it was read.
+func (r Row) Position() Position { return Position{Era: r.Era, Version: r.Version} }
+
+// Check is a precondition of a transaction: the row must have exactly this version; 0 means that it must not exist. It
+// does not hold in another era than that of the version.
 type Check struct {
 	Key     string `json:"key"`
 	Version uint64 `json:"version"`
+	Era     uint64 `json:"era,omitempty"`
 }
 
+// Position returns the position that the row must have.
+func (c Check) Position() Position { return Position{Era: c.Era, Version: c.Version} }
+
+// CheckAt returns the condition that a row has the position.
+func CheckAt(key string, p Position) Check { return Check{Key: key, Version: p.Version, Era: p.Era} }
+
 // Unchanged returns the condition that the row is as it was read.
-func (r Row) Unchanged() Check { return Check{Key: r.Key, Version: r.Version} }
+func (r Row) Unchanged() Check { return CheckAt(r.Key, r.Position()) }
 
 // Put writes one row; a nil Value deletes it.
 type Put struct {
@@ -47,8 +60,12 @@
 // Result is the outcome of a transaction: the new version of each row put, in the sequence of Txn.Puts.
 type Result struct {
 	Versions []uint64 `json:"versions"`
+	Era      uint64   `json:"era,omitempty"`
 }
 
+// Position returns the new position of the row with the index in Txn.Puts.
+func (r Result) Position(i int) Position { return Position{Era: r.Era, Version: r.Versions[i]} }
+
 // Table is the platform's transactional table. All methods honour the context's deadline.
 type Table interface {
 	// Get reads rows in one consistent read; a row that does not exist has version 0. Errors: *UnavailableError.
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -6,6 +6,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/replica"
 )
 
 // Decode decodes one row.
@@ -17,12 +18,14 @@
 	entries map[string]*entry
 	// rejected holds incarnations at whose address another upstream responded.
 	rejected map[ids.UpstreamIncarnation]bool
+	// reported holds the last finding about each key of which there are rows of earlier eras.
+	reported map[string]Kind
 }
 
 // entry is the state of one row's key.
 type entry struct {
-	// version is the version of the last row that was read.
-	version uint64
+	// position is the position of the last row that was read.
+	position platform.Position
 	// up is the newest incarnation that the registry entry named; nil if the row cannot be decoded.
 	up *catalog.Upstream
 	// pastStarts holds the start times of the incarnations before it, the latest last.
@@ -38,25 +41,41 @@
 	return &Registry{decode: decode, entries: map[string]*entry{}, rejected: map[ids.UpstreamIncarnation]bool{}}
 }
 
-// Update processes all rows of the registry, and returns the usable upstreams of the given services. Only rows that
-// changed since the last call are decoded, because each call passes the whole registry even if only one row changed.
+// Update is UpdateTable for a store that has one era.
 func (r *Registry) Update(rows []platform.Row, services map[ids.Service]*catalog.Service) (*catalog.Upstreams, []Finding) {
-	next := make(map[string]*entry, len(rows))
-	var findings []Finding
-	var list []*catalog.Upstream
-	for _, row := range rows {
-		e, f := r.readRow(row)
+	upstreams, findings, _ := r.UpdateTable(Table{Rows: rows}, services)
+	return upstreams, findings
+}
+
+// UpdateTable processes all rows of the registry, and returns the usable upstreams of the given services. Only rows that
+// changed since the last call are decoded, because each call passes the whole registry even if only one row changed.
+//
+// settled are the rows of earlier eras that no longer count.
+func (r *Registry) UpdateTable(t Table, services map[ids.Service]*catalog.Service) (u *catalog.Upstreams, f []Finding, settled []replica.EarlierRow) {
+	next := make(map[string]*entry, len(t.Rows))
+	for _, row := range t.Rows {
+		e, finding := r.readRow(row)
 		next[row.Key] = e
-		if f != nil {
-			findings = append(findings, *f)
-		}
-		if r.usable(e, services) {
-			list = append(list, e.up)
+		if finding != nil {
+			f = append(f, *finding)
 		}
 	}
 	r.entries = next
 	r.dropRejected()
-	return catalog.NewUpstreams(list), findings
+	known, settled := r.readEarlier(t)
+	f = append(f, r.newFindings(t, known.kinds)...)
+	var list []*catalog.Upstream
+	for key, e := range next {
+		if up := known.apply(key, e.up); r.usable(up, services) {
+			list = append(list, up)
+		}
+	}
+	for _, up := range known.missing {
+		if r.usable(up, services) {
+			list = append(list, up)
+		}
+	}
+	return catalog.NewUpstreams(list), f, settled
 }
 
 // usable reports whether the registry entry names an upstream to which requests may be sent.
@@ -64,8 +83,8 @@
 // A registry entry is not usable if its service is not configured, or if another upstream responded at its address.
 // Such a registry entry may name the address of a healthy upstream. Because only the later of two registry entries with
 // the same address counts, the healthy upstream would then get no requests.
-func (r *Registry) usable(e *entry, services map[ids.Service]*catalog.Service) bool {
-	return e.up != nil && services[e.up.Service] != nil && !r.rejected[e.up.Incarnation()]
+func (r *Registry) usable(up *catalog.Upstream, services map[ids.Service]*catalog.Service) bool {
+	return up != nil && services[up.Service] != nil && !r.rejected[up.Incarnation()]
 }
 
 // Reject records that another upstream responded at the address of the incarnation, which proves that the registry
@@ -94,24 +113,35 @@
 // readRow processes one row and returns its registry entry and a finding, if there is one to log.
 func (r *Registry) readRow(row platform.Row) (*entry, *Finding) {
 	old := r.entries[row.Key]
-	if old != nil && old.version == row.Version {
+	if old != nil && old.position == row.Position() {
 		return old, nil
 	}
-	e := &entry{version: row.Version}
+	e := &entry{position: row.Position()}
 	if old != nil {
 		e.pastStarts = old.pastStarts
 	}
 	up, err := r.decode(row)
 	if err != nil {
-		return e.keepHistory(old), &Finding{Key: row.Key, Version: row.Version, Kind: Unreadable, Err: err}
+		return e.keepHistory(old), &Finding{Key: row.Key, Version: row.Position(), Kind: Unreadable, Err: err}
 	}
 	e.up = up
 	if old == nil || old.up == nil {
 		return e, nil
 	}
+	e.keepAge(old)
 	return e.resolveIncarnation(old)
 }
 
+// keepAge keeps the position at which an entry was written if the store only shows it again in another era. Otherwise it
+// would count as later than one that was written to the same address before the store came back older.
+func (e *entry) keepAge(old *entry) {
+	same := *e.up
+	same.Written = old.up.Written
+	if e.position.Era != old.position.Era && same == *old.up {
+		e.up = &same
+	}
+}
+
 // keepHistory returns e, the unreadable successor of old. It adds the incarnation that old named to the past ones, so
 // that a late heartbeat cannot bring that incarnation back.
 func (e *entry) keepHistory(old *entry) *entry {
@@ -131,7 +161,7 @@
 	if previous == current {
 		return e, nil
 	}
-	f := &Finding{Key: string(current.Upstream), Version: e.version, Incarnation: current, Previous: previous, Kind: Restarted}
+	f := &Finding{Key: string(current.Upstream), Version: e.position, Incarnation: current, Previous: previous, Kind: Restarted}
 	if current.StartedAtMS == 0 || slices.Contains(e.pastStarts, current.StartedAtMS) {
 		f.Kind = Late
 		e.up = old.up
--- a/internal/state/registry/registry_test.go
+++ b/internal/state/registry/registry_test.go
@@ -34,7 +34,7 @@
 	w.version++
 	row := platform.Row{Key: key, Version: w.version}
 	if u != nil {
-		u.ID, u.Version = ids.Upstream(key), w.version
+		u.ID, u.Written = ids.Upstream(key), platform.Position{Version: w.version}
 		w.upstreams[w.version] = u
 	}
 	for i := range w.rows {
--- a/internal/state/replica/follower.go
+++ b/internal/state/replica/follower.go
@@ -28,6 +28,8 @@
 	minCallInterval = 150 * time.Millisecond
 	// relayCheckInterval is how often a node that gets changes from its peers checks whether it still gets them.
 	relayCheckInterval = 100 * time.Millisecond
+	// reloadSpread is the maximum random wait before a table is read in full in a new era of the store.
+	reloadSpread = 250 * time.Millisecond
 	// minBackoff and maxBackoff are the first and the longest backoff after failed calls. The backoff doubles with
 	// each consecutive failure, and jitter shortens it by up to half.
 	minBackoff = 100 * time.Millisecond
@@ -37,12 +39,12 @@
 // StaleError reports that the store returned an older version of a table than the copy has.
 type StaleError struct {
 	Table       string
-	Read, Known uint64
+	Read, Known platform.Position
 }
 
 // Error implements error.
 func (e *StaleError) Error() string {
-	return fmt.Sprintf("table %s was read as of version %d, older than the copy's version %d", e.Table, e.Read, e.Known)
+	return fmt.Sprintf("table %s was read as of version %s, older than the copy's version %s", e.Table, e.Read, e.Known)
 }
 
 // StoreConnection is the state of a node's connection to the store.
@@ -135,18 +137,15 @@
 	if !loaded {
 		return f.load(ctx)
 	}
-	changes, version, err := f.Feed.Changes(ctx, f.Replica.Name(), after, f.callWait())
+	changes, to, err := f.Feed.Changes(ctx, f.Replica.Name(), after, f.callWait())
 	var lost *platform.HistoryLostError
 	if errors.As(err, &lost) {
-		if f.HistoryLost != nil {
-			f.HistoryLost(f.Replica, lost)
-		}
-		return f.load(ctx)
+		return f.reload(ctx, lost)
 	}
 	if err != nil {
 		return err
 	}
-	if f.Replica.Apply(changes, version) {
+	if f.Replica.Apply(changes, to) {
 		f.Changed(f.Replica)
 	}
 	return nil
@@ -166,15 +165,30 @@
 	return sentinelWait
 }
 
+// reload reads the full table after the store has lost the history. If the store has begun another era, all nodes need the
+// full table at the same time, so that a node waits a random time for a peer's copy first.
+func (f *Follower) reload(ctx context.Context, lost *platform.HistoryLostError) error {
+	if f.HistoryLost != nil {
+		f.HistoryLost(f.Replica, lost)
+	}
+	if lost.Era > lost.After.Era {
+		monotonic.Sleep(ctx, rand.N(reloadSpread))
+		if known, _ := f.Replica.Position(); known.Era >= lost.Era {
+			return nil
+		}
+	}
+	return f.load(ctx)
+}
+
 func (f *Follower) load(ctx context.Context) error {
-	rows, version, err := f.Feed.Rows(ctx, f.Replica.Name())
+	rows, to, err := f.Feed.Rows(ctx, f.Replica.Name())
 	if err != nil {
 		return err
 	}
-	if known, loaded := f.Replica.Position(); loaded && version < known {
-		return &StaleError{f.Replica.Name(), version, known}
+	if known, loaded := f.Replica.Position(); loaded && to.Before(known) {
+		return &StaleError{f.Replica.Name(), to, known}
 	}
-	if f.Replica.Load(rows, version) {
+	if f.Replica.Load(rows, to) {
 		f.Changed(f.Replica)
 	}
 	return nil
--- a/internal/state/replica/follower_test.go
+++ b/internal/state/replica/follower_test.go
@@ -39,25 +39,25 @@
 	return time.Now().Before(f.hangsUntil)
 }
 
-func (f *feed) since(after uint64) ([]platform.Change, uint64) {
+func (f *feed) since(after platform.Position) ([]platform.Change, platform.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.src.since(after), f.src.version
+	return f.src.since(after), f.src.at()
 }
 
 var errUnreachable = errors.New("store unreachable")
 
-func (f *feed) Rows(context.Context, string) ([]platform.Row, uint64, error) {
+func (f *feed) Rows(context.Context, string) ([]platform.Row, platform.Position, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.src.all(), f.src.version, nil
+	return f.src.all(), f.src.at(), nil
 }
 
-func (f *feed) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) ([]platform.Change, uint64, error) {
+func (f *feed) Changes(ctx context.Context, _ string, after platform.Position, wait time.Duration) ([]platform.Change, platform.Position, error) {
 	if f.hanging() {
 		// As with the real client, the call ends some time after its response was due.
 		time.Sleep(wait + 700*time.Millisecond)
-		return nil, 0, errUnreachable
+		return nil, platform.Position{}, errUnreachable
 	}
 	changes, version := f.since(after)
 	for end := time.Now().Add(wait); time.Now().Before(end) && len(changes) == 0; changes, version = f.since(after) {
@@ -109,7 +109,7 @@
 	n int
 }
 
-func (f *countingFeed) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]platform.Change, uint64, error) {
+func (f *countingFeed) Changes(ctx context.Context, table string, after platform.Position, wait time.Duration) ([]platform.Change, platform.Position, error) {
 	f.mu.Lock()
 	f.n++
 	f.mu.Unlock()
@@ -148,8 +148,8 @@
 		f.put("config", "2")
 		relayed.Store(false)
 		time.Sleep(500 * time.Millisecond)
-		if newest := replicated.Newest(); newest != 2 {
-			t.Fatalf("newest version is %d, want 2", newest)
+		if newest := replicated.Newest(); newest.Version != 2 {
+			t.Fatalf("newest version is %s, want 2", newest)
 		}
 		cancel()
 		time.Sleep(15 * time.Second)
--- a/internal/state/replica/replica_test.go
+++ b/internal/state/replica/replica_test.go
@@ -17,6 +17,7 @@
 	rows    map[string]platform.Row
 	history []platform.Change
 	version uint64
+	era     uint64
 }
 
 func (s *source) put(key, value string) {
@@ -32,10 +33,13 @@
 	s.history = append(s.history, platform.Change{Row: platform.Row{Key: key, Version: s.version}, Removed: true})
 }
 
-func (s *source) since(version uint64) []platform.Change {
+// at returns the position of the last change.
+func (s *source) at() platform.Position { return platform.Position{Era: s.era, Version: s.version} }
+
+func (s *source) since(p platform.Position) []platform.Change {
 	var out []platform.Change
 	for _, c := range s.history {
-		if c.Version > version {
+		if c.Version > p.Version {
 			out = append(out, c)
 		}
 	}
@@ -82,10 +86,10 @@
 			case 1:
 				src.remove(key)
 			case 2:
-				c.Load(src.all(), src.version)
+				c.Load(src.all(), src.at())
 			case 3:
 				if after, ok := c.Position(); ok {
-					c.Apply(src.since(after), src.version)
+					c.Apply(src.since(after), src.at())
 				}
 			case 4:
 				from := rapid.SampledFrom(copies).Draw(t, "from")
@@ -93,15 +97,16 @@
 				c.Merge(from.Since(after))
 			case 5:
 				// A response that arrives late.
-				if after, ok := c.Position(); ok && after > 0 {
-					old := src.since(after / 2)
-					c.Apply(old[:min(1, len(old))], after/2)
+				if after, ok := c.Position(); ok && after.Version > 0 {
+					after.Version /= 2
+					old := src.since(after)
+					c.Apply(old[:min(1, len(old))], after)
 				}
 			}
 			checkForward(t, c, newest)
 		}
 		c := copies[0]
-		c.Load(src.all(), src.version)
+		c.Load(src.all(), src.at())
 		if diff := cmp.Diff(src.content(), content(c)); diff != "" {
 			t.Fatal(diff)
 		}
@@ -138,15 +143,15 @@
 	src.put("kept", "v")
 	src.put("gone", "v")
 	behind, ahead := replica.NewReplica("t"), replica.NewReplica("t")
-	behind.Load(src.all(), src.version)
-	ahead.Load(src.all(), src.version)
+	behind.Load(src.all(), src.at())
+	ahead.Load(src.all(), src.at())
 	src.remove("gone")
 	for i := range 2000 {
 		src.put(fmt.Sprint("x", i), "v")
 		src.remove(fmt.Sprint("x", i))
 	}
 	after, _ := ahead.Position()
-	ahead.Apply(src.since(after), src.version)
+	ahead.Apply(src.since(after), src.at())
 	after, _ = behind.Position()
 	d := ahead.Since(after)
 	if !d.Full {
@@ -164,16 +169,16 @@
 func TestPulledReplicaServesOthers(t *testing.T) {
 	src := &source{rows: map[string]platform.Row{}}
 	first, second, third := replica.NewReplica("t"), replica.NewReplica("t"), replica.NewReplica("t")
-	first.Load(src.all(), src.version)
+	first.Load(src.all(), src.at())
 	src.put("a", "1")
 	src.put("b", "1")
 	src.remove("a")
-	first.Apply(src.since(0), src.version)
-	second.Merge(first.Since(0))
+	first.Apply(src.since(platform.Position{}), src.at())
+	second.Merge(first.Since(platform.Position{}))
 	if _, loaded := second.Position(); !loaded {
 		t.Error("a fully pulled copy counts as not loaded")
 	}
-	third.Merge(second.Since(0))
+	third.Merge(second.Since(platform.Position{}))
 	if diff := cmp.Diff(src.content(), content(third)); diff != "" {
 		t.Fatal(diff)
 	}
@@ -187,13 +192,14 @@
 	src.put("kept", "v")
 	src.put("gone", "v")
 	src.remove("gone")
-	removed := src.version
+	removed := src.at()
 	fresh := replica.NewReplica("t")
 	if fresh.Has(removed) {
 		t.Fatal("an empty copy has a change")
 	}
-	fresh.Load(src.all(), src.version)
-	if !fresh.Has(removed) || fresh.Has(removed+1) {
-		t.Fatalf("has %d: %t, has %d: %t", removed, fresh.Has(removed), removed+1, fresh.Has(removed+1))
+	fresh.Load(src.all(), src.at())
+	next := platform.Position{Version: removed.Version + 1}
+	if !fresh.Has(removed) || fresh.Has(next) {
+		t.Fatalf("has %s: %t, has %s: %t", removed, fresh.Has(removed), next, fresh.Has(next))
 	}
 }
--- a/internal/testing/bench/slopes/duties.go
+++ b/internal/testing/bench/slopes/duties.go
@@ -66,9 +66,9 @@
 		return lease.WriteResult{Conflict: true}
 	}
 	row.Lease = w.Lease
-	row.Version++
+	row.Version.Version++
 	if w.NewFence {
-		row.Fence++
+		row.Fence.Version++
 	}
 	return lease.WriteResult{OK: true, Version: row.Version, Fence: row.Fence}
 }
