--- a/internal/node/gateway/digests.go
+++ b/internal/node/gateway/digests.go
@@ -133,11 +133,18 @@
 	newest := f.Replica.Newest()
 	return &cardamomyokev1.TableNews{
 		Table: f.Replica.Name(), Newest: newest.Version, Era: newest.Era,
-		EraAgeMs: uint32(f.Replica.EraAge().Milliseconds()), Earlier: f.Replica.EarlierFingerprint(),
+		EraAgeTenths: eraAgeTenths(f.Replica.EraAge()), Earlier: f.Replica.EarlierFingerprint(),
 		Following: f.Following(), Lost: !f.Connection().Up,
 	}
 }
 
+// maxEraAgeTenths is the largest age of an era in a digest. It is longer than rows of earlier eras count.
+const maxEraAgeTenths = 127
+
+func eraAgeTenths(age time.Duration) uint32 {
+	return uint32(min(age/eraAgeUnit, maxEraAgeTenths))
+}
+
 // workColumns returns the requests that this gateway has in flight by upstream, nil if there are none.
 func (g *Gateway) workColumns() *cardamomyokev1.WorkColumns {
 	var columns *cardamomyokev1.WorkColumns
--- a/internal/node/gateway/earlierrows.go
+++ b/internal/node/gateway/earlierrows.go
@@ -5,6 +5,7 @@
 
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/registry"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/replica"
 )
 
@@ -12,9 +13,12 @@
 	// earlierPullInterval is the minimum time between two pulls of a table's rows of earlier eras. Peers drop these rows at
 	// slightly different times, and must not pull them from each other with each digest meanwhile.
 	earlierPullInterval = 300 * time.Millisecond
-	// earlierCheckInterval is how often the tables are applied again while there are rows of earlier eras, which count for a
-	// limited time.
+	// earlierCheckInterval is how often the tables are applied again while rows of the registry's earlier eras count, which
+	// they do for a limited time, and earlierCheckMargin for how long beyond that.
 	earlierCheckInterval = 100 * time.Millisecond
+	earlierCheckMargin   = time.Second
+	// eraAgeUnit is the unit of an era's age in digests.
+	eraAgeUnit = 100 * time.Millisecond
 )
 
 // catchUpEarlier pulls a table's rows of earlier eras from a peer of the same era that has others than this gateway. A
@@ -24,7 +28,7 @@
 	if n.GetEra() != own.Era {
 		return
 	}
-	f.Replica.ObserveEraAge(time.Duration(n.GetEraAgeMs()) * time.Millisecond)
+	f.Replica.ObserveEraAge(time.Duration(n.GetEraAgeTenths()) * eraAgeUnit)
 	if n.GetEarlier() == 0 || n.GetEarlier() == f.Replica.EarlierFingerprint() || !p.earlierPullDue(f.Replica.Name()) {
 		return
 	}
@@ -62,16 +66,14 @@
 	return out
 }
 
-// checkEarlierRows applies the tables again while rows of earlier eras count. It runs on the control loop.
+// checkEarlierRows applies the tables again while rows of earlier eras may stop to count. It runs on the control loop.
 func (g *Gateway) checkEarlierRows(now time.Time) {
-	if now.Sub(g.control.earlierCheckedAt) < earlierCheckInterval {
+	r := g.registryFollower.Replica
+	if now.Sub(g.control.earlierCheckedAt) < earlierCheckInterval || r.EarlierFingerprint() == 0 {
 		return
 	}
 	g.control.earlierCheckedAt = now
-	for _, f := range g.followers {
-		if f.Replica.EarlierFingerprint() != 0 {
-			g.applyTables(now)
-			return
-		}
+	if limit := earlierCheckMargin + registry.HoldTime(g.Settings().Bounds.heartbeat()); r.EraAge() < limit {
+		g.applyTables(now)
 	}
 }
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -234,7 +234,7 @@
 		storeUp:    g.configFollower.Connection().Up,
 		storeSince: g.configFollower.Connection().Since,
 	})
-	if g.control.config != nil && g.registryFollower.Replica.Newest().Version > 0 {
+	if g.control.config != nil && (g.control.upstreams.Len() > 0 || g.registryFollower.Replica.Newest().Version > 0) {
 		g.startup.finish()
 	}
 }
--- a/internal/state/registry/earlier.go
+++ b/internal/state/registry/earlier.go
@@ -17,6 +17,12 @@
 	expiryHeartbeats = 3
 )
 
+// HoldTime returns how long after the store came back older rows of earlier eras may count: an entry that had been removed is
+// shown again until the platform must have removed it as that of a silent upstream.
+func HoldTime(heartbeat time.Duration) time.Duration {
+	return rewriteTime + expiryHeartbeats*heartbeat
+}
+
 // Table is the registry as the store shows it, with what is known from before the store came back older.
 type Table struct {
 	Rows []platform.Row
@@ -87,7 +93,7 @@
 	case !row.Unwritten:
 		return false
 	case row.Removed:
-		if t.EraAge >= rewriteTime+expiryHeartbeats*t.Heartbeat {
+		if t.EraAge >= HoldTime(t.Heartbeat) {
 			return false
 		}
 		k.left[row.Key], k.kinds[row.Key] = true, RemovedBefore
