A gateway that starts in a new era waits for what its peers know

Read again: a gateway that starts between the return of an older store and the writing again took the first datagram of any peer, also a probe or that of another starting gateway, for word that no newer configuration is in force, and could use an upstream that had left for the moment until a peer's rows arrived. It now waits, 0.45 s at the most where nobody serves and 1.5 s where a peer announces what it does not deliver; not at all for a store that names no era (TestStartingGatewayAwaitsPeers).

An upstream that is missing after two returns counted twice, and was used if it had been removed before the first (TestUpstreamMissingAfterTwoReturnsCountsOnce). The age of an era is only taken for the same era.

--- a/internal/node/gateway/configuration.go
+++ b/internal/node/gateway/configuration.go
@@ -13,9 +13,9 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/state/replica"
 )
 
-// maxConfigurationWait is how long after its start a gateway waits for a configuration that its peers have in force and the
-// store does not show. A peer that does not deliver it must not keep the gateway from serving.
-const maxConfigurationWait = 1500 * time.Millisecond
+// maxPeersWait is how long after its start a gateway waits for what its peers know and the store does not show. A peer that
+// does not deliver it must not keep the gateway from serving.
+const maxPeersWait = 1500 * time.Millisecond
 
 // updateConfiguration puts the newest configuration in force if it is newer than the current one.
 func (g *Gateway) updateConfiguration(now time.Time) {
@@ -24,8 +24,8 @@
 	if c == nil || current != nil && c.Revision <= current.Revision {
 		return
 	}
-	g.control.awaitsConfiguration = current == nil && g.peers.awaitsConfiguration(c.Revision, now)
-	if !g.control.awaitsConfiguration {
+	g.control.awaitsPeers = current == nil && g.peers.awaitsPeers(c.Revision, now)
+	if !g.control.awaitsPeers {
 		g.adopt(c)
 	}
 }
@@ -89,26 +89,29 @@
 	_ = level.Info(g.logger).Log("msg", "configuration in force", "version", c.Revision, "before", before, "routes", c.Routes())
 }
 
-// awaitsConfiguration reports whether a gateway that has just started should wait for a newer configuration than the given
-// one: it has heard no peer yet, or a peer has a newer one in force.
+// awaitsPeers reports whether a gateway that has just started, and got the configuration with the revision from the store,
+// should wait for what its peers know from earlier eras of the store: none that serves has been heard yet, or one has a newer
+// configuration in force, or rows that this gateway lacks.
 //
-// If the gateway starts after the store came back older, and before the operator has written the lost configuration again,
-// callers would otherwise see an older one than was in force.
-func (p *peers) awaitsConfiguration(revision ids.Revision, now time.Time) bool {
+// If the gateway starts after the store came back older, and before operators and upstreams have written the lost rows again,
+// callers would otherwise see an older configuration than was in force, and requests go to upstreams that have left. A store
+// that names no era has not come back older.
+func (p *peers) awaitsPeers(revision ids.Revision, now time.Time) bool {
+	at, _ := p.g.configFollower.Replica.Position()
 	uptime := now.Sub(p.startedAt)
-	if uptime >= maxConfigurationWait {
+	if at.Era == 0 || uptime >= maxPeersWait {
 		return false
 	}
-	live := p.live(now)
-	if len(live) == 0 {
-		return uptime < joinPeriod && p.hasOtherSeeds()
-	}
-	for _, k := range live {
-		if ids.Revision(k.digest.GetRevision()) > revision {
+	serving := 0
+	for _, k := range p.live(now) {
+		if ids.Revision(k.digest.GetRevision()) > revision || p.lacksEarlierRows(k) {
 			return true
 		}
+		if k.digest.GetRevision() > 0 {
+			serving++
+		}
 	}
-	return false
+	return serving == 0 && uptime < joinPeriod && p.hasOtherSeeds()
 }
 
 // hasOtherSeeds reports whether the settings name another gateway.
--- a/internal/node/gateway/earlierrows.go
+++ b/internal/node/gateway/earlierrows.go
@@ -28,7 +28,7 @@
 	if n.GetEra() != own.Era {
 		return
 	}
-	f.Replica.ObserveEraAge(time.Duration(n.GetEraAgeTenths()) * eraAgeUnit)
+	f.Replica.ObserveEraAge(n.GetEra(), time.Duration(n.GetEraAgeTenths())*eraAgeUnit)
 	if n.GetEarlier() == 0 || n.GetEarlier() == f.Replica.EarlierFingerprint() || !p.earlierPullDue(f.Replica.Name()) {
 		return
 	}
@@ -47,6 +47,25 @@
 	return true
 }
 
+// recordPulled records that a peer has sent a table, with the rows of earlier eras that this gateway did not have.
+func (p *peers) recordPulled(table string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pulled[table] = true
+}
+
+// lacksEarlierRows reports whether a peer announces rows of earlier eras of a table that no peer has sent yet.
+func (p *peers) lacksEarlierRows(k *peer) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, n := range k.digest.GetNews() {
+		if n.GetEarlier() != 0 && !p.pulled[n.GetTable()] {
+			return true
+		}
+	}
+	return false
+}
+
 func encodeEarlierRows(rows []replica.EarlierRow) []*cardamomyokev1.EarlierRow {
 	out := make([]*cardamomyokev1.EarlierRow, 0, len(rows))
 	for _, e := range rows {
--- a/internal/node/gateway/era_test.go
+++ b/internal/node/gateway/era_test.go
@@ -63,3 +63,44 @@
 		}
 	}
 }
+
+// Guards against a gateway that starts after the store came back older and serves callers by what the store shows, before it
+// has heard from a peer what was in force.
+func TestStartingGatewayAwaitsPeers(t *testing.T) {
+	news := []*cardamomyokev1.TableNews{{Table: "op", Newest: 20, Era: 3}}
+	withEarlier := []*cardamomyokev1.TableNews{{Table: "op", Newest: 20, Era: 3, Earlier: 7}}
+	tests := map[string]struct {
+		era    uint64
+		uptime time.Duration
+		digest *cardamomyokev1.Digest
+		want   bool
+	}{
+		"a store that names no era":                {era: 0, want: false},
+		"no peer heard":                            {era: 3, want: true},
+		"no peer heard until it has joined":        {era: 3, uptime: joinPeriod, want: false},
+		"a probe of a peer":                        {era: 3, digest: &cardamomyokev1.Digest{}, want: true},
+		"a peer that starts as well":               {era: 3, digest: &cardamomyokev1.Digest{News: news}, want: true},
+		"a peer with the same configuration":       {era: 3, digest: &cardamomyokev1.Digest{News: news, Revision: 64}, want: false},
+		"a peer with a newer one":                  {era: 3, uptime: joinPeriod, digest: &cardamomyokev1.Digest{News: news, Revision: 70}, want: true},
+		"a peer with a newer one, for too long":    {era: 3, uptime: maxPeersWait, digest: &cardamomyokev1.Digest{News: news, Revision: 70}, want: false},
+		"a peer with rows that this gateway lacks": {era: 3, digest: &cardamomyokev1.Digest{News: withEarlier, Revision: 64}, want: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			p, f := laggingGateway(t, 1)
+			f.Replica.Load(nil, platform.Position{Era: tc.era, Version: 20})
+			p.g.configFollower = f
+			set := *p.g.Settings()
+			set.Peers = []string{"10.0.0.2:1"}
+			p.g.settings.Store(&set)
+			now := time.Now()
+			p.startedAt = now.Add(-tc.uptime)
+			if tc.digest != nil {
+				p.byName["other"] = &peer{digest: tc.digest, lastSeen: now}
+			}
+			if got := p.awaitsPeers(64, now); got != tc.want {
+				t.Fatalf("waits: %v", got)
+			}
+		})
+	}
+}
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -96,8 +96,8 @@
 	validEntries *registry.Registry
 	services     map[ids.Service]*service
 	ownState     nodeState
-	// awaitsConfiguration is set while this gateway starts and waits for a configuration of its peers.
-	awaitsConfiguration bool
+	// awaitsPeers is set while this gateway starts and waits for what its peers know.
+	awaitsPeers bool
 	// configurationError is the last error of a configuration that was logged.
 	configurationError string
 	// eras holds the era of each table's replica when it was last applied.
@@ -262,9 +262,9 @@
 	g.peers.tick(now)
 }
 
-// finishStart applies the tables again while this gateway waits for a configuration of its peers.
+// finishStart applies the tables again while this gateway waits for its peers.
 func (g *Gateway) finishStart(now time.Time) {
-	if g.control.awaitsConfiguration {
+	if g.control.awaitsPeers {
 		g.applyTables(now)
 	}
 }
--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -97,6 +97,8 @@
 	newAddresses []string
 	// followersSeenAt is when enough peers that follow a table were last seen, by table.
 	followersSeenAt map[string]time.Time
+	// pulled holds the tables that a peer has sent since the start.
+	pulled map[string]bool
 	// earlierPulledAt is when rows of earlier eras were last pulled, by table.
 	earlierPulledAt map[string]time.Time
 
@@ -119,6 +121,7 @@
 		lags:      map[string]lag{},
 
 		followersSeenAt: map[string]time.Time{},
+		pulled:          map[string]bool{},
 		earlierPulledAt: map[string]time.Time{},
 		detector:        newDetector(),
 		failures:        logging.NewRateLimited(level.Warn(g.logger), maxSendFailureLogs, time.Now),
--- a/internal/state/registry/earlier.go
+++ b/internal/state/registry/earlier.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
@@ -39,8 +40,8 @@
 	left map[string]bool
 	// draining holds the incarnations that had said that they leave.
 	draining map[ids.UpstreamIncarnation]bool
-	// missing holds the upstreams whose entries the store has lost.
-	missing []*catalog.Upstream
+	// missing holds the upstreams whose entries the store has lost, by key.
+	missing map[string]*catalog.Upstream
 	// kinds holds what was found about each key.
 	kinds map[string]Kind
 }
@@ -65,7 +66,10 @@
 // it were not alive, the platform would remove its entry again within some heartbeats. An upstream whose entry is missing is
 // used until it must have written it again.
 func (r *Registry) readEarlier(t Table) (k earlierFacts, settled []replica.EarlierRow) {
-	k = earlierFacts{left: map[string]bool{}, draining: map[ids.UpstreamIncarnation]bool{}, kinds: map[string]Kind{}}
+	k = earlierFacts{
+		left: map[string]bool{}, draining: map[ids.UpstreamIncarnation]bool{}, missing: map[string]*catalog.Upstream{}, kinds: map[string]Kind{},
+	}
+	slices.SortFunc(t.Earlier, func(a, b replica.EarlierRow) int { return a.Position().Compare(b.Position()) })
 	for _, row := range t.Earlier {
 		if !k.add(r, row, t) {
 			settled = append(settled, row)
@@ -109,7 +113,10 @@
 	if err != nil || age >= rewriteTime {
 		return false
 	}
-	k.missing, k.kinds[row.Key] = append(k.missing, up), MissingSince
+	if up.State == catalog.StateDraining {
+		k.draining[up.Incarnation()] = true
+	}
+	k.missing[row.Key], k.kinds[row.Key] = up, MissingSince
 	return true
 }
 
--- a/internal/state/registry/earlier_test.go
+++ b/internal/state/registry/earlier_test.go
@@ -104,3 +104,35 @@
 		t.Fatalf("after the return: used %v", got)
 	}
 }
+
+// Guards against an upstream that gets twice its share, or requests after it has left, because the store came back older twice
+// before its entry was written again.
+func TestUpstreamMissingAfterTwoReturnsCountsOnce(t *testing.T) {
+	for name, tc := range map[string]struct {
+		first   catalog.State
+		removed bool
+		want    []catalog.State
+	}{
+		"ready":    {catalog.StateReady, false, []catalog.State{catalog.StateReady}},
+		"draining": {catalog.StateDraining, false, []catalog.State{catalog.StateDraining}},
+		"removed":  {catalog.StateReady, true, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &returned{table: newTable()}
+			reg := registry.New(r.decode)
+			r.put("u", newUpstream("10.0.0.1:1", 7, tc.first))
+			r.lose("u", tc.removed, platform.Position{})
+			r.put("u", newUpstream("10.0.0.1:1", 7, catalog.StateReady))
+			r.lose("u", false, platform.Position{})
+			r.rows = nil
+			list, _, _ := reg.UpdateTable(registry.Table{Earlier: r.earlier, EraAge: time.Second, Heartbeat: heartbeat}, services)
+			var got []catalog.State
+			for _, u := range list.Of("s") {
+				got = append(got, u.State)
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Fatal(diff)
+			}
+		})
+	}
+}
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -70,8 +70,8 @@
 			list = append(list, up)
 		}
 	}
-	for _, up := range known.missing {
-		if r.usable(up, services) {
+	for key, up := range known.missing {
+		if up = known.apply(key, up); r.usable(up, services) {
 			list = append(list, up)
 		}
 	}
--- a/internal/state/replica/earlier.go
+++ b/internal/state/replica/earlier.go
@@ -102,25 +102,28 @@
 	return true
 }
 
-// ObserveEraAge records how long ago a peer of the same era noticed that era; 0 if it has seen no other.
-func (r *Replica) ObserveEraAge(age time.Duration) {
+// ObserveEraAge records how long ago a peer noticed its era, 0 if it has seen no other. It ignores another era than the
+// copy's.
+func (r *Replica) ObserveEraAge(era uint64, age time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.observeEraAge(age)
+	r.observeEraAge(era, age)
 }
 
-func (r *Replica) observeEraAge(age time.Duration) {
-	if since := time.Now().Add(-age); age > 0 && (r.eraSince.IsZero() || since.Before(r.eraSince)) {
+func (r *Replica) observeEraAge(era uint64, age time.Duration) {
+	if era != r.position.Era || age <= 0 {
+		return
+	}
+	if since := time.Now().Add(-age); r.eraSince.IsZero() || since.Before(r.eraSince) {
 		r.eraSince = since
 	}
 }
 
-// mergeEarlier adds a peer's rows of earlier eras and reports whether there was a new one. age is how long ago the peer
-// noticed its era.
-func (r *Replica) mergeEarlier(rows []EarlierRow, age time.Duration) bool {
-	r.observeEraAge(age)
+// mergeEarlier adds a peer's rows of earlier eras and reports whether there was a new one.
+func (r *Replica) mergeEarlier(d Delta) bool {
+	r.observeEraAge(d.To.Era, d.EraAge)
 	changed := false
-	for _, e := range rows {
+	for _, e := range d.Earlier {
 		if e.Era < r.position.Era {
 			changed = r.addEarlier(e) || changed
 		}
--- a/internal/state/replica/earlier_test.go
+++ b/internal/state/replica/earlier_test.go
@@ -197,7 +197,8 @@
 		if got := fresh.EraAge(); got != 0 {
 			t.Errorf("age %s before the copy knows of another era", got)
 		}
-		fresh.ObserveEraAge(c.EraAge())
+		fresh.ObserveEraAge(src.era+1, time.Hour)
+		fresh.ObserveEraAge(src.era, c.EraAge())
 		time.Sleep(time.Second)
 		if got := fresh.EraAge(); got != 2500*time.Millisecond {
 			t.Errorf("age %s", got)
--- a/internal/state/replica/replica.go
+++ b/internal/state/replica/replica.go
@@ -229,7 +229,7 @@
 		return false
 	}
 	changed := r.mergeRows(d)
-	return r.mergeEarlier(d.Earlier, d.EraAge) || changed
+	return r.mergeEarlier(d) || changed
 }
 
 func (r *Replica) mergeRows(d Delta) bool {
