Retries and denied retries are logged with what was spent, the part, of how many gateways, and since when

New: a line 'retry denied', the fields budget_spent, budget_first, budget_extra_part, budget_parts and budget_since_ms on it and on 'retrying request', gauges of the same, and a counter of denied retries. They tell apart a life that forgets (budget_since_ms below the window while the host is older), parts of too few (budget_parts below the gateways), and what requests have paid (budget_first). Nothing is decided differently.

--- a/internal/node/gateway/log.go
+++ b/internal/node/gateway/log.go
@@ -12,6 +12,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/logging"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/retry"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/replica"
 )
 
@@ -61,10 +62,33 @@
 // logRetry logs that another attempt follows.
 func (g *Gateway) logRetry(n *run, err error) {
 	g.metrics.requestRetried(n.r.service.Name)
-	_ = g.requests.failures.Log("msg", "retrying request", "request", n.r.call.Attempt, "route", n.r.route.Name,
+	now := time.Now()
+	fields := []any{
+		"msg", "retrying request", "request", n.r.call.Attempt, "route", n.r.route.Name,
 		"upstream", n.upstream, "sent", n.sent, "unreached", n.unreached, "may_have_run", n.mayHaveRun,
-		"after_event", n.stream.lastEvent, "budget_left", n.service.budget.Remaining(time.Now()),
-		"left_ms", time.Until(n.r.deadline).Milliseconds(), "err", err)
+		"after_event", n.stream.lastEvent, "budget_left", n.service.budget.Remaining(now),
+	}
+	fields = append(fields, budgetFields(n.service.budget, now)...)
+	_ = g.requests.failures.Log(append(fields, "left_ms", n.r.deadline.Sub(now).Milliseconds(), "err", err)...)
+}
+
+// logRetryDenied logs that the retry budget does not allow another attempt.
+func (g *Gateway) logRetryDenied(n *run, err error) {
+	g.metrics.retryDenied(n.r.service.Name)
+	now := time.Now()
+	fields := []any{"msg", "retry denied", "request", n.r.call.Attempt, "route", n.r.route.Name, "service", n.r.service.Name, "upstream", n.upstream, "sent", n.sent}
+	fields = append(fields, budgetFields(n.service.budget, now)...)
+	_ = g.requests.failures.Log(append(fields, "left_ms", n.r.deadline.Sub(now).Milliseconds(), "err", err)...)
+}
+
+// budgetFields returns the log fields of a retry budget: what was spent in the window, what the first attempts in it pay, this
+// gateway's part of the extra retries and of how many gateways, and since when the budget counts.
+func budgetFields(b *retry.Window, now time.Time) []any {
+	u := b.Usage(now)
+	return []any{
+		"budget_spent", u.Retries, "budget_first", u.First, "budget_extra_part", u.Bound.Extra, "budget_parts", u.Bound.Parts,
+		"budget_since_ms", ageOf(u.Since, now),
+	}
 }
 
 // logOutcome logs and counts the outcome of a request.
--- a/internal/node/gateway/metrics.go
+++ b/internal/node/gateway/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/retry"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
@@ -50,6 +51,14 @@
 	}
 	gauge("requests_waiting", func(s *service) float64 { return float64(s.gate.Waiting()) })
 	gauge("retries_left", func(s *service) float64 { return float64(s.budget.Remaining(time.Now())) })
+	usage := func(metric string, value func(u retry.Usage) float64) {
+		gauge(metric, func(s *service) float64 { return value(s.budget.Usage(time.Now())) })
+	}
+	usage("retries_spent", func(u retry.Usage) float64 { return float64(u.Retries) })
+	usage("retries_first_attempts", func(u retry.Usage) float64 { return float64(u.First) })
+	usage("retries_extra_part", func(u retry.Usage) float64 { return u.Bound.Extra })
+	usage("retries_parts", func(u retry.Usage) float64 { return float64(u.Bound.Parts) })
+	usage("retries_since_seconds", func(u retry.Usage) float64 { return float64(max(0, ageOf(u.Since, time.Now()))) / 1000 })
 }
 
 func boolValue(b bool) float64 {
@@ -80,6 +89,10 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_retries_total{service=%q}", service)).Inc()
 }
 
+func (m *gatewayMetrics) retryDenied(service ids.Service) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_retries_denied_total{service=%q}", service)).Inc()
+}
+
 func (m *gatewayMetrics) upstreamEjected(service ids.Service, cause dispatch.Outcome) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_ejections_total{service=%q,cause=%q}", service, cause)).Inc()
 }
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -223,6 +223,7 @@
 	case errors.As(err, &moved):
 		return "" // moveStreams has already consumed the budget
 	case n.sent > 0 && !n.service.budget.Allow(time.Now()):
+		n.g.logRetryDenied(n, err)
 		return "the retry budget is used up"
 	}
 	return ""
--- a/internal/node/gateway/services.go
+++ b/internal/node/gateway/services.go
@@ -78,7 +78,7 @@
 func (g *Gateway) retryBound(now time.Time) retry.Bound {
 	b := g.Settings().Bounds.Retries
 	nodes := 1 + g.peers.count(now)
-	return retry.Bound{Length: b.Window.Std(), Ratio: b.Ratio, Extra: extraShare * float64(b.Extra) / float64(nodes+spareNodes)}
+	return retry.Bound{Length: b.Window.Std(), Ratio: b.Ratio, Extra: extraShare * float64(b.Extra) / float64(nodes+spareNodes), Parts: nodes}
 }
 
 const (
--- a/internal/policy/retry/window.go
+++ b/internal/policy/retry/window.go
@@ -28,6 +28,17 @@
 	Ratio float64
 	// Extra is the number of additional retries allowed in each window.
 	Extra float64
+	// Parts is the number of nodes that Extra was divided by; it is only logged.
+	Parts int
+}
+
+// Usage is the state of a Window, for logs and metrics.
+type Usage struct {
+	// First and Retries are the numbers of first attempts and retries that count now.
+	First, Retries int
+	Bound          Bound
+	// Since is when the window recorded its first event; zero if it has none.
+	Since time.Time
 }
 
 type bucket struct {
@@ -83,9 +94,25 @@
 	return true
 }
 
+// Usage returns the state of the window.
+func (w *Window) Usage(now time.Time) Usage {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	u := Usage{Bound: w.bound, Since: w.start}
+	if b := w.at(now); b != nil {
+		u.First, u.Retries = w.counts(b)
+	}
+	return u
+}
+
 // remaining returns how many more retries the bound allows; b is the newest bucket.
 func (w *Window) remaining(b *bucket) float64 {
-	first, retries := 0, 0
+	first, retries := w.counts(b)
+	return usedRatio*w.bound.Ratio*float64(first) + w.bound.Extra - float64(retries)
+}
+
+// counts returns the first attempts and retries in the window; b is the newest bucket.
+func (w *Window) counts(b *bucket) (first, retries int) {
 	for i := range w.buckets {
 		age := b.index - w.buckets[i].index
 		if age < windowBuckets {
@@ -95,7 +122,7 @@
 			first += w.buckets[i].first
 		}
 	}
-	return usedRatio*w.bound.Ratio*float64(first) + w.bound.Extra - float64(retries)
+	return first, retries
 }
 
 // at returns the current bucket, cleared if it held an older one. An event with a time before the latest one, for
