An attempt after one that was refused with 421 is paid for

Callers: none saw it; a service could get more arrivals beyond the first of each request than its budget allows. Cause: a request that arrives at an upstream that is not the addressed one has arrived, but counted as one that could not be sent, so up to three more attempts were free. Evidence: TestAttemptAfterMisdirectedRequestIsPaidFor, three arrivals where no retry is allowed. Change: every attempt after one that may have arrived takes a retry; only a failed dial proves that nothing arrived, and gives its retry back. How many attempts a request may have is counted as before. Result: the test passes.

--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -196,6 +196,7 @@
 func (n *run) recordFailure(err error) {
 	var dial *httpclient.DialError
 	var refused *RefusedError
+	n.arrived = n.arrived || !errors.As(err, &dial)
 	switch {
 	case errors.As(err, &dial):
 		n.unreached++
@@ -209,7 +210,6 @@
 		n.sent++
 		n.mayHaveRun = true
 	}
-	n.arrived = n.sent > 0
 	n.exclude = append(n.exclude, n.upstream)
 }
 
