--- a/internal/node/gateway/retrygrants.go
+++ b/internal/node/gateway/retrygrants.go
@@ -10,7 +10,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
-	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/retry"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
@@ -35,10 +34,10 @@
 	maxGrantTries = 12
 	// conflictPause is the mean pause before such a repetition.
 	conflictPause = 4 * time.Millisecond
-	// grantSpread, for each peer above ungatheredPeers, is the time over which gateways spread their requests: all of them may
+	// grantSpread, for each peer above maxUnspreadPeers, is the time over which gateways spread their requests: all of them may
 	// need retries at the same moment, and the store takes some hundred writes a second.
-	grantSpread     = 8 * time.Millisecond
-	ungatheredPeers = 12
+	grantSpread      = 8 * time.Millisecond
+	maxUnspreadPeers = 12
 	// minFairPart is the number of retries that a gateway may request at once in any case.
 	minFairPart = 4
 )
@@ -145,7 +144,7 @@
 
 // spread waits for a random part of the time over which gateways spread their requests; false if the gateway stops.
 func (r *retryGrants) spread() bool {
-	peers := r.g.peers.count(time.Now()) - ungatheredPeers
+	peers := r.g.peers.count(time.Now()) - maxUnspreadPeers
 	if peers <= 0 {
 		return r.g.ctx.Err() == nil
 	}
@@ -305,36 +304,3 @@
 	}
 	return age
 }
-
-// firstAttempts returns the requests for a service that this gateway and its peers got in the last window, own being those of
-// this one, and whether all peers that are heard retry by grants.
-func (p *peers) firstAttempts(service ids.Service, own int, now time.Time) (sum int, allGrant bool) {
-	hash, bound := serviceHash(service), p.g.sharedRetryBound()
-	sum, allGrant = own, true
-	for _, k := range p.live(now) {
-		allGrant = allGrant && k.digest.GetRetryGrants()
-		for i, s := range k.digest.GetFirstAttempts().GetServices() {
-			if s == hash {
-				sum += retry.Reported(int(k.digest.GetFirstAttempts().GetRequests()[i]), now.Sub(k.digestAt), bound)
-			}
-		}
-	}
-	return sum, allGrant
-}
-
-// firstAttemptColumns returns the requests that this gateway got in the last window by service; nil if there were none.
-func (g *Gateway) firstAttemptColumns(now time.Time) *cardamomyokev1.FirstAttemptColumns {
-	var columns *cardamomyokev1.FirstAttemptColumns
-	for name, s := range g.control.services {
-		first := s.budget.Usage(now).First
-		if first == 0 {
-			continue
-		}
-		if columns == nil {
-			columns = &cardamomyokev1.FirstAttemptColumns{}
-		}
-		columns.Services = append(columns.Services, serviceHash(name))
-		columns.Requests = append(columns.Requests, uint32(first))
-	}
-	return columns
-}
