--- a/internal/node/gateway/dialect.go
+++ b/internal/node/gateway/dialect.go
@@ -57,6 +57,15 @@
 	Malformed bool
 }
 
+// Cold is what an upstream states in a response about its start.
+type Cold struct {
+	// Remaining is how much longer the upstream stays cold, 0 if it is not; valid only if Stated is set.
+	Remaining time.Duration
+	Stated    bool
+	// Malformed is set if the response has a time that cannot be read.
+	Malformed bool
+}
+
 // ResponseInfo holds the fields of an upstream's response header that the gateway interprets; the others are relayed
 // unchanged.
 type ResponseInfo struct {
@@ -76,6 +85,7 @@
 	Rest         Rest
 	// Leaving is set if the upstream will exit and must get no new requests.
 	Leaving bool
+	Cold    Cold
 }
 
 // Dialect maps the gateway's requests and responses to the header fields and paths of a platform.
--- a/internal/node/gateway/settings.go
+++ b/internal/node/gateway/settings.go
@@ -110,6 +110,31 @@
 	Stall settings.Duration `yaml:"stall"`
 	// Retries bounds the attempts after each request's first, over all gateways.
 	Retries RetryBound `yaml:"retries"`
+	// Evacuate is the time within which no request may reach the upstreams of an evacuated data centre any more; 0 if data
+	// centres are not evacuated.
+	Evacuate settings.Duration `yaml:"evacuate"`
+	// Cold bounds the requests to cold upstreams; nil if their rate is not limited.
+	Cold *ColdBound `yaml:"cold"`
+	// HoldWatch is the silence of a leader that holds a group after which a standby takes over; 0 for the usual timeouts.
+	HoldWatch settings.Duration `yaml:"hold_watch"`
+}
+
+// ColdBound permits a cold upstream, in any second, Overshoot times the rate of its service plus Slack requests from all
+// gateways together.
+type ColdBound struct {
+	Overshoot float64 `yaml:"overshoot"`
+	Slack     float64 `yaml:"slack"`
+}
+
+func (b *ColdBound) check() error {
+	switch {
+	case b == nil:
+	case !(b.Overshoot >= 1):
+		return &settings.KeyError{Path: "$.bounds.cold.overshoot", Want: "1 or more", Got: strconv.FormatFloat(b.Overshoot, 'g', -1, 64)}
+	case !(b.Slack >= 0):
+		return &settings.KeyError{Path: "$.bounds.cold.slack", Want: "0 or more", Got: strconv.FormatFloat(b.Slack, 'g', -1, 64)}
+	}
+	return nil
 }
 
 // RetryBound permits Ratio times the requests of the window, plus Extra.
@@ -186,8 +211,19 @@
 			return &settings.KeyError{Path: d.path, Want: "a duration above 0", Got: time.Duration(d.value).String()}
 		}
 	}
+	for _, d := range []struct {
+		path  string
+		value settings.Duration
+	}{
+		{"$.bounds.evacuate", b.Evacuate},
+		{"$.bounds.hold_watch", b.HoldWatch},
+	} {
+		if d.value < 0 {
+			return &settings.KeyError{Path: d.path, Want: "a duration, or 0", Got: time.Duration(d.value).String()}
+		}
+	}
 	if b.Retries.Ratio < 0 || b.Retries.Ratio > 1 {
 		return &settings.KeyError{Path: "$.bounds.retries.ratio", Want: "0 to 1", Got: strconv.FormatFloat(b.Retries.Ratio, 'g', -1, 64)}
 	}
-	return nil
+	return b.Cold.check()
 }
--- a/internal/state/catalog/configuration.go
+++ b/internal/state/catalog/configuration.go
@@ -110,6 +110,10 @@
 	HealthPath string
 	// ConnectionLimit is the number of connections that an upstream accepts from all hosts together.
 	ConnectionLimit int
+	// ColdStart is how long an upstream stays cold after it has started. ColdPerSecond is the number of requests per second
+	// that a cold upstream accepts from all hosts together; 0 if it is not limited.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
--- a/internal/state/catalog/upstreams.go
+++ b/internal/state/catalog/upstreams.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
@@ -32,6 +33,8 @@
 	// Slots is the number of requests that the upstream runs concurrently.
 	Slots int
 	State State
+	// ColdRemaining is how much longer the upstream was cold when it wrote its registry entry.
+	ColdRemaining time.Duration
 	// Written is the position of the registry entry; registry entries that were written later have later positions.
 	Written platform.Position
 }
