A holder that leaves and leads no longer is replaced before its lease expires

Its lease had expired for itself, so it released nothing; the row still named it, and it went on serving callers. Successors took the row's holder for alive and waited for the length of a lease: nobody led from 26.0 to 29.5 s, a shift of demand at 26.1 s was not followed, and passes took 122 ms where callers accept 120. Ruled out: that no standby had a token (each had one), and that the store was still away (connections stood again from 26.2 s on). Change: holderDead also holds for a peer that says that it leaves and does not lead. Maps stay safe by the fencing tokens, as before.

--- a/internal/node/gateway/peers_test.go
+++ b/internal/node/gateway/peers_test.go
@@ -98,6 +98,31 @@
 	}
 }
 
+// Guards against a group that nobody leads for the length of a lease: its leader is stopped while the store is down, so it
+// can neither renew nor release its lease, and serves its callers on for seconds. One that still leads keeps its duty.
+func TestLeavingHolderThatLeadsNoMoreIsReplaced(t *testing.T) {
+	now := time.Now()
+	g := &Gateway{}
+	g.settings.Store(&Settings{Name: "own"})
+	tests := map[string]struct {
+		state cardamomyokev1.NodeState
+		fence uint64
+		want  bool
+	}{
+		"serves and does not lead":   {cardamomyokev1.NodeState_NODE_STATE_LIVE, 0, false},
+		"leaves and leads":           {cardamomyokev1.NodeState_NODE_STATE_LEAVING, 7, false},
+		"leaves and leads no longer": {cardamomyokev1.NodeState_NODE_STATE_LEAVING, 0, true},
+	}
+	for name, tc := range tests {
+		p := &peers{g: g, startedAt: now.Add(-time.Minute), byName: map[string]*peer{}, detector: newDetector()}
+		d := &cardamomyokev1.Digest{Node: "other", Incarnation: "a", Sequence: 1, DigestAddress: "10.1.0.1:1", State: tc.state, ExpertsFence: tc.fence}
+		p.byName["other"] = &peer{digest: d, lastSeen: now}
+		if got := p.holderDead("other", "a"); got != tc.want {
+			t.Errorf("%s: dead %t, want %t", name, got, tc.want)
+		}
+	}
+}
+
 // fakePeer is another gateway that returns the same response to each pull.
 type fakePeer struct {
 	response *cardamomyokev1.PullResponse
--- a/internal/node/gateway/sentinel.go
+++ b/internal/node/gateway/sentinel.go
@@ -93,6 +93,9 @@
 //
 // After a power failure each gateway sees only a few peers, and the holder of a duty may not be among them. Peer lists
 // spread within a second, so unknownLeaderTimeout is enough for a holder without any message.
+//
+// A holder that leaves counts as dead once it leads no longer. If the store was down when it was stopped, the lease is still
+// in its name, and nobody would lead until the lease has expired.
 func (p *peers) holderDead(name string, holderIncarnation ids.Incarnation) bool {
 	now := time.Now()
 	if now.Sub(p.startedAt) < leaderTimeout {
@@ -113,5 +116,5 @@
 	if now.Sub(k.lastSeen) > p.scaleTimeoutLocked(leaderTimeout) || p.detector.Dead(k.address()) {
 		return true
 	}
-	return k.digest.GetIncarnation() > string(holderIncarnation)
+	return k.digest.GetIncarnation() > string(holderIncarnation) || k.leaves() && !k.leads()
 }
