--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -273,7 +273,9 @@
 func (k *peer) leads() bool { return k.digest.GetExpertsFence() > 0 }
 
 // leaves reports whether the peer has been stopped and is about to exit, according to its digest.
-func (k *peer) leaves() bool { return k.digest.GetState() == cardamomyokev1.NodeState_NODE_STATE_LEAVING }
+func (k *peer) leaves() bool {
+	return k.digest.GetState() == cardamomyokev1.NodeState_NODE_STATE_LEAVING
+}
 
 // count returns the number of live peers.
 func (p *peers) count(now time.Time) int { return len(p.live(now)) }
