Evacuated data centres: state, and placement that leaves them out

Cause: operators evacuate a data centre, and gateways have no way to know or to keep requests away from its upstreams. Nothing calls it yet. A pool without evacuations places the same requests at the same upstreams as before.

--- a/internal/node/gateway/dialect.go
+++ b/internal/node/gateway/dialect.go
@@ -117,4 +117,7 @@
 	Configuration(rows []platform.Row) (*catalog.Configuration, error)
 	// Upstream decodes one registry entry.
 	Upstream(row platform.Row) (*catalog.Upstream, error)
+	// Evacuation returns the data centre that a row of the configuration's table evacuates, from the row's key alone. is is
+	// false if the row is about something else. It returns an error if such a row names no data centre.
+	Evacuation(row platform.Row) (d ids.DataCentre, is bool, err error)
 }
--- a/internal/policy/dispatch/latereading.go
+++ b/internal/policy/dispatch/latereading.go
@@ -15,6 +15,6 @@
 	if p.opts.Disabled[LatePrefill] || e == nil || e.Chunk <= 0 || p.latePromptTokens <= 0 {
 		return false
 	}
-	perPass := float64(e.Chunk*e.Stride*len(p.order)) / float64(max(1, p.sharing.Gateways))
+	perPass := float64(e.Chunk*e.Stride*(len(p.order)-p.countEvacuated())) / float64(max(1, p.sharing.Gateways))
 	return float64(p.latePromptTokens) >= maxLatePrefill*perPass
 }
--- a/internal/policy/dispatch/pool.go
+++ b/internal/policy/dispatch/pool.go
@@ -80,6 +80,8 @@
 	latePromptTokens int
 	// firstResponse is the mean time from the placement of a request to its first response; 0 if none was measured.
 	firstResponse time.Duration
+	// evacuated holds the data centres whose upstreams get no new requests; nil for none.
+	evacuated *catalog.Evacuations
 }
 
 // NewPool returns a pool without upstreams.
@@ -104,7 +106,7 @@
 		if u == nil {
 			u = &upstreamState{}
 		}
-		u.listed = e
+		u.listed, u.evacuated = e, p.evacuated.Has(e.DataCentre)
 		next[e.Incarnation()] = u
 		p.order = append(p.order, u)
 	}
--- a/internal/policy/dispatch/restriction.go
+++ b/internal/policy/dispatch/restriction.go
@@ -138,6 +138,9 @@
 // A request that waits for them and then starts too late to meet its target keeps its caller from another gateway, which
 // may have a part of the limit to spare, and which the upstream may not have asked for rest.
 func (p *Pool) restrictedError(r Request, ahead int, now time.Time) error {
+	if err := p.evacuatedError(r, now); err != nil {
+		return err
+	}
 	if p.closed {
 		return nil
 	}
--- a/internal/policy/dispatch/ticket.go
+++ b/internal/policy/dispatch/ticket.go
@@ -54,7 +54,8 @@
 	OwnPart float64
 }
 
-// Err returns why the request was refused, or nil: *NoRegisteredUpstreamError, *OverloadedError or *RestrictedError.
+// Err returns why the request was refused, or nil: *NoRegisteredUpstreamError, *OverloadedError, *RestrictedError or
+// *EvacuatedError.
 func (t *Ticket) Err() error { return t.err }
 
 func (t *Ticket) refuse(err error) {
--- a/internal/policy/dispatch/upstream.go
+++ b/internal/policy/dispatch/upstream.go
@@ -26,6 +26,8 @@
 	restUntil time.Time
 	// leavingSince is when the upstream first said in a response that it will exit; zero if it did not.
 	leavingSince time.Time
+	// evacuated is set while the upstream's data centre is evacuated.
+	evacuated bool
 }
 
 // leavingKept is how long it is remembered that an upstream leaves whose registration has expired. An upstream that is
@@ -35,7 +37,7 @@
 // acceptsRequests reports whether the upstream takes new requests in this incarnation, by the registry and by its own
 // responses.
 func (u *upstreamState) acceptsRequests() bool {
-	return u.listed.State == catalog.StateReady && !u.health.replaced && u.leavingSince.IsZero()
+	return !u.evacuated && u.isInService()
 }
 
 // mustBeKept reports whether the state of an upstream that is no longer registered is still needed.
