Gateways keep requests from evacuated data centres

Cause: rows evacuate/ZONE of the operator's table had no effect, so upstreams of a data centre that is about to be shut down got requests until its hosts were gone. Change: applyTables reads the evacuations before it updates the services, and the view carries the set. A request that was placed before is checked once more right before it is written (httpclient.DoMatchingIf) and placed again, with the retry that it had paid. After half of the bound, resumable streams that are left are moved: moves.moveFrom is the general form of moveStreams, and the pool says how many streams have room elsewhere. Rows of earlier eras about evacuations are no longer dropped as those of a configuration. Log lines, metrics, the mechanism evacuation. Off while bounds.evacuate is 0. Tests: MovedError has a second field, so two literals in move_test.go name the first one; what they check is unchanged.

--- a/internal/base/httpclient/client.go
+++ b/internal/base/httpclient/client.go
@@ -138,10 +138,24 @@
 // A second copy of an earlier response may arrive before the response to this request. A peer serves one request at a
 // time on a connection, so mismatched responses always precede the expected one and can be discarded.
 func (c *Client) DoMatching(ctx context.Context, address string, req *fasthttp.Request, match Match) (*Response, error) {
+	return c.DoMatchingIf(ctx, address, req, match, nil)
+}
+
+// DoMatchingIf is like DoMatching, but calls mayWrite once there is a connection, right before it writes the request. If that
+// returns an error, nothing is sent and the error is returned; nil permits each request.
+//
+// Establishing a connection takes time, in which the reason to send the request to this peer may cease to hold.
+func (c *Client) DoMatchingIf(ctx context.Context, address string, req *fasthttp.Request, match Match, mayWrite func() error) (*Response, error) {
 	conn, reused, err := c.get(ctx, address)
 	if err != nil {
 		return nil, err
 	}
+	if mayWrite != nil {
+		if err := mayWrite(); err != nil {
+			_ = conn.Close()
+			return nil, err
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	written := conn.send(req)
 	raw, stage, err := conn.receive(match, req.Header.IsHead(), written)
--- a/internal/base/httpclient/client_test.go
+++ b/internal/base/httpclient/client_test.go
@@ -21,6 +21,8 @@
 type peer struct {
 	address string
 	conns   atomic.Int64
+	// requests is the number of requests that arrived.
+	requests atomic.Int64
 }
 
 func startPeer(t *testing.T, script ...string) *peer {
@@ -31,7 +33,6 @@
 	}
 	t.Cleanup(func() { _ = l.Close() })
 	p := &peer{address: l.Addr().String()}
-	var next atomic.Int64
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -39,7 +40,7 @@
 				return
 			}
 			p.conns.Add(1)
-			go serveScript(c, script, &next)
+			go serveScript(c, script, &p.requests)
 		}
 	}()
 	return p
@@ -198,3 +199,24 @@
 		t.Fatalf("got %q, %v", body, err)
 	}
 }
+
+// Guards against a request that is written although the reason to send it to this peer ceased to hold while the connection was
+// established, and against the connection's reuse afterwards.
+func TestRequestIsNotWrittenWithoutPermission(t *testing.T) {
+	p := startPeer(t, responseA)
+	c := httpclient.New(httpclient.Options{})
+	defer c.Close()
+	req := &fasthttp.Request{}
+	req.SetRequestURI("/")
+	req.Header.SetHost("peer")
+	denied := errors.New("denied")
+	if _, err := c.DoMatchingIf(t.Context(), p.address, req, nil, func() error { return denied }); !errors.Is(err, denied) {
+		t.Fatalf("got %v", err)
+	}
+	if p.requests.Load() != 0 {
+		t.Fatal("the request was written")
+	}
+	if body, err := get(t, c, p); err != nil || body != "A" || p.requests.Load() != 1 {
+		t.Fatalf("got %q, %v", body, err)
+	}
+}
--- a/internal/node/gateway/configuration.go
+++ b/internal/node/gateway/configuration.go
@@ -38,6 +38,9 @@
 	earlier, _ := r.Earlier()
 	var settled []replica.EarlierRow
 	for _, e := range earlier {
+		if g.isEvacuation(e.Row) {
+			continue
+		}
 		c := g.decodeEarlierConfiguration(e)
 		if c == nil || newest != nil && c.Revision <= newest.Revision {
 			settled = append(settled, e)
--- a/internal/node/gateway/earlierrows.go
+++ b/internal/node/gateway/earlierrows.go
@@ -87,12 +87,17 @@
 
 // checkEarlierRows applies the tables again while rows of earlier eras may stop to count. It runs on the control loop.
 func (g *Gateway) checkEarlierRows(now time.Time) {
-	r := g.registryFollower.Replica
-	if now.Sub(g.control.earlierCheckedAt) < earlierCheckInterval || r.EarlierFingerprint() == 0 {
+	if now.Sub(g.control.earlierCheckedAt) < earlierCheckInterval {
 		return
 	}
 	g.control.earlierCheckedAt = now
-	if limit := earlierCheckMargin + registry.HoldTime(g.Settings().Bounds.heartbeat()); r.EraAge() < limit {
+	if g.earlierRowsMayEnd(g.registryFollower.Replica) || g.evacuates() && g.earlierRowsMayEnd(g.configFollower.Replica) {
 		g.applyTables(now)
 	}
 }
+
+// earlierRowsMayEnd reports whether a table has rows of earlier eras that may stop to count.
+func (g *Gateway) earlierRowsMayEnd(r *replica.Replica) bool {
+	limit := earlierCheckMargin + registry.HoldTime(g.Settings().Bounds.heartbeat())
+	return r.EarlierFingerprint() != 0 && r.EraAge() < limit
+}
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/tracing"
 	"github.com/cardamomyoke/cardamomyoke/internal/experts/lockstep"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/evacuation"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/registry"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/replica"
@@ -80,6 +81,8 @@
 	suspects         *suspects
 	moves            *moves
 	limits           *limits
+	// evacuationStatus is published by the control loop, sorted by data centre.
+	evacuationStatus atomic.Pointer[[]evacuationStatus]
 
 	servers struct{ callers, directory, readiness *httpserver.Server }
 	ranks   lockstep.RankClient
@@ -105,6 +108,9 @@
 	eras map[string]uint64
 	// earlierCheckedAt is when rows of earlier eras were last considered again.
 	earlierCheckedAt time.Time
+	// evacuations determines which data centres are evacuated; evacuated is its latest result.
+	evacuations *evacuation.Tracker
+	evacuated   *catalog.Evacuations
 }
 
 // Start opens the listeners and begins to follow the store. It returns *httpserver.ListenError or a network error.
@@ -133,6 +139,7 @@
 		control: controlState{
 			upstreams: catalog.NewUpstreams(nil), validEntries: registry.New(d.Decoder.Upstream),
 			services: map[ids.Service]*service{}, ownState: stateStarting, eras: map[string]uint64{},
+			evacuations: evacuation.New(d.Decoder.Evacuation),
 		},
 	}
 	g.settings.Store(set)
@@ -218,9 +225,12 @@
 	g.logEras()
 	g.updateConfiguration(now)
 	g.control.upstreams = g.readUpstreams(now)
+	evacuated := g.control.evacuated
+	g.control.evacuated = g.readEvacuations(now)
 	g.updateServices()
 	g.limits.invalidate()
 	g.publish()
+	g.recordEvacuations(evacuated, now)
 	if g.control.ownState != before {
 		g.peers.sendToAll(now)
 	}
@@ -231,6 +241,7 @@
 	g.view.Store(&view{
 		config:     g.control.config,
 		upstreams:  g.control.upstreams,
+		evacuated:  g.control.evacuated,
 		services:   g.control.services,
 		state:      g.control.ownState,
 		storeUp:    g.configFollower.Connection().Up,
@@ -259,6 +270,7 @@
 		s.gate.SetOthersWork(g.peers.work(name, g.control.upstreams, now))
 		g.logEjections(name, s)
 	}
+	g.tickEvacuations(now)
 	g.suspects.tracker.Expire(now)
 	g.experts.tick(now)
 	g.peers.tick(now)
--- a/internal/node/gateway/mechanism.go
+++ b/internal/node/gateway/mechanism.go
@@ -23,11 +23,13 @@
 	mechanismStartWait dispatch.Mechanism = "start-wait"
 	// mechanismMaps: experts are placed by demand.
 	mechanismMaps dispatch.Mechanism = "maps"
+	// mechanismEvacuation: upstreams of evacuated data centres get no requests.
+	mechanismEvacuation dispatch.Mechanism = "evacuation"
 )
 
 // mechanisms returns all mechanisms that can be disabled.
 func mechanisms() []dispatch.Mechanism {
-	own := []dispatch.Mechanism{mechanismClosedGroups, mechanismMoves, mechanismStandby, mechanismSuspects, mechanismStartWait, mechanismMaps}
+	own := []dispatch.Mechanism{mechanismClosedGroups, mechanismMoves, mechanismStandby, mechanismSuspects, mechanismStartWait, mechanismMaps, mechanismEvacuation}
 	return append(dispatch.Mechanisms(), own...)
 }
 
--- a/internal/node/gateway/metrics.go
+++ b/internal/node/gateway/metrics.go
@@ -103,6 +103,30 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_ejections_total{service=%q,cause=%q}", service, cause)).Inc()
 }
 
+func (m *gatewayMetrics) evacuationRefused(service ids.Service) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_evacuation_refusals_total{service=%q}", service)).Inc()
+}
+
+func (m *gatewayMetrics) evacuationMoved(service ids.Service, n int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_evacuation_moves_total{service=%q}", service)).Add(n)
+}
+
+// addEvacuationGauges adds the gauges of one data centre; they are 0 while it is not evacuated.
+func (m *gatewayMetrics) addEvacuationGauges(g *Gateway, d ids.DataCentre) {
+	gauge := func(metric string, value func(s evacuationStatus) float64) {
+		m.set.GetOrCreateGauge(fmt.Sprintf("cardamomyoke_gateway_%s{data_centre=%q}", metric, d), func() float64 {
+			for _, s := range g.evacuations() {
+				if s.DataCentre == d {
+					return value(s)
+				}
+			}
+			return 0
+		})
+	}
+	gauge("evacuated_since_seconds", func(s evacuationStatus) float64 { return time.Since(s.Since).Seconds() })
+	gauge("evacuated_requests_running", func(s evacuationStatus) float64 { return float64(s.running) })
+}
+
 func (m *gatewayMetrics) limitStated(service ids.Service) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_limit_answers_total{service=%q}", service)).Inc()
 }
--- a/internal/node/gateway/move.go
+++ b/internal/node/gateway/move.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -15,12 +16,25 @@
 // takes about as long on the slow rank as waiting for a slot elsewhere and processing the prompt again.
 const moveSlowdown = 3
 
-// MovedError reports that a stream was moved away from an upstream that is several times slower than normal.
-type MovedError struct{ Upstream ids.Upstream }
+// moveReason is why streams are moved away from an upstream.
+type moveReason string
+
+const (
+	// moveSlow: the upstream is several times slower than normal.
+	moveSlow moveReason = "slow"
+	// moveEvacuated: the upstream's data centre is evacuated.
+	moveEvacuated moveReason = "in an evacuated data centre"
+)
+
+// MovedError reports that a stream was moved away from an upstream.
+type MovedError struct {
+	Upstream ids.Upstream
+	Reason   moveReason
+}
 
 // Error implements error.
 func (e *MovedError) Error() string {
-	return fmt.Sprintf("%s is slow, moving the stream to another upstream", e.Upstream)
+	return fmt.Sprintf("%s is %s, moving the stream to another upstream", e.Upstream, e.Reason)
 }
 
 // moves holds the running attempts whose stream may be moved, by upstream incarnation. It is safe for concurrent use.
@@ -54,32 +68,42 @@
 	}
 }
 
-// moveStreams cancels the streams on slow ranks while the retry budget of their service allows it; a stream that could
-// not be sent again must stay.
+// moveStreams moves the streams away from slow ranks.
 func (m *moves) moveStreams(slowdowns map[ids.UpstreamIncarnation]float64, now time.Time) {
+	for u, slowdown := range slowdowns {
+		if slowdown >= moveSlowdown {
+			m.moveFrom(u, moveSlow, math.MaxInt, now)
+		}
+	}
+}
+
+// moveFrom cancels streams at an upstream, at most the given number and while the retry budget of their service allows it; a
+// stream that could not be sent again must stay. It returns the number of cancelled streams.
+func (m *moves) moveFrom(u ids.UpstreamIncarnation, reason moveReason, limit int, now time.Time) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for u, slowdown := range slowdowns {
-		if slowdown < moveSlowdown {
-			continue
+	moved := 0
+	for n, cancel := range m.running[u] {
+		if moved >= limit {
+			break
 		}
-		for n, cancel := range m.running[u] {
-			t, ok := n.service.budget.Take(now)
-			if !ok {
-				n.service.grants.request(now)
-				continue
-			}
-			n.token = &t
-			delete(m.running[u], n)
-			cancel(&MovedError{u.Upstream})
+		t, ok := n.service.budget.Take(now)
+		if !ok {
+			n.service.grants.request(now)
+			continue
 		}
+		n.token = &t
+		delete(m.running[u], n)
+		cancel(&MovedError{u.Upstream, reason})
+		moved++
 	}
+	return moved
 }
 
-// mayMove reports whether the stream of the next attempt may be moved: the upstreams are ranks of a group, the stream
-// can resume after its last event, and one more attempt is left for that.
+// mayMove reports whether the stream of the next attempt may be moved: the upstreams are ranks of a group or may be
+// evacuated, the stream can resume after its last event, and one more attempt is left for that.
 func (n *run) mayMove() bool {
-	return n.service.group != nil && n.r.route.Resumable && n.sent+1 < n.r.route.Attempts
+	return (n.service.group != nil || n.service.evacuable.Load()) && n.r.route.Resumable && n.sent+1 < n.r.route.Attempts
 }
 
 // movableAttempt runs an attempt during which the stream may be moved. It returns *MovedError or the errors of attempt.
@@ -94,7 +118,7 @@
 	err := n.attempt(ctx, t)
 	n.g.moves.remove(u, n)
 	var moved *MovedError
-	if err != nil && errors.As(context.Cause(ctx), &moved) {
+	if err != nil && !isUnwritten(err) && errors.As(context.Cause(ctx), &moved) {
 		return moved
 	}
 	n.returnToken()
--- a/internal/node/gateway/move_test.go
+++ b/internal/node/gateway/move_test.go
@@ -106,8 +106,8 @@
 	n.r.route.Kind = catalog.KindStream
 	n.g = &Gateway{suspects: newSuspects(nil)}
 	n.x = runOf("").x
-	n.recordFailure(&MovedError{"u"})
-	if reason := n.stopReason(t.Context(), &MovedError{"u"}); reason != "" {
+	n.recordFailure(&MovedError{Upstream: "u"})
+	if reason := n.stopReason(t.Context(), &MovedError{Upstream: "u"}); reason != "" {
 		t.Fatalf("aborted: %s", reason)
 	}
 }
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -93,6 +93,10 @@
 			n.g.suspects.completed(n, time.Now())
 			return nil
 		}
+		if isUnwritten(err) {
+			n.placeAgain(err)
+			continue
+		}
 		n.recordFailure(err)
 		n.checkCrash(ticket.Upstream(), err)
 		n.reject(ticket.Upstream(), err)
@@ -236,7 +240,7 @@
 	case n.unreached >= maxUnreached:
 		return "no upstream can be reached"
 	case errors.As(err, &moved):
-		return "" // moveStreams has already reserved the retry
+		return "" // moveFrom has already reserved the retry
 	case n.arrived && !n.reserveRetry(ctx):
 		n.g.logRetryDenied(n, err)
 		return budgetUsedUp
@@ -282,9 +286,13 @@
 	var none *dispatch.NoRegisteredUpstreamError
 	var full *dispatch.OverloadedError
 	var restricted *dispatch.RestrictedError
+	var evacuated *dispatch.EvacuatedError
 	switch {
 	case errors.As(err, &none):
 		return failure.New(failure.CodeNoUpstream, err).WithRetryAfter(none.RetryAfter)
+	case errors.As(err, &evacuated):
+		n.g.metrics.evacuationRefused(n.r.service.Name)
+		return failure.New(failure.CodeNoUpstream, err).WithRetryAfter(evacuated.RetryAfter)
 	case errors.As(err, &restricted):
 		return failure.New(failure.CodeOverloaded, err).WithRetryAfter(restricted.RetryAfter)
 	case errors.As(err, &full):
@@ -303,7 +311,7 @@
 	switch {
 	case err == nil || errors.As(err, &unproven):
 		return dispatch.OutcomeOK
-	case errors.As(err, &closed) || errors.As(err, &moved) || ctx.Err() != nil:
+	case errors.As(err, &closed) || errors.As(err, &moved) || isUnwritten(err) || ctx.Err() != nil:
 		return dispatch.OutcomeNone
 	case errors.As(err, &refused) && refused.Status == statusOtherInstance:
 		return dispatch.OutcomeReplaced
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -24,7 +24,8 @@
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
-// send writes the request to an upstream and reads the header of the response that carries the attempt's id.
+// send writes the request to an upstream and reads the header of the response that carries the attempt's id. It returns
+// *EvacuatedUpstreamError if the upstream's data centre has been evacuated meanwhile.
 func (n *run) send(ctx context.Context, to *catalog.Upstream) (*httpclient.Response, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -33,7 +34,7 @@
 	match := func(h *fasthttp.ResponseHeader) bool {
 		return attempt == "" || n.g.dialect.ReadResponse(h).Attempt == attempt || mayLackAttemptID(h)
 	}
-	return n.g.client.DoMatching(ctx, to.Address, req, match)
+	return n.g.client.DoMatchingIf(ctx, to.Address, req, match, func() error { return n.g.checkEvacuated(to) })
 }
 
 // mayLackAttemptID reports whether a response may lack the attempt's id because the upstream did not read the request
--- a/internal/node/gateway/services.go
+++ b/internal/node/gateway/services.go
@@ -28,6 +28,8 @@
 			g.metrics.addServiceGauges(g, name)
 		}
 		s.gate.SetOptions(dispatchOptions(c, g.disabledInDispatch()))
+		s.evacuable.Store(g.evacuates())
+		s.gate.SetEvacuated(g.control.evacuated)
 		s.gate.SetUpstreams(g.control.upstreams.Of(name))
 		s.budget.SetBound(g.sharedRetryBound())
 		next[name] = s
--- a/internal/node/gateway/view.go
+++ b/internal/node/gateway/view.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
@@ -17,6 +18,8 @@
 	config    *catalog.Configuration
 	upstreams *catalog.Upstreams
 	services  map[ids.Service]*service
+	// evacuated is the set of evacuated data centres.
+	evacuated *catalog.Evacuations
 	// state determines whether new requests are accepted.
 	state nodeState
 	// storeUp is set if the last call to the store succeeded. Otherwise the configuration may be outdated, and a
@@ -37,6 +40,8 @@
 	gaps *completeness.Habit
 	// group is nil unless the upstreams are ranks of a group.
 	group *groupWatch
+	// evacuable is set while streams may be moved away from evacuated data centres.
+	evacuable atomic.Bool
 }
 
 // nodeState is a gateway's state, as it reports it to peers and callers.
--- a/internal/policy/dispatch/evacuation.go
+++ b/internal/policy/dispatch/evacuation.go
@@ -80,20 +80,39 @@
 	return &EvacuatedError{Evacuated: evacuated, Waited: now.Sub(r.Arrived), RetryAfter: p.retryAfter(maxRetry)}
 }
 
-// EvacuatedWork counts requests in flight at the upstreams of one data centre, those of this gateway and those that the other
-// gateways have last reported.
-type EvacuatedWork struct{ Own, Others int }
+// EvacuatedWork describes the upstreams of one evacuated data centre.
+type EvacuatedWork struct {
+	// Upstreams is the number of registered upstreams.
+	Upstreams int
+	// Own is the number of requests of this gateway in flight there, and Others that which the other gateways last reported.
+	Own, Others int
+	// Busy lists the upstreams at which requests of this gateway are in flight, registered or not, in unspecified order.
+	Busy []ids.UpstreamIncarnation
+}
 
-// EvacuatedWork returns the requests in flight in each evacuated data centre that has upstreams.
+// EvacuatedWork returns the work in each evacuated data centre that has upstreams.
 func (p *Pool) EvacuatedWork() map[ids.DataCentre]EvacuatedWork {
 	if p.evacuated.Len() == 0 {
 		return nil
 	}
 	out := map[ids.DataCentre]EvacuatedWork{}
-	for _, u := range p.upstreams {
+	for i, u := range p.upstreams {
+		if !u.evacuated {
+			continue
+		}
+		w := out[u.listed.DataCentre]
+		w.Own += u.own.Requests
+		if u.own.Requests > 0 {
+			w.Busy = append(w.Busy, i)
+		}
+		out[u.listed.DataCentre] = w
+	}
+	for _, u := range p.order {
 		if u.evacuated {
 			w := out[u.listed.DataCentre]
-			out[u.listed.DataCentre] = EvacuatedWork{w.Own + u.own.Requests, w.Others + u.others.Requests}
+			w.Upstreams++
+			w.Others += u.others.Requests
+			out[u.listed.DataCentre] = w
 		}
 	}
 	return out
@@ -129,7 +148,7 @@
 	g.update(func(p *Pool, now time.Time) []*Ticket { return p.SetEvacuated(set, now) })
 }
 
-// EvacuatedWork returns the requests in flight in each evacuated data centre that has upstreams.
+// EvacuatedWork returns the work in each evacuated data centre that has upstreams.
 func (g *Gate) EvacuatedWork() map[ids.DataCentre]EvacuatedWork {
 	g.mu.Lock()
 	defer g.mu.Unlock()
