A standby takes over at once from a leader that goes silent while it holds a group

Cause: a leader that stalls between holding a group and releasing it stops all streams of the group until the timeouts of digests and of the lease have passed, and its successor waited another 100 ms before it undid the switch.

Change: while a switch holds a group, the leader tells the peers with a usable spare token so each 20 ms, and three times that it is released. internal/experts/holdwatch decides when a standby takes over: the one with the lowest usable spare token after bounds.hold_watch without the next notice, each further one after as much again. It then undoes the switch without waiting. The group is held four passes ahead instead of two. A leader whose switch has not held the group yet gives it up if a rank has a map of a later leader: one that stalled in that state held the group again when it continued. Without bounds.hold_watch, or with hold-watch in off, nothing is sent, watched or held further ahead.

--- a/internal/experts/lockstep/controller.go
+++ b/internal/experts/lockstep/controller.go
@@ -70,6 +70,14 @@
 	// OnSwitched is called after each switch with the skews before and after it and the number of copies; it may be
 	// nil.
 	OnSwitched func(before, after float64, copies int)
+	// HoldLead returns how many passes ahead a switch holds the group, 0 for the default; it may be nil.
+	HoldLead func() uint64
+	// OnHold is called by a switch each HoldNoticeInterval while it holds a group, first before the order to hold is
+	// sent, and when it no longer does. It must not block; it may be nil.
+	OnHold func(group string, state HoldState)
+	// TookOver reports whether this node leads under the token because the leader before it went silent while it held
+	// a group; it may be nil.
+	TookOver func(ids.Fence) bool
 }
 
 // Controller adapts the map of one group to the demand while its node is the leader. Only Run's goroutine may use it.
@@ -89,7 +97,9 @@
 	switchPass      uint64
 	fence           ids.Fence
 	unfinishedSince time.Time
-	wasComplete     bool
+	// holdNoticedAt is when OnHold was last called for the current hold; zero if none is outstanding.
+	holdNoticedAt time.Time
+	wasComplete   bool
 	// responseTime is the median response time of the ranks, in ns, when all were last read concurrently.
 	responseTime atomic.Int64
 }
--- a/internal/experts/lockstep/runswitch.go
+++ b/internal/experts/lockstep/runswitch.go
@@ -34,6 +34,7 @@
 		ResponseTime: time.Duration(c.responseTime.Load()),
 
 		Fallback: versionOf(c.fence, serial+1),
+		HoldLead: c.holdLead(),
 	}
 }
 
@@ -52,10 +53,12 @@
 	poll := newReportPoller(c, s)
 	prepared := map[int]bool{}
 	for !sw.Finished() {
+		c.noticeHold(s, sw, time.Now())
 		c.sendOrders(ctx, s, orders, replies, finished)
 		orders = nil
 		select {
 		case <-ctx.Done():
+			c.abandonHold(s)
 			return
 		case a := <-replies:
 			orders = sw.OnReply(time.Now(), a.order, a.reply)
@@ -76,6 +79,7 @@
 			}
 		}
 	}
+	c.noticeHold(s, sw, time.Now())
 }
 
 // reportPoller reads the reports of all ranks, one round at a time, concurrently with the loop that sends orders.
@@ -167,6 +171,9 @@
 		c.unfinishedSince = now
 	}
 	timeout := unfinishedAfter
+	if c.o.TookOver != nil && c.o.TookOver(c.fence) {
+		timeout = 0 // the leader that held the group is known to be silent
+	}
 	if !s.reports[unfinished.Holders[0]].Fresh {
 		timeout += 2 * s.group.Engine.ReportLag
 	}
--- a/internal/experts/lockstep/switch.go
+++ b/internal/experts/lockstep/switch.go
@@ -1,6 +1,7 @@
 package lockstep
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -54,8 +55,9 @@
 	// maxClears is how often one rank may refuse the newer version of the current map, which it does while another
 	// leader has it armed.
 	maxClears = 20
-	// holdLead is how many passes after the latest reported one the switch is to take effect.
-	holdLead = 2
+	// defaultHoldLead is how many passes after the latest reported one the switch is to take effect, unless the task
+	// says otherwise.
+	defaultHoldLead = 2
 )
 
 // Task describes the switch that a Switch carries out.
@@ -79,6 +81,8 @@
 	CopyTime time.Duration
 	// ResponseTime is the median response time of the ranks when all are called concurrently.
 	ResponseTime time.Duration
+	// HoldLead is how many passes after the latest reported one the switch is to take effect; 0 for the default.
+	HoldLead uint64
 }
 
 // Switch moves a group to a new map. It is pure and not safe for concurrent use.
@@ -126,6 +130,17 @@
 // HoldResent reports whether the order to hold the group was sent more than once for a pass.
 func (s *Switch) HoldResent() bool { return s.holdsSent > 1+s.holdsRefused }
 
+// Holds reports whether the group is held, or an order to hold it may have been executed.
+func (s *Switch) Holds() bool {
+	switch s.machine.State() {
+	case stateHolding, stateGuarding, stateArming, stateClearing, stateReleasing:
+		return true
+	}
+	return false
+}
+
+func (s *Switch) holdLead() uint64 { return cmp.Or(s.task.HoldLead, defaultHoldLead) }
+
 // Start starts the switch and returns the first orders.
 func (s *Switch) Start(now time.Time) []Order {
 	s.fire(evBegin)
@@ -161,7 +176,7 @@
 	s.refusals = map[int]int{}
 	s.due = map[int]time.Time{}
 	if s.machine.State() == stateHolding {
-		s.pass = s.latestPass + holdLead
+		s.pass = s.latestPass + s.holdLead()
 	}
 }
 
@@ -269,6 +284,14 @@
 	return rank < len(s.task.StartTimes) && r.StartedAtMS != s.task.StartTimes[rank]
 }
 
+// superseded reports whether a rank has a map of a later leader before this switch has held the group.
+//
+// A leader that stalled in stateHolding would otherwise hold the group for a switch whose orders all ranks refuse.
+func (s *Switch) superseded(r *Report) bool {
+	state := s.machine.State()
+	return (state == statePreparing || state == stateHolding) && max(r.Version, r.Prepared) > max(s.task.Version, s.task.Fallback)
+}
+
 // isCurrent reports whether the current state still requires the order of its rank.
 func (s *Switch) isCurrent(o Order) bool {
 	if s.Finished() {
@@ -325,7 +348,7 @@
 			s.fire(evLate)
 			return
 		}
-		s.pass = max(s.pass, s.latestPass) + holdLead
+		s.pass = max(s.pass, s.latestPass) + s.holdLead()
 	case stateClearing:
 		s.onClearRefused(now, o)
 	case stateReleasing:
@@ -366,6 +389,10 @@
 			s.fire(evEpochChanged)
 			return nil
 		}
+		if s.superseded(r) {
+			s.fire(evLate)
+			return nil
+		}
 		s.latestPass = max(s.latestPass, r.Pass)
 		if r.Prepared == s.task.Version {
 			prepared++
--- a/internal/experts/lockstep/switch_test.go
+++ b/internal/experts/lockstep/switch_test.go
@@ -31,9 +31,11 @@
 	late    []lockstep.Order
 	// lateShare is the percentage of events that execute an order late.
 	lateShare int
-	done      int
-	undone    int
-	failed    int
+	// holdLead is how many passes ahead the leaders hold the group, 0 for the default.
+	holdLead uint64
+	done     int
+	undone   int
+	failed   int
 }
 
 func (w *simulation) task(l *leader) lockstep.Task {
@@ -43,6 +45,7 @@
 	return lockstep.Task{
 		Epoch: w.group.epoch, Ranks: n, Version: version, Fallback: version + 1,
 		Placement: placementOf(n, w.rng), Current: placementOf(n, w.rng), HoldRank: w.rng.IntN(n), PrepareBy: w.now.Add(2 * time.Second),
+		HoldLead: w.holdLead,
 	}
 }
 
@@ -151,7 +154,7 @@
 func TestNoPassBeginsWithTwoMaps(t *testing.T) {
 	done, undone := 0, 0
 	for seed := range *seeds {
-		w := runSimulation(t, seed)
+		w := runSimulation(t, seed, 0)
 		done += w.done
 		undone += w.undone
 	}
@@ -161,10 +164,25 @@
 	t.Logf("%d switches made, %d undone", done, undone)
 }
 
-func runSimulation(t *testing.T, seed int) *simulation {
+// Guards against mixed maps if the group is held further ahead, as it is if standbys watch holds: a complete switch is
+// then pending for longer while another begins or is undone.
+func TestNoPassBeginsWithTwoMapsIfHeldFurtherAhead(t *testing.T) {
+	done, undone := 0, 0
+	for seed := range *seeds {
+		w := runSimulation(t, seed, uint64(3+seed%4))
+		done += w.done
+		undone += w.undone
+	}
+	if done == 0 || undone == 0 {
+		t.Fatalf("%d switches were made and %d undone: the schedule must exercise both outcomes", done, undone)
+	}
+	t.Logf("%d switches made, %d undone", done, undone)
+}
+
+func runSimulation(t *testing.T, seed int, holdLead uint64) *simulation {
 	t.Helper()
 	w := &simulation{t: t, rng: rand.New(rand.NewPCG(uint64(seed), 7)), now: time.Unix(0, 0), group: newGroup(2 + seed%4)}
-	w.lateShare = 2 + 10*(seed/4%3)
+	w.lateShare, w.holdLead = 2+10*(seed/4%3), holdLead
 	w.leaders = []*leader{{fence: 1}, {fence: 2}}
 	for range 4000 {
 		w.step()
@@ -181,7 +199,7 @@
 	for seed, cause := range map[int]string{
 		2362: "ranks armed for the pass before the held one were disarmed, one of them too late",
 	} {
-		t.Run(cause, func(t *testing.T) { runSimulation(t, seed) })
+		t.Run(cause, func(t *testing.T) { runSimulation(t, seed, 0) })
 	}
 }
 
--- a/internal/node/gateway/digests.go
+++ b/internal/node/gateway/digests.go
@@ -116,6 +116,7 @@
 	}
 	d.ExpertsFence = g.experts.fence.Load()
 	d.ExpertsSpare = uint64(g.experts.election.spare)
+	d.Hold = g.experts.holds.current(ids.Fence(d.GetExpertsFence()))
 	for _, f := range g.followers {
 		d.News = append(d.News, tableNews(f))
 	}
--- a/internal/node/gateway/experts.go
+++ b/internal/node/gateway/experts.go
@@ -60,11 +60,14 @@
 	allocating  bool
 	allocateAt  time.Time
 	controllers map[ids.Service]*lockstep.Running
+	// holds tells the standbys of held groups; watch follows those of another leader.
+	holds *holdNotices
+	watch holdWatch
 }
 
 func newExperts(ctx context.Context, g *Gateway, client lockstep.RankClient, table platform.Table) *experts {
 	return &experts{
-		g: g, ctx: ctx, ranks: client, table: table, controllers: map[ids.Service]*lockstep.Running{},
+		g: g, ctx: ctx, ranks: client, table: table, controllers: map[ids.Service]*lockstep.Running{}, holds: newHoldNotices(g),
 		leases: manager.New(manager.Config{
 			Name: g.Settings().Name, Incarnation: g.incarnation, Length: leaseLength, Table: table, Loop: g.loop,
 			Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Logger: g.logger, HolderDead: g.peers.holderDead,
@@ -140,6 +143,11 @@
 		OnSwitched: func(before, after float64, copies int) {
 			e.g.metrics.mapSwitched(name, before, after, copies)
 		},
+		HoldLead: e.g.holdLead,
+		OnHold: func(group string, state lockstep.HoldState) {
+			e.holds.record(string(name)+"/"+group, state, ids.Fence(e.fence.Load()))
+		},
+		TookOver: func(f ids.Fence) bool { return ids.Fence(e.watch.tookOver.Load()) == f },
 	}
 	return lockstep.Start(e.ctx, func(ctx context.Context, wake <-chan struct{}) {
 		o.Wake = wake
--- a/internal/node/gateway/leadership.go
+++ b/internal/node/gateway/leadership.go
@@ -67,11 +67,16 @@
 	case !l.spareIsNewest():
 		return 0, true
 	}
-	l.fence, l.spare = l.spare, 0
-	l.leaseFence = max(l.leaseFence, in.SeenFence)
+	l.takeOver(in.SeenFence)
 	return l.fence, false
 }
 
+// takeOver makes the spare token, which must be newer than those of all leaders, the current one.
+func (l *leadership) takeOver(seenFence ids.Fence) {
+	l.fence, l.spare = l.spare, 0
+	l.leaseFence = max(l.leaseFence, seenFence)
+}
+
 // leads reports whether the current token is still valid. It stays valid until a later leader is known, also after the
 // lease has expired, as when the store is unreachable for this gateway or for all.
 func (l *leadership) leads(seenFence ids.Fence) bool {
--- a/internal/node/gateway/mechanism.go
+++ b/internal/node/gateway/mechanism.go
@@ -23,11 +23,13 @@
 	mechanismStartWait dispatch.Mechanism = "start-wait"
 	// mechanismMaps: experts are placed by demand.
 	mechanismMaps dispatch.Mechanism = "maps"
+	// mechanismHoldWatch: a standby takes over from a leader that goes silent while it holds a group.
+	mechanismHoldWatch dispatch.Mechanism = "hold-watch"
 )
 
 // mechanisms returns all mechanisms that can be disabled.
 func mechanisms() []dispatch.Mechanism {
-	own := []dispatch.Mechanism{mechanismClosedGroups, mechanismMoves, mechanismStandby, mechanismSuspects, mechanismStartWait, mechanismMaps}
+	own := []dispatch.Mechanism{mechanismClosedGroups, mechanismMoves, mechanismStandby, mechanismSuspects, mechanismStartWait, mechanismMaps, mechanismHoldWatch}
 	return append(dispatch.Mechanisms(), own...)
 }
 
--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -181,6 +181,7 @@
 	}
 	p.logPeerChanges(changes)
 	p.sendProbes(replies)
+	p.g.forwardHold(d, now)
 	if d.GetProbe().GetJoin() {
 		p.g.loop.Post(func(now time.Time) { p.sendPeerList(now, d.GetDigestAddress()) })
 	}
