--- a/internal/node/gateway/mechanism.go
+++ b/internal/node/gateway/mechanism.go
@@ -25,11 +25,15 @@
 	mechanismMaps dispatch.Mechanism = "maps"
 	// mechanismEvacuation: upstreams of evacuated data centres get no requests.
 	mechanismEvacuation dispatch.Mechanism = "evacuation"
+	// mechanismHoldWatch: a standby takes over from a leader that goes silent while it holds a group.
+	mechanismHoldWatch dispatch.Mechanism = "hold-watch"
 )
 
 // mechanisms returns all mechanisms that can be disabled.
 func mechanisms() []dispatch.Mechanism {
-	own := []dispatch.Mechanism{mechanismClosedGroups, mechanismMoves, mechanismStandby, mechanismSuspects, mechanismStartWait, mechanismMaps, mechanismEvacuation}
+	own := []dispatch.Mechanism{
+		mechanismClosedGroups, mechanismMoves, mechanismStandby, mechanismSuspects, mechanismStartWait, mechanismMaps, mechanismEvacuation, mechanismHoldWatch,
+	}
 	return append(dispatch.Mechanisms(), own...)
 }
 
