Operators see evacuations at each gateway; explain shows the ones that refused a request

Cause: nothing told an operator which gateways had learned of an evacuation and whether requests still ran there. The evacuations are read before the rows of earlier eras, so that none is missing for a moment while the store comes back older. While a data centre is evacuated, streams leave slow ranks only where there is room.

--- a/internal/node/gateway/evacuation.go
+++ b/internal/node/gateway/evacuation.go
@@ -79,8 +79,10 @@
 		return nil
 	}
 	r := g.configFollower.Replica
+	// The rows are read first: if the store comes back older in between, an evacuation is in both or in one of them.
+	rows := r.Rows()
 	earlier, age := r.Earlier()
-	table := evacuation.Table{Rows: r.Rows(), Earlier: earlier, EraAge: age, Hold: registry.HoldTime(g.Settings().Bounds.heartbeat())}
+	table := evacuation.Table{Rows: rows, Earlier: earlier, EraAge: age, Hold: registry.HoldTime(g.Settings().Bounds.heartbeat())}
 	set, findings, settled := g.control.evacuations.Update(table, now)
 	r.Forget(settled)
 	for i, f := range findings {
@@ -180,6 +182,12 @@
 	}
 }
 
+// mayMoveSlow reports whether streams may be moved away from slow upstreams of a service. While data centres are evacuated, there
+// may be no other upstream, and a moved stream would be cut off.
+func (g *Gateway) mayMoveSlow(s *service) bool {
+	return !g.disabled(mechanismMoves) && (g.control.evacuated.Len() == 0 || s.gate.MoveRoom() > 0)
+}
+
 // checkEvacuated returns *EvacuatedUpstreamError if a request must not be written to an upstream by the present view. The
 // request may have been placed there before the evacuation was known, and this process may have been paused since.
 func (g *Gateway) checkEvacuated(u *catalog.Upstream) error {
--- a/internal/tool/ctl/ctl.go
+++ b/internal/tool/ctl/ctl.go
@@ -115,6 +115,7 @@
 	s.registerStatus(app)
 	s.registerAudit(app)
 	s.registerExplain(app)
+	s.registerEvacuations(app)
 	return app
 }
 
--- a/internal/tool/explain/explain.go
+++ b/internal/tool/explain/explain.go
@@ -121,8 +121,8 @@
 }
 
 // ForRequest returns the lines about a request, sorted by time. It adds the lines about the processes and upstreams
-// involved that are at most `before` earlier than the request's first line and at most `after` later than its last one.
-// It returns nil if there is no line about the request.
+// involved that are at most `before` earlier than the request's first line and at most `after` later than its last one,
+// and those about the evacuations in force if one of them decided about the request. It returns nil if there is no line about the request.
 func ForRequest(lines []*Line, request string, before, after time.Duration) []*Line {
 	var own []*Line
 	nodes, upstreams := map[string]bool{}, map[string]bool{}
@@ -141,6 +141,9 @@
 	}
 	sortByTime(own)
 	from, to := own[0].At.Add(-before), own[len(own)-1].At.Add(after)
+	if concernsEvacuation(own) {
+		own = append(own, evacuationsInForce(lines, nodes, from)...)
+	}
 	for _, l := range lines {
 		if l.Request == "" && nodes[l.Node] && !l.At.Before(from) && !l.At.After(to) && isRelevant(l, upstreams) {
 			own = append(own, l)
--- a/internal/tool/explain/explain_test.go
+++ b/internal/tool/explain/explain_test.go
@@ -95,3 +95,28 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+// Guards against a refusal because of an evacuation that is not explained, as the evacuation began long before it; and against
+// evacuations of other gateways, or that have ended, in the explanation.
+func TestRefusalByEvacuationIsExplained(t *testing.T) {
+	const day = `level=info ts=2026-12-04T10:00:00Z node=g1 msg="data centre evacuated" data_centre=a version=7
+level=info ts=2026-12-04T10:00:01Z node=g1 msg="data centre evacuated" data_centre=b version=8
+level=info ts=2026-12-04T10:00:02Z node=g2 msg="data centre evacuated" data_centre=a version=7
+level=info ts=2026-12-04T10:00:03Z node=g1 msg="evacuation ended" data_centre=a version=7
+level=info ts=2026-12-04T10:01:00Z node=g1 msg=request outcome=failed request=r1 code=no-upstream err="no-upstream: all upstreams that would take the request are evacuated: 3 upstreams, waited 0 ms"
+level=info ts=2026-12-04T10:01:00Z node=g1 msg=request outcome=failed request=r2 code=overloaded err="no free slot in time"
+`
+	lines, err := explain.Read(strings.NewReader(day))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for request, want := range map[string][]string{"r1": {"data centre evacuated b", "request "}, "r2": {"request "}} {
+		var got []string
+		for _, l := range explain.ForRequest(lines, request, time.Second, time.Second) {
+			got = append(got, l.Message+" "+l.Get("data_centre"))
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%s: %s", request, diff)
+		}
+	}
+}
