Cold upstreams: what is known of them, and how gateways divide their rate

A cold upstream takes 17 requests a second from all gateways together and crashes well above that; nothing limited what gateways send to it.

--- a/internal/policy/ratelimit/bucket.go
+++ b/internal/policy/ratelimit/bucket.go
@@ -12,6 +12,8 @@
 // starts empty, so that a part that moves between gateways is not used by both.
 type Bucket struct {
 	perSecond float64
+	// burst replaces the number of requests that may be saved up; 0 for the default.
+	burst     float64
 	tokens    float64
 	updatedAt time.Time
 }
@@ -34,6 +36,15 @@
 	b.tokens = min(b.tokens, b.capacity())
 }
 
+// SetBurst sets how many requests may be saved up, at least one.
+func (b *Bucket) SetBurst(requests float64) { b.burst = max(1, requests) }
+
+// Tokens returns the number of requests that are saved up.
+func (b *Bucket) Tokens(now time.Time) float64 {
+	b.fill(now)
+	return b.tokens
+}
+
 // ReadyAt returns the earliest time from now on at which a request is permitted; false if there is none.
 func (b *Bucket) ReadyAt(now time.Time) (time.Time, bool) {
 	b.fill(now)
@@ -61,8 +72,11 @@
 }
 
 func (b *Bucket) capacity() float64 {
-	if b.perSecond <= 0 {
+	switch {
+	case b.perSecond <= 0:
 		return 0
+	case b.burst > 0:
+		return b.burst
 	}
 	return max(1, b.perSecond*burstWindow.Seconds())
 }
--- a/internal/policy/ratelimit/members.go
+++ b/internal/policy/ratelimit/members.go
@@ -41,6 +41,14 @@
 // Equal reports whether the sets are equal.
 func (m Members) Equal(o Members) bool { return m.self == o.self && slices.Equal(m.hashes, o.hashes) }
 
+// Len returns the number of members.
+func (m Members) Len() int { return len(m.hashes) }
+
+// Owns reports whether this gateway is one of the first members, by rendezvous hashing, for an upstream.
+func (m Members) Owns(upstream uint32, owners int) bool {
+	return m.position(upstream) < min(owners, len(m.hashes))
+}
+
 // Share returns the requests per second that this gateway may send to an upstream with a limit; upstream is the hash of
 // the upstream's incarnation.
 //
