Cold upstreams: placements take from this gateway's part, and gateways learn who is cold

Pools hold a bucket for each cold upstream beside that of a stated limit; the restriction of a pool covers both, so a request that no upstream permits in time is refused at once as not run. A pool has the allowances before an upstream is listed for the first time, because waiting requests are placed at that moment.

All of it is off without bounds.cold, with cold-limits in off, and for services whose rate is 0.

--- a/internal/node/gateway/digests.go
+++ b/internal/node/gateway/digests.go
@@ -51,13 +51,13 @@
 		d.Peers = p.samplePeers(now)
 	}
 	first, rest := sample(to, maxLimitTargets)
-	news := p.g.limits.news(len(first), now)
-	if news == nil {
+	news, cold := p.g.limits.news(len(first), now), p.g.cold.news(len(first), now)
+	if news == nil && cold == nil {
 		p.sendTo(to, d)
 		return
 	}
 	p.sendTo(rest, d)
-	d.Limits = news
+	d.Limits, d.Cold = news, cold
 	p.sendTo(first, d)
 }
 
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -80,6 +80,7 @@
 	suspects         *suspects
 	moves            *moves
 	limits           *limits
+	cold             *coldLimits
 
 	servers struct{ callers, directory, readiness *httpserver.Server }
 	ranks   lockstep.RankClient
@@ -121,6 +122,7 @@
 		metrics:     newMetrics(),
 		moves:       newMoves(),
 		limits:      newLimits(),
+		cold:        newColdLimits(d.Logger, time.Now()),
 		startup:     newStartupWait(),
 		tracer:      cmp.Or(d.Tracer, tracing.Disabled()),
 		ranks:       d.Ranks,
@@ -218,7 +220,10 @@
 	g.logEras()
 	g.updateConfiguration(now)
 	g.control.upstreams = g.readUpstreams(now)
+	// Before the upstreams are listed in the gates of the services, and again for services that are new.
+	g.updateCold(now)
 	g.updateServices()
+	g.updateCold(now)
 	g.limits.invalidate()
 	g.publish()
 	if g.control.ownState != before {
@@ -248,6 +253,7 @@
 	g.checkEarlierRows(now)
 	sharing := g.peers.sharing(now)
 	g.updateAllowances(now)
+	g.updateCold(now)
 	for name, s := range g.control.services {
 		s.gate.SetSharing(sharing)
 		s.budget.SetBound(g.sharedRetryBound())
--- a/internal/node/gateway/log.go
+++ b/internal/node/gateway/log.go
@@ -55,7 +55,7 @@
 	_ = g.requests.ordinary.Log("msg", "placed", "request", n.r.call.Attempt, "route", n.r.route.Name, "revision", n.r.revision,
 		"upstream", n.upstream, "attempt", n.sent+n.unreached+1, "load", d.Load, "usable", d.Usable, "waiting", d.Waiting,
 		"digests_age_ms", d.OthersAge.Milliseconds(), "waited_ms", n.placedAt.Sub(n.r.arrived).Milliseconds(),
-		"limit_per_second", n.g.limits.perSecond(u), "own_part_per_second", d.OwnPart)
+		"limit_per_second", n.g.limits.perSecond(u), "own_part_per_second", d.OwnPart, "cold_part_per_second", d.ColdPart)
 }
 
 // logRetry logs that another attempt follows.
--- a/internal/node/gateway/mechanism.go
+++ b/internal/node/gateway/mechanism.go
@@ -23,11 +23,13 @@
 	mechanismStartWait dispatch.Mechanism = "start-wait"
 	// mechanismMaps: experts are placed by demand.
 	mechanismMaps dispatch.Mechanism = "maps"
+	// mechanismColdLimits: the requests to cold upstreams are limited.
+	mechanismColdLimits dispatch.Mechanism = "cold-limits"
 )
 
 // mechanisms returns all mechanisms that can be disabled.
 func mechanisms() []dispatch.Mechanism {
-	own := []dispatch.Mechanism{mechanismClosedGroups, mechanismMoves, mechanismStandby, mechanismSuspects, mechanismStartWait, mechanismMaps}
+	own := []dispatch.Mechanism{mechanismClosedGroups, mechanismMoves, mechanismStandby, mechanismSuspects, mechanismStartWait, mechanismMaps, mechanismColdLimits}
 	return append(dispatch.Mechanisms(), own...)
 }
 
--- a/internal/node/gateway/metrics.go
+++ b/internal/node/gateway/metrics.go
@@ -50,6 +50,8 @@
 		})
 	}
 	gauge("requests_waiting", func(s *service) float64 { return float64(s.gate.Waiting()) })
+	gauge("cold_upstreams", func(*service) float64 { return float64(g.cold.of(name).upstreams) })
+	gauge("cold_allowed_per_second", func(*service) float64 { return g.cold.of(name).perSecond })
 	usage := func(metric string, value func(u retry.Usage) float64) {
 		gauge(metric, func(s *service) float64 { return value(s.budget.Usage(time.Now())) })
 	}
@@ -107,6 +109,20 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_limit_answers_total{service=%q}", service)).Inc()
 }
 
+// coldSent counts a placement at a cold upstream.
+func (m *gatewayMetrics) coldSent(service ids.Service, d dispatch.PlacementInputs) {
+	if d.ColdPart > 0 {
+		m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_cold_sent_total{service=%q}", service)).Inc()
+	}
+}
+
+// coldRefused counts a refusal that a cold upstream has caused.
+func (m *gatewayMetrics) coldRefused(service ids.Service, e *dispatch.RestrictedError) {
+	if e.Cold > 0 {
+		m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_cold_refused_total{service=%q}", service)).Inc()
+	}
+}
+
 func (m *gatewayMetrics) restRequested(service ids.Service) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_rests_total{service=%q}", service)).Inc()
 }
--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -187,6 +187,7 @@
 	if d.GetProbe() == nil {
 		p.g.suspects.tracker.Merge(now, quarantine.FromDigest(d)...)
 		p.g.limits.merge(d.GetLimits(), now)
+		p.g.cold.merge(d.GetCold(), now)
 		p.catchUp(d)
 	}
 }
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -85,6 +85,7 @@
 		}
 		n.placedAt = time.Now()
 		n.upstream = ticket.Upstream().ID
+		n.g.metrics.coldSent(n.r.service.Name, ticket.PlacementInputs())
 		n.g.logPlaced(n, ticket.Upstream().Incarnation(), ticket.PlacementInputs())
 		err = n.tracedAttempt(attemptCtx, ticket)
 		n.reportGroupFailure(ticket.Upstream(), err)
@@ -153,6 +154,7 @@
 	info := n.g.dialect.ReadResponse(res.Header)
 	responder := n.responder(t.Upstream(), res.Status, info)
 	n.g.recordLimit(responder, res.Status, info, n.placedAt)
+	n.g.recordCold(responder, res.Status, info, n.placedAt)
 	n.recordRest(responder, info.Rest)
 	n.recordLeaving(responder, info.Leaving)
 	if res.Status/100 == 2 {
@@ -286,6 +288,7 @@
 	case errors.As(err, &none):
 		return failure.New(failure.CodeNoUpstream, err).WithRetryAfter(none.RetryAfter)
 	case errors.As(err, &restricted):
+		n.g.metrics.coldRefused(n.r.service.Name, restricted)
 		return failure.New(failure.CodeOverloaded, err).WithRetryAfter(restricted.RetryAfter)
 	case errors.As(err, &full):
 		return failure.New(failure.CodeOverloaded, err).WithRetryAfter(full.RetryAfter)
--- a/internal/policy/dispatch/choice.go
+++ b/internal/policy/dispatch/choice.go
@@ -57,7 +57,7 @@
 	}
 	free, slots, own := 0.0, 0.0, 0.0
 	for _, c := range p.order {
-		if !c.usable(now) || !c.permits(now) {
+		if !c.usable(now) || !p.permits(c, now) {
 			continue
 		}
 		most := c.maxRequests(p.opts.Fill)
--- a/internal/policy/dispatch/pool.go
+++ b/internal/policy/dispatch/pool.go
@@ -72,6 +72,7 @@
 	scratch []*upstreamState
 	// limited is set while an upstream has a limit.
 	limited bool
+	cold    ColdAllowances
 	// closed is set while no upstream can start a request; requests wait in the meantime.
 	closed             bool
 	closedAt, openedAt time.Time
@@ -105,6 +106,7 @@
 			u = &upstreamState{}
 		}
 		u.listed = e
+		p.applyCold(u, now)
 		next[e.Incarnation()] = u
 		p.order = append(p.order, u)
 	}
@@ -339,6 +341,9 @@
 	if best.allowance != nil {
 		t.inputs.OwnPart = best.allowance.PerSecond()
 	}
+	if best.cold != nil {
+		t.inputs.ColdPart = best.cold.bucket.PerSecond()
+	}
 	best.own = best.own.plus(Work{1, t.request.PromptTokens})
 	if t.late = p.late(t.request, now); t.late {
 		p.latePromptTokens += t.request.PromptTokens
@@ -364,7 +369,7 @@
 		}
 	}
 	for _, c := range p.order {
-		if c.usable(now) && c.permits(now) && !slices.Contains(r.Exclude, c.listed.ID) && c.hasFreeSlot(fill) {
+		if c.usable(now) && p.permits(c, now) && !slices.Contains(r.Exclude, c.listed.ID) && c.hasFreeSlot(fill) {
 			p.scratch = append(p.scratch, c)
 		}
 	}
--- a/internal/policy/dispatch/restriction.go
+++ b/internal/policy/dispatch/restriction.go
@@ -17,8 +17,9 @@
 
 // RestrictedError reports that all upstreams that could take the request have forbidden it for now.
 type RestrictedError struct {
-	// Limited is the number of upstreams whose limit forbids the request, Resting that of those that have asked for rest.
-	Limited, Resting int
+	// Limited is the number of upstreams whose limit forbids the request, Resting that of those that have asked for rest,
+	// Cold that of those that have just started.
+	Limited, Resting, Cold int
 	// Waited is how long the request waited before it was refused.
 	Waited     time.Duration
 	RetryAfter time.Duration
@@ -26,7 +27,7 @@
 
 // Error implements error.
 func (e *RestrictedError) Error() string {
-	return fmt.Sprintf("no upstream permits the request in time: %d limited, %d at rest, waited %d ms", e.Limited, e.Resting, e.Waited.Milliseconds())
+	return fmt.Sprintf("no upstream permits the request in time: %d limited, %d at rest, %d cold, waited %d ms", e.Limited, e.Resting, e.Cold, e.Waited.Milliseconds())
 }
 
 // Leave keeps requests of this gateway from an upstream that has said that it will exit; there is no way back in the same
@@ -68,41 +69,44 @@
 
 // restriction describes a pool all of whose upstreams in service are held back.
 type restriction struct {
-	// limited is the number of upstreams held back by their limit, limits the sum of these limits and perSecond that of
-	// this gateway's parts of them, in requests per second.
-	limited           int
+	// limited is the number of upstreams held back by their limit and cold that of cold ones, limits the sum of these limits
+	// and perSecond that of this gateway's parts of them, in requests per second.
+	limited, cold     int
 	limits, perSecond float64
 	// resting is the number of upstreams that have asked for rest.
 	resting int
 	// earliest is when the first upstream may take a request; only valid if some upstream will.
 	earliest time.Time
 	ends     bool
-	// onlyLimits is set if nothing but limits decides how fast waiting requests can be placed.
+	// onlyLimits is set if nothing but limits and cold starts decides how fast waiting requests can be placed.
 	onlyLimits bool
 }
 
-// Limited reports whether an upstream's limit is in force.
-func (p *Pool) Limited() bool { return p.limited }
+// Limited reports whether an upstream's limit is in force, or one is cold.
+func (p *Pool) Limited() bool { return p.limited || len(p.cold.Upstreams) > 0 }
 
-// restriction returns whether no upstream in service may get the request now, at least one of them because of its limit or
-// its rest.
+// restriction returns whether no upstream in service may get the request now, at least one of them because of its limit,
+// its rest or its cold start.
 func (p *Pool) restriction(to Request, now time.Time) (restriction, bool) {
 	r := restriction{onlyLimits: true}
 	for _, u := range p.order {
 		if !u.acceptsRequests() || u.closed || slices.Contains(to.Exclude, u.listed.ID) {
 			continue
 		}
-		at, ends := u.permittedAt(now)
+		at, ends := p.permittedAt(u, now)
 		if u.rests(now) {
 			r.resting++
 		}
-		if u.allowance == nil {
-			r.onlyLimits = false
-		} else {
+		if u.allowance != nil {
 			r.limited++
-			r.limits += u.limit
-			r.perSecond += u.allowance.PerSecond()
 		}
+		if u.cold != nil {
+			r.cold++
+		}
+		limit, perSecond, ok := u.heldBack()
+		r.limits += limit
+		r.perSecond += perSecond
+		r.onlyLimits = r.onlyLimits && ok
 		if ends && at.Before(u.health.ejectedUntil) {
 			at = u.health.ejectedUntil
 		}
@@ -113,7 +117,7 @@
 			r.ends, r.earliest = true, at
 		}
 	}
-	return r, r.limited+r.resting > 0
+	return r, r.limited+r.resting+r.cold > 0
 }
 
 // wait returns how long a request waits behind others. It returns false if this gateway has no part of any limit; the time
@@ -154,5 +158,5 @@
 	if ends && inTime {
 		return nil
 	}
-	return &RestrictedError{Limited: held.limited, Resting: held.resting, Waited: now.Sub(r.Arrived), RetryAfter: p.retryAfter(wait)}
+	return &RestrictedError{Limited: held.limited, Resting: held.resting, Cold: held.cold, Waited: now.Sub(r.Arrived), RetryAfter: p.retryAfter(wait)}
 }
--- a/internal/policy/dispatch/ticket.go
+++ b/internal/policy/dispatch/ticket.go
@@ -52,6 +52,8 @@
 	OthersAge time.Duration
 	// OwnPart is this gateway's part of the chosen upstream's request limit, in requests per second; 0 if there is no limit.
 	OwnPart float64
+	// ColdPart is the same for the rate that the upstream takes while it is cold; 0 if it is warm.
+	ColdPart float64
 }
 
 // Err returns why the request was refused, or nil: *NoRegisteredUpstreamError, *OverloadedError or *RestrictedError.
--- a/internal/policy/dispatch/upstream.go
+++ b/internal/policy/dispatch/upstream.go
@@ -22,6 +22,8 @@
 	// it, in requests per second.
 	allowance *ratelimit.Bucket
 	limit     float64
+	// cold keeps this gateway's part of the rate that the upstream takes while it is cold; nil if it is warm.
+	cold *coldLimit
 	// restUntil is the end of the rest that the upstream has asked this gateway for.
 	restUntil time.Time
 	// leavingSince is when the upstream first said in a response that it will exit; zero if it did not.
@@ -49,36 +51,39 @@
 }
 
 // permits reports whether the upstream permits this gateway a request now.
-func (u *upstreamState) permits(now time.Time) bool {
-	at, ok := u.permittedAt(now)
+func (p *Pool) permits(u *upstreamState, now time.Time) bool {
+	at, ok := p.permittedAt(u, now)
 	return ok && !at.After(now)
 }
 
-// permittedAt returns the earliest time from now on at which the upstream's rest and limit permit a request; false if the
-// limit permits none from this gateway.
-func (u *upstreamState) permittedAt(now time.Time) (time.Time, bool) {
-	at := now
-	if u.rests(now) {
+// permittedAt returns the earliest time from now on at which the upstream's rest, limit and cold start permit a request;
+// false if they permit none from this gateway.
+func (p *Pool) permittedAt(u *upstreamState, now time.Time) (time.Time, bool) {
+	at, ok := p.coldPermittedAt(u, now)
+	if u.rests(now) && u.restUntil.After(at) {
 		at = u.restUntil
 	}
 	if u.allowance == nil {
-		return at, true
+		return at, ok
 	}
-	ready, ok := u.allowance.ReadyAt(now)
+	ready, limitPermits := u.allowance.ReadyAt(now)
 	if ready.After(at) {
 		at = ready
 	}
-	return at, ok
+	return at, ok && limitPermits
 }
 
 // rests reports whether the upstream has asked this gateway for rest that has not ended.
 func (u *upstreamState) rests(now time.Time) bool { return u.restUntil.After(now) }
 
-// recordPlacement counts a request against the upstream's limit.
+// recordPlacement counts a request against the upstream's limit and the rate that it takes while it is cold.
 func (u *upstreamState) recordPlacement(now time.Time) {
 	if u.allowance != nil {
 		u.allowance.Take(now)
 	}
+	if u.cold != nil {
+		u.cold.bucket.Take(now)
+	}
 	u.health.recordChoice(now)
 }
 
--- a/internal/state/catalog/upstreams.go
+++ b/internal/state/catalog/upstreams.go
@@ -35,6 +35,8 @@
 	State State
 	// ColdRemaining is how much longer the upstream was cold when it wrote its registry entry.
 	ColdRemaining time.Duration
+	// ColdStated is set if the entry says so, ColdMalformed if it says something that cannot be read.
+	ColdStated, ColdMalformed bool
 	// Written is the position of the registry entry; registry entries that were written later have later positions.
 	Written platform.Position
 }
