--- a/internal/node/gateway/cold.go
+++ b/internal/node/gateway/cold.go
@@ -20,6 +20,9 @@
 	maxColdLogs = 50
 	// maxColdRemaining bounds what a peer says; a longer time indicates an error.
 	maxColdRemaining = 10 * time.Minute
+	// minViewInterval is the least time between two views of the members, half a tick: changes of the tables also update the
+	// limits, and may come many times a second.
+	minViewInterval = tickInterval / 2
 )
 
 // coldLimits holds what this gateway knows about cold upstreams, and what it may send to them. The book is safe for
@@ -32,8 +35,9 @@
 	// status is read by metrics.
 	status map[ids.Service]coldStatus
 
-	roster *coldstart.Roster
-	view   coldstart.View
+	roster   *coldstart.Roster
+	view     coldstart.View
+	viewedAt time.Time
 	// read is the list of upstreams whose entries have been recorded, with the configuration and the bound of that time.
 	read   *catalog.Upstreams
 	config *catalog.Configuration
@@ -142,18 +146,21 @@
 // updateCold passes the parts of cold upstreams' rates to the services' gates. It runs on the control loop.
 func (g *Gateway) updateCold(now time.Time) {
 	c := g.cold
-	timing := coldstart.TimingFor(g.peers.messageInterval())
 	if !g.coldActive() {
 		c.roster, c.read = nil, nil
 		c.publish(g, nil, now)
 		return
 	}
 	if c.roster == nil {
-		c.roster = coldstart.NewRoster(g.Settings().Listen.Peers, g.Settings().Peers, timing, now)
+		c.roster, c.viewedAt = coldstart.NewRoster(g.Settings().Listen.Peers, g.Settings().Peers, now), time.Time{}
+	}
+	view := c.view
+	if now.Sub(c.viewedAt) >= minViewInterval {
+		g.peers.observeMembers(c.roster)
+		timing := coldstart.TimingFor(messageInterval(c.roster.Known()))
+		c.roster.Tick(now, timing)
+		view, c.viewedAt = c.roster.View(now, timing), now
 	}
-	g.peers.observeMembers(c.roster)
-	c.roster.Tick(now, timing)
-	view := c.roster.View(now, timing)
 	same := view.Majority == c.view.Majority && view.BlockedUntil.Equal(c.view.BlockedUntil) && view.Members.Equal(c.view.Members)
 	if c.config != g.control.config {
 		c.read = nil // entries of services that limit the requests only now have not been recorded
@@ -272,8 +279,10 @@
 	return c.status[name]
 }
 
-// messageInterval returns the time between two digests of a peer that has no requests.
-func (p *peers) messageInterval() time.Duration { return p.scaleTimeout(digestInterval) }
+// messageInterval returns the time between two digests of a peer that has no requests, among a number of gateways.
+func messageInterval(gateways int) time.Duration {
+	return max(digestInterval, digestInterval*time.Duration(gateways)/maxDigestTargets)
+}
 
 // observeMembers records which gateways were heard, and which ones others have listed.
 func (p *peers) observeMembers(r *coldstart.Roster) {
--- a/internal/policy/coldstart/roster.go
+++ b/internal/policy/coldstart/roster.go
@@ -75,22 +75,25 @@
 
 // Roster is one gateway's view of the gateways that may send to cold upstreams. It is not safe for concurrent use.
 type Roster struct {
-	self         string
-	members      map[string]*member
-	tickedAt     time.Time
-	blockedUntil time.Time
+	self    string
+	members map[string]*member
+	// startedAt is when this gateway started, or last ran again after it did not for a while.
+	startedAt, tickedAt time.Time
 }
 
 // NewRoster returns the roster of a gateway that starts now. known lists the gateways in its settings, self excluded; they
 // count as members until they have been silent for as long as others.
-func NewRoster(self string, known []string, t Timing, now time.Time) *Roster {
-	r := &Roster{self: self, members: map[string]*member{}, tickedAt: now, blockedUntil: now.Add(t.Join)}
+func NewRoster(self string, known []string, now time.Time) *Roster {
+	r := &Roster{self: self, members: map[string]*member{}, startedAt: now, tickedAt: now}
 	for _, k := range known {
 		r.Listed(k, now)
 	}
 	return r
 }
 
+// Known returns the number of gateways that are remembered, including this one.
+func (r *Roster) Known() int { return len(r.members) + 1 }
+
 // Heard records when the last message of a gateway arrived.
 func (r *Roster) Heard(name string, at time.Time) {
 	if m := r.member(name); m != nil && at.After(m.heardAt) {
@@ -122,12 +125,12 @@
 // A gateway that did not run for Fresh may have been taken for dead. What it reads first are messages from before, and the
 // others have its part until they hear it again. So it waits like one that starts.
 func (r *Roster) Tick(now time.Time, t Timing) {
-	if until := now.Add(t.Join); now.Sub(r.tickedAt) > t.Fresh && until.After(r.blockedUntil) {
-		r.blockedUntil = until
+	if now.Sub(r.tickedAt) > t.Fresh {
+		r.startedAt = now
 	}
 	r.tickedAt = now
 	remember := knownFor
-	if r.majority(now, t) {
+	if r.majority(r.heard(now, t), now, t) {
 		remember = max(silentFor, silentHolds*t.Hold)
 	}
 	for name, m := range r.members {
@@ -156,15 +159,19 @@
 func (r *Roster) View(now time.Time, t Timing) View {
 	names := make([]string, 0, len(r.members)+1)
 	names = append(names, r.self)
+	heard := 1
 	for name, m := range r.members {
 		if now.Sub(m.lastAt()) <= t.Hold {
 			names = append(names, name)
 		}
+		if m.fresh(now, t) {
+			heard++
+		}
 	}
 	return View{
 		Members: ratelimit.NewMembers(r.self, names),
-		Heard:   r.heard(now, t), Known: len(r.members) + 1,
-		Majority: r.majority(now, t), BlockedUntil: r.blockedUntil,
+		Heard:   heard, Known: r.Known(),
+		Majority: r.majority(heard, now, t), BlockedUntil: r.startedAt.Add(t.Join),
 	}
 }
 
@@ -182,28 +189,29 @@
 func (r *Roster) heard(now time.Time, t Timing) int {
 	n := 1
 	for _, m := range r.members {
-		if r.fresh(m, now, t) {
+		if m.fresh(now, t) {
 			n++
 		}
 	}
 	return n
 }
 
-func (r *Roster) fresh(m *member, now time.Time, t Timing) bool {
+// fresh reports whether the member counts as heard.
+func (m *member) fresh(now time.Time, t Timing) bool {
 	return !m.heardAt.IsZero() && now.Sub(m.heardAt) <= t.Fresh
 }
 
-// majority reports whether this gateway hears more than half of the known ones. Of two halves, the one with the gateway that
+// majority reports whether this gateway, which hears a number of gateways, hears more than half of the known ones. Of two halves, the one with the gateway that
 // comes first by its hash counts as the majority, so that one of two gateways still sends after the other has died.
-func (r *Roster) majority(now time.Time, t Timing) bool {
-	heard, known := r.heard(now, t), len(r.members)+1
+func (r *Roster) majority(heard int, now time.Time, t Timing) bool {
+	known := r.Known()
 	if 2*heard != known {
 		return 2*heard > known
 	}
 	first, hears := r.self, true
 	for name, m := range r.members {
 		if cmp.Or(cmp.Compare(xxhash.Sum64String(name), xxhash.Sum64String(first)), cmp.Compare(name, first)) < 0 {
-			first, hears = name, r.fresh(m, now, t)
+			first, hears = name, m.fresh(now, t)
 		}
 	}
 	return hears
--- a/internal/policy/coldstart/roster_test.go
+++ b/internal/policy/coldstart/roster_test.go
@@ -14,7 +14,7 @@
 
 // view returns what the first of four gateways may do at the end, if the others are heard each 100 ms until the given times.
 func view(end time.Duration, heardUntil ...time.Duration) coldstart.View {
-	r := coldstart.NewRoster("g0", nil, timing, at(0))
+	r := coldstart.NewRoster("g0", nil, at(0))
 	for now := time.Duration(0); now <= end; now += 50 * time.Millisecond {
 		for i, until := range heardUntil {
 			if now <= until {
@@ -45,7 +45,7 @@
 
 // Guards against a gateway that was frozen, or has started, and sends before the others know of it.
 func TestStartedOrFrozenGatewayWaits(t *testing.T) {
-	r := coldstart.NewRoster("g0", nil, timing, at(0))
+	r := coldstart.NewRoster("g0", nil, at(0))
 	if v := r.View(at(0), timing); !v.BlockedUntil.Equal(at(timing.Join)) {
 		t.Fatalf("blocked until %s after its start", v.BlockedUntil)
 	}
@@ -58,7 +58,7 @@
 
 // Guards against both halves of a network that go on, or none of two gateways after one has died.
 func TestOneOfTwoHalvesGoesOn(t *testing.T) {
-	first, second := coldstart.NewRoster("g0", []string{"g1"}, timing, at(0)), coldstart.NewRoster("g1", []string{"g0"}, timing, at(0))
+	first, second := coldstart.NewRoster("g0", []string{"g1"}, at(0)), coldstart.NewRoster("g1", []string{"g0"}, at(0))
 	if first.View(at(0), timing).Majority == second.View(at(0), timing).Majority {
 		t.Fatal("want exactly one of two gateways that do not hear each other")
 	}
--- a/internal/policy/coldstart/sum_test.go
+++ b/internal/policy/coldstart/sum_test.go
@@ -74,12 +74,11 @@
 
 func (w *network) at(d time.Duration) time.Time { return begin.Add(d) }
 
-func (w *network) interval() time.Duration {
-	return digestInterval * time.Duration(max(1, (len(w.nodes)+maxTargets-1)/maxTargets))
+// timing returns the limits of a node, by how many members it knows.
+func (n *node) timing() coldstart.Timing {
+	return coldstart.TimingFor(max(digestInterval, digestInterval*time.Duration(n.roster.Known())/maxTargets))
 }
 
-func (w *network) timing() coldstart.Timing { return coldstart.TimingFor(w.interval()) }
-
 // start starts a node that knows the addresses of up to 40 others from its settings.
 func (w *network) start(i int) {
 	n := w.nodes[i]
@@ -91,7 +90,7 @@
 			seeds = append(seeds, w.name(j))
 		}
 	}
-	n.roster = coldstart.NewRoster(w.name(i), seeds, w.timing(), w.at(w.now))
+	n.roster = coldstart.NewRoster(w.name(i), seeds, w.at(w.now))
 	n.bucket = ratelimit.NewBucket(0, w.at(w.now))
 }
 
@@ -146,7 +145,7 @@
 	if w.now%tick != 0 {
 		return
 	}
-	t := w.timing()
+	t := n.timing()
 	n.roster.Tick(w.at(w.now), t)
 	w.divide(n, t)
 	n.validUntil = w.now + coldstart.ValidFor
