--- a/internal/node/gateway/mechanism.go
+++ b/internal/node/gateway/mechanism.go
@@ -27,12 +27,15 @@
 	mechanismEvacuation dispatch.Mechanism = "evacuation"
 	// mechanismHoldWatch: a standby takes over from a leader that goes silent while it holds a group.
 	mechanismHoldWatch dispatch.Mechanism = "hold-watch"
+	// mechanismColdLimits: the requests to cold upstreams are limited.
+	mechanismColdLimits dispatch.Mechanism = "cold-limits"
 )
 
 // mechanisms returns all mechanisms that can be disabled.
 func mechanisms() []dispatch.Mechanism {
 	own := []dispatch.Mechanism{
-		mechanismClosedGroups, mechanismMoves, mechanismStandby, mechanismSuspects, mechanismStartWait, mechanismMaps, mechanismEvacuation, mechanismHoldWatch,
+		mechanismClosedGroups, mechanismMoves, mechanismStandby, mechanismSuspects, mechanismStartWait,
+		mechanismMaps, mechanismEvacuation, mechanismHoldWatch, mechanismColdLimits,
 	}
 	return append(dispatch.Mechanisms(), own...)
 }
