Streams prefer ranks in their gateway's data centre where the first event is expected hardly later

Cause: pools compared upstreams by load alone, so two thirds of the streams crossed data centres although a rank nearby would have been as fast.

Change: dispatch estimates the time to the first event from requests and prompt tokens in flight, placements not reported yet, the engine's figures, the slowdown and the delay. An upstream in the own data centre is taken if it is expected at most 5 ms later than the least loaded one and is not the one that misses the target. Above 0.6 of all slots in use, load alone decides. Options.Near is set only if the service's engine lists delays between data centres and the configuration has several priorities for the service or bounds.evacuate is set; near in off disables it.

--- a/internal/node/gateway/services.go
+++ b/internal/node/gateway/services.go
@@ -27,7 +27,9 @@
 			g.watchGroup(s, c)
 			g.metrics.addServiceGauges(g, name)
 		}
-		s.gate.SetOptions(dispatchOptions(c, g.disabledInDispatch()))
+		o := dispatchOptions(c, g.disabledInDispatch())
+		o.Near = near(g.control.config, c, g.Settings())
+		s.gate.SetOptions(o)
 		s.gate.SetUpstreams(g.control.upstreams.Of(name))
 		s.budget.SetBound(g.sharedRetryBound())
 		next[name] = s
--- a/internal/policy/dispatch/group_replay_test.go
+++ b/internal/policy/dispatch/group_replay_test.go
@@ -42,6 +42,10 @@
 type caller struct {
 	request dispatch.Request
 	due     time.Time
+	// gateway and events are drawn when the request arrives if there are several data centres, so that runs with
+	// different placements have the same requests.
+	gateway *simulatedGateway
+	events  int
 }
 
 // simulatedGateway is one of the gateways in front of the group, with its own pool.
@@ -52,6 +56,7 @@
 	// report.
 	reported map[ids.UpstreamIncarnation]dispatch.Work
 	reportAt time.Time
+	centre   ids.DataCentre
 }
 
 // groupSimulation simulates a group of ranks behind several gateways on a virtual clock.
@@ -60,7 +65,14 @@
 	rng      *rand.Rand
 	gateways []*simulatedGateway
 	order    []ids.Upstream
+	list     []*catalog.Upstream
 	slots    int
+	// centres is the number of data centres, 0 for one. Callers of each demand between 1-centreSwing and 1+centreSwing
+	// times the mean within centrePeriod, with peaks at different times.
+	centres      int
+	centreDelay  time.Duration
+	centreSwing  float64
+	centrePeriod time.Duration
 	// at holds the streams at each rank in order of arrival: the first ones run, the others wait for a slot.
 	at map[ids.Upstream][]*stream
 	// interval is the time between two reports of a gateway.
@@ -78,6 +90,8 @@
 	resendAt    time.Time
 	// The counters count requests by how they ended; queued counts those that waited at their rank for a slot.
 	onTime, late, refused, queued int
+	// near counts the streams that were placed in their gateway's data centre, of all that were placed.
+	near, placed int
 }
 
 // newGroupSimulation returns an idle group. The pools take each other's placements into account only if sharing is set.
@@ -87,6 +101,7 @@
 		at: map[ids.Upstream][]*stream{}, interval: interval,
 	}
 	list := upstreams(ranks, slots)
+	g.list = list
 	for _, u := range list {
 		g.order = append(g.order, u.ID)
 	}
@@ -118,12 +133,21 @@
 
 func (g *groupSimulation) arrive() {
 	due := g.now.Add(streamTarget)
-	g.submit(caller{dispatch.Request{Arrived: g.now, Target: due, Deadline: g.now.Add(streamCallerTimeout), PromptTokens: g.prompt()}, due})
+	c := caller{
+		request: dispatch.Request{Arrived: g.now, Target: due, Deadline: g.now.Add(streamCallerTimeout), PromptTokens: g.prompt()}, due: due,
+	}
+	if g.centres > 0 {
+		c.gateway, c.events = g.gateways[g.pickGateway()], 1+g.rng.IntN(2*streamEvents)
+	}
+	g.submit(c)
 }
 
-// submit sends a request to a random gateway.
+// submit sends a request to its gateway, or to a random one.
 func (g *groupSimulation) submit(c caller) {
-	gw := g.gateways[g.rng.IntN(len(g.gateways))]
+	gw := c.gateway
+	if gw == nil {
+		gw = g.gateways[g.rng.IntN(len(g.gateways))]
+	}
 	t := gw.pool.Submit(c.request, g.now)
 	gw.waiting[t] = c
 	if t.Upstream() != nil || t.Err() != nil {
@@ -140,11 +164,18 @@
 			g.refused++
 			continue
 		}
+		g.placed++
+		if t.Upstream().DataCentre == gw.centre {
+			g.near++
+		}
 		u := t.Upstream().ID
 		if len(g.at[u]) >= g.slots {
 			g.queued++
 		}
-		events := 1 + g.rng.IntN(2*streamEvents)
+		events := c.events
+		if events == 0 {
+			events = 1 + g.rng.IntN(2*streamEvents)
+		}
 		g.at[u] = append(g.at[u], &stream{gateway: gw, ticket: t, request: q, due: c.due, promptLeft: q.PromptTokens, events: events})
 	}
 }
@@ -179,7 +210,7 @@
 	}
 	g.now = g.now.Add(length)
 	for _, s := range first {
-		s.late = g.now.After(s.due)
+		s.late = g.now.Add(g.roundTrip(s)).After(s.due)
 		s.gateway.pool.Responded(s.ticket, g.now)
 	}
 	for _, s := range g.writeEvents(length) {
@@ -251,7 +282,7 @@
 		g.at[u] = nil
 		for _, s := range truncated {
 			s.gateway.pool.Done(s.ticket, dispatch.OutcomeNone, g.now)
-			g.toResend = append(g.toResend, caller{s.request, s.due})
+			g.toResend = append(g.toResend, caller{request: s.request, due: s.due})
 		}
 	}
 	g.resendAt = g.now.Add(g.resendDelay)
--- a/internal/policy/dispatch/mechanism.go
+++ b/internal/policy/dispatch/mechanism.go
@@ -24,7 +24,7 @@
 
 // Mechanisms lists all mechanisms of the pool.
 func Mechanisms() []Mechanism {
-	return []Mechanism{FewChoices, SlotShare, LateFill, LatePrefill, SlowRanks, EjectFailing, FirstResponseTime}
+	return []Mechanism{FewChoices, SlotShare, LateFill, LatePrefill, SlowRanks, EjectFailing, FirstResponseTime, NearUpstreams}
 }
 
 // DisabledMechanisms is the set of mechanisms that are disabled.
--- a/internal/policy/dispatch/pool.go
+++ b/internal/policy/dispatch/pool.go
@@ -48,6 +48,8 @@
 	Fill, LateFill float64
 	// Disabled lists the mechanisms that are disabled.
 	Disabled DisabledMechanisms
+	// Near is nil unless upstreams in the gateway's own data centre are preferred.
+	Near *Near
 }
 
 // Pool places the requests of one service. It is not safe for concurrent use.
@@ -330,7 +332,7 @@
 	if len(candidates) == 0 {
 		return false
 	}
-	best := p.leastLoaded(candidates, p.choices(len(candidates), now))
+	best := p.preferNear(t.request, candidates, p.leastLoaded(candidates, p.choices(len(candidates), now)), now)
 	p.recordPlacement(now)
 	t.inputs = PlacementInputs{Load: p.load(best), Usable: len(candidates), Waiting: len(p.waiting)}
 	if !p.othersAt.IsZero() {
--- a/internal/state/catalog/configuration.go
+++ b/internal/state/catalog/configuration.go
@@ -84,10 +84,18 @@
 	ReportLag time.Duration
 	// MeanPromptTokens and MeanOutputTokens are the mean numbers of tokens of a request.
 	MeanPromptTokens, MeanOutputTokens float64
+	// Delays lists the delays between data centres; empty if there are none.
+	Delays []Delay
 	// Experts is nil unless the engines are ranks of groups that share experts.
 	Experts *Experts
 }
 
+// Delay is the time that a message takes from one data centre to another.
+type Delay struct {
+	From, To ids.DataCentre
+	Delay    time.Duration
+}
+
 // Experts describes the experts of a model group. The ranks of a group are engines that share the model's experts: each
 // rank has some of them, and a step needs all ranks.
 type Experts struct {
