--- a/internal/experts/lockstep/controller.go
+++ b/internal/experts/lockstep/controller.go
@@ -73,8 +73,9 @@
 	// HoldLead returns how many passes ahead a switch holds the group, 0 for the default; it may be nil.
 	HoldLead func() uint64
 	// OnHold is called by a switch each HoldNoticeInterval while it holds a group, first before the order to hold is
-	// sent, and when it no longer does. It must not block; it may be nil.
-	OnHold func(group string, state HoldState)
+	// sent, and when it no longer does. The token is that of the switch, which the node may have given up meanwhile.
+	// It must not block; it may be nil.
+	OnHold func(group string, state HoldState, fence ids.Fence)
 	// TookOver reports whether this node leads under the token because the leader before it went silent while it held
 	// a group; it may be nil.
 	TookOver func(ids.Fence) bool
--- a/internal/experts/lockstep/holdnotice.go
+++ b/internal/experts/lockstep/holdnotice.go
@@ -26,18 +26,18 @@
 	case !sw.Holds():
 		if !c.holdNoticedAt.IsZero() {
 			c.holdNoticedAt = time.Time{}
-			c.o.OnHold(s.group.Name, HoldReleased)
+			c.o.OnHold(s.group.Name, HoldReleased, c.fence)
 		}
 	case c.holdNoticedAt.IsZero() || now.Sub(c.holdNoticedAt) >= HoldNoticeInterval:
 		c.holdNoticedAt = now
-		c.o.OnHold(s.group.Name, HoldOutstanding)
+		c.o.OnHold(s.group.Name, HoldOutstanding, c.fence)
 	}
 }
 
 func (c *Controller) abandonHold(s *snapshot) {
 	if !c.holdNoticedAt.IsZero() {
 		c.holdNoticedAt = time.Time{}
-		c.o.OnHold(s.group.Name, HoldAbandoned)
+		c.o.OnHold(s.group.Name, HoldAbandoned, c.fence)
 	}
 }
 
--- a/internal/experts/lockstep/takeover_test.go
+++ b/internal/experts/lockstep/takeover_test.go
@@ -121,7 +121,7 @@
 		Policy:   lockstep.Options{MinGain: 0.01, MinCounts: 1},
 		HoldLead: func() uint64 { return r.holdLead },
 		TookOver: func(ids.Fence) bool { return r.watched },
-		OnHold: func(_ string, state lockstep.HoldState) {
+		OnHold: func(_ string, state lockstep.HoldState, _ ids.Fence) {
 			if r.first.stalls() || client != r.first {
 				return
 			}
--- a/internal/node/gateway/experts.go
+++ b/internal/node/gateway/experts.go
@@ -144,8 +144,8 @@
 			e.g.metrics.mapSwitched(name, before, after, copies)
 		},
 		HoldLead: e.g.holdLead,
-		OnHold: func(group string, state lockstep.HoldState) {
-			e.holds.record(string(name)+"/"+group, state, ids.Fence(e.fence.Load()))
+		OnHold: func(group string, state lockstep.HoldState, fence ids.Fence) {
+			e.holds.record(string(name)+"/"+group, state, fence)
 		},
 		TookOver: func(f ids.Fence) bool { return ids.Fence(e.watch.tookOver.Load()) == f },
 	}
