Docs: what the soak injects, checks and excuses

The soak had no page of its own; what it does was spread over the code and the incidents. docs/design/soak.md lists the faults, the two new bounds and what excuses from them.

--- a/mk/soak.mk
+++ b/mk/soak.mk
@@ -4,7 +4,7 @@
 SEED ?= 1
 GATEWAYS ?= 120
 
-## soak: run SEEDS seeds, starting at SEED, with real gateway processes under external fault injection; logs of failed seeds are in out/soak
+## soak: run SEEDS seeds, starting at SEED, with real gateway processes under external fault injection, evacuations and cold upstreams (docs/design/soak.md); logs of failed seeds are in out/soak
 soak:
 	@mkdir -p out/soak
 	@$(GO) test -count=1 -timeout 60m -parallel 6 -v ./platform/soak -args -soak.seeds=$(SEEDS) -soak.from=$(SEED) -soak.keep=$(CURDIR)/out/soak > out/soak.txt 2>&1 || { cat out/soak.txt; exit 1; }
