Late requests wait for cold upstreams instead of being refused together

Callers whose streams had been cut off lost their only retry. Change: requests that are late already wait for cold upstreams as long as their caller does.

--- a/internal/policy/dispatch/cold_test.go
+++ b/internal/policy/dispatch/cold_test.go
@@ -98,3 +98,19 @@
 		}
 	}
 }
+
+// Guards against callers who are all refused after an outage: when the group is open again, their requests are late and all
+// upstreams are cold.
+func TestLateRequestsWaitForColdUpstreams(t *testing.T) {
+	p := newPool(2, 4)
+	p.SetCold(cold(1, "u-00", "u-01"), at(0))
+	p.SetClosed(true, at(0))
+	waiting := p.Submit(timedRequest(at(0)), at(0))
+	p.SetClosed(false, at(targetLatency+50*time.Millisecond))
+	if waiting.Err() != nil {
+		t.Fatalf("refused: %v", waiting.Err())
+	}
+	if p.Tick(at(time.Second)); waiting.Upstream() == nil {
+		t.Fatal("not placed when the upstreams permit it")
+	}
+}
--- a/internal/policy/dispatch/restriction.go
+++ b/internal/policy/dispatch/restriction.go
@@ -82,6 +82,9 @@
 	onlyLimits bool
 }
 
+// onlyCold reports whether nothing but cold starts holds the upstreams back.
+func (r restriction) onlyCold() bool { return r.cold > 0 && r.limited == 0 && r.resting == 0 }
+
 // Limited reports whether an upstream's limit is in force, or one is cold.
 func (p *Pool) Limited() bool { return p.limited || len(p.cold.Upstreams) > 0 }
 
@@ -141,6 +144,9 @@
 //
 // A request that waits for them and then starts too late to meet its target keeps its caller from another gateway, which
 // may have a part of the limit to spare, and which the upstream may not have asked for rest.
+//
+// Requests that are late already wait for cold upstreams, of some of which each gateway has a part. After an outage all
+// upstreams are cold and all waiting requests late; refused, their callers would use up the retry that they have left.
 func (p *Pool) restrictedError(r Request, ahead int, now time.Time) error {
 	if err := p.evacuatedError(r, now); err != nil {
 		return err
@@ -155,7 +161,7 @@
 	wait, ends := held.wait(ahead, now)
 	start := now.Add(wait)
 	inTime := !p.late(r, start)
-	if r.Begun {
+	if r.Begun || held.onlyCold() && p.late(r, now) {
 		inTime = !start.After(p.startBy(r))
 	}
 	if ends && inTime {
