Classes: order, reserve and limit by pass time for services with several priorities

Cause: each gateway gave a free slot to whatever waited there. With several classes in one service, the requests of the most urgent class found the slots full, and passes became longer than the pause that callers accept before the slots were used up, which made the streams of all classes late.

Change, only for services whose routes or accounts have more than one priority, and not with `classes` in `off`: - Waiting requests that can be in time go before late ones across classes, then by priority, then by target. - A class leaves free the slots that more urgent classes are expected to take until the next reports of the gateways. - A gateway learns from the pauses of its streams how much longer passes take than the engine's model says, and limits the requests of a rank so that a pass stays within the target pause after the largest shift of demand of the last 10 s.

--- a/internal/node/gateway/services.go
+++ b/internal/node/gateway/services.go
@@ -27,7 +27,7 @@
 			g.watchGroup(s, c)
 			g.metrics.addServiceGauges(g, name)
 		}
-		s.gate.SetOptions(dispatchOptions(c, g.disabledInDispatch()))
+		s.gate.SetOptions(dispatchOptions(g.control.config, c, g.disabledInDispatch()))
 		s.gate.SetUpstreams(g.control.upstreams.Of(name))
 		s.budget.SetBound(g.sharedRetryBound())
 		next[name] = s
@@ -67,9 +67,12 @@
 	plainFill = 1.5
 )
 
-func dispatchOptions(c *catalog.Service, off dispatch.DisabledMechanisms) dispatch.Options {
+func dispatchOptions(config *catalog.Configuration, c *catalog.Service, off dispatch.DisabledMechanisms) dispatch.Options {
+	o := dispatch.Options{Fill: plainFill, LateFill: plainFill, Disabled: off}
 	if c.Engine != nil {
-		return dispatch.Options{Engine: c.Engine, Fill: engineFill, LateFill: engineLateFill, Disabled: off}
+		o = dispatch.Options{Engine: c.Engine, Fill: engineFill, LateFill: engineLateFill, Disabled: off}
 	}
-	return dispatch.Options{Fill: plainFill, LateFill: plainFill, Disabled: off}
+	o.Classes = dispatch.SortedClasses(config.Priorities(c.Name))
+	o.TargetPause = config.TargetGap(c.Name)
+	return o
 }
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -134,7 +134,11 @@
 	if err := n.x.Write(ctx, events); err != nil {
 		return err
 	}
-	n.stream.recordEvents(time.Since(n.lastEventAt))
+	gap := time.Since(n.lastEventAt)
+	if n.stream.events > 0 {
+		n.service.gate.RecordPause(t, gap)
+	}
+	n.stream.recordEvents(gap)
 	n.lastEventAt = time.Now()
 	n.stream.lastEvent = last
 	return err
--- /dev/null
+++ b/internal/policy/dispatch/classes_test.go
@@ -0,0 +1,86 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
+)
+
+func classedPool(classes ...int) *Pool {
+	engine := &catalog.Engine{Slots: 10, Stride: 7, StepBase: 4840 * time.Microsecond, StepPerRequest: 435 * time.Microsecond}
+	return NewPool(Options{Engine: engine, Fill: 1, LateFill: 0.6, Classes: classes, TargetPause: 120 * time.Millisecond}, rand.New(rand.NewPCG(1, 2)))
+}
+
+// observePasses records the pauses of passes, each seen by eight streams, that take ratio times the modelled time.
+func observePasses(p *Pool, now time.Time, n int, ratio float64) time.Time {
+	pass := time.Duration(ratio * float64(modelledPass(p.opts.Engine, 0)))
+	for range n {
+		now = now.Add(pass)
+		for range 8 {
+			p.RecordPause(&Ticket{assigned: &upstreamState{}}, pass, now)
+		}
+	}
+	return now
+}
+
+// Guards against a pool of one class that decides by the rules of several.
+func TestOneClassHasNoRules(t *testing.T) {
+	now := time.Unix(10, 0)
+	for _, classes := range [][]int{nil, {3}} {
+		p := classedPool(classes...)
+		now = observePasses(p, now, 40, 2.5)
+		p.recordArrival(Request{}, now)
+		if p.fill(Request{Priority: 3}, now) != 1 || p.reserved(Request{Priority: 3}, now) || len(p.classes.arrivals) > 0 {
+			t.Fatalf("classes %v: the rules of several classes apply", classes)
+		}
+	}
+}
+
+// Guards against a single long pass, as when a group is held for a switch of expert maps, that lowers the limit for seconds.
+func TestHeldPassDoesNotLimitRequests(t *testing.T) {
+	p := classedPool(0, 1)
+	now := observePasses(p, time.Unix(10, 0), 20, 1.2)
+	now = observePasses(p, now, 1, 6)
+	now = observePasses(p, now, 20, 1.2)
+	if got := p.fill(Request{Priority: 1}, now); got != 1 {
+		t.Fatalf("limit %.2f after one held pass, want none", got)
+	}
+	now = observePasses(p, now, 5, 2)
+	now = observePasses(p, now, 20, 1.2)
+	if got := p.fill(Request{Priority: 1}, now); got >= 0.85 {
+		t.Fatalf("limit %.2f after a shift of demand, want one that keeps the next shift within the pause", got)
+	}
+}
+
+// Guards against the last free slots going to the least urgent class while the most urgent one is expected to need them.
+func TestLastSlotsAreReserved(t *testing.T) {
+	now := time.Unix(10, 0)
+	p := classedPool(0, 1)
+	p.SetSharing(Sharing{Gateways: 10, Interval: 300 * time.Millisecond})
+	p.SetUpstreams([]*catalog.Upstream{{ID: "u", Service: "s", Slots: 10, State: catalog.StateReady}}, now)
+	p.order[0].others.Requests = 9
+	r := Request{Arrived: now, Target: now.Add(time.Second), Deadline: now.Add(2 * time.Second), Priority: 1}
+	if p.reserved(r, now) {
+		t.Fatal("a slot is reserved although no more urgent request has arrived")
+	}
+	for range 4 {
+		p.recordArrival(Request{}, now)
+	}
+	if urgent := (Request{Arrived: now, Target: r.Target}); !p.reserved(r, now) || p.reserved(urgent, now) {
+		t.Fatal("the last slot is not reserved for the most urgent class")
+	}
+}
+
+// Guards against late requests of an urgent class that make requests of other classes late.
+func TestInTimeGoesBeforeLateAcrossClasses(t *testing.T) {
+	now := time.Unix(10, 0)
+	p := classedPool(0, 1)
+	late := Request{Arrived: now.Add(-time.Second), Target: now.Add(-time.Millisecond)}
+	inTime := Request{Arrived: now, Target: now.Add(time.Second), Priority: 1}
+	urgent := Request{Arrived: now, Target: now.Add(time.Second)}
+	if p.compareByClass(late, inTime, now) <= 0 || p.compareByClass(urgent, inTime, now) >= 0 {
+		t.Fatal("want in time before late, then by priority")
+	}
+}
--- a/internal/policy/dispatch/group_replay_test.go
+++ b/internal/policy/dispatch/group_replay_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -36,12 +37,15 @@
 	promptLeft int
 	events     int
 	late       bool
+	caller     caller
 }
 
 // caller is a request and the time by which its caller wants the first event.
 type caller struct {
 	request dispatch.Request
 	due     time.Time
+	// retried is set if the request is the caller's second one.
+	retried bool
 }
 
 // simulatedGateway is one of the gateways in front of the group, with its own pool.
@@ -78,6 +82,8 @@
 	resendAt    time.Time
 	// The counters count requests by how they ended; queued counts those that waited at their rank for a slot.
 	onTime, late, refused, queued int
+	// classes is set if the load has several classes; see classes_replay_test.go.
+	classes *classLoad
 }
 
 // newGroupSimulation returns an idle group. The pools take each other's placements into account only if sharing is set.
@@ -118,7 +124,7 @@
 
 func (g *groupSimulation) arrive() {
 	due := g.now.Add(streamTarget)
-	g.submit(caller{dispatch.Request{Arrived: g.now, Target: due, Deadline: g.now.Add(streamCallerTimeout), PromptTokens: g.prompt()}, due})
+	g.submit(caller{request: dispatch.Request{Arrived: g.now, Target: due, Deadline: g.now.Add(streamCallerTimeout), PromptTokens: g.prompt()}, due: due})
 }
 
 // submit sends a request to a random gateway.
@@ -138,6 +144,9 @@
 		delete(gw.waiting, t)
 		if t.Err() != nil {
 			g.refused++
+			if g.classes != nil {
+				g.classes.refuse(g, c, t.Err())
+			}
 			continue
 		}
 		u := t.Upstream().ID
@@ -145,7 +154,7 @@
 			g.queued++
 		}
 		events := 1 + g.rng.IntN(2*streamEvents)
-		g.at[u] = append(g.at[u], &stream{gateway: gw, ticket: t, request: q, due: c.due, promptLeft: q.PromptTokens, events: events})
+		g.at[u] = append(g.at[u], &stream{gateway: gw, ticket: t, request: q, due: c.due, promptLeft: q.PromptTokens, events: events, caller: c})
 	}
 }
 
@@ -178,6 +187,12 @@
 		length = time.Duration(float64(length) * g.initialMapSlowdown)
 	}
 	g.now = g.now.Add(length)
+	g.finishPass(first, length)
+	return length
+}
+
+// finishPass applies the events of a pass that ends now; first lists the streams whose prefill it has done.
+func (g *groupSimulation) finishPass(first []*stream, length time.Duration) {
 	for _, s := range first {
 		s.late = g.now.After(s.due)
 		s.gateway.pool.Responded(s.ticket, g.now)
@@ -188,9 +203,11 @@
 		} else {
 			g.onTime++
 		}
+		if g.classes != nil {
+			g.classes.finish(s)
+		}
 		g.decide(s.gateway, s.gateway.pool.Done(s.ticket, dispatch.OutcomeOK, g.now))
 	}
-	return length
 }
 
 // writeEvents adds an event to each stream whose prefill is done, and returns the streams that are finished.
@@ -201,6 +218,9 @@
 			if i < g.slots && s.promptLeft == 0 {
 				s.events--
 				s.late = s.late || length > maxEventGap
+				if g.classes != nil && s.events > 0 {
+					s.gateway.pool.RecordPause(s.ticket, length, g.now)
+				}
 			}
 			if i < g.slots && s.promptLeft == 0 && s.events <= 0 {
 				done = append(done, s)
@@ -222,17 +242,18 @@
 			gw.reportAt = gw.reportAt.Add(g.interval)
 		}
 	}
+	all := map[ids.UpstreamIncarnation]dispatch.Work{}
 	for _, gw := range g.gateways {
-		sum := map[ids.UpstreamIncarnation]dispatch.Work{}
-		for _, o := range g.gateways {
-			if o == gw {
-				continue
-			}
-			for u, w := range o.reported {
-				sum[u] = dispatch.Work{Requests: sum[u].Requests + w.Requests, PromptTokens: sum[u].PromptTokens + w.PromptTokens}
-			}
+		for u, w := range gw.reported {
+			all[u] = dispatch.Work{Requests: all[u].Requests + w.Requests, PromptTokens: all[u].PromptTokens + w.PromptTokens}
 		}
-		g.decide(gw, gw.pool.SetOthersWork(sum, g.now, g.now))
+	}
+	for _, gw := range g.gateways {
+		others := maps.Clone(all)
+		for u, w := range gw.reported {
+			others[u] = dispatch.Work{Requests: all[u].Requests - w.Requests, PromptTokens: all[u].PromptTokens - w.PromptTokens}
+		}
+		g.decide(gw, gw.pool.SetOthersWork(others, g.now, g.now))
 	}
 }
 
@@ -251,9 +272,13 @@
 		g.at[u] = nil
 		for _, s := range truncated {
 			s.gateway.pool.Done(s.ticket, dispatch.OutcomeNone, g.now)
-			g.toResend = append(g.toResend, caller{s.request, s.due})
+			g.toResend = append(g.toResend, caller{request: s.request, due: s.due})
 		}
 	}
+	if g.classes != nil {
+		g.classes.loseAll(g)
+		return
+	}
 	g.resendAt = g.now.Add(g.resendDelay)
 	g.resend()
 }
--- a/internal/policy/dispatch/mechanism.go
+++ b/internal/policy/dispatch/mechanism.go
@@ -20,11 +20,13 @@
 	EjectFailing Mechanism = "ejection"
 	// FirstResponseTime subtracts the expected time to the first response from the time left until the target.
 	FirstResponseTime Mechanism = "first-answer-time"
+	// Classes applies the rules for services whose requests have several priorities.
+	Classes Mechanism = "classes"
 )
 
 // Mechanisms lists all mechanisms of the pool.
 func Mechanisms() []Mechanism {
-	return []Mechanism{FewChoices, SlotShare, LateFill, LatePrefill, SlowRanks, EjectFailing, FirstResponseTime}
+	return []Mechanism{FewChoices, SlotShare, LateFill, LatePrefill, SlowRanks, EjectFailing, FirstResponseTime, Classes}
 }
 
 // DisabledMechanisms is the set of mechanisms that are disabled.
--- a/internal/policy/dispatch/pool.go
+++ b/internal/policy/dispatch/pool.go
@@ -48,6 +48,10 @@
 	Fill, LateFill float64
 	// Disabled lists the mechanisms that are disabled.
 	Disabled DisabledMechanisms
+	// Classes lists the priorities of the service's requests, most urgent first. With fewer than two, no rule of classes applies.
+	Classes []int
+	// TargetPause is the longest pause between two events of a stream that callers accept; 0 if there is none.
+	TargetPause time.Duration
 }
 
 // Pool places the requests of one service. It is not safe for concurrent use.
@@ -80,6 +84,7 @@
 	latePromptTokens int
 	// firstResponse is the mean time from the placement of a request to its first response; 0 if none was measured.
 	firstResponse time.Duration
+	classes       classes
 }
 
 // NewPool returns a pool without upstreams.
@@ -184,6 +189,7 @@
 // Submit adds a request. Its ticket is decided on return, or waits until a later call returns it.
 func (p *Pool) Submit(r Request, now time.Time) *Ticket {
 	t := &Ticket{request: r}
+	p.recordArrival(r, now)
 	if p.place(t, now) {
 		return t
 	}
@@ -306,6 +312,10 @@
 // target; the late ones follow, oldest target first. Under overload this serves as many requests as possible on time,
 // whereas serving them in order of arrival would make all of them late.
 func (p *Pool) sortWaiting(now time.Time) {
+	if p.classed() {
+		p.sortByClass(now)
+		return
+	}
 	slices.SortStableFunc(p.waiting, func(a, b *Ticket) int {
 		if a.request.Priority != b.request.Priority {
 			return a.request.Priority - b.request.Priority
@@ -323,7 +333,7 @@
 
 // place assigns the ticket to an upstream and reports whether one had a free slot.
 func (p *Pool) place(t *Ticket, now time.Time) bool {
-	if p.closed || p.beyondShare(now) {
+	if p.closed || p.beyondShare(t.request, now) || p.reserved(t.request, now) {
 		return false
 	}
 	candidates := p.candidates(t.request, now)
@@ -363,6 +373,7 @@
 			return nil
 		}
 	}
+	fill = min(fill, p.fill(r, now))
 	for _, c := range p.order {
 		if c.usable(now) && c.permits(now) && !slices.Contains(r.Exclude, c.listed.ID) && c.hasFreeSlot(fill) {
 			p.scratch = append(p.scratch, c)
--- /dev/null
+++ b/internal/state/catalog/priorities_test.go
@@ -0,0 +1,35 @@
+package catalog_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
+)
+
+// Guards against rules for several classes at a service whose requests have one priority, and their absence where accounts bring
+// another one.
+func TestPrioritiesOfAService(t *testing.T) {
+	to := func(weight int) []catalog.WeightedService {
+		return []catalog.WeightedService{{Service: "other", Weight: 1}, {Service: "s", Weight: weight}}
+	}
+	routes := []*catalog.Route{
+		{Host: "h", Prefix: "/a/", Services: to(1), Priority: 2, Public: true, TargetGap: 120 * time.Millisecond},
+		{Host: "h", Prefix: "/b/", Services: to(1), Priority: 1, TargetGap: 200 * time.Millisecond},
+		{Host: "h", Prefix: "/c/", Services: to(0), Priority: 7},
+	}
+	accounts := map[string]*catalog.Account{"k": {Priority: 0, HasPriority: true}, "l": {Priority: 9}}
+	c := catalog.New(1, routes, nil, accounts, catalog.Limits{})
+	got := c.Priorities("s")
+	slices.Sort(got)
+	if diff := cmp.Diff([]int{0, 1, 2}, got); diff != "" || c.TargetGap("s") != 120*time.Millisecond {
+		t.Fatal(diff, c.TargetGap("s"))
+	}
+	open := catalog.New(1, routes[:1], nil, accounts, catalog.Limits{})
+	if diff := cmp.Diff([]int{2}, open.Priorities("s")); diff != "" {
+		t.Fatal(diff)
+	}
+}
