--- a/internal/node/gateway/log.go
+++ b/internal/node/gateway/log.go
@@ -55,7 +55,8 @@
 	_ = g.requests.ordinary.Log("msg", "placed", "request", n.r.call.Attempt, "route", n.r.route.Name, "revision", n.r.revision,
 		"upstream", n.upstream, "attempt", n.sent+n.unreached+1, "load", d.Load, "usable", d.Usable, "waiting", d.Waiting,
 		"digests_age_ms", d.OthersAge.Milliseconds(), "waited_ms", n.placedAt.Sub(n.r.arrived).Milliseconds(),
-		"limit_per_second", n.g.limits.perSecond(u), "own_part_per_second", d.OwnPart)
+		"limit_per_second", n.g.limits.perSecond(u), "own_part_per_second", d.OwnPart,
+		"priority", n.r.priority, "slots_reserved", d.Reserved, "pass_limit", d.PassLimit, "pass_ratio", d.PassRatio)
 }
 
 // logRetry logs that another attempt follows.
@@ -93,9 +94,10 @@
 // logOutcome logs and counts the outcome of a request.
 func (g *Gateway) logOutcome(n *run, err error) {
 	g.metrics.requestDone(n.r.service.Name, err, time.Since(n.r.arrived).Seconds())
+	g.metrics.classDone(n.r.service.Name, n.r.priority, classOutcome(n, err))
 	now := time.Now()
 	fields := []any{
-		"msg", "request", "outcome", outcomeText(n, err), "request", n.r.call.Attempt, "route", n.r.route.Name,
+		"msg", "request", "outcome", outcomeText(n, err), "priority", n.r.priority, "request", n.r.call.Attempt, "route", n.r.route.Name,
 		"revision", n.r.revision, "client", n.r.client, "upstream", n.upstream, "sent", n.sent, "events", n.stream.events,
 		"placed_ms", sinceArrival(n, n.placedAt), "first_ms", sinceArrival(n, n.firstPieceAt), "longest_gap_ms", n.stream.longestGap.Milliseconds(),
 		"total_ms", sinceArrival(n, now), "left_ms", n.r.deadline.Sub(now).Milliseconds(),
@@ -118,6 +120,8 @@
 	// outcomeUpstreamFailure: the caller received the upstream's own failure.
 	outcomeUpstreamFailure = "upstream-failure"
 	outcomeFailed          = "failed"
+	// outcomeRefused: the request was refused as overloaded and did not run.
+	outcomeRefused = "refused"
 )
 
 func outcomeText(n *run, err error) string {
@@ -132,6 +136,14 @@
 	return outcomeAnswered
 }
 
+// classOutcome returns the outcome of a request for the metrics by class.
+func classOutcome(n *run, err error) string {
+	if err != nil && failure.CodeOf(err) == failure.CodeOverloaded {
+		return outcomeRefused
+	}
+	return outcomeText(n, err)
+}
+
 // late reports whether the response missed the route's target latency or target gap.
 func (n *run) late() bool {
 	route := n.r.route
--- a/internal/node/gateway/services.go
+++ b/internal/node/gateway/services.go
@@ -72,7 +72,7 @@
 	if c.Engine != nil {
 		o = dispatch.Options{Engine: c.Engine, Fill: engineFill, LateFill: engineLateFill, Disabled: off}
 	}
-	o.Classes = dispatch.SortedClasses(config.Priorities(c.Name))
+	o.Classes = config.Priorities(c.Name)
 	o.TargetPause = config.TargetGap(c.Name)
 	return o
 }
--- a/internal/policy/dispatch/classes.go
+++ b/internal/policy/dispatch/classes.go
@@ -1,7 +1,7 @@
 package dispatch
 
 import (
-	"slices"
+	"math"
 	"time"
 )
 
@@ -36,9 +36,42 @@
 	p.classes.arrivals[r.Priority].count(now)
 }
 
-// SortedClasses returns the distinct priorities of a list, most urgent first, for Options.Classes.
-func SortedClasses(priorities []int) []int {
-	out := slices.Clone(priorities)
-	slices.Sort(out)
-	return slices.Compact(out)
+// arrivalRate returns the rate of a class's arrivals at this gateway, in requests per second.
+func (p *Pool) arrivalRate(priority int, now time.Time) float64 {
+	arrivals := p.classes.arrivals[priority]
+	if arrivals == nil {
+		return 0
+	}
+	arrivals.roll(now)
+	return arrivals.perSecond()
+}
+
+// addClasses adds the inputs of the rules of classes.
+func (i *PlacementInputs) addClasses(p *Pool, r Request, now time.Time) {
+	if !p.classed() {
+		return
+	}
+	i.Reserved = p.expectedStarts(r, now)
+	if p.opts.Engine != nil {
+		i.PassRatio = p.passRatio(now)
+	}
+	i.PassLimit = p.loggedPassLimit(r, now)
+}
+
+// addClasses adds what the rules of classes contributed to a refusal.
+func (p *Pool) addClasses(e *OverloadedError, r Request, now time.Time) {
+	if !p.classed() {
+		return
+	}
+	e.Classes, e.Priority = true, r.Priority
+	e.Ahead = p.ahead(r, now)
+	e.PassLimit = p.loggedPassLimit(r, now)
+}
+
+// loggedPassLimit returns the limit by the pass time, 0 for none.
+func (p *Pool) loggedPassLimit(r Request, now time.Time) float64 {
+	if limit := p.passFill(r, now); !math.IsInf(limit, 1) {
+		return limit
+	}
+	return 0
 }
--- a/internal/policy/dispatch/classes_replay_test.go
+++ b/internal/policy/dispatch/classes_replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -103,8 +104,8 @@
 		l.again = append(l.again, returning{g.now, c})
 	}
 	for _, gw := range g.gateways {
-		for t, c := range gw.waiting {
-			if g.now.After(c.request.Deadline) {
+		for _, t := range gw.sortedWaiting() {
+			if c := gw.waiting[t]; g.now.After(c.request.Deadline) {
 				gw.pool.Cancel(t)
 				delete(gw.waiting, t)
 				leave(c)
@@ -128,14 +129,21 @@
 	}
 }
 
+// sortedWaiting returns the tickets of a gateway's waiting requests, oldest first.
+func (gw *simulatedGateway) sortedWaiting() []*dispatch.Ticket {
+	return slices.SortedFunc(maps.Keys(gw.waiting), func(a, b *dispatch.Ticket) int {
+		return gw.waiting[a].request.Arrived.Compare(gw.waiting[b].request.Arrived)
+	})
+}
+
 // loseAll ends all requests at the start of the outage, as all hosts lose power. Their callers ask again when it ends.
 func (l *classLoad) loseAll(g *groupSimulation) {
 	lost := g.toResend
 	g.toResend = nil
 	for _, gw := range g.gateways {
-		for t, c := range gw.waiting {
+		for _, t := range gw.sortedWaiting() {
 			gw.pool.Cancel(t)
-			lost = append(lost, c)
+			lost = append(lost, gw.waiting[t])
 		}
 		clear(gw.waiting)
 	}
@@ -178,7 +186,7 @@
 	return g
 }
 
-// rate returns the rate of a class at a time since the start.
+// classRate returns the rate of a class at a time since the start.
 func classRate(priority int, since time.Duration) float64 {
 	perSecond := hardClasses[priority].perSecond
 	for _, b := range hardBursts {
@@ -339,3 +347,25 @@
 		}
 	}
 }
+
+// Guards against rules of classes that change decisions of a service with one priority, or while `classes` is disabled.
+func TestWithoutClassesDecidesAsBefore(t *testing.T) {
+	run := func(list []int, off ...dispatch.Mechanism) [3]classCount {
+		g := newClassSimulation(5, off...)
+		for _, gw := range g.gateways {
+			gw.pool.SetOptions(dispatch.Options{
+				Engine: &catalog.Engine{Chunk: passChunk, Stride: hardStride}, Fill: 1, LateFill: 0.6,
+				Disabled: dispatch.DisabledMechanisms{dispatch.Classes: len(off) > 0}, Classes: list, TargetPause: maxEventGap,
+			})
+		}
+		g.runClasses()
+		return g.classes.counts
+	}
+	before := run(nil)
+	if got := run([]int{0}); got != before {
+		t.Errorf("with one class %+v, without classes %+v", got, before)
+	}
+	if got := run([]int{0, 1, 2}, dispatch.Classes); got != before {
+		t.Errorf("disabled %+v, without classes %+v", got, before)
+	}
+}
--- a/internal/policy/dispatch/classes_test.go
+++ b/internal/policy/dispatch/classes_test.go
@@ -84,3 +84,39 @@
 		t.Fatal("want in time before late, then by priority")
 	}
 }
+
+// Guards against a request that waits until its time is over although requests that went ahead of it leave it no time, and against
+// callers of all classes that come back together.
+func TestRequestsWithoutTimeAreRefusedAtOnce(t *testing.T) {
+	now := time.Unix(10, 0)
+	p := classedPool(0, 1)
+	p.SetUpstreams([]*catalog.Upstream{{ID: "u", Service: "s", Slots: 1, State: catalog.StateReady}}, now)
+	request := func(priority int) Request {
+		return Request{Arrived: now, Target: now.Add(400 * time.Millisecond), Deadline: now.Add(2 * time.Second), Priority: priority}
+	}
+	for range 4 {
+		first := p.Submit(request(0), now)
+		p.Responded(first, now.Add(200*time.Millisecond))
+		now = now.Add(250 * time.Millisecond)
+		p.Done(first, OutcomeOK, now)
+	}
+	p.Submit(request(0), now)
+	behind := p.Submit(request(1), now)
+	if behind.Err() != nil || len(p.Shed(now)) > 0 {
+		t.Fatal("refused although there is time")
+	}
+	for range 4 {
+		if ahead := p.Submit(request(0), now); ahead.Err() != nil {
+			t.Fatalf("an urgent request is refused: %v", ahead.Err())
+		}
+	}
+	shed := p.Shed(now)
+	if len(shed) != 1 || shed[0] != behind || p.Waiting() != 4 {
+		t.Fatalf("%d requests refused, want the one that has no time left", len(shed))
+	}
+	for range 100 {
+		if p.classRetry(request(1), 0) <= p.classRetry(request(0), 0) {
+			t.Fatal("the less urgent class is to come back sooner")
+		}
+	}
+}
--- a/internal/policy/dispatch/gate.go
+++ b/internal/policy/dispatch/gate.go
@@ -28,11 +28,14 @@
 		notifyDecided(g.pool.Tick(now))
 	}
 	t := g.pool.Submit(r, now)
+	if t.state == waiting {
+		t.decided = make(chan struct{})
+	}
+	notifyDecided(g.pool.Shed(now))
 	if t.state != waiting {
 		g.mu.Unlock()
 		return t, t.err
 	}
-	t.decided = make(chan struct{})
 	g.mu.Unlock()
 	select {
 	case <-t.decided:
--- a/internal/policy/dispatch/group_replay_test.go
+++ b/internal/policy/dispatch/group_replay_test.go
@@ -135,6 +135,9 @@
 	if t.Upstream() != nil || t.Err() != nil {
 		g.decide(gw, []*dispatch.Ticket{t})
 	}
+	if g.classes != nil {
+		g.decide(gw, gw.pool.Shed(g.now))
+	}
 }
 
 func (g *groupSimulation) decide(gw *simulatedGateway, list []*dispatch.Ticket) {
--- a/internal/policy/dispatch/passtime.go
+++ b/internal/policy/dispatch/passtime.go
@@ -19,17 +19,20 @@
 	minPassSamples = 4
 	// maxPassSamples bounds the pauses that are kept of a period.
 	maxPassSamples = 64
-	// minPassFill is the minimum number of requests that a rank may run by the pass time, as a fraction of the slots. passStep is the
-	// step, in requests, in which that number is found.
-	minPassFill = 0.8
+	// minPassFill is the minimum number of requests that a rank may run by the pass time, as a fraction of the slots. 0.8 left passes
+	// too long where a shift makes them 2.2 times as long. passStep is the step, in requests, in which that number is found.
+	minPassFill = 0.65
 	passStep    = 0.25
 	// passSpread is how many standard deviations the rank with the most requests is above the others, because the gateways do not
 	// know each other's latest placements. Without it, that rank runs more than the limit and makes all passes too long.
 	passSpread = 2.4
 	// urgentMargin is the fraction of the slots by which the limit of the most urgent class is higher than that of the others.
 	urgentMargin = 0.075
+	// maxPassExcess is how many times the target a pass at the minimum of the limit may take to count. The margins lower the limit
+	// further, which brings slightly longer passes within the target.
+	maxPassExcess = 1.1
 	// leastFill bounds the limit after all margins, as a fraction of the slots.
-	leastFill = 0.5
+	leastFill = 0.4
 )
 
 // passTime estimates how much longer passes take than the engine's model says, from the pauses of this gateway's streams.
@@ -67,11 +70,11 @@
 	t.periodStart = now
 }
 
-// ratio returns the largest ratio lately; 0 if none was measured.
-func (t *passTime) ratio(now time.Time) float64 {
+// ratio returns the largest ratio lately of those that are at most limit; 0 if none was measured.
+func (t *passTime) ratio(limit float64, now time.Time) float64 {
 	largest := 0.0
 	for _, k := range t.peaks {
-		if now.Sub(k.at) <= passMemory {
+		if now.Sub(k.at) <= passMemory && k.ratio <= limit {
 			largest = max(largest, k.ratio)
 		}
 	}
@@ -133,7 +136,7 @@
 	if !p.classed() || e == nil || p.opts.TargetPause <= 0 || e.StepPerRequest <= 0 || e.Slots <= 0 {
 		return math.Inf(1)
 	}
-	ratio := p.classes.pass.ratio(now)
+	ratio := p.passRatio(now)
 	if ratio <= 0 {
 		return math.Inf(1)
 	}
@@ -145,19 +148,40 @@
 	if n == slots {
 		return math.Inf(1)
 	}
-	n -= passSpread * (1 - p.expertShare()) * math.Sqrt(p.unreportedPerUpstream(now))
+	n = p.limitFor(n, slots, now)
 	if !p.mostUrgent(r) {
 		n -= urgentMargin * slots
 	}
 	return max(n/slots, leastFill)
 }
 
+// limitFor returns the limit with which the pass time is that of n requests at each rank. The rank with the most requests has more
+// than the limit, but does not run more than its slots.
+func (p *Pool) limitFor(n, slots float64, now time.Time) float64 {
+	share := p.expertShare()
+	limit := n - (1-share)*passSpread*math.Sqrt(p.unreportedPerUpstream(now))
+	if share > 0 {
+		limit = max(limit, (n-(1-share)*slots)/share)
+	}
+	return limit
+}
+
+// passRatio returns the largest ratio of measured to modelled pass times lately. Passes that no limit keeps within the target do not
+// count, as those of a group with a very slow rank: with fewer requests they would be late all the same.
+func (p *Pool) passRatio(now time.Time) float64 {
+	e := p.opts.Engine
+	shortest := modelledPass(e, minPassFill*float64(e.Slots))
+	if shortest <= 0 {
+		return 0
+	}
+	return p.classes.pass.ratio(maxPassExcess*float64(p.opts.TargetPause)/float64(shortest), now)
+}
+
 // unreportedPerUpstream estimates the number of placements of all gateways at an upstream between two reports.
 func (p *Pool) unreportedPerUpstream(now time.Time) float64 {
 	perSecond := 0.0
-	for _, arrivals := range p.classes.arrivals {
-		arrivals.roll(now)
-		perSecond += arrivals.perSecond()
+	for _, priority := range p.opts.Classes {
+		perSecond += p.arrivalRate(priority, now)
 	}
 	return perSecond * p.sharing.Interval.Seconds() * float64(p.sharing.Gateways) / float64(max(1, len(p.order)))
 }
--- a/internal/policy/dispatch/pool.go
+++ b/internal/policy/dispatch/pool.go
@@ -201,7 +201,7 @@
 		t.refuse(err)
 		return t
 	}
-	if wait := p.expectedWait(now); p.lost(now) || now.Add(wait).After(p.startBy(r)) {
+	if wait := p.expectedWaitOf(r, now); p.lost(now) || now.Add(wait).After(p.startBy(r)) {
 		t.refuse(p.overloaded(r, wait, now))
 		return t
 	}
@@ -211,12 +211,14 @@
 
 // overloaded returns the refusal of a request that cannot be started in time.
 func (p *Pool) overloaded(r Request, wait time.Duration, now time.Time) *OverloadedError {
-	return &OverloadedError{
+	err := &OverloadedError{
 		Waiting:    len(p.waiting),
 		PerSecond:  p.completed.perSecond(),
 		Waited:     now.Sub(r.Arrived),
-		RetryAfter: p.retryAfter(wait),
+		RetryAfter: p.classRetry(r, wait),
 	}
+	p.addClasses(err, r, now)
+	return err
 }
 
 // Cancel removes a waiting ticket whose caller has disconnected or timed out.
@@ -346,6 +348,7 @@
 	if !p.othersAt.IsZero() {
 		t.inputs.OthersAge = now.Sub(p.othersAt)
 	}
+	t.inputs.addClasses(p, t.request, now)
 	if best.allowance != nil {
 		t.inputs.OwnPart = best.allowance.PerSecond()
 	}
--- a/internal/policy/dispatch/reserve.go
+++ b/internal/policy/dispatch/reserve.go
@@ -32,10 +32,9 @@
 func (p *Pool) expectedStarts(r Request, now time.Time) float64 {
 	perSecond := 0.0
 	late := p.late(r, now)
-	for priority, arrivals := range p.classes.arrivals {
+	for _, priority := range p.opts.Classes {
 		if priority < r.Priority || late {
-			arrivals.roll(now)
-			perSecond += arrivals.perSecond()
+			perSecond += p.arrivalRate(priority, now)
 		}
 	}
 	period := p.sharing.Interval
--- /dev/null
+++ b/internal/policy/dispatch/shedding.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import "time"
+
+// Shed refuses waiting requests that can no longer be started in time because of the requests ahead of them. It returns the tickets
+// that this decides. It is called after an arrival, which may go ahead of others.
+//
+// A request that waits until its time is over keeps its caller from asking elsewhere, and is answered no sooner for it.
+func (p *Pool) Shed(now time.Time) []*Ticket {
+	if !p.classed() || p.closed || len(p.waiting) == 0 {
+		return nil
+	}
+	p.sortWaiting(now)
+	var out []*Ticket
+	rest := p.waiting[:0]
+	for _, t := range p.waiting {
+		wait := p.waitBehind(len(rest), now)
+		if now.Add(wait).After(p.startBy(t.request)) {
+			t.refuse(p.overloaded(t.request, wait, now))
+			out = append(out, t)
+			continue
+		}
+		rest = append(rest, t)
+	}
+	clear(p.waiting[len(rest):])
+	p.waiting = rest
+	return out
+}
+
+// expectedWaitOf estimates how long a request that joins the queue now waits, behind the requests that go ahead of it.
+func (p *Pool) expectedWaitOf(r Request, now time.Time) time.Duration {
+	if !p.classed() {
+		return p.expectedWait(now)
+	}
+	return p.waitBehind(p.ahead(r, now), now)
+}
+
+// ahead returns the number of waiting requests that go ahead of one that arrives now.
+func (p *Pool) ahead(r Request, now time.Time) int {
+	n := 0
+	for _, t := range p.waiting {
+		if p.compareByClass(t.request, r, now) <= 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// classRetry returns the Retry-After of a refusal, which is later for a less urgent class: its callers would come back to the same
+// queue, and go behind the others again.
+func (p *Pool) classRetry(r Request, wait time.Duration) time.Duration {
+	after := p.retryAfter(wait)
+	if !p.classed() || p.closed {
+		return after
+	}
+	less := 0
+	for _, c := range p.opts.Classes {
+		if c < r.Priority {
+			less++
+		}
+	}
+	return min(maxRetry, after+time.Duration(less)*classRetryStep)
+}
+
+// classRetryStep is how much later the callers of a class come back than those of the next more urgent one.
+const classRetryStep = 150 * time.Millisecond
--- a/internal/policy/dispatch/ticket.go
+++ b/internal/policy/dispatch/ticket.go
@@ -52,6 +52,10 @@
 	OthersAge time.Duration
 	// OwnPart is this gateway's part of the chosen upstream's request limit, in requests per second; 0 if there is no limit.
 	OwnPart float64
+	// Reserved is the number of slots that were left free for more urgent requests, and PassLimit the maximum number of requests for
+	// each slot by the pass time; 0 if the service has one class, or there is no limit. PassRatio is the largest ratio of measured to
+	// modelled pass times lately.
+	Reserved, PassLimit, PassRatio float64
 }
 
 // Err returns why the request was refused, or nil: *NoRegisteredUpstreamError, *OverloadedError or *RestrictedError.
@@ -81,9 +85,18 @@
 	// Waited is how long the request waited before it was refused; close to 0 if it was refused on arrival.
 	Waited     time.Duration
 	RetryAfter time.Duration
+	// Classes is set if requests of several classes compete. Priority is then that of the request, Ahead the number of waiting
+	// requests that go ahead of it, and PassLimit the maximum number of requests for each slot by the pass time, 0 if there is none.
+	Classes         bool
+	Priority, Ahead int
+	PassLimit       float64
 }
 
 // Error implements error.
 func (e *OverloadedError) Error() string {
-	return fmt.Sprintf("no free slot in time: waited %d ms, %d requests waiting, %.0f finished per second", e.Waited.Milliseconds(), e.Waiting, e.PerSecond)
+	text := fmt.Sprintf("no free slot in time: waited %d ms, %d requests waiting, %.0f finished per second", e.Waited.Milliseconds(), e.Waiting, e.PerSecond)
+	if !e.Classes {
+		return text
+	}
+	return fmt.Sprintf("%s, %d ahead of priority %d, pass limit %.2f", text, e.Ahead, e.Priority, e.PassLimit)
 }
--- a/internal/policy/dispatch/wait.go
+++ b/internal/policy/dispatch/wait.go
@@ -52,12 +52,15 @@
 //
 // The throughput measured while the pool was closed is close to zero and would cause requests to be refused while slots
 // are free. It therefore counts as unknown until a full window has passed since the pool opened.
-func (p *Pool) expectedWait(now time.Time) time.Duration {
+func (p *Pool) expectedWait(now time.Time) time.Duration { return p.waitBehind(len(p.waiting), now) }
+
+// waitBehind is expectedWait for a number of requests ahead.
+func (p *Pool) waitBehind(ahead int, now time.Time) time.Duration {
 	perSecond := p.completed.perSecond()
 	if perSecond == 0 || p.closed || now.Sub(p.openedAt) < rateWindow {
 		return 0
 	}
-	return time.Duration(float64(len(p.waiting)) / perSecond * float64(time.Second))
+	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
 }
 
 // closedRetry is the Retry-After of a broken group. A crashed rank is back within seconds. Callers honour up to a third
--- a/internal/state/catalog/priorities_test.go
+++ b/internal/state/catalog/priorities_test.go
@@ -1,7 +1,6 @@
 package catalog_test
 
 import (
-	"slices"
 	"testing"
 	"time"
 
@@ -23,9 +22,7 @@
 	}
 	accounts := map[string]*catalog.Account{"k": {Priority: 0, HasPriority: true}, "l": {Priority: 9}}
 	c := catalog.New(1, routes, nil, accounts, catalog.Limits{})
-	got := c.Priorities("s")
-	slices.Sort(got)
-	if diff := cmp.Diff([]int{0, 1, 2}, got); diff != "" || c.TargetGap("s") != 120*time.Millisecond {
+	if diff := cmp.Diff([]int{0, 1, 2}, c.Priorities("s")); diff != "" || c.TargetGap("s") != 120*time.Millisecond {
 		t.Fatal(diff, c.TargetGap("s"))
 	}
 	open := catalog.New(1, routes[:1], nil, accounts, catalog.Limits{})
