--- a/internal/node/gateway/near.go
+++ b/internal/node/gateway/near.go
@@ -13,7 +13,7 @@
 // The preference needs delays between data centres. It is limited to deployments that have classes or evacuations, so
 // that others are served as before.
 func near(c *catalog.Configuration, s *catalog.Service, set *Settings) *dispatch.Near {
-	if s.Engine == nil || len(s.Engine.Delays) == 0 || set.Bounds.Evacuate == 0 && !c.HasSeveralPriorities(s.Name) {
+	if s.Engine == nil || len(s.Engine.Delays) == 0 || set.Bounds.Evacuate == 0 && len(c.Priorities(s.Name)) < 2 {
 		return nil
 	}
 	out := &dispatch.Near{DataCentre: set.DataCentre, Delays: map[ids.DataCentre]time.Duration{}}
--- a/internal/node/gateway/services.go
+++ b/internal/node/gateway/services.go
@@ -27,7 +27,7 @@
 			g.watchGroup(s, c)
 			g.metrics.addServiceGauges(g, name)
 		}
-		o := dispatchOptions(c, g.disabledInDispatch())
+		o := dispatchOptions(g.control.config, c, g.disabledInDispatch())
 		o.Near = near(g.control.config, c, g.Settings())
 		s.gate.SetOptions(o)
 		s.evacuable.Store(g.evacuates())
@@ -71,9 +71,12 @@
 	plainFill = 1.5
 )
 
-func dispatchOptions(c *catalog.Service, off dispatch.DisabledMechanisms) dispatch.Options {
+func dispatchOptions(config *catalog.Configuration, c *catalog.Service, off dispatch.DisabledMechanisms) dispatch.Options {
+	o := dispatch.Options{Fill: plainFill, LateFill: plainFill, Disabled: off}
 	if c.Engine != nil {
-		return dispatch.Options{Engine: c.Engine, Fill: engineFill, LateFill: engineLateFill, Disabled: off}
+		o = dispatch.Options{Engine: c.Engine, Fill: engineFill, LateFill: engineLateFill, Disabled: off}
 	}
-	return dispatch.Options{Fill: plainFill, LateFill: plainFill, Disabled: off}
+	o.Classes = config.Priorities(c.Name)
+	o.TargetPause = config.TargetGap(c.Name)
+	return o
 }
--- /dev/null
+++ b/internal/policy/dispatch/classes.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+// classes is the state of a pool whose requests have several priorities.
+type classes struct {
+	// arrivals counts the arrivals of each class, by priority.
+	arrivals map[int]*rate
+	pass     passTime
+}
+
+// classRateWindow is the window over which the arrivals of a class are counted. It is longer than rateWindow, as one
+// gateway of many gets few requests of a class in a second.
+const classRateWindow = 4 * time.Second
+
+// classed reports whether requests of several classes compete for the upstreams.
+func (p *Pool) classed() bool { return len(p.opts.Classes) > 1 && !p.opts.Disabled[Classes] }
+
+// mostUrgent reports whether no class of the service is more urgent than that of the request.
+func (p *Pool) mostUrgent(r Request) bool { return r.Priority <= p.opts.Classes[0] }
+
+// recordArrival counts the arrival of a request for the reserve of its class.
+func (p *Pool) recordArrival(r Request, now time.Time) {
+	if !p.classed() {
+		return
+	}
+	if p.classes.arrivals == nil {
+		p.classes.arrivals = map[int]*rate{}
+	}
+	if p.classes.arrivals[r.Priority] == nil {
+		p.classes.arrivals[r.Priority] = &rate{window: classRateWindow}
+	}
+	p.classes.arrivals[r.Priority].count(now)
+}
+
+// arrivalRate returns the rate of a class's arrivals at this gateway, in requests per second.
+func (p *Pool) arrivalRate(priority int, now time.Time) float64 {
+	arrivals := p.classes.arrivals[priority]
+	if arrivals == nil {
+		return 0
+	}
+	arrivals.roll(now)
+	return arrivals.perSecond()
+}
+
+// addClasses adds the inputs of the rules of classes.
+func (i *PlacementInputs) addClasses(p *Pool, r Request, now time.Time) {
+	if !p.classed() {
+		return
+	}
+	i.Reserved = p.expectedStarts(r, now)
+	if p.opts.Engine != nil {
+		i.PassRatio = p.passRatio(now)
+	}
+	i.PassLimit = p.loggedPassLimit(r, now)
+}
+
+// addClasses adds what the rules of classes contributed to a refusal.
+func (p *Pool) addClasses(e *OverloadedError, r Request, now time.Time) {
+	if !p.classed() {
+		return
+	}
+	e.Classes, e.Priority = true, r.Priority
+	e.Ahead = p.ahead(r, now)
+	e.PassLimit = p.loggedPassLimit(r, now)
+}
+
+// loggedPassLimit returns the limit by the pass time, 0 for none.
+func (p *Pool) loggedPassLimit(r Request, now time.Time) float64 {
+	if limit := p.passFill(r, now); !math.IsInf(limit, 1) {
+		return limit
+	}
+	return 0
+}
--- a/internal/policy/dispatch/gate.go
+++ b/internal/policy/dispatch/gate.go
@@ -28,11 +28,14 @@
 		notifyDecided(g.pool.Tick(now))
 	}
 	t := g.pool.Submit(r, now)
+	if t.state == waiting {
+		t.decided = make(chan struct{})
+	}
+	notifyDecided(g.pool.Shed(now))
 	if t.state != waiting {
 		g.mu.Unlock()
 		return t, t.err
 	}
-	t.decided = make(chan struct{})
 	g.mu.Unlock()
 	select {
 	case <-t.decided:
@@ -58,6 +61,13 @@
 	g.pool.Responded(t, time.Now())
 }
 
+// RecordPause records a pause between two events of a placed stream.
+func (g *Gate) RecordPause(t *Ticket, pause time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pool.RecordPause(t, pause, time.Now())
+}
+
 // Done releases the slot of a placed request and records its outcome.
 func (g *Gate) Done(t *Ticket, o Outcome) {
 	g.update(func(p *Pool, now time.Time) []*Ticket { return p.Done(t, o, now) })
--- a/internal/policy/dispatch/group_replay_test.go
+++ b/internal/policy/dispatch/group_replay_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -36,6 +37,7 @@
 	promptLeft int
 	events     int
 	late       bool
+	caller     caller
 }
 
 // caller is a request and the time by which its caller wants the first event.
@@ -46,6 +48,8 @@
 	// different placements have the same requests.
 	gateway *simulatedGateway
 	events  int
+	// retried is set if the request is the caller's second one.
+	retried bool
 }
 
 // simulatedGateway is one of the gateways in front of the group, with its own pool.
@@ -92,6 +96,8 @@
 	onTime, late, refused, queued int
 	// near counts the streams that were placed in their gateway's data centre, of all that were placed.
 	near, placed int
+	// classes is set if the load has several classes; see classes_replay_test.go.
+	classes *classLoad
 }
 
 // newGroupSimulation returns an idle group. The pools take each other's placements into account only if sharing is set.
@@ -153,6 +159,9 @@
 	if t.Upstream() != nil || t.Err() != nil {
 		g.decide(gw, []*dispatch.Ticket{t})
 	}
+	if g.classes != nil {
+		g.decide(gw, gw.pool.Shed(g.now))
+	}
 }
 
 func (g *groupSimulation) decide(gw *simulatedGateway, list []*dispatch.Ticket) {
@@ -162,6 +171,9 @@
 		delete(gw.waiting, t)
 		if t.Err() != nil {
 			g.refused++
+			if g.classes != nil {
+				g.classes.refuse(g, c, t.Err())
+			}
 			continue
 		}
 		g.placed++
@@ -176,7 +188,7 @@
 		if events == 0 {
 			events = 1 + g.rng.IntN(2*streamEvents)
 		}
-		g.at[u] = append(g.at[u], &stream{gateway: gw, ticket: t, request: q, due: c.due, promptLeft: q.PromptTokens, events: events})
+		g.at[u] = append(g.at[u], &stream{gateway: gw, ticket: t, request: q, due: c.due, promptLeft: q.PromptTokens, events: events, caller: c})
 	}
 }
 
@@ -209,6 +221,12 @@
 		length = time.Duration(float64(length) * g.initialMapSlowdown)
 	}
 	g.now = g.now.Add(length)
+	g.finishPass(first, length)
+	return length
+}
+
+// finishPass applies the events of a pass that ends now; first lists the streams whose prefill it has done.
+func (g *groupSimulation) finishPass(first []*stream, length time.Duration) {
 	for _, s := range first {
 		s.late = g.now.Add(g.roundTrip(s)).After(s.due)
 		s.gateway.pool.Responded(s.ticket, g.now)
@@ -219,9 +237,11 @@
 		} else {
 			g.onTime++
 		}
+		if g.classes != nil {
+			g.classes.finish(s)
+		}
 		g.decide(s.gateway, s.gateway.pool.Done(s.ticket, dispatch.OutcomeOK, g.now))
 	}
-	return length
 }
 
 // writeEvents adds an event to each stream whose prefill is done, and returns the streams that are finished.
@@ -232,6 +252,9 @@
 			if i < g.slots && s.promptLeft == 0 {
 				s.events--
 				s.late = s.late || length > maxEventGap
+				if g.classes != nil && s.events > 0 {
+					s.gateway.pool.RecordPause(s.ticket, length, g.now)
+				}
 			}
 			if i < g.slots && s.promptLeft == 0 && s.events <= 0 {
 				done = append(done, s)
@@ -253,17 +276,18 @@
 			gw.reportAt = gw.reportAt.Add(g.interval)
 		}
 	}
+	all := map[ids.UpstreamIncarnation]dispatch.Work{}
 	for _, gw := range g.gateways {
-		sum := map[ids.UpstreamIncarnation]dispatch.Work{}
-		for _, o := range g.gateways {
-			if o == gw {
-				continue
-			}
-			for u, w := range o.reported {
-				sum[u] = dispatch.Work{Requests: sum[u].Requests + w.Requests, PromptTokens: sum[u].PromptTokens + w.PromptTokens}
-			}
+		for u, w := range gw.reported {
+			all[u] = dispatch.Work{Requests: all[u].Requests + w.Requests, PromptTokens: all[u].PromptTokens + w.PromptTokens}
 		}
-		g.decide(gw, gw.pool.SetOthersWork(sum, g.now, g.now))
+	}
+	for _, gw := range g.gateways {
+		others := maps.Clone(all)
+		for u, w := range gw.reported {
+			others[u] = dispatch.Work{Requests: all[u].Requests - w.Requests, PromptTokens: all[u].PromptTokens - w.PromptTokens}
+		}
+		g.decide(gw, gw.pool.SetOthersWork(others, g.now, g.now))
 	}
 }
 
@@ -285,6 +309,10 @@
 			g.toResend = append(g.toResend, caller{request: s.request, due: s.due})
 		}
 	}
+	if g.classes != nil {
+		g.classes.loseAll(g)
+		return
+	}
 	g.resendAt = g.now.Add(g.resendDelay)
 	g.resend()
 }
--- a/internal/policy/dispatch/pool.go
+++ b/internal/policy/dispatch/pool.go
@@ -50,6 +50,10 @@
 	Disabled DisabledMechanisms
 	// Near is nil unless upstreams in the gateway's own data centre are preferred.
 	Near *Near
+	// Classes lists the priorities of the service's requests, most urgent first. With fewer than two, no rule of classes applies.
+	Classes []int
+	// TargetPause is the longest pause between two events of a stream that callers accept; 0 if there is none.
+	TargetPause time.Duration
 }
 
 // Pool places the requests of one service. It is not safe for concurrent use.
@@ -85,6 +89,7 @@
 	firstResponse time.Duration
 	// evacuated holds the data centres whose upstreams get no new requests; nil for none.
 	evacuated *catalog.Evacuations
+	classes   classes
 }
 
 // NewPool returns a pool without upstreams.
@@ -190,6 +195,7 @@
 // Submit adds a request. Its ticket is decided on return, or waits until a later call returns it.
 func (p *Pool) Submit(r Request, now time.Time) *Ticket {
 	t := &Ticket{request: r}
+	p.recordArrival(r, now)
 	if p.place(t, now) {
 		return t
 	}
@@ -201,7 +207,7 @@
 		t.refuse(err)
 		return t
 	}
-	if wait := p.expectedWait(now); p.lost(now) || now.Add(wait).After(p.startBy(r)) {
+	if wait := p.expectedWaitOf(r, now); p.lost(now) || now.Add(wait).After(p.startBy(r)) {
 		t.refuse(p.overloaded(r, wait, now))
 		return t
 	}
@@ -211,12 +217,14 @@
 
 // overloaded returns the refusal of a request that cannot be started in time.
 func (p *Pool) overloaded(r Request, wait time.Duration, now time.Time) *OverloadedError {
-	return &OverloadedError{
+	err := &OverloadedError{
 		Waiting:    len(p.waiting),
 		PerSecond:  p.completed.perSecond(),
 		Waited:     now.Sub(r.Arrived),
-		RetryAfter: p.retryAfter(wait),
+		RetryAfter: p.classRetry(r, wait),
 	}
+	p.addClasses(err, r, now)
+	return err
 }
 
 // Cancel removes a waiting ticket whose caller has disconnected or timed out.
@@ -312,6 +320,10 @@
 // target; the late ones follow, oldest target first. Under overload this serves as many requests as possible on time,
 // whereas serving them in order of arrival would make all of them late.
 func (p *Pool) sortWaiting(now time.Time) {
+	if p.classed() {
+		p.sortByClass(now)
+		return
+	}
 	slices.SortStableFunc(p.waiting, func(a, b *Ticket) int {
 		if a.request.Priority != b.request.Priority {
 			return a.request.Priority - b.request.Priority
@@ -329,7 +341,7 @@
 
 // place assigns the ticket to an upstream and reports whether one had a free slot.
 func (p *Pool) place(t *Ticket, now time.Time) bool {
-	if p.closed || p.beyondShare(now) {
+	if p.closed || p.beyondShare(t.request, now) || p.reserved(t.request, now) {
 		return false
 	}
 	candidates := p.candidates(t.request, now)
@@ -342,6 +354,7 @@
 	if !p.othersAt.IsZero() {
 		t.inputs.OthersAge = now.Sub(p.othersAt)
 	}
+	t.inputs.addClasses(p, t.request, now)
 	if best.allowance != nil {
 		t.inputs.OwnPart = best.allowance.PerSecond()
 	}
@@ -372,6 +385,7 @@
 			return nil
 		}
 	}
+	fill = min(fill, p.fill(r, now))
 	for _, c := range p.order {
 		if c.usable(now) && p.permits(c, now) && !slices.Contains(r.Exclude, c.listed.ID) && c.hasFreeSlot(fill) {
 			p.scratch = append(p.scratch, c)
