The class of a request is its route's priority; that of its account goes before it

Cause: in every deployment all accounts have a priority, and it replaced that of the route. Change: Request.Class is the route's priority. The order is in time, account's priority, class, target; reserve, limit by pass time and Retry-After go by class. Active only where routes to one service have several priorities.

--- a/internal/node/gateway/log.go
+++ b/internal/node/gateway/log.go
@@ -56,7 +56,7 @@
 		"upstream", n.upstream, "attempt", n.sent+n.unreached+1, "load", d.Load, "usable", d.Usable, "waiting", d.Waiting,
 		"digests_age_ms", d.OthersAge.Milliseconds(), "waited_ms", n.placedAt.Sub(n.r.arrived).Milliseconds(),
 		"limit_per_second", n.g.limits.perSecond(u), "own_part_per_second", d.OwnPart, "cold_part_per_second", d.ColdPart,
-		"priority", n.r.priority, "slots_reserved", d.Reserved, "pass_limit", d.PassLimit, "pass_ratio", d.PassRatio)
+		"priority", n.r.priority, "class", n.r.route.Priority, "slots_reserved", d.Reserved, "pass_limit", d.PassLimit, "pass_ratio", d.PassRatio)
 }
 
 // logRetry logs that another attempt follows.
@@ -94,10 +94,10 @@
 // logOutcome logs and counts the outcome of a request.
 func (g *Gateway) logOutcome(n *run, err error) {
 	g.metrics.requestDone(n.r.service.Name, err, time.Since(n.r.arrived).Seconds())
-	g.metrics.classDone(n.r.service.Name, n.r.priority, classOutcome(n, err))
+	g.metrics.classDone(n.r.service.Name, n.r.route.Priority, classOutcome(n, err))
 	now := time.Now()
 	fields := []any{
-		"msg", "request", "outcome", outcomeText(n, err), "priority", n.r.priority, "request", n.r.call.Attempt, "route", n.r.route.Name,
+		"msg", "request", "outcome", outcomeText(n, err), "priority", n.r.priority, "class", n.r.route.Priority, "request", n.r.call.Attempt, "route", n.r.route.Name,
 		"revision", n.r.revision, "client", n.r.client, "upstream", n.upstream, "sent", n.sent, "events", n.stream.events,
 		"placed_ms", sinceArrival(n, n.placedAt), "first_ms", sinceArrival(n, n.firstPieceAt), "longest_gap_ms", n.stream.longestGap.Milliseconds(),
 		"total_ms", sinceArrival(n, now), "left_ms", n.r.deadline.Sub(now).Milliseconds(),
--- a/internal/node/gateway/metrics.go
+++ b/internal/node/gateway/metrics.go
@@ -80,8 +80,8 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf("cardamomyoke_gateway_answer_seconds{service=%q}", service)).Update(seconds)
 }
 
-func (m *gatewayMetrics) classDone(service ids.Service, priority int, outcome string) {
-	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_class_requests_total{service=%q,priority=\"%d\",outcome=%q}", service, priority, outcome)).Inc()
+func (m *gatewayMetrics) classDone(service ids.Service, class int, outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_class_requests_total{service=%q,class=\"%d\",outcome=%q}", service, class, outcome)).Inc()
 }
 
 func (m *gatewayMetrics) digestFailed() {
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -132,6 +132,7 @@
 		Target:       r.arrived.Add(r.route.TargetLatency),
 		Deadline:     latest,
 		Priority:     r.priority,
+		Class:        r.route.Priority,
 		PromptTokens: r.call.PromptTokens,
 		Begun:        n.x.Responded(),
 		Exclude:      n.exclude,
--- a/internal/policy/dispatch/classes.go
+++ b/internal/policy/dispatch/classes.go
@@ -7,7 +7,7 @@
 
 // classes is the state of a pool whose requests have several priorities.
 type classes struct {
-	// arrivals counts the arrivals of each class, by priority.
+	// arrivals counts the arrivals of each class, by class.
 	arrivals map[int]*rate
 	pass     passTime
 }
@@ -20,7 +20,7 @@
 func (p *Pool) classed() bool { return len(p.opts.Classes) > 1 && !p.opts.Disabled[Classes] }
 
 // mostUrgent reports whether no class of the service is more urgent than that of the request.
-func (p *Pool) mostUrgent(r Request) bool { return r.Priority <= p.opts.Classes[0] }
+func (p *Pool) mostUrgent(r Request) bool { return r.Class <= p.opts.Classes[0] }
 
 // recordArrival counts the arrival of a request for the reserve of its class.
 func (p *Pool) recordArrival(r Request, now time.Time) {
@@ -30,15 +30,15 @@
 	if p.classes.arrivals == nil {
 		p.classes.arrivals = map[int]*rate{}
 	}
-	if p.classes.arrivals[r.Priority] == nil {
-		p.classes.arrivals[r.Priority] = &rate{window: classRateWindow}
+	if p.classes.arrivals[r.Class] == nil {
+		p.classes.arrivals[r.Class] = &rate{window: classRateWindow}
 	}
-	p.classes.arrivals[r.Priority].count(now)
+	p.classes.arrivals[r.Class].count(now)
 }
 
 // arrivalRate returns the rate of a class's arrivals at this gateway, in requests per second.
-func (p *Pool) arrivalRate(priority int, now time.Time) float64 {
-	arrivals := p.classes.arrivals[priority]
+func (p *Pool) arrivalRate(class int, now time.Time) float64 {
+	arrivals := p.classes.arrivals[class]
 	if arrivals == nil {
 		return 0
 	}
@@ -63,7 +63,7 @@
 	if !p.classed() {
 		return
 	}
-	e.Classes, e.Priority = true, r.Priority
+	e.Classes, e.Class = true, r.Class
 	e.Ahead = p.ahead(r, now)
 	e.PassLimit = p.loggedPassLimit(r, now)
 }
--- a/internal/policy/dispatch/classes_replay_test.go
+++ b/internal/policy/dispatch/classes_replay_test.go
@@ -83,14 +83,14 @@
 		l.again = append(l.again, returning{g.now.Add(full.RetryAfter), c})
 		return
 	}
-	l.counts[c.request.Priority].refused++
+	l.counts[c.request.Class].refused++
 }
 
 func (l *classLoad) finish(s *stream) {
 	if s.late {
-		l.counts[s.request.Priority].late++
+		l.counts[s.request.Class].late++
 	} else {
-		l.counts[s.request.Priority].inTime++
+		l.counts[s.request.Class].inTime++
 	}
 }
 
@@ -98,7 +98,7 @@
 func (l *classLoad) abandon(g *groupSimulation) {
 	leave := func(c caller) {
 		if c.retried {
-			l.counts[c.request.Priority].refused++
+			l.counts[c.request.Class].refused++
 			return
 		}
 		l.again = append(l.again, returning{g.now, c})
@@ -163,7 +163,7 @@
 		}
 		c := r.caller
 		c.retried = true
-		k := hardClasses[c.request.Priority]
+		k := hardClasses[c.request.Class]
 		c.request.Arrived, c.request.Target, c.request.Deadline = g.now, g.now.Add(k.target), g.now.Add(streamCallerTimeout)
 		g.submit(c)
 	}
@@ -219,7 +219,7 @@
 func (g *groupSimulation) sortQueues() {
 	for _, u := range g.order {
 		if at := g.at[u]; len(at) > g.slots {
-			slices.SortStableFunc(at[g.slots:], func(a, b *stream) int { return a.request.Priority - b.request.Priority })
+			slices.SortStableFunc(at[g.slots:], func(a, b *stream) int { return a.request.Class - b.request.Class })
 		}
 	}
 }
@@ -228,7 +228,7 @@
 func (g *groupSimulation) arriveClass(priority int) {
 	due := g.now.Add(hardClasses[priority].target)
 	c := caller{request: dispatch.Request{
-		Arrived: g.now, Target: due, Deadline: g.now.Add(streamCallerTimeout), Priority: priority, PromptTokens: g.prompt(),
+		Arrived: g.now, Target: due, Deadline: g.now.Add(streamCallerTimeout), Class: priority, PromptTokens: g.prompt(),
 	}, due: due}
 	if g.closed {
 		g.classes.again = append(g.classes.again, returning{g.classes.backAt, c})
--- a/internal/policy/dispatch/classes_test.go
+++ b/internal/policy/dispatch/classes_test.go
@@ -32,7 +32,7 @@
 		p := classedPool(classes...)
 		now = observePasses(p, now, 40, 2.5)
 		p.recordArrival(Request{}, now)
-		if p.fill(Request{Priority: 3}, now) != 1 || p.reserved(Request{Priority: 3}, now) || len(p.classes.arrivals) > 0 {
+		if p.fill(Request{Class: 3}, now) != 1 || p.reserved(Request{Class: 3}, now) || len(p.classes.arrivals) > 0 {
 			t.Fatalf("classes %v: the rules of several classes apply", classes)
 		}
 	}
@@ -44,12 +44,12 @@
 	now := observePasses(p, time.Unix(10, 0), 20, 1.2)
 	now = observePasses(p, now, 1, 6)
 	now = observePasses(p, now, 20, 1.2)
-	if got := p.fill(Request{Priority: 1}, now); got != 1 {
+	if got := p.fill(Request{Class: 1}, now); got != 1 {
 		t.Fatalf("limit %.2f after one held pass, want none", got)
 	}
 	now = observePasses(p, now, 5, 2)
 	now = observePasses(p, now, 20, 1.2)
-	if got := p.fill(Request{Priority: 1}, now); got >= 0.85 {
+	if got := p.fill(Request{Class: 1}, now); got >= 0.85 {
 		t.Fatalf("limit %.2f after a shift of demand, want one that keeps the next shift within the pause", got)
 	}
 }
@@ -61,7 +61,7 @@
 	p.SetSharing(Sharing{Gateways: 10, Interval: 300 * time.Millisecond})
 	p.SetUpstreams([]*catalog.Upstream{{ID: "u", Service: "s", Slots: 10, State: catalog.StateReady}}, now)
 	p.order[0].others.Requests = 9
-	r := Request{Arrived: now, Target: now.Add(time.Second), Deadline: now.Add(2 * time.Second), Priority: 1}
+	r := Request{Arrived: now, Target: now.Add(time.Second), Deadline: now.Add(2 * time.Second), Class: 1}
 	if p.reserved(r, now) {
 		t.Fatal("a slot is reserved although no more urgent request has arrived")
 	}
@@ -78,10 +78,23 @@
 	now := time.Unix(10, 0)
 	p := classedPool(0, 1)
 	late := Request{Arrived: now.Add(-time.Second), Target: now.Add(-time.Millisecond)}
-	inTime := Request{Arrived: now, Target: now.Add(time.Second), Priority: 1}
+	inTime := Request{Arrived: now, Target: now.Add(time.Second), Class: 1}
 	urgent := Request{Arrived: now, Target: now.Add(time.Second)}
 	if p.compareByClass(late, inTime, now) <= 0 || p.compareByClass(urgent, inTime, now) >= 0 {
-		t.Fatal("want in time before late, then by priority")
+		t.Fatal("want in time before late, then by class")
+	}
+}
+
+// Guards against classes that have no effect because all requests have their account's priority, and against an account that
+// loses its precedence to a class.
+func TestClassesOrderRequestsOfOnePriority(t *testing.T) {
+	now := time.Unix(10, 0)
+	p := classedPool(0, 1)
+	request := func(priority, class int) Request {
+		return Request{Arrived: now, Target: now.Add(time.Second), Priority: priority, Class: class}
+	}
+	if p.compareByClass(request(1, 0), request(1, 2), now) >= 0 || p.compareByClass(request(0, 2), request(1, 0), now) >= 0 {
+		t.Fatal("want the order by the account's priority, then by class")
 	}
 }
 
@@ -92,7 +105,7 @@
 	p := classedPool(0, 1)
 	p.SetUpstreams([]*catalog.Upstream{{ID: "u", Service: "s", Slots: 1, State: catalog.StateReady}}, now)
 	request := func(priority int) Request {
-		return Request{Arrived: now, Target: now.Add(400 * time.Millisecond), Deadline: now.Add(2 * time.Second), Priority: priority}
+		return Request{Arrived: now, Target: now.Add(400 * time.Millisecond), Deadline: now.Add(2 * time.Second), Class: priority}
 	}
 	for range 4 {
 		first := p.Submit(request(0), now)
--- a/internal/policy/dispatch/classorder.go
+++ b/internal/policy/dispatch/classorder.go
@@ -22,6 +22,8 @@
 		return -1
 	case a.Priority != b.Priority:
 		return a.Priority - b.Priority
+	case a.Class != b.Class:
+		return a.Class - b.Class
 	}
 	return a.Target.Compare(b.Target)
 }
--- a/internal/policy/dispatch/passtime.go
+++ b/internal/policy/dispatch/passtime.go
@@ -180,8 +180,8 @@
 // unreportedPerUpstream estimates the number of placements of all gateways at an upstream between two reports.
 func (p *Pool) unreportedPerUpstream(now time.Time) float64 {
 	perSecond := 0.0
-	for _, priority := range p.opts.Classes {
-		perSecond += p.arrivalRate(priority, now)
+	for _, class := range p.opts.Classes {
+		perSecond += p.arrivalRate(class, now)
 	}
 	return perSecond * p.sharing.Interval.Seconds() * float64(p.sharing.Gateways) / float64(max(1, len(p.order)))
 }
--- a/internal/policy/dispatch/pool.go
+++ b/internal/policy/dispatch/pool.go
@@ -19,6 +19,8 @@
 	Deadline time.Time
 	// Priority orders waiting requests; 0 goes first.
 	Priority int
+	// Class orders waiting requests of the same priority if the service has several classes; 0 goes first.
+	Class int
 	// PromptTokens is the number of tokens in the prompt, whose prefill precedes the first generated token; 0 for plain
 	// services.
 	PromptTokens int
@@ -50,7 +52,7 @@
 	Disabled DisabledMechanisms
 	// Near is nil unless upstreams in the gateway's own data centre are preferred.
 	Near *Near
-	// Classes lists the priorities of the service's requests, most urgent first. With fewer than two, no rule of classes applies.
+	// Classes lists the classes of the service's requests, most urgent first. With fewer than two, no rule of classes applies.
 	Classes []int
 	// TargetPause is the longest pause between two events of a stream that callers accept; 0 if there is none.
 	TargetPause time.Duration
--- a/internal/policy/dispatch/reserve.go
+++ b/internal/policy/dispatch/reserve.go
@@ -32,9 +32,9 @@
 func (p *Pool) expectedStarts(r Request, now time.Time) float64 {
 	perSecond := 0.0
 	late := p.late(r, now)
-	for _, priority := range p.opts.Classes {
-		if priority < r.Priority || late {
-			perSecond += p.arrivalRate(priority, now)
+	for _, class := range p.opts.Classes {
+		if class < r.Class || late {
+			perSecond += p.arrivalRate(class, now)
 		}
 	}
 	period := p.sharing.Interval
--- a/internal/policy/dispatch/shedding.go
+++ b/internal/policy/dispatch/shedding.go
@@ -55,7 +55,7 @@
 	}
 	less := 0
 	for _, c := range p.opts.Classes {
-		if c < r.Priority {
+		if c < r.Class {
 			less++
 		}
 	}
--- a/internal/policy/dispatch/ticket.go
+++ b/internal/policy/dispatch/ticket.go
@@ -88,11 +88,11 @@
 	// Waited is how long the request waited before it was refused; close to 0 if it was refused on arrival.
 	Waited     time.Duration
 	RetryAfter time.Duration
-	// Classes is set if requests of several classes compete. Priority is then that of the request, Ahead the number of waiting
+	// Classes is set if requests of several classes compete. Class is then that of the request, Ahead the number of waiting
 	// requests that go ahead of it, and PassLimit the maximum number of requests for each slot by the pass time, 0 if there is none.
-	Classes         bool
-	Priority, Ahead int
-	PassLimit       float64
+	Classes      bool
+	Class, Ahead int
+	PassLimit    float64
 }
 
 // Error implements error.
@@ -101,5 +101,5 @@
 	if !e.Classes {
 		return text
 	}
-	return fmt.Sprintf("%s, %d ahead of priority %d, pass limit %.2f", text, e.Ahead, e.Priority, e.PassLimit)
+	return fmt.Sprintf("%s, %d ahead of class %d, pass limit %.2f", text, e.Ahead, e.Class, e.PassLimit)
 }
--- a/internal/state/catalog/priorities_test.go
+++ b/internal/state/catalog/priorities_test.go
@@ -9,8 +9,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
-// Guards against rules for several classes at a service whose requests have one priority, and their absence where accounts bring
-// another one.
+// Guards against rules for several classes at a service whose routes have one priority, because an account goes ahead of others.
 func TestPrioritiesOfAService(t *testing.T) {
 	to := func(weight int) []catalog.WeightedService {
 		return []catalog.WeightedService{{Service: "other", Weight: 1}, {Service: "s", Weight: weight}}
@@ -22,7 +21,7 @@
 	}
 	accounts := map[string]*catalog.Account{"k": {Priority: 0, HasPriority: true}, "l": {Priority: 9}}
 	c := catalog.New(1, routes, nil, accounts, catalog.Limits{})
-	if diff := cmp.Diff([]int{0, 1, 2}, c.Priorities("s")); diff != "" || c.TargetGap("s") != 120*time.Millisecond {
+	if diff := cmp.Diff([]int{1, 2}, c.Priorities("s")); diff != "" || c.TargetGap("s") != 120*time.Millisecond {
 		t.Fatal(diff, c.TargetGap("s"))
 	}
 	open := catalog.New(1, routes[:1], nil, accounts, catalog.Limits{})
