--- a/internal/policy/coldstart/roster.go
+++ b/internal/policy/coldstart/roster.go
@@ -63,6 +63,8 @@
 type member struct {
 	// heardAt is when its last message arrived; zero if none has. listedAt is when another gateway last named it.
 	heardAt, listedAt time.Time
+	// counts is set if it was a member in the last view.
+	counts bool
 }
 
 // lastAt returns when the member was last known: by its own messages if there were any.
@@ -79,12 +81,15 @@
 	members map[string]*member
 	// startedAt is when this gateway started, or last ran again after it did not for a while.
 	startedAt, tickedAt time.Time
+	// present are the members of the last view; they are built anew only if changed is set.
+	present ratelimit.Members
+	changed bool
 }
 
 // NewRoster returns the roster of a gateway that starts now. known lists the gateways in its settings, self excluded; they
 // count as members until they have been silent for as long as others.
 func NewRoster(self string, known []string, now time.Time) *Roster {
-	r := &Roster{self: self, members: map[string]*member{}, startedAt: now, tickedAt: now}
+	r := &Roster{self: self, members: map[string]*member{}, startedAt: now, tickedAt: now, changed: true}
 	for _, k := range known {
 		r.Listed(k, now)
 	}
@@ -136,6 +141,7 @@
 	for name, m := range r.members {
 		if now.Sub(m.lastAt()) > remember {
 			delete(r.members, name)
+			r.changed = r.changed || m.counts
 		}
 	}
 }
@@ -157,24 +163,37 @@
 // A member counts for Hold after its last message, even if others have declared it dead, because it may still send for a part
 // of that time.
 func (r *Roster) View(now time.Time, t Timing) View {
-	names := make([]string, 0, len(r.members)+1)
-	names = append(names, r.self)
 	heard := 1
-	for name, m := range r.members {
-		if now.Sub(m.lastAt()) <= t.Hold {
-			names = append(names, name)
+	for _, m := range r.members {
+		if counts := now.Sub(m.lastAt()) <= t.Hold; counts != m.counts {
+			m.counts, r.changed = counts, true
 		}
 		if m.fresh(now, t) {
 			heard++
 		}
 	}
+	if r.changed {
+		r.present, r.changed = r.build(), false
+	}
 	return View{
-		Members: ratelimit.NewMembers(r.self, names),
+		Members: r.present,
 		Heard:   heard, Known: r.Known(),
 		Majority: r.majority(heard, now, t), BlockedUntil: r.startedAt.Add(t.Join),
 	}
 }
 
+// build returns the members that count.
+func (r *Roster) build() ratelimit.Members {
+	names := make([]string, 0, len(r.members)+1)
+	names = append(names, r.self)
+	for name, m := range r.members {
+		if m.counts {
+			names = append(names, name)
+		}
+	}
+	return ratelimit.NewMembers(r.self, names)
+}
+
 // Part returns what this gateway may send to a cold upstream, by the hash of its incarnation; a rate of 0 permits nothing.
 //
 // The owners are the first members by rendezvous hashing, so that gateways with the same members agree without a message.
