--- a/internal/node/gateway/cold_test.go
+++ b/internal/node/gateway/cold_test.go
@@ -144,6 +144,36 @@
 	}
 }
 
+// Guards against an upstream that returns while the store is away, so that the entry of its earlier incarnation says that it is
+// warm, and whose own response or a peer's word of it does not count.
+func TestReturnedUpstreamIsColdByItsResponseWithoutStore(t *testing.T) {
+	for name, tc := range map[string]struct {
+		info ResponseInfo
+		want time.Duration
+	}{
+		"states it":  {ResponseInfo{Cold: Cold{Stated: true, Remaining: 5 * time.Second}}, 5 * time.Second},
+		"unreadable": {ResponseInfo{Cold: Cold{Malformed: true}}, 10 * time.Second},
+	} {
+		sender, receiver := newColdGateway(&ColdBound{Overshoot: 1.5, Slack: 5}, 17), newColdGateway(&ColdBound{Overshoot: 1.5, Slack: 5}, 17)
+		for _, g := range []*coldGateway{sender, receiver} {
+			g.upstream.ColdRemaining = 0
+			g.list()
+			g.run(time.Second)
+		}
+		sent := time.Now()
+		sender.recordCold(&sender.upstream, 200, tc.info, sent)
+		later := sent.Add(digestInterval) // the bytes for digests are saved up by then
+		receiver.cold.merge(sender.cold.news(1, later), later)
+		for _, g := range []*coldGateway{sender, receiver} {
+			g.run(tickInterval)
+			state, _ := g.cold.book.Get(shortHashOf(g.upstream.Incarnation()))
+			if left := state.Until.Sub(sent); g.cold1().upstreams != 1 || left < tc.want-time.Millisecond || left > tc.want+time.Second {
+				t.Errorf("%s: %d cold upstreams, for %s, by %s", name, g.cold1().upstreams, left, state.Source)
+			}
+		}
+	}
+}
+
 // Guards against gateways of an older release, whose digests say nothing of cold upstreams, that do not count: their parts would be
 // used by others while they send as well.
 func TestGatewayOfOlderReleaseHasAPart(t *testing.T) {
