The slots of cold upstreams are not left to gateways without a part of their rate

Near the limit a gateway leaves slots to the others, by an estimate of what they place. Only owners place at a cold upstream, each at its own part, so requests waited while a permit and a slot were free. New test fails before; tests of internal/policy/dispatch pass.

--- a/internal/policy/dispatch/choice.go
+++ b/internal/policy/dispatch/choice.go
@@ -60,6 +60,9 @@
 		if !c.usable(now) || !p.permits(c, now) {
 			continue
 		}
+		if c.cold != nil && c.hasFreeSlot(p.opts.Fill) {
+			return false // this gateway's part of the rate is nobody else's
+		}
 		most := c.maxRequests(p.opts.Fill)
 		slots += most
 		own += float64(c.own.Requests)
--- a/internal/policy/dispatch/cold_test.go
+++ b/internal/policy/dispatch/cold_test.go
@@ -98,3 +98,16 @@
 		}
 	}
 }
+
+// Guards against a gateway that leaves the slots of a cold upstream to others that have no part of its rate.
+func TestColdUpstreamIsNotLeftToGatewaysWithoutAPart(t *testing.T) {
+	p := newPool(1, 2)
+	p.SetSharing(dispatch.Sharing{Gateways: 44, Interval: 300 * time.Millisecond})
+	p.SetCold(cold(1, "u-00"), at(0))
+	for i := range 2 {
+		now := time.Duration(i+1) * 1100 * time.Millisecond
+		if ticket := p.Submit(timedRequest(at(now)), at(now)); ticket.Upstream() == nil {
+			t.Fatalf("request %d is not placed: %v", i, ticket.Err())
+		}
+	}
+}
