--- a/internal/node/gateway/cold.go
+++ b/internal/node/gateway/cold.go
@@ -188,7 +188,7 @@
 				continue
 			}
 		}
-		entry := coldstart.Entry{Position: u.Written, Remaining: u.ColdRemaining, Stated: u.ColdStated, Malformed: u.ColdMalformed}
+		entry := coldstart.Entry{Position: u.Written, Remaining: u.ColdRemaining, Stated: u.ColdStated}
 		c.book.Entry(shortHashOf(u.Incarnation()), entry, s.ColdStart, now)
 	}
 	c.read = list
--- a/internal/policy/coldstart/book.go
+++ b/internal/policy/coldstart/book.go
@@ -60,19 +60,14 @@
 	// Remaining is how much longer the upstream was cold when it wrote the entry; valid only if Stated is set.
 	Remaining time.Duration
 	Stated    bool
-	// Malformed is set if the entry has a time that cannot be read.
-	Malformed bool
 }
 
 type record struct {
 	State
-	position platform.Position
-	listed   bool
-	// malformedSince is when the first of a series of entries that cannot be read arrived. Each heartbeat writes another
-	// one, which must not prolong the cold period.
-	malformedSince time.Time
-	touchedAt      time.Time
-	sendsLeft      int
+	position  platform.Position
+	listed    bool
+	touchedAt time.Time
+	sendsLeft int
 }
 
 // Book holds the state of each incarnation of an upstream, by its hash. It is not safe for concurrent use.
@@ -113,13 +108,7 @@
 	r.position, r.listed = e.Position, true
 	next := State{Source: SourceEntry, ReadAt: now, notAfter: now}
 	switch {
-	case e.Malformed:
-		if r.malformedSince.IsZero() {
-			r.malformedSince = now
-		}
-		next.Until = r.malformedSince.Add(coldStart)
 	case e.Stated:
-		r.malformedSince = time.Time{}
 		next.Until = now.Add(e.Remaining)
 	case first:
 		next.Source, next.Until = SourceStarted, now.Add(coldStart)
@@ -127,7 +116,7 @@
 		return
 	}
 	newer := r.Source == "" || r.Source == SourceEntry || r.Source == SourceStarted
-	if newer && !e.Malformed || next.Until.After(r.Until) {
+	if newer || next.Until.After(r.Until) {
 		r.State = next
 	}
 }
--- a/internal/policy/dispatch/choice.go
+++ b/internal/policy/dispatch/choice.go
@@ -61,6 +61,9 @@
 		if !c.usable(now) || !p.permits(c, now) {
 			continue
 		}
+		if c.cold != nil && c.hasFreeSlot(fill) {
+			return false // this gateway's part of the rate is nobody else's
+		}
 		most := c.maxRequests(fill)
 		slots += most
 		own += float64(c.own.Requests)
