--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -83,6 +83,7 @@
 	limits           *limits
 	// evacuationStatus is published by the control loop, sorted by data centre.
 	evacuationStatus atomic.Pointer[[]evacuationStatus]
+	cold             *coldLimits
 
 	servers struct{ callers, directory, readiness *httpserver.Server }
 	ranks   lockstep.RankClient
@@ -127,6 +128,7 @@
 		metrics:     newMetrics(),
 		moves:       newMoves(),
 		limits:      newLimits(),
+		cold:        newColdLimits(d.Logger, time.Now()),
 		startup:     newStartupWait(),
 		tracer:      cmp.Or(d.Tracer, tracing.Disabled()),
 		ranks:       d.Ranks,
@@ -227,7 +229,10 @@
 	g.control.upstreams = g.readUpstreams(now)
 	evacuated := g.control.evacuated
 	g.control.evacuated = g.readEvacuations(now)
+	// Before the upstreams are listed in the gates of the services, and again for services that are new.
+	g.updateCold(now)
 	g.updateServices()
+	g.updateCold(now)
 	g.limits.invalidate()
 	g.publish()
 	g.recordEvacuations(evacuated, now)
@@ -259,6 +264,7 @@
 	g.checkEarlierRows(now)
 	sharing := g.peers.sharing(now)
 	g.updateAllowances(now)
+	g.updateCold(now)
 	for name, s := range g.control.services {
 		s.gate.SetSharing(sharing)
 		s.budget.SetBound(g.sharedRetryBound())
--- a/internal/node/gateway/mechanism.go
+++ b/internal/node/gateway/mechanism.go
@@ -25,11 +25,13 @@
 	mechanismMaps dispatch.Mechanism = "maps"
 	// mechanismEvacuation: upstreams of evacuated data centres get no requests.
 	mechanismEvacuation dispatch.Mechanism = "evacuation"
+	// mechanismColdLimits: the requests to cold upstreams are limited.
+	mechanismColdLimits dispatch.Mechanism = "cold-limits"
 )
 
 // mechanisms returns all mechanisms that can be disabled.
 func mechanisms() []dispatch.Mechanism {
-	own := []dispatch.Mechanism{mechanismClosedGroups, mechanismMoves, mechanismStandby, mechanismSuspects, mechanismStartWait, mechanismMaps, mechanismEvacuation}
+	own := []dispatch.Mechanism{mechanismClosedGroups, mechanismMoves, mechanismStandby, mechanismSuspects, mechanismStartWait, mechanismMaps, mechanismEvacuation, mechanismColdLimits}
 	return append(dispatch.Mechanisms(), own...)
 }
 
--- a/internal/policy/dispatch/evacuation.go
+++ b/internal/policy/dispatch/evacuation.go
@@ -133,7 +133,7 @@
 	}
 	free := 0.0
 	for _, u := range p.order {
-		if u.usable(now) && u.permits(now) {
+		if u.usable(now) && p.permits(u, now) {
 			free += max(0, u.maxRequests(fill)-float64(u.own.Requests+u.others.Requests))
 		}
 	}
