--- a/internal/node/gateway/evacuation.go
+++ b/internal/node/gateway/evacuation.go
@@ -121,13 +121,17 @@
 		return
 	}
 	before := g.evacuations()
+	room := map[ids.Service]int{}
+	for name, s := range g.control.services {
+		room[name] = s.gate.MoveRoom()
+	}
 	g.updateEvacuationStatus(now)
 	for i, s := range g.evacuations() {
 		if !s.idleSince.IsZero() && i < len(before) && before[i].idleSince.IsZero() {
 			_ = level.Info(g.logger).Log("msg", "no request runs in evacuated data centre", "data_centre", s.DataCentre, "version", s.Written,
 				"running_elsewhere", s.others, "took_ms", ageOf(s.Since, now))
 		}
-		g.moveEvacuated(s, now)
+		g.moveEvacuated(s, room, now)
 	}
 }
 
@@ -161,22 +165,15 @@
 }
 
 // moveEvacuated moves the streams that are left in an evacuated data centre after a part of the bound, as far as there is room
-// elsewhere.
-func (g *Gateway) moveEvacuated(s evacuationStatus, now time.Time) {
+// elsewhere for a service's streams. It subtracts them from that room.
+func (g *Gateway) moveEvacuated(s evacuationStatus, room map[ids.Service]int, now time.Time) {
 	if now.Sub(s.Since) < time.Duration(moveAfterShare*float64(g.Settings().Bounds.Evacuate)) {
 		return
 	}
 	for name, busy := range s.busy {
-		if len(busy) == 0 {
-			continue
-		}
-		gate := g.control.services[name].gate
-		room := gate.MoveRoom()
-		moved := 0
 		for _, u := range busy {
-			moved += g.moves.moveFrom(u, moveEvacuated, room-moved, now)
-		}
-		if moved > 0 {
+			moved := g.moves.moveFrom(u, moveEvacuated, room[name], now)
+			room[name] -= moved
 			g.metrics.evacuationMoved(name, moved)
 		}
 	}
--- a/internal/node/gateway/metrics.go
+++ b/internal/node/gateway/metrics.go
@@ -108,6 +108,9 @@
 }
 
 func (m *gatewayMetrics) evacuationMoved(service ids.Service, n int) {
+	if n == 0 {
+		return
+	}
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_evacuation_moves_total{service=%q}", service)).Add(n)
 }
 
--- a/internal/policy/dispatch/evacuation.go
+++ b/internal/policy/dispatch/evacuation.go
@@ -64,20 +64,23 @@
 	if p.evacuated.Len() == 0 {
 		return nil
 	}
-	evacuated := 0
+	evacuated, wait := 0, maxRetry
 	for _, u := range p.order {
-		if !u.isInService() || slices.Contains(r.Exclude, u.listed.ID) {
-			continue
-		}
-		if !u.evacuated {
+		switch excluded := slices.Contains(r.Exclude, u.listed.ID); {
+		case !u.isInService():
+		case u.evacuated && !excluded:
+			evacuated++
+		case !u.evacuated && !excluded:
 			return nil
+		case !u.evacuated:
+			// Another attempt of the caller may be served there.
+			wait = p.expectedWait(now)
 		}
-		evacuated++
 	}
 	if evacuated == 0 {
 		return nil
 	}
-	return &EvacuatedError{Evacuated: evacuated, Waited: now.Sub(r.Arrived), RetryAfter: p.retryAfter(maxRetry)}
+	return &EvacuatedError{Evacuated: evacuated, Waited: now.Sub(r.Arrived), RetryAfter: p.retryAfter(wait)}
 }
 
 // EvacuatedWork describes the upstreams of one evacuated data centre.
--- a/internal/policy/dispatch/evacuation_test.go
+++ b/internal/policy/dispatch/evacuation_test.go
@@ -62,7 +62,8 @@
 	}
 }
 
-// Guards against requests that are kept until their deadline although nothing but evacuated upstreams would take them.
+// Guards against requests that are kept until their deadline although nothing but evacuated upstreams would take them, and against
+// callers that are told to come back much later although another attempt would be served.
 func TestRequestIsRefusedAtOnceIfAllElseIsEvacuated(t *testing.T) {
 	list := inDataCentres(3, 1)
 	list[2].State = catalog.StateDraining
@@ -73,12 +74,13 @@
 		closed  bool
 		request dispatch.Request
 		refused bool
+		soon    bool
 	}{
-		"all that are not draining":  {evacuated("a", "b"), false, timedRequest(at(0)), true},
-		"while the group is closed":  {evacuated("a", "b", "c"), true, timedRequest(at(0)), true},
-		"all that did not fail it":   {evacuated("a"), false, excluding, true},
-		"one left, which is busy":    {evacuated("a"), false, timedRequest(at(0)), false},
-		"only where none would take": {evacuated("c"), false, timedRequest(at(0)), false},
+		"all that are not draining":  {evacuated("a", "b"), false, timedRequest(at(0)), true, false},
+		"while the group is closed":  {evacuated("a", "b", "c"), true, timedRequest(at(0)), true, false},
+		"all that did not fail it":   {evacuated("a"), false, excluding, true, true},
+		"one left, which is busy":    {evacuated("a"), false, timedRequest(at(0)), false, false},
+		"only where none would take": {evacuated("c"), false, timedRequest(at(0)), false, false},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -92,7 +94,7 @@
 			p.SetEvacuated(tc.set, at(10*time.Millisecond))
 			for what, ticket := range map[string]*dispatch.Ticket{"waiting": waiting, "new": p.Submit(tc.request, at(10*time.Millisecond))} {
 				var err *dispatch.EvacuatedError
-				if errors.As(ticket.Err(), &err) != tc.refused || tc.refused && err.RetryAfter <= 0 {
+				if errors.As(ticket.Err(), &err) != tc.refused || tc.refused && (err.RetryAfter < time.Second) != tc.soon {
 					t.Errorf("%s: %v", what, ticket.Err())
 				}
 			}
