A leader that a standby has replaced does not lead again at once under the lease that it still holds

Change: with hold watch, a held lease entitles to nothing while a peer leads under a newer token. A digest that mentions a hold no longer counts as a sign of life of the switch, as another goroutine sends it.

--- a/internal/node/gateway/candidates.go
+++ b/internal/node/gateway/candidates.go
@@ -43,6 +43,7 @@
 			in.LowerSpares++
 		}
 	}
+	in.Superseded = e.g.watchesHolds() && in.PeerFence > e.election.fence
 	return in
 }
 
--- a/internal/node/gateway/holdwatch.go
+++ b/internal/node/gateway/holdwatch.go
@@ -22,15 +22,15 @@
 }
 
 // forwardHold passes what a datagram says about holds to the control loop. A digest of a leader that mentions none says
-// that there is none.
+// that there is none. One that mentions a hold is no sign of life of the switch: another goroutine has sent it.
 func (g *Gateway) forwardHold(d *cardamomyokev1.Digest, now time.Time) {
 	n := holdwatch.Notice{Sequence: d.GetSequence()}
 	switch {
 	case !g.watchesHolds():
 		return
-	case d.GetHold() != nil:
+	case d.GetHold() != nil && d.GetProbe() != nil:
 		n.Fence, n.Outstanding = ids.Fence(d.GetHold().GetFence()), d.GetHold().GetOutstanding()
-	case d.GetProbe() == nil && d.GetExpertsFence() > 0:
+	case d.GetHold() == nil && d.GetProbe() == nil && d.GetExpertsFence() > 0:
 		n.Fence = ids.Fence(d.GetExpertsFence())
 	default:
 		return
--- a/internal/node/gateway/leadership.go
+++ b/internal/node/gateway/leadership.go
@@ -46,6 +46,9 @@
 	// Position is this gateway's index among the candidates, 0 for the first. It is negative if a peer leads or this
 	// gateway should not lead.
 	Position int
+	// Superseded is set if a peer has taken over a held group and leads under a newer token. This gateway then leaves it the
+	// lease that it may still hold: to lead again at once would interrupt the undo of the switch.
+	Superseded bool
 	// LowerSpares counts the peers whose spare token is lower than this gateway's, and yet newer than those of all
 	// leaders. They go first while the lease cannot be acquired: in the reverse order their tokens would be too old to
 	// be used.
@@ -85,7 +88,7 @@
 
 func (l *leadership) entitled(now time.Time, in electionInput) bool {
 	delay := takeoverDelay * time.Duration(1+in.LowerSpares)
-	return in.HeldFence != 0 || in.Position >= 0 && in.PendingFor >= takeoverDelay && now.Sub(l.leaderSeenAt) >= delay
+	return in.HeldFence != 0 && !in.Superseded || in.Position >= 0 && in.PendingFor >= takeoverDelay && now.Sub(l.leaderSeenAt) >= delay
 }
 
 // noteLeader sets leaderSeenAt to now if a peer leads or this gateway is not a candidate, and on the first call.
--- a/internal/node/gateway/leadership_test.go
+++ b/internal/node/gateway/leadership_test.go
@@ -83,6 +83,13 @@
 			{at: 0, allocated: 7, input: electionInput{Ready: true, HeldFence: 2, SeenFence: 2}, fence: 7},
 			{at: time.Second, input: electionInput{Ready: true, Position: leaderKnown, SeenFence: 3}},
 		},
+		// A standby took over a held group while this leader was slow. The leader still holds the lease and has a newer spare
+		// token, but must not lead again before the group is released; it does once the standby no longer leads.
+		"superseded while it holds the lease": {
+			{at: 0, allocated: 7, input: electionInput{Ready: true, HeldFence: 2, SeenFence: 2}, fence: 7},
+			{at: time.Second, allocated: 11, input: electionInput{Ready: true, Position: leaderKnown, HeldFence: 2, SeenFence: 2, PeerFence: 9, Superseded: true}},
+			{at: 2 * time.Second, input: electionInput{Ready: true, Position: 1, HeldFence: 2, SeenFence: 2}, fence: 11},
+		},
 		// A gateway that leaves gives no more orders.
 		"leaving": {
 			{at: 0, allocated: 7, input: electionInput{Ready: true, HeldFence: 2, SeenFence: 2}, fence: 7},
