A standby that took over a held group keeps leading when it first sees the replaced leader's lease

Cause: a standby does not contend for the lease, so it saw the replaced leader's lease for the first time after it had taken over, took it for that of a later leader and stopped; the group stayed held without a leader, 2.6 s in one trial.

Change: for the length of a lease after such a takeover, newly seen leases do not end it. A later leader shows in digests.

--- a/internal/node/gateway/holdwatch.go
+++ b/internal/node/gateway/holdwatch.go
@@ -70,6 +70,7 @@
 		"before", e.watch.Fence(), "silent", silent, "lower_spares", in.LowerSpares, "other_heard", now.Sub(in.OtherHeardAt))
 	e.watch.tookOver.Store(uint64(in.Spare))
 	e.election.takeOver(e.leases.NewestFenceOfOthers(expertsDuty))
+	e.election.ignoreLeasesUntil = now.Add(leaseLength)
 	e.tick(now)
 	e.g.peers.sendToAll(now)
 }
--- a/internal/node/gateway/leadership.go
+++ b/internal/node/gateway/leadership.go
@@ -29,6 +29,9 @@
 	newestPeerFence ids.Fence
 	// leaderSeenAt is when a peer last led or this gateway was not a candidate, initially the time of the first call.
 	leaderSeenAt time.Time
+	// ignoreLeasesUntil is set when this gateway takes over a held group. Until then a newly seen lease counts as that of the
+	// replaced leader: this gateway did not contend, so it has not seen that lease before. A later leader shows in digests.
+	ignoreLeasesUntil time.Time
 }
 
 // electionInput is a gateway's state and that of its peers, from which it decides whether to lead.
@@ -60,6 +63,9 @@
 	l.newestPeerFence = max(l.newestPeerFence, in.PeerFence)
 	l.leaseFence = max(l.leaseFence, in.HeldFence)
 	l.noteLeader(now, in)
+	if now.Before(l.ignoreLeasesUntil) {
+		l.leaseFence = max(l.leaseFence, in.SeenFence)
+	}
 	switch {
 	case !in.Ready:
 		return 0, false
--- a/internal/node/gateway/leadership_test.go
+++ b/internal/node/gateway/leadership_test.go
@@ -108,3 +108,23 @@
 		})
 	}
 }
+
+// Guards against a standby that takes over a held group and stops leading as soon as it contends for the lease, since it
+// sees the replaced leader's lease for the first time; the group would stay held without a leader.
+func TestReplacedLeadersLeaseDoesNotEndTakeover(t *testing.T) {
+	now := time.Unix(0, 0)
+	l := &leadership{}
+	l.allocated(9)
+	l.takeOver(0)
+	l.ignoreLeasesUntil = now.Add(leaseLength)
+	seen := electionInput{Ready: true, Position: -1, PeerFence: 5, SeenFence: 20}
+	for _, at := range []time.Duration{0, 100 * time.Millisecond, leaseLength + time.Second} {
+		if fence, _ := l.decide(now.Add(at), seen); fence != 9 {
+			t.Fatalf("leads under %d after %v, want 9", fence, at)
+		}
+	}
+	seen.SeenFence = 30
+	if fence, _ := l.decide(now.Add(leaseLength+2*time.Second), seen); fence != 0 {
+		t.Errorf("leads under %d although a later lease was seen", fence)
+	}
+}
