--- a/internal/node/gateway/leadership.go
+++ b/internal/node/gateway/leadership.go
@@ -29,6 +29,9 @@
 	newestPeerFence ids.Fence
 	// leaderSeenAt is when a peer last led or this gateway was not a candidate, initially the time of the first call.
 	leaderSeenAt time.Time
+	// ignoreLeasesUntil is set when this gateway takes over a held group. Until then a newly seen lease counts as that of the
+	// replaced leader: this gateway did not contend, so it has not seen that lease before. A later leader shows in digests.
+	ignoreLeasesUntil time.Time
 }
 
 // electionInput is a gateway's state and that of its peers, from which it decides whether to lead.
@@ -46,6 +49,9 @@
 	// Position is this gateway's index among the candidates, 0 for the first. It is negative if a peer leads or this
 	// gateway should not lead.
 	Position int
+	// Superseded is set if a peer has taken over a held group and leads under a newer token. This gateway then leaves it the
+	// lease that it may still hold: to lead again at once would interrupt the undo of the switch.
+	Superseded bool
 	// LowerSpares counts the peers whose spare token is lower than this gateway's, and yet newer than those of all
 	// leaders. They go first while the lease cannot be acquired: in the reverse order their tokens would be too old to
 	// be used.
@@ -57,6 +63,9 @@
 	l.newestPeerFence = max(l.newestPeerFence, in.PeerFence)
 	l.leaseFence = max(l.leaseFence, in.HeldFence)
 	l.noteLeader(now, in)
+	if now.Before(l.ignoreLeasesUntil) {
+		l.leaseFence = max(l.leaseFence, in.SeenFence)
+	}
 	switch {
 	case !in.Ready:
 		return 0, false
@@ -85,7 +94,7 @@
 
 func (l *leadership) entitled(now time.Time, in electionInput) bool {
 	delay := takeoverDelay * time.Duration(1+in.LowerSpares)
-	return in.HeldFence != 0 || in.Position >= 0 && in.PendingFor >= takeoverDelay && now.Sub(l.leaderSeenAt) >= delay
+	return in.HeldFence != 0 && !in.Superseded || in.Position >= 0 && in.PendingFor >= takeoverDelay && now.Sub(l.leaderSeenAt) >= delay
 }
 
 // noteLeader sets leaderSeenAt to now if a peer leads or this gateway is not a candidate, and on the first call.
--- a/internal/node/gateway/leadership_test.go
+++ b/internal/node/gateway/leadership_test.go
@@ -83,6 +83,13 @@
 			{at: 0, allocated: 7, input: electionInput{Ready: true, HeldFence: 2, SeenFence: 2}, fence: 7},
 			{at: time.Second, input: electionInput{Ready: true, Position: leaderKnown, SeenFence: 3}},
 		},
+		// A standby took over a held group while this leader was slow. The leader still holds the lease and has a newer spare
+		// token, but must not lead again before the group is released; it does once the standby no longer leads.
+		"superseded while it holds the lease": {
+			{at: 0, allocated: 7, input: electionInput{Ready: true, HeldFence: 2, SeenFence: 2}, fence: 7},
+			{at: time.Second, allocated: 11, input: electionInput{Ready: true, Position: leaderKnown, HeldFence: 2, SeenFence: 2, PeerFence: 9, Superseded: true}},
+			{at: 2 * time.Second, input: electionInput{Ready: true, Position: 1, HeldFence: 2, SeenFence: 2}, fence: 11},
+		},
 		// A gateway that leaves gives no more orders.
 		"leaving": {
 			{at: 0, allocated: 7, input: electionInput{Ready: true, HeldFence: 2, SeenFence: 2}, fence: 7},
@@ -101,3 +108,23 @@
 		})
 	}
 }
+
+// Guards against a standby that takes over a held group and stops leading as soon as it contends for the lease, since it
+// sees the replaced leader's lease for the first time; the group would stay held without a leader.
+func TestReplacedLeadersLeaseDoesNotEndTakeover(t *testing.T) {
+	now := time.Unix(0, 0)
+	l := &leadership{}
+	l.allocated(9)
+	l.takeOver(0)
+	l.ignoreLeasesUntil = now.Add(leaseLength)
+	seen := electionInput{Ready: true, Position: -1, PeerFence: 5, SeenFence: 20}
+	for _, at := range []time.Duration{0, 100 * time.Millisecond, leaseLength + time.Second} {
+		if fence, _ := l.decide(now.Add(at), seen); fence != 9 {
+			t.Fatalf("leads under %d after %v, want 9", fence, at)
+		}
+	}
+	seen.SeenFence = 30
+	if fence, _ := l.decide(now.Add(leaseLength+2*time.Second), seen); fence != 0 {
+		t.Errorf("leads under %d although a later lease was seen", fence)
+	}
+}
