Count an upstream that refused a connection as cold

Change: a refused connection of an attempt makes the incarnation cold until ColdStart after the first signed success to a later request, and without one for ColdStart plus 4 s. Peers are told. Time-outs do not count, because a gateway with a bad link would hold back all upstreams. Nothing is recorded without a bound, without a cold rate or with cold-limits off.

--- a/internal/node/gateway/cold.go
+++ b/internal/node/gateway/cold.go
@@ -1,12 +1,16 @@
 package gateway
 
 import (
+	"errors"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/logging"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
@@ -32,6 +36,8 @@
 
 	mu   sync.Mutex
 	book *coldstart.Book
+	// unresponsive is Book.Unresponsive as of the last change, so that other responses need no lock.
+	unresponsive atomic.Int64
 	// status is read by metrics.
 	status map[ids.Service]coldStatus
 
@@ -91,7 +97,8 @@
 // Only a signed success ends a cold period: another response may not be the upstream's own.
 func (g *Gateway) recordCold(u *catalog.Upstream, status int, info ResponseInfo, sentAt time.Time) {
 	c := info.Cold
-	if u == nil || !c.Stated && !c.Malformed || !g.coldActive() {
+	silent := !c.Stated && !c.Malformed
+	if u == nil || !g.coldActive() || silent && g.cold.unresponsive.Load() == 0 {
 		return
 	}
 	s := coldService(g.view.Load().config, u.Service)
@@ -106,9 +113,38 @@
 	if remaining == 0 && (status/100 != 2 || !info.Signed) {
 		return
 	}
-	g.cold.mu.Lock()
-	defer g.cold.mu.Unlock()
-	g.cold.book.Response(shortHashOf(u.Incarnation()), remaining, sentAt, time.Now())
+	g.cold.change(func(b *coldstart.Book) {
+		if silent {
+			b.Reached(shortHashOf(u.Incarnation()), s.ColdStart, sentAt, time.Now())
+			return
+		}
+		b.Response(shortHashOf(u.Incarnation()), remaining, sentAt, time.Now())
+	})
+}
+
+// recordRefusedConnection records that an upstream refused the connection of an attempt that was placed at the given time.
+//
+// Another failure to connect is no sign of a restart: a gateway with a bad link would hold back all upstreams.
+func (g *Gateway) recordRefusedConnection(u *catalog.Upstream, err error, placedAt time.Time) {
+	var dial *httpclient.DialError
+	if !errors.As(err, &dial) || !errors.Is(dial, syscall.ECONNREFUSED) || !g.coldActive() {
+		return
+	}
+	s := coldService(g.view.Load().config, u.Service)
+	if s == nil {
+		return
+	}
+	g.cold.change(func(b *coldstart.Book) {
+		b.Unreached(shortHashOf(u.Incarnation()), s.ColdStart, placedAt, time.Now())
+	})
+}
+
+// change changes the book.
+func (c *coldLimits) change(f func(*coldstart.Book)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f(c.book)
+	c.unresponsive.Store(int64(c.book.Unresponsive()))
 }
 
 // merge records the statements in a peer's digest.
--- a/internal/node/gateway/cold_test.go
+++ b/internal/node/gateway/cold_test.go
@@ -3,11 +3,15 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
@@ -197,3 +201,41 @@
 		t.Fatalf("%+v, %d states", s, g.cold.book.Len())
 	}
 }
+
+// Guards against a gateway without the store that takes an upstream for the warm incarnation that it knew, although its own
+// connections to it were refused.
+func TestUpstreamThatRefusedConnectionsIsColdWithoutStore(t *testing.T) {
+	refused := &httpclient.DialError{Address: "127.0.0.1:2", Cause: &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}}
+	bound := &ColdBound{Overshoot: 1.5, Slack: 5}
+	for name, tc := range map[string]struct {
+		bound     *ColdBound
+		perSecond float64
+		off       []dispatch.Mechanism
+		err       error
+		want      int
+	}{
+		"refused":           {bound, 17, nil, refused, 1},
+		"timed out":         {bound, 17, nil, &httpclient.DialError{Cause: os.ErrDeadlineExceeded}, 0},
+		"no bound":          {nil, 17, nil, refused, 0},
+		"service unlimited": {bound, 0, nil, refused, 0},
+		"disabled":          {bound, 17, []dispatch.Mechanism{mechanismColdLimits}, refused, 0},
+	} {
+		g := newColdGateway(tc.bound, tc.perSecond)
+		set := *g.Settings()
+		set.Off = tc.off
+		g.settings.Store(&set)
+		g.upstream.ColdRemaining = 0
+		g.list()
+		g.run(2 * time.Second)
+		(&run{g: g.Gateway, placedAt: time.Now()}).recordFailure(&g.upstream, tc.err)
+		g.run(tickInterval)
+		if got := g.cold1().upstreams; got != tc.want {
+			t.Errorf("%s: %d cold upstreams", name, got)
+		}
+		g.recordCold(&g.upstream, 200, ResponseInfo{Signed: true}, time.Now())
+		state, _ := g.cold.book.Get(shortHashOf(g.upstream.Incarnation()))
+		if left := time.Until(state.Until); tc.want > 0 && (left < 9*time.Second || left > 10*time.Second) {
+			t.Errorf("%s: cold for another %s after the next response", name, left)
+		}
+	}
+}
--- a/internal/node/gateway/move_test.go
+++ b/internal/node/gateway/move_test.go
@@ -106,7 +106,7 @@
 	n.r.route.Kind = catalog.KindStream
 	n.g = &Gateway{suspects: newSuspects(nil)}
 	n.x = runOf("").x
-	n.recordFailure(&MovedError{Upstream: "u"})
+	n.recordFailure(&catalog.Upstream{ID: "u"}, &MovedError{Upstream: "u"})
 	if reason := n.stopReason(t.Context(), &MovedError{Upstream: "u"}); reason != "" {
 		t.Fatalf("aborted: %s", reason)
 	}
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -98,7 +98,7 @@
 			n.placeAgain(err)
 			continue
 		}
-		n.recordFailure(err)
+		n.recordFailure(ticket.Upstream(), err)
 		n.checkCrash(ticket.Upstream(), err)
 		n.reject(ticket.Upstream(), err)
 		if reason := n.stopReason(attemptCtx, err); reason != "" {
@@ -199,8 +199,8 @@
 	}
 }
 
-// recordFailure records what a failed attempt proves.
-func (n *run) recordFailure(err error) {
+// recordFailure records what a failed attempt at u proves.
+func (n *run) recordFailure(u *catalog.Upstream, err error) {
 	var dial *httpclient.DialError
 	var refused *RefusedError
 	n.arrived = n.arrived || !errors.As(err, &dial)
@@ -208,6 +208,7 @@
 	case errors.As(err, &dial):
 		n.unreached++
 		n.refundRetry()
+		n.g.recordRefusedConnection(u, err, n.placedAt)
 	case errors.As(err, &refused) && refused.Status == statusOtherInstance:
 		// The addressed upstream no longer has this address, so the request did not reach it.
 		n.unreached++
--- a/internal/policy/coldstart/book.go
+++ b/internal/policy/coldstart/book.go
@@ -20,6 +20,9 @@
 	// expiry is how long the state of an upstream without statements is remembered: several times as long as a registry entry
 	// that expired while the store was unavailable is missing.
 	expiry = 10 * time.Minute
+	// longestRest is how long an upstream that refuses connections gets no request at most: dispatch ejects it for 4 s. An
+	// upstream that has not responded for longer is tried again by a gateway with a part.
+	longestRest = 4 * time.Second
 )
 
 // Source is where a statement came from.
@@ -33,6 +36,8 @@
 	SourcePeer     Source = "peer"
 	// SourceStarted is the first sight of an upstream that states nothing.
 	SourceStarted Source = "started"
+	// SourceUnreached is a refused connection of this gateway's own.
+	SourceUnreached Source = "unreached"
 )
 
 // State is what is known about one incarnation of an upstream.
@@ -76,13 +81,15 @@
 	// unsent holds the upstreams whose statements have sends left, oldest first.
 	unsent []uint32
 	credit *ratelimit.Bucket
+	// unreached holds when the last connection to an upstream that has not responded since was refused.
+	unreached map[uint32]time.Time
 }
 
 // NewBook returns an empty book.
 func NewBook(now time.Time) *Book {
 	credit := ratelimit.NewBucket(bytesPerSecond/RowBytes, now)
 	credit.SetBurst(bytesPerSecond / RowBytes)
-	return &Book{records: map[uint32]*record{}, credit: credit}
+	return &Book{records: map[uint32]*record{}, credit: credit, unreached: map[uint32]time.Time{}}
 }
 
 // Len returns the number of upstreams.
@@ -124,6 +131,9 @@
 // Response records a response to a request that this gateway sent at the given time. remaining is how much longer the upstream
 // stays cold.
 func (b *Book) Response(upstream uint32, remaining time.Duration, sentAt, now time.Time) {
+	if !sentAt.Before(b.unreached[upstream]) {
+		delete(b.unreached, upstream)
+	}
 	next := State{Source: SourceResponse, Until: now.Add(remaining), ReadAt: now, notBefore: sentAt, notAfter: now}
 	b.put(b.touch(upstream, now), upstream, next, now)
 }
@@ -142,6 +152,36 @@
 	b.put(r, upstream, next, now)
 }
 
+// Unreached records that an upstream refused the connection of a request that was sent at the given time. It may have started
+// again without a statement, so it counts as cold: until coldStart after the first response that follows, and without a
+// response for no longer than coldStart and the longest ejection.
+func (b *Book) Unreached(upstream uint32, coldStart time.Duration, sentAt, now time.Time) {
+	r := b.touch(upstream, now)
+	b.unreached[upstream] = now
+	next := State{Source: SourceUnreached, Until: now.Add(coldStart + longestRest), ReadAt: now, notBefore: sentAt, notAfter: now}
+	if next.Until.After(r.Until) {
+		b.put(r, upstream, next, now)
+	}
+}
+
+// Reached records a response that states nothing, to a request that was sent at the given time. Only the first one to a
+// request that was sent after a refused connection changes anything: the upstream has started by now.
+func (b *Book) Reached(upstream uint32, coldStart time.Duration, sentAt, now time.Time) {
+	refusedAt, waits := b.unreached[upstream]
+	if !waits || sentAt.Before(refusedAt) {
+		return
+	}
+	delete(b.unreached, upstream)
+	r := b.touch(upstream, now)
+	next := State{Source: SourceUnreached, Until: now.Add(coldStart), ReadAt: now, notBefore: sentAt, notAfter: now}
+	if r.Cold(now) && (r.Source == SourceUnreached || next.Until.After(r.Until)) {
+		b.put(r, upstream, next, now)
+	}
+}
+
+// Unresponsive returns the number of upstreams that have not responded since a connection to them was refused.
+func (b *Book) Unresponsive() int { return len(b.unreached) }
+
 // put replaces the state if it is older than the statement. If their order is not known, the one that says cold for longer
 // counts.
 func (b *Book) put(r *record, upstream uint32, next State, now time.Time) {
@@ -173,6 +213,7 @@
 	for u, r := range b.records {
 		if now.Sub(r.touchedAt) > expiry && !r.Cold(now) {
 			delete(b.records, u)
+			delete(b.unreached, u)
 		}
 	}
 }
--- a/internal/policy/coldstart/book_test.go
+++ b/internal/policy/coldstart/book_test.go
@@ -105,3 +105,31 @@
 		t.Fatalf("%d bytes in 10 s", bytes)
 	}
 }
+
+// Guards against an upstream that restarts under its id while no row is read, and counts as warm although it refused connections.
+func TestUnreachedUpstreamIsColdAfterItsNextResponse(t *testing.T) {
+	b := coldstart.NewBook(at(0))
+	b.Entry(1, entry(5, 0), coldStart, at(0))
+	b.Unreached(1, coldStart, at(time.Second), at(time.Second))
+	if got := coldFor(b, time.Second); got != coldStart+4*time.Second {
+		t.Fatalf("cold for %s without a response", got)
+	}
+	b.Entry(1, entry(6, 0), coldStart, at(2*time.Second)) // may have been written before
+	b.Reached(1, coldStart, at(900*time.Millisecond), at(2*time.Second))
+	if got := coldFor(b, 2*time.Second); got != coldStart+3*time.Second {
+		t.Fatalf("cold for %s; the request was sent before the refused connection", got)
+	}
+	for _, now := range []time.Duration{3 * time.Second, 5 * time.Second} {
+		b.Reached(1, coldStart, at(now), at(now))
+		if got := coldFor(b, now); got != 3*time.Second+coldStart-now {
+			t.Fatalf("cold for %s at %s, first response at 3 s", got, now)
+		}
+	}
+	if got := b.TakeNews(1, at(5*time.Second)); len(got) != 1 || got[0].Remaining != 8*time.Second {
+		t.Fatalf("peers are told %+v", got)
+	}
+	b.Response(1, 0, at(6*time.Second), at(6*time.Second))
+	if got := coldFor(b, 6*time.Second); got != 0 || b.Unresponsive() != 0 {
+		t.Fatalf("cold for %s after the upstream said that it is warm", got)
+	}
+}
