dispatch: remove the limit by pass time

Change: classes keep the order, the reserve and the refusal at once. The limit, the measurement of pauses for it and the shortest target pause of routes are removed, with their log fields.

--- a/internal/node/gateway/services.go
+++ b/internal/node/gateway/services.go
@@ -77,6 +77,5 @@
 		o = dispatch.Options{Engine: c.Engine, Fill: engineFill, LateFill: engineLateFill, Disabled: off}
 	}
 	o.Classes = config.Priorities(c.Name)
-	o.TargetPause = config.TargetGap(c.Name)
 	return o
 }
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -134,11 +134,7 @@
 	if err := n.x.Write(ctx, events); err != nil {
 		return err
 	}
-	gap := time.Since(n.lastEventAt)
-	if n.stream.events > 0 {
-		n.service.gate.RecordPause(t, gap)
-	}
-	n.stream.recordEvents(gap)
+	n.stream.recordEvents(time.Since(n.lastEventAt))
 	n.lastEventAt = time.Now()
 	n.stream.lastEvent = last
 	return err
--- a/internal/policy/dispatch/choice.go
+++ b/internal/policy/dispatch/choice.go
@@ -51,12 +51,12 @@
 //
 // Near the limit, several gateways see the same slot as free. The request that comes second then waits in the
 // upstream's queue, where the gateway can no longer move or refuse it.
-func (p *Pool) beyondShare(r Request, now time.Time) bool {
+func (p *Pool) beyondShare(now time.Time) bool {
 	if p.sharing.Gateways < 2 || p.opts.Disabled[SlotShare] {
 		return false
 	}
 	free, slots, own := 0.0, 0.0, 0.0
-	fill := p.fill(r, now)
+	fill := p.opts.Fill
 	for _, c := range p.order {
 		if !c.usable(now) || !p.permits(c, now) {
 			continue
--- a/internal/policy/dispatch/classes.go
+++ b/internal/policy/dispatch/classes.go
@@ -1,15 +1,11 @@
 package dispatch
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // classes is the state of a pool whose requests have several priorities.
 type classes struct {
 	// arrivals counts the arrivals of each class, by class.
 	arrivals map[int]*rate
-	pass     passTime
 }
 
 // classRateWindow is the window over which the arrivals of a class are counted. It is longer than rateWindow, as one
@@ -19,9 +15,6 @@
 // classed reports whether requests of several classes compete for the upstreams.
 func (p *Pool) classed() bool { return len(p.opts.Classes) > 1 && !p.opts.Disabled[Classes] }
 
-// mostUrgent reports whether no class of the service is more urgent than that of the request.
-func (p *Pool) mostUrgent(r Request) bool { return r.Class <= p.opts.Classes[0] }
-
 // recordArrival counts the arrival of a request for the reserve of its class.
 func (p *Pool) recordArrival(r Request, now time.Time) {
 	if !p.classed() {
@@ -52,10 +45,6 @@
 		return
 	}
 	i.Reserved = p.expectedStarts(r, now)
-	if p.opts.Engine != nil {
-		i.PassRatio = p.passRatio(now)
-	}
-	i.PassLimit = p.loggedPassLimit(r, now)
 }
 
 // addClasses adds what the rules of classes contributed to a refusal.
@@ -65,13 +54,4 @@
 	}
 	e.Classes, e.Class = true, r.Class
 	e.Ahead = p.ahead(r, now)
-	e.PassLimit = p.loggedPassLimit(r, now)
-}
-
-// loggedPassLimit returns the limit by the pass time, 0 for none.
-func (p *Pool) loggedPassLimit(r Request, now time.Time) float64 {
-	if limit := p.passFill(r, now); !math.IsInf(limit, 1) {
-		return limit
-	}
-	return 0
 }
--- a/internal/policy/dispatch/evacuation.go
+++ b/internal/policy/dispatch/evacuation.go
@@ -127,7 +127,7 @@
 // A moved stream is late by its target, so it is placed after all requests that are not. If it had to wait, its caller would
 // abandon it, although the upstream that it was moved from was still serving it.
 func (p *Pool) MoveRoom(now time.Time) int {
-	if p.closed || len(p.waiting) > 0 || p.beyondShare(Request{}, now) {
+	if p.closed || len(p.waiting) > 0 || p.beyondShare(now) {
 		return 0
 	}
 	fill := p.opts.LateFill
--- a/internal/policy/dispatch/gate.go
+++ b/internal/policy/dispatch/gate.go
@@ -61,13 +61,6 @@
 	g.pool.Responded(t, time.Now())
 }
 
-// RecordPause records a pause between two events of a placed stream.
-func (g *Gate) RecordPause(t *Ticket, pause time.Duration) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.pool.RecordPause(t, pause, time.Now())
-}
-
 // Done releases the slot of a placed request and records its outcome.
 func (g *Gate) Done(t *Ticket, o Outcome) {
 	g.update(func(p *Pool, now time.Time) []*Ticket { return p.Done(t, o, now) })
--- a/internal/policy/dispatch/pool.go
+++ b/internal/policy/dispatch/pool.go
@@ -54,8 +54,6 @@
 	Near *Near
 	// Classes lists the classes of the service's requests, most urgent first. With fewer than two, no rule of classes applies.
 	Classes []int
-	// TargetPause is the longest pause between two events of a stream that callers accept; 0 if there is none.
-	TargetPause time.Duration
 }
 
 // Pool places the requests of one service. It is not safe for concurrent use.
@@ -343,7 +341,7 @@
 
 // place assigns the ticket to an upstream and reports whether one had a free slot.
 func (p *Pool) place(t *Ticket, now time.Time) bool {
-	if p.closed || p.beyondShare(t.request, now) || p.reserved(t.request, now) {
+	if p.closed || p.beyondShare(now) || p.reserved(t.request, now) {
 		return false
 	}
 	candidates := p.candidates(t.request, now)
@@ -387,7 +385,6 @@
 			return nil
 		}
 	}
-	fill = min(fill, p.fill(r, now))
 	for _, c := range p.order {
 		if c.usable(now) && p.permits(c, now) && !slices.Contains(r.Exclude, c.listed.ID) && c.hasFreeSlot(fill) {
 			p.scratch = append(p.scratch, c)
--- a/internal/policy/dispatch/reserve.go
+++ b/internal/policy/dispatch/reserve.go
@@ -22,7 +22,7 @@
 	if expected == 0 {
 		return false
 	}
-	free, slots := p.freeSlots(p.fill(r, now), now)
+	free, slots := p.freeSlots(p.opts.Fill, now)
 	return free <= min(expected, maxReserve*slots)
 }
 
--- a/internal/policy/dispatch/ticket.go
+++ b/internal/policy/dispatch/ticket.go
@@ -54,10 +54,8 @@
 	OwnPart float64
 	// ColdPart is the same for the rate that the upstream takes while it is cold; 0 if it is warm.
 	ColdPart float64
-	// Reserved is the number of slots that were left free for more urgent requests, and PassLimit the maximum number of requests for
-	// each slot by the pass time; 0 if the service has one class, or there is no limit. PassRatio is the largest ratio of measured to
-	// modelled pass times lately.
-	Reserved, PassLimit, PassRatio float64
+	// Reserved is the number of slots that were left free for more urgent requests; 0 if the service has one class.
+	Reserved float64
 }
 
 // Err returns why the request was refused, or nil: *NoRegisteredUpstreamError, *OverloadedError, *RestrictedError or
@@ -89,10 +87,9 @@
 	Waited     time.Duration
 	RetryAfter time.Duration
 	// Classes is set if requests of several classes compete. Class is then that of the request, Ahead the number of waiting
-	// requests that go ahead of it, and PassLimit the maximum number of requests for each slot by the pass time, 0 if there is none.
+	// requests that go ahead of it.
 	Classes      bool
 	Class, Ahead int
-	PassLimit    float64
 }
 
 // Error implements error.
@@ -101,5 +98,5 @@
 	if !e.Classes {
 		return text
 	}
-	return fmt.Sprintf("%s, %d ahead of class %d, pass limit %.2f", text, e.Ahead, e.Class, e.PassLimit)
+	return fmt.Sprintf("%s, %d ahead of class %d", text, e.Ahead, e.Class)
 }
--- a/internal/state/catalog/configuration.go
+++ b/internal/state/catalog/configuration.go
@@ -151,8 +151,8 @@
 	// accounts maps keys to accounts. It is nil if no account is configured; then no key is required.
 	accounts map[string]*Account
 	count    int
-	// requirements are those of each service.
-	requirements map[ids.Service]requirements
+	// priorities are those of the routes to each service, most urgent first.
+	priorities map[ids.Service][]int
 }
 
 // New returns an indexed configuration. accounts maps each key to its account.
@@ -175,7 +175,7 @@
 	for _, list := range c.routes {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
-	c.indexRequirements()
+	c.indexPriorities()
 	return c
 }
 
