dispatch: an urgent request is not refused because of less urgent ones that wait for cold upstreams

Cause: the refusal of requests that cold or limited upstreams do not take in time counted all waiting requests as ahead, also in services with several classes, where an urgent one goes ahead of the others. The most urgent class has the shortest target, so it was refused first.

Change: both estimates on arrival count the requests that go ahead. With one class these are all of them, as before.

Tested: TestUrgentRequestGoesAheadAtColdUpstreams fails without the change and passes with it; go test ./internal/policy/dispatch passes.

--- a/internal/policy/dispatch/classes_test.go
+++ b/internal/policy/dispatch/classes_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
@@ -104,3 +105,31 @@
 		}
 	}
 }
+
+// Guards against an urgent request that is refused because of less urgent ones that wait for cold upstreams, although it goes
+// ahead of them.
+func TestUrgentRequestGoesAheadAtColdUpstreams(t *testing.T) {
+	now := time.Unix(10, 0)
+	p := classedPool(0, 1)
+	u := &catalog.Upstream{ID: "u", Service: "s", Slots: 10, State: catalog.StateReady}
+	p.SetUpstreams([]*catalog.Upstream{u}, now)
+	p.SetCold(ColdAllowances{
+		Upstreams:  map[ids.UpstreamIncarnation]ColdAllowance{u.Incarnation(): {Limit: 20, PerSecond: 20, Burst: 1}},
+		ValidUntil: now.Add(time.Hour),
+	}, now)
+	submit := func(class int, target time.Duration) *Ticket {
+		return p.Submit(Request{Arrived: now, Target: now.Add(target), Deadline: now.Add(4 * time.Second), Class: class}, now)
+	}
+	for i := range 6 {
+		if ticket := submit(1, time.Second); ticket.Err() != nil {
+			t.Fatalf("less urgent request %d is refused: %v", i, ticket.Err())
+		}
+	}
+	urgent := submit(0, 200*time.Millisecond)
+	if urgent.Err() != nil {
+		t.Fatalf("refused: %v", urgent.Err())
+	}
+	if p.Tick(now.Add(60 * time.Millisecond)); urgent.Upstream() == nil {
+		t.Fatal("not placed first")
+	}
+}
--- a/internal/policy/dispatch/pool.go
+++ b/internal/policy/dispatch/pool.go
@@ -203,11 +203,12 @@
 		t.refuse(&NoRegisteredUpstreamError{RetryAfter: noUpstreamRetry})
 		return t
 	}
-	if err := p.restrictedError(r, len(p.waiting), now); err != nil {
+	ahead := p.ahead(r, now)
+	if err := p.restrictedError(r, ahead, now); err != nil {
 		t.refuse(err)
 		return t
 	}
-	if wait := p.expectedWaitOf(r, now); p.lost(now) || now.Add(wait).After(p.startBy(r)) {
+	if wait := p.waitBehind(ahead, now); p.lost(now) || now.Add(wait).After(p.startBy(r)) {
 		t.refuse(p.overloaded(r, wait, now))
 		return t
 	}
--- a/internal/policy/dispatch/shedding.go
+++ b/internal/policy/dispatch/shedding.go
@@ -27,16 +27,11 @@
 	return out
 }
 
-// expectedWaitOf estimates how long a request that joins the queue now waits, behind the requests that go ahead of it.
-func (p *Pool) expectedWaitOf(r Request, now time.Time) time.Duration {
+// ahead returns the number of waiting requests that go ahead of one that arrives now: all of them if the service has one class.
+func (p *Pool) ahead(r Request, now time.Time) int {
 	if !p.classed() {
-		return p.expectedWait(now)
+		return len(p.waiting)
 	}
-	return p.waitBehind(p.ahead(r, now), now)
-}
-
-// ahead returns the number of waiting requests that go ahead of one that arrives now.
-func (p *Pool) ahead(r Request, now time.Time) int {
 	n := 0
 	for _, t := range p.waiting {
 		if p.compareByClass(t.request, r, now) <= 0 {
