dispatch: slots_reserved is the number of slots that are left free

Cause: the log field held the expected starts of more urgent classes, without the bound of a fifth of the slots that the decision applies. Change: the decision and the log take the number from one function. Tested: go test ./internal/policy/dispatch -run 'Class|Reserv|Urgent' passes.

--- a/internal/policy/dispatch/classes.go
+++ b/internal/policy/dispatch/classes.go
@@ -44,7 +44,7 @@
 	if !p.classed() {
 		return
 	}
-	i.Reserved = p.expectedStarts(r, now)
+	i.Reserved, _ = p.reserve(r, now)
 }
 
 // addClasses adds what the rules of classes contributed to a refusal.
--- a/internal/policy/dispatch/reserve.go
+++ b/internal/policy/dispatch/reserve.go
@@ -18,12 +18,18 @@
 	if !p.classed() {
 		return false
 	}
+	reserve, free := p.reserve(r, now)
+	return reserve > 0 && free <= reserve
+}
+
+// reserve returns the number of slots that r leaves to more urgent requests, and that of free slots.
+func (p *Pool) reserve(r Request, now time.Time) (reserve, free float64) {
 	expected := p.expectedStarts(r, now)
 	if expected == 0 {
-		return false
+		return 0, 0
 	}
 	free, slots := p.freeSlots(p.opts.Fill, now)
-	return free <= min(expected, maxReserve*slots)
+	return min(expected, maxReserve*slots), free
 }
 
 // expectedStarts estimates how many requests that go ahead of r all gateways together start until they know of each other's
