--- a/internal/node/gateway/evacuation.go
+++ b/internal/node/gateway/evacuation.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"errors"
 	"fmt"
 	"time"
 
@@ -31,12 +30,6 @@
 	return fmt.Sprintf("nothing was written to %s: data centre %s is evacuated", e.Upstream, e.DataCentre)
 }
 
-// isUnwritten reports whether an attempt failed before the request was written, because the upstream must not get it any more.
-func isUnwritten(err error) bool {
-	var evacuated *EvacuatedUpstreamError
-	return errors.As(err, &evacuated)
-}
-
 // evacuationStatus is what a gateway knows about one evacuated data centre. It is immutable.
 type evacuationStatus struct {
 	catalog.Evacuation
@@ -193,13 +186,3 @@
 	}
 	return nil
 }
-
-// placeAgain prepares a request that was not written for another placement: it gets back the retry that it paid.
-func (n *run) placeAgain(err error) {
-	if n.paid != nil {
-		n.refundRetry()
-		n.takeRetry()
-	}
-	_ = n.g.requests.failures.Log("msg", "placing request again", "request", n.r.call.Attempt, "route", n.r.route.Name, "upstream", n.upstream,
-		"attempt", n.sent+n.unreached+1, "placed_ms", sinceArrival(n, n.placedAt), "left_ms", time.Until(n.r.deadline).Milliseconds(), "err", err)
-}
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -152,7 +152,7 @@
 
 // attempt sends the request to one upstream and relays the response.
 func (n *run) attempt(ctx context.Context, t *dispatch.Ticket) error {
-	res, err := n.send(ctx, t.Upstream())
+	res, err := n.send(ctx, t)
 	if err != nil {
 		return err
 	}
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -13,6 +13,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/tracing"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
@@ -24,9 +25,10 @@
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
-// send writes the request to an upstream and reads the header of the response that carries the attempt's id. It returns
-// *EvacuatedUpstreamError if the upstream's data centre has been evacuated meanwhile.
-func (n *run) send(ctx context.Context, to *catalog.Upstream) (*httpclient.Response, error) {
+// send writes the request to the upstream that it was placed at and reads the header of the response that carries the attempt's
+// id. It also returns the errors of checkPlacement.
+func (n *run) send(ctx context.Context, t *dispatch.Ticket) (*httpclient.Response, error) {
+	to := t.Upstream()
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	n.writeRequest(req, to)
@@ -34,7 +36,7 @@
 	match := func(h *fasthttp.ResponseHeader) bool {
 		return attempt == "" || n.g.dialect.ReadResponse(h).Attempt == attempt || mayLackAttemptID(h)
 	}
-	return n.g.client.DoMatchingIf(ctx, to.Address, req, match, func() error { return n.g.checkEvacuated(to) })
+	return n.g.client.DoMatchingIf(ctx, to.Address, req, match, func() error { return n.checkPlacement(to, t.PlacementInputs()) })
 }
 
 // mayLackAttemptID reports whether a response may lack the attempt's id because the upstream did not read the request
