Requests are counted by class only for services with several classes

Cause: the counter appeared in all deployments, also where no rule of classes applies. Tested: go test ./internal/node/gateway ./internal/policy/... passes.

--- a/internal/node/gateway/log.go
+++ b/internal/node/gateway/log.go
@@ -94,7 +94,9 @@
 // logOutcome logs and counts the outcome of a request.
 func (g *Gateway) logOutcome(n *run, err error) {
 	g.metrics.requestDone(n.r.service.Name, err, time.Since(n.r.arrived).Seconds())
-	g.metrics.classDone(n.r.service.Name, n.r.route.Priority, classOutcome(n, err))
+	if config := g.view.Load().config; config != nil && len(config.Priorities(n.r.service.Name)) > 1 {
+		g.metrics.classDone(n.r.service.Name, n.r.route.Priority, classOutcome(n, err))
+	}
 	now := time.Now()
 	fields := []any{
 		"msg", "request", "outcome", outcomeText(n, err), "priority", n.r.priority, "class", n.r.route.Priority, "request", n.r.call.Attempt, "route", n.r.route.Name,
--- a/internal/policy/coldstart/roster.go
+++ b/internal/policy/coldstart/roster.go
@@ -220,8 +220,10 @@
 	return !m.heardAt.IsZero() && now.Sub(m.heardAt) <= t.Fresh
 }
 
-// majority reports whether this gateway, which hears a number of gateways, hears more than half of the known ones. Of two halves, the one with the gateway that
-// comes first by its hash counts as the majority, so that one of two gateways still sends after the other has died.
+// majority reports whether this gateway, which hears a number of gateways, hears more than half of the known ones.
+//
+// Of two halves, the one with the gateway that comes first by its hash counts as the majority, so that one of two gateways still
+// sends after the other has died.
 func (r *Roster) majority(heard int, now time.Time, t Timing) bool {
 	known := r.Known()
 	if 2*heard != known {
