--- a/internal/state/evacuation/tracker_test.go
+++ b/internal/state/evacuation/tracker_test.go
@@ -23,7 +23,7 @@
 )
 
 func decode(row platform.Row) (ids.DataCentre, bool, error) {
-	name, is := strings.CutPrefix(row.Key, "evacuate/")
+	name, is := strings.CutPrefix(row.Key, "fake-key/")
 	if is && name == "" {
 		return "", true, errUnnamed
 	}
@@ -46,9 +46,9 @@
 // written again, so that streams there would get the whole time again.
 func TestOnlyKeyOfEvacuationCounts(t *testing.T) {
 	tracker := evacuation.New(decode)
-	unreadable := row("evacuate/a", 7)
+	unreadable := row("fake-key/a", 7)
 	unreadable.Value = []byte{0xff, 0}
-	for i, rows := range [][]platform.Row{{row("evacuate/a", 3), row("config", 4)}, {unreadable}} {
+	for i, rows := range [][]platform.Row{{row("fake-key/a", 3), row("config", 4)}, {unreadable}} {
 		set, found, _ := tracker.Update(evacuation.Table{Rows: rows}, start.Add(time.Duration(i)*time.Second))
 		got, _ := set.Get("a")
 		want := catalog.Evacuation{DataCentre: "a", Written: rows[0].Position(), Since: start}
@@ -64,7 +64,7 @@
 // Guards against a row without a data centre that is logged with each change of the table, or hides other rows.
 func TestRowWithoutDataCentreIsReportedOnce(t *testing.T) {
 	tracker := evacuation.New(decode)
-	table := evacuation.Table{Rows: []platform.Row{row("evacuate/", 3), row("evacuate/b", 4)}}
+	table := evacuation.Table{Rows: []platform.Row{row("fake-key/", 3), row("fake-key/b", 4)}}
 	set, found, _ := tracker.Update(table, start)
 	if len(found) != 1 || found[0].Kind != evacuation.Unnamed || !errors.Is(found[0].Err, errUnnamed) || names(set) != "b" {
 		t.Fatalf("evacuated %q, findings %v", names(set), found)
@@ -77,7 +77,7 @@
 // Guards against requests to a data centre whose evacuation the store has lost, and against an evacuation that the operator
 // had withdrawn and that the store shows again.
 func TestEvacuationAfterStoreCameBackOlder(t *testing.T) {
-	const key = "evacuate/a"
+	const key = "fake-key/a"
 	at := func(era, version uint64, removed, unwritten bool) replica.EarlierRow {
 		r := platform.Row{Key: key, Era: era, Version: version}
 		return replica.EarlierRow{Change: platform.Change{Row: r, Removed: removed}, Unwritten: unwritten}
--- a/internal/tool/explain/explain.go
+++ b/internal/tool/explain/explain.go
@@ -122,7 +122,8 @@
 
 // ForRequest returns the lines about a request, sorted by time. It adds the lines about the processes and upstreams
 // involved that are at most `before` earlier than the request's first line and at most `after` later than its last one,
-// and those about the evacuations in force if one of them decided about the request. It returns nil if there is no line about the request.
+// and those about the evacuations in force if one of them decided about the request. It returns nil if there is no line about
+// the request.
 func ForRequest(lines []*Line, request string, before, after time.Duration) []*Line {
 	var own []*Line
 	nodes, upstreams := map[string]bool{}, map[string]bool{}
