--- a/internal/policy/coldstart/roster.go
+++ b/internal/policy/coldstart/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -61,6 +62,7 @@
 
 // member is what is known about another gateway.
 type member struct {
+	name string
 	// heardAt is when its last message arrived; zero if none has. listedAt is when another gateway last named it.
 	heardAt, listedAt time.Time
 	// counts is set if it was a member in the last view.
@@ -77,8 +79,10 @@
 
 // Roster is one gateway's view of the gateways that may send to cold upstreams. It is not safe for concurrent use.
 type Roster struct {
-	self    string
-	members map[string]*member
+	self   string
+	byName map[string]*member
+	// members has the values of byName; each tick passes over them several times.
+	members []*member
 	// startedAt is when this gateway started, or last ran again after it did not for a while.
 	startedAt, tickedAt time.Time
 	// present are the members of the last view; they are built anew only if changed is set.
@@ -89,7 +93,7 @@
 // NewRoster returns the roster of a gateway that starts now. known lists the gateways in its settings, self excluded; they
 // count as members until they have been silent for as long as others.
 func NewRoster(self string, known []string, now time.Time) *Roster {
-	r := &Roster{self: self, members: map[string]*member{}, startedAt: now, tickedAt: now, changed: true}
+	r := &Roster{self: self, byName: map[string]*member{}, startedAt: now, tickedAt: now, changed: true}
 	for _, k := range known {
 		r.Listed(k, now)
 	}
@@ -117,10 +121,11 @@
 	if name == r.self {
 		return nil
 	}
-	m := r.members[name]
+	m := r.byName[name]
 	if m == nil {
-		m = &member{}
-		r.members[name] = m
+		m = &member{name: name}
+		r.byName[name] = m
+		r.members = append(r.members, m)
 	}
 	return m
 }
@@ -138,12 +143,14 @@
 	if r.majority(r.heard(now, t), now, t) {
 		remember = max(silentFor, silentHolds*t.Hold)
 	}
-	for name, m := range r.members {
-		if now.Sub(m.lastAt()) > remember {
-			delete(r.members, name)
-			r.changed = r.changed || m.counts
+	r.members = slices.DeleteFunc(r.members, func(m *member) bool {
+		if now.Sub(m.lastAt()) <= remember {
+			return false
 		}
-	}
+		delete(r.byName, m.name)
+		r.changed = r.changed || m.counts
+		return true
+	})
 }
 
 // View is what a gateway may do with its part.
@@ -186,9 +193,9 @@
 func (r *Roster) build() ratelimit.Members {
 	names := make([]string, 0, len(r.members)+1)
 	names = append(names, r.self)
-	for name, m := range r.members {
+	for _, m := range r.members {
 		if m.counts {
-			names = append(names, name)
+			names = append(names, m.name)
 		}
 	}
 	return ratelimit.NewMembers(r.self, names)
@@ -230,9 +237,9 @@
 		return 2*heard > known
 	}
 	first, hears := r.self, true
-	for name, m := range r.members {
-		if cmp.Or(cmp.Compare(xxhash.Sum64String(name), xxhash.Sum64String(first)), cmp.Compare(name, first)) < 0 {
-			first, hears = name, m.fresh(now, t)
+	for _, m := range r.members {
+		if cmp.Or(cmp.Compare(xxhash.Sum64String(m.name), xxhash.Sum64String(first)), cmp.Compare(m.name, first)) < 0 {
+			first, hears = m.name, m.fresh(now, t)
 		}
 	}
 	return hears
