Fair shares of client accounts over all gateways

Under overload a gateway served waiting requests by urgency and target only, so an account that sends far more than others got room in proportion to what it sends. With overload.fair_accounts, requests that are equally urgent are started by the work in flight of their accounts, in tokens, for each unit of weight. An account with over 1.25 times its share leaves up to a twentieth of the slots to requests that wait elsewhere.

Off without the setting.

--- a/internal/node/gateway/digests.go
+++ b/internal/node/gateway/digests.go
@@ -52,12 +52,13 @@
 	}
 	first, rest := sample(to, maxLimitTargets)
 	news, cold := p.g.limits.news(len(first), now), p.g.cold.news(len(first), now)
-	if news == nil && cold == nil {
+	accounts := p.g.accountNews(now)
+	if news == nil && cold == nil && accounts == nil {
 		p.sendTo(to, d)
 		return
 	}
 	p.sendTo(rest, d)
-	d.Limits, d.Cold = news, cold
+	d.Limits, d.Cold, d.Accounts = news, cold, accounts
 	p.sendTo(first, d)
 }
 
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -84,6 +84,7 @@
 	// evacuationStatus is published by the control loop, sorted by data centre.
 	evacuationStatus atomic.Pointer[[]evacuationStatus]
 	cold             *coldLimits
+	accounts         *accountReports
 
 	servers struct{ callers, directory, readiness *httpserver.Server }
 	ranks   lockstep.RankClient
@@ -129,6 +130,7 @@
 		moves:       newMoves(),
 		limits:      newLimits(),
 		cold:        newColdLimits(d.Logger, time.Now()),
+		accounts:    newAccountReports(),
 		startup:     newStartupWait(),
 		tracer:      cmp.Or(d.Tracer, tracing.Disabled()),
 		ranks:       d.Ranks,
@@ -265,6 +267,7 @@
 	sharing := g.peers.sharing(now)
 	g.updateAllowances(now)
 	g.updateCold(now)
+	g.updateAccounts(sharing.Gateways-1, now)
 	for name, s := range g.control.services {
 		s.gate.SetSharing(sharing)
 		s.budget.SetBound(g.sharedRetryBound())
--- a/internal/node/gateway/holdwatch_test.go
+++ b/internal/node/gateway/holdwatch_test.go
@@ -31,7 +31,7 @@
 	t.Cleanup(func() { _ = sender.Close() })
 	g := &Gateway{
 		logger: log.NewNopLogger(), incarnation: "b", loop: control.New(), limits: newLimits(), metrics: newMetrics(), suspects: newSuspects(log.NewNopLogger()),
-		cold: newColdLimits(log.NewNopLogger(), time.Now()),
+		cold: newColdLimits(log.NewNopLogger(), time.Now()), accounts: newAccountReports(),
 	}
 	g.settings.Store(&Settings{
 		Name: "standby", Off: off, Listen: Listen{Callers: "127.0.0.1:1", Peers: "127.0.0.1:2"},
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -13,6 +13,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/fairshare"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/retry"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
@@ -134,6 +135,8 @@
 		Priority:     r.priority,
 		Class:        r.route.Priority,
 		PromptTokens: r.call.PromptTokens,
+		Account:      fairshare.AccountOf(r.client),
+		Tokens:       r.call.work(r.service.Engine),
 		Begun:        n.x.Responded(),
 		Exclude:      n.exclude,
 	}
--- a/internal/node/gateway/services.go
+++ b/internal/node/gateway/services.go
@@ -28,6 +28,7 @@
 			g.metrics.addServiceGauges(g, name)
 		}
 		o := dispatchOptions(g.control.config, c, g.disabledInDispatch())
+		g.Settings().Overload.apply(&o)
 		o.Near = near(g.control.config, c, g.Settings())
 		s.gate.SetOptions(o)
 		s.evacuable.Store(g.evacuates())
--- a/internal/node/gateway/settings.go
+++ b/internal/node/gateway/settings.go
@@ -25,10 +25,12 @@
 	// AgentPort is the port of the agents on the hosts of the ranks; empty if there are none.
 	AgentPort string `yaml:"agent_port"`
 	// Store is the address of the platform's store, IP:PORT.
-	Store  string          `yaml:"store"`
-	Limits HostLimits      `yaml:"limits"`
-	Bounds Bounds          `yaml:"bounds"`
-	Log    logging.Options `yaml:"log"`
+	Store  string     `yaml:"store"`
+	Limits HostLimits `yaml:"limits"`
+	Bounds Bounds     `yaml:"bounds"`
+	// Overload selects rules for overload.
+	Overload Overload        `yaml:"overload"`
+	Log      logging.Options `yaml:"log"`
 	// RequestLog limits the log lines about requests.
 	RequestLog LogBounds `yaml:"request_log"`
 	// Tracing exports a span for each hop of a request; without an exporter there are none.
@@ -170,6 +172,9 @@
 	if err := s.Bounds.check(); err != nil {
 		return err
 	}
+	if err := s.Overload.check(); err != nil {
+		return err
+	}
 	if err := s.RequestLog.check(); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/policy/dispatch/accounts.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/fairshare"
+)
+
+// maxYield bounds the slots that accounts beyond their share leave free for requests that wait at other gateways, as a fraction
+// of all slots. The other gateways learn of a free slot only with the next report, and until then it serves nobody.
+const maxYield = 0.05
+
+// MaxReportedAccounts is the number of accounts of a service that a gateway reports to others.
+const MaxReportedAccounts = 8
+
+// fair reports whether requests of client accounts are ordered by fair shares.
+func (p *Pool) fair() bool { return p.opts.FairAccounts && !p.opts.Disabled[Accounts] }
+
+// SetOthersAccounts replaces the work that the other gateways have in flight by account, and returns the tickets that this
+// decides.
+func (p *Pool) SetOthersAccounts(work map[fairshare.Account]fairshare.Work, now time.Time) []*Ticket {
+	p.accounts.SetOthers(work)
+	return p.decide(now)
+}
+
+// OwnAccounts returns this gateway's work of at most n accounts, and whether requests wait.
+func (p *Pool) OwnAccounts(n int) (rows []fairshare.Row, waits bool) {
+	if !p.fair() {
+		return nil, false
+	}
+	waiting := map[fairshare.Account]int{}
+	for _, t := range p.waiting {
+		waiting[t.request.Account]++
+	}
+	return p.accounts.Largest(n, waiting), len(waiting) > 0
+}
+
+// interleaveAccounts orders requests that are equally urgent by the work in flight of their accounts, smallest first. Each request
+// of an account also counts those of the same account ahead of it, so that accounts take turns. The requests must be sorted by
+// urgency and target.
+func (p *Pool) interleaveAccounts(list []*Ticket, now time.Time) {
+	for rest := list; len(rest) > 0; {
+		n := 1
+		for n < len(rest) && p.compareUrgency(rest[0].request, rest[n].request, now) == 0 {
+			n++
+		}
+		p.sortByLoad(rest[:n])
+		rest = rest[n:]
+	}
+}
+
+// sortByLoad sorts requests by the load of their accounts at the time at which each of them would start.
+func (p *Pool) sortByLoad(list []*Ticket) {
+	if len(list) < 2 {
+		return
+	}
+	ahead := map[fairshare.Account]float64{}
+	for _, t := range list {
+		r := t.request
+		t.accountLoad = p.accounts.Load(r.Account) + ahead[r.Account]
+		ahead[r.Account] += float64(r.work()) / p.accounts.Weight(r.Account)
+	}
+	if len(ahead) == 1 {
+		return
+	}
+	slices.SortStableFunc(list, func(a, b *Ticket) int { return cmp.Compare(a.accountLoad, b.accountLoad) })
+}
+
+// work returns the request's work in tokens, at least 1.
+func (r Request) work() int { return max(1, r.Tokens) }
+
+// yields reports whether the request leaves the free slots to requests that wait at other gateways, because its account has more
+// work in flight than its share.
+func (p *Pool) yields(r Request, now time.Time) bool {
+	if !p.fair() || !p.accounts.BeyondShare(r.Account) {
+		return false
+	}
+	elsewhere := p.accounts.WaitingElsewhere()
+	if elsewhere == 0 {
+		return false
+	}
+	free, slots := p.freeSlots(p.opts.Fill, now)
+	return free <= min(float64(elsewhere), maxYield*slots)
+}
+
+// aheadByAccount returns the number of waiting requests that go ahead of one that arrives now.
+func (p *Pool) aheadByAccount(r Request, now time.Time) int {
+	t := &Ticket{request: r}
+	list := append(slices.Clone(p.waiting), t)
+	p.sortTickets(list, now)
+	return slices.Index(list, t)
+}
+
+// addAccount adds the inputs of fair shares to those of a placement.
+func (i *PlacementInputs) addAccount(p *Pool, r Request) {
+	if p.fair() {
+		i.AccountTokens = p.accounts.Load(r.Account)
+	}
+}
--- a/internal/policy/dispatch/gate.go
+++ b/internal/policy/dispatch/gate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/fairshare"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
@@ -114,6 +115,18 @@
 	g.update(func(p *Pool, now time.Time) []*Ticket { return p.SetOthersWork(work, at, now) })
 }
 
+// SetOthersAccounts replaces the work that the other gateways have in flight by account.
+func (g *Gate) SetOthersAccounts(work map[fairshare.Account]fairshare.Work) {
+	g.update(func(p *Pool, now time.Time) []*Ticket { return p.SetOthersAccounts(work, now) })
+}
+
+// OwnAccounts returns this gateway's work of at most n accounts, and whether requests wait.
+func (g *Gate) OwnAccounts(n int) (rows []fairshare.Row, waits bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pool.OwnAccounts(n)
+}
+
 // SetSharing sets how many gateways place requests at the same upstreams, and how often they report.
 func (g *Gate) SetSharing(s Sharing) {
 	g.mu.Lock()
--- a/internal/policy/dispatch/group_replay_test.go
+++ b/internal/policy/dispatch/group_replay_test.go
@@ -98,6 +98,8 @@
 	near, placed int
 	// classes is set if the load has several classes; see classes_replay_test.go.
 	classes *classLoad
+	// accounts is set if the load has client accounts; see accounts_replay_test.go.
+	accounts *accountLoad
 }
 
 // newGroupSimulation returns an idle group. The pools take each other's placements into account only if sharing is set.
@@ -145,6 +147,9 @@
 	if g.centres > 0 {
 		c.gateway, c.events = g.gateways[g.pickGateway()], 1+g.rng.IntN(2*streamEvents)
 	}
+	if g.accounts != nil {
+		c.request.Account, c.request.Tokens = g.accounts.draw(g), c.request.PromptTokens+outputWork
+	}
 	g.submit(c)
 }
 
@@ -159,7 +164,7 @@
 	if t.Upstream() != nil || t.Err() != nil {
 		g.decide(gw, []*dispatch.Ticket{t})
 	}
-	if g.classes != nil {
+	if g.classes != nil || g.accounts != nil {
 		g.decide(gw, gw.pool.Shed(g.now))
 	}
 }
@@ -171,6 +176,7 @@
 		delete(gw.waiting, t)
 		if t.Err() != nil {
 			g.refused++
+			g.accounts.refused(q)
 			if g.classes != nil {
 				g.classes.refuse(g, c, t.Err())
 			}
@@ -240,6 +246,7 @@
 		if g.classes != nil {
 			g.classes.finish(s)
 		}
+		g.accounts.finished(s)
 		g.decide(s.gateway, s.gateway.pool.Done(s.ticket, dispatch.OutcomeOK, g.now))
 	}
 }
@@ -358,6 +365,7 @@
 		g.now = end
 		g.resend()
 		g.exchangeReports()
+		g.exchangeAccounts()
 		for _, gw := range g.gateways {
 			g.decide(gw, gw.pool.Tick(g.now))
 		}
--- a/internal/policy/dispatch/mechanism.go
+++ b/internal/policy/dispatch/mechanism.go
@@ -22,11 +22,13 @@
 	FirstResponseTime Mechanism = "first-answer-time"
 	// Classes applies the rules for services whose requests have several priorities.
 	Classes Mechanism = "classes"
+	// Accounts orders requests by fair shares of client accounts.
+	Accounts Mechanism = "accounts"
 )
 
 // Mechanisms lists all mechanisms of the pool.
 func Mechanisms() []Mechanism {
-	return []Mechanism{FewChoices, SlotShare, LateFill, LatePrefill, SlowRanks, EjectFailing, FirstResponseTime, NearUpstreams, Classes}
+	return []Mechanism{FewChoices, SlotShare, LateFill, LatePrefill, SlowRanks, EjectFailing, FirstResponseTime, NearUpstreams, Classes, Accounts}
 }
 
 // DisabledMechanisms is the set of mechanisms that are disabled.
--- a/internal/policy/dispatch/pool.go
+++ b/internal/policy/dispatch/pool.go
@@ -1,11 +1,13 @@
 package dispatch
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/fairshare"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
@@ -24,6 +26,10 @@
 	// PromptTokens is the number of tokens in the prompt, whose prefill precedes the first generated token; 0 for plain
 	// services.
 	PromptTokens int
+	// Account is the client account that sent the request, and Tokens its work, prompt and expected output. Both matter only
+	// with Options.FairAccounts.
+	Account fairshare.Account
+	Tokens  int
 	// Begun is set if the caller has a part of the response, which a refusal would cut off.
 	Begun bool
 	// Exclude lists upstreams that must not get the request, in any incarnation: an upstream that failed it may fail it
@@ -54,6 +60,10 @@
 	Near *Near
 	// Classes lists the classes of the service's requests, most urgent first. With fewer than two, no rule of classes applies.
 	Classes []int
+	// FairAccounts orders requests by fair shares of client accounts, with AccountWeights as weights; accounts that it does
+	// not contain have 1.
+	FairAccounts   bool
+	AccountWeights map[fairshare.Account]float64
 }
 
 // Pool places the requests of one service. It is not safe for concurrent use.
@@ -90,15 +100,21 @@
 	// evacuated holds the data centres whose upstreams get no new requests; nil for none.
 	evacuated *catalog.Evacuations
 	classes   classes
+	accounts  *fairshare.Ledger
 }
 
 // NewPool returns a pool without upstreams.
 func NewPool(o Options, rng *rand.Rand) *Pool {
-	return &Pool{opts: o, upstreams: map[ids.UpstreamIncarnation]*upstreamState{}, rng: rng}
+	p := &Pool{upstreams: map[ids.UpstreamIncarnation]*upstreamState{}, rng: rng, accounts: fairshare.NewLedger()}
+	p.SetOptions(o)
+	return p
 }
 
 // SetOptions applies a change of the configuration.
-func (p *Pool) SetOptions(o Options) { p.opts = o }
+func (p *Pool) SetOptions(o Options) {
+	p.opts = o
+	p.accounts.SetWeights(o.AccountWeights)
+}
 
 // SetUpstreams replaces the list of upstreams and returns the tickets that this decides. The state of incarnations that
 // remain is kept, and so is that of unlisted upstreams with requests in flight, at rest, or leaving.
@@ -262,6 +278,7 @@
 	p.markPrefilled(t)
 	t.done = true
 	t.assigned.own.Requests--
+	p.accounts.Finished(t.request.Account, t.request.work())
 	p.completed.count(now)
 	if p.ejects(o) && t.assigned.health.recordOutcome(o, now) {
 		p.ejected = append(p.ejected, t.assigned.ejection(o, now))
@@ -319,30 +336,44 @@
 
 // sortWaiting sorts requests by priority. Within a priority, those that can still meet their target come first, by
 // target; the late ones follow, oldest target first. Under overload this serves as many requests as possible on time,
-// whereas serving them in order of arrival would make all of them late.
-func (p *Pool) sortWaiting(now time.Time) {
+// whereas serving them in order of arrival would make all of them late. Classes and fair shares of accounts change the order.
+func (p *Pool) sortWaiting(now time.Time) { p.sortTickets(p.waiting, now) }
+
+func (p *Pool) sortTickets(list []*Ticket, now time.Time) {
+	slices.SortStableFunc(list, func(a, b *Ticket) int { return p.compare(a.request, b.request, now) })
+	if p.fair() {
+		p.interleaveAccounts(list, now)
+	}
+}
+
+// compare is negative if a goes ahead of b.
+func (p *Pool) compare(a, b Request, now time.Time) int {
+	return cmp.Or(p.compareUrgency(a, b, now), a.Target.Compare(b.Target))
+}
+
+// compareUrgency is compare without the targets.
+func (p *Pool) compareUrgency(a, b Request, now time.Time) int {
 	if p.classed() {
-		p.sortByClass(now)
-		return
+		return p.compareByClass(a, b, now)
 	}
-	slices.SortStableFunc(p.waiting, func(a, b *Ticket) int {
-		if a.request.Priority != b.request.Priority {
-			return a.request.Priority - b.request.Priority
-		}
-		aLate, bLate := p.late(a.request, now), p.late(b.request, now)
-		switch {
-		case aLate != bLate && aLate:
-			return 1
-		case aLate != bLate:
-			return -1
-		}
-		return a.request.Target.Compare(b.request.Target)
-	})
+	return cmp.Or(a.Priority-b.Priority, p.compareLateness(a, b, now))
+}
+
+// compareLateness is negative if a can still meet its target and b cannot.
+func (p *Pool) compareLateness(a, b Request, now time.Time) int {
+	aLate, bLate := p.late(a, now), p.late(b, now)
+	switch {
+	case aLate == bLate:
+		return 0
+	case aLate:
+		return 1
+	}
+	return -1
 }
 
 // place assigns the ticket to an upstream and reports whether one had a free slot.
 func (p *Pool) place(t *Ticket, now time.Time) bool {
-	if p.closed || p.beyondShare(now) || p.reserved(t.request, now) {
+	if p.closed || p.beyondShare(now) || p.reserved(t.request, now) || p.yields(t.request, now) {
 		return false
 	}
 	candidates := p.candidates(t.request, now)
@@ -356,12 +387,14 @@
 		t.inputs.OthersAge = now.Sub(p.othersAt)
 	}
 	t.inputs.addClasses(p, t.request, now)
+	t.inputs.addAccount(p, t.request)
 	if best.allowance != nil {
 		t.inputs.OwnPart = best.allowance.PerSecond()
 	}
 	if best.cold != nil {
 		t.inputs.ColdPart = best.cold.bucket.PerSecond()
 	}
+	p.accounts.Started(t.request.Account, t.request.work())
 	best.own = best.own.plus(Work{1, t.request.PromptTokens})
 	if t.late = p.late(t.request, now); t.late {
 		p.latePromptTokens += t.request.PromptTokens
--- a/internal/policy/dispatch/shedding.go
+++ b/internal/policy/dispatch/shedding.go
@@ -7,7 +7,7 @@
 //
 // A request that waits until its time is over keeps its caller from asking elsewhere, and is answered no sooner for it.
 func (p *Pool) Shed(now time.Time) []*Ticket {
-	if !p.classed() || p.closed || len(p.waiting) == 0 {
+	if !p.classed() && !p.fair() || p.closed || len(p.waiting) == 0 {
 		return nil
 	}
 	p.sortWaiting(now)
@@ -27,14 +27,18 @@
 	return out
 }
 
-// ahead returns the number of waiting requests that go ahead of one that arrives now: all of them if the service has one class.
+// ahead returns the number of waiting requests that go ahead of one that arrives now: all of them if the service has one class and
+// accounts are not ordered.
 func (p *Pool) ahead(r Request, now time.Time) int {
+	if p.fair() {
+		return p.aheadByAccount(r, now)
+	}
 	if !p.classed() {
 		return len(p.waiting)
 	}
 	n := 0
 	for _, t := range p.waiting {
-		if p.compareByClass(t.request, r, now) <= 0 {
+		if p.compare(t.request, r, now) <= 0 {
 			n++
 		}
 	}
--- a/internal/policy/dispatch/ticket.go
+++ b/internal/policy/dispatch/ticket.go
@@ -27,8 +27,10 @@
 	responded bool
 	done      bool
 	// late is set if the request could no longer meet its target when it was placed.
-	late   bool
-	inputs PlacementInputs
+	late bool
+	// accountLoad is the load of the request's account when the request would start; valid only during a sort.
+	accountLoad float64
+	inputs      PlacementInputs
 	// decided is closed once the ticket is placed or refused. Only Gate uses it.
 	decided chan struct{}
 }
@@ -56,6 +58,9 @@
 	ColdPart float64
 	// Reserved is the number of slots that were left free for more urgent requests; 0 if the service has one class.
 	Reserved float64
+	// AccountTokens is the work that all gateways had in flight for the request's account, in tokens for each unit of its
+	// weight; 0 without fair shares.
+	AccountTokens float64
 }
 
 // Err returns why the request was refused, or nil: *NoRegisteredUpstreamError, *OverloadedError, *RestrictedError or
