A least part of the starts for each class of a service

Among requests in time the order by class is strict, so a less urgent class got nothing for as long as more urgent requests filled all slots. With overload.least_part, each start of another class earns a class its part of a start; with a whole one its next request goes ahead of all others and ignores the reserve. The expected wait, by which requests are refused at once, follows.

--- a/internal/node/gateway/overload.go
+++ b/internal/node/gateway/overload.go
@@ -51,7 +51,7 @@
 
 // apply sets the pool options that the rules need.
 func (o *Overload) apply(options *dispatch.Options) {
-	options.FairAccounts = o.FairAccounts
+	options.FairAccounts, options.LeastPart = o.FairAccounts, o.LeastPart
 	if len(o.AccountWeights) > 0 {
 		options.AccountWeights = make(map[fairshare.Account]float64, len(o.AccountWeights))
 		for name, weight := range o.AccountWeights {
--- a/internal/policy/dispatch/accounts.go
+++ b/internal/policy/dispatch/accounts.go
@@ -85,14 +85,6 @@
 	return free <= min(float64(elsewhere), maxYield*slots)
 }
 
-// aheadByAccount returns the number of waiting requests that go ahead of one that arrives now.
-func (p *Pool) aheadByAccount(r Request, now time.Time) int {
-	t := &Ticket{request: r}
-	list := append(slices.Clone(p.waiting), t)
-	p.sortTickets(list, now)
-	return slices.Index(list, t)
-}
-
 // addAccount adds the inputs of fair shares to those of a placement.
 func (i *PlacementInputs) addAccount(p *Pool, r Request) {
 	if p.fair() {
--- a/internal/policy/dispatch/classes.go
+++ b/internal/policy/dispatch/classes.go
@@ -6,6 +6,8 @@
 type classes struct {
 	// arrivals counts the arrivals of each class, by class.
 	arrivals map[int]*rate
+	// credits holds the starts that each class is entitled to by its least part, by class.
+	credits map[int]float64
 }
 
 // classRateWindow is the window over which the arrivals of a class are counted. It is longer than rateWindow, as one
@@ -53,5 +55,5 @@
 		return
 	}
 	e.Classes, e.Class = true, r.Class
-	e.Ahead = p.ahead(r, now)
+	e.Ahead = len(p.ahead(r, now))
 }
--- a/internal/policy/dispatch/mechanism.go
+++ b/internal/policy/dispatch/mechanism.go
@@ -22,13 +22,15 @@
 	FirstResponseTime Mechanism = "first-answer-time"
 	// Classes applies the rules for services whose requests have several priorities.
 	Classes Mechanism = "classes"
+	// LeastPart gives each class of a service a least part of the starts.
+	LeastPart Mechanism = "least-part"
 	// Accounts orders requests by fair shares of client accounts.
 	Accounts Mechanism = "accounts"
 )
 
 // Mechanisms lists all mechanisms of the pool.
 func Mechanisms() []Mechanism {
-	return []Mechanism{FewChoices, SlotShare, LateFill, LatePrefill, SlowRanks, EjectFailing, FirstResponseTime, NearUpstreams, Classes, Accounts}
+	return []Mechanism{FewChoices, SlotShare, LateFill, LatePrefill, SlowRanks, EjectFailing, FirstResponseTime, NearUpstreams, Classes, LeastPart, Accounts}
 }
 
 // DisabledMechanisms is the set of mechanisms that are disabled.
--- a/internal/policy/dispatch/pool.go
+++ b/internal/policy/dispatch/pool.go
@@ -60,6 +60,8 @@
 	Near *Near
 	// Classes lists the classes of the service's requests, most urgent first. With fewer than two, no rule of classes applies.
 	Classes []int
+	// LeastPart is the part of the starts that each class gets at least; 0 for none.
+	LeastPart float64
 	// FairAccounts orders requests by fair shares of client accounts, with AccountWeights as weights; accounts that it does
 	// not contain have 1.
 	FairAccounts   bool
@@ -220,11 +222,11 @@
 		return t
 	}
 	ahead := p.ahead(r, now)
-	if err := p.restrictedError(r, ahead, now); err != nil {
+	if err := p.restrictedError(r, len(ahead), now); err != nil {
 		t.refuse(err)
 		return t
 	}
-	if wait := p.waitBehind(ahead, now); p.lost(now) || now.Add(wait).After(p.startBy(r)) {
+	if wait := p.expectedWaitOf(r, ahead, now); p.lost(now) || now.Add(wait).After(p.startBy(r)) {
 		t.refuse(p.overloaded(r, wait, now))
 		return t
 	}
@@ -344,6 +346,7 @@
 	if p.fair() {
 		p.interleaveAccounts(list, now)
 	}
+	p.advanceEntitled(list)
 }
 
 // compare is negative if a goes ahead of b.
@@ -394,6 +397,7 @@
 	if best.cold != nil {
 		t.inputs.ColdPart = best.cold.bucket.PerSecond()
 	}
+	p.recordClassStart(t.request.Class, now)
 	p.accounts.Started(t.request.Account, t.request.work())
 	best.own = best.own.plus(Work{1, t.request.PromptTokens})
 	if t.late = p.late(t.request, now); t.late {
--- a/internal/policy/dispatch/reserve.go
+++ b/internal/policy/dispatch/reserve.go
@@ -15,7 +15,7 @@
 // expected to take at all gateways until the next reports are therefore left free by the others. A late request leaves the
 // slots of all classes free.
 func (p *Pool) reserved(r Request, now time.Time) bool {
-	if !p.classed() {
+	if !p.classed() || p.entitled(r.Class) {
 		return false
 	}
 	reserve, free := p.reserve(r, now)
--- a/internal/policy/dispatch/shedding.go
+++ b/internal/policy/dispatch/shedding.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Shed refuses waiting requests that can no longer be started in time because of the requests ahead of them. It returns the tickets
 // that this decides. It is called after an arrival, which may go ahead of others.
@@ -14,7 +17,7 @@
 	var out []*Ticket
 	rest := p.waiting[:0]
 	for _, t := range p.waiting {
-		wait := p.waitBehind(len(rest), now)
+		wait := p.expectedWaitOf(t.request, rest, now)
 		if now.Add(wait).After(p.startBy(t.request)) {
 			t.refuse(p.overloaded(t.request, wait, now))
 			out = append(out, t)
@@ -27,22 +30,16 @@
 	return out
 }
 
-// ahead returns the number of waiting requests that go ahead of one that arrives now: all of them if the service has one class and
-// accounts are not ordered.
-func (p *Pool) ahead(r Request, now time.Time) int {
-	if p.fair() {
-		return p.aheadByAccount(r, now)
+// ahead returns the waiting requests that go ahead of one that arrives now: all of them if the service has one class and accounts
+// are not ordered.
+func (p *Pool) ahead(r Request, now time.Time) []*Ticket {
+	if !p.classed() && !p.fair() {
+		return p.waiting
 	}
-	if !p.classed() {
-		return len(p.waiting)
-	}
-	n := 0
-	for _, t := range p.waiting {
-		if p.compare(t.request, r, now) <= 0 {
-			n++
-		}
-	}
-	return n
+	t := &Ticket{request: r}
+	list := append(slices.Clone(p.waiting), t)
+	p.sortTickets(list, now)
+	return list[:slices.Index(list, t)]
 }
 
 // classRetry returns the Retry-After of a refusal, which is later for a less urgent class: its callers would come back to the same
