A few gateways call the store on behalf of the others while it is away for all

With store_checks: shared, a gateway whose live peers have mostly lost the store too leaves it to the sentinels among all live gateways, and calls it each 2 to 4 s itself, or at once when two peers follow it again. One that hears fewer than half of the peers that it knows calls as before, and so does one that has not read the table yet.

Tests: of the 15 gateways of a data centre one calls the store; all do by default, while most others reach the store, once two follow it again, and when cut off.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -172,10 +172,11 @@
 func (g *Gateway) newFollower(feed platform.Feed, table string) *replica.Follower {
 	local := replica.NewReplica(table)
 	return &replica.Follower{
-		Feed:     feed,
-		Replica:  local,
-		Sentinel: func() bool { return g.peers.sentinel(time.Now()) },
-		Relayed:  func() bool { return g.peers.relayed(local, time.Now()) },
+		Feed:      feed,
+		Replica:   local,
+		Sentinel:  func() bool { return g.peers.sentinel(time.Now()) },
+		Relayed:   func() bool { return g.peers.relayed(local, time.Now()) },
+		Delegates: func() bool { return g.peers.delegatesStoreChecks(local, time.Now()) },
 		FollowingChanged: func(r *replica.Replica, following bool) {
 			_ = level.Info(g.logger).Log("msg", "store feed", "table", r.Name(), "following", following, "version", r.Newest())
 			g.loop.Post(g.peers.announce)
--- a/internal/node/gateway/mechanism.go
+++ b/internal/node/gateway/mechanism.go
@@ -35,7 +35,7 @@
 func mechanisms() []dispatch.Mechanism {
 	own := []dispatch.Mechanism{
 		mechanismClosedGroups, mechanismMoves, mechanismStandby, mechanismSuspects, mechanismStartWait,
-		mechanismMaps, mechanismEvacuation, mechanismHoldWatch, mechanismColdLimits,
+		mechanismMaps, mechanismEvacuation, mechanismHoldWatch, mechanismColdLimits, mechanismStoreChecks,
 	}
 	return append(dispatch.Mechanisms(), own...)
 }
--- a/internal/node/gateway/sentinel.go
+++ b/internal/node/gateway/sentinel.go
@@ -29,17 +29,23 @@
 // on behalf of the others: the first by rendezvous hash of the live gateways that can reach the store. Each gateway
 // computes it independently; if the views of two differ for a moment, both follow the store.
 func (p *peers) sentinel(now time.Time) bool {
+	return slices.Contains(p.sentinels(p.live(now), false), p.g.Settings().Name)
+}
+
+// sentinels returns the names of the sentinels in this gateway's data centre, which is one of the candidates itself. The other
+// candidates are the live peers that can reach the store, or all of them if withLost is set.
+func (p *peers) sentinels(live []*peer, withLost bool) []string {
 	own := p.g.Settings()
 	names := []string{own.Name}
 	centres := map[string]bool{string(own.DataCentre): true}
-	for _, k := range p.live(now) {
+	for _, k := range live {
 		centres[k.digest.GetDataCentre()] = true
-		if ids.DataCentre(k.digest.GetDataCentre()) == own.DataCentre && !k.lostStore() {
+		if ids.DataCentre(k.digest.GetDataCentre()) == own.DataCentre && (withLost || !k.lostStore()) {
 			names = append(names, k.digest.GetNode())
 		}
 	}
 	each := (minSentinels + len(centres) - 1) / len(centres)
-	return slices.Contains(lease.Candidates("store", names, each), own.Name)
+	return lease.Candidates("store", names, each)
 }
 
 // lostStore reports whether the peer has lost the store for any table.
--- a/internal/node/gateway/settings.go
+++ b/internal/node/gateway/settings.go
@@ -25,9 +25,11 @@
 	// AgentPort is the port of the agents on the hosts of the ranks; empty if there are none.
 	AgentPort string `yaml:"agent_port"`
 	// Store is the address of the platform's store, IP:PORT.
-	Store  string     `yaml:"store"`
-	Limits HostLimits `yaml:"limits"`
-	Bounds Bounds     `yaml:"bounds"`
+	Store string `yaml:"store"`
+	// StoreChecks says which gateways call the store while it is away; empty for StoreChecksEach.
+	StoreChecks StoreChecks `yaml:"store_checks,omitempty"`
+	Limits      HostLimits  `yaml:"limits"`
+	Bounds      Bounds      `yaml:"bounds"`
 	// Overload selects rules for overload.
 	Overload Overload        `yaml:"overload"`
 	Log      logging.Options `yaml:"log"`
@@ -172,6 +174,9 @@
 	if err := s.Bounds.check(); err != nil {
 		return err
 	}
+	if err := s.StoreChecks.check(); err != nil {
+		return err
+	}
 	if err := s.Overload.check(); err != nil {
 		return err
 	}
--- a/internal/state/replica/follower.go
+++ b/internal/state/replica/follower.go
@@ -34,6 +34,8 @@
 	// each consecutive failure, and jitter shortens it by up to half.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// delegatedBackoff is the longest backoff of a node on whose behalf others call the store.
+	delegatedBackoff = 4 * time.Second
 )
 
 // StaleError reports that the store returned an older version of a table than the copy has.
@@ -72,6 +74,8 @@
 	// Relayed reports whether messages arrive from enough peers that follow the table in the store, so that this node
 	// needs no calls of its own. If it is nil, they do not.
 	Relayed func() bool
+	// Delegates reports whether other nodes call the store on behalf of this one while it is away. If it is nil, they do not.
+	Delegates func() bool
 	// FollowingChanged is called when the node starts or stops following the table in the store itself; it may be
 	// nil.
 	FollowingChanged func(r *Replica, following bool)
@@ -126,10 +130,25 @@
 			f.CallFailed(f.Replica, err)
 		}
 		monotonic.Sleep(ctx, pause/2+rand.N(pause/2))
+		f.awaitDelegates(ctx)
 		pause = min(maxBackoff, 2*pause)
 	}
 }
 
+// awaitDelegates waits while other nodes call the store on behalf of this one, for delegatedBackoff at most: one that is cut off
+// from these, or whose view of them is wrong, finds the store itself.
+//
+// A node that has not read the table yet does not wait, because it cannot serve without it.
+func (f *Follower) awaitDelegates(ctx context.Context) {
+	if _, loaded := f.Replica.Position(); !loaded || f.Delegates == nil {
+		return
+	}
+	end := time.Now().Add(delegatedBackoff/2 + rand.N(delegatedBackoff/2))
+	for ctx.Err() == nil && time.Now().Before(end) && f.Delegates() {
+		monotonic.Sleep(ctx, relayCheckInterval)
+	}
+}
+
 // step makes one call. If the store no longer retains the history since the copy's version, the full table is read
 // instead.
 func (f *Follower) step(ctx context.Context) error {
--- a/internal/state/replica/follower_test.go
+++ b/internal/state/replica/follower_test.go
@@ -155,3 +155,39 @@
 		time.Sleep(15 * time.Second)
 	})
 }
+
+// Guards against a node that calls an unavailable store as often as if it were alone although others call it, and against one that
+// goes on waiting when these have found it.
+func TestNodeWaitsForDelegates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &source{rows: map[string]platform.Row{}}
+		table.put("config", "1")
+		f := &countingFeed{feed: feed{src: table}}
+		var delegates atomic.Bool
+		follower := &replica.Follower{
+			Feed: f, Replica: replica.NewReplica("op"),
+			Changed:           func(*replica.Replica) {},
+			ConnectionChanged: func(*replica.Replica, replica.StoreConnection) {},
+			Delegates:         delegates.Load,
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go follower.Run(ctx)
+		time.Sleep(time.Second)
+		f.hang(time.Now().Add(20 * time.Second))
+		delegates.Store(true)
+		time.Sleep(8 * time.Second)
+		before := f.count()
+		time.Sleep(12 * time.Second)
+		if n := f.count() - before; n < 2 || n > 5 {
+			t.Errorf("%d calls in 12 s, want one each 2 to 4 s and what a call takes", n)
+		}
+		delegates.Store(false)
+		before = f.count()
+		time.Sleep(time.Second)
+		if f.count() == before || !follower.Connection().Up {
+			t.Errorf("%d calls in a second after the others have found the store", f.count()-before)
+		}
+		cancel()
+		time.Sleep(15 * time.Second)
+	})
+}
