--- a/internal/node/gateway/overload.go
+++ b/internal/node/gateway/overload.go
@@ -21,8 +21,6 @@
 	AccountWeights map[ids.Client]float64 `yaml:"account_weights,omitempty"`
 	// LeastPart is the part of the starts that each class of a service gets at least while its requests wait.
 	LeastPart float64 `yaml:"least_part"`
-	// LearnedLimits limits the requests in flight at upstreams of plain services by what these refuse.
-	LearnedLimits bool `yaml:"learned_limits"`
 }
 
 const (
