--- a/internal/node/gateway/metrics.go
+++ b/internal/node/gateway/metrics.go
@@ -84,6 +84,16 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_class_requests_total{service=%q,class=\"%d\",outcome=%q}", service, class, outcome)).Inc()
 }
 
+// placedUnderOverload counts a placement that fair shares of accounts or the least part of a class have changed.
+func (m *gatewayMetrics) placedUnderOverload(service ids.Service, class int, d dispatch.PlacementInputs) {
+	if d.Yielded {
+		m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_yielded_total{service=%q}", service)).Inc()
+	}
+	if d.Entitled {
+		m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_entitled_total{service=%q,class=\"%d\"}", service, class)).Inc()
+	}
+}
+
 func (m *gatewayMetrics) digestFailed() {
 	m.set.GetOrCreateCounter("cardamomyoke_gateway_digests_failed_total").Inc()
 }
--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -99,6 +99,8 @@
 	newAddresses []string
 	// followersSeenAt is when enough peers that follow a table were last seen, by table.
 	followersSeenAt map[string]time.Time
+	// delegates holds the tables of which this gateway leaves calls of the store to others.
+	delegates map[string]bool
 	// pulled holds the tables that a peer has sent since the start.
 	pulled map[string]bool
 	// earlierPulledAt is when rows of earlier eras were last pulled, by table.
@@ -123,6 +125,7 @@
 		lags:      map[string]lag{},
 
 		followersSeenAt: map[string]time.Time{},
+		delegates:       map[string]bool{},
 		pulled:          map[string]bool{},
 		earlierPulledAt: map[string]time.Time{},
 		detector:        newDetector(),
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -86,6 +86,7 @@
 		}
 		n.placedAt = time.Now()
 		n.upstream = ticket.Upstream().ID
+		n.g.metrics.placedUnderOverload(n.r.service.Name, n.r.route.Priority, ticket.PlacementInputs())
 		n.g.metrics.coldSent(n.r.service.Name, ticket.PlacementInputs())
 		n.g.logPlaced(n, ticket.Upstream().Incarnation(), ticket.PlacementInputs())
 		err = n.tracedAttempt(attemptCtx, ticket)
--- a/internal/node/gateway/storechecks_test.go
+++ b/internal/node/gateway/storechecks_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
+
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/replica"
 )
@@ -13,7 +15,7 @@
 // silent.
 func storeCheckPeers(own string, checks StoreChecks, lost, silent int) *peers {
 	now := time.Now()
-	p := &peers{g: &Gateway{}, startedAt: now.Add(-time.Minute), byName: map[string]*peer{}, detector: newDetector()}
+	p := &peers{g: &Gateway{logger: log.NewNopLogger()}, delegates: map[string]bool{}, startedAt: now.Add(-time.Minute), byName: map[string]*peer{}, detector: newDetector()}
 	p.g.settings.Store(&Settings{Name: own, DataCentre: "dc-0", StoreChecks: checks})
 	for i := range 44 {
 		name := fmt.Sprintf("g-%d", i)
--- a/internal/policy/dispatch/accounts.go
+++ b/internal/policy/dispatch/accounts.go
@@ -73,8 +73,8 @@
 
 // yields reports whether the request leaves the free slots to requests that wait at other gateways, because its account has more
 // work in flight than its share.
-func (p *Pool) yields(r Request, now time.Time) bool {
-	if !p.fair() || !p.accounts.BeyondShare(r.Account) {
+func (p *Pool) yields(t *Ticket, now time.Time) bool {
+	if !p.fair() || !p.accounts.BeyondShare(t.request.Account) {
 		return false
 	}
 	elsewhere := p.accounts.WaitingElsewhere()
@@ -82,12 +82,24 @@
 		return false
 	}
 	free, slots := p.freeSlots(p.opts.Fill, now)
-	return free <= min(float64(elsewhere), maxYield*slots)
+	left := min(float64(elsewhere), maxYield*slots)
+	if free > left {
+		return false
+	}
+	t.yielded = t.yielded || free > 0
+	return true
 }
 
 // addAccount adds the inputs of fair shares to those of a placement.
-func (i *PlacementInputs) addAccount(p *Pool, r Request) {
+func (i *PlacementInputs) addAccount(p *Pool, t *Ticket) {
+	if p.fair() {
+		i.AccountTokens, i.Yielded = p.accounts.Load(t.request.Account), t.yielded
+	}
+}
+
+// addAccount adds what fair shares contributed to a refusal.
+func (p *Pool) addAccount(e *OverloadedError, r Request) {
 	if p.fair() {
-		i.AccountTokens = p.accounts.Load(r.Account)
+		e.AccountTokens, e.FairTokens = p.accounts.Load(r.Account), p.accounts.Mean()
 	}
 }
--- a/internal/policy/dispatch/pool.go
+++ b/internal/policy/dispatch/pool.go
@@ -243,6 +243,7 @@
 		RetryAfter: p.classRetry(r, wait),
 	}
 	p.addClasses(err, r, now)
+	p.addAccount(err, r)
 	return err
 }
 
@@ -376,7 +377,7 @@
 
 // place assigns the ticket to an upstream and reports whether one had a free slot.
 func (p *Pool) place(t *Ticket, now time.Time) bool {
-	if p.closed || p.beyondShare(now) || p.reserved(t.request, now) || p.yields(t.request, now) {
+	if p.closed || p.beyondShare(now) || p.reserved(t.request, now) || p.yields(t, now) {
 		return false
 	}
 	candidates := p.candidates(t.request, now)
@@ -390,13 +391,14 @@
 		t.inputs.OthersAge = now.Sub(p.othersAt)
 	}
 	t.inputs.addClasses(p, t.request, now)
-	t.inputs.addAccount(p, t.request)
+	t.inputs.addAccount(p, t)
 	if best.allowance != nil {
 		t.inputs.OwnPart = best.allowance.PerSecond()
 	}
 	if best.cold != nil {
 		t.inputs.ColdPart = best.cold.bucket.PerSecond()
 	}
+	t.inputs.Entitled = p.entitled(t.request.Class)
 	p.recordClassStart(t.request.Class, now)
 	p.accounts.Started(t.request.Account, t.request.work())
 	best.own = best.own.plus(Work{1, t.request.PromptTokens})
--- a/internal/policy/dispatch/ticket.go
+++ b/internal/policy/dispatch/ticket.go
@@ -28,6 +28,8 @@
 	done      bool
 	// late is set if the request could no longer meet its target when it was placed.
 	late bool
+	// yielded is set once the request has left free slots to those of other accounts.
+	yielded bool
 	// accountLoad is the load of the request's account when the request would start; valid only during a sort.
 	accountLoad float64
 	inputs      PlacementInputs
@@ -61,6 +63,10 @@
 	// AccountTokens is the work that all gateways had in flight for the request's account, in tokens for each unit of its
 	// weight; 0 without fair shares.
 	AccountTokens float64
+	// Yielded is set if the request has left free slots to requests of other accounts that wait at other gateways.
+	Yielded bool
+	// Entitled is set if the request was started by the least part of its class.
+	Entitled bool
 }
 
 // Err returns why the request was refused, or nil: *NoRegisteredUpstreamError, *OverloadedError, *RestrictedError or
@@ -95,13 +101,19 @@
 	// requests that go ahead of it.
 	Classes      bool
 	Class, Ahead int
+	// AccountTokens is the work in flight for the request's account for each unit of its weight, FairTokens the same for all
+	// accounts together; both are 0 without fair shares.
+	AccountTokens, FairTokens float64
 }
 
 // Error implements error.
 func (e *OverloadedError) Error() string {
 	text := fmt.Sprintf("no free slot in time: waited %d ms, %d requests waiting, %.0f finished per second", e.Waited.Milliseconds(), e.Waiting, e.PerSecond)
-	if !e.Classes {
-		return text
+	if e.Classes {
+		text = fmt.Sprintf("%s, %d ahead of class %d", text, e.Ahead, e.Class)
 	}
-	return fmt.Sprintf("%s, %d ahead of class %d", text, e.Ahead, e.Class)
+	if e.AccountTokens > e.FairTokens {
+		text = fmt.Sprintf("%s, its account has %.0f tokens in flight where the fair share is %.0f", text, e.AccountTokens, e.FairTokens)
+	}
+	return text
 }
--- a/internal/policy/fairshare/ledger.go
+++ b/internal/policy/fairshare/ledger.go
@@ -75,11 +75,11 @@
 
 // BeyondShare reports whether an account has clearly more work in flight than its share of the work of all accounts.
 func (l *Ledger) BeyondShare(a Account) bool {
-	return l.Load(a) > tolerance*l.meanLoad()
+	return l.Load(a) > tolerance*l.Mean()
 }
 
-// meanLoad returns the work in flight of all accounts for each unit of their weight.
-func (l *Ledger) meanLoad() float64 {
+// Mean returns the work in flight of all accounts for each unit of their weight: the fair share of an account of weight 1.
+func (l *Ledger) Mean() float64 {
 	if l.valid {
 		return l.perWeight
 	}
