--- a/internal/node/gateway/accounts.go
+++ b/internal/node/gateway/accounts.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// accountInterval is the time between two reports of this gateway, each of which goes to maxLimitTargets peers. At any number
-	// of gateways, that is 1.4 KB a second with all rows.
-	accountInterval = 300 * time.Millisecond
+	// accountInterval is the time between two reports of this gateway, each of which goes to maxLimitTargets peers, at any number of
+	// gateways.
+	accountInterval = 400 * time.Millisecond
 	// accountsKept is how long a report counts. Most streams end within that time.
 	accountsKept = time.Second
 )
@@ -53,14 +53,15 @@
 	}
 }
 
-// othersWait reports whether requests wait at other gateways.
-func (a *accountReports) othersWait(now time.Time) bool {
+// othersWait reports whether requests for a service wait at other gateways.
+func (a *accountReports) othersWait(name ids.Service, now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.forgetOld(now)
+	service := serviceHash(name)
 	for _, r := range a.byPeer {
-		for _, waiting := range r.columns.GetWaiting() {
-			if waiting > 0 {
+		for i, waiting := range r.columns.GetWaiting() {
+			if waiting > 0 && r.columns.GetServices()[i] == service {
 				return true
 			}
 		}
@@ -92,15 +93,18 @@
 	return fairshare.Scale(sum, len(a.byPeer), others)
 }
 
-// accountNews returns the work of this gateway's largest accounts, nil if a report is not due or no requests wait anywhere.
+// accountNews returns the work of this gateway's largest accounts at the services for which requests wait somewhere, nil if there
+// are none or a report is not due.
 func (g *Gateway) accountNews(now time.Time) *cardamomyokev1.AccountColumns {
 	if !g.sharesFairly() || now.Sub(g.accounts.reported) < accountInterval {
 		return nil
 	}
-	columns, wait := &cardamomyokev1.AccountColumns{}, false
+	columns := &cardamomyokev1.AccountColumns{}
 	for name, s := range g.control.services {
 		rows, waits := s.gate.OwnAccounts(dispatch.MaxReportedAccounts)
-		wait = wait || waits
+		if !waits && !g.accounts.othersWait(name, now) {
+			continue
+		}
 		for _, r := range rows {
 			columns.Services = append(columns.Services, serviceHash(name))
 			columns.Accounts = append(columns.Accounts, uint32(r.Account))
@@ -108,7 +112,7 @@
 			columns.Waiting = append(columns.Waiting, uint32(r.Waiting))
 		}
 	}
-	if !wait && !g.accounts.othersWait(now) {
+	if len(columns.Services) == 0 {
 		return nil
 	}
 	g.accounts.reported = now
--- a/internal/node/gateway/accounts_test.go
+++ b/internal/node/gateway/accounts_test.go
@@ -4,7 +4,10 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/fairshare"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
@@ -19,18 +22,33 @@
 func TestAccountReportsExpire(t *testing.T) {
 	a, now := newAccountReports(), time.Unix(100, 0)
 	a.merge("g1", accountColumns(7, 500, 2), now)
-	if w := a.work("svc", 1, now)[7]; w != (fairshare.Work{Tokens: 500, Waiting: 2}) || !a.othersWait(now) {
-		t.Errorf("work %+v, others wait %v", w, a.othersWait(now))
+	if w := a.work("svc", 1, now)[7]; w != (fairshare.Work{Tokens: 500, Waiting: 2}) || !a.othersWait("svc", now) || a.othersWait("other", now) {
+		t.Errorf("work %+v, others wait %v", w, a.othersWait("svc", now))
 	}
 	if w := a.work("other", 1, now); len(w) != 0 {
 		t.Errorf("work of another service: %+v", w)
 	}
 	later := now.Add(accountsKept + time.Millisecond)
-	if w := a.work("svc", 1, later); w != nil || a.othersWait(later) {
+	if w := a.work("svc", 1, later); w != nil || a.othersWait("svc", later) {
 		t.Errorf("work %+v after the reports have expired", w)
 	}
 }
 
+// Guards against reports that take more than a quarter of the 6 KB a second that a gateway may use for control.
+func TestAccountReportsAreSmall(t *testing.T) {
+	c := &cardamomyokev1.AccountColumns{}
+	for i := range dispatch.MaxReportedAccounts {
+		c.Services, c.Accounts = append(c.Services, 1<<31), append(c.Accounts, 1<<31+uint32(i))
+		c.Tokens, c.Waiting = append(c.Tokens, 100000), append(c.Waiting, 20)
+	}
+	bytes := proto.Size(&cardamomyokev1.Digest{Accounts: c})
+	perSecond := float64(bytes*maxLimitTargets) / accountInterval.Seconds()
+	t.Logf("%d bytes a report, %.0f bytes a second", bytes, perSecond)
+	if perSecond > 1500 {
+		t.Errorf("%.0f bytes a second", perSecond)
+	}
+}
+
 // Guards against a malformed report that stops the gateway or counts in part.
 func TestMalformedAccountReportIsIgnored(t *testing.T) {
 	a, now := newAccountReports(), time.Unix(100, 0)
