--- a/internal/policy/dispatch/accounts.go
+++ b/internal/policy/dispatch/accounts.go
@@ -9,7 +9,7 @@
 )
 
 // maxYield bounds the slots that accounts beyond their share leave free for requests that wait at other gateways, as a fraction
-// of all slots. The other gateways learn of a free slot only with the next report, and until then it serves nobody.
+// of all slots; one slot may always be left free. The other gateways learn of a free slot only with the next report, and until then it serves nobody.
 const maxYield = 0.05
 
 // MaxReportedAccounts is the number of accounts of a service that a gateway reports to others.
@@ -82,7 +82,7 @@
 		return false
 	}
 	free, slots := p.freeSlots(p.opts.Fill, now)
-	left := min(float64(elsewhere), maxYield*slots)
+	left := min(float64(elsewhere), max(1, maxYield*slots))
 	if free > left {
 		return false
 	}
