--- a/internal/node/gateway/accounts.go
+++ b/internal/node/gateway/accounts.go
@@ -21,8 +21,9 @@
 // accountReports exchanges the work in flight of client accounts with the other gateways while requests wait somewhere. Each
 // gateway reports to a few others, so that a receiver estimates the work of all from those that it has heard.
 type accountReports struct {
-	mu       sync.Mutex
-	byPeer   map[string]accountReport
+	mu     sync.Mutex
+	byPeer map[string]accountReport
+	// reported is when this gateway sent its last report. Only the control loop uses it.
 	reported time.Time
 }
 
@@ -36,7 +37,7 @@
 // merge records the report in a peer's digest. A report whose columns differ in length is malformed and ignored.
 func (a *accountReports) merge(peer string, c *cardamomyokev1.AccountColumns, now time.Time) {
 	n := len(c.GetServices())
-	if c == nil || len(c.GetAccounts()) != n || len(c.GetTokens()) != n || len(c.GetWaiting()) != n {
+	if len(c.GetAccounts()) != n || len(c.GetTokens()) != n || len(c.GetWaiting()) != n {
 		return
 	}
 	a.mu.Lock()
@@ -119,6 +120,13 @@
 	return columns
 }
 
+// recordAccounts records the report in a peer's digest.
+func (g *Gateway) recordAccounts(d *cardamomyokev1.Digest, now time.Time) {
+	if d.GetAccounts() != nil && g.sharesFairly() {
+		g.accounts.merge(d.GetNode(), d.GetAccounts(), now)
+	}
+}
+
 // sharesFairly reports whether requests are ordered by fair shares of client accounts.
 func (g *Gateway) sharesFairly() bool {
 	return g.Settings().Overload.FairAccounts && !g.disabled(dispatch.Accounts)
--- a/internal/node/gateway/log.go
+++ b/internal/node/gateway/log.go
@@ -56,7 +56,8 @@
 		"upstream", n.upstream, "attempt", n.sent+n.unreached+1, "load", d.Load, "usable", d.Usable, "waiting", d.Waiting,
 		"digests_age_ms", d.OthersAge.Milliseconds(), "waited_ms", n.placedAt.Sub(n.r.arrived).Milliseconds(),
 		"limit_per_second", n.g.limits.perSecond(u), "own_part_per_second", d.OwnPart, "cold_part_per_second", d.ColdPart,
-		"priority", n.r.priority, "class", n.r.route.Priority, "slots_reserved", d.Reserved, "account_tokens", d.AccountTokens, "yielded", d.Yielded, "entitled", d.Entitled)
+		"priority", n.r.priority, "class", n.r.route.Priority, "slots_reserved", d.Reserved,
+		"account_tokens", d.AccountTokens, "yielded", d.Yielded, "entitled", d.Entitled)
 }
 
 // logRetry logs that another attempt follows.
--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -193,7 +193,7 @@
 		p.g.suspects.tracker.Merge(now, quarantine.FromDigest(d)...)
 		p.g.limits.merge(d.GetLimits(), now)
 		p.g.cold.merge(d.GetCold(), now)
-		p.g.accounts.merge(d.GetNode(), d.GetAccounts(), now)
+		p.g.recordAccounts(d, now)
 		p.catchUp(d)
 	}
 }
--- a/internal/node/gateway/view.go
+++ b/internal/node/gateway/view.go
@@ -36,14 +36,14 @@
 	grants *retryGrants
 	// habit records how the service's upstreams end their responses.
 	habit *completeness.Habit
-	// hasOthersAccounts is set while the gate has work of other gateways by account. Only the control loop uses it.
-	hasOthersAccounts bool
 	// gaps records which of the service's streams have ids that are not consecutive.
 	gaps *completeness.Habit
 	// group is nil unless the upstreams are ranks of a group.
 	group *groupWatch
 	// evacuable is set while streams may be moved away from evacuated data centres.
 	evacuable atomic.Bool
+	// hasOthersAccounts is set while the gate has work of other gateways by account. Only the control loop uses it.
+	hasOthersAccounts bool
 }
 
 // nodeState is a gateway's state, as it reports it to peers and callers.
