While a group works off what has waited for it, requests wait for cold upstreams instead of being refused together

They had waited for less than half of their target, so that they were not late yet, and could not be in time by the time at which the cold upstreams permit them.

Before and after, a request that would miss its target by waiting is refused at once, as it was.

TestRequestsInTimeWaitForColdUpstreamsOfReopenedGroup fails without the change.

--- a/internal/policy/dispatch/cold_test.go
+++ b/internal/policy/dispatch/cold_test.go
@@ -115,6 +115,28 @@
 	}
 }
 
+// Guards against callers who are refused together because a group is open again just before their target: they cannot be in time at
+// another gateway either.
+func TestRequestsInTimeWaitForColdUpstreamsOfReopenedGroup(t *testing.T) {
+	p := newPool(2, 4)
+	p.SetCold(cold(2, "u-00", "u-01"), at(0))
+	p.SetClosed(true, at(0))
+	waiting := p.Submit(timedRequest(at(0)), at(0))
+	p.SetClosed(false, at(targetLatency/4))
+	arriving := p.Submit(timedRequest(at(targetLatency/4)), at(targetLatency/4))
+	for name, ticket := range map[string]*dispatch.Ticket{"waited": waiting, "arrives afterwards": arriving} {
+		if ticket.Err() != nil {
+			t.Errorf("%s: refused: %v", name, ticket.Err())
+		}
+	}
+	if p.Tick(at(time.Second)); waiting.Upstream() == nil || arriving.Upstream() == nil {
+		t.Error("not placed when the upstreams permit it")
+	}
+	if ticket := p.Submit(timedRequest(at(3*time.Second)), at(3*time.Second)); ticket.Upstream() == nil {
+		t.Errorf("later: %v", ticket.Err())
+	}
+}
+
 // Guards against a gateway that leaves the slots of a cold upstream to others that have no part of its rate.
 func TestColdUpstreamIsNotLeftToGatewaysWithoutAPart(t *testing.T) {
 	p := newPool(1, 2)
--- a/internal/policy/dispatch/restriction.go
+++ b/internal/policy/dispatch/restriction.go
@@ -145,8 +145,9 @@
 // A request that waits for them and then starts too late to meet its target keeps its caller from another gateway, which
 // may have a part of the limit to spare, and which the upstream may not have asked for rest.
 //
-// Requests that are late already wait for cold upstreams, of some of which each gateway has a part. After an outage all
-// upstreams are cold and all waiting requests late; refused, their callers would use up the retry that they have left.
+// Requests that are late already wait for cold upstreams, of some of which each gateway has a part, and so do all while a group
+// works off what has waited for it. After an outage all upstreams are cold; refused together, the callers would come back
+// late in any case, and use up the retry that they have left.
 func (p *Pool) restrictedError(r Request, ahead int, now time.Time) error {
 	if err := p.evacuatedError(r, now); err != nil {
 		return err
@@ -161,7 +162,7 @@
 	wait, ends := held.wait(ahead, now)
 	start := now.Add(wait)
 	inTime := !p.late(r, start)
-	if r.Begun || held.onlyCold() && p.late(r, now) {
+	if r.Begun || held.onlyCold() && (p.late(r, now) || p.reopened(now)) {
 		inTime = !start.After(p.startBy(r))
 	}
 	if ends && inTime {
--- a/internal/policy/dispatch/wait.go
+++ b/internal/policy/dispatch/wait.go
@@ -57,12 +57,15 @@
 // waitBehind is expectedWait for a number of requests ahead.
 func (p *Pool) waitBehind(ahead int, now time.Time) time.Duration {
 	perSecond := p.completed.perSecond()
-	if perSecond == 0 || p.closed || now.Sub(p.openedAt) < rateWindow {
+	if perSecond == 0 || p.closed || p.reopened(now) {
 		return 0
 	}
 	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
 }
 
+// reopened reports whether the pool opened so recently that requests which waited for it are still being worked off.
+func (p *Pool) reopened(now time.Time) bool { return now.Sub(p.openedAt) < rateWindow }
+
 // closedRetry is the Retry-After of a broken group. A crashed rank is back within seconds. Callers honour up to a third
 // of their remaining time, so this value is honoured by those with at least 6.6 seconds left.
 const closedRetry = 2200 * time.Millisecond
