registry: a store that comes back older does not end a running incarnation

The store came back older and showed the entry of the incarnation before (i-7@ after i-7@). The gateways had started in between and never seen it, so that they took it for a restart and the running incarnation for ended: 'upstream restarted', and from the next heartbeat on 'entry of an ended life'. The upstream was no longer known to be cold.

Change: the first entry of a key in another era is taken for a copy from before if its start is earlier. An upstream that has restarted with its clock set back writes again a heartbeat later, and that counts.

TestRestoredEntryDoesNotEndRunningIncarnation fails without the change.

--- a/internal/state/registry/earlier_test.go
+++ b/internal/state/registry/earlier_test.go
@@ -136,3 +136,29 @@
 		})
 	}
 }
+
+// Guards against a running upstream that counts as ended because a store that came back older shows the entry of an incarnation
+// before it, which this gateway has never seen. With the running incarnation, the gateway forgot that it was cold.
+func TestRestoredEntryDoesNotEndRunningIncarnation(t *testing.T) {
+	const earlierStart, start = 5, 7
+	w := newTable()
+	r := registry.New(w.decode)
+	write := func(era uint64, startedAtMS int64) (map[string]catalog.State, []registry.Kind) {
+		w.rows = nil
+		w.put("u", newUpstream("10.0.0.1:1", startedAtMS, catalog.StateReady))
+		w.rows[0].Era = era
+		return update(r, w)
+	}
+	running := map[string]catalog.State{"u@7": catalog.StateReady}
+	write(0, start)
+	if got, found := write(1, earlierStart); !cmp.Equal(got, running) || !cmp.Equal(found, []registry.Kind{registry.Late}) {
+		t.Errorf("restored: %v, found %v", got, found)
+	}
+	if got, found := write(1, start); !cmp.Equal(got, running) || len(found) > 0 {
+		t.Errorf("written again: %v, found %v", got, found)
+	}
+	write(2, earlierStart)
+	if got, found := write(2, earlierStart); !cmp.Equal(got, map[string]catalog.State{"u@5": catalog.StateReady}) || !cmp.Equal(found, []registry.Kind{registry.Restarted}) {
+		t.Errorf("restarted with its clock set back: %v, found %v", got, found)
+	}
+}
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -162,7 +162,7 @@
 		return e, nil
 	}
 	f := &Finding{Key: string(current.Upstream), Version: e.position, Incarnation: current, Previous: previous, Kind: Restarted}
-	if current.StartedAtMS == 0 || slices.Contains(e.pastStarts, current.StartedAtMS) {
+	if current.StartedAtMS == 0 || slices.Contains(e.pastStarts, current.StartedAtMS) || e.restoredOver(old) {
 		f.Kind = Late
 		e.up = old.up
 		return e, f
@@ -171,6 +171,16 @@
 	return e, f
 }
 
+// restoredOver reports whether e seems to be a copy of an entry from before old: the first one of its key in another era, with an
+// earlier start.
+//
+// A store that comes back older shows entries of incarnations that were replaced before, and a gateway that started later does not
+// know that they were. If it took them for new ones, the running incarnation would count as ended, and with it that it is cold.
+// An upstream that did restart with its clock set back writes its entry again a heartbeat later, in the same era.
+func (e *entry) restoredOver(old *entry) bool {
+	return e.position.Era != old.position.Era && e.up.StartedAtMS < old.up.StartedAtMS
+}
+
 func (e *entry) addPastStart(startedAtMS int64) {
 	if startedAtMS == 0 {
 		return
