--- a/internal/node/gateway/dialect.go
+++ b/internal/node/gateway/dialect.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/blame"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
@@ -24,6 +25,8 @@
 	// PromptTokens and MaxOutputTokens size a request to a model. OutputHint is the caller's estimate of the output
 	// tokens, 0 for none.
 	PromptTokens, MaxOutputTokens, OutputHint int
+	// SharedParts are the parts of the prompt that other requests may have as well, in order; empty if they are not known.
+	SharedParts blame.Parts
 }
 
 // UpstreamHeader holds the header fields that the gateway sets in a request to an upstream.
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -151,7 +151,7 @@
 	g.registryFollower = g.newFollower(d.Feed, d.Decoder.UpstreamTable())
 	g.followers = []*replica.Follower{g.configFollower, g.registryFollower}
 	g.publish()
-	g.suspects = newSuspects(d.Logger)
+	g.suspects = newSuspects(d.Logger, g.metrics)
 	var err error
 	if g.peers, err = startPeers(ctx, g); err != nil {
 		return nil, err
--- a/internal/node/gateway/metrics.go
+++ b/internal/node/gateway/metrics.go
@@ -31,6 +31,8 @@
 	gauge("peers", func() float64 { return float64(g.peers.count(time.Now())) })
 	gauge("leads_experts", func() float64 { return boolValue(g.experts.fence.Load() > 0) })
 	gauge("requests_quarantined", func() float64 { return float64(g.suspects.countRefused(time.Now())) })
+	gauge("requests_suspected", func() float64 { known, _ := g.suspects.countSuspects(time.Now()); return float64(known) })
+	gauge("requests_suspected_not_in_digests", func() float64 { _, leftOut := g.suspects.countSuspects(time.Now()); return float64(leftOut) })
 	for _, f := range g.followers {
 		gauge(fmt.Sprintf("store_up{table=%q}", f.Replica.Name()), func() float64 { return boolValue(f.Connection().Up) })
 		gauge(fmt.Sprintf("store_since_seconds{table=%q}", f.Replica.Name()), func() float64 { return time.Since(f.Connection().Since).Seconds() })
@@ -164,6 +166,16 @@
 	}
 }
 
+// crashProven counts a crash of an upstream under requests of this gateway.
+func (m *gatewayMetrics) crashProven(proof string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_crashes_total{proof=%q}", proof)).Inc()
+}
+
+// crashUnproven counts broken connections to an upstream that prove no crash.
+func (m *gatewayMetrics) crashUnproven(service ids.Service, reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_crashes_unproven_total{service=%q,reason=%q}", service, reason)).Inc()
+}
+
 func (m *gatewayMetrics) restRequested(service ids.Service) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_rests_total{service=%q}", service)).Inc()
 }
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -156,6 +156,7 @@
 
 // attempt sends the request to one upstream and relays the response.
 func (n *run) attempt(ctx context.Context, t *dispatch.Ticket) error {
+	n.stream.attemptEvents = 0
 	res, err := n.send(ctx, t)
 	if err != nil {
 		return err
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -18,6 +18,8 @@
 	// events counts the writes of events to the caller; longestGap is the longest time between two of them.
 	events     int
 	longestGap time.Duration
+	// attemptEvents counts the writes of events of the current attempt.
+	attemptEvents int
 	// untilClose is set if the caller's response ends with its connection, as that of the upstream.
 	untilClose bool
 	ids        idSequence
@@ -29,6 +31,7 @@
 		r.longestGap = max(r.longestGap, gap)
 	}
 	r.events++
+	r.attemptEvents++
 }
 
 // streamBufferBytes is the size of one read from an upstream; an event has some tens of bytes.
--- a/internal/node/gateway/suspects.go
+++ b/internal/node/gateway/suspects.go
@@ -16,6 +16,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/blame"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
@@ -42,32 +43,44 @@
 type suspects struct {
 	tracker *quarantine.PersistentTracker
 	logger  log.Logger
+	metrics *gatewayMetrics
 	dial    func(ctx context.Context, address string) error
 
 	mu sync.Mutex
 	// confirming holds the runs whose connections broke, by upstream, until it is known whether the upstream still
 	// listens.
-	confirming map[ids.UpstreamIncarnation][]quarantine.Running
+	confirming map[ids.UpstreamIncarnation][]brokenRun
 	// listening holds the runs whose connections broke, by upstream, if the upstream's address still accepted
 	// connections.
 	listening map[ids.UpstreamIncarnation]brokenRuns
 }
 
+// brokenRun is a run whose connection to its upstream broke.
+type brokenRun struct {
+	quarantine.Running
+	// attempt is the caller's id of the request.
+	attempt string
+	parts   blame.Parts
+	// events is how many writes of events the upstream's response had come to.
+	events int
+}
+
 // brokenRuns are the runs whose connections to one incarnation of an upstream broke; at is when the last of them was
 // recorded.
 type brokenRuns struct {
-	runs []quarantine.Running
+	runs []brokenRun
 	at   time.Time
 }
 
-func newSuspects(logger log.Logger) *suspects {
+func newSuspects(logger log.Logger, m *gatewayMetrics) *suspects {
 	rules := quarantine.Rules{Period: quarantinePeriod, Crashes: refuseAfterCrashes}
 	return &suspects{
 		// Evidence need not be durable: if all gateways crash together, three more crashes establish it again.
 		tracker:    quarantine.NewPersistentTracker(nil, rules, quarantine.PersistentTrackerOptions{}),
 		logger:     logger,
+		metrics:    m,
 		dial:       dialOnce,
-		confirming: map[ids.UpstreamIncarnation][]quarantine.Running{},
+		confirming: map[ids.UpstreamIncarnation][]brokenRun{},
 		listening:  map[ids.UpstreamIncarnation]brokenRuns{},
 	}
 }
@@ -92,6 +105,12 @@
 	return n
 }
 
+// countSuspects returns the number of requests against which a crash counts, and how many of them a digest leaves out.
+func (s *suspects) countSuspects(now time.Time) (known, leftOut int) {
+	known = len(s.tracker.List(now))
+	return known, max(0, known-maxDigestSuspects)
+}
+
 // fingerprint identifies the request; it is the same each time a client account sends it. It is computed on first use.
 func (n *run) fingerprint() quarantine.Fingerprint {
 	if !n.hasFingerprint {
@@ -152,7 +171,7 @@
 
 // connectionBroken records that a run's connection to an upstream broke, and checks whether the upstream crashed.
 func (s *suspects) connectionBroken(ctx context.Context, n *run, u *catalog.Upstream) {
-	running := quarantine.Running{Fingerprint: n.fingerprint(), Client: n.r.client}
+	running := brokenRun{quarantine.Running{Fingerprint: n.fingerprint(), Client: n.r.client}, n.r.call.Attempt, n.r.call.SharedParts, n.stream.attemptEvents}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_, pending := s.confirming[u.Incarnation()]
@@ -172,17 +191,26 @@
 	delete(s.confirming, u.Incarnation())
 	switch {
 	case err == nil:
+		s.logUnproven(u, runs, "its address accepts connections", nil)
 		s.recordListening(u.Incarnation(), runs, time.Now())
 	case errors.Is(err, syscall.ECONNREFUSED):
 		s.recordCrash(u.Incarnation(), runs, "its address refuses connections")
+	default:
+		s.logUnproven(u, runs, "its address does not respond", err)
 	}
 }
 
+// logUnproven logs that connections to an upstream broke, though nothing proves that it crashed.
+func (s *suspects) logUnproven(u *catalog.Upstream, runs []brokenRun, reason string, err error) {
+	s.metrics.crashUnproven(u.Service, reason)
+	_ = level.Info(s.logger).Log("msg", "crash not proven", "upstream", u.Incarnation(), "reason", reason, "runs", len(runs), "err", err)
+}
+
 // restartWindow is how long after a broken connection a new incarnation of the upstream still proves that the previous
 // one crashed: a restart takes some seconds, and its registry entry some heartbeats.
 const restartWindow = 10 * time.Second
 
-func (s *suspects) recordListening(i ids.UpstreamIncarnation, added []quarantine.Running, now time.Time) {
+func (s *suspects) recordListening(i ids.UpstreamIncarnation, added []brokenRun, now time.Time) {
 	for incarnation, b := range s.listening {
 		if now.Sub(b.at) > restartWindow {
 			delete(s.listening, incarnation)
@@ -207,16 +235,17 @@
 
 // recordCrash counts a crash against the runs whose connections broke in it. The caller holds the lock, so that a
 // goroutine that finds no pending check also sees its result.
-func (s *suspects) recordCrash(i ids.UpstreamIncarnation, runs []quarantine.Running, proof string) {
+func (s *suspects) recordCrash(i ids.UpstreamIncarnation, runs []brokenRun, proof string) {
 	now := time.Now()
 	// The crash id is derived from the incarnation, so that the reports of several gateways count as one crash, and two
 	// crashes of the same upstream id as two.
 	crash := quarantine.Evidence{Crash: quarantine.NewCrashID(ids.Incarnation(i.String()), 1), At: now}
+	s.metrics.crashProven(proof)
 	for _, r := range runs {
 		s.tracker.Merge(now, quarantine.Suspect{Fingerprint: r.Fingerprint, Client: r.Client, Evidence: []quarantine.Evidence{crash}})
 		lvl, _ := s.tracker.Snapshot().Classify(now, r.Fingerprint)
 		_ = level.Info(s.logger).Log("msg", "request suspected", "reason", "upstream crashed while running the request", "upstream", i, "proof", proof,
-			"fingerprint", r.Fingerprint, "client", r.Client, "level", lvl)
+			"fingerprint", r.Fingerprint, "client", r.Client, "level", lvl, "request", r.attempt, "parts", r.parts, "events", r.events)
 	}
 }
 
--- /dev/null
+++ b/internal/policy/blame/doc.go
@@ -0,0 +1,2 @@
+// Package blame finds the part of prompts that crashes upstreams.
+package blame
