Refuse a part of prompts under which upstreams crash, whatever else its requests hold

Cause: crashes were held against whole requests only, in the memory of each gateway, so that nothing added up. The class: blame is kept at one grain while the cause is shared, and not where it outlasts its keepers.

Each proven crash is now held against the parts of the requests that had not begun to be answered there; an answer that goes on under a part speaks for it. A part under which no answer is known is refused after two crashes of different requests, one that was answered before after four in a row, and a crash that a refused part explains counts against no other. Evidence merges in any order: digests carry it at once, a row of the store keeps it through kills of all gateways, and a gateway reads the row, or gets it from a peer, before it lets such requests through. What waits is checked again before it is sent, what has been sent and not begun is cancelled, what crashed under a suspected part is not retried. At most two requests are ever let through to try it again, each counted in the row first.

--- a/internal/node/gateway/digests.go
+++ b/internal/node/gateway/digests.go
@@ -123,6 +123,7 @@
 	}
 	d.Slow = g.experts.allSlowRanks()
 	d.Suspects = quarantine.ToDigest(g.suspects.tracker.Digest(time.Now(), maxDigestSuspects))
+	d.Parts, d.PartsLoaded = g.suspects.parts.digest(time.Now())
 	d.Work = g.workColumns()
 	d.FirstAttempts = g.firstAttemptColumns(time.Now())
 	d.RetryGrants = true
--- a/internal/node/gateway/evacuation_test.go
+++ b/internal/node/gateway/evacuation_test.go
@@ -151,7 +151,7 @@
 	set := catalog.NewEvacuations([]catalog.Evacuation{{DataCentre: "b"}})
 	g := &Gateway{
 		dialect: refusingDialect{}, requests: newRequestLogs(log.NewNopLogger(), LogBounds{}), metrics: newMetrics(), tracer: tracing.Disabled(),
-		client: httpclient.New(httpclient.Options{}), moves: newMoves(), limits: newLimits(), suspects: newSuspects(log.NewNopLogger(), newMetrics()),
+		client: httpclient.New(httpclient.Options{}), moves: newMoves(), limits: newLimits(), suspects: newSuspects("g", log.NewNopLogger(), newMetrics()),
 	}
 	g.settings.Store(&Settings{})
 	g.view.Store(&view{evacuated: set, upstreams: catalog.NewUpstreams(nil)})
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -79,6 +79,7 @@
 	peers            *peers
 	experts          *experts
 	suspects         *suspects
+	partStore        *partStore
 	moves            *moves
 	limits           *limits
 	// evacuationStatus is published by the control loop, sorted by data centre.
@@ -151,7 +152,9 @@
 	g.registryFollower = g.newFollower(d.Feed, d.Decoder.UpstreamTable())
 	g.followers = []*replica.Follower{g.configFollower, g.registryFollower}
 	g.publish()
-	g.suspects = newSuspects(d.Logger, g.metrics)
+	g.suspects = newSuspects(set.Name, d.Logger, g.metrics)
+	g.suspects.parts.announce = func() { go g.loop.Post(g.peers.announce) }
+	g.partStore = newPartStore(g)
 	var err error
 	if g.peers, err = startPeers(ctx, g); err != nil {
 		return nil, err
@@ -255,11 +258,17 @@
 		storeUp:    g.configFollower.Connection().Up,
 		storeSince: g.configFollower.Connection().Since,
 	})
-	if g.control.config != nil && (g.control.upstreams.Len() > 0 || g.registryFollower.Replica.Newest().Version > 0) {
+	hasUpstreams := g.control.upstreams.Len() > 0 || g.registryFollower.Replica.Newest().Version > 0
+	if g.control.config != nil && hasUpstreams && g.knowsParts() {
 		g.startup.finish()
 	}
 }
 
+// knowsParts reports whether this gateway knows the stored parts under which upstreams crash, or does without them.
+func (g *Gateway) knowsParts() bool {
+	return g.suspects != nil && g.suspects.parts.serving.Load() || g.disabled(mechanismSuspects)
+}
+
 // tick runs once per tickInterval on the control loop.
 func (g *Gateway) tick(now time.Time) {
 	g.pauses.Observe(now)
@@ -282,6 +291,10 @@
 	}
 	g.tickEvacuations(now)
 	g.suspects.tracker.Expire(now)
+	if !g.disabled(mechanismSuspects) {
+		g.suspects.parts.tick(now)
+		g.partStore.tick(now)
+	}
 	g.experts.tick(now)
 	g.peers.tick(now)
 }
--- a/internal/node/gateway/handler.go
+++ b/internal/node/gateway/handler.go
@@ -67,6 +67,7 @@
 func (g *Gateway) runRequest(ctx context.Context, v *view, x *httpserver.Exchange, r *request, trace string) error {
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
+	g.suspects.parts.seen(r.call.SharedParts)
 	run := newRun(g, v, x, r)
 	run.trace = trace
 	err := run.runAttempts(ctx)
@@ -87,6 +88,8 @@
 		return r, failure.New(failure.CodeMalformed, err)
 	case v.config == nil:
 		return r, failure.New(failure.CodeStaleRevision, nil).WithRetryAfter(notReadyRetryAfter)
+	case len(call.SharedParts) > 0 && !g.knowsParts():
+		return r, failure.New(failure.CodeStaleRevision, nil).WithRetryAfter(notReadyRetryAfter)
 	case v.state == stateClosing:
 		return r, failure.New(failure.CodeStopping, nil).WithRetryAfter(closingRetryAfter)
 	}
--- a/internal/node/gateway/holdwatch_test.go
+++ b/internal/node/gateway/holdwatch_test.go
@@ -30,7 +30,7 @@
 	}
 	t.Cleanup(func() { _ = sender.Close() })
 	g := &Gateway{
-		logger: log.NewNopLogger(), incarnation: "b", loop: control.New(), limits: newLimits(), metrics: newMetrics(), suspects: newSuspects(log.NewNopLogger(), newMetrics()),
+		logger: log.NewNopLogger(), incarnation: "b", loop: control.New(), limits: newLimits(), metrics: newMetrics(), suspects: newSuspects("g", log.NewNopLogger(), newMetrics()),
 		cold: newColdLimits(log.NewNopLogger(), time.Now()), accounts: newAccountReports(),
 	}
 	g.settings.Store(&Settings{
--- a/internal/node/gateway/join.go
+++ b/internal/node/gateway/join.go
@@ -58,6 +58,7 @@
 	d := p.compose()
 	d.Peers = p.others(now)
 	d.Limits = p.g.limits.newest(now)
+	d.Parts, d.PartsLoaded = p.g.suspects.parts.all()
 	p.sendTo([]string{to}, d)
 }
 
--- a/internal/node/gateway/metrics.go
+++ b/internal/node/gateway/metrics.go
@@ -33,6 +33,10 @@
 	gauge("requests_quarantined", func() float64 { return float64(g.suspects.countRefused(time.Now())) })
 	gauge("requests_suspected", func() float64 { known, _ := g.suspects.countSuspects(time.Now()); return float64(known) })
 	gauge("requests_suspected_not_in_digests", func() float64 { _, leftOut := g.suspects.countSuspects(time.Now()); return float64(leftOut) })
+	gauge("parts_refused", func() float64 { refused, _ := g.suspects.parts.snapshot.Load().Count(); return float64(refused) })
+	gauge("parts_suspected", func() float64 { _, suspected := g.suspects.parts.snapshot.Load().Count(); return float64(suspected) })
+	gauge("parts_known", func() float64 { return boolValue(g.suspects.parts.known.Load()) })
+	gauge("parts_saved", func() float64 { saved, _ := g.partStore.saved(); return boolValue(saved) })
 	for _, f := range g.followers {
 		gauge(fmt.Sprintf("store_up{table=%q}", f.Replica.Name()), func() float64 { return boolValue(f.Connection().Up) })
 		gauge(fmt.Sprintf("store_since_seconds{table=%q}", f.Replica.Name()), func() float64 { return time.Since(f.Connection().Since).Seconds() })
@@ -166,6 +170,25 @@
 	}
 }
 
+// partDecided counts a decision on a part under which upstreams crash, own or learned.
+func (m *gatewayMetrics) partDecided(state string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_part_decisions_total{state=%q}", state)).Inc()
+}
+
+// partRefused counts a request that is refused because of a part.
+func (m *gatewayMetrics) partRefused(service ids.Service) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_part_refusals_total{service=%q}", service)).Inc()
+}
+
+// partsStoreFailed counts a failed call for the stored parts, partsRowInvalid stored parts that cannot be decoded.
+func (m *gatewayMetrics) partsStoreFailed() {
+	m.set.GetOrCreateCounter("cardamomyoke_gateway_parts_store_failed_total").Inc()
+}
+
+func (m *gatewayMetrics) partsRowInvalid() {
+	m.set.GetOrCreateCounter("cardamomyoke_gateway_parts_row_invalid_total").Inc()
+}
+
 // crashProven counts a crash of an upstream under requests of this gateway.
 func (m *gatewayMetrics) crashProven(proof string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_crashes_total{proof=%q}", proof)).Inc()
--- a/internal/node/gateway/move_test.go
+++ b/internal/node/gateway/move_test.go
@@ -104,7 +104,7 @@
 func TestMovedStreamIsRetriedWithoutBudget(t *testing.T) {
 	n := movableRun(&service{group: &groupWatch{}, budget: retryBudget(0)}, true)
 	n.r.route.Kind = catalog.KindStream
-	n.g = &Gateway{suspects: newSuspects(nil, newMetrics())}
+	n.g = &Gateway{suspects: newSuspects("g", nil, newMetrics())}
 	n.x = runOf("").x
 	n.recordFailure(&catalog.Upstream{ID: "u"}, &MovedError{Upstream: "u"})
 	if reason := n.stopReason(t.Context(), &MovedError{Upstream: "u"}); reason != "" {
--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/bits"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -14,6 +15,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/logging"
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/blame"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/digest"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/liveness"
@@ -191,6 +193,7 @@
 	}
 	if d.GetProbe() == nil {
 		p.g.suspects.tracker.Merge(now, quarantine.FromDigest(d)...)
+		p.mergeParts(d, next.complete(), now)
 		p.g.limits.merge(d.GetLimits(), now)
 		p.g.cold.merge(d.GetCold(), now)
 		p.g.recordAccounts(d, now)
@@ -229,6 +232,24 @@
 	return &next
 }
 
+// complete reports whether all parts of the digest were received.
+func (k *peer) complete() bool {
+	return bits.OnesCount64(k.receivedParts) >= max(1, int(k.digest.GetPart().GetCount()))
+}
+
+// mergeParts merges the parts under which upstreams crash from a datagram; all is set once the whole digest was received.
+func (p *peers) mergeParts(d *cardamomyokev1.Digest, all bool, now time.Time) {
+	if p.g.disabled(mechanismSuspects) {
+		return
+	}
+	if len(d.GetParts()) > 0 {
+		p.g.suspects.parts.merge(blame.FromProto(d.GetParts()), now)
+	}
+	if d.GetPartsLoaded() && all && p.g.partStore != nil {
+		p.g.partStore.setKnown("a peer has sent them")
+	}
+}
+
 func partBit(d *cardamomyokev1.Digest) uint64 { return 1 << d.GetPart().GetIndex() }
 
 // replacedBy reports whether a digest is newer than the recorded one. Incarnations are ordered by the wall clock at
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -12,6 +12,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/blame"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/fairshare"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
@@ -52,6 +53,10 @@
 	// cachedFingerprint is the request's fingerprint; valid only if hasFingerprint is set.
 	cachedFingerprint quarantine.Fingerprint
 	hasFingerprint    bool
+	// trial is the refused part for which the request is let through; nil if it is not.
+	trial *blame.Part
+	// partsAnswered is set once the answer of the current attempt goes on.
+	partsAnswered bool
 }
 
 func newRun(g *Gateway, v *view, x *httpserver.Exchange, r *request) *run {
@@ -70,6 +75,11 @@
 	if _, refused := n.g.suspects.classify(n, n.r.arrived); refused != nil {
 		return refused.asFailure(n.r.arrived)
 	}
+	if refused := n.refusal(); refused != nil && !n.claimTrial(ctx, refused.Refusal.Part) {
+		n.g.metrics.partRefused(n.r.service.Name)
+		return refused.asFailure(n.r.arrived)
+	}
+	defer n.endTrial()
 	n.service.budget.RecordFirst(n.r.arrived)
 	defer n.returnToken()
 	attemptCtx := ctx
@@ -79,6 +89,10 @@
 		if err != nil {
 			return n.unplacedError(ctx, err)
 		}
+		if refused := n.refusal(); refused != nil {
+			n.service.gate.Done(ticket, dispatch.OutcomeNone)
+			return n.refusedWhileWaiting(ctx, refused)
+		}
 		if !n.payForRetry(time.Now()) {
 			n.service.gate.Done(ticket, dispatch.OutcomeNone)
 			n.g.logRetryDenied(n, last)
@@ -94,6 +108,7 @@
 		n.service.gate.Done(ticket, outcomeOf(attemptCtx, err))
 		if err == nil {
 			n.g.suspects.completed(n, time.Now())
+			n.answering()
 			return nil
 		}
 		if isUnwritten(err) {
@@ -148,7 +163,7 @@
 	incoming := n.trace
 	ctx, span := n.g.tracer.Start(ctx, "gateway attempt", incoming, attribute.String("upstream", string(t.Upstream().ID)))
 	n.trace = span.Header()
-	err := n.movableAttempt(ctx, t)
+	err := n.cancellableAttempt(ctx, func(ctx context.Context) error { return n.movableAttempt(ctx, t) })
 	n.trace = incoming
 	span.End(err)
 	return err
@@ -233,6 +248,7 @@
 func (n *run) stopReason(ctx context.Context, err error) string {
 	var closed *httpserver.ConnectionClosedError
 	var moved *MovedError
+	var refused *PartRefusedError
 	switch {
 	case errors.As(err, &closed) || context.Cause(ctx) == context.Canceled:
 		return "the caller disconnected"
@@ -246,10 +262,16 @@
 		return "no attempt is left"
 	case n.mustStop():
 		return "two upstreams crashed while they ran it"
+	case errors.As(err, &refused):
+		return "a part of its prompt is refused"
+	case n.trial != nil && n.sent > 0:
+		return "it was let through once"
 	case n.unreached >= maxUnreached:
 		return "no upstream can be reached"
 	case errors.As(err, &moved):
 		return "" // moveFrom has already reserved the retry
+	case n.mayHaveRun && !n.x.Responded() && n.suspected(ctx):
+		return "upstreams may crash under a part of its prompt"
 	case n.arrived && !n.reserveRetry(ctx):
 		n.g.logRetryDenied(n, err)
 		return budgetUsedUp
@@ -280,6 +302,15 @@
 	return failure.New(failure.CodeNoUpstream, cause).WithRetryAfter(refusedRetryAfter)
 }
 
+// refusedWhileWaiting returns the response to a request that was refused after it had been accepted.
+func (n *run) refusedWhileWaiting(ctx context.Context, refused *PartRefusedError) error {
+	if n.mayHaveRun || n.x.Responded() {
+		return n.finalError(ctx, refused, "a part of its prompt is refused")
+	}
+	n.g.metrics.partRefused(n.r.service.Name)
+	return refused.asFailure(time.Now())
+}
+
 // refusedRetryAfter is when a caller should retry whose request all upstreams refused: some requests finish meanwhile.
 const refusedRetryAfter = 300 * time.Millisecond
 
@@ -318,10 +349,11 @@
 	var failed *FailedError
 	var moved *MovedError
 	var unproven *UnprovenEndError
+	var partRefused *PartRefusedError
 	switch {
 	case err == nil || errors.As(err, &unproven):
 		return dispatch.OutcomeOK
-	case errors.As(err, &closed) || errors.As(err, &moved) || isUnwritten(err) || ctx.Err() != nil:
+	case errors.As(err, &closed) || errors.As(err, &moved) || errors.As(err, &partRefused) || isUnwritten(err) || ctx.Err() != nil:
 		return dispatch.OutcomeNone
 	case errors.As(err, &refused) && refused.Status == statusOtherInstance:
 		return dispatch.OutcomeReplaced
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -138,6 +138,9 @@
 		return err
 	}
 	n.stream.recordEvents(time.Since(n.lastEventAt))
+	if n.stream.attemptEvents >= minAnsweredEvents {
+		n.answering()
+	}
 	n.lastEventAt = time.Now()
 	n.stream.lastEvent = last
 	return err
--- a/internal/node/gateway/suspects.go
+++ b/internal/node/gateway/suspects.go
@@ -44,7 +44,9 @@
 	tracker *quarantine.PersistentTracker
 	logger  log.Logger
 	metrics *gatewayMetrics
-	dial    func(ctx context.Context, address string) error
+	// parts holds the crashes against parts that requests share.
+	parts *crashParts
+	dial  func(ctx context.Context, address string) error
 
 	mu sync.Mutex
 	// confirming holds the runs whose connections broke, by upstream, until it is known whether the upstream still
@@ -63,6 +65,8 @@
 	parts   blame.Parts
 	// events is how many writes of events the upstream's response had come to.
 	events int
+	// leaving is set if the upstream's end was planned.
+	leaving bool
 }
 
 // brokenRuns are the runs whose connections to one incarnation of an upstream broke; at is when the last of them was
@@ -72,13 +76,15 @@
 	at   time.Time
 }
 
-func newSuspects(logger log.Logger, m *gatewayMetrics) *suspects {
+// newSuspects returns an empty state; name is the gateway's.
+func newSuspects(name string, logger log.Logger, m *gatewayMetrics) *suspects {
 	rules := quarantine.Rules{Period: quarantinePeriod, Crashes: refuseAfterCrashes}
 	return &suspects{
 		// Evidence need not be durable: if all gateways crash together, three more crashes establish it again.
 		tracker:    quarantine.NewPersistentTracker(nil, rules, quarantine.PersistentTrackerOptions{}),
 		logger:     logger,
 		metrics:    m,
+		parts:      newCrashParts(name, logger, m),
 		dial:       dialOnce,
 		confirming: map[ids.UpstreamIncarnation][]brokenRun{},
 		listening:  map[ids.UpstreamIncarnation]brokenRuns{},
@@ -169,9 +175,10 @@
 	}
 }
 
-// connectionBroken records that a run's connection to an upstream broke, and checks whether the upstream crashed.
-func (s *suspects) connectionBroken(ctx context.Context, n *run, u *catalog.Upstream) {
-	running := brokenRun{quarantine.Running{Fingerprint: n.fingerprint(), Client: n.r.client}, n.r.call.Attempt, n.r.call.SharedParts, n.stream.attemptEvents}
+// connectionBroken records that a run's connection to an upstream broke, and checks whether the upstream crashed. leaving is set if
+// its end was planned.
+func (s *suspects) connectionBroken(ctx context.Context, n *run, u *catalog.Upstream, leaving bool) {
+	running := brokenRun{quarantine.Running{Fingerprint: n.fingerprint(), Client: n.r.client}, n.r.call.Attempt, n.r.call.SharedParts, n.stream.attemptEvents, leaving}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_, pending := s.confirming[u.Incarnation()]
@@ -241,6 +248,7 @@
 	// crashes of the same upstream id as two.
 	crash := quarantine.Evidence{Crash: quarantine.NewCrashID(ids.Incarnation(i.String()), 1), At: now}
 	s.metrics.crashProven(proof)
+	s.parts.crashed(i, runs, now)
 	for _, r := range runs {
 		s.tracker.Merge(now, quarantine.Suspect{Fingerprint: r.Fingerprint, Client: r.Client, Evidence: []quarantine.Evidence{crash}})
 		lvl, _ := s.tracker.Snapshot().Classify(now, r.Fingerprint)
@@ -253,7 +261,7 @@
 func (n *run) checkCrash(u *catalog.Upstream, err error) {
 	var broken *httpclient.BrokenError
 	if errors.As(err, &broken) && !n.g.disabled(mechanismSuspects) {
-		n.g.suspects.connectionBroken(n.g.ctx, n, u)
+		n.g.suspects.connectionBroken(n.g.ctx, n, u, n.g.isLeaving(u))
 	}
 }
 
--- a/internal/node/gateway/suspects_test.go
+++ b/internal/node/gateway/suspects_test.go
@@ -29,7 +29,7 @@
 }
 
 func breakConnectionAt(s *suspects, n *run, incarnation ids.UpstreamIncarnation) {
-	s.connectionBroken(context.Background(), n, &catalog.Upstream{ID: incarnation.Upstream, StartedAtMS: incarnation.StartedAtMS})
+	s.connectionBroken(context.Background(), n, &catalog.Upstream{ID: incarnation.Upstream, StartedAtMS: incarnation.StartedAtMS}, false)
 	for pending := true; pending; time.Sleep(time.Millisecond) {
 		s.mu.Lock()
 		_, pending = s.confirming[incarnation]
@@ -58,7 +58,7 @@
 		{"does not respond", context.DeadlineExceeded, quarantine.Clear},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s := newSuspects(log.NewNopLogger(), newMetrics())
+			s := newSuspects("g", log.NewNopLogger(), newMetrics())
 			s.dial = func(context.Context, string) error { return c.dial }
 			n := runOf("x")
 			for _, upstream := range []ids.Upstream{"a", "b", "c"} {
@@ -74,7 +74,7 @@
 // Guards against refusing a harmless request because one crash counts several times: it breaks the same request twice,
 // which was sent again before the crash was detected, and two gateways report it.
 func TestCrashIsCountedOnce(t *testing.T) {
-	s, other := newSuspects(log.NewNopLogger(), newMetrics()), newSuspects(log.NewNopLogger(), newMetrics())
+	s, other := newSuspects("g", log.NewNopLogger(), newMetrics()), newSuspects("g", log.NewNopLogger(), newMetrics())
 	s.dial, other.dial = refuseDial, refuseDial
 	n := runOf("x")
 	breakConnection(s, n, "a")
@@ -89,7 +89,7 @@
 // Guards against counting earlier crashes against a request that is harmless. Two upstreams crash for other reasons
 // while it runs there; sent again, it completes, so at the next crash the earlier ones must not count.
 func TestCompletedRequestIsCleared(t *testing.T) {
-	s := newSuspects(log.NewNopLogger(), newMetrics())
+	s := newSuspects("g", log.NewNopLogger(), newMetrics())
 	s.dial = refuseDial
 	n := runOf("x")
 	breakConnection(s, n, "a")
@@ -104,7 +104,7 @@
 // Guards against a refusal that does not end, or ends before it said. A request is refused with the time from which it
 // may be tried once more, which is after its last crash.
 func TestQuarantineExpires(t *testing.T) {
-	s := newSuspects(log.NewNopLogger(), newMetrics())
+	s := newSuspects("g", log.NewNopLogger(), newMetrics())
 	s.dial = refuseDial
 	n := runOf("x")
 	for _, upstream := range []ids.Upstream{"a", "b", "c"} {
@@ -124,7 +124,7 @@
 // alone would count none. A request crashes an upstream three consecutive times. Each new incarnation in the registry
 // proves a crash, and the third must refuse the request.
 func TestRestartWithSameIDCountsAsCrash(t *testing.T) {
-	s := newSuspects(log.NewNopLogger(), newMetrics())
+	s := newSuspects("g", log.NewNopLogger(), newMetrics())
 	s.dial = func(context.Context, string) error { return nil }
 	n := runOf("x")
 	for crashes := range int64(3) {
@@ -143,7 +143,7 @@
 // Guards against counting a restart for another reason against a request whose connection to that upstream broke long
 // before.
 func TestLateRestartIsNotACrash(t *testing.T) {
-	s := newSuspects(log.NewNopLogger(), newMetrics())
+	s := newSuspects("g", log.NewNopLogger(), newMetrics())
 	s.dial = func(context.Context, string) error { return nil }
 	n := runOf("x")
 	incarnation := ids.UpstreamIncarnation{Upstream: "a", StartedAtMS: 1}
--- a/internal/state/digest/split.go
+++ b/internal/state/digest/split.go
@@ -80,7 +80,7 @@
 func headerOf(d *cardamomyokev1.Digest) *cardamomyokev1.Digest {
 	header := proto.CloneOf(d)
 	header.News, header.Peers, header.Slow, header.Suspects, header.Rumors, header.Work = nil, nil, nil, nil, nil, nil
-	header.Limits, header.FirstAttempts = nil, nil
+	header.Limits, header.FirstAttempts, header.Parts = nil, nil, nil
 	return header
 }
 
@@ -108,6 +108,9 @@
 	for i := range d.GetFirstAttempts().GetServices() {
 		rows = append(rows, row{firstBytes, func(p *cardamomyokev1.Digest) { addFirstAttempts(p, d.GetFirstAttempts(), i) }})
 	}
+	for _, s := range d.GetParts() {
+		message(s, func(p *cardamomyokev1.Digest) { p.Parts = append(p.Parts, s) })
+	}
 	for _, s := range d.GetSuspects() {
 		message(s, func(p *cardamomyokev1.Digest) { p.Suspects = append(p.Suspects, s) })
 	}
