Operators see, trust, refuse and forget a part under which upstreams crash

Gateways serve PartService at their peer address; cardamomyokectl has parts and part; explain shows the decision that a refusal follows, however long before it was taken. A decision is in the store when the call returns, or is written later.

--- a/internal/node/gateway/partstore.go
+++ b/internal/node/gateway/partstore.go
@@ -212,6 +212,13 @@
 	return nil
 }
 
+// saveNow writes what the row lacks. Errors: those of platform.Table; the changes are then written later.
+func (s *partStore) saveNow(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, partsTimeout)
+	defer cancel()
+	return s.sync(ctx, func(*blame.Ledger, []blame.Suspect) bool { return true })
+}
+
 // claim counts a trial of a refused part in the store. It reports whether it is certain that no other gateway has claimed the same
 // trial.
 func (s *partStore) claim(ctx context.Context, part blame.Part) bool {
--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -143,6 +143,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(cardamomyokev1connect.NewPeerServiceHandler(p))
 	mux.Handle(cardamomyokev1connect.NewEvacuationServiceHandler(evacuationService{g}))
+	mux.Handle(cardamomyokev1connect.NewPartServiceHandler(partService{g}))
 	if p.port, err = controlport.Start(g.Settings().Listen.Peers, mux, g.metrics.set, nil, g.logger); err != nil {
 		return nil, err
 	}
--- a/internal/tool/ctl/ctl.go
+++ b/internal/tool/ctl/ctl.go
@@ -116,6 +116,7 @@
 	s.registerAudit(app)
 	s.registerExplain(app)
 	s.registerEvacuations(app)
+	s.registerParts(app)
 	return app
 }
 
--- a/internal/tool/ctl/errors.go
+++ b/internal/tool/ctl/errors.go
@@ -6,6 +6,8 @@
 	"strings"
 
 	"connectrpc.com/connect"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/blame"
 )
 
 // PendingError reports that a change is committed but Nodes do not hold it yet.
@@ -49,11 +51,12 @@
 		audit    *AuditError
 		badTime  *TimeError
 		request  *RequestError
+		part     *blame.PartError
 	)
 	switch {
 	case errors.As(err, &pending):
 		return ExitPending
-	case errors.As(err, &file) || errors.As(err, &badTime):
+	case errors.As(err, &file) || errors.As(err, &badTime) || errors.As(err, &part):
 		return ExitUsage
 	case errors.As(err, &unknown):
 		return ExitUnknown
--- a/internal/tool/ctl/evacuations.go
+++ b/internal/tool/ctl/evacuations.go
@@ -37,21 +37,7 @@
 
 // evacuations prints what each gateway knows. It asks all of them and returns the first error.
 func (s *session) evacuations(ctx context.Context, gateways []string) error {
-	var responses []*cardamomyokev1.GetEvacuationsResponse
-	var failed error
-	for _, address := range gateways {
-		res, err := getEvacuations(ctx, address)
-		if err == nil {
-			responses = append(responses, res)
-			continue
-		}
-		err = &GatewayError{address, err}
-		if failed == nil {
-			failed = err
-		} else {
-			fmt.Fprintln(s.errOut, "cardamomyokectl:", err)
-		}
-	}
+	responses, failed := askGateways(ctx, s, gateways, getEvacuations)
 	if s.output == outputJSON {
 		for _, res := range responses {
 			if err := s.printProto(res); err != nil {
@@ -64,9 +50,36 @@
 	return failed
 }
 
-func getEvacuations(ctx context.Context, address string) (*cardamomyokev1.GetEvacuationsResponse, error) {
+// askGateways asks each gateway, and returns the responses and the first error. It prints the other errors.
+func askGateways[T any](ctx context.Context, s *session, gateways []string, ask func(ctx context.Context, address string) (T, error)) ([]T, error) {
+	var responses []T
+	var failed error
+	for _, address := range gateways {
+		res, err := askGateway(ctx, address, ask)
+		switch {
+		case err == nil:
+			responses = append(responses, res)
+		case failed == nil:
+			failed = err
+		default:
+			fmt.Fprintln(s.errOut, "cardamomyokectl:", err)
+		}
+	}
+	return responses, failed
+}
+
+// askGateway asks one gateway. Errors: *GatewayError.
+func askGateway[T any](ctx context.Context, address string, ask func(ctx context.Context, address string) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, gatewayTimeout)
 	defer cancel()
+	res, err := ask(ctx, address)
+	if err != nil {
+		return res, &GatewayError{address, err}
+	}
+	return res, nil
+}
+
+func getEvacuations(ctx context.Context, address string) (*cardamomyokev1.GetEvacuationsResponse, error) {
 	return cardamomyokev1connect.NewEvacuationServiceClient(http.DefaultClient, "http://"+address).GetEvacuations(ctx, &cardamomyokev1.GetEvacuationsRequest{})
 }
 
--- a/internal/tool/explain/explain.go
+++ b/internal/tool/explain/explain.go
@@ -122,8 +122,8 @@
 
 // ForRequest returns the lines about a request, sorted by time. It adds the lines about the processes and upstreams
 // involved that are at most `before` earlier than the request's first line and at most `after` later than its last one,
-// and those about the evacuations in force if one of them decided about the request. It returns nil if there is no line about
-// the request.
+// and those about the evacuations in force or the parts of prompts that were refused if one of them decided about the request. It
+// returns nil if there is no line about the request.
 func ForRequest(lines []*Line, request string, before, after time.Duration) []*Line {
 	var own []*Line
 	nodes, upstreams := map[string]bool{}, map[string]bool{}
@@ -145,6 +145,7 @@
 	if concernsEvacuation(own) {
 		own = append(own, evacuationsInForce(lines, nodes, from)...)
 	}
+	own = append(own, partDecisions(lines, nodes, refusedPart(own), from)...)
 	for _, l := range lines {
 		if l.Request == "" && nodes[l.Node] && !l.At.Before(from) && !l.At.After(to) && isRelevant(l, upstreams) {
 			own = append(own, l)
--- a/internal/tool/explain/explain_test.go
+++ b/internal/tool/explain/explain_test.go
@@ -120,3 +120,24 @@
 		}
 	}
 }
+
+// Guards against a refusal because of a part of the prompt that is not explained, as the decision came long before it; and against
+// decisions on other parts, or of other gateways, in the explanation.
+func TestRefusalOfPartIsExplained(t *testing.T) {
+	const day = `level=warn ts=2026-12-04T10:00:00Z node=g1 msg="part decision" part=bad state=refused
+level=warn ts=2026-12-04T10:00:01Z node=g1 msg="part decision" part=cafe state=refused
+level=warn ts=2026-12-04T10:00:02Z node=g2 msg="part decision" part=bad state=refused
+level=info ts=2026-12-04T10:01:00Z node=g1 msg=request outcome=failed request=r1 code=no-upstream err="no-upstream: part bad of the prompt is refused by g1 since 2026-12-04T10:00:00Z: 2 upstreams crashed under it, 0 trials"
+`
+	lines, err := explain.Read(strings.NewReader(day))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, l := range explain.ForRequest(lines, "r1", time.Second, time.Second) {
+		got = append(got, l.Message+" "+l.Get("part"))
+	}
+	if diff := cmp.Diff([]string{"part decision bad", "request "}, got); diff != "" {
+		t.Error(diff)
+	}
+}
