Do not use the peers of a gateway before they are set

A digest that arrived while a gateway was still starting ended its process: what the digest said of parts led to a message to all peers, whose state Start had not assigned yet. The peers are now read on the control loop, which begins after they are assigned.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -153,7 +153,9 @@
 	g.followers = []*replica.Follower{g.configFollower, g.registryFollower}
 	g.publish()
 	g.suspects = newSuspects(set.Name, d.Logger, g.metrics)
-	g.suspects.parts.announce = func() { go g.loop.Post(g.peers.announce) }
+	g.suspects.parts.announce = func() {
+		go g.loop.Post(func(now time.Time) { g.peers.announce(now) })
+	}
 	g.partStore = newPartStore(g)
 	var err error
 	if g.peers, err = startPeers(ctx, g); err != nil {
--- a/internal/node/gateway/partstore.go
+++ b/internal/node/gateway/partstore.go
@@ -165,7 +165,7 @@
 		return
 	}
 	s.serve(reason)
-	go s.g.loop.Post(s.g.peers.sendToAll)
+	go s.g.loop.Post(func(now time.Time) { s.g.peers.sendToAll(now) })
 }
 
 // serve lets requests with shared parts through.
