A crash is also proven by another upstream at the address

A connection that broke at an upstream that was back at once, or whose host fell silent, was held against nobody unless the same id came back: upstreams of the users' platform return under new ids, so that nothing ever proved these crashes. An entry for another upstream at the address, or its 421, within the restart window now proves them. The test fails before: the request stays clear.

--- a/internal/node/gateway/registry.go
+++ b/internal/node/gateway/registry.go
@@ -26,10 +26,20 @@
 	next, findings, settled := g.control.validEntries.UpdateTable(table, services)
 	r.Forget(settled)
 	g.processFindings(findings, now)
+	g.recordTakenAddresses(g.control.upstreams, next, now)
 	g.logUpstreams(g.control.upstreams, next)
 	return next
 }
 
+// recordTakenAddresses records the addresses of upstreams that are new.
+func (g *Gateway) recordTakenAddresses(before, after *catalog.Upstreams, now time.Time) {
+	for _, u := range after.All() {
+		if before.Get(u.ID) == nil {
+			g.suspects.addressTaken(u, now)
+		}
+	}
+}
+
 func (g *Gateway) processFindings(findings []registry.Finding, now time.Time) {
 	for i, f := range findings {
 		if f.Kind == registry.Restarted {
@@ -62,6 +72,7 @@
 // reject excludes the registry entry of an upstream at whose address another upstream responded. It runs on the control
 // loop.
 func (g *Gateway) reject(u *catalog.Upstream, responder ids.Upstream, now time.Time) {
+	g.suspects.upstreamReplaced(u.Incarnation(), now)
 	if !g.control.validEntries.Reject(u.Incarnation()) {
 		return
 	}
--- a/internal/node/gateway/suspects.go
+++ b/internal/node/gateway/suspects.go
@@ -52,9 +52,9 @@
 	// confirming holds the runs whose connections broke, by upstream, until it is known whether the upstream still
 	// listens.
 	confirming map[ids.UpstreamIncarnation][]brokenRun
-	// listening holds the runs whose connections broke, by upstream, if the upstream's address still accepted
-	// connections.
-	listening map[ids.UpstreamIncarnation]brokenRuns
+	// unproven holds the runs whose connections broke, by upstream, if its address did not refuse connections then: the upstream may
+	// have been back already, or its host may be silent.
+	unproven map[ids.UpstreamIncarnation]brokenRuns
 }
 
 // brokenRun is a run whose connection to its upstream broke.
@@ -72,8 +72,9 @@
 // brokenRuns are the runs whose connections to one incarnation of an upstream broke; at is when the last of them was
 // recorded.
 type brokenRuns struct {
-	runs []brokenRun
-	at   time.Time
+	runs    []brokenRun
+	address string
+	at      time.Time
 }
 
 // newSuspects returns an empty state; name is the gateway's.
@@ -87,7 +88,7 @@
 		parts:      newCrashParts(name, logger, m),
 		dial:       dialOnce,
 		confirming: map[ids.UpstreamIncarnation][]brokenRun{},
-		listening:  map[ids.UpstreamIncarnation]brokenRuns{},
+		unproven:   map[ids.UpstreamIncarnation]brokenRuns{},
 	}
 }
 
@@ -189,7 +190,7 @@
 }
 
 // confirmCrash counts a crash against the runs whose connections broke if the upstream's address refuses connections.
-// An upstream that does not respond at all may only be partitioned, so this counts against no request.
+// An upstream that does not respond at all may only be partitioned, so that by itself counts against no request.
 func (s *suspects) confirmCrash(ctx context.Context, u *catalog.Upstream) {
 	err := s.dial(ctx, u.Address)
 	s.mu.Lock()
@@ -198,45 +199,63 @@
 	delete(s.confirming, u.Incarnation())
 	switch {
 	case err == nil:
-		s.logUnproven(u, runs, "its address accepts connections", nil)
-		s.recordListening(u.Incarnation(), runs, time.Now())
+		s.recordUnproven(u, runs, "its address accepts connections", nil)
 	case errors.Is(err, syscall.ECONNREFUSED):
 		s.recordCrash(u.Incarnation(), runs, "its address refuses connections")
 	default:
-		s.logUnproven(u, runs, "its address does not respond", err)
+		s.recordUnproven(u, runs, "its address does not respond", err)
 	}
 }
 
-// logUnproven logs that connections to an upstream broke, though nothing proves that it crashed.
-func (s *suspects) logUnproven(u *catalog.Upstream, runs []brokenRun, reason string, err error) {
-	s.metrics.crashUnproven(u.Service, reason)
-	_ = level.Info(s.logger).Log("msg", "crash not proven", "upstream", u.Incarnation(), "reason", reason, "runs", len(runs), "err", err)
-}
-
-// restartWindow is how long after a broken connection a new incarnation of the upstream still proves that the previous
-// one crashed: a restart takes some seconds, and its registry entry some heartbeats.
+// restartWindow is how long after a broken connection a later sign that the upstream has ended still proves that it crashed then: a
+// restart takes some seconds, and its registry entry some heartbeats.
 const restartWindow = 10 * time.Second
 
-func (s *suspects) recordListening(i ids.UpstreamIncarnation, added []brokenRun, now time.Time) {
-	for incarnation, b := range s.listening {
+// recordUnproven records that connections to an upstream broke, though nothing proves yet that it crashed. The caller holds the
+// lock.
+func (s *suspects) recordUnproven(u *catalog.Upstream, added []brokenRun, reason string, err error) {
+	now := time.Now()
+	s.metrics.crashUnproven(u.Service, reason)
+	_ = level.Info(s.logger).Log("msg", "crash not proven", "upstream", u.Incarnation(), "reason", reason, "runs", len(added), "err", err)
+	for incarnation, b := range s.unproven {
 		if now.Sub(b.at) > restartWindow {
-			delete(s.listening, incarnation)
+			delete(s.unproven, incarnation)
 		}
 	}
-	s.listening[i] = brokenRuns{append(s.listening[i].runs, added...), now}
+	s.unproven[u.Incarnation()] = brokenRuns{append(s.unproven[u.Incarnation()].runs, added...), u.Address, now}
 }
 
-// upstreamRestarted records that an upstream has a new incarnation under the same id.
-//
-// The upstream may be back before the check, which then finds it listening. The new incarnation proves that the
-// previous one is dead.
+// upstreamRestarted records that an upstream has a new incarnation under the same id, which proves that the previous one is dead.
 func (s *suspects) upstreamRestarted(previous ids.UpstreamIncarnation, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	broken, found := s.listening[previous]
-	delete(s.listening, previous)
+	s.prove(previous, now, "it has a new incarnation")
+}
+
+// upstreamReplaced records that another upstream has responded at an upstream's address.
+func (s *suspects) upstreamReplaced(previous ids.UpstreamIncarnation, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.prove(previous, now, "another upstream responds at its address")
+}
+
+// addressTaken records that another upstream has an address, which proves that those that had it are dead.
+func (s *suspects) addressTaken(by *catalog.Upstream, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, b := range s.unproven {
+		if b.address == by.Address && i != by.Incarnation() {
+			s.prove(i, now, "another upstream has its address")
+		}
+	}
+}
+
+// prove counts a crash against the runs whose connections broke in it, if that was not long ago. The caller holds the lock.
+func (s *suspects) prove(i ids.UpstreamIncarnation, now time.Time, proof string) {
+	broken, found := s.unproven[i]
+	delete(s.unproven, i)
 	if found && now.Sub(broken.at) <= restartWindow {
-		s.recordCrash(previous, broken.runs, "it has a new incarnation")
+		s.recordCrash(i, broken.runs, proof)
 	}
 }
 
--- a/internal/node/gateway/suspects_test.go
+++ b/internal/node/gateway/suspects_test.go
@@ -153,3 +153,24 @@
 		t.Fatalf("%v, want clear", got)
 	}
 }
+
+// Guards against missing a crash because the upstream's address is taken by another one, or its host is silent, when its connections
+// break.
+func TestTakenAddressProvesCrash(t *testing.T) {
+	for name, dial := range map[string]error{"listens again": nil, "is silent": context.DeadlineExceeded} {
+		t.Run(name, func(t *testing.T) {
+			s := newSuspects("g", log.NewNopLogger(), newMetrics())
+			s.dial = func(context.Context, string) error { return dial }
+			n := runOf("x")
+			breakConnection(s, n, "a")
+			s.addressTaken(&catalog.Upstream{ID: "b", Address: "elsewhere"}, time.Now())
+			if got := levelOf(s, n); got != quarantine.Clear {
+				t.Fatalf("%v before the address is taken", got)
+			}
+			s.addressTaken(&catalog.Upstream{ID: "b"}, time.Now())
+			if got := levelOf(s, n); got != quarantine.Suspected {
+				t.Fatalf("%v after another upstream has the address, want suspected", got)
+			}
+		})
+	}
+}
