A stream without a length that ends without an event, or within one, is checked for a crash

Such an end was an error of the response and no broken connection, so that an upstream that crashed before its first event was held against nobody where it sends streams without chunks. The unit test fails before.

--- a/internal/node/gateway/suspects.go
+++ b/internal/node/gateway/suspects.go
@@ -276,10 +276,12 @@
 	}
 }
 
-// checkCrash starts a check whether the upstream crashed, if the attempt's connection broke.
+// checkCrash starts a check whether the upstream crashed, if the attempt's connection broke. Where only the close of the connection
+// ends a stream, one that ends without an event, or within one, was broken off.
 func (n *run) checkCrash(u *catalog.Upstream, err error) {
 	var broken *httpclient.BrokenError
-	if errors.As(err, &broken) && !n.g.disabled(mechanismSuspects) {
+	var event *EventError
+	if (errors.As(err, &broken) || errors.As(err, &event)) && !n.g.disabled(mechanismSuspects) {
 		n.g.suspects.connectionBroken(n.g.ctx, n, u, n.g.isLeaving(u))
 	}
 }
--- a/internal/node/gateway/suspects_test.go
+++ b/internal/node/gateway/suspects_test.go
@@ -174,3 +174,20 @@
 		})
 	}
 }
+
+// Guards against a crash that counts against no request because the response had no length, so that the close of its connection looked
+// like its end.
+func TestStreamThatEndsWithinEventIsBroken(t *testing.T) {
+	s := newSuspects("g", log.NewNopLogger(), newMetrics())
+	s.dial = refuseDial
+	n := runOf("x")
+	n.g = &Gateway{suspects: s, ctx: t.Context()}
+	n.g.settings.Store(&Settings{})
+	n.g.view.Store(&view{upstreams: catalog.NewUpstreams(nil)})
+	n.checkCrash(&catalog.Upstream{ID: "a"}, &EventError{"ends within an event"})
+	for end := time.Now().Add(time.Second); levelOf(s, n) == quarantine.Clear; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the crash counts against no request")
+		}
+	}
+}
