--- a/internal/node/gateway/partstore.go
+++ b/internal/node/gateway/partstore.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -124,7 +125,7 @@
 }
 
 // sync reads the row, merges it, and writes what it lacks. change is applied to the ledger once it has what is stored; if it
-// returns false, nothing is written. Errors: those of platform.Table.
+// returns false, nothing is written. Errors: those of platform.Table, *ContendedRowError.
 func (s *partStore) sync(ctx context.Context, change func(l *blame.Ledger, stored []blame.Suspect) bool) error {
 	for range maxPartsTries {
 		rows, err := s.g.table.Get(ctx, partsRow)
@@ -143,7 +144,18 @@
 		}
 		time.Sleep(time.Duration(rand.Int64N(2 * int64(conflictPause))))
 	}
-	return &platform.UnavailableError{Op: "write " + partsRow, Cause: errors.New("other gateways keep changing the row")}
+	return &ContendedRowError{partsRow, maxPartsTries}
+}
+
+// ContendedRowError reports that other gateways changed a row before each attempt to write it.
+type ContendedRowError struct {
+	Row   string
+	Tries int
+}
+
+// Error implements error.
+func (e *ContendedRowError) Error() string {
+	return fmt.Sprintf("row %s was changed by others before each of %d writes", e.Row, e.Tries)
 }
 
 // read merges the row into the ledger, and returns what the row has. One that cannot be decoded counts as empty.
--- a/internal/policy/blame/blame_test.go
+++ b/internal/policy/blame/blame_test.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
 
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/blame"
 )
 
@@ -394,3 +396,45 @@
 		t.Fatal("a garbled row was decoded")
 	}
 }
+
+// Guards against a part that does not fit a datagram, and a row that the store does not take.
+func TestPartsAreBounded(t *testing.T) {
+	const datagramBytes, rowBytes = 1100, 64 << 10
+	l := blame.NewLedger(blame.DefaultRules(), "a gateway with a name of some length", blame.NewMemory())
+	for crash := range 20 {
+		var prompts []blame.Parts
+		for request := range 10 {
+			prompts = append(prompts, blame.Parts{1 << 60, blame.Part(1000*crash + request)})
+		}
+		crashedAt(l, time.Duration(crash)*second, blame.Crash(1<<60+crash), blame.Request(1<<60+100*crash), prompts...)
+	}
+	for part := range 2000 {
+		crashedAt(l, 30*second, blame.Crash(1<<60+part), blame.Request(1<<60+part), blame.Parts{blame.Part(1<<50 + part)})
+	}
+	largest := 0
+	for _, s := range l.List() {
+		largest = max(largest, proto.Size(s.Proto()))
+	}
+	value, err := blame.EncodeRow(l.All())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d parts, the largest of %d bytes, the row of %d", len(l.List()), largest, len(value))
+	if largest > datagramBytes || len(value) > rowBytes {
+		t.Fatalf("the largest part has %d bytes, the row %d; allowed %d and %d", largest, len(value), datagramBytes, rowBytes)
+	}
+}
+
+// Shows how many bytes a digest has after one crash, and with refused parts that no longer change.
+func TestBytesOfParts(t *testing.T) {
+	size := func(l *blame.Ledger, at time.Duration) int {
+		list, _ := l.Digest(start.Add(at), 12)
+		return proto.Size(&cardamomyokev1.Digest{Parts: blame.ToProto(list)})
+	}
+	l := blame.NewLedger(blame.DefaultRules(), "front-churubusco-1", blame.NewMemory())
+	crashedAt(l, 0, 1<<60, 1, blame.Parts{1 << 60, 1 << 61}, blame.Parts{1 << 60})
+	t.Logf("after one crash: %d bytes", size(l, second))
+	crashedAt(l, second, 1<<60+1, 3, blame.Parts{1 << 60, 1 << 61})
+	refusedParts(l, 2*second)
+	t.Logf("once a part is refused: %d bytes, later %d", size(l, 3*second), size(l, time.Minute))
+}
--- a/internal/policy/blame/part.go
+++ b/internal/policy/blame/part.go
@@ -1,7 +1,6 @@
 package blame
 
 import (
-	"fmt"
 	"strconv"
 	"strings"
 
@@ -23,23 +22,6 @@
 // String returns the part as hexadecimal digits, the form that operators use.
 func (p Part) String() string { return strconv.FormatUint(uint64(p), 16) }
 
-// PartError reports a text that names no part.
-type PartError struct{ Text string }
-
-// Error implements error.
-func (e *PartError) Error() string {
-	return fmt.Sprintf("part %q: want up to 16 hexadecimal digits", e.Text)
-}
-
-// ParsePart parses the output of Part.String. Errors: *PartError.
-func ParsePart(text string) (Part, error) {
-	n, err := strconv.ParseUint(text, 16, 64)
-	if err != nil {
-		return 0, &PartError{text}
-	}
-	return Part(n), nil
-}
-
 // Parts are the parts of one prompt, in order.
 type Parts []Part
 
--- a/internal/state/digest/split_test.go
+++ b/internal/state/digest/split_test.go
@@ -39,6 +39,7 @@
 		d.Rumors.Ended = append(d.Rumors.Ended, i%2 == 0)
 		d.Slow = append(d.Slow, &cardamomyokev1.UpstreamPace{Upstream: uint64(i) << 40, Pace: 1.5})
 		d.Peers = append(d.Peers, fmt.Sprintf("10.1.%d.%d:8229", i/250, i%250))
+		d.Parts = append(d.Parts, &cardamomyokev1.SuspectPart{Part: uint64(i) << 40, Evidence: []*cardamomyokev1.PartEvidence{{Crash: uint64(i)}}})
 	}
 	return d
 }
--- a/internal/tool/ctl/errors.go
+++ b/internal/tool/ctl/errors.go
@@ -6,8 +6,6 @@
 	"strings"
 
 	"connectrpc.com/connect"
-
-	"github.com/cardamomyoke/cardamomyoke/internal/policy/blame"
 )
 
 // PendingError reports that a change is committed but Nodes do not hold it yet.
@@ -51,7 +49,7 @@
 		audit    *AuditError
 		badTime  *TimeError
 		request  *RequestError
-		part     *blame.PartError
+		part     *PartError
 	)
 	switch {
 	case errors.As(err, &pending):
--- a/internal/tool/ctl/parts.go
+++ b/internal/tool/ctl/parts.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,12 +12,32 @@
 
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 	"github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1/cardamomyokev1connect"
-	"github.com/cardamomyoke/cardamomyoke/internal/policy/blame"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
 // partDecisions are the decisions of the command part, by their names on the command line.
-var partDecisions = map[string]blame.State{"trust": blame.Trusted, "refuse": blame.Barred, "forget": blame.Open}
+var partDecisions = map[string]cardamomyokev1.PartState{
+	"trust":  cardamomyokev1.PartState_PART_STATE_TRUSTED,
+	"refuse": cardamomyokev1.PartState_PART_STATE_BARRED,
+	"forget": cardamomyokev1.PartState_PART_STATE_UNSPECIFIED,
+}
+
+// partStates are the states of parts, as they are shown.
+var partStates = map[cardamomyokev1.PartState]string{
+	cardamomyokev1.PartState_PART_STATE_UNSPECIFIED: "open",
+	cardamomyokev1.PartState_PART_STATE_REFUSED:     "refused",
+	cardamomyokev1.PartState_PART_STATE_CLEARED:     "cleared",
+	cardamomyokev1.PartState_PART_STATE_TRUSTED:     "trusted",
+	cardamomyokev1.PartState_PART_STATE_BARRED:      "barred",
+}
+
+// PartError reports a text on the command line that names no part.
+type PartError struct{ Text string }
+
+// Error implements error.
+func (e *PartError) Error() string {
+	return fmt.Sprintf("part %q: want up to 16 hexadecimal digits", e.Text)
+}
 
 func (s *session) registerParts(app *kingpin.Application) {
 	list := app.Command("parts", "Parts of prompts under which upstreams crashed, as each of the named gateways knows them.")
@@ -25,7 +46,7 @@
 
 	decide := app.Command("part", "Decide on a part of prompts: trust it, refuse it, or forget what speaks against it. All gateways follow.")
 	decision := decide.Arg("decision", "trust, refuse or forget.").Required().Enum("trust", "refuse", "forget")
-	part := decide.Arg("part", "The part, as `parts` and the logs show it.").Required().String()
+	part := decide.Arg("part", "The part, as the command parts and the logs show it.").Required().String()
 	gateway := decide.Arg("gateway", "Peer address of a gateway, IP:PORT.").Required().String()
 	s.command(decide, func(ctx context.Context) error { return s.decidePart(ctx, partDecisions[*decision], *part, *gateway) })
 }
@@ -49,12 +70,12 @@
 	return cardamomyokev1connect.NewPartServiceClient(http.DefaultClient, "http://"+address).GetParts(ctx, &cardamomyokev1.GetPartsRequest{})
 }
 
-func (s *session) decidePart(ctx context.Context, state blame.State, text, gateway string) error {
-	part, err := blame.ParsePart(text)
+func (s *session) decidePart(ctx context.Context, state cardamomyokev1.PartState, text, gateway string) error {
+	part, err := strconv.ParseUint(text, 16, 64)
 	if err != nil {
-		return err
+		return &PartError{text}
 	}
-	req := &cardamomyokev1.DecidePartRequest{Part: uint64(part), State: state.Proto(), Operator: cmp.Or(s.operator, loginName())}
+	req := &cardamomyokev1.DecidePartRequest{Part: part, State: state, Operator: cmp.Or(s.operator, loginName())}
 	res, err := askGateway(ctx, gateway, func(ctx context.Context, address string) (*cardamomyokev1.DecidePartResponse, error) {
 		return cardamomyokev1connect.NewPartServiceClient(http.DefaultClient, "http://"+address).DecidePart(ctx, req)
 	})
@@ -65,7 +86,7 @@
 		return s.printProto(res)
 	}
 	s.printTable([]string{"PART", "DECISION", "ROUND", "STORED"}, [][]string{{
-		text, blame.StateFromProto(res.GetPart().GetVerdict().GetState()).String(), formatCount(res.GetPart().GetVerdict().GetRound()), yesNo(res.GetStored()),
+		text, partStates[res.GetPart().GetVerdict().GetState()], formatCount(res.GetPart().GetVerdict().GetRound()), yesNo(res.GetStored()),
 	}})
 	return nil
 }
@@ -91,7 +112,7 @@
 		since = time.UnixMilli(v.GetAtMs()).UTC().Format(time.RFC3339)
 	}
 	return []string{
-		blame.Part(p.GetPart()).String(), blame.StateFromProto(v.GetState()).String(), since, v.GetBy(),
+		strconv.FormatUint(p.GetPart(), 16), partStates[v.GetState()], since, v.GetBy(),
 		strconv.Itoa(len(p.GetEvidence())), formatCount(v.GetTrials()), yesNo(p.GetAnswered()),
 	}
 }
