A retry whose permit expired while it waited for an upstream is reserved anew

Callers got the first failure, or 502, with retries left: a granted retry may be held for a second, and a request that waits longer for an upstream (ejected for 0.5 or 1 s after two or three failures) was denied when it was its turn. The request now gives its place back and asks for another permit, twice at most; the sum of all is kept in the store as before.

--- a/internal/node/gateway/pay.go
+++ b/internal/node/gateway/pay.go
@@ -18,6 +18,18 @@
 	return n.service.grants.await(ctx, limit) && n.takeRetry()
 }
 
+// maxRenewals is how many retries that expired while a request waited for an upstream are replaced; each takes one from all gateways.
+const maxRenewals = 2
+
+// renewRetry reserves a retry in place of one that has expired while the request waited for an upstream.
+func (n *run) renewRetry(ctx context.Context) bool {
+	if n.renewals >= maxRenewals {
+		return false
+	}
+	n.renewals++
+	return n.reserveRetry(ctx)
+}
+
 func (n *run) takeRetry() bool {
 	t, ok := n.service.budget.Take(time.Now())
 	if ok {
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -32,6 +32,8 @@
 	arrived bool
 	// token is reserved for the next attempt, paid was used for the latest one; nil if there is none.
 	token, paid *retry.Token
+	// renewals counts the retries that were reserved in place of expired ones.
+	renewals int
 	// mayHaveRun is set once an attempt ended without proof that it did not run.
 	mayHaveRun bool
 	exclude    []ids.Upstream
@@ -95,6 +97,9 @@
 		}
 		if !n.payForRetry(time.Now()) {
 			n.service.gate.Done(ticket, dispatch.OutcomeNone)
+			if n.renewRetry(attemptCtx) {
+				continue
+			}
 			n.g.logRetryDenied(n, last)
 			return n.finalError(ctx, last, budgetUsedUp)
 		}
