Gateways spread the reads of the stored parts after the store has come back older

All of them notice a new era within a moment; at 360 gateways each would read the row and try to write it at once, of 400 writes a second that the store takes. Found by reading the diff; they now spread over 2 s, as after a decision that they have learned.

--- a/internal/node/gateway/partstore.go
+++ b/internal/node/gateway/partstore.go
@@ -84,7 +84,9 @@
 	}
 	s.p.mu.Lock()
 	defer s.p.mu.Unlock()
-	if at, loaded := s.g.configFollower.Replica.Position(); loaded && at.Era > s.row.Era && !s.p.ledger.Empty() {
+	if at, loaded := s.g.configFollower.Replica.Position(); loaded && at.Era > s.row.Era && !s.p.ledger.Empty() && !s.p.ledger.Unsaved() {
+		// All gateways notice a new era at once, and the store takes some hundred writes a second.
+		s.p.saveAt = now.Add(time.Duration(rand.Int64N(int64(learnedSaveSpread))))
 		s.p.ledger.SetUnsaved(true)
 	}
 	return s.p.ledger.Unsaved() && !now.Before(s.p.saveAt)
