A trial of a refused part lets no request through that must not be sent for another reason

A request with two refused parts passed as the trial of one, so that the other reached upstreams once more for each trial of the first, beyond the three ever that are allowed; and, by reading, a trial that had been claimed and not used would pass a part that an operator had barred meanwhile. A request is a trial only if no other part of it is refused, and the part is refused for crashes. On the code before, the test fails on the first; the second is not shown there, as the first takes the unused trial.

--- a/internal/node/gateway/crashparts.go
+++ b/internal/node/gateway/crashparts.go
@@ -101,10 +101,12 @@
 	return blame.Account(fairshare.AccountOf(c))
 }
 
-// refusal returns an error if a part of the request's prompt is refused. A trial is let through.
-func (n *run) refusal() *PartRefusedError {
-	refused, found := n.g.suspects.parts.snapshot.Load().Refused(n.r.call.SharedParts, accountOf(n.r.client))
-	if !found || n.trial != nil && *n.trial == refused.Part {
+// refusal returns an error if a part of the request's prompt is refused, other than that of which it is a trial.
+func (n *run) refusal() *PartRefusedError { return n.refusalExcept(n.trial) }
+
+func (n *run) refusalExcept(trial *blame.Part) *PartRefusedError {
+	refused, found := n.g.suspects.parts.snapshot.Load().Refused(n.r.call.SharedParts, accountOf(n.r.client), trial)
+	if !found {
 		return nil
 	}
 	return &PartRefusedError{refused}
--- a/internal/node/gateway/parttrials.go
+++ b/internal/node/gateway/parttrials.go
@@ -11,7 +11,12 @@
 
 // claimTrial lets a request with a refused part through if a trial is due and this gateway can count it in the store. It reports
 // whether the request is the trial.
+//
+// A request with another refused part, or one that an operator has barred, is no trial: it would tell nothing, or must not be sent.
 func (n *run) claimTrial(ctx context.Context, part blame.Part) bool {
+	if n.refusalExcept(&part) != nil {
+		return false
+	}
 	p := n.g.suspects.parts
 	now := time.Now()
 	p.mu.Lock()
--- a/internal/node/gateway/parttrials_test.go
+++ b/internal/node/gateway/parttrials_test.go
@@ -127,3 +127,29 @@
 		t.Fatal("the trial that was never sent is counted again")
 	}
 }
+
+// Guards against a trial of one part that lets a request through whose other part is refused as well, or that an operator has barred.
+func TestTrialNeedsOnlyRefusedPart(t *testing.T) {
+	const part, other = blame.Part(7), blame.Part(8)
+	g := withRefusedPart(t, "a", &oneRow{}, part)
+	bar := func(p blame.Part) {
+		g.suspects.parts.update(func(l *blame.Ledger) []blame.Suspect {
+			return []blame.Suspect{l.Override(time.Now(), p, blame.Barred, "someone")}
+		})
+	}
+	n := trialRun(g, part)
+	if !n.claimTrial(t.Context(), part) {
+		t.Fatal("no trial of the only refused part")
+	}
+	n.endTrial()
+	bar(other)
+	both := trialRun(g, part)
+	both.r.call.SharedParts = blame.Parts{part, other}
+	if both.claimTrial(t.Context(), part) {
+		t.Error("a trial with another refused part")
+	}
+	bar(part)
+	if trialRun(g, part).claimTrial(t.Context(), part) {
+		t.Error("a trial of a part that an operator has barred")
+	}
+}
--- a/internal/policy/blame/blame_test.go
+++ b/internal/policy/blame/blame_test.go
@@ -298,7 +298,7 @@
 		t.Fatal(diff)
 	}
 	for account, want := range map[blame.Account]bool{1: true, 2: false} {
-		if _, refused := l.Snapshot().Refused(blame.Parts{5}, account); refused != want {
+		if _, refused := l.Snapshot().Refused(blame.Parts{5}, account, nil); refused != want {
 			t.Errorf("account %d: refused %t, want %t", account, refused, want)
 		}
 	}
--- a/internal/policy/blame/sim_test.go
+++ b/internal/policy/blame/sim_test.go
@@ -234,7 +234,7 @@
 	if r.attempts == 0 {
 		g.memory.Seen(r.parts)
 	}
-	if refusal, refused := g.ledger.Snapshot().Refused(r.parts, r.account); refused && !r.trial {
+	if refusal, refused := g.ledger.Snapshot().Refused(r.parts, r.account, nil); refused && !r.trial {
 		if !m.claim(g, refusal.Part) {
 			m.done(r, false, true)
 			return
--- a/internal/policy/blame/snapshot.go
+++ b/internal/policy/blame/snapshot.go
@@ -41,8 +41,8 @@
 }
 
 // Refused returns the refusal of a request of an account, and whether there is one. Of several the one with the latest trial
-// counts.
-func (s *Snapshot) Refused(parts Parts, a Account) (Refusal, bool) {
+// counts. The part of which the request is a trial, nil for none, does not.
+func (s *Snapshot) Refused(parts Parts, a Account, trial *Part) (Refusal, bool) {
 	if s == nil {
 		return Refusal{}, false
 	}
@@ -50,7 +50,8 @@
 	found := false
 	for _, p := range parts {
 		r, refused := s.refused[p]
-		if !refused || !r.Verdict.refuses(a) {
+		isTrial := trial != nil && *trial == p && r.Verdict.State == Refused
+		if !refused || isTrial || !r.Verdict.refuses(a) {
 			continue
 		}
 		if !found || r.TrialAt.IsZero() || !out.TrialAt.IsZero() && r.TrialAt.After(out.TrialAt) {
