review: case 1, a request that may not run twice runs twice after a late copy of a 421 answer

A runner that has just started again answers 421 to a request for its former id and sends that answer once more, late. The gateway takes the copy, which bears another Attempt-Id, for the answer to the next request on the connection, counts it as not run and sends it to another runner.

--- /dev/null
+++ b/review/testdata/rig/main.go
@@ -0,0 +1,101 @@
+// Command rig runs the cases of review/ on this machine: the project's gateways as processes of their own, and stand-ins
+// of clients, runners and the platform's store. Its first argument is the number of the case.
+package main
+
+import (
+	"fmt"
+	"os"
+	"sync"
+
+	"github.com/cardamomyoke/cardamomyoke/platform/standin"
+)
+
+const (
+	hostName   = "desk.example"
+	apiKey     = "n2ctnfzs989anu6wsjnb"
+	exitBroken = 1
+	exitCannot = 2
+)
+
+// testCase is the state of one case.
+type testCase struct {
+	rec      *record
+	dir      string
+	trouble  bool
+	store    *standin.Store
+	gateways []*gateway
+
+	mu sync.Mutex
+	// runs lists, by attempt id, the runners that ran a request; statuses holds what the client got.
+	runs     map[string][]string
+	paths    map[string]string
+	statuses map[string]int
+}
+
+func (c *testCase) ran(attempt, id, path string) {
+	c.mu.Lock()
+	c.runs[attempt] = append(c.runs[attempt], id)
+	c.paths[attempt] = path
+	c.mu.Unlock()
+	c.rec.line("runner %s runs %s", id, attempt)
+}
+
+func (c *testCase) answered(attempt, path string, status int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.paths[attempt] = path
+	c.statuses[attempt] = status
+}
+
+var cases = map[string]func(*testCase) (broken bool, err error){
+	"1": secondRunAfterExtraAnswer,
+	"2": cutAnswers,
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
+		return exitCannot
+	}
+	rec, err := newRecord(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitCannot
+	}
+	defer rec.close()
+	dir, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitCannot
+	}
+	if os.Getenv("KEEP") == "" {
+		defer func() { _ = os.RemoveAll(dir) }()
+	} else {
+		fmt.Println(dir)
+	}
+	store, err := standin.StartStore()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitCannot
+	}
+	defer store.Stop()
+	c := &testCase{
+		rec: rec, dir: dir, trouble: os.Getenv("TROUBLE") != "0", store: store,
+		runs: map[string][]string{}, paths: map[string]string{}, statuses: map[string]int{},
+	}
+	defer c.stopGateways()
+	broken, err := cases[os.Args[1]](c)
+	switch {
+	case err != nil:
+		rec.line("cannot run: %v", err)
+		fmt.Fprintln(os.Stderr, "cannot run:", err)
+		return exitCannot
+	case broken:
+		fmt.Println("the rule was broken")
+		return exitBroken
+	}
+	fmt.Println("the rule held")
+	return 0
+}
