--- a/review/testdata/rig/case1.go
+++ b/review/testdata/rig/case1.go
@@ -87,7 +87,7 @@
 
 // ledgerClient sends the site's mix of requests: 6.39 hold notices for 3 pick slips.
 func ledgerClient(c *testCase, g *gateway, stop <-chan struct{}) {
-	cl := &client{c: c, gateway: g}
+	cl := &client{c: c, gateway: g, deadline: 1500 * time.Millisecond}
 	for {
 		select {
 		case <-stop:
--- a/review/testdata/rig/client.go
+++ b/review/testdata/rig/client.go
@@ -16,10 +16,12 @@
 	gateway *gateway
 	conn    net.Conn
 	in      *bufio.Reader
+	// deadline is how long the client waits for an answer.
+	deadline time.Duration
+	// sent is called with the id of each attempt before it is sent; it may be nil.
+	sent func(attempt string)
 }
 
-const clientDeadline = 1500 * time.Millisecond
-
 // send sends a request and returns the status of the answer, or 0 if the connection ended without one.
 func (cl *client) send(method, path string) int {
 	attempt := fmt.Sprintf("%016x", rand.Uint64())
@@ -34,10 +36,13 @@
 	if method == http.MethodPost {
 		body = "{\"hold\":\"lenses\"}"
 	}
+	if cl.sent != nil {
+		cl.sent(attempt)
+	}
 	cl.c.rec.line("client sends %s %s %s to %s", attempt, method, path, cl.gateway.name)
-	_ = cl.conn.SetDeadline(time.Now().Add(clientDeadline))
+	_ = cl.conn.SetDeadline(time.Now().Add(cl.deadline))
 	_, err := fmt.Fprintf(cl.conn, "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nTime-Remaining: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
-		method, path, hostName, attempt, clientDeadline.Milliseconds(), apiKey, len(body), body)
+		method, path, hostName, attempt, cl.deadline.Milliseconds(), apiKey, len(body), body)
 	if err != nil {
 		cl.drop()
 		return 0
--- a/review/testdata/rig/gateway.go
+++ b/review/testdata/rig/gateway.go
@@ -31,7 +31,7 @@
   peers: "%s"
   metrics: "%s"
 peers: [%s]
-agent_port: "7355"
+agent_port: "%s"
 store: "%s"
 limits:
   memory_mb: 284
@@ -70,7 +70,7 @@
 		c.gateways = append(c.gateways, g)
 	}
 	for _, g := range c.gateways {
-		text := fmt.Sprintf(settingsTemplate, g.name, g.zone, g.callers, g.directory, g.readiness, g.control, g.metrics, seeds, c.store.Address())
+		text := fmt.Sprintf(settingsTemplate, g.name, g.zone, g.callers, g.directory, g.readiness, g.control, g.metrics, seeds, c.agentPort, c.store.Address())
 		g.settings = filepath.Join(c.dir, g.name+".yaml")
 		g.logged = filepath.Join(c.dir, g.name+".log")
 		if err := os.WriteFile(g.settings, []byte(text), 0o600); err != nil {
@@ -131,8 +131,12 @@
 	return res.StatusCode == http.StatusOK
 }
 
-// stopGateways ends the processes that this case started.
-func (c *testCase) stopGateways() {
+// stopProcesses ends the processes that this case started.
+func (c *testCase) stopProcesses() {
+	for _, a := range c.agents {
+		_ = a.Process.Kill()
+		_ = a.Wait()
+	}
 	for _, g := range c.gateways {
 		if g.cmd == nil || g.cmd.Process == nil {
 			continue
--- a/review/testdata/rig/main.go
+++ b/review/testdata/rig/main.go
@@ -5,7 +5,10 @@
 import (
 	"fmt"
 	"os"
+	"os/exec"
+	"os/signal"
 	"sync"
+	"syscall"
 
 	"github.com/cardamomyoke/cardamomyoke/platform/standin"
 )
@@ -24,6 +27,12 @@
 	trouble  bool
 	store    *standin.Store
 	gateways []*gateway
+	agents   []*exec.Cmd
+	// agentPort is the port of the agents on the hosts of the ranks.
+	agentPort string
+
+	// poison is nil unless a request crashes the runners.
+	poison *poisoned
 
 	mu sync.Mutex
 	// runs lists, by attempt id, the runners that ran a request; statuses holds what the client got.
@@ -49,11 +58,22 @@
 
 var cases = map[string]func(*testCase) (broken bool, err error){
 	"1": secondRunAfterExtraAnswer,
-	"2": cutAnswers,
+	"2": mixedMaps,
+	"3": crashesAgain,
 }
 
 func main() { os.Exit(run()) }
 
+// stopOnSignal ends the processes of the case if it is interrupted.
+func (c *testCase) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	<-signals
+	c.stopProcesses()
+	_ = os.RemoveAll(c.dir)
+	os.Exit(exitCannot)
+}
+
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
@@ -82,10 +102,11 @@
 	}
 	defer store.Stop()
 	c := &testCase{
-		rec: rec, dir: dir, trouble: os.Getenv("TROUBLE") != "0", store: store,
+		rec: rec, dir: dir, agentPort: "7355", trouble: os.Getenv("TROUBLE") != "0", store: store,
 		runs: map[string][]string{}, paths: map[string]string{}, statuses: map[string]int{},
 	}
-	defer c.stopGateways()
+	defer c.stopProcesses()
+	go c.stopOnSignal()
 	broken, err := cases[os.Args[1]](c)
 	switch {
 	case err != nil:
--- a/review/testdata/rig/runner.go
+++ b/review/testdata/rig/runner.go
@@ -153,6 +153,10 @@
 		return "HTTP/1.1 421 Misdirected Request\r\n" + head + "Content-Length: 0\r\n\r\n", spoiled
 	}
 	r.c.ran(attempt, id, req.URL.Path)
+	if r.c.poison != nil && req.URL.Path == poisonPath {
+		r.c.poison.crash(r, attempt)
+		return "", false
+	}
 	time.Sleep(r.work)
 	body := "answer of " + id
 	if r.bodyBytes > 0 {
