--- a/review/testdata/rig/case3.go
+++ b/review/testdata/rig/case3.go
@@ -24,7 +24,7 @@
 	killedFor = time.Second
 	// attemptsPerLife is how many attempts come between two kills.
 	attemptsPerLife = 4
-	otherClients    = 6
+	otherClients    = 36
 	// maxRetries is how many retries may reach runners after the third crash.
 	maxRetries = 3
 )
@@ -138,6 +138,20 @@
 			c.rec.line("BUDGET: %s, sent %.1f s after the third crash, reached a runner", attempt, p.sentAt[attempt].Sub(p.crashes[2]).Seconds())
 		}
 	}
+	c.rec.line("%d hold-notices of other clients ran and ended with 502", c.cutOff())
 	c.rec.line("%d retries reached runners, %d may", retries, maxRetries)
 	return retries > maxRetries
 }
+
+// cutOff counts the requests of other clients on the unsafe route that a crash cut off.
+func (c *testCase) cutOff() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for attempt, status := range c.statuses {
+		if status == http.StatusBadGateway && len(c.runs[attempt]) > 0 && c.paths[attempt] == "/hold/2f" {
+			n++
+		}
+	}
+	return n
+}
