--- a/review/testdata/rig/gateway.go
+++ b/review/testdata/rig/gateway.go
@@ -45,7 +45,7 @@
   config_apply: 2000ms
   max_keep: 5s
   stall: 1500ms
-  retries:
+%s  retries:
     ratio: 0.2
     extra: 90
     window: 10s
@@ -70,7 +70,7 @@
 		c.gateways = append(c.gateways, g)
 	}
 	for _, g := range c.gateways {
-		text := fmt.Sprintf(settingsTemplate, g.name, g.zone, g.callers, g.directory, g.readiness, g.control, g.metrics, seeds, c.agentPort, c.store.Address())
+		text := fmt.Sprintf(settingsTemplate, g.name, g.zone, g.callers, g.directory, g.readiness, g.control, g.metrics, seeds, c.agentPort, c.store.Address(), c.moreBounds)
 		g.settings = filepath.Join(c.dir, g.name+".yaml")
 		g.logged = filepath.Join(c.dir, g.name+".log")
 		if err := os.WriteFile(g.settings, []byte(text), 0o600); err != nil {
@@ -107,13 +107,19 @@
 
 func (g *gateway) signal(s syscall.Signal) { _ = g.cmd.Process.Signal(s) }
 
+// NotReadyError reports that a gateway did not become ready in time.
+type NotReadyError struct{ Gateway string }
+
+// Error implements error.
+func (e *NotReadyError) Error() string { return e.Gateway + " is not ready" }
+
 // awaitReady waits until each gateway calls itself ready.
 func (c *testCase) awaitReady() error {
 	limit := time.Now().Add(15 * time.Second)
 	for _, g := range c.gateways {
 		for !g.ready() {
 			if time.Now().After(limit) {
-				return fmt.Errorf("%s is not ready", g.name)
+				return &NotReadyError{g.name}
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
--- a/review/testdata/rig/main.go
+++ b/review/testdata/rig/main.go
@@ -31,6 +31,8 @@
 	// agentPort is the port of the agents on the hosts of the ranks.
 	agentPort string
 
+	// moreBounds are lines of the settings for the bounds that only some sites have.
+	moreBounds string
 	// poison is nil unless a request crashes the runners.
 	poison *poisoned
 
@@ -57,9 +59,10 @@
 }
 
 var cases = map[string]func(*testCase) (broken bool, err error){
-	"1": secondRunAfterExtraAnswer,
-	"2": mixedMaps,
-	"3": crashesAgain,
+	"1":     secondRunAfterExtraAnswer,
+	"2":     mixedMaps,
+	"3":     crashesAgain,
+	"47206": floodedCold,
 }
 
 func main() { os.Exit(run()) }
--- a/review/testdata/rig/runner.go
+++ b/review/testdata/rig/runner.go
@@ -30,6 +30,9 @@
 	extraLate bool
 	// answers and extras count its answers and the extra ones.
 	answers, extras int
+	// born is the start of a runner that keeps its id; zero if each start has a new one. Such a runner is cold for coldStart.
+	born     time.Time
+	arrivals []time.Time
 }
 
 // up starts a new incarnation, which registers itself.
@@ -65,22 +68,32 @@
 
 func (r *runner) register(state string) {
 	r.c.rec.line("entry of %s is written: %s", r.id, state)
-	r.c.store.Put("servers", r.id, map[string]any{
+	entry := map[string]any{
 		"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": 6, "state": state,
 		"cold_remaining_ms": 0, "sequence": 1,
-	})
+	}
+	if !r.born.IsZero() {
+		entry["born"] = r.born.UnixMilli()
+		entry["cold_remaining_ms"] = max(0, coldStart-time.Since(r.born)).Milliseconds()
+	}
+	r.c.store.Put("servers", r.id, entry)
 }
 
-// crash ends the incarnation without a word; its entry goes after three heartbeats of silence.
-func (r *runner) crash() {
+// end closes the listener and all connections of the runner.
+func (r *runner) end() {
 	r.mu.Lock()
-	id := r.id
+	defer r.mu.Unlock()
 	_ = r.listener.Close()
 	for c := range r.conns {
 		_ = c.Close()
 	}
-	r.mu.Unlock()
-	r.c.rec.line("runner %s crashes", id)
+	r.c.rec.line("runner %s crashes", r.id)
+}
+
+// crash ends the incarnation without a word; its entry goes after three heartbeats of silence.
+func (r *runner) crash() {
+	r.end()
+	id := r.id
 	time.AfterFunc(3*heartbeat, func() {
 		r.c.rec.line("entry of %s is removed", id)
 		r.c.store.Remove("servers", id)
@@ -153,6 +166,9 @@
 		return "HTTP/1.1 421 Misdirected Request\r\n" + head + "Content-Length: 0\r\n\r\n", spoiled
 	}
 	r.c.ran(attempt, id, req.URL.Path)
+	r.mu.Lock()
+	r.arrivals = append(r.arrivals, time.Now())
+	r.mu.Unlock()
 	if r.c.poison != nil && req.URL.Path == poisonPath {
 		r.c.poison.crash(r, attempt)
 		return "", false
