Gateways log and count responses without the id of the attempt

The record cannot tell a late copy that is taken for the answer from a refusal that is untrue or a lost connection: no line has the id that a response bears.

The line 'response without the id of the attempt' has it, with the status and whether the response is taken for the answer; foreign_responses_total counts them.

No logic changed.

--- a/internal/node/gateway/log.go
+++ b/internal/node/gateway/log.go
@@ -12,6 +12,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/logging"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/replica"
 )
 
@@ -60,6 +61,14 @@
 		"account_tokens", d.AccountTokens, "yielded", d.Yielded, "entitled", d.Entitled)
 }
 
+// logForeignResponse logs and counts a response that does not bear the id of the request's attempt; taken is set if it is taken for
+// the answer all the same.
+func (g *Gateway) logForeignResponse(n *run, u *catalog.Upstream, status int, bears string, taken bool) {
+	g.metrics.foreignResponse(u.Service, status, bears != "", taken)
+	_ = g.requests.failures.Log("msg", "response without the id of the attempt", "request", n.r.call.Attempt, "route", n.r.route.Name,
+		"upstream", u.Incarnation(), "address", u.Address, "status", status, "bears", bears, "taken", taken)
+}
+
 // logRetry logs that another attempt follows.
 func (g *Gateway) logRetry(n *run, err error) {
 	g.metrics.requestRetried(n.r.service.Name)
--- a/internal/node/gateway/metrics.go
+++ b/internal/node/gateway/metrics.go
@@ -108,6 +108,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_peers_ended_total{told_by_others=\"%t\"}", byRumor)).Inc()
 }
 
+// foreignResponse counts a response that does not bear the id of the request's attempt.
+func (m *gatewayMetrics) foreignResponse(service ids.Service, status int, hasID, taken bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_foreign_responses_total{service=%q,status=\"%d\",has_id=\"%t\",taken=\"%t\"}", service, status, hasID, taken)).Inc()
+}
+
 func (m *gatewayMetrics) requestRetried(service ids.Service) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_retries_total{service=%q}", service)).Inc()
 }
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -34,7 +34,12 @@
 	n.writeRequest(req, to)
 	attempt := n.r.call.Attempt
 	match := func(h *fasthttp.ResponseHeader) bool {
-		return attempt == "" || n.g.dialect.ReadResponse(h).Attempt == attempt || mayLackAttemptID(h)
+		got := n.g.dialect.ReadResponse(h).Attempt
+		matches := attempt == "" || got == attempt || mayLackAttemptID(h)
+		if got != attempt {
+			n.g.logForeignResponse(n, to, h.StatusCode(), got, matches)
+		}
+		return matches
 	}
 	return n.g.client.DoMatchingIf(ctx, to.Address, req, match, func() error { return n.checkPlacement(to, t.PlacementInputs()) })
 }
