A write to a caller waits while the event loop has not fetched what is queued

Cause: Write blocked on what the socket has not taken. What a request's goroutine had queued for the event loop was not counted, so an upstream that sends faster than the loop fetches filled the memory.

TestWriteWaitsForBusyEventLoop fails before (6,553,600 bytes accepted, 65,536 are the limit) and passes now.

--- a/internal/base/httpserver/exchange.go
+++ b/internal/base/httpserver/exchange.go
@@ -183,7 +183,8 @@
 
 func (x *Exchange) waitForReader(ctx context.Context) error {
 	limit := int64(x.conn.srv.limits.Load().MaxUnreadBytes)
-	for x.conn.unread.Load() > limit {
+	// An upstream may send faster than the event loop fetches what is queued for the socket.
+	for x.conn.unread.Load()+int64(x.conn.out.size()) > limit {
 		select {
 		case <-ctx.Done():
 			return &ConnectionClosedError{"cancelled while the caller left the response unread"}
--- a/internal/base/httpserver/outbox.go
+++ b/internal/base/httpserver/outbox.go
@@ -43,11 +43,11 @@
 	return buf
 }
 
-// empty reports whether the event loop has fetched all bytes.
-func (o *outbox) empty() bool {
+// size returns how many bytes the event loop has not fetched yet.
+func (o *outbox) size() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.buf) == 0
+	return len(o.buf)
 }
 
 // recycle keeps a buffer that take returned for reuse, unless it is larger than maxSpare.
--- a/internal/base/httpserver/outbox_test.go
+++ b/internal/base/httpserver/outbox_test.go
@@ -2,8 +2,15 @@
 
 import (
 	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
 )
 
 // Guards against sending bytes of later pieces in place of earlier ones. A burst of a long stream outgrows the buffer
@@ -41,3 +48,41 @@
 		o.take()
 	}
 }
+
+// Guards against a writer that fills the memory while the event loop is busy, because only what the socket has not taken is bounded.
+func TestWriteWaitsForBusyEventLoop(t *testing.T) {
+	const limit, piece = 64 << 10, 16 << 10
+	loopBusy, written := make(chan struct{}), make(chan int, 1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	s, err := Start(address, 1, Limits{MaxUnreadBytes: limit}, func(_ context.Context, x *Exchange) {
+		_ = x.conn.gc.EventLoop().Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error { <-loopBusy; return nil }))
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		_ = x.Stream(http.StatusOK, nil)
+		n := 0
+		for ctx.Err() == nil && n < 100*limit && x.Write(ctx, make([]byte, piece)) == nil {
+			n += piece
+		}
+		written <- n
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = s.Stop(context.Background()) }()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	n := <-written
+	close(loopBusy)
+	if n > 2*limit {
+		t.Fatalf("%d bytes were accepted while the event loop was busy", n)
+	}
+}
--- a/internal/base/httpserver/untilclose.go
+++ b/internal/base/httpserver/untilclose.go
@@ -58,7 +58,7 @@
 // allSent reports whether the socket has accepted all bytes and the connection will be closed without a reset. It runs on the
 // event loop.
 func (c *conn) allSent(gc gnet.Conn) bool {
-	return c.out.empty() && gc.OutboundBuffered() == 0 && gc.SetLinger(flushOnClose) == nil
+	return c.out.size() == 0 && gc.OutboundBuffered() == 0 && gc.SetLinger(flushOnClose) == nil
 }
 
 // onLoop runs f on the event loop and returns its result, or false if the connection is closed.
