A plain response does not get into a stream that has begun

Cause: an upstream at which a stream is resumed may respond with something else than events; relayPlain then wrote a second response.

It is now a failed attempt: the stream is resumed elsewhere or broken off.

TestFailureOfResumedStreamDoesNotGetIntoIt fails on for 400, 404 and 200, and passes now.

--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -196,6 +196,9 @@
 		return &RefusedError{t.Upstream().ID, res.Status, info.FaultyUpstream, info.Instance, info.Rest.Length}
 	case isStream(res) && n.r.route.Kind == catalog.KindStream && res.Status/100 == 2:
 		err = n.relayStream(ctx, t, res, info)
+	case n.x.Responded():
+		res.Release(false)
+		return &ResponseError{t.Upstream().ID, res.Status, "not the rest of a stream that has begun"}
 	default:
 		err = n.relayPlain(ctx, t, res, info)
 	}
