Bytes without an end cost a request neither its time nor the gateway its memory

What callers saw, with one upstream that sends bytes without an end, on: safe requests and streams held until their deadline, though another upstream could serve them (12 of 16 kinds in TestBytesWithoutEnd), and bodies of up to 1 MB each in memory.

Change: a head is judged before its body is read. A body beyond 1 MB makes a repeatable request go elsewhere once, with a retry that is reserved first, unless complete bodies of that length are usual for the service; the upstream's standing is not touched. Buffers of long bodies take a sixth of the process's memory together; beyond it a body is relayed from 64 KB on. An event has 128 KB at most (1 MB before).

A request that may not be repeated still waits until its deadline: nothing better can be done for it, and what comes late may be its answer.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -71,7 +71,9 @@
 	tracer      *tracing.Tracer
 	table       platform.Table
 	client      *httpclient.Client
-	view        atomic.Pointer[view]
+	// bufferMemory bounds the memory of the buffers of long bodies.
+	bufferMemory bufferMemory
+	view         atomic.Pointer[view]
 
 	followers        []*replica.Follower
 	configFollower   *replica.Follower
--- a/internal/node/gateway/plain.go
+++ b/internal/node/gateway/plain.go
@@ -12,10 +12,6 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
 )
 
-// maxBufferedBytes bounds the part of a response that is buffered before relaying. A longer response is relayed as it
-// arrives: it can no longer be retried elsewhere, and its caller sees a truncated response if the connection breaks.
-const maxBufferedBytes = 1 << 20
-
 // plainResponse is the buffered status, header and body of a response.
 type plainResponse struct {
 	status  int
@@ -38,21 +34,27 @@
 // If the connection to the upstream breaks within a body, the caller must not mistake the received part for the full
 // body: the response is relayed only once it is complete, with its length.
 func (n *run) relayPlain(ctx context.Context, t *dispatch.Ticket, res *httpclient.Response, info ResponseInfo) error {
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedBytes+1))
+	if reason := n.unusable(res, info); reason != "" {
+		res.Release(false)
+		return &ResponseError{t.Upstream().ID, res.Status, reason}
+	}
+	body, err := n.readBody(res)
+	defer body.free()
 	if err != nil {
 		res.Release(false)
 		return &httpclient.BrokenError{Address: t.Upstream().Address, Stage: "read body from", Cause: err}
 	}
-	if reason := n.unusable(res, info); reason != "" {
+	if !body.whole && n.asksElsewhere(ctx, body) {
 		res.Release(false)
-		return &ResponseError{t.Upstream().ID, res.Status, reason}
+		return &LongBodyError{t.Upstream().ID}
 	}
 	n.service.gate.Responded(t)
-	p := &plainResponse{res.Status, responseHeaders(res.Header), body, res.CloseDelimited}
-	if len(body) > maxBufferedBytes {
+	p := &plainResponse{res.Status, responseHeaders(res.Header), body.bytes, res.CloseDelimited}
+	if !body.whole {
 		n.recordFirstPiece()
 		return n.relayRest(ctx, t, res, p)
 	}
+	n.service.longBodies.Record(false)
 	contentType := string(res.Header.ContentType())
 	res.Release(true)
 	if err := n.checkEnd(ctx, t, p, contentType); err != nil {
@@ -112,6 +114,7 @@
 	if err != io.EOF {
 		return err
 	}
+	n.service.longBodies.Record(true)
 	if p.endUnproven {
 		if err := n.checkAlive(ctx, t.Upstream()); err != nil {
 			return err
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -256,6 +256,7 @@
 func (n *run) stopReason(ctx context.Context, err error) string {
 	var closed *httpserver.ConnectionClosedError
 	var moved *MovedError
+	var long *LongBodyError
 	var refused *PartRefusedError
 	switch {
 	case errors.As(err, &closed) || context.Cause(ctx) == context.Canceled:
@@ -276,8 +277,8 @@
 		return "it was let through once"
 	case n.unreached >= maxUnreached:
 		return "no upstream can be reached"
-	case errors.As(err, &moved):
-		return "" // moveFrom has already reserved the retry
+	case errors.As(err, &moved) || errors.As(err, &long):
+		return "" // the retry is already reserved
 	case n.mayHaveRun && !n.x.Responded() && n.suspected(ctx):
 		return "upstreams may crash under a part of its prompt"
 	case n.arrived && !n.reserveRetry(ctx):
@@ -356,12 +357,13 @@
 	var refused *RefusedError
 	var failed *FailedError
 	var moved *MovedError
+	var long *LongBodyError
 	var unproven *UnprovenEndError
 	var partRefused *PartRefusedError
 	switch {
 	case err == nil || errors.As(err, &unproven):
 		return dispatch.OutcomeOK
-	case errors.As(err, &closed) || errors.As(err, &moved) || errors.As(err, &partRefused) || isUnwritten(err) || ctx.Err() != nil:
+	case errors.As(err, &closed) || errors.As(err, &moved) || errors.As(err, &long) || errors.As(err, &partRefused) || isUnwritten(err) || ctx.Err() != nil:
 		return dispatch.OutcomeNone
 	case errors.As(err, &refused) && refused.Status == statusOtherInstance:
 		return dispatch.OutcomeReplaced
--- a/internal/node/gateway/services.go
+++ b/internal/node/gateway/services.go
@@ -22,7 +22,10 @@
 		s := g.control.services[name]
 		if s == nil {
 			rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-			s = &service{gate: dispatch.NewGate(dispatch.NewPool(dispatch.Options{}, rng)), budget: retry.NewSharedBudget(), habit: &completeness.Habit{}, gaps: &completeness.Habit{}}
+			s = &service{
+				gate: dispatch.NewGate(dispatch.NewPool(dispatch.Options{}, rng)), budget: retry.NewSharedBudget(),
+				habit: &completeness.Habit{}, longBodies: &completeness.Habit{}, gaps: &completeness.Habit{},
+			}
 			s.grants = newRetryGrants(g, name, s.budget)
 			g.watchGroup(s, c)
 			g.metrics.addServiceGauges(g, name)
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -37,8 +37,8 @@
 // streamBufferBytes is the size of one read from an upstream; an event has some tens of bytes.
 const streamBufferBytes = 8 << 10
 
-// maxEventBytes is the maximum size of an event.
-const maxEventBytes = 1 << 20
+// maxEventBytes is the maximum size of an event. Each stream may hold that much.
+const maxEventBytes = 128 << 10
 
 // EventError reports that a stream has an event that cannot be relayed.
 type EventError struct{ Reason string }
@@ -97,9 +97,11 @@
 
 func (n *run) copyEvents(ctx context.Context, t *dispatch.Ticket, res *httpclient.Response) error {
 	var pending []byte
+	// begunAt is when the event that is not complete yet began to arrive; zero if there is none.
+	var begunAt time.Time
 	buf := make([]byte, streamBufferBytes)
 	for {
-		size, err := res.Body.Read(buf)
+		size, err := n.readEvents(res, buf, begunAt)
 		pending = append(pending, buf[:size]...)
 		complete := completeEvents(pending)
 		if complete > 0 {
@@ -107,6 +109,10 @@
 				return err
 			}
 			pending = append(pending[:0], pending[complete:]...)
+			begunAt = time.Time{}
+		}
+		if len(pending) > 0 && begunAt.IsZero() {
+			begunAt = time.Now()
 		}
 		switch {
 		case errors.Is(err, io.EOF) && len(pending) > 0:
@@ -121,6 +127,22 @@
 	}
 }
 
+// readEvents reads what has arrived of the events. The rest of an event that has begun may take half of the time for which the caller
+// waits, if another upstream may resume the stream.
+func (n *run) readEvents(res *httpclient.Response, buf []byte, begunAt time.Time) (int, error) {
+	if begunAt.IsZero() || !n.mayGoElsewhere() {
+		return res.Body.Read(buf)
+	}
+	limit := min(n.r.route.CallerTimeout(), n.r.deadline.Sub(begunAt)) / 2
+	stop := res.AbortAfter(time.Until(begunAt.Add(limit)))
+	defer stop()
+	size, err := res.Body.Read(buf)
+	if err != nil && res.Aborted() {
+		err = &UnfinishedBodyError{limit}
+	}
+	return size, err
+}
+
 // writeEvents writes complete events to the caller, preceded by the response header if they are the first.
 func (n *run) writeEvents(ctx context.Context, t *dispatch.Ticket, res *httpclient.Response, events []byte) error {
 	events, last, err := n.nextEvents(events)
--- a/internal/node/gateway/view.go
+++ b/internal/node/gateway/view.go
@@ -36,6 +36,8 @@
 	grants *retryGrants
 	// habit records how the service's upstreams end their responses.
 	habit *completeness.Habit
+	// longBodies records which of the service's complete bodies were too long to be buffered.
+	longBodies *completeness.Habit
 	// gaps records which of the service's streams have ids that are not consecutive.
 	gaps *completeness.Habit
 	// group is nil unless the upstreams are ranks of a group.
