--- a/internal/base/httpclient/spoiled_test.go
+++ b/internal/base/httpclient/spoiled_test.go
@@ -237,6 +237,25 @@
 	}
 }
 
+// Guards against the response to a read that is older than the connection may be.
+func TestConnectionWithoutIDsIsKeptForItsTime(t *testing.T) {
+	const keptFor = 100 * time.Millisecond
+	p := startSpoiledPeer(t, spoil.NewScript(idHeader, 0, nil))
+	c := httpclient.New(httpclient.Options{UnidentifiedFor: keptFor})
+	defer c.Close()
+	for n, want := range []int64{1, 1, 2} {
+		if n == 2 {
+			time.Sleep(keptFor)
+		}
+		if ok, err := (spoiledExchange{seq: strconv.Itoa(n), status: "200"}).run(t.Context(), c, p.address); !ok || err != nil {
+			t.Fatalf("request %d: answered %t, %v", n, ok, err)
+		}
+		if got := p.conns.Load(); got != want {
+			t.Fatalf("%d connections after request %d, want %d", got, n, want)
+		}
+	}
+}
+
 // Guards against connections to upstreams that get no more requests, which stay open until the descriptors are used up.
 func TestIdleConnectionsOfOtherInstancesAreClosed(t *testing.T) {
 	p := startPeer(t, responseA)
--- a/internal/node/agent/client.go
+++ b/internal/node/agent/client.go
@@ -26,6 +26,9 @@
 	maxBackoff     = 2 * time.Second
 	// maxIdle is the maximum number of idle connections to one agent; calls to one agent are mostly sequential.
 	maxIdle = 2
+	// maxAnswerBytes limits the body of an answer, and maxHeaderBytes its header: the largest is a list of experts.
+	maxAnswerBytes = 4 << 20
+	maxHeaderBytes = 16 << 10
 )
 
 // Client reaches ranks through their agents, and directly if the agent is unavailable. It implements
@@ -69,6 +72,7 @@
 		maps:   newMapCache(),
 		http: &http.Client{Transport: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdle, DisableCompression: true,
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		}},
 		agents:   map[string]cardamomyokev1connect.AgentServiceClient{},
 		backoffs: map[string]backoff{},
@@ -95,7 +99,7 @@
 	}
 	a := c.agents[host]
 	if a == nil {
-		a = cardamomyokev1connect.NewAgentServiceClient(c.http, "http://"+net.JoinHostPort(host, c.port))
+		a = cardamomyokev1connect.NewAgentServiceClient(c.http, "http://"+net.JoinHostPort(host, c.port), connect.WithReadMaxBytes(maxAnswerBytes))
 		c.agents[host] = a
 	}
 	return a, host, true
--- a/internal/node/rank/rank.go
+++ b/internal/node/rank/rank.go
@@ -55,9 +55,14 @@
 	return fmt.Sprintf("engine's rank responded with status %d", e.Status)
 }
 
-// Engine is a client of one engine's rank. It implements node.Engine of package expertmap/node and the RankService.
+// readsKept is how long a connection carries reads. Answers of engines bear no id, so a late copy may be that old.
+const readsKept = 500 * time.Millisecond
+
+// Engine is a client of one engine's rank. It implements node.Engine of package expertmap/node and the RankService. Each order has a
+// connection of its own, so that a late copy of another answer is not taken for the one to an order that was not carried out.
 type Engine struct {
-	client  *httpclient.Client
+	orders  *httpclient.Client
+	reads   *httpclient.Client
 	address string
 	group   ids.Group
 	rank    expertmap.Rank
@@ -65,7 +70,8 @@
 
 // NewEngine returns a client of the rank of the engine at address (IP:PORT).
 func NewEngine(address string, group ids.Group, rank expertmap.Rank) *Engine {
-	return &Engine{client: httpclient.New(httpclient.Options{UnidentifiedFor: time.Hour}), address: address, group: group, rank: rank}
+	orders, reads := httpclient.New(httpclient.Options{}), httpclient.New(httpclient.Options{UnidentifiedFor: readsKept})
+	return &Engine{orders: orders, reads: reads, address: address, group: group, rank: rank}
 }
 
 // Report implements node.Engine.
@@ -80,13 +86,13 @@
 	if err != nil {
 		return fmt.Errorf("encode order: %w", err)
 	}
-	_, err = e.call(ctx, fasthttp.MethodPost, PathOrders, body)
+	_, err = e.call(ctx, e.orders, fasthttp.MethodPost, PathOrders, body)
 	return err
 }
 
 func (e *Engine) state(ctx context.Context) (State, error) {
 	var s State
-	body, err := e.call(ctx, fasthttp.MethodGet, PathRank, nil)
+	body, err := e.call(ctx, e.reads, fasthttp.MethodGet, PathRank, nil)
 	if err != nil {
 		return s, err
 	}
@@ -96,13 +102,13 @@
 	return s, nil
 }
 
-func (e *Engine) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+func (e *Engine) call(ctx context.Context, client *httpclient.Client, method, path string, body []byte) ([]byte, error) {
 	req := &fasthttp.Request{}
 	req.Header.SetMethod(method)
 	req.SetRequestURI(path)
 	req.Header.SetHost("engine")
 	req.SetBodyRaw(body)
-	res, err := e.client.Do(ctx, e.address, httpclient.Exchange{Request: req})
+	res, err := client.Do(ctx, e.address, httpclient.Exchange{Request: req})
 	if err != nil {
 		return nil, err
 	}
