--- a/internal/node/gateway/digests.go
+++ b/internal/node/gateway/digests.go
@@ -122,8 +122,10 @@
 		d.News = append(d.News, tableNews(f))
 	}
 	d.Slow = g.experts.allSlowRanks()
-	d.Suspects = quarantine.ToDigest(g.suspects.tracker.Digest(time.Now(), maxDigestSuspects))
+	suspects := g.suspects.tracker.Digest(time.Now(), maxDigestSuspects)
+	d.Suspects = quarantine.ToDigest(suspects)
 	d.Parts, d.PartsLoaded = g.suspects.parts.digest(time.Now())
+	d.PartsLoaded = d.PartsLoaded && quarantine.Covers(suspects, g.suspects.tracker.Stored(time.Now()))
 	d.Work = g.workColumns()
 	d.FirstAttempts = g.firstAttemptColumns(time.Now())
 	d.RetryGrants = true
--- a/internal/node/gateway/join.go
+++ b/internal/node/gateway/join.go
@@ -4,6 +4,7 @@
 	"time"
 
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/liveness"
 )
 
@@ -53,12 +54,13 @@
 	p.sendProbes(probes)
 }
 
-// sendPeerList sends the addresses of all peers, and the limits of upstreams, to a gateway that joins.
+// sendPeerList sends the addresses of all peers, the limits of upstreams and the evidence of crashes to a gateway that joins.
 func (p *peers) sendPeerList(now time.Time, to string) {
 	d := p.compose()
 	d.Peers = p.others(now)
 	d.Limits = p.g.limits.newest(now)
 	d.Parts, d.PartsLoaded = p.g.suspects.parts.all()
+	d.Suspects = quarantine.ToDigest(p.g.suspects.tracker.Stored(now))
 	p.sendTo([]string{to}, d)
 }
 
--- a/internal/node/gateway/partstore.go
+++ b/internal/node/gateway/partstore.go
@@ -14,6 +14,7 @@
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/blame"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/platform"
 )
 
@@ -39,7 +40,8 @@
 	maxPartsTries = 12
 )
 
-// partStore keeps the parts under which upstreams crash in a row of the store, so that they outlast all gateways.
+// partStore keeps the evidence of crashes, against parts of prompts and against whole requests, in two rows of the store, so that it
+// outlasts all gateways.
 type partStore struct {
 	g *Gateway
 	p *crashParts
@@ -82,14 +84,30 @@
 	if s.g.peers.isolated(now) && now.Sub(s.readAt) >= isolatedReadInterval {
 		return true
 	}
+	s.noticeEra(now)
+	if s.g.suspects.saveDue(now) {
+		return true
+	}
 	s.p.mu.Lock()
 	defer s.p.mu.Unlock()
-	if at, loaded := s.g.configFollower.Replica.Position(); loaded && at.Era > s.row.Era && !s.p.ledger.Empty() && !s.p.ledger.Unsaved() {
-		// All gateways notice a new era at once, and the store takes some hundred writes a second.
-		s.p.saveAt = now.Add(time.Duration(rand.Int64N(int64(learnedSaveSpread))))
+	return s.p.ledger.Unsaved() && !now.Before(s.p.saveAt)
+}
+
+// noticeEra schedules a write if the store has begun an era since the rows were read: they may be older than what is known. The caller
+// holds the lock.
+func (s *partStore) noticeEra(now time.Time) {
+	at, loaded := s.g.configFollower.Replica.Position()
+	if !loaded || at.Era <= s.row.Era {
+		return
+	}
+	// All gateways notice a new era at once, and the store takes some hundred writes a second.
+	due := now.Add(time.Duration(rand.Int64N(int64(learnedSaveSpread))))
+	s.p.mu.Lock()
+	defer s.p.mu.Unlock()
+	if (!s.p.ledger.Empty() || len(s.g.suspects.tracker.Stored(now)) > 0) && !s.p.ledger.Unsaved() {
+		s.p.saveAt = due
 		s.p.ledger.SetUnsaved(true)
 	}
-	return s.p.ledger.Unsaved() && !now.Before(s.p.saveAt)
 }
 
 // readsFirst reports whether this gateway reads the row as soon as it starts. Gateways that start together learn what it has from
@@ -105,6 +123,7 @@
 	s.p.mu.Lock()
 	s.p.ledger.SetUnsaved(false)
 	s.p.mu.Unlock()
+	s.g.suspects.saving()
 	err := s.sync(ctx, func(*blame.Ledger, []blame.Suspect) bool { return true })
 	s.finish(err, time.Now())
 }
@@ -117,6 +136,7 @@
 		return
 	}
 	s.notBefore = now.Add(partsFailedPause)
+	s.g.suspects.saveFailed(now)
 	s.p.metrics.partsStoreFailed()
 	if s.g.ctx.Err() == nil {
 		_ = s.g.storeCalls.Log("msg", "store call failed", "row", partsRow, "row_version", s.row.Position(), "err", err)
@@ -126,20 +146,21 @@
 	s.p.ledger.SetUnsaved(true)
 }
 
-// sync reads the row, merges it, and writes what it lacks. change is applied to the ledger once it has what is stored; if it
+// sync reads the rows, merges them, and writes what they lack. change is applied to the ledger once it has what is stored; if it
 // returns false, nothing is written. Errors: those of platform.Table, *ContendedRowError.
 func (s *partStore) sync(ctx context.Context, change func(l *blame.Ledger, stored []blame.Suspect) bool) error {
 	for range maxPartsTries {
-		rows, err := s.g.table.Get(ctx, partsRow)
+		rows, err := s.g.table.Get(ctx, partsRow, requestsRow)
 		if err != nil {
 			return err
 		}
+		s.g.suspects.readRow(rows[1], time.Now())
 		stored := s.read(rows[0])
-		value, write, err := s.next(stored, rows[0], change)
-		if err != nil || !write {
+		changed, err := s.next(stored, rows, change)
+		if err != nil || len(changed) == 0 {
 			return err
 		}
-		err = s.write(ctx, rows[0], value)
+		err = s.write(ctx, changed)
 		var conflict *platform.ConflictError
 		if !errors.As(err, &conflict) {
 			return err
@@ -199,30 +220,61 @@
 	s.row, s.readAt = row, time.Now()
 }
 
-// next returns the row's next value, and whether it must be written.
-func (s *partStore) next(stored []blame.Suspect, row platform.Row, change func(l *blame.Ledger, stored []blame.Suspect) bool) (value []byte, write bool, err error) {
+// changedRow is a row of the store with its next value.
+type changedRow struct {
+	row   platform.Row
+	value []byte
+}
+
+// next returns the rows that must be written.
+func (s *partStore) next(stored []blame.Suspect, rows []platform.Row, change func(l *blame.Ledger, stored []blame.Suspect) bool) ([]changedRow, error) {
 	s.p.mu.Lock()
 	defer s.p.mu.Unlock()
 	if !change(s.p.ledger, stored) {
-		return nil, false, nil
+		return nil, nil
+	}
+	var out []changedRow
+	if all := s.p.ledger.All(); !blame.Covers(stored, all) {
+		value, err := blame.EncodeRow(all)
+		if err != nil {
+			return nil, err
+		}
+		out = appendChanged(out, rows[0], value)
 	}
-	all := s.p.ledger.All()
-	if blame.Covers(stored, all) {
-		return nil, false, nil
+	value, err := quarantine.EncodeRow(s.g.suspects.tracker.Stored(time.Now()))
+	if err != nil {
+		return nil, err
 	}
-	value, err = blame.EncodeRow(all)
-	return value, err == nil && !bytes.Equal(value, row.Value), err
+	return appendChanged(out, rows[1], value), nil
 }
 
-func (s *partStore) write(ctx context.Context, row platform.Row, value []byte) error {
-	put := platform.Put{Key: row.Key, Value: value}
-	res, err := s.g.table.Commit(ctx, platform.Txn{Operation: ids.NewOperation(), Checks: []platform.Check{row.Unchanged()}, Puts: []platform.Put{put}})
+func appendChanged(list []changedRow, row platform.Row, value []byte) []changedRow {
+	if bytes.Equal(value, row.Value) {
+		return list
+	}
+	return append(list, changedRow{row, value})
+}
+
+func (s *partStore) write(ctx context.Context, changed []changedRow) error {
+	txn := platform.Txn{Operation: ids.NewOperation()}
+	for _, c := range changed {
+		txn.Checks = append(txn.Checks, c.row.Unchanged())
+		txn.Puts = append(txn.Puts, platform.Put{Key: c.row.Key, Value: c.value})
+	}
+	res, err := s.g.table.Commit(ctx, txn)
 	if err != nil {
 		return err
 	}
-	at := res.Position(0)
-	s.recordRow(platform.Row{Key: row.Key, Version: at.Version, Era: at.Era, Value: value})
-	_ = level.Info(s.p.logger).Log("msg", "stored parts written", "row_version", at, "bytes", len(value))
+	for i, c := range changed {
+		at := res.Position(i)
+		written := platform.Row{Key: c.row.Key, Version: at.Version, Era: at.Era, Value: c.value}
+		if c.row.Key == partsRow {
+			s.recordRow(written)
+		} else {
+			s.g.suspects.readRow(written, time.Now())
+		}
+		_ = level.Info(s.p.logger).Log("msg", "stored evidence written", "row", c.row.Key, "row_version", at, "bytes", len(c.value))
+	}
 	return nil
 }
 
--- a/internal/node/gateway/parttrials_test.go
+++ b/internal/node/gateway/parttrials_test.go
@@ -30,7 +30,11 @@
 		return nil, &platform.UnavailableError{Op: "get"}
 	}
 	t.row.Key = keys[0]
-	return []platform.Row{t.row}, nil
+	rows := []platform.Row{t.row}
+	for _, key := range keys[1:] {
+		rows = append(rows, platform.Row{Key: key})
+	}
+	return rows, nil
 }
 
 // Commit implements platform.Table.
--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -193,7 +193,7 @@
 		p.g.loop.Post(func(now time.Time) { p.sendPeerList(now, d.GetDigestAddress()) })
 	}
 	if d.GetProbe() == nil {
-		p.g.suspects.tracker.Merge(now, quarantine.FromDigest(d)...)
+		p.g.suspects.merge(quarantine.FromDigest(d), now)
 		p.mergeParts(d, next.complete(), now)
 		p.g.limits.merge(d.GetLimits(), now)
 		p.g.cold.merge(d.GetCold(), now)
--- a/internal/node/gateway/suspects.go
+++ b/internal/node/gateway/suspects.go
@@ -52,6 +52,9 @@
 	// confirming holds the runs whose connections broke, by upstream, until it is known whether the upstream still
 	// listens.
 	confirming map[ids.UpstreamIncarnation][]brokenRun
+	// saveAt is when the evidence is to be written to the store; zero if the store has it. inRow holds the requests that it has.
+	saveAt time.Time
+	inRow  map[quarantine.Fingerprint]bool
 	// unproven holds the runs whose connections broke, by upstream, if its address did not refuse connections then: the upstream may
 	// have been back already, or its host may be silent.
 	unproven map[ids.UpstreamIncarnation]brokenRuns
@@ -81,7 +84,6 @@
 func newSuspects(name string, logger log.Logger, m *gatewayMetrics) *suspects {
 	rules := quarantine.Rules{Period: quarantinePeriod, Crashes: refuseAfterCrashes}
 	return &suspects{
-		// Evidence need not be durable: if all gateways crash together, three more crashes establish it again.
 		tracker:    quarantine.NewPersistentTracker(nil, rules, quarantine.PersistentTrackerOptions{}),
 		logger:     logger,
 		metrics:    m,
@@ -171,9 +173,11 @@
 
 // completed records that a request ran to its end: it did not cause the crashes of upstreams that ran it.
 func (s *suspects) completed(n *run, now time.Time) {
-	if !s.tracker.Snapshot().Empty() {
-		s.tracker.Completed(now, n.fingerprint())
+	if s.tracker.Snapshot().Empty() {
+		return
 	}
+	s.tracker.Completed(now, n.fingerprint())
+	s.clearedInRow(n.fingerprint(), now)
 }
 
 // connectionBroken records that a run's connection to an upstream broke, and checks whether the upstream crashed. leaving is set if
@@ -265,12 +269,13 @@
 	now := time.Now()
 	// The crash id is derived from the incarnation, so that the reports of several gateways count as one crash, and two
 	// crashes of the same upstream id as two.
-	crash := quarantine.Evidence{Crash: quarantine.NewCrashID(ids.Incarnation(i.String()), 1), At: now}
+	crash := quarantine.Evidence{Crash: quarantine.NewCrashID(ids.Incarnation(i.String()), 1), At: now.Truncate(time.Millisecond)}
 	s.metrics.crashProven(proof)
 	s.parts.crashed(i, runs, now)
 	for _, r := range runs {
 		s.tracker.Merge(now, quarantine.Suspect{Fingerprint: r.Fingerprint, Client: r.Client, Evidence: []quarantine.Evidence{crash}})
 		lvl, _ := s.tracker.Snapshot().Classify(now, r.Fingerprint)
+		s.saveBy(now.Add(evidenceSaveDelay(lvl)))
 		_ = level.Info(s.logger).Log("msg", "request suspected", "reason", "upstream crashed while running the request", "upstream", i, "proof", proof,
 			"fingerprint", r.Fingerprint, "client", r.Client, "level", lvl, "request", r.attempt, "parts", r.parts, "events", r.events)
 	}
--- a/internal/policy/quarantine/digest.go
+++ b/internal/policy/quarantine/digest.go
@@ -12,9 +12,11 @@
 }
 
 // FromDigest returns the suspects in a digest. Invalid ones are skipped.
-func FromDigest(d *cardamomyokev1.Digest) []Suspect {
+func FromDigest(d *cardamomyokev1.Digest) []Suspect { return fromProto(d.GetSuspects()) }
+
+func fromProto(list []*cardamomyokev1.Suspect) []Suspect {
 	var out []Suspect
-	for _, in := range d.GetSuspects() {
+	for _, in := range list {
 		if s, err := SuspectFromProto(in); err == nil {
 			out = append(out, s)
 		}
--- a/internal/policy/quarantine/evidence.go
+++ b/internal/policy/quarantine/evidence.go
@@ -86,6 +86,7 @@
 	if i >= 0 {
 		changed := e.Cleared && !s.Evidence[i].Cleared
 		s.Evidence[i].Cleared = s.Evidence[i].Cleared || e.Cleared
+		s.moveTo(i, e.At)
 		return changed
 	}
 	at, _ := slices.BinarySearchFunc(s.Evidence, e, byTime)
@@ -99,6 +100,14 @@
 	return true
 }
 
+// moveTo sets the time of the crash with the index to an earlier one, so that nodes that noticed it at different times agree.
+func (s *Suspect) moveTo(i int, at time.Time) {
+	if at.Before(s.Evidence[i].At) {
+		s.Evidence[i].At = at
+		slices.SortFunc(s.Evidence, byTime)
+	}
+}
+
 func byTime(a, b Evidence) int {
 	return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Crash, b.Crash))
 }
--- a/internal/policy/quarantine/persistent.go
+++ b/internal/policy/quarantine/persistent.go
@@ -107,6 +107,13 @@
 	return p.tracker.Digest(now, limit)
 }
 
+// Stored returns what a gateway that starts must know.
+func (p *PersistentTracker) Stored(now time.Time) []Suspect {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tracker.Stored(now)
+}
+
 // List returns the suspects for operators.
 func (p *PersistentTracker) List(now time.Time) []ListEntry {
 	p.mu.Lock()
--- a/internal/policy/quarantine/tracker.go
+++ b/internal/policy/quarantine/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"slices"
 	"time"
 
@@ -27,6 +28,8 @@
 	// maxSuspects is the maximum number of requests that a node tracks; those that changed longest ago are dropped
 	// first.
 	maxSuspects = 8192
+	// maxStored is the maximum number of requests in the row that gateways share; those with the most crashes come first.
+	maxStored = 128
 	// maxRefusedInDigest is the maximum number of refused requests that are still repeated after repeatFor.
 	maxRefusedInDigest = 8
 )
@@ -173,6 +176,26 @@
 	}
 }
 
+// Stored returns what a gateway that starts must know, sorted by fingerprint: the requests against which crashes count, and those with
+// an override.
+func (t *Tracker) Stored(now time.Time) []Suspect {
+	var out []Suspect
+	for _, s := range t.sorted() {
+		if s.crashes() > 0 || s.Override.Until.After(now) {
+			out = append(out, s.copy())
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Suspect) int { return cmp.Compare(b.crashes(), a.crashes()) })
+	out = out[:min(len(out), maxStored)]
+	slices.SortFunc(out, func(a, b Suspect) int { return slices.Compare(a.Fingerprint[:], b.Fingerprint[:]) })
+	return out
+}
+
+func (s *Suspect) crashes() int {
+	n, _, _, _ := s.countCrashes()
+	return n
+}
+
 // Digest returns up to limit suspects for the other nodes: those that changed recently, then a few that are refused.
 func (t *Tracker) Digest(now time.Time, limit int) []Suspect {
 	var out []Suspect
