A node calls the store at once when those that called it on its behalf have found it

Change: the backoff after a failed call ends once nobody calls on behalf of a node that others called for when the call began.

--- a/internal/state/replica/follower.go
+++ b/internal/state/replica/follower.go
@@ -118,6 +118,7 @@
 			monotonic.Sleep(ctx, relayCheckInterval)
 			continue
 		}
+		delegated := f.delegated()
 		start := time.Now()
 		err := f.step(ctx)
 		f.recordResult(err)
@@ -129,22 +130,36 @@
 		if f.CallFailed != nil {
 			f.CallFailed(f.Replica, err)
 		}
-		monotonic.Sleep(ctx, pause/2+rand.N(pause/2))
+		f.backOff(ctx, pause, delegated)
 		f.awaitDelegates(ctx)
 		pause = min(maxBackoff, 2*pause)
 	}
 }
 
+// backOff waits after a failed call. delegated is set if others called the store on behalf of this node when the call began; once they
+// no longer do, they have found the store, and there is nothing to wait for.
+func (f *Follower) backOff(ctx context.Context, pause time.Duration, delegated bool) {
+	end := time.Now().Add(pause/2 + rand.N(pause/2))
+	for ctx.Err() == nil && time.Now().Before(end) {
+		if delegated && !f.delegated() {
+			return
+		}
+		monotonic.Sleep(ctx, min(relayCheckInterval, time.Until(end)))
+	}
+}
+
+// delegated reports whether other nodes call the store on behalf of this one. One that has not read the table yet cannot serve without
+// it, and calls the store itself.
+func (f *Follower) delegated() bool {
+	_, loaded := f.Replica.Position()
+	return loaded && f.Delegates != nil && f.Delegates()
+}
+
 // awaitDelegates waits while other nodes call the store on behalf of this one, for delegatedBackoff at most: one that is cut off
 // from these, or whose view of them is wrong, finds the store itself.
-//
-// A node that has not read the table yet does not wait, because it cannot serve without it.
 func (f *Follower) awaitDelegates(ctx context.Context) {
-	if _, loaded := f.Replica.Position(); !loaded || f.Delegates == nil {
-		return
-	}
 	end := time.Now().Add(delegatedBackoff/2 + rand.N(delegatedBackoff/2))
-	for ctx.Err() == nil && time.Now().Before(end) && f.Delegates() {
+	for ctx.Err() == nil && time.Now().Before(end) && f.delegated() {
 		monotonic.Sleep(ctx, relayCheckInterval)
 	}
 }
