--- a/internal/testing/spoil/spoil.go
+++ b/internal/testing/spoil/spoil.go
@@ -119,6 +119,13 @@
 	s.status = fmt.Sprintf("HTTP/1.1 %d ", status)
 }
 
+// SetShare changes the share of requests at which a kind is drawn.
+func (s *Script) SetShare(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.share = share
+}
+
 // Stop ends the script.
 func (s *Script) Stop() {
 	s.mu.Lock()
