--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -57,6 +57,12 @@
 	maxSendFailureLogs = 2
 	// pullTimeout bounds one pull of a table from a peer.
 	pullTimeout = time.Second
+	// maxPullBytes limits the body of a peer's answer to a pull, and maxPullHeaderBytes its header. The largest table is the
+	// configuration, with some MB of client accounts.
+	maxPullBytes       = 16 << 20
+	maxPullHeaderBytes = 16 << 10
+	// pullIdleTimeout is how long an idle connection to a peer is kept.
+	pullIdleTimeout = 90 * time.Second
 )
 
 // peer is the state of another gateway. It is immutable: each datagram creates a new one.
@@ -120,7 +126,7 @@
 		g:         g,
 		ctx:       ctx,
 		startedAt: time.Now(),
-		http:      &http.Client{Timeout: pullTimeout},
+		http:      &http.Client{Timeout: pullTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: maxPullHeaderBytes, IdleConnTimeout: pullIdleTimeout}},
 		byName:    map[string]*peer{},
 		hints:     map[string]time.Time{},
 		pulling:   map[string]bool{},
--- a/internal/node/gateway/pull.go
+++ b/internal/node/gateway/pull.go
@@ -174,7 +174,7 @@
 	ctx, cancel := context.WithTimeout(p.ctx, pullTimeout)
 	defer cancel()
 	after, _ := f.Replica.Position()
-	client := cardamomyokev1connect.NewPeerServiceClient(p.http, "http://"+source.GetDigestAddress())
+	client := cardamomyokev1connect.NewPeerServiceClient(p.http, "http://"+source.GetDigestAddress(), connect.WithReadMaxBytes(maxPullBytes))
 	res, err := client.Pull(ctx, &cardamomyokev1.PullRequest{
 		Table: f.Replica.Name(), After: after.Version, Era: after.Era, Earlier: f.Replica.EarlierFingerprint(),
 	})
--- a/internal/node/slot/model.go
+++ b/internal/node/slot/model.go
@@ -31,6 +31,8 @@
 	engineDone          = "[DONE]"
 	bytesPerToken       = 4
 	defaultStallTimeout = 2 * time.Second
+	// modelPatience is how long an engine's header may take from its first byte; the entry then asks another upstream.
+	modelPatience = 500 * time.Millisecond
 )
 
 // engineChunk is one event of an engine's response.
@@ -60,7 +62,9 @@
 	defer cancel(nil)
 	sent := time.Now()
 	req := engineRequest(j)
-	res, err := s.client.Do(ctx, s.settings.Upstream.Address, exchange(req, j))
+	call := exchange(req, j)
+	call.Patience = modelPatience
+	res, err := s.client.Do(ctx, s.settings.Upstream.Address, call)
 	fasthttp.ReleaseRequest(req) // by now it is written in full or abandoned
 	if err != nil {
 		return s.upstreamError(ctx, err)
