Connections without ids are closed once their time is over; a head that names HTTP is sound

Found by reading: connections of reads of engines stayed idle, unused, until the peer closed them, some twenty a rank; a header like 'Via: HTTP/1.1 proxy' counted as the beginning of another response; up to twelve responses to other requests were skipped, where four are meant.

--- a/internal/base/httpclient/exchange.go
+++ b/internal/base/httpclient/exchange.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -58,12 +59,12 @@
 	return fmt.Sprintf("a response had no end %v after its first byte", e.After)
 }
 
-// ForeignResponseError reports that only responses to other requests arrived.
+// ForeignResponseError reports that only interim responses and those to other requests arrived.
 type ForeignResponseError struct{ Responses int }
 
 // Error implements error.
 func (e *ForeignResponseError) Error() string {
-	return strconv.Itoa(e.Responses) + " consecutive responses belong to other requests"
+	return strconv.Itoa(e.Responses) + " consecutive responses are no answer"
 }
 
 // JoinedHeadersError reports that a header contains the status line of another response.
@@ -82,20 +83,25 @@
 	}()
 	c.in.bound(maxUnansweredBytes)
 	defer c.in.bound(0)
-	for range maxInterim + maxForeign {
+	interim, foreign := 0, 0
+	for interim <= maxInterim && foreign < maxForeign {
 		if _, err := c.reader.Peek(1); err != nil {
 			return nil, failedStage(written), err
 		}
 		owns, identified, err := c.receiveOne(raw, x)
-		if err != nil {
+		switch {
+		case err != nil:
 			return nil, failedStage(written), err
-		}
-		if owns {
+		case owns:
 			c.idleTimeout = keepAlive(&raw.Header, c.idleTimeout)
 			return newResponse(raw, c, identified), "", nil
+		case isInterim(raw.StatusCode()):
+			interim++
+		default:
+			foreign++
 		}
 	}
-	return nil, "match responses from", &ForeignResponseError{maxForeign}
+	return nil, "match responses from", &ForeignResponseError{interim + foreign}
 }
 
 // receiveOne reads the header of the response that has begun to arrive, and all of it if it is not the answer.
@@ -161,17 +167,24 @@
 // joinsHeaders reports whether the header of a response that was cut off runs on in that of another one. The status would be that of
 // the first, and the id that of the second.
 func joinsHeaders(h *fasthttp.ResponseHeader) bool {
-	if bytes.Contains(h.StatusMessage(), []byte(statusLinePrefix)) {
+	if endsInOtherStatus(h.StatusMessage()) {
 		return true
 	}
 	for _, value := range h.All() {
-		if bytes.Contains(value, []byte(statusLinePrefix)) {
+		if endsInOtherStatus(value) {
 			return true
 		}
 	}
 	return false
 }
 
+// otherStatus matches the status line of another response at the end of a line.
+var otherStatus = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9]{2}( .{0,64})?$`)
+
+func endsInOtherStatus(line []byte) bool {
+	return bytes.Contains(line, []byte(statusLinePrefix)) && otherStatus.Match(line)
+}
+
 // headerIsBuffered reports whether a complete header has arrived.
 func (c *clientConn) headerIsBuffered() bool {
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
--- a/internal/base/httpclient/pool.go
+++ b/internal/base/httpclient/pool.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -42,31 +43,45 @@
 	}
 }
 
-// pop removes and returns the connection that was used last among those that can carry a request with the id.
+// pop removes and returns the connection that was used last among those that can carry a request with the id. It closes those that
+// were idle for too long.
 func (p *pool) pop(to peer, id string) *clientConn {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closeStale(to, now)
 	list := p.idle[to]
 	for i := len(list) - 1; i >= 0; i-- {
-		conn := list[i]
-		if !conn.fresh(now) || !p.mayCarry(conn, id, now) {
-			continue
+		if conn := list[i]; p.mayCarry(conn, id) {
+			p.idle[to] = slices.Delete(list, i, i+1)
+			return conn
 		}
-		p.idle[to] = append(list[:i], list[i+1:]...)
-		return conn
 	}
 	return nil
 }
 
 // mayCarry reports whether the response to a request with the id could be told from those to earlier requests on the connection.
-func (p *pool) mayCarry(conn *clientConn, id string, now time.Time) bool {
+func (p *pool) mayCarry(conn *clientConn, id string) bool {
 	if id == "" {
-		return now.Sub(conn.openedAt) < p.opts.UnidentifiedFor
+		return p.opts.UnidentifiedFor > 0
 	}
 	return !conn.hasCarried(id)
 }
 
+// closeStale closes the connections to a peer that were idle for too long. The caller holds the lock.
+func (p *pool) closeStale(to peer, now time.Time) {
+	p.idle[to] = slices.DeleteFunc(p.idle[to], func(conn *clientConn) bool {
+		stale := !conn.fresh(now)
+		if stale {
+			_ = conn.Close()
+		}
+		return stale
+	})
+	if len(p.idle[to]) == 0 {
+		delete(p.idle, to)
+	}
+}
+
 // put adds a connection. It returns false if the connection must be closed instead.
 func (p *pool) put(conn *clientConn) bool {
 	now := time.Now()
@@ -80,6 +95,9 @@
 	}
 	conn.idleSince = now
 	conn.idleTimeout = min(conn.idleTimeout, p.opts.IdleTimeout)
+	if p.opts.UnidentifiedFor > 0 {
+		conn.idleTimeout = min(conn.idleTimeout, conn.openedAt.Add(p.opts.UnidentifiedFor).Sub(now))
+	}
 	p.idle[conn.to] = append(p.idle[conn.to], conn)
 	return true
 }
@@ -87,19 +105,8 @@
 // sweep closes the connections that were idle for too long. The caller holds the lock.
 func (p *pool) sweep(now time.Time) {
 	p.sweptAt = now
-	for to, list := range p.idle {
-		kept := list[:0]
-		for _, conn := range list {
-			if conn.fresh(now) {
-				kept = append(kept, conn)
-			} else {
-				_ = conn.Close()
-			}
-		}
-		clear(list[len(kept):])
-		if p.idle[to] = kept; len(kept) == 0 {
-			delete(p.idle, to)
-		}
+	for to := range p.idle {
+		p.closeStale(to, now)
 	}
 }
 
