--- a/internal/node/gateway/partstore.go
+++ b/internal/node/gateway/crashstore.go
@@ -40,9 +40,9 @@
 	maxPartsTries = 12
 )
 
-// partStore keeps the evidence of crashes, against parts of prompts and against whole requests, in two rows of the store, so that it
+// crashStore keeps the evidence of crashes, against parts of prompts and against whole requests, in two rows of the store, so that it
 // outlasts all gateways.
-type partStore struct {
+type crashStore struct {
 	g *Gateway
 	p *crashParts
 
@@ -58,12 +58,12 @@
 	startedAt time.Time
 }
 
-func newPartStore(g *Gateway) *partStore {
-	return &partStore{g: g, p: g.suspects.parts, startedAt: time.Now()}
+func newCrashStore(g *Gateway) *crashStore {
+	return &crashStore{g: g, p: g.suspects.parts, startedAt: time.Now()}
 }
 
 // tick starts a call for the row if one is due. It runs on the control loop.
-func (s *partStore) tick(now time.Time) {
+func (s *crashStore) tick(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.p.serving.Load() && now.Sub(s.startedAt) > maxPartsWait {
@@ -77,7 +77,7 @@
 }
 
 // due reports whether the row must be read or written. The caller holds the lock.
-func (s *partStore) due(now time.Time) bool {
+func (s *crashStore) due(now time.Time) bool {
 	if !s.p.known.Load() {
 		return s.readsFirst() || now.Sub(s.startedAt) >= joinPeriod
 	}
@@ -95,7 +95,7 @@
 
 // noticeEra schedules a write if the store has begun an era since the rows were read: they may be older than what is known. The caller
 // holds the lock.
-func (s *partStore) noticeEra(now time.Time) {
+func (s *crashStore) noticeEra(now time.Time) {
 	at, loaded := s.g.configFollower.Replica.Position()
 	if !loaded || at.Era <= s.row.Era {
 		return
@@ -112,12 +112,12 @@
 
 // readsFirst reports whether this gateway reads the row as soon as it starts. Gateways that start together learn what it has from
 // those to which all of them turn, so that they make few calls.
-func (s *partStore) readsFirst() bool {
+func (s *crashStore) readsFirst() bool {
 	set := s.g.Settings()
 	return len(set.Peers) == 0 || slices.Contains(set.Peers, set.Listen.Peers)
 }
 
-func (s *partStore) run() {
+func (s *crashStore) run() {
 	ctx, cancel := context.WithTimeout(s.g.ctx, partsTimeout)
 	defer cancel()
 	s.p.mu.Lock()
@@ -128,7 +128,7 @@
 	s.finish(err, time.Now())
 }
 
-func (s *partStore) finish(err error, now time.Time) {
+func (s *crashStore) finish(err error, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.busy = false
@@ -148,7 +148,7 @@
 
 // sync reads the rows, merges them, and writes what they lack. change is applied to the ledger once it has what is stored; if it
 // returns false, nothing is written. Errors: those of platform.Table, *ContendedRowError.
-func (s *partStore) sync(ctx context.Context, change func(l *blame.Ledger, stored []blame.Suspect) bool) error {
+func (s *crashStore) sync(ctx context.Context, change func(l *blame.Ledger, stored []blame.Suspect) bool) error {
 	for range maxPartsTries {
 		rows, err := s.g.table.Get(ctx, partsRow, requestsRow)
 		if err != nil {
@@ -182,7 +182,7 @@
 }
 
 // read merges the row into the ledger, and returns what the row has. One that cannot be decoded counts as empty.
-func (s *partStore) read(row platform.Row) []blame.Suspect {
+func (s *crashStore) read(row platform.Row) []blame.Suspect {
 	stored, err := blame.DecodeRow(row.Value)
 	if err != nil {
 		s.p.metrics.partsRowInvalid()
@@ -195,7 +195,7 @@
 }
 
 // setKnown records that this gateway knows all stored parts, and lets its peers know.
-func (s *partStore) setKnown(reason string) {
+func (s *crashStore) setKnown(reason string) {
 	if s.p.known.Swap(true) {
 		return
 	}
@@ -204,7 +204,7 @@
 }
 
 // serve lets requests with shared parts through.
-func (s *partStore) serve(reason string) {
+func (s *crashStore) serve(reason string) {
 	if s.p.serving.Swap(true) {
 		return
 	}
@@ -214,7 +214,7 @@
 	go s.g.loop.Post(func(time.Time) { s.g.publish() })
 }
 
-func (s *partStore) recordRow(row platform.Row) {
+func (s *crashStore) recordRow(row platform.Row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.row, s.readAt = row, time.Now()
@@ -227,7 +227,7 @@
 }
 
 // next returns the rows that must be written.
-func (s *partStore) next(stored []blame.Suspect, rows []platform.Row, change func(l *blame.Ledger, stored []blame.Suspect) bool) ([]changedRow, error) {
+func (s *crashStore) next(stored []blame.Suspect, rows []platform.Row, change func(l *blame.Ledger, stored []blame.Suspect) bool) ([]changedRow, error) {
 	s.p.mu.Lock()
 	defer s.p.mu.Unlock()
 	if !change(s.p.ledger, stored) {
@@ -255,7 +255,7 @@
 	return append(list, changedRow{row, value})
 }
 
-func (s *partStore) write(ctx context.Context, changed []changedRow) error {
+func (s *crashStore) write(ctx context.Context, changed []changedRow) error {
 	txn := platform.Txn{Operation: ids.NewOperation()}
 	for _, c := range changed {
 		txn.Checks = append(txn.Checks, c.row.Unchanged())
@@ -279,7 +279,7 @@
 }
 
 // saveNow writes what the row lacks. Errors: those of platform.Table; the changes are then written later.
-func (s *partStore) saveNow(ctx context.Context) error {
+func (s *crashStore) saveNow(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, partsTimeout)
 	defer cancel()
 	return s.sync(ctx, func(*blame.Ledger, []blame.Suspect) bool { return true })
@@ -287,7 +287,7 @@
 
 // claim counts a trial of a refused part in the store. It reports whether it is certain that no other gateway has claimed the same
 // trial.
-func (s *partStore) claim(ctx context.Context, part blame.Part) bool {
+func (s *crashStore) claim(ctx context.Context, part blame.Part) bool {
 	ctx, cancel := context.WithTimeout(ctx, partsTimeout)
 	defer cancel()
 	number := uint32(0)
@@ -315,7 +315,7 @@
 }
 
 // saved reports whether the store has all decisions, as far as this gateway knows, and the position of the row.
-func (s *partStore) saved() (bool, platform.Position) {
+func (s *crashStore) saved() (bool, platform.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.p.mu.Lock()
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -81,7 +81,7 @@
 	peers            *peers
 	experts          *experts
 	suspects         *suspects
-	partStore        *partStore
+	crashStore       *crashStore
 	moves            *moves
 	limits           *limits
 	// evacuationStatus is published by the control loop, sorted by data centre.
@@ -158,7 +158,7 @@
 	g.suspects.parts.announce = func() {
 		go g.loop.Post(func(now time.Time) { g.peers.announce(now) })
 	}
-	g.partStore = newPartStore(g)
+	g.crashStore = newCrashStore(g)
 	var err error
 	if g.peers, err = startPeers(ctx, g); err != nil {
 		return nil, err
@@ -297,7 +297,7 @@
 	g.suspects.tracker.Expire(now)
 	if !g.disabled(mechanismSuspects) {
 		g.suspects.parts.tick(now)
-		g.partStore.tick(now)
+		g.crashStore.tick(now)
 	}
 	g.experts.tick(now)
 	g.peers.tick(now)
--- a/internal/node/gateway/metrics.go
+++ b/internal/node/gateway/metrics.go
@@ -36,7 +36,7 @@
 	gauge("parts_refused", func() float64 { refused, _ := g.suspects.parts.snapshot.Load().Count(); return float64(refused) })
 	gauge("parts_suspected", func() float64 { _, suspected := g.suspects.parts.snapshot.Load().Count(); return float64(suspected) })
 	gauge("parts_known", func() float64 { return boolValue(g.suspects.parts.known.Load()) })
-	gauge("parts_saved", func() float64 { saved, _ := g.partStore.saved(); return boolValue(saved) })
+	gauge("parts_saved", func() float64 { saved, _ := g.crashStore.saved(); return boolValue(saved) })
 	for _, f := range g.followers {
 		gauge(fmt.Sprintf("store_up{table=%q}", f.Replica.Name()), func() float64 { return boolValue(f.Connection().Up) })
 		gauge(fmt.Sprintf("store_since_seconds{table=%q}", f.Replica.Name()), func() float64 { return time.Since(f.Connection().Since).Seconds() })
--- a/internal/node/gateway/partservice.go
+++ b/internal/node/gateway/partservice.go
@@ -28,7 +28,7 @@
 // GetParts implements PartService.
 func (s partService) GetParts(context.Context, *cardamomyokev1.GetPartsRequest) (*cardamomyokev1.GetPartsResponse, error) {
 	p := s.g.suspects.parts
-	stored, row := s.g.partStore.saved()
+	stored, row := s.g.crashStore.saved()
 	p.mu.Lock()
 	list := p.ledger.List()
 	p.mu.Unlock()
@@ -50,6 +50,6 @@
 		decided = l.Override(time.Now(), blame.Part(req.GetPart()), state, operator[:min(len(operator), maxOperatorBytes)])
 		return []blame.Suspect{decided}
 	})
-	err := s.g.partStore.saveNow(ctx)
+	err := s.g.crashStore.saveNow(ctx)
 	return &cardamomyokev1.DecidePartResponse{Part: decided.Proto(), Stored: err == nil}, nil
 }
--- a/internal/node/gateway/parttrials.go
+++ b/internal/node/gateway/parttrials.go
@@ -34,7 +34,7 @@
 	case !due:
 		return false
 	}
-	claimed := n.g.partStore.claim(ctx, part)
+	claimed := n.g.crashStore.claim(ctx, part)
 	p.mu.Lock()
 	delete(p.claiming, part)
 	p.mu.Unlock()
--- a/internal/node/gateway/parttrials_test.go
+++ b/internal/node/gateway/parttrials_test.go
@@ -56,7 +56,7 @@
 func withRefusedPart(t *testing.T, name string, table platform.Table, part blame.Part) *Gateway {
 	g := &Gateway{table: table, ctx: t.Context(), suspects: newSuspects(name, log.NewNopLogger(), newMetrics())}
 	g.storeCalls = logging.NewRateLimited(log.NewNopLogger(), 1, time.Now)
-	g.partStore = newPartStore(g)
+	g.crashStore = newCrashStore(g)
 	g.suspects.parts.known.Store(true)
 	g.suspects.parts.serving.Store(true)
 	rules := blame.DefaultRules()
--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -252,8 +252,8 @@
 	if len(d.GetParts()) > 0 {
 		p.g.suspects.parts.merge(blame.FromProto(d.GetParts()), now)
 	}
-	if d.GetPartsLoaded() && all && p.g.partStore != nil {
-		p.g.partStore.setKnown("a peer has sent them")
+	if d.GetPartsLoaded() && all && p.g.crashStore != nil {
+		p.g.crashStore.setKnown("a peer has sent them")
 	}
 }
 
--- a/internal/node/gateway/requestrow.go
+++ b/internal/node/gateway/requestrow.go
@@ -35,11 +35,17 @@
 	}
 }
 
-// saveDue reports whether the evidence must be written now.
+// saveDue reports whether the evidence must be written now. Requests that were answered meanwhile leave nothing to write.
 func (s *suspects) saveDue(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.saveAt.IsZero() && !now.Before(s.saveAt)
+	if s.saveAt.IsZero() || now.Before(s.saveAt) {
+		return false
+	}
+	if len(s.inRow) == 0 && len(s.tracker.Stored(now)) == 0 {
+		s.saveAt = time.Time{}
+	}
+	return !s.saveAt.IsZero()
 }
 
 // saving records that a write begins.
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -43,8 +43,8 @@
 	})
 }
 
-// maxPatience is how long a request that may be sent elsewhere waits for the rest of a response's header, or for a response of its own
-// after one to another request: several retransmissions of a packet.
+// maxPatience is how long a request that may be sent elsewhere waits for the rest of a response's header, or of a response to another
+// request: several retransmissions of a packet.
 const maxPatience = 500 * time.Millisecond
 
 // patience returns how long the attempt may wait for the rest of what has begun to arrive; 0 for as long as the caller waits, since
