A body of exactly the buffered size is relayed whole; long bodies are written to callers in pieces

TestEndlessBodiesAtOnceTakeBoundedMemory: 71 MB of 60; the buffered megabyte went to the caller's queue in one write, which is bounded only between writes. It goes in pieces of 32 KB now.

--- a/internal/node/gateway/body.go
+++ b/internal/node/gateway/body.go
@@ -88,20 +88,26 @@
 func (n *run) bufferBody(res *httpclient.Response) (bufferedBody, error) {
 	b := bufferedBody{free: func() {}}
 	var buffer bytes.Buffer
-	short, err := io.Copy(&buffer, io.LimitReader(res.Body, shortBodyBytes))
-	b.bytes, b.whole = buffer.Bytes(), err == nil && short < shortBodyBytes
+	whole, err := fill(&buffer, res.Body, shortBodyBytes)
+	b.bytes, b.whole = buffer.Bytes(), whole
 	memory := &n.g.bufferMemory
 	if err != nil || b.whole || !memory.reserve(int64(n.g.Settings().Limits.MemoryMB)<<20) {
 		return b, err
 	}
 	b.free = memory.free
-	long, err := io.Copy(&buffer, io.LimitReader(res.Body, maxBufferedBytes-shortBodyBytes))
-	b.bytes, b.whole = buffer.Bytes(), err == nil && long < maxBufferedBytes-shortBodyBytes
+	whole, err = fill(&buffer, res.Body, maxBufferedBytes)
+	b.bytes, b.whole = buffer.Bytes(), whole
 	return b, err
 }
 
+// fill reads a body until the buffer has one byte more than size, and reports whether the body ended before.
+func fill(buffer *bytes.Buffer, body io.Reader, size int) (ended bool, err error) {
+	_, err = io.Copy(buffer, io.LimitReader(body, int64(size+1-buffer.Len())))
+	return err == nil && buffer.Len() <= size, err
+}
+
 // asksElsewhere reports whether another upstream is asked because a body goes on after its buffered part: a request that may be repeated
 // need not wait for the end of a body that may have none, unless such bodies are usual for the service. The retry is then reserved.
 func (n *run) asksElsewhere(ctx context.Context, b bufferedBody) bool {
-	return len(b.bytes) >= maxBufferedBytes && n.mayGoElsewhere() && !n.service.longBodies.Usual() && n.reserveRetry(ctx)
+	return len(b.bytes) > maxBufferedBytes && n.mayGoElsewhere() && !n.service.longBodies.Usual() && n.reserveRetry(ctx)
 }
--- a/internal/node/gateway/plain.go
+++ b/internal/node/gateway/plain.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"slices"
 
 	"github.com/valyala/fasthttp"
 
@@ -100,7 +101,7 @@
 // relayRest relays a response that is too long to be buffered.
 func (n *run) relayRest(ctx context.Context, t *dispatch.Ticket, res *httpclient.Response, p *plainResponse) error {
 	err := n.startRest(ctx, p)
-	buf := make([]byte, 32<<10)
+	buf := make([]byte, relayPieceBytes)
 	for err == nil {
 		var size int
 		size, err = res.Body.Read(buf)
@@ -132,5 +133,17 @@
 	if err := start(p.status, p.headers); err != nil {
 		return err
 	}
-	return n.x.Write(ctx, p.body)
+	return n.writePieces(ctx, p.body)
+}
+
+// relayPieceBytes is the size of one write to the caller: only between writes does the gateway wait for a caller that reads slowly.
+const relayPieceBytes = 32 << 10
+
+func (n *run) writePieces(ctx context.Context, body []byte) error {
+	for piece := range slices.Chunk(body, relayPieceBytes) {
+		if err := n.x.Write(ctx, piece); err != nil {
+			return err
+		}
+	}
+	return nil
 }
