--- a/internal/node/gateway/body.go
+++ b/internal/node/gateway/body.go
@@ -22,6 +22,8 @@
 	bufferFactor = 3
 	// bufferMemoryShare is the inverse of the share of the process's memory that buffers of long bodies may take.
 	bufferMemoryShare = 6
+	// maxUnreadBytes is how many bytes of a response wait in this process for a caller that reads slowly.
+	maxUnreadBytes = 64 << 10
 	// defaultBufferMemory is the size in bytes of these buffers if the process's memory is not known.
 	defaultBufferMemory = 64 << 20
 )
--- a/internal/node/gateway/configuration.go
+++ b/internal/node/gateway/configuration.go
@@ -82,6 +82,7 @@
 		g.control.ownState = stateReady
 	}
 	g.servers.callers.SetLimits(httpserver.Limits{
+		MaxUnreadBytes: maxUnreadBytes,
 		MaxHeaderBytes: c.Limits.HeaderBytes,
 		MaxBodyBytes:   c.Limits.BodyBytes,
 		MaxConnections: maxConnections,
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -203,7 +203,7 @@
 
 func (g *Gateway) listen() error {
 	l := g.Settings().Listen
-	limits := httpserver.Limits{MaxConnections: maxConnections, IdleTimeout: settings.Duration(defaultIdleTimeout)}
+	limits := httpserver.Limits{MaxUnreadBytes: maxUnreadBytes, MaxConnections: maxConnections, IdleTimeout: settings.Duration(defaultIdleTimeout)}
 	for _, s := range []struct {
 		to      **httpserver.Server
 		address string
--- a/internal/node/gateway/plain.go
+++ b/internal/node/gateway/plain.go
@@ -133,7 +133,9 @@
 	if err := start(p.status, p.headers); err != nil {
 		return err
 	}
-	return n.writePieces(ctx, p.body)
+	body := p.body
+	p.body = nil // what is written need not be kept until the end of the rest
+	return n.writePieces(ctx, body)
 }
 
 // relayPieceBytes is the size of one write to the caller: only between writes does the gateway wait for a caller that reads slowly.
