Gateways log and count the proof of each attempt that is sent again

A request's retry now names proof, status, responder, has_id, first and the upstream's address; lines about requests that may run once have a bound of their own, so that retries of others never displace them. Counters: retries by proof, and requests that were given up for want of one. No decision changes.

--- a/internal/base/httpclient/conn.go
+++ b/internal/base/httpclient/conn.go
@@ -79,6 +79,9 @@
 	}
 }
 
+// isFirst reports whether the connection has carried one request and nothing that is not its answer.
+func (c *clientConn) isFirst() bool { return c.carried == 1 && !c.skipped }
+
 // reusable reports whether the connection may carry another request once the answer to the latest was read to its end.
 func (c *clientConn) reusable() bool {
 	return !c.skipped && c.carried < maxCarried && c.reader.Buffered() == 0
--- a/internal/base/httpclient/exchange.go
+++ b/internal/base/httpclient/exchange.go
@@ -160,8 +160,7 @@
 	if id != "" {
 		return id == x.ID, id == x.ID
 	}
-	first := c.carried == 1 && !c.skipped
-	return first && x.MayLackID != nil && x.MayLackID(h), false
+	return c.isFirst() && x.MayLackID != nil && x.MayLackID(h), false
 }
 
 // joinsHeaders reports whether the header of a response that was cut off runs on in that of another one. The status would be that of
--- a/internal/base/httpclient/response.go
+++ b/internal/base/httpclient/response.go
@@ -15,20 +15,22 @@
 	Header *fasthttp.ResponseHeader
 	// Reused is set if the connection has carried other requests before.
 	Reused bool
+	// Identified is set if the response bore the id of its request.
+	Identified bool
+	// First is set if the connection had carried nothing but the request and this response, apart from interim responses.
+	First bool
 	// CloseDelimited is set if the response has neither a length nor chunks, so that its body ends when the peer closes the
 	// connection (RFC 9112, section 6.3). Such a body that was cut off may look complete.
 	CloseDelimited bool
 	// Body returns io.EOF after the complete body, and another error if the response was truncated. If CloseDelimited is set,
 	// io.EOF only means that the peer closed the connection; *SecondResponseError that another response follows.
-	Body   io.Reader
-	raw    *fasthttp.Response
-	client *Client
-	conn   *clientConn
-	stop   func() bool
-	// identified is set if the response bore the id of its request.
-	identified bool
-	complete   bool
-	aborted    atomic.Bool
+	Body     io.Reader
+	raw      *fasthttp.Response
+	client   *Client
+	conn     *clientConn
+	stop     func() bool
+	complete bool
+	aborted  atomic.Bool
 	// bodyBytes counts the bytes of the body that were read.
 	bodyBytes int64
 	// written is the result of writing the request.
@@ -39,7 +41,7 @@
 const closeDelimited = -2
 
 func newResponse(raw *fasthttp.Response, conn *clientConn, identified bool) *Response {
-	res := &Response{Status: raw.StatusCode(), Header: &raw.Header, Reused: conn.carried > 1, raw: raw, conn: conn, identified: identified}
+	res := &Response{Status: raw.StatusCode(), Header: &raw.Header, Reused: conn.carried > 1, Identified: identified, First: conn.isFirst(), raw: raw, conn: conn}
 	res.CloseDelimited = raw.Header.ContentLength() == closeDelimited && raw.BodyStream() != nil
 	res.Body = &bodyReader{res}
 	if res.CloseDelimited {
@@ -120,5 +122,5 @@
 
 // mayReuse reports whether a copy of the response could be told from the answer to a later request on the connection.
 func (res *Response) mayReuse() bool {
-	return res.identified || res.client.opts.UnidentifiedFor > 0
+	return res.Identified || res.client.opts.UnidentifiedFor > 0
 }
--- a/internal/node/gateway/errors.go
+++ b/internal/node/gateway/errors.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"time"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
 // RefusedError reports that an upstream refused an attempt and promised that it did not run.
@@ -17,6 +19,15 @@
 	Instance ids.Upstream
 	// Rest is the time for which the upstream asks for no requests; 0 for none.
 	Rest time.Duration
+	// Identified is set if the response bore the attempt's id, First if it was the first on its connection.
+	Identified, First bool
+}
+
+func newRefusedError(u *catalog.Upstream, res *httpclient.Response, info ResponseInfo) *RefusedError {
+	return &RefusedError{
+		Upstream: u.ID, Status: res.Status, Culprit: info.FaultyUpstream, Instance: info.Instance, Rest: info.Rest.Length,
+		Identified: res.Identified, First: res.First,
+	}
 }
 
 // concernsGroup reports whether the refusal may come from a broken group. One that only asks for rest does not: the
--- a/internal/node/gateway/log.go
+++ b/internal/node/gateway/log.go
@@ -18,18 +18,27 @@
 )
 
 // requestLogs are the rate-limited logs of decisions about requests. Lines about failed requests are fewer and more
-// important, so they have a limit of their own.
+// important, so they have a limit of their own, and so have those about requests that may run once and are sent again.
 type requestLogs struct {
-	ordinary, failures *logging.RateLimited
+	ordinary, failures, resends *logging.RateLimited
 }
 
 func newRequestLogs(l log.Logger, b LogBounds) *requestLogs {
 	return &requestLogs{
 		ordinary: logging.NewRateLimited(level.Info(l), b.ordinary(), time.Now),
 		failures: logging.NewRateLimited(level.Info(l), b.failures(), time.Now),
+		resends:  logging.NewRateLimited(level.Info(l), b.failures(), time.Now),
 	}
 }
 
+// resent returns the log of decisions to send a request again.
+func (l *requestLogs) resent(repeatable bool) *logging.RateLimited {
+	if repeatable {
+		return l.failures
+	}
+	return l.resends
+}
+
 // logRefused logs that a request was refused before any attempt.
 func (g *Gateway) logRefused(v *view, r *request, err error) {
 	f := failure.From(err)
@@ -55,7 +64,7 @@
 // logPlaced logs the upstream of an attempt and the values behind the decision.
 func (g *Gateway) logPlaced(n *run, u ids.UpstreamIncarnation, d dispatch.PlacementInputs) {
 	_ = g.requests.ordinary.Log("msg", "placed", "request", n.r.call.Attempt, "route", n.r.route.Name, "revision", n.r.revision,
-		"upstream", n.upstream, "attempt", n.sent+n.unreached+1, "load", d.Load, "usable", d.Usable, "waiting", d.Waiting,
+		"upstream", n.upstream, "address", n.address, "attempt", n.sent+n.unreached+1, "load", d.Load, "usable", d.Usable, "waiting", d.Waiting,
 		"digests_age_ms", d.OthersAge.Milliseconds(), "waited_ms", n.placedAt.Sub(n.r.arrived).Milliseconds(),
 		"limit_per_second", n.g.limits.perSecond(u), "own_part_per_second", d.OwnPart, "cold_part_per_second", d.ColdPart,
 		"priority", n.r.priority, "class", n.r.route.Priority, "slots_reserved", d.Reserved,
@@ -72,15 +81,16 @@
 
 // logRetry logs that another attempt follows.
 func (g *Gateway) logRetry(n *run, err error) {
-	g.metrics.requestRetried(n.r.service.Name)
+	g.metrics.requestRetried(n.r.service.Name, proofOf(err))
 	now := time.Now()
 	fields := []any{
 		"msg", "retrying request", "request", n.r.call.Attempt, "route", n.r.route.Name,
-		"upstream", n.upstream, "sent", n.sent, "unreached", n.unreached, "may_have_run", n.mayHaveRun,
-		"after_event", n.stream.lastEvent,
+		"upstream", n.upstream, "address", n.address, "sent", n.sent, "unreached", n.unreached, "may_have_run", n.mayHaveRun,
+		"repeatable", n.r.route.Repeatable(), "after_event", n.stream.lastEvent,
 	}
+	fields = append(fields, proofFields(err)...)
 	fields = append(fields, budgetFields(n.service, now)...)
-	_ = g.requests.failures.Log(append(fields, "left_ms", n.r.deadline.Sub(now).Milliseconds(), "err", err)...)
+	_ = g.requests.resent(n.r.route.Repeatable()).Log(append(fields, "left_ms", n.r.deadline.Sub(now).Milliseconds(), "err", err)...)
 }
 
 // logRetryDenied logs that the retry budget does not allow another attempt.
@@ -111,7 +121,7 @@
 	now := time.Now()
 	fields := []any{
 		"msg", "request", "outcome", outcomeText(n, err), "priority", n.r.priority, "class", n.r.route.Priority, "request", n.r.call.Attempt, "route", n.r.route.Name,
-		"revision", n.r.revision, "client", n.r.client, "upstream", n.upstream, "sent", n.sent, "events", n.stream.events,
+		"revision", n.r.revision, "client", n.r.client, "upstream", n.upstream, "sent", n.sent, "unreached", n.unreached, "events", n.stream.events,
 		"placed_ms", sinceArrival(n, n.placedAt), "first_ms", sinceArrival(n, n.firstPieceAt), "longest_gap_ms", n.stream.longestGap.Milliseconds(),
 		"total_ms", sinceArrival(n, now), "left_ms", n.r.deadline.Sub(now).Milliseconds(),
 	}
--- a/internal/node/gateway/metrics.go
+++ b/internal/node/gateway/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/notrun"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/retry"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
@@ -113,8 +114,14 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_foreign_responses_total{service=%q,status=\"%d\",has_id=\"%t\"}", service, status, hasID)).Inc()
 }
 
-func (m *gatewayMetrics) requestRetried(service ids.Service) {
-	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_retries_total{service=%q}", service)).Inc()
+// requestRetried counts a further attempt, by the proof that the one before has not run; empty if the request may run again.
+func (m *gatewayMetrics) requestRetried(service ids.Service, proof notrun.Proof) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_retries_total{service=%q,proof=%q}", service, proof)).Inc()
+}
+
+// outcomeUnproven counts a request that may run once and is given up because its attempt may have run.
+func (m *gatewayMetrics) outcomeUnproven(service ids.Service) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_outcomes_unproven_total{service=%q}", service)).Inc()
 }
 
 func (m *gatewayMetrics) retryDenied(service ids.Service) {
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -41,6 +41,8 @@
 	// placedAt is when the latest attempt was assigned its upstream, firstPieceAt when the first piece of the response
 	// arrived.
 	placedAt, firstPieceAt time.Time
+	// address is that of the upstream of the latest attempt.
+	address string
 	// lastEventAt is when the latest events were sent to the caller.
 	lastEventAt time.Time
 	upstream    ids.Upstream
@@ -104,7 +106,7 @@
 			return n.finalError(ctx, last, budgetUsedUp)
 		}
 		n.placedAt = time.Now()
-		n.upstream = ticket.Upstream().ID
+		n.upstream, n.address = ticket.Upstream().ID, ticket.Upstream().Address
 		n.g.metrics.placedUnderOverload(n.r.service.Name, n.r.route.Priority, ticket.PlacementInputs())
 		n.g.metrics.coldSent(n.r.service.Name, ticket.PlacementInputs())
 		n.g.logPlaced(n, ticket.Upstream().Incarnation(), ticket.PlacementInputs())
@@ -192,8 +194,8 @@
 	}
 	switch {
 	case info.NotRun:
-		res.ReleaseUnread()
-		return &RefusedError{t.Upstream().ID, res.Status, info.FaultyUpstream, info.Instance, info.Rest.Length}
+		defer res.ReleaseUnread()
+		return newRefusedError(t.Upstream(), res, info)
 	case isStream(res) && n.r.route.Kind == catalog.KindStream && res.Status/100 == 2:
 		err = n.relayStream(ctx, t, res, info)
 	case n.x.Responded():
@@ -264,6 +266,7 @@
 	case ctx.Err() != nil:
 		return "the deadline passed"
 	case n.mayHaveRun && !n.r.route.Repeatable():
+		n.g.metrics.outcomeUnproven(n.r.service.Name)
 		return "it may have run"
 	case n.x.Responded() && !n.r.route.Resumable:
 		return "the response has begun"
