A 421 that names the addressed upstream proves nothing

What callers saw: a request that may run once ran at two upstreams, and was answered 200. An upstream that has just started at the address of another one refuses requests for that one with 421.

A process names itself in a 421. So one that names the addressed upstream is never its answer, wherever it comes: it is skipped like a response to another request, and reading goes on. One that names nobody proves nothing either. What a refusal proves is decided in internal/policy/notrun, without I/O; a broken connection proves nothing whatever its error wraps.

TestCopyOfOwn421OnNewConnectionIsNoProof and TestCopyOfOwn421ToSameAttemptIsNoProof failed before and pass.

--- a/internal/base/httpclient/exchange.go
+++ b/internal/base/httpclient/exchange.go
@@ -25,6 +25,8 @@
 	ReadID func(*fasthttp.ResponseHeader) string
 	// MayLackID reports whether the response may come without the id; nil if it may not.
 	MayLackID func(*fasthttp.ResponseHeader) bool
+	// IsForeign reports whether a response cannot be the answer, whatever id it bears; nil if that cannot be told.
+	IsForeign func(*fasthttp.ResponseHeader) bool
 	// MayWrite is called once there is a connection, right before the request is written. If it returns an error, nothing is
 	// sent. Establishing a connection takes time, in which the reason to send the request may cease to hold. It may be nil.
 	MayWrite func() error
@@ -153,6 +155,9 @@
 // An id that the connection has carried once can only be that of the latest request. A response without an id may be a late copy
 // of one to an earlier request, so it counts only where there was none.
 func (c *clientConn) judge(x *Exchange, h *fasthttp.ResponseHeader) (owns, identified bool) {
+	if x.IsForeign != nil && x.IsForeign(h) {
+		return false, false
+	}
 	if x.ID == "" {
 		return true, false
 	}
--- a/internal/node/gateway/errors.go
+++ b/internal/node/gateway/errors.go
@@ -6,10 +6,11 @@
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/notrun"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
-// RefusedError reports that an upstream refused an attempt and promised that it did not run.
+// RefusedError reports that an upstream refused an attempt. Only with a Proof is it certain that the attempt did not run.
 type RefusedError struct {
 	Upstream ids.Upstream
 	Status   int
@@ -21,12 +22,18 @@
 	Rest time.Duration
 	// Identified is set if the response bore the attempt's id, First if it was the first on its connection.
 	Identified, First bool
+	// Proof is the proof that the response gives.
+	Proof notrun.Proof
 }
 
 func newRefusedError(u *catalog.Upstream, res *httpclient.Response, info ResponseInfo) *RefusedError {
+	evidence := notrun.Response{
+		Status: res.Status, Promised: info.NotRun,
+		Addressed: u.ID, Responder: info.Instance,
+	}
 	return &RefusedError{
 		Upstream: u.ID, Status: res.Status, Culprit: info.FaultyUpstream, Instance: info.Instance, Rest: info.Rest.Length,
-		Identified: res.Identified, First: res.First,
+		Identified: res.Identified, First: res.First, Proof: evidence.Proof(),
 	}
 }
 
@@ -36,13 +43,11 @@
 	return e.Status != statusOtherInstance && (e.Rest == 0 || e.Culprit != "")
 }
 
-// otherInstance reports whether the response came from another upstream than the addressed one.
-func (e *RefusedError) otherInstance() bool {
-	return e.Status == statusOtherInstance && e.Instance != "" && e.Instance != e.Upstream
-}
-
 // Error implements error.
 func (e *RefusedError) Error() string {
+	if e.Proof == notrun.None {
+		return fmt.Sprintf("%s refused the request, which may have run: status %d", e.Upstream, e.Status)
+	}
 	return fmt.Sprintf("%s refused the request before running it: status %d", e.Upstream, e.Status)
 }
 
--- a/internal/node/gateway/proof.go
+++ b/internal/node/gateway/proof.go
@@ -9,17 +9,18 @@
 
 // proofOf returns the proof that an attempt that failed with err has not run; notrun.None if there is none.
 func proofOf(err error) notrun.Proof {
+	var broken *httpclient.BrokenError
 	var dial *httpclient.DialError
 	var refused *RefusedError
 	switch {
+	case errors.As(err, &broken):
+		return notrun.None // whatever it wraps, the request may have been written
 	case errors.As(err, &dial):
 		return notrun.NoConnection
 	case isUnwritten(err):
 		return notrun.NotWritten
-	case errors.As(err, &refused) && refused.Status == statusOtherInstance:
-		return notrun.OtherInstance
 	case errors.As(err, &refused):
-		return notrun.Refused
+		return refused.Proof
 	}
 	return notrun.None
 }
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -9,12 +9,12 @@
 	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
-	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/blame"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/fairshare"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/notrun"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/quarantine"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/retry"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
@@ -224,25 +224,24 @@
 // reject excludes the registry entry of u if another upstream responded at its address.
 func (n *run) reject(u *catalog.Upstream, err error) {
 	var refused *RefusedError
-	if errors.As(err, &refused) && refused.otherInstance() {
+	if errors.As(err, &refused) && refused.Proof == notrun.OtherInstance {
 		n.g.loop.Post(func(now time.Time) { n.g.reject(u, refused.Instance, now) })
 	}
 }
 
 // recordFailure records what a failed attempt at u proves.
 func (n *run) recordFailure(u *catalog.Upstream, err error) {
-	var dial *httpclient.DialError
-	var refused *RefusedError
-	n.arrived = n.arrived || !errors.As(err, &dial)
-	switch {
-	case errors.As(err, &dial):
+	proof := proofOf(err)
+	n.arrived = n.arrived || proof != notrun.NoConnection
+	switch proof {
+	case notrun.NoConnection:
 		n.unreached++
 		n.refundRetry()
 		n.g.recordRefusedConnection(u, err, n.placedAt)
-	case errors.As(err, &refused) && refused.Status == statusOtherInstance:
+	case notrun.OtherInstance:
 		// The addressed upstream no longer has this address, so the request did not reach it.
 		n.unreached++
-	case errors.As(err, &refused):
+	case notrun.Refused:
 		n.sent++
 	default:
 		n.sent++
@@ -253,8 +252,7 @@
 
 // stopReason returns why the request must not be attempted again, or "".
 //
-// A request that is not repeatable must not run twice after its connection broke. Only two proofs permit another
-// attempt: no connection was made, or the upstream promised that it did not run.
+// A request that may run once is sent again only with a proof that none of its attempts has run or will; see package notrun.
 func (n *run) stopReason(ctx context.Context, err error) string {
 	var closed *httpserver.ConnectionClosedError
 	var moved *MovedError
@@ -368,9 +366,9 @@
 		return dispatch.OutcomeOK
 	case errors.As(err, &closed) || errors.As(err, &moved) || errors.As(err, &long) || errors.As(err, &partRefused) || isUnwritten(err) || ctx.Err() != nil:
 		return dispatch.OutcomeNone
-	case errors.As(err, &refused) && refused.Status == statusOtherInstance:
+	case errors.As(err, &refused) && refused.Proof == notrun.OtherInstance:
 		return dispatch.OutcomeReplaced
-	case errors.As(err, &refused):
+	case errors.As(err, &refused) && refused.Proof == notrun.Refused:
 		return dispatch.OutcomeRefused
 	case errors.As(err, &failed):
 		return dispatch.OutcomeFailed
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -13,6 +13,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/tracing"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/notrun"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
@@ -37,6 +38,7 @@
 		ID:        n.r.call.Attempt,
 		ReadID:    n.g.dialect.ResponseAttempt,
 		MayLackID: mayLackAttemptID,
+		IsForeign: func(h *fasthttp.ResponseHeader) bool { return n.isForeign(to, h) },
 		MayWrite:  func() error { return n.checkPlacement(to, t.PlacementInputs()) },
 		OnForeign: func(h *fasthttp.ResponseHeader) { n.g.logForeignResponse(n, to, h) },
 		Patience:  n.patience(time.Now()),
@@ -68,6 +70,15 @@
 	return h.StatusCode() == statusOtherInstance || h.StatusCode() == fasthttp.StatusBadRequest
 }
 
+// isForeign reports whether a response to an attempt at an upstream cannot be its answer, by what the response says.
+func (n *run) isForeign(to *catalog.Upstream, h *fasthttp.ResponseHeader) bool {
+	if h.StatusCode() != statusOtherInstance {
+		return false
+	}
+	info := n.g.dialect.ReadResponse(h)
+	return notrun.Response{Status: h.StatusCode(), Addressed: to.ID, Responder: info.Instance}.Foreign()
+}
+
 // writeRequest builds the request to the upstream: the caller's method, path, body and header without hop-by-hop
 // fields, and the fields that the gateway sets.
 func (n *run) writeRequest(req *fasthttp.Request, to *catalog.Upstream) {
--- a/internal/policy/notrun/notrun.go
+++ b/internal/policy/notrun/notrun.go
@@ -1,7 +1,13 @@
-// Package notrun names the proofs that a failed attempt has not run at its upstream and never will, so that a request that may run
-// only once can be sent again.
+// Package notrun decides whether a failed attempt is proven not to have run at its upstream, so that a request that may run only once
+// can be sent again. docs/design/answers.md lists the proofs and what makes each of them true.
 package notrun
 
+import (
+	"net/http"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+)
+
 // Proof is why a failed attempt cannot have run and never will.
 type Proof string
 
@@ -18,3 +24,37 @@
 	// Refused means that the addressed upstream promised not to run the request.
 	Refused Proof = "refused"
 )
+
+// Response is what is known of a response to an attempt, and of the connection that it came on.
+type Response struct {
+	Status int
+	// Promised is set if the response says that the request did not run and never will.
+	Promised bool
+	// Addressed is the upstream that the attempt was meant for, Responder the one that the response names; empty if it names none.
+	Addressed, Responder ids.Upstream
+}
+
+// Proof returns the proof that the response gives.
+func (r Response) Proof() Proof {
+	switch {
+	case r.Status == http.StatusMisdirectedRequest:
+		return r.proofOfOtherInstance()
+	case r.Promised:
+		return Refused
+	}
+	return None
+}
+
+// proofOfOtherInstance requires that the response names another upstream, since a process that has replaced one may send copies of its
+// refusals after requests that are meant for itself.
+func (r Response) proofOfOtherInstance() Proof {
+	if r.Responder != "" && r.Responder != r.Addressed {
+		return OtherInstance
+	}
+	return None
+}
+
+// Foreign reports whether the response cannot be the answer to the attempt: the addressed upstream says that it is not the addressed one.
+func (r Response) Foreign() bool {
+	return r.Status == http.StatusMisdirectedRequest && r.Responder != "" && r.Responder == r.Addressed
+}
