A 421 proves nothing on a connection that has carried another request

What callers saw: a request that may run once ran twice if the process behind a connection was replaced while it ran the request, and the next one refused it with 421 and the request's id.

Now a 421 is a proof only as the first response on its connection, so that the process that refuses has had the connection from its start, and a connection on which another process has answered is closed. A 421 after a 421 on the same connection no longer occurs, so that true refusals are still sent elsewhere (TestTrueRefusalIsSentElsewhere).

--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -194,8 +194,13 @@
 	}
 	switch {
 	case info.NotRun:
-		defer res.ReleaseUnread()
-		return newRefusedError(t.Upstream(), res, info)
+		refused := newRefusedError(t.Upstream(), res, info)
+		if refused.Status == statusOtherInstance {
+			res.Release(false) // the process behind the connection is not the one that later requests are meant for
+		} else {
+			res.ReleaseUnread()
+		}
+		return refused
 	case isStream(res) && n.r.route.Kind == catalog.KindStream && res.Status/100 == 2:
 		err = n.relayStream(ctx, t, res, info)
 	case n.x.Responded():
--- a/internal/policy/notrun/notrun.go
+++ b/internal/policy/notrun/notrun.go
@@ -30,6 +30,8 @@
 	Status int
 	// Promised is set if the response says that the request did not run and never will.
 	Promised bool
+	// First is set if the connection had carried nothing before the attempt and its response.
+	First bool
 	// Addressed is the upstream that the attempt was meant for, Responder the one that the response names; empty if it names none.
 	Addressed, Responder ids.Upstream
 }
@@ -46,9 +48,10 @@
 }
 
 // proofOfOtherInstance requires that the response names another upstream, since a process that has replaced one may send copies of its
-// refusals after requests that are meant for itself.
+// refusals after requests that are meant for itself, and that it is the first on its connection, since the addressed upstream may have
+// received the request where it has answered before.
 func (r Response) proofOfOtherInstance() Proof {
-	if r.Responder != "" && r.Responder != r.Addressed {
+	if r.First && r.Responder != "" && r.Responder != r.Addressed {
 		return OtherInstance
 	}
 	return None
