A promise that a request has not run counts only in a refusal with its id and without a signature

What callers saw: a request that may run once ran twice, or its caller got 503 though it had run. The gateway took each response with the field for a promise, whatever its status, also one that bears the signature of the upstream that ran it, and a 400 without an id as the first response on its connection, which may be a copy of the answer to another request.

Now the status must be 400, 408, 429 or 503, the response must bear the attempt's id and no signature. Otherwise a request that may run once gets 502, and one that may be repeated goes elsewhere as after any other failure.

--- a/internal/node/gateway/errors.go
+++ b/internal/node/gateway/errors.go
@@ -28,7 +28,7 @@
 
 func newRefusedError(u *catalog.Upstream, res *httpclient.Response, info ResponseInfo) *RefusedError {
 	evidence := notrun.Response{
-		Status: res.Status, Promised: info.NotRun, First: res.First,
+		Status: res.Status, Promised: info.NotRun, Signed: info.Signed, Identified: res.Identified, First: res.First,
 		Addressed: u.ID, Responder: info.Instance,
 	}
 	return &RefusedError{
--- a/internal/policy/notrun/notrun.go
+++ b/internal/policy/notrun/notrun.go
@@ -30,6 +30,10 @@
 	Status int
 	// Promised is set if the response says that the request did not run and never will.
 	Promised bool
+	// Signed is set if the response carries the signature of an upstream that ran a request.
+	Signed bool
+	// Identified is set if the response bears the attempt's id, which no other request on its connection had.
+	Identified bool
 	// First is set if the connection had carried nothing before the attempt and its response.
 	First bool
 	// Addressed is the upstream that the attempt was meant for, Responder the one that the response names; empty if it names none.
@@ -39,9 +43,11 @@
 // Proof returns the proof that the response gives.
 func (r Response) Proof() Proof {
 	switch {
+	case r.Signed:
+		return None
 	case r.Status == http.StatusMisdirectedRequest:
 		return r.proofOfOtherInstance()
-	case r.Promised:
+	case r.Promised && r.Identified && isRefusal(r.Status):
 		return Refused
 	}
 	return None
@@ -61,3 +67,12 @@
 func (r Response) Foreign() bool {
 	return r.Status == http.StatusMisdirectedRequest && r.Responder != "" && r.Responder == r.Addressed
 }
+
+// isRefusal reports whether an upstream that has not run a request may respond with the status.
+func isRefusal(status int) bool {
+	switch status {
+	case http.StatusBadRequest, http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
