A 400 without an id and without a promise is not the answer

What callers saw: the 400 that an upstream gave to another request, if it came without an id on a new connection before the answer. Only an upstream that did not read a request far enough to know its id may leave it out, and that one promises that it has not run.

Test400WithoutIDIsNotTheAnswer failed before and passes.

--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -37,7 +37,7 @@
 		Instance:  to.Incarnation().String(),
 		ID:        n.r.call.Attempt,
 		ReadID:    n.g.dialect.ResponseAttempt,
-		MayLackID: mayLackAttemptID,
+		MayLackID: n.mayLackAttemptID,
 		IsForeign: func(h *fasthttp.ResponseHeader) bool { return n.isForeign(to, h) },
 		MayWrite:  func() error { return n.checkPlacement(to, t.PlacementInputs()) },
 		OnForeign: func(h *fasthttp.ResponseHeader) { n.g.logForeignResponse(n, to, h) },
@@ -66,8 +66,8 @@
 
 // mayLackAttemptID reports whether a response that is the first on its connection may lack the attempt's id, because the upstream did
 // not read the request that far.
-func mayLackAttemptID(h *fasthttp.ResponseHeader) bool {
-	return h.StatusCode() == statusOtherInstance || h.StatusCode() == fasthttp.StatusBadRequest
+func (n *run) mayLackAttemptID(h *fasthttp.ResponseHeader) bool {
+	return h.StatusCode() == statusOtherInstance || h.StatusCode() == fasthttp.StatusBadRequest && n.g.dialect.ReadResponse(h).NotRun
 }
 
 // isForeign reports whether a response to an attempt at an upstream cannot be its answer, by what the response says.
