A request's object is not reset while the request may still be written

The gateway gave the object back to the pool once the response's header was read. A body over 4 KB is written by a goroutine of its own, which may not have begun by then if a 421 without an id comes on a new connection. It would have written whatever request the object stood for by then: that one reaches two upstreams, with no retry, proof or line in any log.

--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -29,8 +29,7 @@
 // id. It also returns the errors of checkPlacement.
 func (n *run) send(ctx context.Context, t *dispatch.Ticket) (*httpclient.Response, error) {
 	to := t.Upstream()
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
+	req := &fasthttp.Request{} // not from the pool: a response may come before the request is written
 	n.writeRequest(req, to)
 	return n.g.client.Do(ctx, to.Address, httpclient.Exchange{
 		Request:   req,
