A promise in the name of another upstream proves nothing

The promise that a request has not run is the addressed upstream's own. If a process has replaced it, its 421 says so; with any other status, what it says of the request is not known to be the addressed one's word.

TestProofOfResponse has the case, which failed before.

--- a/internal/policy/notrun/notrun.go
+++ b/internal/policy/notrun/notrun.go
@@ -47,7 +47,7 @@
 		return None
 	case r.Status == http.StatusMisdirectedRequest:
 		return r.proofOfOtherInstance()
-	case r.Promised && r.Identified && isRefusal(r.Status):
+	case r.Promised && r.Identified && isRefusal(r.Status) && !r.namesOther():
 		return Refused
 	}
 	return None
@@ -57,12 +57,15 @@
 // refusals after requests that are meant for itself, and that it is the first on its connection, since the addressed upstream may have
 // received the request where it has answered before.
 func (r Response) proofOfOtherInstance() Proof {
-	if r.First && r.Responder != "" && r.Responder != r.Addressed {
+	if r.First && r.namesOther() {
 		return OtherInstance
 	}
 	return None
 }
 
+// namesOther reports whether the response names another upstream than the addressed one.
+func (r Response) namesOther() bool { return r.Responder != "" && r.Responder != r.Addressed }
+
 // Foreign reports whether the response cannot be the answer to the attempt: the addressed upstream says that it is not the addressed one.
 func (r Response) Foreign() bool {
 	return r.Status == http.StatusMisdirectedRequest && r.Responder != "" && r.Responder == r.Addressed
--- a/internal/policy/notrun/notrun_test.go
+++ b/internal/policy/notrun/notrun_test.go
@@ -19,6 +19,8 @@
 		"refusal without a promise":           {refusal, func(r *notrun.Response) { r.Promised = false }, notrun.None},
 		"refusal without an id":               {refusal, func(r *notrun.Response) { r.Identified, r.First = false, true }, notrun.None},
 		"refusal by one that signs":           {refusal, func(r *notrun.Response) { r.Signed = true }, notrun.None},
+		"refusal by another upstream":         {refusal, func(r *notrun.Response) { r.Responder = "b" }, notrun.None},
+		"refusal by the addressed one":        {refusal, func(r *notrun.Response) { r.Responder = "a" }, notrun.Refused},
 		"promise with a success":              {refusal, func(r *notrun.Response) { r.Status = 200 }, notrun.None},
 		"promise with a failure":              {refusal, func(r *notrun.Response) { r.Status = 500 }, notrun.None},
 		"too many requests":                   {refusal, func(r *notrun.Response) { r.Status = 429 }, notrun.Refused},
