A request that may run once is not sent again to an address at which it was refused

A process that has refused a request with its promise gets it once more if it is entered under another id meanwhile. Should it then send a copy of its refusal, on another connection, that has the request's id, the caller would get 503 for a request that runs. Repeatable requests may still go there.

TestExcludedAddressGetsNoRequest.

--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -36,8 +36,10 @@
 	renewals int
 	// mayHaveRun is set once an attempt ended without proof that it did not run.
 	mayHaveRun bool
-	exclude    []ids.Upstream
-	stream     streamState
+	// exclude and excludeAddresses are the upstreams and addresses that must not get the request.
+	exclude          []ids.Upstream
+	excludeAddresses []string
+	stream           streamState
 	// placedAt is when the latest attempt was assigned its upstream, firstPieceAt when the first piece of the response
 	// arrived.
 	placedAt, firstPieceAt time.Time
@@ -152,16 +154,17 @@
 		}
 	}
 	return dispatch.Request{
-		Arrived:      r.arrived,
-		Target:       r.arrived.Add(r.route.TargetLatency),
-		Deadline:     latest,
-		Priority:     r.priority,
-		Class:        r.route.Priority,
-		PromptTokens: r.call.PromptTokens,
-		Account:      fairshare.AccountOf(r.client),
-		Tokens:       r.call.work(r.service.Engine),
-		Begun:        n.x.Responded(),
-		Exclude:      n.exclude,
+		Arrived:          r.arrived,
+		Target:           r.arrived.Add(r.route.TargetLatency),
+		Deadline:         latest,
+		Priority:         r.priority,
+		Class:            r.route.Priority,
+		PromptTokens:     r.call.PromptTokens,
+		Account:          fairshare.AccountOf(r.client),
+		Tokens:           r.call.work(r.service.Engine),
+		Begun:            n.x.Responded(),
+		Exclude:          n.exclude,
+		ExcludeAddresses: n.excludeAddresses,
 	}
 }
 
@@ -248,6 +251,7 @@
 		n.unreached++
 	case notrun.Refused:
 		n.sent++
+		n.excludeAddress(u)
 	default:
 		n.sent++
 		n.mayHaveRun = true
@@ -255,6 +259,14 @@
 	n.exclude = append(n.exclude, n.upstream)
 }
 
+// excludeAddress excludes an address at which a request that may run once was refused: a process that has refused a request may send
+// a copy of its refusal after it got the same request again.
+func (n *run) excludeAddress(u *catalog.Upstream) {
+	if !n.r.route.Repeatable() {
+		n.excludeAddresses = append(n.excludeAddresses, u.Address)
+	}
+}
+
 // stopReason returns why the request must not be attempted again, or "".
 //
 // A request that may run once is sent again only with a proof that none of its attempts has run or will; see package notrun.
--- a/internal/policy/dispatch/evacuation.go
+++ b/internal/policy/dispatch/evacuation.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
@@ -66,7 +65,7 @@
 	}
 	evacuated, wait := 0, maxRetry
 	for _, u := range p.order {
-		switch excluded := slices.Contains(r.Exclude, u.listed.ID); {
+		switch excluded := r.excludes(u.listed); {
 		case !u.isInService():
 		case u.evacuated && !excluded:
 			evacuated++
--- a/internal/policy/dispatch/pool.go
+++ b/internal/policy/dispatch/pool.go
@@ -34,6 +34,13 @@
 	// Exclude lists upstreams that must not get the request, in any incarnation: an upstream that failed it may fail it
 	// again.
 	Exclude []ids.Upstream
+	// ExcludeAddresses lists addresses at which no upstream may get the request.
+	ExcludeAddresses []string
+}
+
+// excludes reports whether the upstream must not get the request.
+func (r *Request) excludes(u *catalog.Upstream) bool {
+	return slices.Contains(r.Exclude, u.ID) || slices.Contains(r.ExcludeAddresses, u.Address)
 }
 
 // Work is the work that one or more gateways have in flight at one upstream.
@@ -387,7 +394,7 @@
 		}
 	}
 	for _, c := range p.order {
-		if c.usable(now) && p.permits(c, now) && !slices.Contains(r.Exclude, c.listed.ID) && c.hasFreeSlot(fill) {
+		if c.usable(now) && p.permits(c, now) && !r.excludes(c.listed) && c.hasFreeSlot(fill) {
 			p.scratch = append(p.scratch, c)
 		}
 	}
--- a/internal/policy/dispatch/pool_test.go
+++ b/internal/policy/dispatch/pool_test.go
@@ -93,6 +93,23 @@
 	}
 }
 
+// Guards against a request that is sent to a process that has refused it, under the id that the process has since the entry of the one
+// before was replaced.
+func TestExcludedAddressGetsNoRequest(t *testing.T) {
+	p := newPool(2, 1)
+	list := upstreams(2, 1)
+	list[0].Address, list[1].Address = "refusing", "other"
+	p.SetUpstreams(list, start)
+	r := timedRequest(start)
+	r.ExcludeAddresses = []string{list[0].Address}
+	if first := p.Submit(r, start); first.Upstream() == nil || first.Upstream().ID != "u-01" {
+		t.Fatalf("placed at %v", first.Upstream())
+	}
+	if second := p.Submit(r, start); second.Upstream() != nil {
+		t.Fatalf("placed at %s", second.Upstream().ID)
+	}
+}
+
 // Guards against an upstream that is chosen because only other gateways use it: their work must count as much as this
 // gateway's own, and PlacementInputs reports how old the count was.
 func TestWorkOfOtherGatewaysCounts(t *testing.T) {
--- a/internal/policy/dispatch/restriction.go
+++ b/internal/policy/dispatch/restriction.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
@@ -93,7 +92,7 @@
 func (p *Pool) restriction(to Request, now time.Time) (restriction, bool) {
 	r := restriction{onlyLimits: true}
 	for _, u := range p.order {
-		if !u.acceptsRequests() || u.closed || slices.Contains(to.Exclude, u.listed.ID) {
+		if !u.acceptsRequests() || u.closed || to.excludes(u.listed) {
 			continue
 		}
 		at, ends := p.permittedAt(u, now)
