Lines about requests that may run once survive an outage, also those of where they went and how they ended

The line of a retry has had a bound of its own, but the line of the placement that followed and that of the outcome shared theirs with all other requests. Under load, the record told why a request was sent again, but not to whom. Now all lines of a request that may run once share the bound once an attempt at it has failed. What that bound leaves out is counted, as log_lines_left_out_total{class="resends"}. 'placing request again' names the address and whether the request may be repeated.

Tests: each proof is in the line and in the counter; under an outage, each request that upstreams got twice has its lines. With one bound for all retries, the test of the outage fails.

--- a/internal/node/gateway/log.go
+++ b/internal/node/gateway/log.go
@@ -18,7 +18,7 @@
 )
 
 // requestLogs are the rate-limited logs of decisions about requests. Lines about failed requests are fewer and more
-// important, so they have a limit of their own, and so have those about requests that may run once and are sent again.
+// important, so they have a limit of their own, and so have those about requests that may run once and of which an attempt has failed.
 type requestLogs struct {
 	ordinary, failures, resends *logging.RateLimited
 }
@@ -39,6 +39,14 @@
 	return l.resends
 }
 
+// of returns the log of a run's placements and outcome: other, unless the request may run once and an attempt has failed.
+func (l *requestLogs) of(n *run, other *logging.RateLimited) *logging.RateLimited {
+	if n.sent+n.unreached > 0 && !n.r.route.Repeatable() {
+		return l.resends
+	}
+	return other
+}
+
 // logRefused logs that a request was refused before any attempt.
 func (g *Gateway) logRefused(v *view, r *request, err error) {
 	f := failure.From(err)
@@ -63,7 +71,7 @@
 
 // logPlaced logs the upstream of an attempt and the values behind the decision.
 func (g *Gateway) logPlaced(n *run, u ids.UpstreamIncarnation, d dispatch.PlacementInputs) {
-	_ = g.requests.ordinary.Log("msg", "placed", "request", n.r.call.Attempt, "route", n.r.route.Name, "revision", n.r.revision,
+	_ = g.requests.of(n, g.requests.ordinary).Log("msg", "placed", "request", n.r.call.Attempt, "route", n.r.route.Name, "revision", n.r.revision,
 		"upstream", n.upstream, "address", n.address, "attempt", n.sent+n.unreached+1, "load", d.Load, "usable", d.Usable, "waiting", d.Waiting,
 		"digests_age_ms", d.OthersAge.Milliseconds(), "waited_ms", n.placedAt.Sub(n.r.arrived).Milliseconds(),
 		"limit_per_second", n.g.limits.perSecond(u), "own_part_per_second", d.OwnPart, "cold_part_per_second", d.ColdPart,
@@ -126,12 +134,12 @@
 		"total_ms", sinceArrival(n, now), "left_ms", n.r.deadline.Sub(now).Milliseconds(),
 	}
 	if err == nil {
-		_ = g.requests.ordinary.Log(fields...)
+		_ = g.requests.of(n, g.requests.ordinary).Log(fields...)
 		return
 	}
 	f := failure.From(err)
 	fields = append(fields, "code", f.Code, "proof", f.Proof, "retry_after_ms", f.RetryAfter.Milliseconds(), "err", err)
-	_ = g.requests.failures.Log(fields...)
+	_ = g.requests.of(n, g.requests.failures).Log(fields...)
 }
 
 // Outcomes of requests in logs.
--- a/internal/node/gateway/metrics.go
+++ b/internal/node/gateway/metrics.go
@@ -44,6 +44,7 @@
 	}
 	gauge(`log_lines_left_out_total{class="ordinary"}`, func() float64 { return float64(g.requests.ordinary.Suppressed()) })
 	gauge(`log_lines_left_out_total{class="failures"}`, func() float64 { return float64(g.requests.failures.Suppressed()) })
+	gauge(`log_lines_left_out_total{class="resends"}`, func() float64 { return float64(g.requests.resends.Suppressed()) })
 }
 
 // addServiceGauges adds the gauges of one service; they are 0 once the service is removed.
--- a/internal/node/gateway/placement.go
+++ b/internal/node/gateway/placement.go
@@ -51,6 +51,6 @@
 		n.refundRetry()
 		n.takeRetry()
 	}
-	_ = n.g.requests.resent(n.r.route.Repeatable()).Log("msg", "placing request again", "request", n.r.call.Attempt, "route", n.r.route.Name, "upstream", n.upstream,
-		"proof", proofOf(err), "attempt", n.sent+n.unreached+1, "placed_ms", sinceArrival(n, n.placedAt), "left_ms", time.Until(n.r.deadline).Milliseconds(), "err", err)
+	_ = n.g.requests.resent(n.r.route.Repeatable()).Log("msg", "placing request again", "request", n.r.call.Attempt, "route", n.r.route.Name, "upstream", n.upstream, "address", n.address,
+		"repeatable", n.r.route.Repeatable(), "proof", proofOf(err), "attempt", n.sent+n.unreached+1, "placed_ms", sinceArrival(n, n.placedAt), "left_ms", time.Until(n.r.deadline).Milliseconds(), "err", err)
 }
--- a/internal/node/gateway/settings.go
+++ b/internal/node/gateway/settings.go
@@ -45,7 +45,8 @@
 type LogBounds struct {
 	// Ordinary limits lines about placements and successful responses.
 	Ordinary int `yaml:"ordinary"`
-	// Failures limits lines about refusals, retries, ejections and failures.
+	// Failures limits lines about refusals, retries, ejections and failures; those about requests that may run once and of which an
+	// attempt has failed have the same limit to themselves.
 	Failures int `yaml:"failures"`
 }
 
