explain shows the attempts at a request with their proofs, and lists the requests that were sent twice

'explain ID' now begins with a row for each attempt: upstream, address, the proof that it has not run, what the response said, the result.

--- a/internal/tool/ctl/explain.go
+++ b/internal/tool/ctl/explain.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -16,10 +17,10 @@
 
 // explainFlags holds the flags and arguments of explain.
 type explainFlags struct {
-	worst         bool
+	worst, twice  bool
 	maxCauses     int
 	before, after time.Duration
-	// args holds the request's id, unless worst is set, and the log files.
+	// args holds the request's id, unless worst or twice is set, and the log files.
 	args []string
 }
 
@@ -42,9 +43,10 @@
 }
 
 func (s *session) registerExplain(app *kingpin.Application) {
-	cmd := app.Command("explain", "Tell from logs what became of a request: explain ID [FILE...], or explain --worst [FILE...]; standard input if no file is named.")
+	cmd := app.Command("explain", "Tell from logs what became of a request: explain ID [FILE...], explain --worst [FILE...] or explain --twice [FILE...]; standard input if no file is named.")
 	f := &explainFlags{}
 	cmd.Flag("worst", "Instead of one request: count what was refused, failed or late, by cause.").BoolVar(&f.worst)
+	cmd.Flag("twice", "Instead of one request: the requests that may run once and that were sent more than once, with the proof that each attempt has not run.").BoolVar(&f.twice)
 	cmd.Flag("most", "The most causes to print.").Default(explainMaxCauses).IntVar(&f.maxCauses)
 	cmd.Flag("before", "How long before the request lines about its processes and upstreams count.").Default(explainBefore).DurationVar(&f.before)
 	cmd.Flag("after", "The same after it.").Default(explainAfter).DurationVar(&f.after)
@@ -55,7 +57,7 @@
 func (s *session) explain(f *explainFlags, in io.Reader) error {
 	files := f.args
 	request := ""
-	if !f.worst {
+	if !f.worst && !f.twice {
 		if len(files) == 0 {
 			return &FileError{File: "explain", Cause: &RequestError{"(none named)"}}
 		}
@@ -65,6 +67,9 @@
 	if err != nil {
 		return err
 	}
+	if f.twice {
+		return s.printResends(explain.Resends(lines))
+	}
 	if f.worst {
 		return s.printCauses(explain.FailuresByCause(lines), f.maxCauses)
 	}
@@ -72,7 +77,7 @@
 	if len(relevant) == 0 {
 		return &RequestError{request}
 	}
-	return s.printExplanation(relevant)
+	return s.printExplanation(request, relevant, explain.Attempts(lines, request))
 }
 
 // readLogs reads the files, or in if there are none. Errors: *FileError.
@@ -104,10 +109,14 @@
 	return explain.Read(file)
 }
 
-func (s *session) printExplanation(lines []*explain.Line) error {
+func (s *session) printExplanation(request string, lines []*explain.Line, attempts []*explain.Attempt) error {
 	if s.output == outputJSON {
 		return s.printJSON(lines)
 	}
+	if len(attempts) > 0 {
+		s.printTable(attemptHeader, attemptRows(request, attempts))
+		_, _ = fmt.Fprintln(s.out)
+	}
 	var rows [][]string
 	for _, l := range lines {
 		about := "process"
@@ -126,6 +135,35 @@
 	return nil
 }
 
+var attemptHeader = []string{"REQUEST", "ATTEMPT", "AT", "NODE", "UPSTREAM", "ADDRESS", "PROOF", "RESPONSE", "RESULT"}
+
+// attemptRows returns a row for each attempt at a request.
+func attemptRows(request string, attempts []*explain.Attempt) [][]string {
+	var rows [][]string
+	for i, a := range attempts {
+		result := strings.ReplaceAll(a.Result, "\n", "; ")
+		rows = append(rows, []string{
+			request, strconv.Itoa(i + 1), a.At.UTC().Format("15:04:05.000"), a.Node, a.Upstream, a.Address,
+			orDash(a.Proof), orDash(a.Response), orDash(result),
+		})
+	}
+	return rows
+}
+
+func (s *session) printResends(resends []*explain.Resend) error {
+	if s.output == outputJSON {
+		return s.printJSON(resends)
+	}
+	var rows [][]string
+	for _, r := range resends {
+		rows = append(rows, attemptRows(r.Request, r.Attempts)...)
+	}
+	s.printTable(attemptHeader, rows)
+	return nil
+}
+
+func orDash(text string) string { return cmp.Or(text, "-") }
+
 func (s *session) printCauses(causes []*explain.Cause, maxCauses int) error {
 	causes = causes[:min(max(0, maxCauses), len(causes))]
 	if s.output == outputJSON {
--- a/internal/tool/explain/explain.go
+++ b/internal/tool/explain/explain.go
@@ -185,7 +185,7 @@
 	found := map[string]*Cause{}
 	for _, l := range lines {
 		outcome := l.Get("outcome")
-		if l.Message != "request" || outcome == "answered" || outcome == "" {
+		if l.Message != messageOutcome || outcome == "answered" || outcome == "" {
 			continue
 		}
 		c := &Cause{Outcome: outcome, Code: l.Get("code"), Route: l.Get("route"), Reason: normalizeReason(l.Get("err")), Example: l.Request, First: l.At, Last: l.At}
