Entries and slots log and count why an attempt was sent again, or was not

An entry sent a request again, or told its caller that the outcome is unknown, without a line; only a counter without labels rose. Now a line names the request, attempt, slot, proof, and its source: the entry itself, a failed dial, the slot's refusal, or the fence. The slot logs what it refused and which fences it promised, by attempt. Retries are counted by service and source (the series without labels is gone), requests that may run once and whose outcome is unknown at both. Logs of entries and slots are now queued, as those of gateways are, so that a reader that has stopped holds up no request; what is logged after the queue was closed is dropped and counted.

explain reads these lines too. No decision changes.

--- a/internal/base/logging/async.go
+++ b/internal/base/logging/async.go
@@ -21,11 +21,14 @@
 	dropped   atomic.Uint64
 	total     atomic.Uint64
 	closeOnce sync.Once
-	done      chan struct{}
+	// mu guards closed, so that no line is queued once Close has begun.
+	mu     sync.RWMutex
+	closed bool
+	done   chan struct{}
 }
 
 // NewAsync returns a writer that queues up to the given number of lines for out and writes its own lines in the format.
-// Close writes the remaining lines.
+// Close writes the remaining lines; later ones are dropped.
 func NewAsync(out io.Writer, lines int, f Format) *Async {
 	a := &Async{out: out, lines: make(chan []byte, lines), own: New(out, Options{Format: f}), done: make(chan struct{})}
 	go a.run()
@@ -34,6 +37,12 @@
 
 // Write implements io.Writer. It copies and queues one line, and never fails.
 func (a *Async) Write(line []byte) (int, error) {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	if a.closed {
+		a.total.Add(1)
+		return len(line), nil
+	}
 	select {
 	case a.lines <- append([]byte(nil), line...):
 	default:
@@ -46,12 +55,19 @@
 // Dropped returns how many lines have been dropped so far.
 func (a *Async) Dropped() uint64 { return a.total.Load() }
 
-// Close writes the queued lines and waits for them. Write must not be called afterwards.
+// Close writes the queued lines and waits for them. Lines that are written afterwards are dropped.
 func (a *Async) Close() {
-	a.closeOnce.Do(func() { close(a.lines) })
+	a.closeOnce.Do(a.closeQueue)
 	<-a.done
 }
 
+func (a *Async) closeQueue() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.closed = true
+	close(a.lines)
+}
+
 func (a *Async) run() {
 	defer close(a.done)
 	for line := range a.lines {
--- a/internal/base/logging/logging_test.go
+++ b/internal/base/logging/logging_test.go
@@ -12,6 +12,18 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/logging"
 )
 
+// Guards against a process that panics because a goroutine logs while it exits.
+func TestLineAfterCloseIsDropped(t *testing.T) {
+	var out bytes.Buffer
+	a := logging.NewAsync(&out, 1, logging.FormatLogfmt)
+	_, _ = a.Write([]byte("before\n"))
+	a.Close()
+	_, _ = a.Write([]byte("after\n"))
+	if out.String() != "before\n" || a.Dropped() != 1 {
+		t.Fatalf("got %q, %d dropped", out.String(), a.Dropped())
+	}
+}
+
 func TestLevelAndFormat(t *testing.T) {
 	var out bytes.Buffer
 	l := logging.New(&out, logging.Options{Format: logging.FormatJSON, Level: "warn"})
--- a/internal/node/daemon/runtime.go
+++ b/internal/node/daemon/runtime.go
@@ -31,8 +31,12 @@
 	Logger log.Logger
 	Tracer *tracing.Tracer
 	Node   *Node
+	out    *logging.Async
 }
 
+// logLines is the number of lines that wait for the reader of the log.
+const logLines = 4096
+
 // Component is what a daemon runs: an entry or a slot.
 type Component interface {
 	Metrics() *metrics.Set
@@ -44,7 +48,8 @@
 
 // Open sets up a Runtime, whose node starts with Serve. Errors: invalid tracing options or TLS keys.
 func Open(ctx context.Context, o RuntimeOptions) (*Runtime, error) {
-	logger := logging.New(os.Stderr, o.Log)
+	out := logging.NewAsync(os.Stderr, logLines, o.Log.Format)
+	logger := logging.New(out, o.Log)
 	tracer, err := tracing.New(ctx, o.Process, o.Tracing)
 	if err != nil {
 		return nil, fmt.Errorf("tracing: %w", err)
@@ -55,12 +60,13 @@
 	}
 	o.Node.Keys = source
 	o.Node.Logger = logger
-	return &Runtime{Logger: logger, Tracer: tracer, Node: NewNode(o.Node)}, nil
+	return &Runtime{Logger: logger, Tracer: tracer, Node: NewNode(o.Node), out: out}, nil
 }
 
 // Serve runs the component until ctx is done, with tick on the control loop. It then shuts down within grace: first
 // the component, so that no request in flight is interrupted, then the node's membership, so that no change waits for it.
 func (r *Runtime) Serve(ctx context.Context, c Component, tick func(now time.Time), grace time.Duration) error {
+	defer r.out.Close()
 	if err := r.Node.Run(c.Metrics(), tick); err != nil {
 		c.Kill()
 		return fmt.Errorf("start: %w", err)
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -50,6 +50,7 @@
 	tracer      *tracing.Tracer
 	roster      func() *revision.Roster
 	metrics     *entryMetrics
+	resends     *resendLogs
 	client      *httpclient.Client
 	limits      *limits.Limiter
 	quarantine  *quarantine.PersistentTracker
@@ -118,6 +119,7 @@
 		loop:        d.Loop,
 		lifecycle:   charts.MustLoad("entry").Start(),
 	}
+	e.resends = newResendLogs(e.logger)
 	if e.incarnation == "" {
 		e.incarnation = ids.NewIncarnation()
 	}
--- a/internal/node/entry/forward.go
+++ b/internal/node/entry/forward.go
@@ -37,6 +37,7 @@
 // newAttempt prepares an attempt on the upstream of the routing choice.
 func (e *Entry) newAttempt(r *request, v *view, c routing.Choice, body []byte, resume int, trace string) *outgoingAttempt {
 	id := ids.Attempt{Entry: e.incarnation, Seq: e.sequence.Add(1)}
+	r.latest = sentAttempt{id, c.Upstream.Address}
 	return &outgoingAttempt{
 		id: id,
 		to: c.Upstream,
--- a/internal/node/entry/handler.go
+++ b/internal/node/entry/handler.go
@@ -145,12 +145,13 @@
 			return m.complete(ctx)
 		}
 		d := session.Failed(retry.FailedAttempt{Upstream: to, Err: err}, m.tokens, time.Now())
+		e.logFailedAttempt(r, to, err, d)
 		if d.Action == retry.ActionGiveUp {
 			return e.abort(ctx, m, d.Err)
 		}
-		e.metrics.retries.Inc()
 		exclude = d.Exclude
 		if err := sleep(ctx, d.After); err != nil {
+			e.logResend(r, "", err, "request given up", "code", interruptedCode(ctx))
 			return e.abort(ctx, m, failure.New(interruptedCode(ctx), err))
 		}
 	}
--- a/internal/node/entry/metrics.go
+++ b/internal/node/entry/metrics.go
@@ -6,12 +6,12 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
 )
 
 // entryMetrics holds the metrics of one entry; see docs/OPERATIONS.md.
 type entryMetrics struct {
 	set           *metrics.Set
-	retries       *metrics.Counter
 	mismatches    *metrics.Counter
 	digestBytes   *metrics.Counter
 	firstToken    *metrics.Histogram
@@ -22,7 +22,6 @@
 	set := metrics.NewSet()
 	return &entryMetrics{
 		set:           set,
-		retries:       set.NewCounter("cardamomyoke_entry_retries_total"),
 		mismatches:    set.NewCounter("cardamomyoke_entry_mismatched_answers_total"),
 		digestBytes:   set.NewCounter("cardamomyoke_entry_digest_bytes_total"),
 		firstToken:    set.NewHistogram("cardamomyoke_entry_first_token_seconds"),
@@ -38,5 +37,18 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_entry_requests_total{service=%q,code=%q}", service, code)).Inc()
 }
 
+// retried counts a further attempt, by where the proof that the one before has not run comes from; empty for none.
+func (m *entryMetrics) retried(s *cardamomyokev1.Service, source proofSource) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_entry_retries_total{service=%q,source=%q}", s.GetName(), source)).Inc()
+}
+
+// gaveUp counts a request that may run once and whose outcome is unknown.
+func (m *entryMetrics) gaveUp(s *cardamomyokev1.Service, told *failure.Error) {
+	if s.GetRepeatable() || told.Code.Meaning().NotRun {
+		return
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_entry_outcomes_unknown_total{service=%q}", s.GetName())).Inc()
+}
+
 // Metrics returns the entry's metrics.
 func (e *Entry) Metrics() *metrics.Set { return e.metrics.set }
--- a/internal/node/entry/request.go
+++ b/internal/node/entry/request.go
@@ -62,6 +62,8 @@
 	fingerprint quarantine.Fingerprint
 	// suspicion is the quarantine level of the current attempt.
 	suspicion int
+	// latest is the latest attempt, for logs.
+	latest sentAttempt
 }
 
 // chatRequest holds the fields of an OpenAI-style body that the entry reads; the others are for the engine only.
--- a/internal/node/slot/handler.go
+++ b/internal/node/slot/handler.go
@@ -50,6 +50,7 @@
 		code = fasthttp.StatusOK
 	}
 	s.metrics.fences.Inc()
+	s.logFence(id, current, code == fasthttp.StatusOK)
 	_ = x.Respond(code, []httpserver.Header{{Name: attempt.HeaderAttempt, Value: id.String()}}, nil)
 }
 
@@ -67,6 +68,9 @@
 	err = s.run(ctx, x, j)
 	span.End(err)
 	s.metrics.countAttempt(err)
+	if err != nil {
+		s.logFailed(j, err)
+	}
 	if err != nil && !x.Responded() {
 		x.Fail(failure.From(err), attemptHeader(h.Attempt))
 	}
--- a/internal/node/slot/metrics.go
+++ b/internal/node/slot/metrics.go
@@ -14,6 +14,8 @@
 	fences      *metrics.Counter
 	digestBytes *metrics.Counter
 	crashes     *metrics.Counter
+	// outcomesLost counts requests that may run once and whose outcome is unknown.
+	outcomesLost *metrics.Counter
 	// closeDelimited counts responses whose end only the close of their connection tells.
 	closeDelimited *metrics.Counter
 }
@@ -21,10 +23,11 @@
 func newSlotMetrics() *slotMetrics {
 	set := metrics.NewSet()
 	return &slotMetrics{
-		set:         set,
-		fences:      set.NewCounter("cardamomyoke_slot_fences_total"),
-		digestBytes: set.NewCounter("cardamomyoke_slot_digest_bytes_total"),
-		crashes:     set.NewCounter("cardamomyoke_slot_upstream_crashes_total"),
+		set:          set,
+		fences:       set.NewCounter("cardamomyoke_slot_fences_total"),
+		digestBytes:  set.NewCounter("cardamomyoke_slot_digest_bytes_total"),
+		outcomesLost: set.NewCounter("cardamomyoke_slot_outcomes_unknown_total"),
+		crashes:      set.NewCounter("cardamomyoke_slot_upstream_crashes_total"),
 
 		closeDelimited: set.NewCounter("cardamomyoke_slot_close_delimited_responses_total"),
 	}
--- a/internal/node/slot/once.go
+++ b/internal/node/slot/once.go
@@ -59,6 +59,7 @@
 		s.claims.NotStarted(a)
 		return err
 	}
+	s.metrics.outcomesLost.Inc()
 	s.claims.Lost(a)
 	return err
 }
--- a/internal/node/slot/slot.go
+++ b/internal/node/slot/slot.go
@@ -49,6 +49,7 @@
 	tracer         *tracing.Tracer
 	roster         func() *revision.Roster
 	metrics        *slotMetrics
+	attemptLogs    *attemptLogs
 	attempts       *attempt.Tracker
 	client         *httpclient.Client
 	work           *work
@@ -88,6 +89,7 @@
 		client:      httpclient.New(httpclient.Options{}),
 		work:        newWork(),
 	}
+	s.attemptLogs = newAttemptLogs(s.logger)
 	if s.incarnation == "" {
 		s.incarnation = ids.NewIncarnation()
 	}
--- a/internal/tool/explain/attempts.go
+++ b/internal/tool/explain/attempts.go
@@ -13,6 +13,7 @@
 	messageRetry       = "retrying request"
 	messagePlacedAgain = "placing request again"
 	messageOutcome     = "request"
+	messageGivenUp     = "request given up"
 )
 
 // MayHaveRun stands for the proof of an attempt that has none, UnknownProof for that of an attempt in lines without the field.
@@ -69,6 +70,8 @@
 			}
 			a.fail(l)
 			delete(open, l.Node)
+		case messageGivenUp:
+			begin(l).giveUp(l)
 		case messageOutcome:
 			a := open[l.Node]
 			if a == nil && l.Get("outcome") == "answered" && l.Get("upstream") != "" {
@@ -90,6 +93,11 @@
 	a.followed = true
 }
 
+// giveUp records the line of an entry that sends the request to no other slot.
+func (a *Attempt) giveUp(l *Line) {
+	a.Proof, a.Response, a.Result = proofIn(l), responseIn(l), "given up "+l.Get("err")
+}
+
 // end records the request's outcome, which is that of its last attempt.
 func (a *Attempt) end(l *Line) {
 	a.Result = strings.TrimSpace(l.Get("outcome") + " " + l.Get("err"))
@@ -112,7 +120,7 @@
 // responseIn returns what a line says of the response to an attempt.
 func responseIn(l *Line) string {
 	var out []string
-	for _, key := range []string{"status", "responder", "has_id", "first"} {
+	for _, key := range []string{"source", "status", "responder", "has_id", "first"} {
 		if l.has(key) {
 			out = append(out, key+"="+l.Get(key))
 		}
@@ -165,7 +173,7 @@
 	out := map[string]bool{}
 	for _, l := range lines {
 		if l.Get("repeatable") == "true" {
-			out[l.Get("route")] = true
+			out[cmp.Or(l.Get("route"), l.Get("service"))] = true
 		}
 	}
 	return out
@@ -189,7 +197,8 @@
 
 func routeOf(lines []*Line) string {
 	for _, l := range lines {
-		if r := l.Get("route"); r != "" {
+		// Entries know services only.
+		if r := cmp.Or(l.Get("route"), l.Get("service")); r != "" {
 			return r
 		}
 	}
--- a/internal/tool/explain/attempts_test.go
+++ b/internal/tool/explain/attempts_test.go
@@ -34,6 +34,7 @@
 		"r5": {"g1 u1 10.0.0.1:80 may have run []"},
 		"r6": {"g1 u1 10.0.0.1:80 not-written []"},
 		"r7": {"g3 u1  not recorded []"},
+		"r9": {"e1 u5 10.0.0.5:80 fenced [source=fence]", "e1 u6 10.0.0.6:80 may have run [source=]"},
 		"r0": nil,
 	} {
 		var got []string
@@ -57,11 +58,12 @@
 	}
 	want := map[string][]string{
 		"r1": {"other-instance"}, "r3": {"refused"}, "r4": nil, "r6": {"not-written"}, "r7": {"not recorded"}, "r8": {"may have run"},
+		"r9": {"fenced"},
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
 	}
-	if diff := cmp.Diff([]string{"r1", "r3", "r4", "r6", "r7", "r8"}, order); diff != "" {
+	if diff := cmp.Diff([]string{"r1", "r3", "r4", "r6", "r7", "r8", "r9"}, order); diff != "" {
 		t.Error(diff)
 	}
 }
