The leader logs each order that it gives again, and whether the copies before may still count

The log had the lost reply, without a bound, but not that the order was given again, nor whether a copy before was surely without effect. Now 'order given again' has the copies given, those without a reply yet, those that may still count, and what is known of the latest: may-count, no-connection, refused, counted. No order changes.

--- a/internal/experts/lockstep/controller.go
+++ b/internal/experts/lockstep/controller.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/logging"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
@@ -103,11 +104,12 @@
 	wasComplete   bool
 	// responseTime is the median response time of the ranks, in ns, when all were last read concurrently.
 	responseTime atomic.Int64
+	orderLog     *logging.RateLimited
 }
 
 // NewController returns a controller for the group that the options return.
 func NewController(o ControllerOptions) *Controller {
-	return &Controller{o: o, demand: NewDemand(o.HalfLife)}
+	return &Controller{o: o, demand: NewDemand(o.HalfLife), orderLog: logging.NewRateLimited(level.Info(o.Logger), maxOrderLines, time.Now)}
 }
 
 // Run controls the group until ctx is done.
--- a/internal/experts/lockstep/runswitch.go
+++ b/internal/experts/lockstep/runswitch.go
@@ -41,6 +41,7 @@
 type orderResult struct {
 	order Order
 	reply Reply
+	err   error
 }
 
 // runSwitch runs a switch until it finishes or ctx is done.
@@ -52,8 +53,12 @@
 	defer tick.Stop()
 	poll := newReportPoller(c, s)
 	prepared := map[int]bool{}
+	given := givenOrders{}
 	for !sw.Finished() {
 		c.noticeHold(s, sw, time.Now())
+		for _, o := range orders {
+			c.logAgain(o, s.upstreams[o.Rank].ID, given.give(o))
+		}
 		c.sendOrders(ctx, s, orders, replies, finished)
 		orders = nil
 		select {
@@ -61,6 +66,7 @@
 			c.abandonHold(s)
 			return
 		case a := <-replies:
+			given.ended(a)
 			orders = sw.OnReply(time.Now(), a.order, a.reply)
 			if a.reply != ReplyPrepared || a.order.Op != OpPrepare || prepared[a.order.Rank] {
 				continue
@@ -144,11 +150,11 @@
 		go func() {
 			reply, err := c.o.RankClient.Order(ctx, u, o)
 			if err != nil {
-				_ = level.Info(c.o.Logger).Log("msg", "order", "op", o.Op, "upstream", u.ID, "rank", o.Rank, "version", o.Version,
-					"pass", o.Pass, "reply", reply, "err", err)
+				_ = c.orderLog.Log("msg", "order", "op", o.Op, "upstream", u.ID, "rank", o.Rank, "version", o.Version,
+					"pass", o.Pass, "reply", reply, "known", knownOf(reply, err), "err", err)
 			}
 			select {
-			case replies <- orderResult{o, reply}:
+			case replies <- orderResult{o, reply, err}:
 			case <-finished:
 			}
 		}()
