Peers of tests can send a refusal of another connection

A gateway that takes a refusal for the answer because it comes first on its connection cannot tell it from one that the same process gave on another connection. spoil.Crossed sends such a copy, a 421 or a 503 with the promise, before the answer to the first request of a connection: with the id that it bore, or without any. These kinds are in none of the lists that existing tests draw from.

--- a/internal/testing/spoil/spoil.go
+++ b/internal/testing/spoil/spoil.go
@@ -63,13 +63,22 @@
 	Silence          Kind = "nothing"
 )
 
+// Kinds before the answer to the first request of a connection: a refusal that the same process gave earlier on another connection.
+const (
+	// CrossedRefusal sends it with the id that it bore.
+	CrossedRefusal Kind = "refusal of another connection"
+	// CrossedRefusalBare sends it without an id.
+	CrossedRefusalBare Kind = "refusal of another connection, without its id"
+)
+
 // ByDrops reports whether the peer sends the bytes of the kind one by one.
 func (k Kind) ByDrops() bool { return strings.HasSuffix(string(k), "by drops") }
 
-// After, Before and Endless list all kinds.
+// After, Before, Crossed and Endless list all kinds.
 var (
 	After   = []Kind{CopyAtOnce, CopyWhileIdle, CopyLate, CopySplit, CopiesLate, CopyCut}
 	Before  = []Kind{Foreign, ForeignTwo, ForeignLong}
+	Crossed = []Kind{CrossedRefusal, CrossedRefusalBare}
 	Endless = []Kind{
 		HeadLine, HeadLines, Interim, ForeignBody, ForeignChunks, Chunks, Length, UntilClose, Extension,
 		HeadLineDrops, InterimDrops, ForeignBodyDrops, ChunksDrops, LengthDrops, Event, EventDrops,
@@ -97,8 +106,19 @@
 	// idHeader is the name of the header field with the id of a request.
 	idHeader string
 	played   map[Kind]int
+	// refusals are the latest refusals that were sent, for Crossed; the last one is the newest.
+	refusals []refusal
 }
 
+// refusal is an answer that says that its request did not run, and the session of its connection.
+type refusal struct {
+	session *Session
+	text    string
+}
+
+// maxRefusals bounds the refusals that a script keeps.
+const maxRefusals = 8
+
 // NewScript returns a script that plays one of the kinds, drawn from rng, at a share of the requests. idHeader is the name of the
 // field with a request's id.
 func NewScript(idHeader string, share float64, rng *rand.Rand, kinds ...Kind) *Script {
@@ -173,6 +193,40 @@
 	s.played[k]++
 }
 
+// keepRefusal keeps an answer if it says that its request did not run: a 421, or a 503 with the promise.
+func (s *Script) keepRefusal(from *Session, answer string) {
+	promised := strings.HasPrefix(answer, "HTTP/1.1 503 ") && strings.Contains(answer, "\r\nNot-Executed: 1\r\n")
+	if !promised && !strings.HasPrefix(answer, "HTTP/1.1 421 ") {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusals = append(s.refusals, refusal{from, answer})
+	s.refusals = s.refusals[max(0, len(s.refusals)-maxRefusals):]
+}
+
+// refusalOfAnother returns the newest refusal that was sent on another connection than that of the session; empty if there is none.
+func (s *Script) refusalOfAnother(session *Session) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range slices.Backward(s.refusals) {
+		if r.session != session {
+			return r.text
+		}
+	}
+	return ""
+}
+
+// withoutID returns an answer without the field that has the id of its request.
+func (s *Script) withoutID(answer string) string {
+	before, rest, found := strings.Cut(answer, "\r\n"+s.idHeader+": ")
+	if !found {
+		return answer
+	}
+	_, after, _ := strings.Cut(rest, "\r\n")
+	return before + "\r\n" + after
+}
+
 func (s *Script) playsAfter(answer string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -186,6 +240,8 @@
 	kind   Kind
 	late   []string
 	sent   strings.Builder
+	// requests is the number of requests that have arrived.
+	requests int
 }
 
 // Session returns the session of a connection; nil if the script is nil.
@@ -208,8 +264,11 @@
 	}
 	s.late = nil
 	s.sent.Reset()
+	s.requests++
 	s.kind = s.script.next()
 	switch s.kind {
+	case CrossedRefusal, CrossedRefusalBare:
+		s.cross()
 	case Foreign:
 		s.write(s.foreign(20))
 	case ForeignTwo:
@@ -220,6 +279,18 @@
 	return !slices.Contains(Endless, s.kind) && s.kind != Silence
 }
 
+// cross sends a refusal of another connection if this request is the first on its own and there is such a refusal.
+func (s *Session) cross() {
+	copied := s.script.refusalOfAnother(s)
+	if s.requests > 1 || copied == "" {
+		return
+	}
+	if s.kind == CrossedRefusalBare {
+		copied = s.script.withoutID(copied)
+	}
+	s.write(copied)
+}
+
 func (s *Session) write(texts ...string) {
 	s.script.count(s.kind)
 	for _, text := range texts {
@@ -249,6 +320,7 @@
 		return
 	}
 	answer := s.sent.String()
+	s.script.keepRefusal(s, answer)
 	if answer == "" || !s.script.playsAfter(answer) {
 		return
 	}
