--- a/internal/testing/faulttest/relay.go
+++ b/internal/testing/faulttest/relay.go
@@ -98,6 +98,9 @@
 	}
 }
 
+// Mode returns the mode.
+func (r *Relay) Mode() Mode { return Mode(r.mode.Load()) }
+
 func (r *Relay) is(m Mode) bool { return Mode(r.mode.Load()) == m }
 
 func (r *Relay) breakAll() {
