The soak can play refusals of the upstream that had the address before

Something in front of an address that keeps answers, such as a proxy beside the upstream, may send one of the process before. It names another upstream than the one addressed, so that what tells the same process's copies does not tell it.

--- a/internal/testing/spoil/spoil.go
+++ b/internal/testing/spoil/spoil.go
@@ -108,6 +108,8 @@
 	played   map[Kind]int
 	// refusals are the latest refusals that were sent, for Crossed; the last one is the newest.
 	refusals []refusal
+	// inherited is the refusal of an earlier script that is sent in their place; empty for none.
+	inherited string
 }
 
 // refusal is an answer that says that its request did not run, and the session of its connection.
@@ -205,10 +207,28 @@
 	s.refusals = s.refusals[max(0, len(s.refusals)-maxRefusals):]
 }
 
-// refusalOfAnother returns the newest refusal that was sent on another connection than that of the session; empty if there is none.
+// Inherit makes the script send the latest refusal of an earlier script, if it has one, in place of its own, as something in front of both
+// peers would that keeps their answers.
+func (s *Script) Inherit(earlier *Script) {
+	earlier.mu.Lock()
+	refusals := slices.Clone(earlier.refusals)
+	earlier.mu.Unlock()
+	if len(refusals) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inherited = refusals[len(refusals)-1].text
+}
+
+// refusalOfAnother returns the inherited refusal, or the newest that was sent on another connection than that of the session; empty if
+// there is none.
 func (s *Script) refusalOfAnother(session *Session) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.inherited != "" {
+		return s.inherited
+	}
 	for _, r := range slices.Backward(s.refusals) {
 		if r.session != session {
 			return r.text
