A copy of a request's own refusal on another connection runs it twice (fails)

Callers saw (in this test): a request that may run once ran at two upstreams, its caller got 503. The gateway sends it to the old id at an address, gets a true 421 with its id, and later sends it to the upstream that has the address now, under that one's own id. A copy of the 421, which bears the request's id, comes there before the answer. Each connection remembers the ids of its own requests only, so the copy counts as the answer.

--- a/internal/testing/spoil/spoil.go
+++ b/internal/testing/spoil/spoil.go
@@ -63,12 +63,14 @@
 	Silence          Kind = "nothing"
 )
 
-// Kinds before the answer to the first request of a connection: a refusal that the same process gave earlier on another connection.
+// Kinds before the answer to the first request of a connection, or to any: a refusal that the same process gave earlier on another connection.
 const (
 	// CrossedRefusal sends it with the id that it bore.
 	CrossedRefusal Kind = "refusal of another connection"
 	// CrossedRefusalBare sends it without an id.
 	CrossedRefusalBare Kind = "refusal of another connection, without its id"
+	// CrossedRefusalLater sends it with the id that it bore, also before the answers to later requests.
+	CrossedRefusalLater Kind = "refusal of another connection, at any request"
 )
 
 // ByDrops reports whether the peer sends the bytes of the kind one by one.
@@ -78,7 +80,7 @@
 var (
 	After   = []Kind{CopyAtOnce, CopyWhileIdle, CopyLate, CopySplit, CopiesLate, CopyCut}
 	Before  = []Kind{Foreign, ForeignTwo, ForeignLong}
-	Crossed = []Kind{CrossedRefusal, CrossedRefusalBare}
+	Crossed = []Kind{CrossedRefusal, CrossedRefusalBare, CrossedRefusalLater}
 	Endless = []Kind{
 		HeadLine, HeadLines, Interim, ForeignBody, ForeignChunks, Chunks, Length, UntilClose, Extension,
 		HeadLineDrops, InterimDrops, ForeignBodyDrops, ChunksDrops, LengthDrops, Event, EventDrops,
@@ -287,7 +289,7 @@
 	s.requests++
 	s.kind = s.script.next()
 	switch s.kind {
-	case CrossedRefusal, CrossedRefusalBare:
+	case CrossedRefusal, CrossedRefusalBare, CrossedRefusalLater:
 		s.cross()
 	case Foreign:
 		s.write(s.foreign(20))
@@ -299,10 +301,10 @@
 	return !slices.Contains(Endless, s.kind) && s.kind != Silence
 }
 
-// cross sends a refusal of another connection if this request is the first on its own and there is such a refusal.
+// cross sends a refusal of another connection if there is one and the kind plays at this request.
 func (s *Session) cross() {
 	copied := s.script.refusalOfAnother(s)
-	if s.requests > 1 || copied == "" {
+	if copied == "" || s.requests > 1 && s.kind != CrossedRefusalLater {
 		return
 	}
 	if s.kind == CrossedRefusalBare {
--- a/internal/testing/spoil/spoil_test.go
+++ b/internal/testing/spoil/spoil_test.go
@@ -34,15 +34,16 @@
 // Guards against refusals that are never sent on another connection, while all tests that play them pass.
 func TestRefusalComesFirstOnAnotherConnection(t *testing.T) {
 	for _, c := range []struct {
-		name, answer, copied string
-		kind                 Kind
+		name, answer, copied, later string
+		kind                        Kind
 	}{
-		{"421", refused, refused, CrossedRefusal},
-		{"503 with the promise", promised, promised, CrossedRefusal},
-		{"421 without its id", refused, bare, CrossedRefusalBare},
-		{"421 that has no id", bare, bare, CrossedRefusalBare},
-		{"success", success, "", CrossedRefusal},
-		{"503 without the promise", busy, "", CrossedRefusal},
+		{"421", refused, refused, "", CrossedRefusal},
+		{"503 with the promise", promised, promised, "", CrossedRefusal},
+		{"421 without its id", refused, bare, "", CrossedRefusalBare},
+		{"421 that has no id", bare, bare, "", CrossedRefusalBare},
+		{"421 at any request", refused, refused, refused, CrossedRefusalLater},
+		{"success", success, "", "", CrossedRefusal},
+		{"503 without the promise", busy, "", "", CrossedRefusal},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			script := NewScript(testID, 0, nil)
@@ -56,7 +57,7 @@
 			if got, want := first.written.String(), c.answer+success; got != want {
 				t.Errorf("on its own connection: got %q, want %q", got, want)
 			}
-			if got, want := second.written.String(), c.copied+success+success; got != want {
+			if got, want := second.written.String(), c.copied+success+c.later+success; got != want {
 				t.Errorf("on another connection: got %q, want %q", got, want)
 			}
 		})
