Only the answer to a fence request counts as its promise

An answer to the attempt itself that a link delivered in place of the answer to the fence request passed for the promise: it has status 200 and bears the id of the attempt. The caller got "not run", fenced, for a request that ran. The slot now puts the id of a fenced attempt into a field of its own, which no request and no other answer has. An entry that meets a slot of the other version gets no promise.

--- a/internal/node/entry/forward.go
+++ b/internal/node/entry/forward.go
@@ -109,6 +109,8 @@
 
 func readAttemptID(h *fasthttp.ResponseHeader) string { return string(h.Peek(attempt.HeaderAttempt)) }
 
+func readFenceID(h *fasthttp.ResponseHeader) string { return string(h.Peek(attempt.HeaderFence)) }
+
 // readFailure parses a slot's typed refusal. An incomplete refusal is not trusted: an unknown code, or a "not run" code
 // without proof, counts as a failure after the start.
 func readFailure(res *httpclient.Response) *failure.Error {
@@ -167,7 +169,7 @@
 	req.Header.SetHost("slot")
 	req.Header.Set(attempt.HeaderAttempt, t.id.String())
 	req.Header.Set(attempt.HeaderIncarnation, string(t.header.Incarnation))
-	res, err := e.client.Do(ctx, t.to.Address, httpclient.Exchange{Request: req, ID: t.id.String(), ReadID: readAttemptID})
+	res, err := e.client.Do(ctx, t.to.Address, httpclient.Exchange{Request: req, ID: t.id.String(), ReadID: readFenceID})
 	if err != nil {
 		return false
 	}
--- a/internal/node/slot/handler.go
+++ b/internal/node/slot/handler.go
@@ -50,7 +50,7 @@
 		code = fasthttp.StatusOK
 	}
 	s.metrics.fences.Inc()
-	_ = x.Respond(code, []httpserver.Header{{Name: attempt.HeaderAttempt, Value: id.String()}}, nil)
+	_ = x.Respond(code, []httpserver.Header{{Name: attempt.HeaderFence, Value: id.String()}}, nil)
 }
 
 func (s *Slot) serveRun(ctx context.Context, x *httpserver.Exchange) {
--- a/internal/policy/attempt/header.go
+++ b/internal/policy/attempt/header.go
@@ -32,6 +32,9 @@
 	HeaderMethod      = "Cardamomyoke-Method"
 	HeaderTarget      = "Cardamomyoke-Target"
 	HeaderTrace       = "Traceparent"
+	// HeaderFence is the id of the attempt in a slot's answer to a fence request. No request and no other answer has the field: an
+	// answer to the attempt itself, or a peer that repeats what it got, must not pass for the promise.
+	HeaderFence = "Cardamomyoke-Fence"
 	// HeaderEndUnproven is set in a slot's response if only the close of the upstream's connection tells that it is complete.
 	HeaderEndUnproven = "Cardamomyoke-End-Unproven"
 )
