A refusal without an id counts as "not run" only with the promise of a fence

Slots refuse what they cannot read without an id. Such a refusal of another request, or of another process at the address, on a new connection of the attempt passed for its own, and the caller got "not run" for a request that ran. The entry now asks for a fence: the slot that refused the attempt gives it, one that runs it does not, and no other process can. Without it the outcome is not known.

--- a/internal/node/entry/forward.go
+++ b/internal/node/entry/forward.go
@@ -84,9 +84,10 @@
 	if err != nil {
 		return nil, e.resolveLost(ctx, t, err)
 	}
-	if len(res.Header.Peek(attempt.HeaderAttempt)) == 0 {
-		defer res.Release(false)
-		return nil, readFailure(res)
+	if !res.Identified {
+		f := readFailure(res)
+		res.Release(false)
+		return nil, e.confirmRefusal(t, f)
 	}
 	if code := res.Header.Peek(httpserver.HeaderFailure); len(code) > 0 {
 		f := readFailure(res)
@@ -146,6 +147,18 @@
 	return failure.New(interruptedCode(ctx), err)
 }
 
+// confirmRefusal returns a refusal that bears no id with the proof that the slot's fence gives. The refusal itself may be meant for
+// another request, or come from another process at the slot's address.
+func (e *Entry) confirmRefusal(t *outgoingAttempt, f *failure.Error) *failure.Error {
+	if !f.Code.Meaning().NotRun {
+		return f
+	}
+	if !e.fence(t) {
+		return failure.New(failure.CodeUpstreamFailed, f)
+	}
+	return f.WithProof(failure.ProofFenced)
+}
+
 // interruptedCode returns the failure code of an attempt that may have run: the deadline or the cancellation if ctx is
 // done, otherwise a failure of the upstream.
 func interruptedCode(ctx context.Context) failure.Code {
