The refusal of a copy of a started attempt is no proof

A slot refused a copy of an attempt that runs or ran with "refused before its start" and the id of the attempt. Where a link repeats a request and the first answer is lost, that refusal is the answer: the caller got "not run" for a request that ran. Only a fenced attempt is refused with proof now. A claim whose attempt turns out to have been started is marked as lost instead of released.

--- a/internal/node/slot/handler.go
+++ b/internal/node/slot/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -99,13 +100,19 @@
 	return err
 }
 
-// begin marks the attempt as started. It refuses a fenced attempt and a duplicate.
+// begin marks the attempt as started. It refuses a fenced attempt and a copy of a started one. The refusal of a copy promises
+// nothing: it bears the id of the attempt and may reach the entry in place of the lost answer.
 func (s *Slot) begin(j *incomingAttempt) error {
 	err := s.attempts.Begin(j.Attempt, time.Now())
 	if err == nil {
 		return nil
 	}
-	return refuse(failure.CodeNoUpstream, fmt.Errorf("begin: %w", err))
+	cause := fmt.Errorf("begin: %w", err)
+	var refused *attempt.RefusedError
+	if errors.As(err, &refused) && refused.NeverStarts() {
+		return refuse(failure.CodeNoUpstream, cause)
+	}
+	return failure.New(failure.CodeIncompleteAnswer, cause)
 }
 
 func (s *Slot) forward(ctx context.Context, x *httpserver.Exchange, j *incomingAttempt) error {
--- a/internal/node/slot/once.go
+++ b/internal/node/slot/once.go
@@ -34,8 +34,7 @@
 	// The fence is checked after the claim and directly before the start. If the entry fenced the attempt while the claim
 	// was being written, the attempt does not start and its claim is released.
 	if err := s.begin(j); err != nil {
-		s.claims.NotStarted(j.Attempt)
-		return err
+		return s.resolveClaim(j.Attempt, err)
 	}
 	defer func() { s.attempts.Finish(j.Attempt, time.Now()) }()
 	res, err := s.callPlain(ctx, j)
--- a/internal/policy/attempt/tracker.go
+++ b/internal/policy/attempt/tracker.go
@@ -15,13 +15,14 @@
 
 var chart = charts.MustLoad("attempt")
 
-// Events and actions of the attempt chart.
+// Events, actions and the state of the attempt chart that this package names.
 const (
 	eventBegin   charts.Event  = "begin"
 	eventFence   charts.Event  = "fence"
 	eventFinish  charts.Event  = "finish"
 	actionStart  charts.Action = "start"
 	actionFenced charts.Action = "promise"
+	stateFenced  charts.State  = "fenced"
 )
 
 // RefusedError reports that an attempt was not started by this call.
@@ -34,6 +35,9 @@
 // Error implements error.
 func (e *RefusedError) Error() string { return fmt.Sprintf("attempt %s is %s", e.Attempt, e.State) }
 
+// NeverStarts reports whether the attempt was fenced and has not been started by another call either.
+func (e *RefusedError) NeverStarts() bool { return e.State == stateFenced }
+
 // Tracker remembers the attempts that a slot started or promised never to start. It is safe for concurrent use.
 type Tracker struct {
 	mu      sync.Mutex
