Test: a slot that refuses at times starts a copy of an attempt that it refused as not run

TestNoLinkMakesAFalseProof also plays slots that cannot rely on their configuration in every other 15 ms.

--- a/internal/node/entry/proof_test.go
+++ b/internal/node/entry/proof_test.go
@@ -178,6 +178,14 @@
 	return answer
 }
 
+// staleConfig is a configuration that the slot can rely on in every other period of staleFor only.
+type staleConfig struct{ config.Static }
+
+const staleFor = 15 * time.Millisecond
+
+// Fresh implements config.Source.
+func (staleConfig) Fresh(now time.Time) bool { return now.UnixNano()/int64(staleFor)%2 == 0 }
+
 func listenTCP(t *testing.T) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", loopback.Address())
@@ -189,7 +197,7 @@
 }
 
 // startProofSlot starts a slot of a plain service behind a wildLink, and returns the slot and the link's address.
-func startProofSlot(t *testing.T, seed uint64, repeatable bool) (*slot.Slot, *countingService, string) {
+func startProofSlot(t *testing.T, seed uint64, repeatable, stale bool) (*slot.Slot, *countingService, string) {
 	t.Helper()
 	service := &countingService{runs: map[string]int{}}
 	upstream := listenTCP(t)
@@ -211,11 +219,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	var source config.Source = config.Static{Snapshot: snap}
+	if stale {
+		source = staleConfig{config.Static{Snapshot: snap}}
+	}
 	set := &slot.Settings{Service: "slips"}
 	set.Name, set.DataCentre = "s", "d"
 	set.HTTP.Address, set.Control.Address, set.Digests.Address = loopback.Address(), loopback.Address(), loopback.Address()
 	set.Upstream.Kind, set.Upstream.Address, set.Upstream.Batch = slot.KindPlain, upstream.Addr().String(), 64
-	s, err := slot.Start(set, slot.Deps{Config: config.Static{Snapshot: snap}, Table: memtable.New(nil), Logger: log.NewNopLogger(), Tracer: tracer})
+	s, err := slot.Start(set, slot.Deps{Config: source, Table: memtable.New(nil), Logger: log.NewNopLogger(), Tracer: tracer})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -246,13 +258,14 @@
 }
 
 // Guards against requests that run although the entry has proof that they never will: links lose, hold, double and swap requests
-// and answers.
+// and answers, and slots refuse at times.
 func TestNoLinkMakesAFalseProof(t *testing.T) {
-	for _, repeatable := range []bool{false, true} {
+	for kind := range 4 {
+		repeatable, stale := kind%2 == 1, kind >= 2
 		for seed := range uint64(3) {
-			t.Run(fmt.Sprintf("repeatable=%t/%d", repeatable, seed), func(t *testing.T) {
+			t.Run(fmt.Sprintf("repeatable=%t/stale=%t/%d", repeatable, stale, seed), func(t *testing.T) {
 				t.Parallel()
-				s, service, address := startProofSlot(t, seed, repeatable)
+				s, service, address := startProofSlot(t, seed, repeatable, stale)
 				e := &Entry{client: httpclient.New(httpclient.Options{}), metrics: newEntryMetrics(), logger: log.NewNopLogger()}
 				proofs := sendAll(t, e, s.Incarnation(), address, repeatable)
 				time.Sleep(maxProofDelay + proofTimeout)
