A slot fences each attempt that it refuses with proof

A slot that refused a copy of an attempt (stale revision, leaving, no time, suspect) promised "not run" by the reason of the moment. Where a link repeats a request, an earlier copy may run, and a later one started as soon as the reason had gone. The slot now fences the attempt with the refusal; if another copy has begun, the refusal promises nothing.

--- a/internal/node/slot/handler.go
+++ b/internal/node/slot/handler.go
@@ -24,6 +24,8 @@
 	service *cardamomyokev1.Service
 	body    []byte
 	mime    string
+	// begun is set once this copy of the attempt has started.
+	begun bool
 }
 
 func (s *Slot) serve(ctx context.Context, x *httpserver.Exchange) {
@@ -66,6 +68,9 @@
 	defer cancel()
 	j := &incomingAttempt{Header: h, body: x.Req.Body(), mime: string(x.Req.Header.ContentType())}
 	err = s.run(ctx, x, j)
+	if err != nil && !j.begun {
+		err = s.fenceRefused(j, failure.From(err))
+	}
 	span.End(err)
 	s.metrics.countAttempt(err)
 	if err != nil && !x.Responded() {
@@ -105,6 +110,7 @@
 func (s *Slot) begin(j *incomingAttempt) error {
 	err := s.attempts.Begin(j.Attempt, time.Now())
 	if err == nil {
+		j.begun = true
 		return nil
 	}
 	cause := fmt.Errorf("begin: %w", err)
@@ -115,6 +121,15 @@
 	return failure.New(failure.CodeIncompleteAnswer, cause)
 }
 
+// fenceRefused returns the refusal of a copy of an attempt that did not begin. It proves "not run" only if no other copy has begun,
+// and none will: the reason of the refusal may cease to hold before the next copy arrives.
+func (s *Slot) fenceRefused(j *incomingAttempt, f *failure.Error) error {
+	if !f.Code.Meaning().NotRun || s.attempts.Fence(j.Attempt, time.Now()) {
+		return f
+	}
+	return failure.New(failure.CodeIncompleteAnswer, f)
+}
+
 func (s *Slot) forward(ctx context.Context, x *httpserver.Exchange, j *incomingAttempt) error {
 	if s.settings.Upstream.Kind == KindModel {
 		return s.forwardModel(ctx, x, j)
