--- a/internal/policy/retry/session_test.go
+++ b/internal/policy/retry/session_test.go
@@ -149,3 +149,32 @@
 		t.Fatal(diff)
 	}
 }
+
+// Guards against a request that is logged, and reported, as never sent although slots got and refused it.
+func TestReportedProofCoversEachAttempt(t *testing.T) {
+	var (
+		unsent = failure.New(failure.CodeNoUpstream, nil)
+		fenced = unsent.WithProof(failure.ProofFenced)
+	)
+	for name, tc := range map[string]struct {
+		failures []error
+		want     failure.Proof
+	}{
+		"all unsent":               {[]error{unsent, unsent, unsent}, failure.ProofNeverSent},
+		"refused, then unsent":     {[]error{refused(), unsent, unsent}, failure.ProofRefusedBeforeStart},
+		"unsent, then refused":     {[]error{unsent, unsent, refused()}, failure.ProofRefusedBeforeStart},
+		"fenced, refused, unsent":  {[]error{fenced, refused(), unsent}, failure.ProofFenced},
+		"refused, fenced, refused": {[]error{refused(), fenced, refused()}, failure.ProofFenced},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := retry.NewSession(retry.DefaultRules(false, false), retry.NewBudget(percent), now.Add(time.Hour))
+			var d retry.Decision
+			for _, err := range tc.failures {
+				d = s.Failed(retry.FailedAttempt{Err: err}, 0, now)
+			}
+			if d.Action != retry.ActionGiveUp || d.Err.Proof != tc.want {
+				t.Fatalf("%s with proof %q, want %q", d.Action, d.Err.Proof, tc.want)
+			}
+		})
+	}
+}
