The reported proof covers each attempt of a request

A request that slots refused or fenced, and whose last attempt was not sent, was reported to its caller, and so in metrics and spans, as never-sent. That it did not run was true. The proof of the attempt that came closest to a run is reported now.

--- a/internal/policy/retry/session.go
+++ b/internal/policy/retry/session.go
@@ -90,8 +90,13 @@
 	exclude  []ids.Upstream
 	// mayHaveRun is set once an attempt has failed without proof that it did not run.
 	mayHaveRun bool
+	// proof is the proof of the attempt that came closest to a run, of those that have one.
+	proof failure.Proof
 }
 
+// proofOrder lists the proofs by how far the request may have got, the nearest first.
+var proofOrder = []failure.Proof{failure.ProofNone, failure.ProofNeverSent, failure.ProofRefusedBeforeStart, failure.ProofFenced}
+
 // NewSession starts a session with the first attempt of a request, which is recorded in the budget.
 func NewSession(rules Rules, budget *Budget, deadline time.Time) *Session {
 	budget.RecordFirst()
@@ -109,6 +114,9 @@
 	if !notRun {
 		s.mayHaveRun = true
 	}
+	if slices.Index(proofOrder, f.Proof) > slices.Index(proofOrder, s.proof) {
+		s.proof = f.Proof
+	}
 	if a.Upstream != "" && !slices.Contains(s.exclude, a.Upstream) {
 		s.exclude = append(s.exclude, a.Upstream)
 	}
@@ -150,7 +158,7 @@
 	cause := &ExhaustedError{Reason: reason, Attempts: s.attempts, Cause: f}
 	if !s.mayHaveRun {
 		e := *f
-		e.Cause = cause
+		e.Cause, e.Proof = cause, s.proof
 		return Decision{Action: ActionGiveUp, Err: &e}
 	}
 	return Decision{Action: ActionGiveUp, Err: failure.New(s.codeAfterRun(f, delivered, now), cause)}
