Idle connections are closed by the event loop that reads them

The goroutine that enforces timeouts closed idle connections, also while the event loop started a request on one: the request was served and its connection closed without an answer. A caller takes that for not read, and may send the request again, which then runs twice. The event loop closes them now, so that what it has read is answered, and what a closed connection held was not read. The same holds for idle connections of a server that is stopping.

--- a/internal/base/httpserver/conn.go
+++ b/internal/base/httpserver/conn.go
@@ -55,7 +55,7 @@
 	}
 	buffered := c.gc.InboundBuffered()
 	if buffered == 0 {
-		return gnet.None
+		return c.closeIfIdle()
 	}
 	if buffered < c.minBytes {
 		return c.refuseIfExpired()
@@ -75,6 +75,20 @@
 	return c.startRequest(p)
 }
 
+// closeIfIdle closes a connection that has been idle for too long or whose server is closing. Like startRequest it runs on the event
+// loop. From another goroutine it could close the connection of a request that has just started, which its caller would take for
+// not read.
+func (c *conn) closeIfIdle() gnet.Action {
+	if c.partialSince.Load() != 0 || !c.idleIsOver(monotonic.Nanos()) || c.out.size() > 0 || c.gc.OutboundBuffered() > 0 {
+		return gnet.None
+	}
+	return gnet.Close
+}
+
+func (c *conn) idleIsOver(now int64) bool {
+	return timedOut(now, c.idleSince.Load(), c.srv.limits.Load().IdleTimeout.Std()) || c.srv.closing.Load()
+}
+
 // awaitRest records that a request has partly arrived, and sends "100 Continue" if the caller expects it.
 func (c *conn) awaitRest(p parseResult) gnet.Action {
 	c.minBytes = p.minBytes
@@ -161,7 +175,7 @@
 }
 
 // enforceTimeouts closes the connection if a timeout has passed. A partly received request is left to the event loop,
-// which refuses it with a response.
+// which refuses it with a response, and so is an idle connection.
 func (c *conn) enforceTimeouts(now int64) {
 	l := c.srv.limits.Load()
 	switch {
@@ -175,10 +189,8 @@
 		if c.unread.Load() > 0 {
 			_ = c.gc.Wake(nil)
 		}
-	case timedOut(now, c.idleSince.Load(), l.IdleTimeout.Std()) || c.srv.closing.Load():
-		if c.partialSince.Load() == 0 {
-			_ = c.gc.Close()
-		}
+	case c.idleIsOver(now):
+		_ = c.gc.Wake(nil)
 	}
 }
 
