--- a/internal/policy/attempt/attempt_test.go
+++ b/internal/policy/attempt/attempt_test.go
@@ -74,6 +74,36 @@
 	}
 }
 
+// Guards against a request that runs twice: a link holds a copy of a fenced or finished attempt for so long that the slot has
+// forgotten the attempt. A copy states how much time is left, so its age does not show.
+func TestForgottenAttemptsNeitherStartNorAreFenced(t *testing.T) {
+	tracker := attempt.NewTracker(t0)
+	if !tracker.Fence(testAttempt, t0) {
+		t.Fatal("an unseen attempt was not fenced")
+	}
+	started := ids.Attempt{Entry: "e1", Seq: 2}
+	if err := tracker.Begin(started, t0); err != nil {
+		t.Fatal(err)
+	}
+	tracker.Finish(started, t0)
+	now := t0
+	for n := range uint64(4) {
+		now = now.Add(attempt.Retention)
+		for _, entry := range []ids.Incarnation{"e1", "e2"} {
+			if err := tracker.Begin(ids.Attempt{Entry: entry, Seq: 10 + n}, now); err != nil {
+				t.Fatalf("a new attempt of %s was refused: %v", entry, err)
+			}
+		}
+	}
+	var refused *attempt.RefusedError
+	if err := tracker.Begin(testAttempt, now); !errors.As(err, &refused) {
+		t.Errorf("a fenced attempt started after %v: %v", now.Sub(t0), err)
+	}
+	if tracker.Fence(started, now) {
+		t.Errorf("a finished attempt was fenced after %v", now.Sub(t0))
+	}
+}
+
 func TestEventReaderAcceptsOnlyItsOwnEventsInSequence(t *testing.T) {
 	event := func(seq uint64, i uint32, finish string) *attempt.Event {
 		return &attempt.Event{Attempt: seq, Index: i, Text: "x", Finish: finish}
