Slots start no attempt that they may have forgotten, and fence none

A slot forgets attempts after 15 to 30 minutes, since a later copy would be past its deadline. A copy states a time that is left, though, so it did not show, and the copy started, or a fence was promised for an attempt that ran. The slot now keeps, for each entry, the highest number of an attempt that it dropped, and refuses all up to that one without a promise: entries number attempts in order, and those are older than any deadline.

--- a/internal/policy/attempt/tracker.go
+++ b/internal/policy/attempt/tracker.go
@@ -10,7 +10,7 @@
 )
 
 // Retention is the minimum time for which a finished or fenced attempt is remembered. It is longer than any deadline
-// that a service may have, so that a copy that arrives later is past its own deadline.
+// that a service may have.
 const Retention = 15 * time.Minute
 
 var chart = charts.MustLoad("attempt")
@@ -23,12 +23,14 @@
 	actionStart  charts.Action = "start"
 	actionFenced charts.Action = "promise"
 	stateFenced  charts.State  = "fenced"
+	// stateForgotten is that of an attempt that may have been dropped from memory. It is not in the chart.
+	stateForgotten charts.State = "forgotten"
 )
 
 // RefusedError reports that an attempt was not started by this call.
 type RefusedError struct {
 	Attempt ids.Attempt
-	// State is the attempt's state: fenced, running or finished.
+	// State is the attempt's state: fenced, running, finished or forgotten.
 	State charts.State
 }
 
@@ -46,13 +48,18 @@
 	// one map every quarter of an hour.
 	aged    map[ids.Attempt]*record
 	rotated time.Time
+	// forgotten holds the highest sequence number of the dropped records, by entry. Entries number attempts in the order in which
+	// they make them, so an attempt up to that number is past its deadline.
+	forgotten map[ids.Incarnation]uint64
 }
 
 type record struct{ machine charts.Machine }
 
 // NewTracker returns an empty tracker.
 func NewTracker(now time.Time) *Tracker {
-	return &Tracker{records: map[ids.Attempt]*record{}, aged: map[ids.Attempt]*record{}, rotated: now}
+	return &Tracker{
+		records: map[ids.Attempt]*record{}, aged: map[ids.Attempt]*record{}, rotated: now, forgotten: map[ids.Incarnation]uint64{},
+	}
 }
 
 // Begin marks an attempt as started. It returns *RefusedError if the attempt was started or fenced before; the caller
@@ -79,6 +86,9 @@
 	defer t.mu.Unlock()
 	t.rotate(now)
 	r := t.find(a)
+	if r == nil {
+		return nil, stateForgotten
+	}
 	actions, err := r.machine.Fire(ev)
 	if err != nil {
 		return nil, r.machine.State()
@@ -86,12 +96,16 @@
 	return actions, r.machine.State()
 }
 
-// find returns the record of a. It creates a missing record and moves an aged one to the current generation.
+// find returns the record of a, nil if it may have been dropped. It creates a missing record and moves an aged one to the current
+// generation.
 func (t *Tracker) find(a ids.Attempt) *record {
 	if r, ok := t.records[a]; ok {
 		return r
 	}
 	r, ok := t.aged[a]
+	if !ok && a.Seq <= t.forgotten[a.Entry] {
+		return nil
+	}
 	if !ok {
 		r = &record{chart.Start()}
 	}
@@ -104,6 +118,9 @@
 		return
 	}
 	t.rotated = now
+	for a := range t.aged {
+		t.forgotten[a.Entry] = max(t.forgotten[a.Entry], a.Seq)
+	}
 	t.aged = t.records
 	t.records = map[ids.Attempt]*record{}
 }
