The object of a request is not used again while the request may still be written

Slots and entries gave it back to the pool once there was an answer. The writer of a body over 4 KB may not have begun by then, if an early answer came on a new connection, and wrote another request in its place: that one ran twice, without a retry, a proof or a line in any log, and its first copy got no answer. Requests have objects of their own now. The test no longer sleeps under its lock.

--- a/internal/node/entry/forward.go
+++ b/internal/node/entry/forward.go
@@ -63,7 +63,7 @@
 }
 
 func (t *outgoingAttempt) request() *fasthttp.Request {
-	req := fasthttp.AcquireRequest()
+	req := &fasthttp.Request{} // not pooled: after an early answer it is still being written
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI(attempt.PathRun)
 	req.Header.SetHost("slot")
@@ -80,7 +80,6 @@
 func (e *Entry) send(ctx context.Context, t *outgoingAttempt) (*httpclient.Response, error) {
 	req := t.request()
 	res, err := e.client.Do(ctx, t.to.Address, e.exchange(req, t))
-	fasthttp.ReleaseRequest(req) // by now it is written in full or abandoned
 	if err != nil {
 		return nil, e.resolveLost(ctx, t, err)
 	}
--- a/internal/node/slot/model.go
+++ b/internal/node/slot/model.go
@@ -65,7 +65,6 @@
 	call := exchange(req, j)
 	call.Patience = modelPatience
 	res, err := s.client.Do(ctx, s.settings.Upstream.Address, call)
-	fasthttp.ReleaseRequest(req) // by now it is written in full or abandoned
 	if err != nil {
 		return s.upstreamError(ctx, err)
 	}
@@ -98,7 +97,7 @@
 }
 
 func engineRequest(j *incomingAttempt) *fasthttp.Request {
-	req := fasthttp.AcquireRequest()
+	req := &fasthttp.Request{} // not pooled: after an early answer it is still being written
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI(enginePath)
 	req.Header.SetHost("engine")
--- a/internal/node/slot/plain.go
+++ b/internal/node/slot/plain.go
@@ -54,7 +54,6 @@
 	sent := time.Now()
 	req := plainRequest(j)
 	res, err := s.client.Do(ctx, s.settings.Upstream.Address, exchange(req, j))
-	fasthttp.ReleaseRequest(req) // by now it is written in full or abandoned
 	if err != nil {
 		return nil, s.upstreamError(ctx, err)
 	}
@@ -74,7 +73,7 @@
 }
 
 func plainRequest(j *incomingAttempt) *fasthttp.Request {
-	req := fasthttp.AcquireRequest()
+	req := &fasthttp.Request{} // not pooled: after an early answer it is still being written
 	req.Header.SetMethod(j.Method)
 	req.SetRequestURI(j.Target)
 	req.Header.SetHost(string(j.Service))
--- a/internal/node/slot/reuse_test.go
+++ b/internal/node/slot/reuse_test.go
@@ -37,10 +37,10 @@
 	id := r.Header.Get(engineHeaderID)
 	_, err = io.Copy(io.Discard, r.Body)
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if err == nil {
 		s.got[id]++
 	}
+	s.mu.Unlock()
 	time.Sleep(time.Millisecond)
 }
 
