--- a/internal/node/entry/forward.go
+++ b/internal/node/entry/forward.go
@@ -64,7 +64,7 @@
 }
 
 func (t *outgoingAttempt) request() *fasthttp.Request {
-	req := fasthttp.AcquireRequest()
+	req := &fasthttp.Request{} // not pooled: after an early answer it is still being written
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI(attempt.PathRun)
 	req.Header.SetHost("slot")
@@ -81,13 +81,13 @@
 func (e *Entry) send(ctx context.Context, t *outgoingAttempt) (*httpclient.Response, error) {
 	req := t.request()
 	res, err := e.client.Do(ctx, t.to.Address, e.exchange(req, t))
-	fasthttp.ReleaseRequest(req) // by now it is written in full or abandoned
 	if err != nil {
 		return nil, e.resolveLost(ctx, t, err)
 	}
-	if len(res.Header.Peek(attempt.HeaderAttempt)) == 0 {
-		defer res.Release(false)
-		return nil, readFailure(res)
+	if !res.Identified {
+		f := readFailure(res)
+		res.Release(false)
+		return nil, e.confirmRefusal(t, f)
 	}
 	if code := res.Header.Peek(httpserver.HeaderFailure); len(code) > 0 {
 		f := readFailure(res)
@@ -110,6 +110,8 @@
 
 func readAttemptID(h *fasthttp.ResponseHeader) string { return string(h.Peek(attempt.HeaderAttempt)) }
 
+func readFenceID(h *fasthttp.ResponseHeader) string { return string(h.Peek(attempt.HeaderFence)) }
+
 // readFailure parses a slot's typed refusal. An incomplete refusal is not trusted: an unknown code, or a "not run" code
 // without proof, counts as a failure after the start.
 func readFailure(res *httpclient.Response) *failure.Error {
@@ -145,6 +147,18 @@
 	return failure.New(interruptedCode(ctx), err)
 }
 
+// confirmRefusal returns a refusal that bears no id with the proof that the slot's fence gives. The refusal itself may be meant for
+// another request, or come from another process at the slot's address.
+func (e *Entry) confirmRefusal(t *outgoingAttempt, f *failure.Error) *failure.Error {
+	if !f.Code.Meaning().NotRun {
+		return f
+	}
+	if !e.fence(t) {
+		return failure.New(failure.CodeUpstreamFailed, f)
+	}
+	return f.WithProof(failure.ProofFenced)
+}
+
 // interruptedCode returns the failure code of an attempt that may have run: the deadline or the cancellation if ctx is
 // done, otherwise a failure of the upstream.
 func interruptedCode(ctx context.Context) failure.Code {
@@ -168,7 +182,7 @@
 	req.Header.SetHost("slot")
 	req.Header.Set(attempt.HeaderAttempt, t.id.String())
 	req.Header.Set(attempt.HeaderIncarnation, string(t.header.Incarnation))
-	res, err := e.client.Do(ctx, t.to.Address, httpclient.Exchange{Request: req, ID: t.id.String(), ReadID: readAttemptID})
+	res, err := e.client.Do(ctx, t.to.Address, httpclient.Exchange{Request: req, ID: t.id.String(), ReadID: readFenceID})
 	if err != nil {
 		return false
 	}
--- a/internal/node/slot/handler.go
+++ b/internal/node/slot/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -23,6 +24,8 @@
 	service *cardamomyokev1.Service
 	body    []byte
 	mime    string
+	// begun is set once this copy of the attempt has started.
+	begun bool
 }
 
 func (s *Slot) serve(ctx context.Context, x *httpserver.Exchange) {
@@ -51,7 +54,7 @@
 	}
 	s.metrics.fences.Inc()
 	s.logFence(id, current, code == fasthttp.StatusOK)
-	_ = x.Respond(code, []httpserver.Header{{Name: attempt.HeaderAttempt, Value: id.String()}}, nil)
+	_ = x.Respond(code, []httpserver.Header{{Name: attempt.HeaderFence, Value: id.String()}}, nil)
 }
 
 func (s *Slot) serveRun(ctx context.Context, x *httpserver.Exchange) {
@@ -66,6 +69,9 @@
 	defer cancel()
 	j := &incomingAttempt{Header: h, body: x.Req.Body(), mime: string(x.Req.Header.ContentType())}
 	err = s.run(ctx, x, j)
+	if err != nil && !j.begun {
+		err = s.fenceRefused(j, failure.From(err))
+	}
 	span.End(err)
 	s.metrics.countAttempt(err)
 	if err != nil {
@@ -103,13 +109,29 @@
 	return err
 }
 
-// begin marks the attempt as started. It refuses a fenced attempt and a duplicate.
+// begin marks the attempt as started. It refuses a fenced attempt and a copy of a started one. The refusal of a copy promises
+// nothing: it bears the id of the attempt and may reach the entry in place of the lost answer.
 func (s *Slot) begin(j *incomingAttempt) error {
 	err := s.attempts.Begin(j.Attempt, time.Now())
 	if err == nil {
+		j.begun = true
 		return nil
 	}
-	return refuse(failure.CodeNoUpstream, fmt.Errorf("begin: %w", err))
+	cause := fmt.Errorf("begin: %w", err)
+	var refused *attempt.RefusedError
+	if errors.As(err, &refused) && refused.NeverStarts() {
+		return refuse(failure.CodeNoUpstream, cause)
+	}
+	return failure.New(failure.CodeIncompleteAnswer, cause)
+}
+
+// fenceRefused returns the refusal of a copy of an attempt that did not begin. It proves "not run" only if no other copy has begun,
+// and none will: the reason of the refusal may cease to hold before the next copy arrives.
+func (s *Slot) fenceRefused(j *incomingAttempt, f *failure.Error) error {
+	if !f.Code.Meaning().NotRun || s.attempts.Fence(j.Attempt, time.Now()) {
+		return f
+	}
+	return failure.New(failure.CodeIncompleteAnswer, f)
 }
 
 func (s *Slot) forward(ctx context.Context, x *httpserver.Exchange, j *incomingAttempt) error {
