Test of the proofs of failed attempts builds refusals from responses

The proof of a refusal is decided from the response now, no longer from the status of the error. Two cases more: a 421 in the addressed upstream's own name, and a dial error within that of a broken connection.

--- a/internal/node/gateway/proof_test.go
+++ b/internal/node/gateway/proof_test.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/notrun"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
@@ -22,8 +23,10 @@
 		"dial":           {&httpclient.DialError{}, notrun.NoConnection},
 		"evacuated":      {&EvacuatedUpstreamError{}, notrun.NotWritten},
 		"outdated":       {&OutdatedPermitError{}, notrun.NotWritten},
-		"other instance": {&RefusedError{Status: statusOtherInstance}, notrun.OtherInstance},
-		"refused":        {&RefusedError{Status: 503}, notrun.Refused},
+		"other instance": {refusedBy(statusOtherInstance, "b"), notrun.OtherInstance},
+		"own 421":        {refusedBy(statusOtherInstance, "a"), notrun.None},
+		"refused":        {refusedBy(503, ""), notrun.Refused},
+		"after a write":  {&httpclient.BrokenError{Cause: &httpclient.DialError{}}, notrun.None},
 		"failed":         {&ResponseError{}, notrun.None},
 		"moved":          {&MovedError{}, notrun.None},
 		"broken":         {fmt.Errorf("connection reset"), notrun.None},
@@ -36,6 +39,12 @@
 	}
 }
 
+// refusedBy returns the error of an attempt at the upstream "a" whose response has the status and names the responder.
+func refusedBy(status int, responder ids.Upstream) error {
+	res := &httpclient.Response{Status: status, Identified: true, First: true}
+	return newRefusedError(&catalog.Upstream{ID: "a"}, res, ResponseInfo{NotRun: true, Instance: responder})
+}
+
 // Guards against a request that was withdrawn before it was written, and placed again without a record of that.
 func TestLogNamesProofOfPlacingAgain(t *testing.T) {
 	var out bytes.Buffer
