The write timeout is decided by the event loop

What callers saw: a connection closed without an answer to a request that was being served, which clients take for not read. The goroutine that enforces timeouts closed a connection whose response had been read, as only traffic told it so, also while the event loop started the next request on it. The event loop looks at what is unread first now, and closes by itself.

--- a/internal/base/httpserver/conn.go
+++ b/internal/base/httpserver/conn.go
@@ -41,6 +41,9 @@
 // onTraffic runs on the event loop whenever bytes arrive and after each wake-up.
 func (c *conn) onTraffic() gnet.Action {
 	c.recordUnread(c.gc.OutboundBuffered())
+	if timedOut(monotonic.Nanos(), c.unreadSince.Load(), c.srv.limits.Load().WriteTimeout.Std()) {
+		return gnet.Close
+	}
 	if c.refusedAt.Load() != 0 {
 		if _, err := c.gc.Discard(-1); err != nil {
 			return gnet.Close
@@ -174,15 +177,15 @@
 	}
 }
 
-// enforceTimeouts closes the connection if a timeout has passed. A partly received request is left to the event loop,
-// which refuses it with a response, and so is an idle connection.
+// enforceTimeouts closes the connection if a timeout has passed. What depends on bytes that the event loop may just have read or written
+// is left to the event loop: a partly received request, an idle connection, a response that is not read.
 func (c *conn) enforceTimeouts(now int64) {
 	l := c.srv.limits.Load()
 	switch {
 	case timedOut(now, c.refusedAt.Load(), refusalLinger):
 		_ = c.gc.Close()
 	case timedOut(now, c.unreadSince.Load(), l.WriteTimeout.Std()):
-		_ = c.gc.Close()
+		_ = c.gc.Wake(nil)
 	case timedOut(now, c.partialSince.Load(), l.ReadTimeout.Std()):
 		_ = c.gc.Wake(nil)
 	case c.running.Load():
