A request that may be repeated does not wait after a 421 in the addressed upstream's own name

It is sent elsewhere at once again; a request that may run once still waits for the answer after it. What is placed again is decided by the same proof that is logged.

--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -120,7 +120,7 @@
 			n.answering()
 			return nil
 		}
-		if isUnwritten(err) {
+		if proofOf(err) == notrun.NotWritten {
 			n.placeAgain(err)
 			continue
 		}
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -69,9 +69,10 @@
 	return h.StatusCode() == statusOtherInstance || h.StatusCode() == fasthttp.StatusBadRequest && n.g.dialect.ReadResponse(h).NotRun
 }
 
-// isForeign reports whether a response to an attempt at an upstream cannot be its answer, by what the response says.
+// isForeign reports whether a response to an attempt at an upstream cannot be its answer, by what the response says. A request that may
+// be sent elsewhere does not wait for the answer after it.
 func (n *run) isForeign(to *catalog.Upstream, h *fasthttp.ResponseHeader) bool {
-	if h.StatusCode() != statusOtherInstance {
+	if h.StatusCode() != statusOtherInstance || n.mayGoElsewhere() {
 		return false
 	}
 	info := n.g.dialect.ReadResponse(h)
