The line of a request says how its answer ended at the caller's connection

Before, a request whose last bytes were dropped had the line of one that was delivered, and a request that a stop cut had none. The server now accounts for each answer: bytes written, bytes that the socket accepted, what closed the connection. The gateway writes the outcome line once that is known, and counts answers by it.

--- a/internal/base/httpserver/conn.go
+++ b/internal/base/httpserver/conn.go
@@ -33,17 +33,21 @@
 	// refusedAt is when the server refused bytes of this connection, by monotonic.Nanos; 0 if it has not.
 	refusedAt    atomic.Int64
 	disconnected atomic.Bool
-	out          outbox
-	mu           sync.Mutex
-	cancel       context.CancelFunc
+	// closeCause is what makes this server close the connection; empty for an idle or refused one.
+	closeCause atomic.Pointer[Closer]
+	answer     answer
+	out        outbox
+	mu         sync.Mutex
+	cancel     context.CancelFunc
 }
 
 // onTraffic runs on the event loop whenever bytes arrive and after each wake-up.
 func (c *conn) onTraffic() gnet.Action {
 	c.recordUnread(c.gc.OutboundBuffered())
 	if timedOut(monotonic.Nanos(), c.unreadSince.Load(), c.srv.limits.Load().WriteTimeout.Std()) {
-		return gnet.Close
+		return c.closeFor(ClosedByTimeout)
 	}
+	c.answer.progress(c.unsent(), c.cause())
 	if c.refusedAt.Load() != 0 {
 		if _, err := c.gc.Discard(-1); err != nil {
 			return gnet.Close
@@ -52,7 +56,7 @@
 	}
 	if c.running.Load() {
 		if c.gc.InboundBuffered() > maxPipelined {
-			return gnet.Close
+			return c.closeFor(ClosedByServer)
 		}
 		return gnet.None
 	}
@@ -131,15 +135,22 @@
 	c.cancel = cancel
 	c.mu.Unlock()
 	c.running.Store(true)
+	c.answer.begin(c.unsent())
 	c.srv.busy.Add(1)
 	go c.srv.run(ctx, c, p.req)
 	return gnet.None
 }
 
 // requestDone runs on the request's goroutine after the response was written.
-func (c *conn) requestDone(closeNow bool) {
+func (c *conn) requestDone(x *Exchange) {
 	c.cancelRequest()
-	if closeNow {
+	closes := x.close || c.srv.closing.Load()
+	if closes {
+		by := x.closer()
+		c.closeCause.CompareAndSwap(nil, &by)
+	}
+	c.answer.done(!x.streaming, x.onEnd)
+	if closes {
 		_ = c.gc.Close()
 		return
 	}
@@ -149,12 +160,45 @@
 	_ = c.gc.Wake(nil)
 }
 
-// onClosed runs on the event loop when the connection was closed, and cancels the running request.
-func (c *conn) onClosed() {
+// onClosed runs on the event loop when the connection was closed, with the error that closed it, and cancels the running request.
+func (c *conn) onClosed(err error) {
+	unsent := c.unsent()
 	c.disconnected.Store(true)
 	c.cancelRequest()
+	c.answer.close(c.closedBy(err), unsent)
 }
 
+// closeFor closes the connection from the event loop.
+func (c *conn) closeFor(by Closer) gnet.Action {
+	c.closeCause.CompareAndSwap(nil, &by)
+	return gnet.Close
+}
+
+// cause returns what makes this server close the connection; ClosedByNone if nothing does.
+func (c *conn) cause() Closer {
+	if by := c.closeCause.Load(); by != nil {
+		return *by
+	}
+	return ClosedByNone
+}
+
+// closedBy returns what closed the connection, with the error of the event loop; nil if this server did.
+func (c *conn) closedBy(err error) Closer {
+	cause := c.cause()
+	switch {
+	case cause != ClosedByNone:
+		return cause
+	case err != nil:
+		return ClosedByCaller
+	case c.srv.stopping.Load():
+		return ClosedByStop
+	}
+	return ClosedByServer
+}
+
+// unsent returns how many bytes the socket has not accepted yet. It runs on the event loop.
+func (c *conn) unsent() int64 { return int64(c.out.size() + c.gc.OutboundBuffered()) }
+
 func (c *conn) cancelRequest() {
 	c.mu.Lock()
 	cancel := c.cancel
--- a/internal/base/httpserver/exchange.go
+++ b/internal/base/httpserver/exchange.go
@@ -38,12 +38,26 @@
 	streaming bool
 	// untilClose is set if the body ends with the connection.
 	untilClose bool
-	chunkSize  [chunkSizeBytes]byte
+	// onEnd is called with the answer's end; nil for none.
+	onEnd     func(AnswerEnd)
+	chunkSize [chunkSizeBytes]byte
 }
 
 // Close makes the server close the connection after this response.
 func (x *Exchange) Close() { x.close = true }
 
+// OnEnd sets a function that is called once, after the handler has returned, when it is known how the answer ended at the caller's
+// connection. It must not block.
+func (x *Exchange) OnEnd(f func(AnswerEnd)) { x.onEnd = f }
+
+// closer returns what closes the connection after the answer.
+func (x *Exchange) closer() Closer {
+	if x.streaming {
+		return ClosedByHandler
+	}
+	return ClosedByServer
+}
+
 // Responded reports whether a response was started.
 func (x *Exchange) Responded() bool { return x.responded }
 
--- a/internal/base/httpserver/outbox.go
+++ b/internal/base/httpserver/outbox.go
@@ -65,6 +65,9 @@
 	if c.disconnected.Load() {
 		return &ConnectionClosedError{"connection closed"}
 	}
+	for _, p := range pieces {
+		c.answer.wrote(len(p))
+	}
 	if !c.out.add(pieces...) {
 		return nil
 	}
@@ -87,5 +90,6 @@
 		return c.gc.Close()
 	}
 	c.recordUnread(c.gc.OutboundBuffered())
+	c.answer.progress(c.unsent(), c.cause())
 	return nil
 }
--- a/internal/base/httpserver/server.go
+++ b/internal/base/httpserver/server.go
@@ -34,7 +34,8 @@
 	conns     sync.Map // *conn → struct{}
 	connCount atomic.Int64
 	busy      atomic.Int64
-	closing   atomic.Bool
+	// closing is set once the server drains, stopping once it closes what is left.
+	closing, stopping atomic.Bool
 }
 
 // ListenError reports that the listener failed before it accepted connections.
@@ -101,6 +102,7 @@
 
 // Stop closes the listener and every connection.
 func (s *Server) Stop(ctx context.Context) error {
+	s.stopping.Store(true)
 	if err := s.eng.Stop(ctx); err != nil {
 		return fmt.Errorf("stop listener: %w", err)
 	}
@@ -127,14 +129,14 @@
 }
 
 // OnClose implements gnet.EventHandler.
-func (s *Server) OnClose(gc gnet.Conn, _ error) gnet.Action {
+func (s *Server) OnClose(gc gnet.Conn, err error) gnet.Action {
 	s.connCount.Add(-1)
 	c, ok := gc.Context().(*conn)
 	if !ok {
 		return gnet.None
 	}
 	s.conns.Delete(c)
-	c.onClosed()
+	c.onClosed(err)
 	return gnet.None
 }
 
@@ -164,7 +166,7 @@
 		x.completeOrClose()
 		fasthttp.ReleaseRequest(req)
 		s.busy.Add(-1)
-		c.requestDone(x.close || s.closing.Load())
+		c.requestDone(x)
 	}()
 	s.handler(ctx, x)
 }
--- a/internal/node/gateway/handler.go
+++ b/internal/node/gateway/handler.go
@@ -156,7 +156,7 @@
 
 // refuse responds to a request that is refused before any attempt.
 func (g *Gateway) refuse(x *httpserver.Exchange, v *view, r *request, err error) {
-	g.logRefused(v, r, err)
+	g.logRefused(x, v, r, err)
 	g.metrics.requestDone(noService, err, time.Since(r.arrived).Seconds())
 	g.respondFailure(x, r, err)
 }
--- a/internal/node/gateway/log.go
+++ b/internal/node/gateway/log.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/logging"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
@@ -48,7 +49,7 @@
 }
 
 // logRefused logs that a request was refused before any attempt.
-func (g *Gateway) logRefused(v *view, r *request, err error) {
+func (g *Gateway) logRefused(x *httpserver.Exchange, v *view, r *request, err error) {
 	f := failure.From(err)
 	now := time.Now()
 	fields := []any{
@@ -59,7 +60,7 @@
 	if r.route != nil {
 		fields = append(fields, "route", r.route.Name)
 	}
-	_ = g.requests.failures.Log(fields...)
+	x.OnEnd(func(e httpserver.AnswerEnd) { g.logWithEnd(g.requests.failures, noService, e, fields) })
 }
 
 // logPaused logs that a request may have waited unread while this process was paused, and that the pause is added to
@@ -120,7 +121,7 @@
 	}
 }
 
-// logOutcome logs and counts the outcome of a request.
+// logOutcome counts the outcome of a request, and logs it once it is known how the answer ended at the caller's connection.
 func (g *Gateway) logOutcome(n *run, err error) {
 	g.metrics.requestDone(n.r.service.Name, err, time.Since(n.r.arrived).Seconds())
 	if config := g.view.Load().config; config != nil && len(config.Priorities(n.r.service.Name)) > 1 {
@@ -133,13 +134,22 @@
 		"placed_ms", sinceArrival(n, n.placedAt), "first_ms", sinceArrival(n, n.firstPieceAt), "longest_gap_ms", n.stream.longestGap.Milliseconds(),
 		"total_ms", sinceArrival(n, now), "left_ms", n.r.deadline.Sub(now).Milliseconds(),
 	}
-	if err == nil {
-		_ = g.requests.of(n, g.requests.ordinary).Log(fields...)
-		return
+	lines := g.requests.of(n, g.requests.ordinary)
+	if err != nil {
+		f := failure.From(err)
+		fields = append(fields, "code", f.Code, "proof", f.Proof, "retry_after_ms", f.RetryAfter.Milliseconds(), "err", err)
+		lines = g.requests.of(n, g.requests.failures)
 	}
-	f := failure.From(err)
-	fields = append(fields, "code", f.Code, "proof", f.Proof, "retry_after_ms", f.RetryAfter.Milliseconds(), "err", err)
-	_ = g.requests.of(n, g.requests.failures).Log(fields...)
+	n.x.OnEnd(func(e httpserver.AnswerEnd) { g.logWithEnd(lines, n.r.service.Name, e, fields) })
+}
+
+// logWithEnd logs the outcome of a request and how its answer ended at the caller's connection.
+func (g *Gateway) logWithEnd(lines *logging.RateLimited, service ids.Service, e httpserver.AnswerEnd, fields []any) {
+	g.metrics.answerEnded(service, e)
+	if !e.Whole() {
+		lines = g.requests.failures
+	}
+	_ = lines.Log(append(fields, "answer_whole", e.Whole(), "answer_bytes", e.WrittenBytes, "delivered_bytes", e.DeliveredBytes, "closed_by", e.ClosedBy)...)
 }
 
 // Outcomes of requests in logs.
--- a/internal/node/gateway/metrics.go
+++ b/internal/node/gateway/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/notrun"
@@ -88,6 +89,11 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf("cardamomyoke_gateway_answer_seconds{service=%q}", service)).Update(seconds)
 }
 
+// answerEnded counts answers by how they ended at the caller's connection.
+func (m *gatewayMetrics) answerEnded(service ids.Service, e httpserver.AnswerEnd) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_answers_total{service=%q,whole=\"%t\",closed_by=%q}", service, e.Whole(), e.ClosedBy)).Inc()
+}
+
 func (m *gatewayMetrics) classDone(service ids.Service, class int, outcome string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_class_requests_total{service=%q,class=\"%d\",outcome=%q}", service, class, outcome)).Inc()
 }
