A gateway that stops takes no request that it cannot finish, and gives each of the others a word

What callers saw: requests that waited for a place, or were at work, at the end of the grace time ended with a closed connection, also those that may run once; and requests that came late in the grace time were taken although requests like them take longer than what was left. Cause: the leaving period bounds when requests are taken, and nothing bounded when they must end.

The gateway now estimates run times from those that ended recently (internal/policy/runtimes) and tells each service's pool by when requests must have ended. A request that would not end in time, counted with the wait before it, is refused as not run, on arrival or while it waits; one that may run once by the time of 99 in 100, others by that of 9 in 10. What still runs shortly before the end is told: 503 with the promise if nothing was sent, else 502 or the upstream's failure.

--- a/internal/node/entry/forward.go
+++ b/internal/node/entry/forward.go
@@ -160,9 +160,12 @@
 }
 
 // interruptedCode returns the failure code of an attempt that may have run: the deadline or the cancellation if ctx is
-// done, otherwise a failure of the upstream.
+// done for one of these, otherwise a failure of the upstream.
 func interruptedCode(ctx context.Context) failure.Code {
+	var stopping *httpserver.StoppingError
 	switch {
+	case errors.As(context.Cause(ctx), &stopping):
+		return failure.CodeUpstreamFailed
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return failure.CodeDeadlinePassed
 	case ctx.Err() != nil:
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -105,6 +105,8 @@
 	validEntries *registry.Registry
 	services     map[ids.Service]*service
 	ownState     nodeState
+	// finishBy is when all requests must have ended; zero unless this gateway is about to stop.
+	finishBy time.Time
 	// awaitsPeers is set while this gateway starts and waits for what its peers know.
 	awaitsPeers bool
 	// configurationError is the last error of a configuration that was logged.
--- a/internal/node/gateway/handler.go
+++ b/internal/node/gateway/handler.go
@@ -71,6 +71,7 @@
 	run := newRun(g, v, x, r)
 	run.trace = trace
 	err := run.runAttempts(ctx)
+	run.recordRunTime(ctx, time.Now())
 	g.logOutcome(run, err)
 	if err != nil && !x.Responded() {
 		g.respondFailure(x, r, err)
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -43,6 +43,8 @@
 	// placedAt is when the latest attempt was assigned its upstream, firstPieceAt when the first piece of the response
 	// arrived.
 	placedAt, firstPieceAt time.Time
+	// firstPlacedAt is when the first attempt was.
+	firstPlacedAt time.Time
 	// address is that of the upstream of the latest attempt.
 	address string
 	// lastEventAt is when the latest events were sent to the caller.
@@ -108,6 +110,9 @@
 			return n.finalError(ctx, last, budgetUsedUp)
 		}
 		n.placedAt = time.Now()
+		if n.firstPlacedAt.IsZero() {
+			n.firstPlacedAt = n.placedAt
+		}
 		n.upstream, n.address = ticket.Upstream().ID, ticket.Upstream().Address
 		n.g.metrics.placedUnderOverload(n.r.service.Name, n.r.route.Priority, ticket.PlacementInputs())
 		n.g.metrics.coldSent(n.r.service.Name, ticket.PlacementInputs())
@@ -162,7 +167,10 @@
 		PromptTokens:     r.call.PromptTokens,
 		Account:          fairshare.AccountOf(r.client),
 		Tokens:           r.call.work(r.service.Engine),
+		EndsBy:           r.deadline,
 		Begun:            n.x.Responded(),
+		MayHaveRun:       n.mayHaveRun,
+		Once:             !r.route.Repeatable(),
 		Exclude:          n.exclude,
 		ExcludeAddresses: n.excludeAddresses,
 	}
@@ -276,6 +284,8 @@
 	var long *LongBodyError
 	var refused *PartRefusedError
 	switch {
+	case stopping(ctx):
+		return "the gateway stops"
 	case errors.As(err, &closed) || context.Cause(ctx) == context.Canceled:
 		return "the caller disconnected"
 	case ctx.Err() != nil:
@@ -311,7 +321,7 @@
 	cause := fmt.Errorf("%s: %w", reason, err)
 	var closed *httpserver.ConnectionClosedError
 	switch {
-	case errors.As(err, &closed) || context.Cause(ctx) == context.Canceled:
+	case !stopping(ctx) && (errors.As(err, &closed) || context.Cause(ctx) == context.Canceled):
 		return failure.New(failure.CodeCancelled, cause)
 	case n.unproven != nil && !n.x.Responded():
 		n.recordFirstPiece()
@@ -321,14 +331,22 @@
 		return n.bufferedFailure.respond(ctx, n)
 	case n.x.Responded():
 		return failure.New(failure.CodeIncompleteAnswer, cause)
-	case ctx.Err() != nil && n.mayHaveRun:
+	case n.mayHaveRun && ctx.Err() != nil && !stopping(ctx):
 		return failure.New(failure.CodeDeadlinePassed, cause)
 	case n.mayHaveRun:
 		return failure.New(failure.CodeUpstreamFailed, cause)
+	case stopping(ctx):
+		return failure.New(failure.CodeStopping, cause).WithRetryAfter(closingRetryAfter)
 	}
 	return failure.New(failure.CodeNoUpstream, cause).WithRetryAfter(refusedRetryAfter)
 }
 
+// stopping reports whether the request must end because this gateway stops.
+func stopping(ctx context.Context) bool {
+	var e *httpserver.StoppingError
+	return errors.As(context.Cause(ctx), &e)
+}
+
 // refusedWhileWaiting returns the response to a request that was refused after it had been accepted.
 func (n *run) refusedWhileWaiting(ctx context.Context, refused *PartRefusedError) error {
 	if n.mayHaveRun || n.x.Responded() {
@@ -354,7 +372,10 @@
 	var full *dispatch.OverloadedError
 	var restricted *dispatch.RestrictedError
 	var evacuated *dispatch.EvacuatedError
+	var cannotFinish *dispatch.StoppingError
 	switch {
+	case errors.As(err, &cannotFinish) || stopping(ctx):
+		return failure.New(failure.CodeStopping, err).WithRetryAfter(closingRetryAfter)
 	case errors.As(err, &none):
 		return failure.New(failure.CodeNoUpstream, err).WithRetryAfter(none.RetryAfter)
 	case errors.As(err, &evacuated):
--- a/internal/node/gateway/services.go
+++ b/internal/node/gateway/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/go-kit/log"
 
@@ -37,6 +38,7 @@
 		s.evacuable.Store(g.evacuates())
 		s.gate.SetEvacuated(g.control.evacuated)
 		s.gate.SetUpstreams(g.control.upstreams.Of(name))
+		g.setStop(s, time.Now())
 		s.budget.SetBound(g.sharedRetryBound())
 		next[name] = s
 	}
--- a/internal/node/gateway/shutdown.go
+++ b/internal/node/gateway/shutdown.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"time"
 
@@ -38,29 +37,53 @@
 	return min(time.Duration(maxLeavingShare*float64(grace)), time.Duration(directoryTTLFactor*float64(directoryTTL)))
 }
 
+// shutdown stops the gateway within the grace time. What was read is answered, and the answers have left when it returns; what cannot be
+// finished in time is refused as not run.
 func (g *Gateway) shutdown() error {
 	began := time.Now()
 	grace := g.Settings().Bounds.Grace.Std()
+	end := began.Add(grace - killMargin)
 	_ = level.Info(g.logger).Log("msg", "shutting down", "grace", grace, "running", g.servers.callers.Busy())
-	g.setState(stateLeaving)
+	g.setState(stateLeaving, end.Add(-httpserver.LastWords))
 	time.Sleep(leavingPeriod(grace, g.directoryTTL()))
-	g.setState(stateClosing)
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-killMargin))
+	g.setState(stateClosing, end.Add(-httpserver.LastWords))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	err := g.servers.callers.Drain(ctx)
-	if err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		return fmt.Errorf("shut down: %w", err)
-	}
-	_ = level.Info(g.logger).Log("msg", "stopped", "cut", g.servers.callers.Busy(), "after", time.Since(began))
+	running := g.servers.callers.Busy()
+	cut := cutBy(g.servers.callers.Drain(ctx))
+	drainAll(ctx, g.servers.directory, g.servers.readiness)
+	_ = level.Info(g.logger).Log("msg", "stopped", "running_at_drain", running, "told_to_end", cut.Told, "cut", cut.Running, "not_delivered", cut.Unsent, "after", time.Since(began))
 	g.Kill()
 	return nil
 }
 
-// setState changes the node's state on the control loop and waits until that is done.
-func (g *Gateway) setState(s nodeState) {
+// cutBy returns what a drain could not finish.
+func cutBy(err error) httpserver.DrainError {
+	var e *httpserver.DrainError
+	if errors.As(err, &e) {
+		return *e
+	}
+	return httpserver.DrainError{}
+}
+
+// drainAll drains servers whose requests take no time.
+func drainAll(ctx context.Context, servers ...*httpserver.Server) {
+	var wait sync.WaitGroup
+	for _, s := range servers {
+		wait.Go(func() { _ = s.Drain(ctx) })
+	}
+	wait.Wait()
+}
+
+// setState changes the node's state on the control loop, with the time by which all requests must have ended, and waits until that is
+// done.
+func (g *Gateway) setState(s nodeState, finishBy time.Time) {
 	done := make(chan struct{})
 	g.loop.Post(func(now time.Time) {
-		g.control.ownState = s
+		g.control.ownState, g.control.finishBy = s, finishBy
+		for _, service := range g.control.services {
+			g.setStop(service, now)
+		}
 		g.publish()
 		// The tick releases the duty before the digests are sent, so that they already report it.
 		g.experts.tick(now)
--- a/internal/node/gateway/view.go
+++ b/internal/node/gateway/view.go
@@ -8,6 +8,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/completeness"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/retry"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/runtimes"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
 
@@ -40,6 +41,8 @@
 	longBodies *completeness.Habit
 	// gaps records which of the service's streams have ids that are not consecutive.
 	gaps *completeness.Habit
+	// runTimes is how long the service's requests run, by whether they may run again.
+	runTimes struct{ repeatable, once runtimes.Estimator }
 	// group is nil unless the upstreams are ranks of a group.
 	group *groupWatch
 	// evacuable is set while streams may be moved away from evacuated data centres.
--- a/internal/policy/dispatch/gate.go
+++ b/internal/policy/dispatch/gate.go
@@ -20,7 +20,7 @@
 func NewGate(p *Pool) *Gate { return &Gate{pool: p} }
 
 // Wait submits a request and waits until it is placed. Errors: *NoRegisteredUpstreamError, *OverloadedError,
-// *RestrictedError, *EvacuatedError, or the error of ctx.
+// *RestrictedError, *EvacuatedError, *StoppingError, or the error of ctx.
 func (g *Gate) Wait(ctx context.Context, r Request) (*Ticket, error) {
 	g.mu.Lock()
 	now := time.Now()
--- a/internal/policy/dispatch/pool.go
+++ b/internal/policy/dispatch/pool.go
@@ -29,8 +29,11 @@
 	// with Options.FairAccounts.
 	Account fairshare.Account
 	Tokens  int
-	// Begun is set if the caller has a part of the response, which a refusal would cut off.
-	Begun bool
+	// EndsBy is when the request ends in any case.
+	EndsBy time.Time
+	// Begun is set if the caller has a part of the response, which a refusal would cut off, MayHaveRun if an upstream may have run the
+	// request, and Once if it may run once only.
+	Begun, MayHaveRun, Once bool
 	// Exclude lists upstreams that must not get the request, in any incarnation: an upstream that failed it may fail it
 	// again.
 	Exclude []ids.Upstream
@@ -109,6 +112,7 @@
 	evacuated *catalog.Evacuations
 	classes   classes
 	accounts  *fairshare.Ledger
+	stop      Stop
 }
 
 // NewPool returns a pool without upstreams.
@@ -220,6 +224,10 @@
 func (p *Pool) Submit(r Request, now time.Time) *Ticket {
 	t := &Ticket{request: r}
 	p.recordArrival(r, now)
+	if err := p.stoppingError(r, now); err != nil {
+		t.refuse(err)
+		return t
+	}
 	if p.place(t, now) {
 		return t
 	}
@@ -232,7 +240,12 @@
 		t.refuse(err)
 		return t
 	}
-	if wait := p.expectedWaitOf(r, ahead, now); p.lost(now) || now.Add(wait).After(p.startBy(r)) {
+	wait := p.expectedWaitOf(r, ahead, now)
+	if err := p.stoppingError(r, now.Add(wait)); err != nil {
+		t.refuse(err)
+		return t
+	}
+	if p.lost(now) || now.Add(wait).After(p.startBy(r)) {
 		t.refuse(p.overloaded(r, wait, now))
 		return t
 	}
@@ -323,6 +336,11 @@
 	rest := p.waiting[:0]
 	p.sortWaiting(now)
 	for _, t := range p.waiting {
+		if err := p.stoppingError(t.request, now); err != nil {
+			t.refuse(err)
+			out = append(out, t)
+			continue
+		}
 		switch {
 		case now.After(p.startBy(t.request)):
 			t.refuse(p.overloaded(t.request, p.expectedWait(now), now))
--- a/internal/policy/dispatch/ticket.go
+++ b/internal/policy/dispatch/ticket.go
@@ -69,8 +69,8 @@
 	Entitled bool
 }
 
-// Err returns why the request was refused, or nil: *NoRegisteredUpstreamError, *OverloadedError, *RestrictedError or
-// *EvacuatedError.
+// Err returns why the request was refused, or nil: *NoRegisteredUpstreamError, *OverloadedError, *RestrictedError,
+// *EvacuatedError or *StoppingError.
 func (t *Ticket) Err() error { return t.err }
 
 func (t *Ticket) refuse(err error) {
