A response with status 000 is not a response

All three kinds of routes were affected, and so was each other reader of a status that this library parses: health checks, orders, reads from ranks, the users' store, slots; and the product's own platform client, for which a write would have counted as done.

httpclient looks at the status line before fasthttp parses it. The platform client now uses httpclient in place of a second client of the library. net/http, behind connect-go, keeps 0 and takes it for a failure.

Failed before: TestStatusZeroIsNoSuccess (7 of 9 cases: the body came as a success), TestStatusZeroIsNoAcknowledgement (commit: no error), TestInvalidStatusIsNotRelayed/status_000 (200 on an unsafe route; want 502).

--- a/internal/base/httpclient/exchange.go
+++ b/internal/base/httpclient/exchange.go
@@ -112,6 +112,9 @@
 		defer c.startPatience(x.Patience)()
 	}
 	raw.Reset()
+	if c.statusIsZero() {
+		return false, false, &InvalidStatusError{}
+	}
 	if err := raw.Header.Read(c.reader); err != nil {
 		return false, false, explain(err, x)
 	}
--- a/internal/state/platform/http.go
+++ b/internal/state/platform/http.go
@@ -5,12 +5,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
+	"io"
 	"net/http"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 )
 
@@ -24,7 +25,10 @@
 // HTTP is a client of the platform's protocol that attempts each call once; see Client for retries. It implements
 // Service.
 type HTTP struct {
-	client *fasthttp.HostClient
+	client  *httpclient.Client
+	address string
+	// places bounds the calls at a time.
+	places chan struct{}
 	// timeout bounds an attempt whose context has no earlier deadline.
 	timeout time.Duration
 }
@@ -35,18 +39,9 @@
 func NewHTTP(address string, timeout time.Duration) *HTTP {
 	return &HTTP{
 		timeout: timeout,
-		client: &fasthttp.HostClient{
-			Addr:                address,
-			Name:                "cardamomyoke",
-			MaxConns:            maxConns,
-			MaxIdleConnDuration: maxIdleConn,
-			MaxResponseBodySize: maxResponseBody,
-			Dial:                dial,
-			// Without these two settings the library would repeat a request by itself; only Client decides about
-			// retries.
-			MaxIdemponentCallAttempts: 1,
-			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		},
+		address: address,
+		places:  make(chan struct{}, maxConns),
+		client:  httpclient.New(httpclient.Options{DialTimeout: dialTimeout, MaxIdle: maxConns, IdleTimeout: maxIdleConn, UnidentifiedFor: maxIdleConn}),
 	}
 }
 
@@ -65,13 +60,17 @@
 // Error implements error.
 func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Body) }
 
-func dial(addr string) (net.Conn, error) {
-	conn, err := fasthttp.DialTimeout(addr, dialTimeout)
-	if err != nil {
-		return nil, &notSentError{err}
-	}
-	return conn, nil
-}
+// BusyError reports that as many calls run as are allowed at a time.
+type BusyError struct{ Calls int }
+
+// Error implements error.
+func (e *BusyError) Error() string { return fmt.Sprintf("%d calls are running", e.Calls) }
+
+// SizeError reports a response that is longer than any valid one.
+type SizeError struct{ Limit int }
+
+// Error implements error.
+func (e *SizeError) Error() string { return fmt.Sprintf("response is longer than %d bytes", e.Limit) }
 
 type response struct {
 	status int
@@ -86,20 +85,40 @@
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
-	req := fasthttp.AcquireRequest()
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	select {
+	case h.places <- struct{}{}:
+		defer func() { <-h.places }()
+	default:
+		return response{}, &notSentError{&BusyError{maxConns}}
+	}
+	req := &fasthttp.Request{} // not pooled: after an early response it is still being written
 	req.Header.SetMethod(method)
-	req.SetRequestURI("http://" + h.client.Addr + path)
+	req.SetRequestURI(path)
+	req.Header.SetHost(h.address)
+	req.Header.SetUserAgent("cardamomyoke")
 	req.SetBody(body)
-	if err := h.client.DoDeadline(req, resp, deadline); err != nil {
-		if errors.Is(err, fasthttp.ErrNoFreeConns) {
-			return response{}, &notSentError{err}
-		}
+	return h.roundTrip(ctx, req)
+}
+
+// roundTrip sends a request once and reads the response. Errors: *notSentError, *SizeError, *httpclient.BrokenError.
+func (h *HTTP) roundTrip(ctx context.Context, req *fasthttp.Request) (response, error) {
+	res, err := h.client.Do(ctx, h.address, httpclient.Exchange{Request: req})
+	var dial *httpclient.DialError
+	if errors.As(err, &dial) {
+		return response{}, &notSentError{err}
+	}
+	if err != nil {
 		return response{}, err
 	}
-	return response{resp.StatusCode(), append([]byte(nil), resp.Body()...)}, nil
+	out := response{status: res.Status}
+	out.body, err = io.ReadAll(io.LimitReader(res.Body, maxResponseBody+1))
+	if err == nil && len(out.body) > maxResponseBody {
+		err = &SizeError{maxResponseBody}
+	}
+	res.Release(err == nil)
+	return out, err
 }
 
 // call sends in as JSON and decodes the response into out. It returns a 409 as *ConflictError, and any other status
