Long events and bodies of many requests at once take bounded memory; replies of slots and of nodes have a limit

Found: an event that has begun kept up to 128 KB and a body up to 64 KB for each request, outside of the memory reserved for buffers; the entry read a slot's response without a limit, and a node a peer's reply. Held to be sound, with tests: heads, interim and foreign responses, which have a buffer of 8 KB; reads from the store, ranks and agents, orders and health checks, which have limits.

Buffers of bodies and events beyond 8 KB are reserved by their size from one sixth of the process's memory; without memory, a body is relayed as it arrives and an event is given up. Replies of nodes have at most 32 MB, responses of slots 8 MB.

--- a/internal/node/entry/plain.go
+++ b/internal/node/entry/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
@@ -36,21 +37,35 @@
 	return out, nil
 }
 
+// LongResponseError reports a response that is longer than any that a slot sends.
+type LongResponseError struct{ Limit int }
+
+// Error implements error.
+func (e *LongResponseError) Error() string {
+	return fmt.Sprintf("slot's response is longer than %d bytes", e.Limit)
+}
+
 // UnframedError reports that a slot's response has no length. Slots always state it, so the response was damaged on the way.
 type UnframedError struct{}
 
 // Error implements error.
 func (*UnframedError) Error() string { return "slot's response has no length" }
 
+// maxPlainBytes is the size in bytes of the longest response of a slot that is kept, twice that of the longest body that slots pass on.
+const maxPlainBytes = 8 << 20
+
 // readPlain reads the complete response of a slot.
 func readPlain(res *httpclient.Response) (*plainResponse, error) {
 	if res.CloseDelimited {
 		return nil, &UnframedError{}
 	}
-	body, err := io.ReadAll(res.Body)
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxPlainBytes+1))
 	if err != nil {
 		return nil, err
 	}
+	if len(body) > maxPlainBytes {
+		return nil, &LongResponseError{maxPlainBytes}
+	}
 	return &plainResponse{
 		status:      res.Header.StatusCode(),
 		mime:        string(res.Header.ContentType()),
--- a/internal/node/entry/plain_test.go
+++ b/internal/node/entry/plain_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/valyala/fasthttp"
@@ -68,6 +69,15 @@
 	}
 }
 
+// Guards against a slot's response without an end that the entry keeps until it runs out of memory.
+func TestSlotResponseWithoutEndIsAnError(t *testing.T) {
+	var long *LongResponseError
+	text := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("10000\r\n"+strings.Repeat("e", 0x10000)+"\r\n", 400)
+	if _, err := readFrom(t, text); !errors.As(err, &long) {
+		t.Fatalf("got %v", err)
+	}
+}
+
 // Guards against a slot's response that lost its header field with the length, and that the entry takes for complete.
 func TestSlotResponseWithoutLengthIsAnError(t *testing.T) {
 	var unframed *UnframedError
--- a/internal/node/gateway/body.go
+++ b/internal/node/gateway/body.go
@@ -16,11 +16,13 @@
 	// maxBufferedBytes bounds the part of a response that is buffered before relaying. A longer response is relayed as it
 	// arrives: it can no longer be retried elsewhere, and its caller sees a truncated response if the connection breaks.
 	maxBufferedBytes = 1 << 20
-	// shortBodyBytes is how much of a body is buffered without a reservation of memory.
-	shortBodyBytes = 64 << 10
+	// mediumBodyBytes is how much of a body is buffered with a first reservation of memory.
+	mediumBodyBytes = 64 << 10
+	// unreservedBytes is how much of a body or of an event is buffered without a reservation.
+	unreservedBytes = 8 << 10
 	// bufferFactor is how much memory a buffer takes at most while it grows, as a multiple of its content.
 	bufferFactor = 3
-	// bufferMemoryShare is the inverse of the share of the process's memory that buffers of long bodies may take.
+	// bufferMemoryShare is the inverse of the share of the process's memory that buffers beyond unreservedBytes may take.
 	bufferMemoryShare = 6
 	// maxUnreadBytes is how many bytes of a response wait in this process for a caller that reads slowly.
 	maxUnreadBytes = 64 << 10
@@ -44,23 +46,48 @@
 	return fmt.Sprintf("body of %s goes on after %d bytes", e.Upstream, maxBufferedBytes)
 }
 
-// bufferMemory bounds the memory of the buffers of long bodies. It is safe for concurrent use.
+// bufferMemory bounds the memory of the buffers of bodies and events beyond unreservedBytes. It is safe for concurrent use.
 type bufferMemory struct{ used atomic.Int64 }
 
-// reserve reports whether a buffer of maxBufferedBytes may be filled, given the process's memory; free must then be called once.
-func (m *bufferMemory) reserve(processBytes int64) bool {
+// reservation is the part of a bufferMemory that one buffer has. free must be called once it is no longer used.
+type reservation struct {
+	memory *bufferMemory
+	limit  int64
+	bytes  int64
+}
+
+// reservation returns an empty reservation, given the process's memory in bytes.
+func (m *bufferMemory) reservation(processBytes int64) *reservation {
 	limit := processBytes / bufferMemoryShare
 	if limit <= 0 {
 		limit = defaultBufferMemory
 	}
-	if m.used.Add(bufferFactor*maxBufferedBytes) <= limit {
+	return &reservation{memory: m, limit: limit}
+}
+
+// grow reports whether the buffer may hold size bytes.
+func (r *reservation) grow(size int) bool {
+	more := bufferFactor*int64(size) - r.bytes
+	if more <= 0 {
 		return true
 	}
-	m.free()
-	return false
+	if r.memory.used.Add(more) > r.limit {
+		r.memory.used.Add(-more)
+		return false
+	}
+	r.bytes += more
+	return true
+}
+
+func (r *reservation) free() {
+	r.memory.used.Add(-r.bytes)
+	r.bytes = 0
 }
 
-func (m *bufferMemory) free() { m.used.Add(-bufferFactor * maxBufferedBytes) }
+// reserveBuffer returns the reservation for a buffer of the request.
+func (n *run) reserveBuffer() *reservation {
+	return n.g.bufferMemory.reservation(int64(n.g.Settings().Limits.MemoryMB) << 20)
+}
 
 // bufferedBody is the buffered part of a body. free must be called once it is no longer used.
 type bufferedBody struct {
@@ -86,20 +113,18 @@
 	return body, err
 }
 
-// bufferBody reads up to maxBufferedBytes of a body, or up to shortBodyBytes if there is no memory for more.
+// bufferBody reads up to maxBufferedBytes of a body, or less if there is no memory for more.
 func (n *run) bufferBody(res *httpclient.Response) (bufferedBody, error) {
-	b := bufferedBody{free: func() {}}
 	var buffer bytes.Buffer
-	whole, err := fill(&buffer, res.Body, shortBodyBytes)
-	b.bytes, b.whole = buffer.Bytes(), whole
-	memory := &n.g.bufferMemory
-	if err != nil || b.whole || !memory.reserve(int64(n.g.Settings().Limits.MemoryMB)<<20) {
-		return b, err
+	memory := n.reserveBuffer()
+	whole, err := fill(&buffer, res.Body, unreservedBytes)
+	for _, size := range []int{mediumBodyBytes, maxBufferedBytes} {
+		if err != nil || whole || !memory.grow(size) {
+			break
+		}
+		whole, err = fill(&buffer, res.Body, size)
 	}
-	b.free = memory.free
-	whole, err = fill(&buffer, res.Body, maxBufferedBytes)
-	b.bytes, b.whole = buffer.Bytes(), whole
-	return b, err
+	return bufferedBody{bytes: buffer.Bytes(), whole: whole, free: memory.free}, err
 }
 
 // fill reads a body until the buffer has one byte more than size, and reports whether the body ended before.
--- a/internal/node/gateway/plain.go
+++ b/internal/node/gateway/plain.go
@@ -139,7 +139,7 @@
 }
 
 // relayPieceBytes is the size of one write to the caller: only between writes does the gateway wait for a caller that reads slowly.
-const relayPieceBytes = 32 << 10
+const relayPieceBytes = 16 << 10
 
 func (n *run) writePieces(ctx context.Context, body []byte) error {
 	for piece := range slices.Chunk(body, relayPieceBytes) {
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -37,7 +37,7 @@
 // streamBufferBytes is the size of one read from an upstream; an event has some tens of bytes.
 const streamBufferBytes = 8 << 10
 
-// maxEventBytes is the maximum size of an event. Each stream may hold that much.
+// maxEventBytes is the maximum size of an event.
 const maxEventBytes = 128 << 10
 
 // EventError reports that a stream has an event that cannot be relayed.
@@ -97,6 +97,8 @@
 
 func (n *run) copyEvents(ctx context.Context, t *dispatch.Ticket, res *httpclient.Response) error {
 	var pending []byte
+	memory := n.reserveBuffer()
+	defer memory.free()
 	// begunAt is when the event that is not complete yet began to arrive; zero if there is none.
 	var begunAt time.Time
 	buf := make([]byte, streamBufferBytes)
@@ -123,6 +125,8 @@
 			return &httpclient.BrokenError{Address: t.Upstream().Address, Stage: "read events from", Cause: err}
 		case len(pending) > maxEventBytes:
 			return &EventError{"event is too long"}
+		case len(pending) > unreservedBytes && !memory.grow(len(pending)):
+			return &EventError{"no memory for a long event"}
 		}
 	}
 }
--- a/internal/state/revision/agent/rpc.go
+++ b/internal/state/revision/agent/rpc.go
@@ -12,12 +12,15 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/state/revision"
 )
 
+// maxMessageBytes bounds a message of another node. The largest has a whole configuration.
+const maxMessageBytes = 32 << 20
+
 // service serves the RPCs of other nodes.
 type service struct{ agent *Agent }
 
 // Handler returns the path and handler of the revision service.
 func Handler(a *Agent) (string, http.Handler) {
-	return cardamomyokev1connect.NewRevisionServiceHandler(&service{a})
+	return cardamomyokev1connect.NewRevisionServiceHandler(&service{a}, connect.WithReadMaxBytes(maxMessageBytes))
 }
 
 // Push implements the RPC.
@@ -70,7 +73,7 @@
 	address := to.GetAddress()
 	c, ok := r.peers[address]
 	if !ok {
-		c = cardamomyokev1connect.NewRevisionServiceClient(r.client, r.scheme+"://"+address)
+		c = cardamomyokev1connect.NewRevisionServiceClient(r.client, r.scheme+"://"+address, connect.WithReadMaxBytes(maxMessageBytes))
 		r.peers[address] = c
 	}
 	return c
