--- a/internal/base/httpserver/conn.go
+++ b/internal/base/httpserver/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -183,6 +184,9 @@
 // onClosed runs on the event loop when the connection was closed, with the error that closed it, and cancels the running request.
 func (c *conn) onClosed(err error) {
 	unsent := c.unsent()
+	if err == io.EOF { // gnet has dropped its buffer of a broken connection
+		unsent = max(unsent, int64(c.out.size())+c.unread.Load())
+	}
 	c.disconnected.Store(true)
 	c.cancelRequest(nil)
 	c.answer.close(c.closedBy(err), unsent)
