Bytes that were discarded because a caller sent too much ahead are never followed by a request

If the bound was reached between a request's answer and the end of its handler, the connection stayed open and the next request would have begun in the middle of what had been discarded. Found by reading; the test plays the load and does not meet the gap (0 in 450 connections before and after).

--- a/internal/base/httpserver/conn.go
+++ b/internal/base/httpserver/conn.go
@@ -12,7 +12,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/base/monotonic"
 )
 
-// maxPipelined is how many bytes a caller may send ahead while a request is running; beyond it the connection is closed.
+// maxPipelined is how many bytes a caller may send ahead while a request is running; beyond it the connection ends with its answer.
 const maxPipelined = 64 << 10
 
 // conn is one connection. Its event loop owns all fields except the atomic ones, out, and cancel, which mu guards.
@@ -59,6 +59,10 @@
 	if c.running.Load() {
 		return c.boundSentAhead()
 	}
+	if c.sentAhead.Load() { // also set just after the answer: what follows is not the start of a request
+		c.end(ClosedByServer)
+		return c.continueEnd()
+	}
 	buffered := c.gc.InboundBuffered()
 	if buffered == 0 {
 		return c.closeIfIdle()
--- a/internal/base/httpserver/whole_test.go
+++ b/internal/base/httpserver/whole_test.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -60,6 +63,41 @@
 	}
 }
 
+// Guards against a request that is put together from what was left of others, after bytes that a caller had sent ahead were discarded,
+// and against a request whose connection is closed for them.
+func TestBytesSentAheadAreDiscardedToTheEnd(t *testing.T) {
+	const connections, requests, filler = 150, 60, 3 << 10
+	s := &served{}
+	_, address := start(t, httpserver.Limits{}, func(_ context.Context, x *httpserver.Exchange) {
+		s.add(string(x.Req.URI().Path()))
+		time.Sleep(time.Duration(rand.Int64N(int64(400 * time.Microsecond))))
+		_ = x.Respond(http.StatusOK, nil, nil)
+	})
+	answered := 0
+	for i := range connections {
+		c := dial(t, address)
+		go func() {
+			for n := range requests {
+				path := fmt.Sprintf("/%d-%d", i, n)
+				body := strings.Repeat("GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n", filler/40)
+				if _, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body); err != nil {
+					return
+				}
+			}
+		}()
+		r := bufio.NewReader(c)
+		for readFinal(r) == nil {
+			answered++
+		}
+		_ = c.Close()
+	}
+	all := s.all()
+	if len(all) != answered || slices.Contains(all, "/smuggled") {
+		t.Errorf("%d requests served, %d answered, smuggled %t", len(all), answered, slices.Contains(all, "/smuggled"))
+	}
+	t.Logf("%d of %d answered", answered, connections*requests)
+}
+
 // Guards against a refusal without a request, because the end of a chunked body arrived in two pieces.
 func TestLastChunkInTwoPiecesLeavesNoRequest(t *testing.T) {
 	_, address := start(t, httpserver.Limits{ReadTimeout: settings.Duration(300 * time.Millisecond)}, echo)
