A request that follows a stream during a drain is not read and dropped

A stream that had begun before the drain has no 'Connection: close', so its caller sent the next request; the connection was half closed already, and what still came was read and discarded. Now a connection whose answer did not announce the close is treated as idle: what comes on it is refused by the handler, or the connection is closed unread. Connections are closed once the caller's host has acknowledged everything; only where the caller has sent surplus bytes is the sending half closed first and the rest discarded.

--- a/internal/base/httpserver/conn.go
+++ b/internal/base/httpserver/conn.go
@@ -24,11 +24,13 @@
 	continueSent bool
 	// running is set while a request runs on its goroutine.
 	running atomic.Bool
-	// ending is set once no further request is read from the connection. It was half closed at halfClosedAt, by monotonic.Nanos, or when
-	// the caller last acknowledged bytes after that, and unacknowledged is how many bytes it then had not.
-	ending         atomic.Bool
-	halfClosedAt   int64
-	unacknowledged int
+	// ending is set once no further request is read from the connection, surplus if the caller sends more than was read as requests.
+	ending  atomic.Bool
+	surplus bool
+	// unacknowledged is how many written bytes the caller's host had not acknowledged when the event loop last checked; the number last
+	// fell at unacknowledgedSince. The connection was half closed at halfClosedAt; both by monotonic.Nanos, 0 if not.
+	unacknowledged                    int
+	unacknowledgedSince, halfClosedAt int64
 	// sentAhead is set if the caller has sent so much ahead that the connection must be closed after the running request.
 	sentAhead atomic.Bool
 	// partialSince is when the first bytes of an incomplete request arrived, by monotonic.Nanos; 0 if there is none.
@@ -60,6 +62,7 @@
 		return c.boundSentAhead()
 	}
 	if c.sentAhead.Load() { // also set just after the answer: what follows is not the start of a request
+		c.surplus = true
 		c.end(ClosedByServer)
 		return c.continueEnd()
 	}
@@ -101,9 +104,13 @@
 // loop. From another goroutine it could close the connection of a request that has just started, which its caller would take for
 // not read.
 func (c *conn) closeIfIdle() gnet.Action {
-	if c.partialSince.Load() != 0 || !c.idleIsOver(monotonic.Nanos()) || c.out.size() > 0 || c.gc.OutboundBuffered() > 0 {
+	now := monotonic.Nanos()
+	if c.partialSince.Load() != 0 || !c.idleIsOver(now) {
 		return gnet.None
 	}
+	if acknowledged, action := c.awaitAcknowledged(now); !acknowledged {
+		return action
+	}
 	return gnet.Close
 }
 
@@ -175,7 +182,8 @@
 		c.reset(x)
 		return
 	}
-	if x.close || c.closesAfterAnswer() {
+	// A caller that was not told that the connection closes may have sent its next request, which must get an answer.
+	if x.close || c.sentAhead.Load() {
 		c.end(x.closer())
 	}
 	c.answer.done(!x.streaming, x.onEnd)
@@ -235,7 +243,7 @@
 	_ = c.gc.Close()
 }
 
-// closesAfterAnswer reports whether the connection is closed after the present answer, whatever the handler says.
+// closesAfterAnswer reports whether an answer that begins now is the last one of its connection, whatever the handler says.
 func (c *conn) closesAfterAnswer() bool { return c.srv.closing.Load() || c.sentAhead.Load() }
 
 // cancelRequest cancels the context of the running request, with a cause or nil, and reports whether there was one.
--- a/internal/base/httpserver/drain.go
+++ b/internal/base/httpserver/drain.go
@@ -43,7 +43,7 @@
 func (e *DrainError) Unwrap() error { return e.Cause }
 
 // Drain ends the work of the server without losing an answer: every request that was read is answered, every answer is sent to its last
-// byte, and connections are closed after it. Idle connections are closed. New requests still reach the handler, which is to refuse them,
+// byte and acknowledged, and connections are closed after it. Idle connections are closed. New requests still reach the handler, which is to refuse them,
 // until no request runs; from then on, new connections are closed before anything is read from them. Drain returns when no connection
 // is left, so that nothing is lost by Stop.
 //
--- a/internal/base/httpserver/server.go
+++ b/internal/base/httpserver/server.go
@@ -156,6 +156,7 @@
 // large; it is discarded.
 func (s *Server) refuse(c *conn, err error) {
 	c.partialSince.Store(0)
+	c.surplus = true
 	x := &Exchange{conn: c, close: true}
 	x.Fail(failure.From(err))
 	c.end(ClosedByServer)
