--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -97,6 +97,10 @@
 		if err != nil {
 			return n.unplacedError(ctx, err)
 		}
+		if err := attemptCtx.Err(); err != nil { // placed and ended at the same time
+			n.service.gate.Done(ticket, dispatch.OutcomeNone)
+			return n.unplacedError(ctx, err)
+		}
 		if refused := n.refusal(); refused != nil {
 			n.service.gate.Done(ticket, dispatch.OutcomeNone)
 			return n.refusedWhileWaiting(ctx, refused)
