--- a/internal/base/httpserver/conn.go
+++ b/internal/base/httpserver/conn.go
@@ -135,7 +135,7 @@
 func (c *conn) readTimeout() time.Duration {
 	limit := c.srv.limits.Load().ReadTimeout.Std()
 	switch {
-	case c.srv.told.Load():
+	case c.srv.cancelling.Load():
 		return 0
 	case c.srv.closing.Load():
 		return min(limit, drainReadTimeout)
@@ -168,7 +168,7 @@
 	c.running.Store(true)
 	c.answer.begin(c.unsent())
 	c.srv.busy.Add(1)
-	if c.srv.told.Load() {
+	if c.srv.cancelling.Load() {
 		c.cancelRequest(&StoppingError{})
 	}
 	go c.srv.run(ctx, c, p.req)
--- a/internal/base/httpserver/drain.go
+++ b/internal/base/httpserver/drain.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// LastWords is how long before the deadline of a drain running requests are told to end, so that their callers still get an answer.
-	LastWords = 250 * time.Millisecond
+	// CancelLead is how long before the deadline of a drain the contexts of running requests are cancelled, so that their callers still get an
+	// answer.
+	CancelLead = 250 * time.Millisecond
 	// drainPollInterval is how often a drain looks for the end of the last connection, drainSweepInterval how often it has the event loops
 	// look at connections that wait for their callers.
 	drainPollInterval  = 10 * time.Millisecond
@@ -28,87 +29,77 @@
 
 // DrainError reports that a drain ended before all answers had left.
 type DrainError struct {
-	// Told counts the requests that were told to end, Running those that still run, Unsent the connections with bytes of answers that their
-	// callers have not taken.
-	Told, Running, Unsent int
+	// Cancelled counts the requests whose contexts were cancelled, Running those that still run, Unsent the connections with bytes of answers
+	// that their callers have not taken.
+	Cancelled, Running, Unsent int
 	Cause                 error
 }
 
 // Error implements error.
 func (e *DrainError) Error() string {
-	return fmt.Sprintf("drain: %d requests told to end, %d still running, %d answers not delivered: %v", e.Told, e.Running, e.Unsent, e.Cause)
+	return fmt.Sprintf("drain: %d requests cancelled, %d still running, %d answers not delivered: %v", e.Cancelled, e.Running, e.Unsent, e.Cause)
 }
 
 // Unwrap returns the cause.
 func (e *DrainError) Unwrap() error { return e.Cause }
 
 // Drain ends the work of the server without losing an answer: every request that was read is answered, every answer is sent to its last
-// byte and acknowledged, and connections are closed after it. Idle connections are closed. New requests still reach the handler, which is to refuse them,
-// until no request runs; from then on, new connections are closed before anything is read from them. Drain returns when no connection
-// is left, so that nothing is lost by Stop.
+// byte and acknowledged, and connections are closed after it. Idle connections are closed. New requests still reach the handler, which
+// is to refuse them, until no request runs; from then on, new connections are closed before anything is read from them. Drain returns
+// when no connection is left, so that nothing is lost by Stop.
 //
-// Shortly before the deadline of ctx the contexts of requests that still run are cancelled with *StoppingError. Errors: *DrainError, if
-// requests were told to end or the deadline has passed.
+// CancelLead before the deadline of ctx the contexts of requests that still run are cancelled with *StoppingError. Errors: *DrainError, if
+// requests were cancelled or the deadline has passed.
 func (s *Server) Drain(ctx context.Context) error {
 	s.closing.Store(true)
-	words, cancel := s.lastWordsOf(ctx)
-	defer cancel()
-	told := 0
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
-	var swept time.Time
-	for {
-		if s.busy.Load() == 0 {
-			s.stopping.Store(true)
-		}
-		if s.stopping.Load() && s.connCount.Load() == 0 {
-			return drained(told, words.Err())
-		}
-		if now := time.Now(); now.Sub(swept) >= drainSweepInterval {
+	cancelled, swept := 0, time.Time{}
+	for !s.drained() {
+		now := time.Now()
+		if now.Sub(swept) >= drainSweepInterval {
 			swept = now
 			s.sweep()
 		}
+		if cancelled == 0 && mustCancel(ctx, now) {
+			cancelled = s.cancelRunning()
+		}
 		select {
 		case <-ctx.Done():
-			return &DrainError{Told: told, Running: s.Busy(), Unsent: s.unsentAnswers(), Cause: ctx.Err()}
-		case <-words.Done():
-			if told == 0 {
-				told = s.tellRunning()
-			}
+			return &DrainError{Cancelled: cancelled, Running: s.Busy(), Unsent: s.unsentAnswers(), Cause: ctx.Err()}
 		case <-ticker.C:
-			continue
 		}
-		<-ticker.C
 	}
+	if cancelled > 0 {
+		return &DrainError{Cancelled: cancelled, Cause: context.DeadlineExceeded}
+	}
+	return nil
 }
 
-// lastWordsOf returns a context that is done LastWords before ctx.
-func (s *Server) lastWordsOf(ctx context.Context) (context.Context, context.CancelFunc) {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return context.WithCancel(ctx)
+// drained reports whether no connection is left. Once no request runs, the server accepts none.
+func (s *Server) drained() bool {
+	if s.busy.Load() == 0 {
+		s.stopping.Store(true)
 	}
-	return context.WithDeadline(ctx, deadline.Add(-LastWords))
+	return s.stopping.Load() && s.connCount.Load() == 0
 }
 
-func drained(told int, cause error) error {
-	if told == 0 {
-		return nil
-	}
-	return &DrainError{Told: told, Cause: cause}
+func mustCancel(ctx context.Context, now time.Time) bool {
+	deadline, ok := ctx.Deadline()
+	return ok && !now.Before(deadline.Add(-CancelLead))
 }
 
-// tellRunning cancels the contexts of all running requests, refuses those that are incomplete, and returns the number of running ones.
-func (s *Server) tellRunning() int {
-	told := 0
-	s.told.Store(true)
+// cancelRunning cancels the contexts of all running requests, refuses those that are incomplete, and returns the number of running ones.
+func (s *Server) cancelRunning() int {
+	cancelled := 0
+	s.cancelling.Store(true)
 	s.conns.Range(func(key, _ any) bool {
 		if key.(*conn).cancelRequest(&StoppingError{}) {
-			told++
+			cancelled++
 		}
 		return true
 	})
-	return told
+	return cancelled
 }
 
 // unsentAnswers counts the connections with bytes that the socket has not accepted.
--- a/internal/base/httpserver/server.go
+++ b/internal/base/httpserver/server.go
@@ -36,8 +36,8 @@
 	conns     sync.Map // *conn → struct{}
 	connCount atomic.Int64
 	busy      atomic.Int64
-	// closing is set once the server drains, stopping once it accepts no connection, told once running requests were told to end.
-	closing, stopping, told atomic.Bool
+	// closing is set once the server drains, stopping once it accepts no connection, cancelling once the contexts of requests are cancelled.
+	closing, stopping, cancelling atomic.Bool
 }
 
 // ListenError reports that the listener failed before it accepted connections.
--- a/internal/node/gateway/shutdown.go
+++ b/internal/node/gateway/shutdown.go
@@ -44,15 +44,15 @@
 	grace := g.Settings().Bounds.Grace.Std()
 	end := began.Add(grace - killMargin)
 	_ = level.Info(g.logger).Log("msg", "shutting down", "grace", grace, "running", g.servers.callers.Busy())
-	g.setState(stateLeaving, end.Add(-httpserver.LastWords))
+	g.setState(stateLeaving, end.Add(-httpserver.CancelLead))
 	time.Sleep(leavingPeriod(grace, g.directoryTTL()))
-	g.setState(stateClosing, end.Add(-httpserver.LastWords))
+	g.setState(stateClosing, end.Add(-httpserver.CancelLead))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	running := g.servers.callers.Busy()
 	cut := cutBy(g.servers.callers.Drain(ctx))
 	drainAll(ctx, g.servers.directory, g.servers.readiness)
-	_ = level.Info(g.logger).Log("msg", "stopped", "running_at_drain", running, "told_to_end", cut.Told, "cut", cut.Running, "not_delivered", cut.Unsent, "after", time.Since(began))
+	_ = level.Info(g.logger).Log("msg", "stopped", "running_at_drain", running, "cancelled", cut.Cancelled, "cut", cut.Running, "not_delivered", cut.Unsent, "after", time.Since(began))
 	g.Kill()
 	return nil
 }
