--- a/internal/base/httpserver/drain.go
+++ b/internal/base/httpserver/drain.go
@@ -32,7 +32,7 @@
 	// Cancelled counts the requests whose contexts were cancelled, Running those that still run, Unsent the connections with bytes of answers
 	// that their callers have not taken.
 	Cancelled, Running, Unsent int
-	Cause                 error
+	Cause                      error
 }
 
 // Error implements error.
