A connection that ends is half closed at once

The end of a body without a length came up to a quarter of a second late where the acknowledgement takes a round trip, since the connection was closed only at the next tick. Found by reading; on loopback the acknowledgement is there at once, so that the new test passes before as well.

--- a/internal/base/httpserver/conn.go
+++ b/internal/base/httpserver/conn.go
@@ -27,10 +27,10 @@
 	// ending is set once no further request is read from the connection, surplus if the caller sends more than was read as requests.
 	ending  atomic.Bool
 	surplus bool
-	// unacknowledged is how many written bytes the caller's host had not acknowledged when the event loop last checked; the number last
-	// fell at unacknowledgedSince. The connection was half closed at halfClosedAt; both by monotonic.Nanos, 0 if not.
-	unacknowledged                    int
-	unacknowledgedSince, halfClosedAt int64
+	// unacknowledged is how many written bytes the caller's host had not acknowledged when the event loop last checked. The number last
+	// changed at progressedAt, and the connection was half closed at halfClosedAt; both by monotonic.Nanos, 0 if not.
+	unacknowledged             int
+	progressedAt, halfClosedAt int64
 	// sentAhead is set if the caller has sent so much ahead that the connection must be closed after the running request.
 	sentAhead atomic.Bool
 	// partialSince is when the first bytes of an incomplete request arrived, by monotonic.Nanos; 0 if there is none.
--- a/internal/base/httpserver/ending.go
+++ b/internal/base/httpserver/ending.go
@@ -19,11 +19,11 @@
 	c.ending.Store(true)
 }
 
-// continueEnd runs on the event loop and takes the next step towards the end of the connection: the socket accepts all bytes, the caller's
-// host acknowledges them, and the connection is closed.
+// continueEnd runs on the event loop and takes the next step towards the end of the connection: the socket accepts all bytes, the sending
+// half is closed, the caller's host acknowledges everything, and the connection is closed.
 //
 // A connection that is closed with bytes unsent loses them. One that is closed with bytes unread, such as the rest of a refused body, is
-// reset, and the caller may lose what it has not read yet; its sending half is closed first, and what still comes is discarded.
+// reset, and the caller may lose what it has not read yet; what it still sends is discarded for a while.
 func (c *conn) continueEnd() gnet.Action {
 	if c.gc.InboundBuffered() > 0 {
 		c.surplus = true
@@ -32,20 +32,17 @@
 		}
 	}
 	now := monotonic.Nanos()
-	switch acknowledged, action := c.awaitAcknowledged(now); {
-	case !acknowledged:
-		return action
-	case !c.surplus:
-		return gnet.Close
-	case c.halfClosedAt == 0:
+	if c.unsent() == 0 && c.halfClosedAt == 0 {
 		c.halfClosedAt = now
 		if unix.Shutdown(c.gc.Fd(), unix.SHUT_WR) != nil {
 			return gnet.Close
 		}
-	case timedOut(now, c.halfClosedAt, closeLinger):
-		return gnet.Close
 	}
-	return gnet.None
+	acknowledged, action := c.awaitAcknowledged(now)
+	if !acknowledged || c.surplus && !timedOut(now, max(c.halfClosedAt, c.progressedAt), closeLinger) {
+		return action
+	}
+	return gnet.Close
 }
 
 // awaitAcknowledged reports whether the caller's host has acknowledged all that was written. If it has not, action closes the connection
@@ -55,16 +52,13 @@
 		return false, gnet.None
 	}
 	n := unacknowledgedBytes(c.gc.Fd())
-	switch {
-	case n == 0:
-		c.unacknowledged = 0
-		return true, gnet.None
-	case n != c.unacknowledged:
-		c.unacknowledged, c.unacknowledgedSince = n, now
-	case timedOut(now, c.unacknowledgedSince, c.srv.limits.Load().WriteTimeout.Std()):
+	if n != c.unacknowledged {
+		c.unacknowledged, c.progressedAt = n, now
+	}
+	if n > 0 && timedOut(now, c.progressedAt, c.srv.limits.Load().WriteTimeout.Std()) {
 		return false, c.closeFor(ClosedByTimeout)
 	}
-	return false, gnet.None
+	return n == 0, gnet.None
 }
 
 // unacknowledgedBytes returns how many bytes of the socket the caller's host has not acknowledged; 0 if the system does not tell.
--- a/internal/base/httpserver/untilclose_test.go
+++ b/internal/base/httpserver/untilclose_test.go
@@ -6,10 +6,30 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
 )
 
+// Guards against a body without a length whose end comes only at the next tick of the event loop.
+func TestBodyUntilCloseEndsAtOnce(t *testing.T) {
+	const requests, allowed = 20, 100 * time.Millisecond
+	_, address := start(t, httpserver.Limits{}, func(ctx context.Context, x *httpserver.Exchange) {
+		_ = x.RespondUntilClose(ctx, http.StatusOK, nil, []byte("body"))
+	})
+	for range requests {
+		began := time.Now()
+		c := dial(t, address)
+		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		if text, err := io.ReadAll(c); err != nil || !strings.HasSuffix(string(text), "body") {
+			t.Fatalf("%q, %v", text, err)
+		}
+		if took := time.Since(began); took > allowed {
+			t.Fatalf("ended after %s", took)
+		}
+	}
+}
+
 // Guards against a body without a length that is cut off where the handler gives up, or by a full socket, and that the caller
 // takes for complete.
 func TestBodyUntilCloseIsCompleteOrReset(t *testing.T) {
