--- a/internal/base/httpserver/answerend_test.go
+++ b/internal/base/httpserver/answerend_test.go
@@ -35,6 +35,7 @@
 		"closed after the answer": {whole, closing, true, false, false, true, httpserver.ClosedByServer},
 		"given up by the handler": {given, get, true, false, false, false, httpserver.ClosedByHandler},
 		"caller hangs up":         {long, get, false, true, false, false, httpserver.ClosedByCaller},
+		"caller hangs up early":   {long, closing, false, true, false, false, httpserver.ClosedByCaller},
 		"caller reads nothing":    {long, get, false, false, false, false, httpserver.ClosedByTimeout},
 		"stopped without a drain": {long, get, false, false, true, false, httpserver.ClosedByStop},
 	} {
--- a/internal/base/httpserver/conn.go
+++ b/internal/base/httpserver/conn.go
@@ -201,7 +201,11 @@
 	}
 	c.disconnected.Store(true)
 	c.cancelRequest(nil)
-	c.answer.close(c.closedBy(err), unsent)
+	by := c.closedBy(err)
+	if err != nil && unsent > 0 {
+		by = ClosedByCaller // before this server did, as it was about to
+	}
+	c.answer.close(by, unsent)
 }
 
 // closeFor closes the connection from the event loop.
