--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,7 +5,7 @@
 CASE_TMP=$(mktemp -d) || exit 2
 trap 'rm -rf "$CASE_TMP"' EXIT
 export CASE_TMP REPOSITORY="$PWD" RECORD="$PWD/review/5/record.txt" TROUBLE="${TROUBLE:-1}"
-program=target/review-2/case5
+program=target/review-2/review2-joined-body
 [ -x "$program" ] && [ -x target/cardamomyoke-gateway ] || exit 2
 timeout -k 5 110 "$program"
 code=$?
--- a/review/testdata/rig2/case5/main.go
+++ b/review/testdata/rig2/cases/review2-joined-body/main.go
@@ -1,4 +1,4 @@
-// Command case5 has faulty runners break off some of their answers and send a copy of an earlier answer where the rest is due.
+// Command review2-joined-body has faulty runners break off some of their answers and send a copy of an earlier answer where the rest is due.
 package main
 
 import (
--- a/review/testdata/rig2/case4/main.go
+++ b/review/testdata/rig2/cases/review2-memory/main.go
@@ -1,4 +1,4 @@
-// Command case4 sends bodies of the size that the configuration allows to two gateways, as many clients at once or one by one, and
+// Command review2-memory sends bodies of the size that the configuration allows to two gateways, as many clients at once or one by one, and
 // ends a gateway whose memory is over its limit, as the platform does.
 package main
 
--- a/review/testdata/rig2/case6/main.go
+++ b/review/testdata/rig2/cases/review2-stream-ids/main.go
@@ -1,4 +1,4 @@
-// Command case6 has sound runners number the events of their streams by tokens, so that the ids of some streams do not rise by one.
+// Command review2-stream-ids has sound runners number the events of their streams by tokens, so that the ids of some streams do not rise by one.
 package main
 
 import (
