--- a/review/testdata/rig2/cases/review2-late-go/main.go
+++ b/review/testdata/rig2/cases/review2-late-go/main.go
@@ -22,7 +22,7 @@
 	quiet     = 5 * time.Second
 	remaining = 8 * time.Second
 	// armsLost is how many copies of the order to arm get no answer at one rank.
-	armsLost = 4
+	armsLost = 6
 )
 
 var (
