--- a/review/testdata/rig2/cases/review2-memory/main.go
+++ b/review/testdata/rig2/cases/review2-memory/main.go
@@ -25,7 +25,7 @@
 	// perSecond is the traffic of the site (84 a second on 7 machines) at the largest burst of the site (1.7), for one machine.
 	perSecond = 20
 	crowdTime = 3 * time.Second
-	// sendTime is how long a client takes to send its request; the configuration allows 5 s.
+	// sendTime is how long a client takes to send its request; the configuration allows 3 s.
 	sendTime   = 1800 * time.Millisecond
 	pieceBytes = 32 << 10
 	crowds     = 3
@@ -50,11 +50,11 @@
 	if err != nil {
 		rig.Fail("store: %v", err)
 	}
-	store.Put("op", "config", rig.Configuration(1, []map[string]any{rig.Route("/hold/", "unsafe", "bridge", false)},
-		map[string]any{"name": "bridge", "health_path": "/health", "connection_limit": 100}))
+	store.Put("op", "config", rig.Configuration(1, []map[string]any{rig.Route("/draft/", "streaming", "model", true)},
+		map[string]any{"name": "model", "health_path": "/health", "connection_limit": 100}))
 	var servers []*rig.Server
-	for i := range 3 {
-		servers = append(servers, rig.StartServer(store, fmt.Sprintf("i-%d", i+1), "bridge", 6, 60*time.Millisecond))
+	for i := range 4 {
+		servers = append(servers, rig.StartServer(store, fmt.Sprintf("i-%d", i+1), "model", 12, 60*time.Millisecond))
 	}
 	list := rig.StartGateways(gateways, store.Address(), "")
 	for _, g := range list {
@@ -138,7 +138,7 @@
 	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(time.Now().Add(deadline))
 	began := time.Now()
-	if _, err := io.WriteString(c, rig.Request("POST", "/hold/1", attempt, deadline, fmt.Sprintf("Content-Length: %d", bodyBytes))); err != nil {
+	if _, err := io.WriteString(c, rig.Request("POST", "/draft/1", attempt, deadline, "Token-Counts: 100000,20", fmt.Sprintf("Content-Length: %d", bodyBytes))); err != nil {
 		return rig.Answer{Err: err}, 0
 	}
 	for sent < bodyBytes {
--- a/review/testdata/rig2/rig/rig.go
+++ b/review/testdata/rig2/rig/rig.go
@@ -351,7 +351,7 @@
 func Configuration(version int, routes []map[string]any, services ...map[string]any) map[string]any {
 	return map[string]any{
 		"version": version, "routes": routes, "services": services,
-		"limits":  map[string]any{"header_bytes": 16384, "body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 15000},
+		"limits":  map[string]any{"header_bytes": 16384, "body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []map[string]any{{"name": Tenant, "api_keys": []string{Key}}},
 	}
 }
--- a/review/testdata/rig2/rig/server.go
+++ b/review/testdata/rig2/rig/server.go
@@ -11,8 +11,8 @@
 	"github.com/cardamomyoke/cardamomyoke/platform/standin"
 )
 
-// Server is a sound plain runner: it runs each request that is meant for it, in the given time, and seals its answers. It keeps no
-// bodies.
+// Server is a sound runner: it runs each request that is meant for it, in the given time, and answers with a sealed stream of events. It
+// keeps no bodies.
 type Server struct {
 	ID      string
 	Address string
@@ -64,7 +64,8 @@
 	s.mu.Unlock()
 	time.Sleep(s.work)
 	w.Header().Set("Response-Seal", s.ID+".seal")
-	_, _ = fmt.Fprintf(w, "%s got %d bytes", s.ID, size)
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, _ = fmt.Fprintf(w, "id: 1\ndata: %s got %d bytes\n\nid: 2\ndata: end\n\n", s.ID, size)
 }
 
 // Runs returns how often the runner has run an attempt.
