--- a/review/testdata/rig2/rig/rig.go
+++ b/review/testdata/rig2/rig/rig.go
@@ -355,3 +355,6 @@
 		"tenants": []map[string]any{{"name": Tenant, "api_keys": []string{Key}}},
 	}
 }
+
+// Log returns the path of the process's log.
+func (p *Process) Log() string { return p.log }
