--- a/review/testdata/rig2/cases/review2-late-go/group.go
+++ b/review/testdata/rig2/cases/review2-late-go/group.go
@@ -310,6 +310,7 @@
 	g.mu.Lock()
 	g.jobs = append(g.jobs, j)
 	g.mu.Unlock()
+	rec.Logf("%s: rank %d has it", attempt, i)
 	w.Header().Set("Response-Seal", id+".seal")
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n := 1; n <= passesPerRequest; n++ {
--- a/review/testdata/rig2/cases/review2-memory/main.go
+++ b/review/testdata/rig2/cases/review2-memory/main.go
@@ -160,6 +160,7 @@
 		for _, s := range servers {
 			runs += s.Runs(key.(string))
 		}
+		rec.Logf("%s: runners have run it %d times", key, runs)
 		switch {
 		case r.answer.Status/100 == 2 && r.answer.Err == nil:
 			served++
