Answers: the end of a connection ends no body while the request is being written

What callers saw: a 200 without a length, of which the upstream had sent a part before it reset the connection during a long upload, reached them as a whole answer.

Cause: a long request is written beside reading the response. The kernel reports the failure of a connection once; the writer took it, the reader then saw an ordinary end, and a body without a length ends there. An end that was read while the writer was still blocked counted as well. Such a cut was also recorded as the way in which the service ends its answers, after which no other upstream is asked for an answer whose end is not proven.

Others that can take a connection's error were looked at: idleAndOpen closes the connection on any, ConfirmAlive uses a connection of its own, AbortAfter and the context close it, which the reader sees as an error.

The habit counts an answer once its body was read to its end.

--- a/internal/base/httpclient/response.go
+++ b/internal/base/httpclient/response.go
@@ -23,7 +23,8 @@
 	// connection (RFC 9112, section 6.3). Such a body that was cut off may look complete.
 	CloseDelimited bool
 	// Body returns io.EOF after the complete body, and another error if the response was truncated. If CloseDelimited is set,
-	// io.EOF only means that the peer closed the connection; *SecondResponseError that another response follows.
+	// io.EOF only means that the peer closed the connection after it was sent the whole request, *UnwrittenRequestError that it did
+	// so before; *SecondResponseError that another response follows.
 	Body     io.Reader
 	raw      *fasthttp.Response
 	client   *Client
@@ -50,6 +51,9 @@
 	return res
 }
 
+// Complete reports whether the body was read to its end.
+func (res *Response) Complete() bool { return res.complete }
+
 // BodyBytes returns how many bytes of the body were read.
 func (res *Response) BodyBytes() int64 { return res.bodyBytes }
 
@@ -65,6 +69,9 @@
 	}
 	n, err := stream.Read(p)
 	r.response.bodyBytes += int64(n)
+	if err == io.EOF && r.response.CloseDelimited {
+		err = r.response.written.end()
+	}
 	if err == io.EOF {
 		r.response.complete = true
 	}
--- a/internal/node/gateway/closedelimited.go
+++ b/internal/node/gateway/closedelimited.go
@@ -79,6 +79,9 @@
 // recordCloseDelimited counts and logs a response whose end only the close of its connection tells. err is the error of the
 // attempt; nil if the response was relayed.
 func (n *run) recordCloseDelimited(u *catalog.Upstream, res *httpclient.Response, err error) {
+	if res.Status/100 == 2 && res.Complete() { // one that was cut off does not show how the service ends its responses
+		n.service.habit.Record(true)
+	}
 	n.g.metrics.closeDelimited(u.Service, n.r.route.Kind, err == nil)
 	_ = n.g.requests.failures.Log("msg", "response ends with its connection", "request", n.r.call.Attempt, "route", n.r.route.Name,
 		"kind", n.r.route.Kind, "upstream", u.Incarnation(), "service", u.Service, "status", res.Status, "body_bytes", res.BodyBytes(),
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -204,8 +204,8 @@
 	n.g.recordCold(responder, res.Status, info, n.placedAt)
 	n.recordRest(responder, info.Rest)
 	n.recordLeaving(responder, info.Leaving)
-	if res.Status/100 == 2 {
-		n.service.habit.Record(res.CloseDelimited)
+	if res.Status/100 == 2 && !res.CloseDelimited {
+		n.service.habit.Record(false)
 	}
 	switch {
 	case info.NotRun:
