Answers: every header and trailer section is read strictly before fasthttp reads it

What callers saw: an answer in whose header the name of a field had a blank or a control byte, with that line passed on or with a body of another length; and, as a success, the status and id of one answer with the body of another client's.

Cause: fasthttp is lenient by design. It joins, drops and repairs lines, and what it has parsed does not show that. joinsHeaders looked for a second response in the parsed header, of which the lines of Content-Type, Server, Content-Encoding and Set-Cookie were gone already.

Change: httpclient checks the raw header of each response (answer, interim, foreign) by RFC 9110 and 9112 with the predicates of httpguts, and refuses it with *MalformedError: status line, field names and values, a second status line in any line, one length or chunks, fields that decide at most once (Exchange.Single: the users of the client name theirs). Chunks are read by the standard library, and the trailer section passes the same check. joinsHeaders is gone; what handles status 000 stays as it is. Refusals are counted by defect (malformed_responses_total) and named in the request's line (malformed=).

Newly refused as well: HTTP/0.9, 1.2 and 2.0, two blanks before the status, an empty line before it, trailer fields that httpguts does not allow. Served as before: folded lines, HTTP/1.0, chunk extensions, single line feeds, any reason.

--- a/internal/base/httpclient/client_test.go
+++ b/internal/base/httpclient/client_test.go
@@ -100,6 +100,7 @@
 		ID:        id,
 		ReadID:    func(h *fasthttp.ResponseHeader) string { return string(h.Peek(idHeader)) },
 		MayLackID: func(*fasthttp.ResponseHeader) bool { return true },
+		Single:    []string{idHeader},
 	}
 }
 
--- a/internal/base/httpclient/conn.go
+++ b/internal/base/httpclient/conn.go
@@ -165,6 +165,8 @@
 	conn    net.Conn
 	bounded bool
 	left    int
+	// failure is the latest error of the connection.
+	failure error
 }
 
 // Read implements io.Reader. Errors: *UnansweredError, those of the connection.
@@ -174,6 +176,9 @@
 	}
 	n, err := r.conn.Read(p)
 	r.left -= n
+	if err != nil {
+		r.failure = err
+	}
 	return n, err
 }
 
--- a/internal/base/httpclient/exchange.go
+++ b/internal/base/httpclient/exchange.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"os"
-	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -27,6 +26,8 @@
 	MayLackID func(*fasthttp.ResponseHeader) bool
 	// IsForeign reports whether a response cannot be the answer, whatever id it bears; nil if that cannot be told.
 	IsForeign func(*fasthttp.ResponseHeader) bool
+	// Single are the names of fields that a response may have once. Of several, one does not know which to believe.
+	Single []string
 	// MayWrite is called once there is a connection, right before the request is written. If it returns an error, nothing is
 	// sent. Establishing a connection takes time, in which the reason to send the request may cease to hold. It may be nil.
 	MayWrite func() error
@@ -69,12 +70,6 @@
 	return strconv.Itoa(e.Responses) + " consecutive responses are no answer"
 }
 
-// JoinedHeadersError reports that a header contains the status line of another response.
-type JoinedHeadersError struct{}
-
-// Error implements error.
-func (*JoinedHeadersError) Error() string { return "header contains the beginning of another response" }
-
 // receive reads responses until one is the answer. If it fails, stage names the failed step for BrokenError.
 func (c *clientConn) receive(x *Exchange, written *writeResult) (res *Response, stage string, err error) {
 	raw := fasthttp.AcquireResponse()
@@ -90,13 +85,13 @@
 		if _, err := c.reader.Peek(1); err != nil {
 			return nil, failedStage(written), err
 		}
-		owns, identified, err := c.receiveOne(raw, x)
+		body, owns, identified, err := c.receiveOne(raw, x)
 		switch {
 		case err != nil:
 			return nil, failedStage(written), err
 		case owns:
 			c.idleTimeout = keepAlive(&raw.Header, c.idleTimeout)
-			return newResponse(raw, c, identified), "", nil
+			return newResponse(raw, body, c, identified), "", nil
 		case isInterim(raw.StatusCode()):
 			interim++
 		default:
@@ -107,35 +102,30 @@
 }
 
 // receiveOne reads the header of the response that has begun to arrive, and all of it if it is not the answer.
-func (c *clientConn) receiveOne(raw *fasthttp.Response, x *Exchange) (owns, identified bool, err error) {
+func (c *clientConn) receiveOne(raw *fasthttp.Response, x *Exchange) (body io.Reader, owns, identified bool, err error) {
 	if !c.headerIsBuffered() {
 		defer c.startPatience(x.Patience)()
 	}
 	raw.Reset()
 	if c.statusIsZero() {
-		return false, false, &InvalidStatusError{}
+		return nil, false, false, &InvalidStatusError{}
 	}
-	if err := raw.Header.Read(c.reader); err != nil {
-		return false, false, explain(err, x)
-	}
-	if joinsHeaders(&raw.Header) {
-		return false, false, &JoinedHeadersError{}
+	if err := c.readHeader(&raw.Header, x.Single); err != nil {
+		return nil, false, false, explain(err, x)
 	}
 	if isInterim(raw.StatusCode()) {
-		return false, false, nil
-	}
-	if err := c.beginBody(raw, x); err != nil {
-		return false, false, explain(err, x)
+		return nil, false, false, nil
 	}
+	body = c.newBody(&raw.Header, x.Request.Header.IsHead())
 	if owns, identified = c.judge(x, &raw.Header); owns {
-		return owns, identified, nil
+		return body, owns, identified, nil
 	}
 	c.skipped = true
 	if x.OnForeign != nil {
 		x.OnForeign(&raw.Header)
 	}
 	defer c.startPatience(x.Patience)()
-	return false, false, explain(discardBody(raw), x)
+	return nil, false, false, explain(discardBody(&raw.Header, body), x)
 }
 
 // isInterim reports whether a final response follows one with the status (RFC 9110, section 15.2).
@@ -143,16 +133,6 @@
 	return status/100 == 1 && status != fasthttp.StatusSwitchingProtocols
 }
 
-// beginBody makes the body, if there is one, available as a stream.
-func (c *clientConn) beginBody(raw *fasthttp.Response, x *Exchange) error {
-	status := raw.StatusCode()
-	if x.Request.Header.IsHead() || status/100 == 1 || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
-		return nil
-	}
-	raw.StreamBody = true
-	return raw.ReadBody(c.reader, 0)
-}
-
 // judge reports whether a response is the answer to the exchange, and whether its id says so.
 //
 // An id that the connection has carried once can only be that of the latest request. A response without an id may be a late copy
@@ -171,31 +151,10 @@
 	return c.isFirst() && x.MayLackID != nil && x.MayLackID(h), false
 }
 
-// joinsHeaders reports whether the header of a response that was cut off runs on in that of another one. The status would be that of
-// the first, and the id that of the second.
-func joinsHeaders(h *fasthttp.ResponseHeader) bool {
-	if endsInOtherStatus(h.StatusMessage()) {
-		return true
-	}
-	for _, value := range h.All() {
-		if endsInOtherStatus(value) {
-			return true
-		}
-	}
-	return false
-}
-
-// otherStatus matches the status line of another response at the end of a line.
-var otherStatus = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9]{2}( .{0,64})?$`)
-
-func endsInOtherStatus(line []byte) bool {
-	return bytes.Contains(line, []byte(statusLinePrefix)) && otherStatus.Match(line)
-}
-
 // headerIsBuffered reports whether a complete header has arrived.
 func (c *clientConn) headerIsBuffered() bool {
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
-	return bytes.Contains(buffered, []byte("\r\n\r\n"))
+	return bytes.Contains(buffered, sectionEnd)
 }
 
 // startPatience bounds the time of further reads, and returns the function that ends the bound.
@@ -224,16 +183,15 @@
 
 // discardBody reads a foreign response to its end. It fails for a response without a length, which only ends with the
 // connection.
-func discardBody(res *fasthttp.Response) error {
-	if res.Header.ContentLength() == closeDelimited {
-		return &ForeignResponseError{1}
+func discardBody(h *fasthttp.ResponseHeader, body io.Reader) error {
+	if body == nil {
+		return nil
 	}
-	if stream := res.BodyStream(); stream != nil {
-		if _, err := io.Copy(io.Discard, stream); err != nil {
-			return err
-		}
+	if h.ContentLength() == closeDelimited {
+		return &ForeignResponseError{1}
 	}
-	return res.CloseBodyStream()
+	_, err := io.Copy(io.Discard, body)
+	return err
 }
 
 // keepAlive returns how long the peer keeps an idle connection according to its Keep-Alive header, less
--- a/internal/base/httpclient/response.go
+++ b/internal/base/httpclient/response.go
@@ -25,8 +25,10 @@
 	// Body returns io.EOF after the complete body, and another error if the response was truncated. If CloseDelimited is set,
 	// io.EOF only means that the peer closed the connection after it was sent the whole request, *UnwrittenRequestError that it did
 	// so before; *SecondResponseError that another response follows.
-	Body     io.Reader
-	raw      *fasthttp.Response
+	Body io.Reader
+	raw  *fasthttp.Response
+	// body is the body as it is framed; nil if there is none.
+	body     io.Reader
 	client   *Client
 	conn     *clientConn
 	stop     func() bool
@@ -41,9 +43,12 @@
 // closeDelimited is fasthttp's content length for a body that ends with its connection.
 const closeDelimited = -2
 
-func newResponse(raw *fasthttp.Response, conn *clientConn, identified bool) *Response {
-	res := &Response{Status: raw.StatusCode(), Header: &raw.Header, Reused: conn.carried > 1, Identified: identified, First: conn.isFirst(), raw: raw, conn: conn}
-	res.CloseDelimited = raw.Header.ContentLength() == closeDelimited && raw.BodyStream() != nil
+func newResponse(raw *fasthttp.Response, body io.Reader, conn *clientConn, identified bool) *Response {
+	res := &Response{
+		Status: raw.StatusCode(), Header: &raw.Header, Reused: conn.carried > 1, Identified: identified, First: conn.isFirst(),
+		raw: raw, body: body, conn: conn,
+	}
+	res.CloseDelimited = raw.Header.ContentLength() == closeDelimited && body != nil
 	res.Body = &bodyReader{res}
 	if res.CloseDelimited {
 		res.Body = &closeDelimitedReader{src: res.Body}
@@ -62,12 +67,11 @@
 
 // Read implements io.Reader.
 func (r *bodyReader) Read(p []byte) (int, error) {
-	stream := r.response.raw.BodyStream()
-	if stream == nil {
+	if r.response.body == nil {
 		r.response.complete = true
 		return 0, io.EOF
 	}
-	n, err := stream.Read(p)
+	n, err := r.response.body.Read(p)
 	r.response.bodyBytes += int64(n)
 	if err == io.EOF && r.response.CloseDelimited {
 		err = r.response.written.end()
@@ -99,7 +103,7 @@
 // ReleaseUnread frees the response, whose body does not matter. Its connection is reused only if the body has already arrived.
 func (res *Response) ReleaseUnread() {
 	size := res.Header.ContentLength()
-	if res.raw.BodyStream() == nil || size >= 0 && size <= res.conn.reader.Buffered() {
+	if res.body == nil || size >= 0 && size <= res.conn.reader.Buffered() {
 		_, err := io.Copy(io.Discard, res.Body)
 		res.Release(err == nil)
 		return
@@ -120,7 +124,6 @@
 		_ = res.conn.Close()
 		<-res.written.finished // from here on the caller may reuse the request
 	}
-	_ = res.raw.CloseBodyStream()
 	fasthttp.ReleaseResponse(res.raw)
 	if reusable && !res.client.pool.put(res.conn) {
 		_ = res.conn.Close()
--- a/internal/node/entry/forward.go
+++ b/internal/node/entry/forward.go
@@ -105,9 +105,13 @@
 		ReadID:    readAttemptID,
 		MayLackID: func(h *fasthttp.ResponseHeader) bool { return h.StatusCode() >= fasthttp.StatusBadRequest },
 		OnForeign: func(*fasthttp.ResponseHeader) { e.metrics.mismatches.Inc() },
+		Single:    singleFields,
 	}
 }
 
+// singleFields decide what a slot's response is; it may have one each.
+var singleFields = []string{attempt.HeaderAttempt, attempt.HeaderFence, attempt.HeaderEndUnproven, httpserver.HeaderFailure}
+
 func readAttemptID(h *fasthttp.ResponseHeader) string { return string(h.Peek(attempt.HeaderAttempt)) }
 
 func readFenceID(h *fasthttp.ResponseHeader) string { return string(h.Peek(attempt.HeaderFence)) }
@@ -185,7 +189,7 @@
 	req.Header.SetHost("slot")
 	req.Header.Set(attempt.HeaderAttempt, t.id.String())
 	req.Header.Set(attempt.HeaderIncarnation, string(t.header.Incarnation))
-	res, err := e.client.Do(ctx, t.to.Address, httpclient.Exchange{Request: req, ID: t.id.String(), ReadID: readFenceID})
+	res, err := e.client.Do(ctx, t.to.Address, httpclient.Exchange{Request: req, ID: t.id.String(), ReadID: readFenceID, Single: singleFields})
 	if err != nil {
 		return false
 	}
--- a/internal/node/gateway/dialect.go
+++ b/internal/node/gateway/dialect.go
@@ -99,6 +99,8 @@
 	ReadResponse(h *fasthttp.ResponseHeader) ResponseInfo
 	// ResponseAttempt returns the attempt's id that a response bears; empty if it bears none.
 	ResponseAttempt(h *fasthttp.ResponseHeader) string
+	// SingleResponseFields returns the names of the fields that decide what a response is, of which it may have one each.
+	SingleResponseFields() []string
 	// AttemptHeader returns the name of the response header field that carries the attempt's id.
 	AttemptHeader() string
 	// RetryAfter returns the header field that states when a caller may retry.
--- a/internal/node/gateway/evacuation_test.go
+++ b/internal/node/gateway/evacuation_test.go
@@ -107,6 +107,8 @@
 // refusingDialect takes each response for a refusal.
 type refusingDialect struct{ Dialect }
 
+func (refusingDialect) SingleResponseFields() []string { return nil }
+
 func (refusingDialect) WriteUpstreamHeader(*fasthttp.RequestHeader, UpstreamHeader) {}
 
 func (refusingDialect) ReadResponse(*fasthttp.ResponseHeader) ResponseInfo {
--- a/internal/node/gateway/log.go
+++ b/internal/node/gateway/log.go
@@ -134,6 +134,9 @@
 		"placed_ms", sinceArrival(n, n.placedAt), "first_ms", sinceArrival(n, n.firstPieceAt), "longest_gap_ms", n.stream.longestGap.Milliseconds(),
 		"total_ms", sinceArrival(n, now), "left_ms", n.r.deadline.Sub(now).Milliseconds(),
 	}
+	if n.malformed != "" {
+		fields = append(fields, "malformed", n.malformed)
+	}
 	lines := g.requests.of(n, g.requests.ordinary)
 	if err != nil {
 		f := failure.From(err)
--- a/internal/node/gateway/metrics.go
+++ b/internal/node/gateway/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
@@ -116,6 +117,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_peers_ended_total{told_by_others=\"%t\"}", byRumor)).Inc()
 }
 
+// malformedResponse counts a response that was refused for its form.
+func (m *gatewayMetrics) malformedResponse(service ids.Service, defect httpclient.Defect) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_malformed_responses_total{service=%q,defect=%q}", service, defect)).Inc()
+}
+
 // foreignResponse counts a response that is not the answer to the request that was sent last.
 func (m *gatewayMetrics) foreignResponse(service ids.Service, status int, hasID bool) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_foreign_responses_total{service=%q,status=\"%d\",has_id=\"%t\"}", service, status, hasID)).Inc()
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/blame"
@@ -54,6 +55,8 @@
 	bufferedFailure *plainResponse
 	// unproven is a response whose end is not proven, which is relayed to the caller if no other attempt succeeds.
 	unproven *plainResponse
+	// malformed is the defect of the latest response that was refused for its form; empty if there was none.
+	malformed httpclient.Defect
 	// relayedFailure is set if the caller received bufferedFailure.
 	relayedFailure bool
 	// trace is the trace context for the next hop; empty if there is none.
@@ -133,6 +136,7 @@
 			n.placeAgain(err)
 			continue
 		}
+		n.recordMalformed(err)
 		n.recordFailure(ticket.Upstream(), err)
 		n.checkCrash(ticket.Upstream(), err)
 		n.reject(ticket.Upstream(), err)
@@ -271,6 +275,14 @@
 	n.exclude = append(n.exclude, n.upstream)
 }
 
+// recordMalformed counts a response that was refused for its form.
+func (n *run) recordMalformed(err error) {
+	if defect := httpclient.DefectOf(err); defect != "" {
+		n.malformed = defect
+		n.g.metrics.malformedResponse(n.r.service.Name, defect)
+	}
+}
+
 // excludeAddress excludes an address at which a request that may run once was refused: a process that has refused a request may send
 // a copy of its refusal after it got the same request again.
 func (n *run) excludeAddress(u *catalog.Upstream) {
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -38,6 +38,7 @@
 		ReadID:    n.g.dialect.ResponseAttempt,
 		MayLackID: n.mayLackAttemptID,
 		IsForeign: func(h *fasthttp.ResponseHeader) bool { return n.isForeign(to, h) },
+		Single:    n.g.dialect.SingleResponseFields(),
 		MayWrite:  func() error { return n.checkPlacement(to, t.PlacementInputs()) },
 		OnForeign: func(h *fasthttp.ResponseHeader) { n.g.logForeignResponse(n, to, h) },
 		Patience:  n.patience(time.Now()),
--- a/internal/node/slot/model.go
+++ b/internal/node/slot/model.go
@@ -120,6 +120,7 @@
 		ID:        j.Attempt.String(),
 		ReadID:    func(h *fasthttp.ResponseHeader) string { return string(h.Peek(engineHeaderID)) },
 		MayLackID: func(*fasthttp.ResponseHeader) bool { return true },
+		Single:    []string{engineHeaderID, fasthttp.HeaderRetryAfter},
 	}
 }
 
