--- a/internal/base/httpclient/brokenheader_test.go
+++ b/internal/base/httpclient/brokenheader_test.go
@@ -26,11 +26,15 @@
 	return string(body), errors.Join(err, ctx.Err())
 }
 
-// Guards against a response whose header a lenient parser repairs: a broken line would be passed on, or decide status, owner or length.
-func TestBrokenHeaderIsNoAnswer(t *testing.T) {
-	const line, own, length, end = "HTTP/1.1 200 OK\r\n", "X-Request: ID\r\n", "Content-Length: 1\r\n", "\r\nA"
-	field := func(text string) string { return line + own + length + text + end }
-	tests := map[string]string{
+// Parts of a sound response with the body "A" to the request with the id "ID".
+const line, own, length, end = "HTTP/1.1 200 OK\r\n", "X-Request: ID\r\n", "Content-Length: 1\r\n", "\r\nA"
+
+// field returns the response with further lines in its header.
+func field(lines string) string { return line + own + length + lines + end }
+
+// brokenHeaders returns responses that are no answers.
+func brokenHeaders() map[string]string {
+	return map[string]string{
 		"blank in a name":                      field("X Y: v\r\n"),
 		"blank in a name that frames":          line + own + "Content- Length: 3\r\n" + length + end,
 		"blank in a name that decides":         field("Response- Seal: other\r\n"),
@@ -89,7 +93,11 @@
 		"ends with line feeds only":            line + own + "Content-Length: 1\n\nA\r\n\r\n",
 		"longer than the buffer of its reader": field("X-Y: " + strings.Repeat("v", 10_000) + "\r\n"),
 	}
-	for name, text := range tests {
+}
+
+// Guards against a response whose header a lenient parser repairs: a broken line would be passed on, or decide status, owner or length.
+func TestBrokenHeaderIsNoAnswer(t *testing.T) {
+	for name, text := range brokenHeaders() {
 		t.Run(name, func(t *testing.T) {
 			c := httpclient.New(httpclient.Options{})
 			defer c.Close()
@@ -100,12 +108,10 @@
 	}
 }
 
-// Guards against sound responses that are refused because they are unusual.
-func TestUnusualHeaderIsServed(t *testing.T) {
-	const line, own, length, end = "HTTP/1.1 200 OK\r\n", "X-Request: ID\r\n", "Content-Length: 1\r\n", "\r\nA"
-	field := func(text string) string { return line + own + length + text + end }
+// unusualHeaders returns responses that are answers.
+func unusualHeaders() map[string]string {
 	const chunked = line + own + "Transfer-Encoding: chunked\r\n\r\n"
-	tests := map[string]string{
+	return map[string]string{
 		"no reason":                         "HTTP/1.1 200 \r\n" + own + length + end,
 		"no blank after the status":         "HTTP/1.1 200\r\n" + own + length + end,
 		"reason with other bytes":           "HTTP/1.1 200 D\xe9j\xe0 vu\r\n" + own + length + end,
@@ -131,7 +137,11 @@
 		"interim response":                  "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + line + own + length + end,
 		"interim response without a header": "HTTP/1.1 100 Continue\r\n\r\n" + line + own + length + end,
 	}
-	for name, text := range tests {
+}
+
+// Guards against sound responses that are refused because they are unusual.
+func TestUnusualHeaderIsServed(t *testing.T) {
+	for name, text := range unusualHeaders() {
 		t.Run(name, func(t *testing.T) {
 			c := httpclient.New(httpclient.Options{})
 			defer c.Close()
--- a/internal/base/httpclient/export_test.go
+++ b/internal/base/httpclient/export_test.go
@@ -1,6 +1,13 @@
 package httpclient
 
-import "time"
+import (
+	"bytes"
+	"io"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
 
 // SweptIdle closes the connections that are idle for too long at the given time, and returns how many are left.
 func SweptIdle(c *Client, now time.Time) int {
@@ -13,3 +20,35 @@
 	}
 	return n
 }
+
+// bytesConn is a connection from which bytes are read until it ends.
+type bytesConn struct {
+	net.Conn
+	bytes.Reader
+}
+
+// Read implements net.Conn.
+func (c *bytesConn) Read(p []byte) (int, error) { return c.Reader.Read(p) }
+
+// Close implements net.Conn.
+func (*bytesConn) Close() error { return nil }
+
+// SetReadDeadline implements net.Conn.
+func (*bytesConn) SetReadDeadline(time.Time) error { return nil }
+
+// ReadAnswer reads the answer to the exchange from a connection that ends after the bytes. It returns the header and the body.
+func ReadAnswer(b []byte, x Exchange) (*fasthttp.ResponseHeader, []byte, error) {
+	in := &bytesConn{}
+	in.Reset(b)
+	conn := newConn(in, peer{}, time.Second)
+	conn.begin(x.ID)
+	written := &writeResult{finished: make(chan struct{})}
+	close(written.finished)
+	res, _, err := conn.receive(&x, written)
+	if err != nil {
+		return nil, nil, err
+	}
+	res.written = written
+	body, err := io.ReadAll(res.Body)
+	return res.Header, body, err
+}
