Answers: a body that was cut off is not filled up with the next response

Cause: a length or a chunk says how many bytes follow, not whose they are.

Change: a body with a length or in chunks is read by ownBodyReader. A body may itself contain the text of a response, so a status line in it proves nothing. It is another response if its header has an id that the connection has carried (in a stream of events, which is passed on before its end is known: any id), or if bytes are left after the body. Text is held back only until its lines cannot be a header any more. A body without a status line is read as before; one with a whole header, or the beginning of one at its end, waits up to 50 ms for what follows it.

--- a/internal/base/httpclient/exchange.go
+++ b/internal/base/httpclient/exchange.go
@@ -91,7 +91,7 @@
 			return nil, failedStage(written), err
 		case owns:
 			c.idleTimeout = keepAlive(&raw.Header, c.idleTimeout)
-			return newResponse(raw, body, c, identified), "", nil
+			return newResponse(raw, body, c, x, identified), "", nil
 		case isInterim(raw.StatusCode()):
 			interim++
 		default:
--- a/internal/base/httpclient/export_test.go
+++ b/internal/base/httpclient/export_test.go
@@ -36,12 +36,15 @@
 // SetReadDeadline implements net.Conn.
 func (*bytesConn) SetReadDeadline(time.Time) error { return nil }
 
-// ReadAnswer reads the answer to the exchange from a connection that ends after the bytes. It returns the header and the body.
-func ReadAnswer(b []byte, x Exchange) (*fasthttp.ResponseHeader, []byte, error) {
+// ReadAnswer reads the answer to the exchange from a connection that ends after the bytes and has carried requests with the other ids.
+// It returns the header and the body.
+func ReadAnswer(b []byte, x Exchange, carried ...string) (*fasthttp.ResponseHeader, []byte, error) {
 	in := &bytesConn{}
 	in.Reset(b)
 	conn := newConn(in, peer{}, time.Second)
-	conn.begin(x.ID)
+	for _, id := range append(carried, x.ID) {
+		conn.begin(id)
+	}
 	written := &writeResult{finished: make(chan struct{})}
 	close(written.finished)
 	res, _, err := conn.receive(&x, written)
--- a/internal/base/httpclient/response.go
+++ b/internal/base/httpclient/response.go
@@ -1,6 +1,7 @@
 package httpclient
 
 import (
+	"bytes"
 	"io"
 	"sync/atomic"
 	"time"
@@ -27,7 +28,7 @@
 	// so before; *SecondResponseError that another response follows.
 	Body io.Reader
 	raw  *fasthttp.Response
-	// body is the body as it is framed; nil if there is none.
+	// body is nil if there is none.
 	body     io.Reader
 	client   *Client
 	conn     *clientConn
@@ -43,16 +44,20 @@
 // closeDelimited is fasthttp's content length for a body that ends with its connection.
 const closeDelimited = -2
 
-func newResponse(raw *fasthttp.Response, body io.Reader, conn *clientConn, identified bool) *Response {
+func newResponse(raw *fasthttp.Response, body io.Reader, conn *clientConn, x *Exchange, identified bool) *Response {
 	res := &Response{
 		Status: raw.StatusCode(), Header: &raw.Header, Reused: conn.carried > 1, Identified: identified, First: conn.isFirst(),
-		raw: raw, body: body, conn: conn,
+		raw: raw, conn: conn,
 	}
 	res.CloseDelimited = raw.Header.ContentLength() == closeDelimited && body != nil
-	res.Body = &bodyReader{res}
-	if res.CloseDelimited {
-		res.Body = &closeDelimitedReader{src: res.Body}
+	switch {
+	case res.CloseDelimited:
+		res.body = &closeDelimitedReader{src: &untilCloseReader{body, res}}
+	case body != nil:
+		isStream := bytes.HasPrefix(raw.Header.ContentType(), []byte("text/event-stream"))
+		res.body = &ownBodyReader{src: body, conn: conn, readID: x.ReadID, isStream: isStream}
 	}
+	res.Body = &bodyReader{res}
 	return res
 }
 
@@ -73,15 +78,27 @@
 	}
 	n, err := r.response.body.Read(p)
 	r.response.bodyBytes += int64(n)
-	if err == io.EOF && r.response.CloseDelimited {
-		err = r.response.written.end()
-	}
 	if err == io.EOF {
 		r.response.complete = true
 	}
 	return n, err
 }
 
+// untilCloseReader reads a body to the end of its connection.
+type untilCloseReader struct {
+	src      io.Reader
+	response *Response
+}
+
+// Read implements io.Reader. Errors: *UnwrittenRequestError, those of the connection.
+func (r *untilCloseReader) Read(p []byte) (int, error) {
+	n, err := r.src.Read(p)
+	if err == io.EOF {
+		err = r.response.written.end()
+	}
+	return n, err
+}
+
 // AbortAfter makes reads of the body fail once the time has passed. stop must be called before Release.
 func (res *Response) AbortAfter(d time.Duration) (stop func()) {
 	fired := make(chan struct{})
