Readers of answers: an object without a length, and a rank's state with more behind it, are refused

Every place that reads answers goes through httpclient, or through net/http between our own processes.

Two took what they should not, on the code before: GetObject gave the part of an object that came without a length and was cut off as the whole of it (objects are encoded fields, of which a beginning may decode), and a rank's state was read up to its first document, whatever followed. Answers to orders are their status; their body decides nothing.

--- a/internal/node/rank/rank.go
+++ b/internal/node/rank/rank.go
@@ -8,7 +8,6 @@
 package rank
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -96,7 +95,7 @@
 	if err != nil {
 		return s, err
 	}
-	if err := json.NewDecoder(bytes.NewReader(body)).Decode(&s); err != nil {
+	if err := json.Unmarshal(body, &s); err != nil {
 		return s, fmt.Errorf("decode state of engine's rank: %w", err)
 	}
 	return s, nil
--- a/internal/state/platform/http.go
+++ b/internal/state/platform/http.go
@@ -66,6 +66,12 @@
 // Error implements error.
 func (e *BusyError) Error() string { return fmt.Sprintf("%d calls are running", e.Calls) }
 
+// UnframedError reports an object without a length, of which nothing tells whether it is whole.
+type UnframedError struct{ Name string }
+
+// Error implements error.
+func (e *UnframedError) Error() string { return fmt.Sprintf("object %s came without a length", e.Name) }
+
 // SizeError reports a response that is longer than any valid one.
 type SizeError struct{ Limit int }
 
@@ -75,6 +81,8 @@
 type response struct {
 	status int
 	body   []byte
+	// unframed is set if only the close of the connection ended the body.
+	unframed bool
 }
 
 func (h *HTTP) do(ctx context.Context, method, path string, body []byte) (response, error) {
@@ -112,7 +120,7 @@
 	if err != nil {
 		return response{}, err
 	}
-	out := response{status: res.Status}
+	out := response{status: res.Status, unframed: res.CloseDelimited}
 	out.body, err = io.ReadAll(io.LimitReader(res.Body, maxResponseBody+1))
 	if err == nil && len(out.body) > maxResponseBody {
 		err = &SizeError{maxResponseBody}
@@ -216,10 +224,12 @@
 	if err != nil {
 		return nil, &UnavailableError{"get object", err}
 	}
-	switch r.status {
-	case http.StatusOK:
+	switch {
+	case r.status == http.StatusOK && r.unframed:
+		return nil, &UnavailableError{"get object", &UnframedError{name}}
+	case r.status == http.StatusOK:
 		return r.body, nil
-	case http.StatusNotFound:
+	case r.status == http.StatusNotFound:
 		return nil, &NotFoundError{name}
 	}
 	return nil, &UnavailableError{"get object", &StatusError{r.status, string(r.body)}}
