Soak: upstreams that break their answers; refusals by slots are counted

Stand-ins put a blank into a name of a header, or cut an answer in its header or body and go on with the answer before (spoil.Breaking), at a share of the requests at which nothing else is drawn and from a generator of their own, so that a seed keeps its other faults.

A body about HTTP waits for what may follow it only if the header of a response is whole in it or begins at its end. What fasthttp still refuses in a header of sound lines is counted as well.

--- a/internal/base/httpclient/header.go
+++ b/internal/base/httpclient/header.go
@@ -25,10 +25,10 @@
 	}
 	left := c.reader.Buffered() - len(header)
 	if err := h.Read(c.reader); err != nil {
-		return err
+		return malformed(DefectHeader, []byte(err.Error()))
 	}
 	if c.reader.Buffered() != left {
-		return malformed(DefectHeaderEnd, nil)
+		return malformed(DefectHeader, nil)
 	}
 	return nil
 }
--- a/internal/base/httpclient/malformed.go
+++ b/internal/base/httpclient/malformed.go
@@ -17,7 +17,8 @@
 	DefectRepeated   Defect = "repeated field"
 	DefectFraming    Defect = "framing"
 	DefectJoined     Defect = "joined headers"
-	DefectHeaderEnd  Defect = "header end"
+	// DefectHeader is one that fasthttp finds in a header of sound lines.
+	DefectHeader     Defect = "header"
 	DefectHeaderSize Defect = "header size"
 	DefectChunks     Defect = "chunks"
 	DefectTrailer    Defect = "trailer"
--- a/internal/base/httpclient/ownbody.go
+++ b/internal/base/httpclient/ownbody.go
@@ -26,7 +26,7 @@
 	nothing suspicion = iota
 	// statusText: a line with the form of a status line.
 	statusText
-	// headerText: such a line, and then lines with the form of a header.
+	// headerText: the whole header of a response.
 	headerText
 )
 
@@ -132,7 +132,6 @@
 		if !beginsFields(fields) {
 			return ownText
 		}
-		r.found = headerText
 		return undecidedUpTo(maxHeldBytes, text)
 	}
 	header := text[:end+len(sectionEnd)]
@@ -189,7 +188,7 @@
 	}
 	wait := arrivedWait
 	if r.found == headerText || len(tail) >= len(statusLinePrefix) {
-		wait = restWait
+		wait = restWait // the response has begun, so that its rest must follow
 	}
 	rest := r.conn.peekWithin(wait)
 	if len(rest) == 0 {
--- a/internal/base/httpclient/spoiled_test.go
+++ b/internal/base/httpclient/spoiled_test.go
@@ -142,7 +142,15 @@
 
 // Guards against any bytes of a connection that are taken for the answer to a request that they do not answer.
 func TestOnlyTheAnswerIsTakenForIt(t *testing.T) {
-	kinds := slices.Concat(spoil.After, spoil.Before, spoil.Endless)
+	checkSpoiled(t, slices.Concat(spoil.After, spoil.Before, spoil.Endless))
+}
+
+// Guards against an answer that is broken, or cut off and continued by another one, and taken for the answer.
+func TestBrokenAnswerIsNotTakenForIt(t *testing.T) {
+	checkSpoiled(t, spoil.Breaking)
+}
+
+func checkSpoiled(t *testing.T, kinds []spoil.Kind) {
 	for seed := range uint64(spoiledSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
--- a/internal/node/slot/metrics.go
+++ b/internal/node/slot/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
 )
 
 // slotMetrics holds the metrics of one slot; see docs/OPERATIONS.md.
@@ -39,6 +40,9 @@
 		code = string(failure.CodeOf(err))
 	}
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_slot_attempts_total{code=%q}", code)).Inc()
+	if defect := httpclient.DefectOf(err); defect != "" {
+		m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_slot_malformed_responses_total{defect=%q}", defect)).Inc()
+	}
 }
 
 // Metrics returns the slot's metrics.
--- a/internal/testing/spoil/spoil.go
+++ b/internal/testing/spoil/spoil.go
@@ -3,6 +3,7 @@
 package spoil
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -42,6 +43,16 @@
 	ForeignLong Kind = "long response to another request"
 )
 
+// Kinds that break an answer.
+const (
+	// BrokenName puts a line into the answer's head whose name has a blank.
+	BrokenName Kind = "blank in a name"
+	// HeadRunsOn cuts the answer in its head and sends the answer before it on the connection.
+	HeadRunsOn Kind = "cut in its head, runs on in another answer"
+	// BodyRunsOn cuts the answer in its body and sends the answer before it on the connection.
+	BodyRunsOn Kind = "cut in its body, runs on in another answer"
+)
+
 // Kinds in place of an answer, without an end until the connection is closed.
 const (
 	HeadLine         Kind = "head of one line"
@@ -76,12 +87,13 @@
 // ByDrops reports whether the peer sends the bytes of the kind one by one.
 func (k Kind) ByDrops() bool { return strings.HasSuffix(string(k), "by drops") }
 
-// After, Before, Crossed and Endless list all kinds.
+// After, Before, Breaking, Crossed and Endless list all kinds.
 var (
-	After   = []Kind{CopyAtOnce, CopyWhileIdle, CopyLate, CopySplit, CopiesLate, CopyCut}
-	Before  = []Kind{Foreign, ForeignTwo, ForeignLong}
-	Crossed = []Kind{CrossedRefusal, CrossedRefusalBare, CrossedRefusalLater}
-	Endless = []Kind{
+	After    = []Kind{CopyAtOnce, CopyWhileIdle, CopyLate, CopySplit, CopiesLate, CopyCut}
+	Before   = []Kind{Foreign, ForeignTwo, ForeignLong}
+	Breaking = []Kind{BrokenName, HeadRunsOn, BodyRunsOn}
+	Crossed  = []Kind{CrossedRefusal, CrossedRefusalBare, CrossedRefusalLater}
+	Endless  = []Kind{
 		HeadLine, HeadLines, Interim, ForeignBody, ForeignChunks, Chunks, Length, UntilClose, Extension,
 		HeadLineDrops, InterimDrops, ForeignBodyDrops, ChunksDrops, LengthDrops, Event, EventDrops,
 	}
@@ -108,6 +120,8 @@
 	// idHeader is the name of the header field with the id of a request.
 	idHeader string
 	played   map[Kind]int
+	// breaks draws the requests whose answers are broken; nil for none.
+	breaks *rand.Rand
 	// refusals are the latest refusals that were sent, for Crossed; the last one is the newest.
 	refusals []refusal
 	// inherited is the refusal of an earlier script that is sent in their place; empty for none.
@@ -136,6 +150,13 @@
 	s.queue = append(s.queue, kinds...)
 }
 
+// AlsoBreak breaks an answer at a share of the requests at which no other kind is drawn, drawn from rng.
+func (s *Script) AlsoBreak(rng *rand.Rand) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.breaks = rng
+}
+
 // OnlyAfter plays kinds after an answer only if its status is the given one.
 func (s *Script) OnlyAfter(status int) {
 	s.mu.Lock()
@@ -176,10 +197,15 @@
 		s.queue = s.queue[1:]
 		return first
 	}
-	if s.share == 0 || s.rng.Float64() >= s.share {
+	switch {
+	case s.share == 0:
 		return ""
+	case s.rng.Float64() < s.share:
+		return s.kinds[s.rng.IntN(len(s.kinds))]
+	case s.breaks != nil && s.breaks.Float64() < s.share:
+		return Breaking[s.breaks.IntN(len(Breaking))]
 	}
-	return s.kinds[s.rng.IntN(len(s.kinds))]
+	return ""
 }
 
 func (s *Script) intN(n int) int {
@@ -191,6 +217,16 @@
 	return s.rng.IntN(n)
 }
 
+// breakAt returns where an answer is cut, of n places.
+func (s *Script) breakAt(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.breaks == nil {
+		return n / 2
+	}
+	return s.breaks.IntN(n)
+}
+
 func (s *Script) count(k Kind) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -264,6 +300,8 @@
 	sent   strings.Builder
 	// requests is the number of requests that have arrived.
 	requests int
+	// previous is the latest whole answer.
+	previous string
 }
 
 // Session returns the session of a connection; nil if the script is nil.
@@ -332,16 +370,48 @@
 
 // Write records and sends a part of the answer.
 func (s *Session) Write(p []byte) (int, error) {
+	if slices.Contains(Breaking, s.kind) && s.sent.Len() == 0 {
+		return s.writeBroken(p)
+	}
 	s.sent.Write(p)
 	return s.conn.Write(p)
 }
 
+// BrokenOffError reports that the answer was broken off.
+type BrokenOffError struct{}
+
+// Error implements error.
+func (*BrokenOffError) Error() string { return "answer broken off" }
+
+// writeBroken breaks the first part of an answer.
+func (s *Session) writeBroken(p []byte) (int, error) {
+	head := bytes.Index(p, []byte("\r\n\r\n"))
+	if head < 0 || s.kind != BrokenName && s.previous == "" {
+		s.kind = "" // there is nothing to break, or no answer to run on in
+		return s.Write(p)
+	}
+	kind := s.kind
+	s.script.count(kind)
+	s.sent.Write(p)
+	cut := s.script.breakAt(head)
+	switch kind {
+	case BrokenName:
+		_, err := fmt.Fprintf(s.conn, "%s\r\nX Y: v%s", p[:head], p[head:])
+		return len(p), err
+	case BodyRunsOn:
+		cut = head + len("\r\n\r\n") + s.script.breakAt(len(p)-head-len("\r\n\r\n")+1)
+	}
+	_, _ = fmt.Fprintf(s.conn, "%s%s", p[:cut], s.previous)
+	return 0, &BrokenOffError{}
+}
+
 // Answered plays what comes after the answer.
 func (s *Session) Answered() {
 	if s == nil {
 		return
 	}
 	answer := s.sent.String()
+	s.previous = answer
 	s.script.keepRefusal(s, answer)
 	if answer == "" || !s.script.playsAfter(answer) {
 		return
