--- a/internal/base/httpclient/brokenupload_test.go
+++ b/internal/base/httpclient/brokenupload_test.go
@@ -1,7 +1,6 @@
 package httpclient_test
 
 import (
-	"bufio"
 	"errors"
 	"io"
 	"net"
@@ -11,6 +10,7 @@
 	"time"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/rawpeer"
 )
 
 const (
@@ -25,25 +25,10 @@
 // startEarlyPeer reads the header of one request, sends the text and lets end decide how the connection goes on.
 func startEarlyPeer(t *testing.T, text string, end func(c *net.TCPConn, request *http.Request)) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = c.Close() }()
-		req, err := http.ReadRequest(bufio.NewReader(c))
-		if err != nil {
-			return
-		}
+	return rawpeer.Serve(t, func(c *net.TCPConn, _ net.Listener, req *http.Request) {
 		_, _ = io.WriteString(c, strings.ReplaceAll(text, "ID", req.Header.Get(idHeader)))
-		end(c.(*net.TCPConn), req)
-	}()
-	return l.Addr().String()
+		end(c, req)
+	})
 }
 
 // upload sends a long request, waits for the pause after the header of the response, and reads its body.
--- a/internal/base/httpclient/ownbody.go
+++ b/internal/base/httpclient/ownbody.go
@@ -63,8 +63,12 @@
 			return 0, r.err
 		}
 		n, err := r.src.Read(p)
-		if err == nil && len(r.held) == 0 && statusLineStart(p[:n]) == n {
-			return n, nil
+		if len(r.held) == 0 && statusLineStart(p[:n]) == n {
+			if err == io.EOF {
+				err = r.end(nil)
+			}
+			r.err = err
+			return n, err
 		}
 		r.held = append(r.held, p[:n]...)
 		r.clear(err)
--- a/internal/testing/rawpeer/rawpeer.go
+++ b/internal/testing/rawpeer/rawpeer.go
@@ -19,6 +19,18 @@
 
 // ServeOnce reads one request, sends the response and closes the connection. It returns its address.
 func ServeOnce(t testing.TB, response Response) string {
+	t.Helper()
+	return Serve(t, func(c *net.TCPConn, l net.Listener, _ *http.Request) {
+		if response.Crash {
+			_ = l.Close()
+		}
+		_, _ = io.WriteString(c, response.Text)
+	})
+}
+
+// Serve reads the header of one request, calls respond with its connection and the listener, and closes the connection. It returns its
+// address.
+func Serve(t testing.TB, respond func(c *net.TCPConn, l net.Listener, request *http.Request)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -31,13 +43,11 @@
 			return
 		}
 		defer func() { _ = c.Close() }()
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
 			return
 		}
-		if response.Crash {
-			_ = l.Close()
-		}
-		_, _ = io.WriteString(c, response.Text)
+		respond(c.(*net.TCPConn), l, req)
 	}()
 	return l.Addr().String()
 }
