--- a/internal/base/httpclient/client.go
+++ b/internal/base/httpclient/client.go
@@ -9,7 +9,8 @@
 //
 // A connection is used again only after a response that bore its id, was read to its end, was trusted by the user of this
 // package and left no byte over. A request without an id has a connection of its own, unless Options.UnidentifiedFor is set.
-// What is not the answer is skipped within bounds of bytes and time. fasthttp writes the requests and parses the responses.
+// What is not the answer is skipped within bounds of bytes and time. fasthttp writes the requests and parses the headers of responses, once
+// their raw bytes were found to be well-formed.
 package httpclient
 
 import (
--- a/internal/base/httpclient/closedelimited.go
+++ b/internal/base/httpclient/closedelimited.go
@@ -30,6 +30,21 @@
 	maxStatusLineBytes = len(statusLinePrefix) + 5 + 64 + 2
 )
 
+// untilCloseReader reads a body to the end of its connection.
+type untilCloseReader struct {
+	src      io.Reader
+	response *Response
+}
+
+// Read implements io.Reader. Errors: *UnwrittenRequestError, those of the connection.
+func (r *untilCloseReader) Read(p []byte) (int, error) {
+	n, err := r.src.Read(p)
+	if err == io.EOF {
+		err = r.response.written.bodyEnd()
+	}
+	return n, err
+}
+
 // closeDelimitedReader reads a body that ends with its connection. It fails with *SecondResponseError where another response
 // begins.
 type closeDelimitedReader struct {
--- a/internal/base/httpclient/response.go
+++ b/internal/base/httpclient/response.go
@@ -84,21 +84,6 @@
 	return n, err
 }
 
-// untilCloseReader reads a body to the end of its connection.
-type untilCloseReader struct {
-	src      io.Reader
-	response *Response
-}
-
-// Read implements io.Reader. Errors: *UnwrittenRequestError, those of the connection.
-func (r *untilCloseReader) Read(p []byte) (int, error) {
-	n, err := r.src.Read(p)
-	if err == io.EOF {
-		err = r.response.written.end()
-	}
-	return n, err
-}
-
 // AbortAfter makes reads of the body fail once the time has passed. stop must be called before Release.
 func (res *Response) AbortAfter(d time.Duration) (stop func()) {
 	fired := make(chan struct{})
