Answers: the reader of a body to the close keeps the end of what it read, not a copy of each read

The reader that looks for a second response in a body without a length copied each piece that it read, and kept a buffer of the largest one for as long as the body lasted. It searches the piece where it is and keeps at most the length of a status line.

--- a/internal/base/httpclient/closedelimited.go
+++ b/internal/base/httpclient/closedelimited.go
@@ -50,30 +50,33 @@
 // begins.
 type closeDelimitedReader struct {
 	src io.Reader
-	// recent holds the last bytes that were read, in which a status line may have begun.
+	// recent holds the last bytes that were read, at most maxStatusLineBytes, in which a status line may have begun.
 	recent []byte
 }
 
 // Read implements io.Reader. Errors: *SecondResponseError, those of src.
 func (r *closeDelimitedReader) Read(p []byte) (int, error) {
 	n, err := r.src.Read(p)
-	r.recent = append(r.recent, p[:n]...)
-	if at := secondResponse(r.recent, err == io.EOF); at >= 0 {
-		return max(0, at-(len(r.recent)-n)), &SecondResponseError{}
+	across := append(r.recent, p[:min(n, maxStatusLineBytes)]...)
+	if at := statusLine.FindIndex(across); at != nil {
+		return max(0, at[0]-len(r.recent)), &SecondResponseError{}
+	}
+	if at := statusLine.FindIndex(p[:n]); at != nil {
+		return at[0], &SecondResponseError{}
+	}
+	r.keep(p[:n])
+	if err == io.EOF && endsInStatusLine(r.recent) {
+		begun := len(r.recent) - bytes.LastIndex(r.recent, []byte(statusLinePrefix))
+		return max(0, n-begun), &SecondResponseError{}
 	}
-	r.recent = append(r.recent[:0], r.recent[max(0, len(r.recent)-maxStatusLineBytes):]...)
 	return n, err
 }
 
-// secondResponse returns where another response begins in a part of a body, -1 if none does. isEnd is set if the body ends there.
-func secondResponse(part []byte, isEnd bool) int {
-	if at := statusLine.FindIndex(part); at != nil {
-		return at[0]
-	}
-	if isEnd && endsInStatusLine(part) {
-		return bytes.LastIndex(part, []byte(statusLinePrefix))
-	}
-	return -1
+// keep adds the end of a part of the body to the recent bytes.
+func (r *closeDelimitedReader) keep(part []byte) {
+	part = part[max(0, len(part)-maxStatusLineBytes):]
+	r.recent = append(r.recent, part...)
+	r.recent = append(r.recent[:0], r.recent[max(0, len(r.recent)-maxStatusLineBytes):]...)
 }
 
 // endsInStatusLine reports whether b ends with the beginning of a status line, as a second response that was cut off leaves it.
