--- a/internal/base/httpclient/brokenheader_test.go
+++ b/internal/base/httpclient/brokenheader_test.go
@@ -37,7 +37,7 @@
 	return map[string]string{
 		"blank in a name":                      field("X Y: v\r\n"),
 		"blank in a name that frames":          okLine + ownID + "Content- Length: 3\r\n" + lengthOne + bodyA,
-		"blank in a name that decides":         field("Response- Seal: other\r\n"),
+		"blank in a name that decides":         field("X- Seal: other\r\n"),
 		"blank before the colon":               okLine + ownID + "Content-Length : 1\r\n" + bodyA,
 		"blank before the colon of an id":      field("X-Request : other\r\n"),
 		"tab in a name":                        field("X\tY: v\r\n"),
--- a/internal/base/httpclient/closedelimited.go
+++ b/internal/base/httpclient/closedelimited.go
@@ -10,15 +10,15 @@
 	"unicode/utf8"
 )
 
-// SecondResponseError reports that a body that ends with its connection contains the start of another response.
+// SecondResponseError reports that a body contains another response, or the beginning of one.
 //
-// A peer or a link that sends a response twice is otherwise noticed by the bytes after the body. Such a body has no end
-// before that of its connection, so the other response would be taken for a part of it.
+// A peer or a link that sends a response twice is otherwise noticed by the bytes after the body. A body that ends with its connection
+// has no end before that, and one that was cut off is filled up, so that the other response would be taken for a part of it.
 type SecondResponseError struct{}
 
 // Error implements error.
 func (*SecondResponseError) Error() string {
-	return "body without a length contains another response"
+	return "body contains another response"
 }
 
 // statusLine matches the status line of a response. Text in JSON or in an event has no carriage return.
