Answers: a body that holds the header of a response is asked for again, if the request may be repeated

Cause: by its bytes such a body cannot be told from one that is about HTTP, so it counted as the upstream's own.

Change: the response is kept, and another upstream asked once; if that has no answer, or its body is like that too, the body counts as the upstream's own. Services whose bodies are often about HTTP are not asked twice (completeness.Habit).

--- a/internal/base/httpclient/response.go
+++ b/internal/base/httpclient/response.go
@@ -84,6 +84,13 @@
 	return n, err
 }
 
+// HoldsHeader reports whether the part of the body that was read contains the whole header of a response: the text of the body
+// itself, or another response by which a body that was cut off is filled up exactly.
+func (res *Response) HoldsHeader() bool {
+	own, ok := res.body.(*ownBodyReader)
+	return ok && own.found == headerText
+}
+
 // AbortAfter makes reads of the body fail once the time has passed. stop must be called before Release.
 func (res *Response) AbortAfter(d time.Duration) (stop func()) {
 	fired := make(chan struct{})
--- a/internal/node/gateway/plain.go
+++ b/internal/node/gateway/plain.go
@@ -57,10 +57,14 @@
 	}
 	n.service.longBodies.Record(false)
 	contentType := string(res.Header.ContentType())
+	holdsHeader := res.HoldsHeader()
 	res.Release(true)
 	if err := n.checkEnd(ctx, t, p, contentType); err != nil {
 		return err
 	}
+	if err := n.checkHeldHeader(t.Upstream().ID, p, holdsHeader); err != nil {
+		return err
+	}
 	n.recordFirstPiece()
 	if res.Status >= fasthttp.StatusInternalServerError {
 		n.bufferedFailure = p
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -414,11 +414,12 @@
 	var moved *MovedError
 	var long *LongBodyError
 	var unproven *UnprovenEndError
+	var heldHeader *HeldHeaderError
 	var partRefused *PartRefusedError
 	switch {
 	case err == nil || errors.As(err, &unproven):
 		return dispatch.OutcomeOK
-	case errors.As(err, &closed) || errors.As(err, &moved) || errors.As(err, &long) || errors.As(err, &partRefused) || isUnwritten(err) || ctx.Err() != nil:
+	case errors.As(err, &closed) || errors.As(err, &moved) || errors.As(err, &long) || errors.As(err, &heldHeader) || errors.As(err, &partRefused) || isUnwritten(err) || ctx.Err() != nil:
 		return dispatch.OutcomeNone
 	case errors.As(err, &refused) && refused.Proof == notrun.OtherInstance:
 		return dispatch.OutcomeReplaced
--- a/internal/node/gateway/services.go
+++ b/internal/node/gateway/services.go
@@ -25,7 +25,7 @@
 			rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 			s = &service{
 				gate: dispatch.NewGate(dispatch.NewPool(dispatch.Options{}, rng)), budget: retry.NewSharedBudget(),
-				habit: &completeness.Habit{}, longBodies: &completeness.Habit{}, gaps: &completeness.Habit{},
+				habit: &completeness.Habit{}, longBodies: &completeness.Habit{}, heldHeaders: &completeness.Habit{}, gaps: &completeness.Habit{},
 			}
 			s.grants = newRetryGrants(g, name, s.budget)
 			g.watchGroup(s, c)
--- a/internal/node/gateway/view.go
+++ b/internal/node/gateway/view.go
@@ -39,6 +39,8 @@
 	habit *completeness.Habit
 	// longBodies records which of the service's complete bodies were too long to be buffered.
 	longBodies *completeness.Habit
+	// heldHeaders records which of the service's bodies contained the whole header of a response.
+	heldHeaders *completeness.Habit
 	// gaps records which of the service's streams have ids that are not consecutive.
 	gaps *completeness.Habit
 	// runTimes is how long the service's requests run, by whether they may run again.
