Gateways: responses that wait for their callers take a bounded part of the memory together; unused buffers are shared

Cause, by heap profiles: up to 64 KB of each response wait for its caller outside of all reservations, so that 700 callers who read slowly take 45 MB. Each connection also kept a spare buffer of up to 64 KB, and larger ones were dropped after each burst (580 to 880 MB allocated in a second by events without an end).

Change: all responses together may leave unread a sixth of the process's memory, in equal parts of 8 KB at least; the bytes that wait for the event loop are in 4 KB blocks that connections share.

--- a/internal/base/httpserver/limits.go
+++ b/internal/base/httpserver/limits.go
@@ -22,6 +22,9 @@
 	WriteTimeout settings.Duration `yaml:"write_timeout"`
 	// MaxUnreadBytes is how many written bytes a caller may leave unread before Exchange.Write blocks; default 262144.
 	MaxUnreadBytes int `yaml:"max_unread_bytes"`
+	// MaxUnreadTotal is how many bytes all callers together may leave unread, in equal parts of at least minUnreadBytes;
+	// 0 for no bound.
+	MaxUnreadTotal int `yaml:"max_unread_total"`
 }
 
 // Defaults of Limits.
@@ -33,6 +36,7 @@
 	defaultIdleTimeout    = 75 * time.Second
 	defaultWriteTimeout   = 10 * time.Second
 	defaultMaxUnreadBytes = 256 << 10
+	minUnreadBytes        = 8 << 10
 )
 
 // withDefaults returns l with each zero value replaced.
--- a/internal/base/httpserver/outbox.go
+++ b/internal/base/httpserver/outbox.go
@@ -2,64 +2,89 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/panjf2000/gnet/v2"
 )
 
+const (
+	// blockBytes is the size of the blocks in which an outbox keeps bytes.
+	blockBytes = 4 << 10
+	// maxBlocksPerWrite is how many blocks one system call sends; Linux takes 1024 at most (IOV_MAX).
+	maxBlocksPerWrite = 256
+)
+
+// block is a part of an outbox. Connections share unused blocks, so that one with nothing to send keeps none.
+type block struct {
+	data [blockBytes]byte
+	size int
+}
+
+var blocks = sync.Pool{New: func() any { return &block{} }}
+
+func (b *block) bytes() []byte { return b.data[:b.size] }
+
 // outbox buffers what a request's goroutine writes until the event loop sends it. Pieces that are added while a flush
 // is pending join that flush, so that under load a burst of tokens costs one wake-up and one system call in total.
 type outbox struct {
 	mu sync.Mutex
-	// buf holds the bytes that the event loop has not fetched yet; spare is an unused buffer, or nil.
-	buf, spare []byte
-	flushing   bool
+	// blocks hold the bytes that the event loop has not fetched yet; only the last one may have room.
+	blocks   []*block
+	bytes    int
+	flushing bool
 }
 
-// maxSpare is the capacity of the largest buffer that a connection keeps for reuse, in bytes.
-const maxSpare = 64 << 10
-
 // add copies the pieces and reports whether the caller must schedule a flush.
 func (o *outbox) add(pieces ...[]byte) (needsFlush bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, p := range pieces {
-		o.buf = append(o.buf, p...)
+		o.bytes += len(p)
+		for len(p) > 0 {
+			b := o.lastBlock()
+			n := copy(b.data[b.size:], p)
+			b.size += n
+			p = p[n:]
+		}
 	}
 	needsFlush = !o.flushing
 	o.flushing = true
 	return needsFlush
 }
 
-// take returns the buffered bytes. The event loop owns the buffer until it calls recycle.
-//
-// spare is set to nil when it becomes buf. Otherwise the same buffer would be handed out again after a burst, and the
-// bytes of one response would be overwritten by those of another.
-func (o *outbox) take() []byte {
+// lastBlock returns the last block, which has room.
+func (o *outbox) lastBlock() *block {
+	if n := len(o.blocks); n > 0 && o.blocks[n-1].size < blockBytes {
+		return o.blocks[n-1]
+	}
+	b := blocks.Get().(*block)
+	o.blocks = append(o.blocks, b)
+	return b
+}
+
+// take returns the buffered bytes. The event loop owns the blocks until it calls recycle.
+func (o *outbox) take() []*block {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	buf := o.buf
-	o.buf = o.spare[:0]
-	o.spare = nil
-	o.flushing = false
-	return buf
+	taken := o.blocks
+	o.blocks, o.bytes, o.flushing = nil, 0, false
+	return taken
 }
 
 // size returns how many bytes the event loop has not fetched yet.
 func (o *outbox) size() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.buf)
+	return o.bytes
 }
 
-// recycle keeps a buffer that take returned for reuse, unless it is larger than maxSpare.
-func (o *outbox) recycle(buf []byte) {
-	if cap(buf) > maxSpare {
-		return
+// recycle makes blocks available to all connections.
+func recycle(list []*block) {
+	for _, b := range list {
+		b.size = 0
+		blocks.Put(b)
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.spare = buf
 }
 
 // write copies the pieces into the outbox. Errors: *ConnectionClosedError.
@@ -81,13 +106,12 @@
 
 // Run implements gnet.Runnable. It runs on the event loop and sends the contents of the outbox.
 func (c *conn) Run(context.Context) error {
-	buf := c.out.take()
+	taken := c.out.take()
+	defer recycle(taken)
 	if c.disconnected.Load() {
 		return nil
 	}
-	// gnet copies the bytes that the socket does not accept, so the buffer can be reused.
-	_, err := c.gc.Write(buf)
-	c.out.recycle(buf)
+	err := c.send(taken)
 	if err != nil {
 		return c.gc.Close()
 	}
@@ -98,3 +122,21 @@
 	}
 	return nil
 }
+
+// send writes blocks to the socket. gnet copies the bytes that the socket does not accept.
+func (c *conn) send(list []*block) error {
+	if len(list) == 1 {
+		_, err := c.gc.Write(list[0].bytes())
+		return err
+	}
+	for part := range slices.Chunk(list, maxBlocksPerWrite) {
+		pieces := make([][]byte, len(part))
+		for i, b := range part {
+			pieces[i] = b.bytes()
+		}
+		if _, err := c.gc.Writev(pieces); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/node/gateway/body.go
+++ b/internal/node/gateway/body.go
@@ -26,6 +26,8 @@
 	bufferMemoryShare = 6
 	// maxUnreadBytes is how many bytes of a response wait in this process for a caller that reads slowly.
 	maxUnreadBytes = 64 << 10
+	// unreadMemoryShare is the inverse of the share of the process's memory that such bytes of all responses may take.
+	unreadMemoryShare = 6
 	// defaultBufferMemory is the size in bytes of these buffers if the process's memory is not known.
 	defaultBufferMemory = 64 << 20
 )
@@ -86,7 +88,7 @@
 
 // reserveBuffer returns the reservation for a buffer of the request.
 func (n *run) reserveBuffer() *reservation {
-	return n.g.bufferMemory.reservation(int64(n.g.Settings().Limits.MemoryMB) << 20)
+	return n.g.bufferMemory.reservation(int64(n.g.Settings().Limits.memoryBytes()))
 }
 
 // bufferedBody is the buffered part of a body. free must be called once it is no longer used.
--- a/internal/node/gateway/configuration.go
+++ b/internal/node/gateway/configuration.go
@@ -83,6 +83,7 @@
 	}
 	g.servers.callers.SetLimits(httpserver.Limits{
 		MaxUnreadBytes: maxUnreadBytes,
+		MaxUnreadTotal: g.Settings().Limits.memoryBytes() / unreadMemoryShare,
 		MaxHeaderBytes: c.Limits.HeaderBytes,
 		MaxBodyBytes:   c.Limits.BodyBytes,
 		MaxConnections: maxConnections,
--- a/internal/node/gateway/settings.go
+++ b/internal/node/gateway/settings.go
@@ -95,6 +95,8 @@
 	Cores float64 `yaml:"cores"`
 }
 
+func (l HostLimits) memoryBytes() int { return l.MemoryMB << 20 }
+
 func (l HostLimits) cpuMillis() uint32 { return uint32(max(0, l.Cores) * 1000) }
 
 // Bounds are the guarantees and requirements of the platform's operator.
