Gateways: a long body that does not go on keeps 4 KB for its next read, not 16

By a heap profile of TestStalledLongBytesAtOnceTakeBoundedMemory/body that failed with 64 MB (load 47 on 8 cores): 700 bodies that stand still keep 9.7 MB for their next reads, second only to what waits for callers.

--- a/internal/node/gateway/plain.go
+++ b/internal/node/gateway/plain.go
@@ -105,7 +105,7 @@
 // relayRest relays a response that is too long to be buffered.
 func (n *run) relayRest(ctx context.Context, t *dispatch.Ticket, res *httpclient.Response, p *plainResponse) error {
 	err := n.startRest(ctx, p)
-	buf := make([]byte, relayPieceBytes)
+	buf := make([]byte, minRelayBytes)
 	for err == nil {
 		var size int
 		size, err = res.Body.Read(buf)
@@ -114,6 +114,7 @@
 				err = werr
 			}
 		}
+		buf = relayBuffer(buf, size)
 	}
 	res.Release(err == io.EOF)
 	if err != io.EOF {
@@ -142,8 +143,24 @@
 	return n.writePieces(ctx, body)
 }
 
-// relayPieceBytes is the size of one write to the caller: only between writes does the gateway wait for a caller that reads slowly.
-const relayPieceBytes = 16 << 10
+const (
+	// relayPieceBytes is the maximum size of one write to the caller: only between writes does the gateway wait for a caller that reads
+	// slowly.
+	relayPieceBytes = 16 << 10
+	// minRelayBytes is the size of the buffer of a body that arrives slowly, or not at all.
+	minRelayBytes = 4 << 10
+)
+
+// relayBuffer returns the buffer for the next read of a body, given the last one and how much was read into it.
+func relayBuffer(last []byte, read int) []byte {
+	switch {
+	case read == len(last) && len(last) < relayPieceBytes:
+		return make([]byte, 2*len(last))
+	case read < minRelayBytes && len(last) > minRelayBytes:
+		return make([]byte, minRelayBytes)
+	}
+	return last
+}
 
 func (n *run) writePieces(ctx context.Context, body []byte) error {
 	for piece := range slices.Chunk(body, relayPieceBytes) {
