--- a/internal/node/gateway/plain.go
+++ b/internal/node/gateway/plain.go
@@ -156,7 +156,7 @@
 	switch {
 	case read == len(last) && len(last) < relayPieceBytes:
 		return make([]byte, 2*len(last))
-	case read < minRelayBytes && len(last) > minRelayBytes:
+	case read <= len(last)/2 && len(last) > minRelayBytes:
 		return make([]byte, minRelayBytes)
 	}
 	return last
