Gateways: a response that is kept while another upstream is asked keeps the reservation for its body

What callers would see: a gateway that is killed for its memory, with all its answers.

Cause: a failure of an upstream, a response with an unproven end and one whose body holds a header are kept until another upstream has answered. Their reservation ended as soon as they were kept, so that what is kept was counted nowhere.

--- a/internal/node/gateway/body.go
+++ b/internal/node/gateway/body.go
@@ -81,9 +81,16 @@
 	return true
 }
 
-func (r *reservation) free() {
-	r.memory.used.Add(-r.bytes)
-	r.bytes = 0
+func (r *reservation) free() { r.shrink(0) }
+
+// shrink reduces the reservation to a buffer that does not grow any more, given its size in bytes.
+func (r *reservation) shrink(size int) {
+	less := r.bytes - int64(size)
+	if less <= 0 {
+		return
+	}
+	r.memory.used.Add(-less)
+	r.bytes -= less
 }
 
 // reserveBuffer returns the reservation for a buffer of the request.
@@ -91,12 +98,12 @@
 	return n.g.bufferMemory.reservation(int64(n.g.Settings().Limits.memoryBytes()))
 }
 
-// bufferedBody is the buffered part of a body. free must be called once it is no longer used.
+// bufferedBody is the buffered part of a body. Its memory must be freed once it is no longer used.
 type bufferedBody struct {
 	bytes []byte
 	// whole is set if this is the complete body.
-	whole bool
-	free  func()
+	whole  bool
+	memory *reservation
 }
 
 // readBody reads a body to its end, or the part of it that is buffered. While the request may go elsewhere, the body may take half of
@@ -126,7 +133,7 @@
 		}
 		whole, err = fill(&buffer, res.Body, size)
 	}
-	return bufferedBody{bytes: buffer.Bytes(), whole: whole, free: memory.free}, err
+	return bufferedBody{bytes: buffer.Bytes(), whole: whole, memory: memory}, err
 }
 
 // fill reads a body until the buffer has one byte more than size, and reports whether the body ended before.
--- a/internal/node/gateway/closedelimited.go
+++ b/internal/node/gateway/closedelimited.go
@@ -48,7 +48,7 @@
 	if !n.mayConfirm() {
 		return nil
 	}
-	n.unproven = p
+	n.keep(&n.unproven, p)
 	return &UnprovenEndError{u.ID}
 }
 
--- a/internal/node/gateway/heldheader.go
+++ b/internal/node/gateway/heldheader.go
@@ -27,6 +27,6 @@
 	if !holdsHeader || usual || n.unproven != nil || !n.r.route.Repeatable() || p.status >= fasthttp.StatusInternalServerError {
 		return nil
 	}
-	n.unproven = p
+	n.keep(&n.unproven, p)
 	return &HeldHeaderError{u}
 }
--- a/internal/node/gateway/plain.go
+++ b/internal/node/gateway/plain.go
@@ -18,6 +18,8 @@
 	status  int
 	headers []httpserver.Header
 	body    []byte
+	// memory is the reservation for the body.
+	memory *reservation
 	// endUnproven is set if only the close of the upstream's connection tells that the body is complete.
 	endUnproven bool
 }
@@ -40,7 +42,8 @@
 		return &ResponseError{t.Upstream().ID, res.Status, reason}
 	}
 	body, err := n.readBody(res)
-	defer body.free()
+	p := &plainResponse{res.Status, responseHeaders(res.Header), body.bytes, body.memory, res.CloseDelimited}
+	defer n.freeUnlessKept(p)
 	if err != nil {
 		res.Release(false)
 		return &httpclient.BrokenError{Address: t.Upstream().Address, Stage: "read body from", Cause: err}
@@ -50,7 +53,6 @@
 		return &LongBodyError{t.Upstream().ID}
 	}
 	n.service.gate.Responded(t)
-	p := &plainResponse{res.Status, responseHeaders(res.Header), body.bytes, res.CloseDelimited}
 	if !body.whole {
 		n.recordFirstPiece()
 		return n.relayRest(ctx, t, res, p)
@@ -67,7 +69,7 @@
 	}
 	n.recordFirstPiece()
 	if res.Status >= fasthttp.StatusInternalServerError {
-		n.bufferedFailure = p
+		n.keep(&n.bufferedFailure, p)
 		return &FailedError{t.Upstream().ID, res.Status}
 	}
 	return p.respond(ctx, n)
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -93,6 +93,7 @@
 	defer n.endTrial()
 	n.service.budget.RecordFirst(n.r.arrived)
 	defer n.returnToken()
+	defer n.freeKept()
 	attemptCtx := ctx
 	var last error
 	for {
