--- a/internal/experts/lockstep/controller.go
+++ b/internal/experts/lockstep/controller.go
@@ -19,8 +19,8 @@
 	// pollInterval is the interval at which a switch checks whether the ranks have prepared its map, in case they do
 	// not report it in the reply to the order. Each check is a call to each rank.
 	pollInterval = 150 * time.Millisecond
-	// readyPollInterval is that interval while a switch is likely to go on with the next reports, about the length of a pass.
-	readyPollInterval = 50 * time.Millisecond
+	// loadPollInterval is that interval while ranks load a map whose experts they have.
+	loadPollInterval = 50 * time.Millisecond
 	// retryTick is the interval at which a switch checks for orders to send again.
 	retryTick = 5 * time.Millisecond
 	// prepareSlack is added to the time that copies take to get the deadline at which a switch is aborted.
@@ -73,6 +73,8 @@
 	// OnSwitched is called after each switch with the skews before and after it and the number of copies; it may be
 	// nil.
 	OnSwitched func(before, after float64, copies int)
+	// OnPostponed is called when a switch begins to wait for the group to begin passes; it may be nil.
+	OnPostponed func()
 	// HoldLead returns how many passes ahead a switch holds the group, 0 for the default; it may be nil.
 	HoldLead func() uint64
 	// OnHold is called by a switch each HoldNoticeInterval while it holds a group, first before the order to hold is
@@ -99,7 +101,11 @@
 	version   uint64
 	// switchPass is the pass of the last switch.
 	switchPass uint64
-	// passes chooses the passes of this leader's switches in this epoch, loadedAt is when it had its first map loaded.
+	// postponed is set while a switch waits for the group to begin passes.
+	postponed  bool
+	loadFailed bool
+	// passes chooses the passes of this leader's switches in this epoch, loadedAt is when it last had ranks load its first
+	// map; loadFailed is set if they did not.
 	passes          HeldPasses
 	loadedAt        time.Time
 	fence           ids.Fence
@@ -170,7 +176,7 @@
 	if !c.loadPlacement(ctx, snap) {
 		return 2 * shortInterval
 	}
-	if !c.passes.Loaded() {
+	if !c.passes.Loaded() && !snap.anyArmed() {
 		c.loadMap(ctx, snap)
 	}
 	c.readCounts(ctx, snap)
@@ -218,6 +224,11 @@
 	pass      uint64
 }
 
+// anyArmed reports whether a rank is armed. It refuses other maps until its pass has begun.
+func (s *snapshot) anyArmed() bool {
+	return slices.ContainsFunc(s.reports, func(r Report) bool { return r.Armed != nil })
+}
+
 // startTimes returns the start times of the ranks, by rank.
 func (s *snapshot) startTimes() []int64 {
 	out := make([]int64, len(s.reports))
@@ -299,11 +310,28 @@
 	task.Placement, task.LoadOnly, task.PrepareBy = c.placement, true, now.Add(prepareSlack)
 	sw := NewSwitch(task)
 	c.runSwitch(ctx, s, sw, sw.Start(now))
-	_ = level.Info(c.o.Logger).Log("msg", "map loaded", "reason", "the leader's first one in the epoch", "version", task.Version, "epoch", task.Epoch,
-		"loaded", c.passes.Loaded(), "begun", sw.begunPass, "took", time.Since(now))
+	failed := !c.passes.Loaded()
+	if !failed || !c.loadFailed { // a failure is logged once, not at each check
+		_ = level.Info(c.o.Logger).Log("msg", "map loaded", "reason", "the leader's first one in the epoch", "version", task.Version, "epoch", task.Epoch,
+			"loaded", !failed, "end", sw.State(), "begun", sw.begunPass, "took", time.Since(now))
+	}
+	c.loadFailed = failed
 	c.loadedAt = now
 }
 
+// postpone records that a switch waits for the group to begin passes, once for each wait.
+func (c *Controller) postpone(s *snapshot) {
+	if c.postponed {
+		return
+	}
+	c.postponed = true
+	_ = level.Info(c.o.Logger).Log("msg", "map switch postponed", "reason", "no pass may be held yet", "version", c.version, "epoch", s.epoch,
+		"begun", s.pass, "first", c.passes.first(), "loaded", c.passes.Loaded())
+	if c.o.OnPostponed != nil {
+		c.o.OnPostponed()
+	}
+}
+
 // improve switches to a better placement if there is one. It reports whether the group should be checked again soon:
 // because an order to hold it was sent more than once and a late copy could hold it again, or because the leader's first
 // switch must wait for a few passes.
@@ -322,9 +350,10 @@
 	}
 	now := time.Now()
 	if !c.passes.Available(s.pass) {
-		_ = level.Debug(c.o.Logger).Log("msg", "map kept", "reason", "no pass may be held yet", "version", c.version, "pass", s.pass)
+		c.postpone(s)
 		return c.passes.Loaded() && now.Sub(c.loadedAt) < recentlyFormed
 	}
+	c.postponed = false
 	task := c.newTask(s)
 	task.Placement = plan.Placement
 	task.CopyTime = plan.CopyTime(s.group.experts().CopyTime)
--- a/internal/experts/lockstep/heldpasses.go
+++ b/internal/experts/lockstep/heldpasses.go
@@ -11,13 +11,15 @@
 // If a later switch held that pass, the group could begin it while only some ranks are armed. In an idle group no pass
 // begins, so the number of the last one does not keep the passes of two switches apart.
 //
-// The leader's passes are beyond those of all leaders with lower fencing tokens. Once all ranks have loaded a map of this
-// leader, they refuse the maps of these leaders, so each of them has chosen its passes from reports of an earlier time, at
-// most maxAhead passes ahead.
+// The leader's passes are beyond those of all leaders with lower fencing tokens, and of earlier controllers under its own. Once
+// all ranks have loaded a map of this leader, they refuse the lower versions of these. So each of them has chosen its passes from
+// reports in which every rank had not loaded that map yet, at most maxAhead passes ahead; however old reports are, each rank's
+// is from before its load. A zero value in place of one that has chosen passes is safe for the same reason.
 type HeldPasses struct {
-	// loaded is set once all ranks have loaded a map of this leader, at a time when pass loadedAt had begun.
-	loaded   bool
-	loadedAt uint64
+	// loaded is set once all ranks have loaded a map of this leader. By then, no pass after begunAtLoad had begun when a leader
+	// before it read the reports by which it chose.
+	loaded      bool
+	begunAtLoad uint64
 	// last is the last pass chosen, 0 if there is none.
 	last uint64
 }
@@ -25,7 +27,7 @@
 // Load records that all ranks have loaded a map of the leader, according to reports by which pass begun was the last one.
 func (p *HeldPasses) Load(begun uint64) {
 	if !p.loaded {
-		p.loaded, p.loadedAt = true, begun
+		p.loaded, p.begunAtLoad = true, begun
 	}
 }
 
@@ -37,7 +39,7 @@
 func (p *HeldPasses) Available(begun uint64) bool { return p.loaded && p.first() <= begun+maxAhead }
 
 // first returns the first pass that no switch has held.
-func (p *HeldPasses) first() uint64 { return max(p.last, p.loadedAt+maxAhead) + 1 }
+func (p *HeldPasses) first() uint64 { return max(p.last, p.begunAtLoad+maxAhead) + 1 }
 
 // Choose returns the pass that a switch is to hold, which is wanted if possible, given the last one that has begun. It
 // returns false if none is available.
--- a/internal/experts/lockstep/restart_test.go
+++ b/internal/experts/lockstep/restart_test.go
@@ -13,7 +13,7 @@
 	return Task{
 		Epoch: 1, Ranks: 2, StartTimes: []int64{2, 3}, Version: 10, Fallback: 11, PrepareBy: now.Add(time.Hour),
 		Placement: Placement{{{0}, {1}}}, Current: Placement{{{1}, {0}}},
-		Passes: &HeldPasses{loaded: true, loadedAt: 0, last: 1},
+		Passes: &HeldPasses{loaded: true, last: 1},
 	}
 }
 
--- a/internal/experts/lockstep/runswitch.go
+++ b/internal/experts/lockstep/runswitch.go
@@ -122,8 +122,8 @@
 }
 
 func (p *reportPoller) interval() time.Duration {
-	if p.sw.ReadySoon() {
-		return readyPollInterval
+	if p.sw.task.LoadOnly {
+		return loadPollInterval
 	}
 	return pollInterval
 }
--- a/internal/experts/lockstep/switch.go
+++ b/internal/experts/lockstep/switch.go
@@ -113,8 +113,6 @@
 	holdsSent int
 	// armed are the versions, by rank, that ranks may be armed for at the pass and that are to be disarmed.
 	armed map[int]uint64
-	// awaitsPass is set while the group must begin another pass before a pass can be chosen.
-	awaitsPass bool
 	// reportsDue is set if the next step depends on a rank's state.
 	reportsDue bool
 	// begunPass is the last pass that has begun by the reports, latestPass the one that is expected to have begun by
@@ -189,10 +187,9 @@
 	s.due = map[int]time.Time{}
 }
 
-// choosePass chooses the pass to hold, which is the given one if possible. It returns false if there is none yet.
+// choosePass chooses the pass to hold, which is the given one if possible. It returns false if there is none.
 func (s *Switch) choosePass(wanted uint64) bool {
 	pass, ok := s.task.Passes.Choose(s.begunPass, wanted)
-	s.awaitsPass = !ok
 	if ok {
 		s.pass = pass
 	}
--- a/internal/experts/lockstep/switchreports.go
+++ b/internal/experts/lockstep/switchreports.go
@@ -26,10 +26,6 @@
 	return due
 }
 
-// ReadySoon reports whether the switch is likely to go on with the next reports: it waits for the group to begin another pass,
-// or for ranks to load a map whose experts they have.
-func (s *Switch) ReadySoon() bool { return s.awaitsPass || s.task.LoadOnly }
-
 // clearArmed has a rank disarmed that is armed for the pass being cleared. A rank that is armed for a later pass belongs
 // to a later switch. That one may be complete, and then no hold keeps a pass from beginning with only some ranks
 // disarmed.
@@ -75,15 +71,14 @@
 	return s.Tick(now)
 }
 
-// onLoaded continues once all ranks have loaded the map.
+// onLoaded continues once all ranks have loaded the map. It ends the switch if no pass may be held yet.
 func (s *Switch) onLoaded() {
 	s.task.Passes.Load(s.begunPass)
-	switch {
-	case s.task.LoadOnly:
+	if s.task.LoadOnly || !s.choosePass(s.latestPass+s.holdLead()) {
 		s.fire(evLate)
-	case s.choosePass(s.latestPass + s.holdLead()):
-		s.fire(evAllPrepared)
+		return
 	}
+	s.fire(evAllPrepared)
 }
 
 func (s *Switch) observePass(r *Report) {
--- a/internal/node/gateway/experts.go
+++ b/internal/node/gateway/experts.go
@@ -140,6 +140,7 @@
 			e.recordSlowRanks(string(name)+"/"+reports[0].Group, upstreams, reports)
 		},
 		OnStaleFence: func(newer ids.Fence) { e.g.loop.Post(func(time.Time) { e.election.observeNewer(newer) }) },
+		OnPostponed:  func() { e.g.metrics.mapSwitchPostponed(name) },
 		OnSwitched: func(before, after float64, copies int) {
 			e.g.metrics.mapSwitched(name, before, after, copies)
 		},
--- a/internal/node/gateway/metrics.go
+++ b/internal/node/gateway/metrics.go
@@ -236,6 +236,10 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf("cardamomyoke_gateway_first_piece_seconds{service=%q}", service)).Update(seconds)
 }
 
+func (m *gatewayMetrics) mapSwitchPostponed(service ids.Service) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_map_switches_postponed_total{service=%q}", service)).Inc()
+}
+
 func (m *gatewayMetrics) mapSwitched(service ids.Service, before, after float64, copies int) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_map_switches_total{service=%q}", service)).Inc()
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_expert_copies_total{service=%q}", service)).Add(copies)
