Answers: what all callers leave unread is summed, also of responses whose handler has returned

A response whose handler has returned is still in memory, but no longer counted, so that the others' parts grew; and an early caller's part was larger than what was left for later ones.

Change: the server sums what its connections have not sent. A caller with more than 8 KB unread waits while the sum is over the total.

TestUnreadBytesOfClosedConnectionsDoNotCount: the sum is 0 after connections have been closed.

--- a/internal/base/httpserver/conn.go
+++ b/internal/base/httpserver/conn.go
@@ -199,6 +199,7 @@
 	if err == io.EOF { // gnet has dropped its buffer of a broken connection
 		unsent = max(unsent, int64(c.out.size())+c.unread.Load())
 	}
+	c.recordUnread(0)
 	c.disconnected.Store(true)
 	c.cancelRequest(nil)
 	by := c.closedBy(err)
@@ -266,6 +267,7 @@
 // number falls.
 func (c *conn) recordUnread(n int) {
 	previous := c.unread.Swap(int64(n))
+	c.srv.unread.Add(int64(n) - previous)
 	switch {
 	case n == 0:
 		c.unreadSince.Store(0)
--- a/internal/base/httpserver/exchange.go
+++ b/internal/base/httpserver/exchange.go
@@ -119,8 +119,8 @@
 	return x.conn.write(x.header(status, headers, chunked))
 }
 
-// Write sends one piece of a streamed body. It blocks while the caller has more unread than MaxUnreadBytes, or its part of
-// MaxUnreadTotal. The piece may be reused after Write returns. Errors: *ConnectionClosedError.
+// Write sends one piece of a streamed body. It blocks while the caller has more unread than MaxUnreadBytes, and while all
+// callers have more than MaxUnreadTotal and this one more than minUnreadBytes. The piece may be reused after Write returns. Errors: *ConnectionClosedError.
 func (x *Exchange) Write(ctx context.Context, piece []byte) error {
 	if len(piece) == 0 {
 		return nil
@@ -195,20 +195,21 @@
 	}
 }
 
-// maxUnread returns how many bytes one caller may leave unread at present.
-func (s *Server) maxUnread() int64 {
+// mayLeaveUnread reports whether a caller that has not taken own bytes may get more.
+func (s *Server) mayLeaveUnread(own int64) bool {
 	l := s.limits.Load()
-	most := int64(l.MaxUnreadBytes)
-	if l.MaxUnreadTotal <= 0 {
-		return most
+	switch {
+	case own > int64(l.MaxUnreadBytes):
+		return false
+	case own <= minUnreadBytes, l.MaxUnreadTotal <= 0:
+		return true
 	}
-	part := int64(l.MaxUnreadTotal) / max(s.busy.Load(), 1)
-	return min(most, max(part, minUnreadBytes))
+	return s.unread.Load() <= int64(l.MaxUnreadTotal)
 }
 
 func (x *Exchange) waitForReader(ctx context.Context) error {
 	// An upstream may send faster than the event loop fetches what is queued for the socket.
-	for x.conn.unread.Load()+int64(x.conn.out.size()) > x.conn.srv.maxUnread() {
+	for !x.conn.srv.mayLeaveUnread(x.conn.unread.Load() + int64(x.conn.out.size())) {
 		select {
 		case <-ctx.Done():
 			return &ConnectionClosedError{"cancelled while the caller left the response unread"}
--- a/internal/base/httpserver/outbox.go
+++ b/internal/base/httpserver/outbox.go
@@ -94,6 +94,7 @@
 	}
 	for _, p := range pieces {
 		c.answer.wrote(len(p))
+		c.srv.unread.Add(int64(len(p)))
 	}
 	if !c.out.add(pieces...) {
 		return nil
@@ -107,7 +108,7 @@
 // Run implements gnet.Runnable. It runs on the event loop and sends the contents of the outbox.
 func (c *conn) Run(context.Context) error {
 	taken := c.out.take()
-	defer recycle(taken)
+	defer c.fetched(taken)
 	if c.disconnected.Load() {
 		return nil
 	}
@@ -123,6 +124,14 @@
 	return nil
 }
 
+// fetched recycles blocks that the event loop has fetched. What the socket did not accept of them is counted by recordUnread.
+func (c *conn) fetched(list []*block) {
+	for _, b := range list {
+		c.srv.unread.Add(-int64(b.size))
+	}
+	recycle(list)
+}
+
 // send writes blocks to the socket. gnet copies the bytes that the socket does not accept.
 func (c *conn) send(list []*block) error {
 	if len(list) == 1 {
--- a/internal/base/httpserver/outbox_test.go
+++ b/internal/base/httpserver/outbox_test.go
@@ -88,28 +88,40 @@
 	}
 }
 
-// Guards against callers that read slowly and together fill the memory, each with as much as one may leave unread.
-func TestCallersShareUnreadBytes(t *testing.T) {
-	const callers, total, piece = 8, 128 << 10, 4 << 10
-	loopBusy, written := make(chan struct{}), make(chan int, callers)
+const (
+	slowCallers, unreadTotal, unreadPiece = 8, 128 << 10, 4 << 10
+	// mostUnread is what slow callers may leave unread together: the total, and two pieces each, which is minUnreadBytes.
+	mostUnread = unreadTotal + 2*slowCallers*unreadPiece
+)
+
+// acceptedOfSlowCallers starts responses to slowCallers callers and returns how many bytes Write accepts of all of them while the event loop is
+// busy. Responses are written at once, or each after the handler of the one before has returned.
+func acceptedOfSlowCallers(t *testing.T, atOnce bool) int {
+	t.Helper()
+	loopBusy, written := make(chan struct{}), make(chan int, slowCallers)
 	var arrived sync.WaitGroup
-	arrived.Add(callers)
+	arrived.Add(slowCallers)
+	turn := make(chan struct{}, slowCallers)
+	turn <- struct{}{}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	address := l.Addr().String()
 	_ = l.Close()
-	s, err := Start(address, 1, Limits{MaxUnreadBytes: total, MaxUnreadTotal: total}, func(_ context.Context, x *Exchange) {
+	s, err := Start(address, 1, Limits{MaxUnreadBytes: unreadTotal, MaxUnreadTotal: unreadTotal}, func(_ context.Context, x *Exchange) {
 		arrived.Done()
 		arrived.Wait()
 		_ = x.conn.gc.EventLoop().Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error { <-loopBusy; return nil }))
+		if !atOnce {
+			<-turn
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 		defer cancel()
 		_ = x.Stream(http.StatusOK, nil)
 		n := 0
-		for ctx.Err() == nil && x.Write(ctx, make([]byte, piece)) == nil {
-			n += piece
+		for ctx.Err() == nil && x.Write(ctx, make([]byte, unreadPiece)) == nil {
+			n += unreadPiece
 		}
 		written <- n
 	})
@@ -117,7 +129,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = s.Stop(context.Background()) }()
-	for range callers {
+	for range slowCallers {
 		c, err := net.Dial("tcp", address)
 		if err != nil {
 			t.Fatal(err)
@@ -126,11 +138,79 @@
 		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 	}
 	sum := 0
-	for range callers {
+	for i := range slowCallers {
 		sum += <-written
+		if !atOnce {
+			waitForBusy(t, s, slowCallers-1-i)
+			turn <- struct{}{}
+		}
 	}
 	close(loopBusy)
-	if most := total + 2*callers*piece; sum > most {
-		t.Fatalf("%d bytes of all callers were accepted while the event loop was busy, want %d at most", sum, most)
+	waitForUnread(t, s, 0)
+	return sum
+}
+
+func waitForBusy(t *testing.T, s *Server, want int) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); s.Busy() > want; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d requests run, want %d", s.Busy(), want)
+		}
+	}
+}
+
+func waitForUnread(t *testing.T, s *Server, want int64) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); s.unread.Load() != want; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes count as unread, want %d", s.unread.Load(), want)
+		}
+	}
+}
+
+// Guards against callers that read slowly and together fill the memory, each with as much as one may leave unread.
+func TestCallersShareUnreadBytes(t *testing.T) {
+	if sum := acceptedOfSlowCallers(t, true); sum > mostUnread {
+		t.Fatalf("%d bytes of all callers were accepted while the event loop was busy, want %d at most", sum, mostUnread)
+	}
+}
+
+// Guards against the same with callers whose handlers have returned: their responses are still in memory.
+func TestCallersShareUnreadBytesAfterHandlersReturned(t *testing.T) {
+	if sum := acceptedOfSlowCallers(t, false); sum > mostUnread {
+		t.Fatalf("%d bytes of all callers were accepted while the event loop was busy, want %d at most", sum, mostUnread)
+	}
+}
+
+// Guards against bytes that count as unread for ever, so that all callers get their responses in small parts.
+func TestUnreadBytesOfClosedConnectionsDoNotCount(t *testing.T) {
+	started := make(chan struct{}, 1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	s, err := Start(address, 1, Limits{MaxUnreadBytes: 4 << 20, MaxUnreadTotal: 64 << 20}, func(ctx context.Context, x *Exchange) {
+		_ = x.Stream(http.StatusOK, nil)
+		for n := 0; x.Write(ctx, make([]byte, 64<<10)) == nil; n++ {
+			if n == 20 {
+				started <- struct{}{}
+			}
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = s.Stop(context.Background()) }()
+	for range 20 {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		<-started
+		_ = c.Close()
 	}
+	waitForUnread(t, s, 0)
 }
--- a/internal/base/httpserver/server.go
+++ b/internal/base/httpserver/server.go
@@ -36,6 +36,8 @@
 	conns     sync.Map // *conn → struct{}
 	connCount atomic.Int64
 	busy      atomic.Int64
+	// unread is how many written bytes all callers together have not taken.
+	unread atomic.Int64
 	// closing is set once the server drains, stopping once it accepts no connection, cancelling once the contexts of requests are cancelled.
 	closing, stopping, cancelling atomic.Bool
 }
