Store eras: a gateway that starts waits for peers that have not noticed yet that the store came back older

A starting gateway is ready once a gateway that serves has told it what it knows from before the store came back. A digest of the era before counted as that, and a pull from a peer of the era before counted for the rows that this peer kept only afterwards. With logs: in the new era at 44.736 s, ready at 44.835, the lost evacuation pulled from a peer at 44.910; requests went to the evacuated data centre in between.

Change: peers that serve are awaited until they are in the gateway's era, and a pull counts for the era of its response.

--- a/internal/node/gateway/configuration.go
+++ b/internal/node/gateway/configuration.go
@@ -96,7 +96,7 @@
 
 // awaitsPeers reports whether a gateway that has just started, and got the configuration with the revision from the store,
 // should wait for what its peers know from earlier eras of the store: none that serves has been heard yet, or one has a newer
-// configuration in force, or rows that this gateway lacks.
+// configuration in force, or rows that this gateway lacks, or has not noticed yet that the store came back.
 //
 // If the gateway starts after the store came back older, and before operators and upstreams have written the lost rows again,
 // callers would otherwise see an older configuration than was in force, and requests go to upstreams that have left. A store
@@ -109,10 +109,11 @@
 	}
 	serving := 0
 	for _, k := range p.live(now) {
-		if ids.Revision(k.digest.GetRevision()) > revision || p.lacksEarlierRows(k) {
+		serves := k.digest.GetRevision() > 0
+		if ids.Revision(k.digest.GetRevision()) > revision || p.lacksEarlierRows(k) || serves && inEarlierEra(k.digest, at.Era) {
 			return true
 		}
-		if k.digest.GetRevision() > 0 {
+		if serves {
 			serving++
 		}
 	}
--- a/internal/node/gateway/earlierrows.go
+++ b/internal/node/gateway/earlierrows.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	cardamomyokev1 "github.com/cardamomyoke/cardamomyoke/internal/gen/cardamomyoke/v1"
@@ -47,11 +48,11 @@
 	return true
 }
 
-// recordPulled records that a peer has sent a table, with the rows of earlier eras that this gateway did not have.
-func (p *peers) recordPulled(table string) {
+// recordPulled records that a peer has sent a table of an era, with the rows of earlier eras that this gateway did not have.
+func (p *peers) recordPulled(table string, era uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.pulled[table] = true
+	p.pulledEra[table] = max(p.pulledEra[table], era)
 }
 
 // lacksEarlierRows reports whether a peer announces rows of earlier eras of a table that no peer has sent yet.
@@ -59,13 +60,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, n := range k.digest.GetNews() {
-		if n.GetEarlier() != 0 && !p.pulled[n.GetTable()] {
+		if n.GetEarlier() != 0 && p.pulledEra[n.GetTable()] < n.GetEra() {
 			return true
 		}
 	}
 	return false
 }
 
+// inEarlierEra reports whether a peer announces a table of an era before the given one.
+func inEarlierEra(d *cardamomyokev1.Digest, era uint64) bool {
+	return slices.ContainsFunc(d.GetNews(), func(n *cardamomyokev1.TableNews) bool { return n.GetEra() < era })
+}
+
 func encodeEarlierRows(rows []replica.EarlierRow) []*cardamomyokev1.EarlierRow {
 	out := make([]*cardamomyokev1.EarlierRow, 0, len(rows))
 	for _, e := range rows {
--- a/internal/node/gateway/era_test.go
+++ b/internal/node/gateway/era_test.go
@@ -68,10 +68,12 @@
 // has heard from a peer what was in force.
 func TestStartingGatewayAwaitsPeers(t *testing.T) {
 	news := []*cardamomyokev1.TableNews{{Table: "op", Newest: 20, Era: 3}}
+	before := []*cardamomyokev1.TableNews{{Table: "op", Newest: 90, Era: 2}}
 	withEarlier := []*cardamomyokev1.TableNews{{Table: "op", Newest: 20, Era: 3, Earlier: 7}}
 	tests := map[string]struct {
 		era    uint64
 		uptime time.Duration
+		pulled uint64 // the era of the table that a peer has sent, 0 if none has
 		digest *cardamomyokev1.Digest
 		want   bool
 	}{
@@ -84,6 +86,10 @@
 		"a peer with a newer one":                  {era: 3, uptime: joinPeriod, digest: &cardamomyokev1.Digest{News: news, Revision: 70}, want: true},
 		"a peer with a newer one, for too long":    {era: 3, uptime: maxPeersWait, digest: &cardamomyokev1.Digest{News: news, Revision: 70}, want: false},
 		"a peer with rows that this gateway lacks": {era: 3, digest: &cardamomyokev1.Digest{News: withEarlier, Revision: 64}, want: true},
+		"these rows have been sent":                {era: 3, pulled: 3, digest: &cardamomyokev1.Digest{News: withEarlier, Revision: 64}, want: false},
+		"sent before that peer had them":           {era: 3, pulled: 2, digest: &cardamomyokev1.Digest{News: withEarlier, Revision: 64}, want: true},
+		"a peer of the era before":                 {era: 3, uptime: joinPeriod, digest: &cardamomyokev1.Digest{News: before, Revision: 64}, want: true},
+		"a peer of the era before, for too long":   {era: 3, uptime: maxPeersWait, digest: &cardamomyokev1.Digest{News: before, Revision: 64}, want: false},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -95,6 +101,7 @@
 			p.g.settings.Store(&set)
 			now := time.Now()
 			p.startedAt = now.Add(-tc.uptime)
+			p.recordPulled("op", tc.pulled)
 			if tc.digest != nil {
 				p.byName["other"] = &peer{digest: tc.digest, lastSeen: now}
 			}
--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -109,8 +109,8 @@
 	followersSeenAt map[string]time.Time
 	// delegates holds the tables of which this gateway leaves calls of the store to others.
 	delegates map[string]bool
-	// pulled holds the tables that a peer has sent since the start.
-	pulled map[string]bool
+	// pulledEra is the latest era of which a peer has sent a table since the start, by table.
+	pulledEra map[string]uint64
 	// earlierPulledAt is when rows of earlier eras were last pulled, by table.
 	earlierPulledAt map[string]time.Time
 
@@ -134,7 +134,7 @@
 
 		followersSeenAt: map[string]time.Time{},
 		delegates:       map[string]bool{},
-		pulled:          map[string]bool{},
+		pulledEra:       map[string]uint64{},
 		earlierPulledAt: map[string]time.Time{},
 		detector:        newDetector(),
 		failures:        logging.NewRateLimited(level.Warn(g.logger), maxSendFailureLogs, time.Now),
--- a/internal/node/gateway/peers_test.go
+++ b/internal/node/gateway/peers_test.go
@@ -158,7 +158,7 @@
 	g.settings.Store(&Settings{Name: "own", DataCentre: "near"})
 	return &peers{
 		g: g, ctx: t.Context(), http: http.DefaultClient, byName: map[string]*peer{}, pulling: map[string]bool{}, lags: map[string]lag{},
-		detector: newDetector(), followersSeenAt: map[string]time.Time{}, earlierPulledAt: map[string]time.Time{}, pulled: map[string]bool{},
+		detector: newDetector(), followersSeenAt: map[string]time.Time{}, earlierPulledAt: map[string]time.Time{}, pulledEra: map[string]uint64{},
 	}, f
 }
 
--- a/internal/node/gateway/pull.go
+++ b/internal/node/gateway/pull.go
@@ -183,7 +183,7 @@
 		return
 	}
 	changed := f.Replica.Merge(deltaOf(res))
-	p.recordPulled(f.Replica.Name())
+	p.recordPulled(f.Replica.Name(), res.GetEra())
 	_ = level.Info(p.g.logger).Log("msg", "pulled", "table", f.Replica.Name(), "peer", source.GetNode(), "after", after,
 		"version", deltaOf(res).To, "rows", len(res.GetRows()), "earlier_rows", len(res.GetEarlier()), "changed", changed)
 	if changed {
