Store eras: that an upstream had restarted before the store came back older is passed on to gateways that start

The store came back 2.9 s older and showed the entry of the upstream's earlier incarnation. Gateways that ran before kept the later one from memory, but not the row that named it, so two that started then took the upstream for warm (trace in docs/incidents/older-store.md).

Change: a row of an earlier era with a later incarnation than the store shows counts until something is written to the entry, or 2 s and three heartbeats after the return, and is passed on as such rows are.

Result: TestRestartBeforeStoreCameBackOlder failed before: the row was settled and the earlier incarnation used.

--- a/internal/state/registry/earlier.go
+++ b/internal/state/registry/earlier.go
@@ -42,12 +42,17 @@
 	draining map[ids.UpstreamIncarnation]bool
 	// missing holds the upstreams whose entries the store has lost, by key.
 	missing map[string]*catalog.Upstream
+	// restarted holds the upstreams of later incarnations than the ones whose entries the store shows, by key.
+	restarted map[string]*catalog.Upstream
 	// kinds holds what was found about each key.
 	kinds map[string]Kind
 }
 
 // apply returns the upstream of the entry with the key as it counts, or nil if it must not be used.
 func (k *earlierFacts) apply(key string, up *catalog.Upstream) *catalog.Upstream {
+	if later := k.restarted[key]; later != nil {
+		up = later
+	}
 	switch {
 	case up == nil || k.left[key]:
 		return nil
@@ -64,10 +69,12 @@
 // An upstream that left before the store came back older stays left until it writes another entry; the entry that the store
 // shows is from before. One that had been removed as silent may be alive, and does not write an entry that looks current: if
 // it were not alive, the platform would remove its entry again within some heartbeats. An upstream whose entry is missing is
-// used until it must have written it again.
+// used until it must have written it again. One whose entry is shown as it was before a restart counts as restarted, also for a
+// gateway that starts later and takes it for warm.
 func (r *Registry) readEarlier(t Table) (k earlierFacts, settled []replica.EarlierRow) {
 	k = earlierFacts{
-		left: map[string]bool{}, draining: map[ids.UpstreamIncarnation]bool{}, missing: map[string]*catalog.Upstream{}, kinds: map[string]Kind{},
+		left: map[string]bool{}, draining: map[ids.UpstreamIncarnation]bool{}, missing: map[string]*catalog.Upstream{},
+		restarted: map[string]*catalog.Upstream{}, kinds: map[string]Kind{},
 	}
 	slices.SortFunc(t.Earlier, func(a, b replica.EarlierRow) int { return a.Position().Compare(b.Position()) })
 	for _, row := range t.Earlier {
@@ -105,7 +112,7 @@
 	case shown == nil:
 		return k.addMissing(r, row, t.EraAge)
 	}
-	return k.addDraining(r, row, shown)
+	return k.addRestarted(r, row, t) || k.addDraining(r, row, shown)
 }
 
 func (k *earlierFacts) addMissing(r *Registry, row replica.EarlierRow, age time.Duration) bool {
@@ -120,6 +127,23 @@
 	return true
 }
 
+func (k *earlierFacts) addRestarted(r *Registry, row replica.EarlierRow, t Table) bool {
+	at := slices.IndexFunc(t.Rows, func(shown platform.Row) bool { return shown.Key == row.Key })
+	if at < 0 || t.EraAge >= HoldTime(t.Heartbeat) {
+		return false
+	}
+	before, err := r.decode(t.Rows[at])
+	if err != nil {
+		return false
+	}
+	up, err := r.decode(row.Row)
+	if err != nil || up.StartedAtMS <= before.StartedAtMS {
+		return false
+	}
+	k.restarted[row.Key], k.kinds[row.Key] = up, RestartedBefore
+	return true
+}
+
 func (k *earlierFacts) addDraining(r *Registry, row replica.EarlierRow, shown *entry) bool {
 	up, err := r.decode(row.Row)
 	if err != nil || shown.up == nil || up.State != catalog.StateDraining || shown.up.State == catalog.StateDraining {
--- a/internal/state/registry/earlier_test.go
+++ b/internal/state/registry/earlier_test.go
@@ -83,6 +83,41 @@
 	}
 }
 
+// Guards against a gateway that starts after the store came back older and takes an upstream for its earlier incarnation, which the
+// store shows again, and so for a warm one.
+func TestRestartBeforeStoreCameBackOlder(t *testing.T) {
+	tests := map[string]struct {
+		lost         catalog.State
+		writtenSince bool
+		age          time.Duration
+		want         int64
+		settled      int
+	}{
+		"the later one counts":              {lost: catalog.StateReady, age: 4 * heartbeat, want: 9},
+		"the later one drained":             {lost: catalog.StateDraining, want: 9},
+		"an entry was written since":        {lost: catalog.StateReady, writtenSince: true, want: 7, settled: 1},
+		"still shown after some heartbeats": {lost: catalog.StateReady, age: 2*time.Second + 3*heartbeat, want: 7, settled: 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := &returned{table: newTable()}
+			r.put("u", newUpstream("10.0.0.1:1", 9, tc.lost))
+			r.lose("u", false, platform.Position{})
+			r.earlier[0].Unwritten = !tc.writtenSince
+			r.rows = nil
+			r.put("u", newUpstream("10.0.0.1:1", 7, catalog.StateReady))
+			list, found, settled := registry.New(r.decode).UpdateTable(registry.Table{Rows: r.rows, Earlier: r.earlier, EraAge: tc.age, Heartbeat: heartbeat}, services)
+			got := list.All()
+			if len(got) != 1 || got[0].StartedAtMS != tc.want || len(settled) != tc.settled {
+				t.Fatalf("%d rows settled, upstreams %v", len(settled), got)
+			}
+			if tc.want == 9 && (got[0].State != tc.lost || len(found) != 1 || found[0].Kind != registry.RestartedBefore) {
+				t.Fatalf("state %v, findings %v", got[0].State, found)
+			}
+		})
+	}
+}
+
 // Guards against an upstream without requests: another one had its address before, and the entry of that one, which the store
 // only shows again, counts as the later one.
 func TestOwnerOfAddressAfterStoreCameBackOlder(t *testing.T) {
--- a/internal/state/registry/finding.go
+++ b/internal/state/registry/finding.go
@@ -20,6 +20,8 @@
 	RemovedBefore Kind = "entry was removed before the store came back older"
 	// DrainingBefore upstreams had reported that they drain before the store came back older and showed them as ready.
 	DrainingBefore Kind = "upstream drained before the store came back older"
+	// RestartedBefore upstreams had a later incarnation before the store came back older and showed an earlier one.
+	RestartedBefore Kind = "upstream restarted before the store came back older"
 	// MissingSince registry entries are missing since the store came back older; their upstreams are used for a short time.
 	MissingSince Kind = "entry is missing since the store came back older"
 )
