--- a/internal/base/httpserver/exchange.go
+++ b/internal/base/httpserver/exchange.go
@@ -119,8 +119,8 @@
 	return x.conn.write(x.header(status, headers, chunked))
 }
 
-// Write sends one piece of a streamed body. It blocks while the caller has more unread than MaxUnreadBytes, and while all
-// callers have more than MaxUnreadTotal and this one more than minUnreadBytes. The piece may be reused after Write returns. Errors: *ConnectionClosedError.
+// Write sends one piece of a streamed body. It blocks while the caller has more unread than MaxUnreadBytes or its part of
+// MaxUnreadTotal, and while all callers together have more than that; never for minUnreadBytes. The piece may be reused after Write returns. Errors: *ConnectionClosedError.
 func (x *Exchange) Write(ctx context.Context, piece []byte) error {
 	if len(piece) == 0 {
 		return nil
@@ -204,7 +204,8 @@
 	case own <= minUnreadBytes, l.MaxUnreadTotal <= 0:
 		return true
 	}
-	return s.unread.Load() <= int64(l.MaxUnreadTotal)
+	total := int64(l.MaxUnreadTotal)
+	return own <= total/max(s.busy.Load(), 1) && s.unread.Load() <= total
 }
 
 func (x *Exchange) waitForReader(ctx context.Context) error {
--- a/internal/base/httpserver/limits.go
+++ b/internal/base/httpserver/limits.go
@@ -22,7 +22,7 @@
 	WriteTimeout settings.Duration `yaml:"write_timeout"`
 	// MaxUnreadBytes is how many written bytes a caller may leave unread before Exchange.Write blocks; default 262144.
 	MaxUnreadBytes int `yaml:"max_unread_bytes"`
-	// MaxUnreadTotal is how many bytes all callers together may leave unread, besides minUnreadBytes for each;
+	// MaxUnreadTotal is how many bytes all callers together may leave unread, in equal parts, besides minUnreadBytes for each;
 	// 0 for no bound.
 	MaxUnreadTotal int `yaml:"max_unread_total"`
 }
