--- a/internal/base/httpserver/exchange.go
+++ b/internal/base/httpserver/exchange.go
@@ -120,7 +120,8 @@
 }
 
 // Write sends one piece of a streamed body. It blocks while the caller has more unread than MaxUnreadBytes or its part of
-// MaxUnreadTotal, and while all callers together have more than that; never for minUnreadBytes. The piece may be reused after Write returns. Errors: *ConnectionClosedError.
+// MaxUnreadTotal, and while all callers together have more than that; never for minUnreadBytes. The piece may be reused
+// after Write returns. Errors: *ConnectionClosedError.
 func (x *Exchange) Write(ctx context.Context, piece []byte) error {
 	if len(piece) == 0 {
 		return nil
