Expert maps: a wait for passes is logged and counted anew for each leader and epoch

Whether a wait had been logged was remembered beyond the leader and the epoch to which it belonged, so that a wait of the next one left no line and no count.

Change: what is remembered of passes is forgotten together.

--- a/internal/experts/lockstep/controller.go
+++ b/internal/experts/lockstep/controller.go
@@ -101,15 +101,13 @@
 	version   uint64
 	// switchPass is the pass of the last switch.
 	switchPass uint64
-	// postponed is set while a switch waits for the group to begin passes.
-	postponed  bool
-	loadFailed bool
 	// passes chooses the passes of this leader's switches in this epoch, loadedAt is when it last had ranks load its first
-	// map; loadFailed is set if they did not.
-	passes          HeldPasses
-	loadedAt        time.Time
-	fence           ids.Fence
-	unfinishedSince time.Time
+	// map; loadFailed is set if they did not, and postponed while a switch waits for the group to begin passes.
+	passes                HeldPasses
+	loadedAt              time.Time
+	loadFailed, postponed bool
+	fence                 ids.Fence
+	unfinishedSince       time.Time
 	// holdNoticedAt is when OnHold was last called for the current hold; zero if none is outstanding.
 	holdNoticedAt time.Time
 	wasComplete   bool
@@ -157,7 +155,8 @@
 	}
 	if fence != c.fence {
 		c.reset()
-		c.fence, c.passes = fence, HeldPasses{}
+		c.fence = fence
+		c.forgetPasses()
 	}
 	snap := c.readGroup(ctx, group)
 	if snap == nil {
@@ -272,7 +271,7 @@
 		// The estimated demand is retained: it does not change when the group forms again, and the first map is not
 		// based on it.
 		c.epoch, c.startTimes, c.formedAt = s.epoch, started, time.Now()
-		c.passes = HeldPasses{}
+		c.forgetPasses()
 		c.reset()
 	}
 	return s
@@ -302,6 +301,11 @@
 	return out
 }
 
+// forgetPasses forgets the passes of the leader before, or of the epoch before, and what was logged of them.
+func (c *Controller) forgetPasses() {
+	c.passes, c.loadFailed, c.postponed = HeldPasses{}, false, false
+}
+
 // loadMap has all ranks load the map in use under a version of this leader, so that its passes are known to be beyond
 // those of earlier leaders by the time of its first switch. See HeldPasses.
 func (c *Controller) loadMap(ctx context.Context, s *snapshot) {
--- a/internal/experts/lockstep/controller_test.go
+++ b/internal/experts/lockstep/controller_test.go
@@ -17,12 +17,12 @@
 func startController(t *testing.T, client lockstep.RankClient, list []*catalog.Upstream, minCounts float64) (stop func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
-	go newController(client, list, minCounts, func() ids.Fence { return 7 }).Run(ctx)
+	go lockstep.NewController(controllerOptions(client, list, minCounts, func() ids.Fence { return 7 })).Run(ctx)
 	return cancel
 }
 
-func newController(client lockstep.RankClient, list []*catalog.Upstream, minCounts float64, fence func() ids.Fence) *lockstep.Controller {
-	return lockstep.NewController(lockstep.ControllerOptions{
+func controllerOptions(client lockstep.RankClient, list []*catalog.Upstream, minCounts float64, fence func() ids.Fence) lockstep.ControllerOptions {
+	return lockstep.ControllerOptions{
 		RankClient: client, Logger: log.NewNopLogger(), Serials: lockstep.NewSerials(),
 		Group: func() *lockstep.Group {
 			return &lockstep.Group{Name: "a", Upstreams: list, Engine: &catalog.Engine{Experts: &catalog.Experts{Sets: 1, PerSet: 4, MaxPerRank: 4, Spare: 2}}}
@@ -30,5 +30,5 @@
 		Fence:  fence,
 		Period: 500 * time.Millisecond, HalfLife: 500 * time.Millisecond, Sample: 2, SampleLocal: 2,
 		Policy: lockstep.Options{MinGain: 0.01, MinCounts: minCounts},
-	})
+	}
 }
--- a/internal/experts/lockstep/heldpasses.go
+++ b/internal/experts/lockstep/heldpasses.go
@@ -12,9 +12,10 @@
 // begins, so the number of the last one does not keep the passes of two switches apart.
 //
 // The leader's passes are beyond those of all leaders with lower fencing tokens, and of earlier controllers under its own. Once
-// all ranks have loaded a map of this leader, they refuse the lower versions of these. So each of them has chosen its passes from
-// reports in which every rank had not loaded that map yet, at most maxAhead passes ahead; however old reports are, each rank's
-// is from before its load. A zero value in place of one that has chosen passes is safe for the same reason.
+// all ranks have loaded a map of this leader, they refuse the lower versions of these, and a switch of theirs that reads a report
+// of the newer version ends before it chooses a pass. So each of them has chosen its passes from reports in which no rank had
+// loaded that map yet, at most maxAhead passes ahead; however old reports are, each rank's is from before its load. A zero value
+// in place of one that has chosen passes is safe for the same reason.
 type HeldPasses struct {
 	// loaded is set once all ranks have loaded a map of this leader. By then, no pass after begunAtLoad had begun when a leader
 	// before it read the reports by which it chose.
--- a/internal/experts/lockstep/heldpasses_test.go
+++ b/internal/experts/lockstep/heldpasses_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 )
 
 // Guards against two switches of an epoch that hold the same pass: of one leader in an idle group, of one leader after another,
@@ -38,7 +39,7 @@
 	t.Helper()
 	pass, ok := p.Choose(begun, begun+1+rng.Uint64N(4))
 	switch {
-	case ok != p.Available(begun) && !ok:
+	case !ok && p.Available(begun):
 		t.Fatal("a pass was available and none was chosen")
 	case !ok:
 		return 0
@@ -69,3 +70,26 @@
 		}
 	}
 }
+
+// Guards against a pass that a leader names by a report from after all ranks have loaded the next leader's map, and that the next
+// leader may name as well.
+func TestStalledLeaderNamesNoPassAfterNextLeadersMap(t *testing.T) {
+	now := time.Unix(0, 0)
+	task := restartedTask(now)
+	sw := NewSwitch(task)
+	acknowledgeAll(t, sw, now, sw.Start(now), string(statePreparing))
+	orders := sw.OnReports(now, preparedReports(2, 3))
+	if len(orders) != 1 || orders[0].Op != OpHold {
+		t.Fatalf("orders %v", orders)
+	}
+	named := task.Passes.last
+	later := preparedReports(2, 3)
+	for _, r := range later {
+		r.Prepared, r.Pass = task.Fallback+1, 100
+	}
+	sw.OnReports(now, later)
+	sw.OnReply(now, orders[0], ReplyRefused)
+	if task.Passes.last != named {
+		t.Fatalf("in state %s, pass %d was named after %d", sw.State(), task.Passes.last, named)
+	}
+}
