Broken-off answers are counted by how their attempt ended and why none followed

A line with code=incomplete-answer named the last error only: after a refused or unplaced attempt it no longer told whether the upstream had broken the answer off or the gateway had given it up (a move, an id gap, an end that is not proven, an event that takes long). 'waited' in it counts from the arrival, not from that end.

Lines of answers that have begun and are broken off have answer_ended_by, ended_ago_ms and not_resumed_by; answers_broken_off_total counts them by both. Lines of answers that were not delivered whole have a bound of their own, so that refusals in an outage do not displace them. The reasons for which no attempt follows have a type. No decision changes.

--- a/internal/node/gateway/log.go
+++ b/internal/node/gateway/log.go
@@ -19,16 +19,18 @@
 )
 
 // requestLogs are the rate-limited logs of decisions about requests. Lines about failed requests are fewer and more
-// important, so they have a limit of their own, and so have those about requests that may run once and of which an attempt has failed.
+// important, so they have a limit of their own, and so have those about requests that may run once and of which an attempt has failed, and
+// those about answers that their callers did not get whole.
 type requestLogs struct {
-	ordinary, failures, resends *logging.RateLimited
+	ordinary, failures, resends, brokenOff *logging.RateLimited
 }
 
 func newRequestLogs(l log.Logger, b LogBounds) *requestLogs {
 	return &requestLogs{
-		ordinary: logging.NewRateLimited(level.Info(l), b.ordinary(), time.Now),
-		failures: logging.NewRateLimited(level.Info(l), b.failures(), time.Now),
-		resends:  logging.NewRateLimited(level.Info(l), b.failures(), time.Now),
+		ordinary:  logging.NewRateLimited(level.Info(l), b.ordinary(), time.Now),
+		failures:  logging.NewRateLimited(level.Info(l), b.failures(), time.Now),
+		resends:   logging.NewRateLimited(level.Info(l), b.failures(), time.Now),
+		brokenOff: logging.NewRateLimited(level.Info(l), b.failures(), time.Now),
 	}
 }
 
@@ -141,6 +143,7 @@
 	if err != nil {
 		f := failure.From(err)
 		fields = append(fields, "code", f.Code, "proof", f.Proof, "retry_after_ms", f.RetryAfter.Milliseconds(), "err", err)
+		fields = append(fields, n.brokenOff(err, now)...)
 		lines = g.requests.of(n, g.requests.failures)
 	}
 	n.x.OnEnd(func(e httpserver.AnswerEnd) { g.logWithEnd(lines, n.r.service.Name, e, fields) })
@@ -150,7 +153,7 @@
 func (g *Gateway) logWithEnd(lines *logging.RateLimited, service ids.Service, e httpserver.AnswerEnd, fields []any) {
 	g.metrics.answerEnded(service, e)
 	if !e.Whole() {
-		lines = g.requests.failures
+		lines = g.requests.brokenOff
 	}
 	_ = lines.Log(append(fields, "answer_whole", e.Whole(), "answer_bytes", e.WrittenBytes, "delivered_bytes", e.DeliveredBytes, "closed_by", e.ClosedBy)...)
 }
--- a/internal/node/gateway/metrics.go
+++ b/internal/node/gateway/metrics.go
@@ -46,6 +46,7 @@
 	}
 	gauge(`log_lines_left_out_total{class="ordinary"}`, func() float64 { return float64(g.requests.ordinary.Suppressed()) })
 	gauge(`log_lines_left_out_total{class="failures"}`, func() float64 { return float64(g.requests.failures.Suppressed()) })
+	gauge(`log_lines_left_out_total{class="broken-off"}`, func() float64 { return float64(g.requests.brokenOff.Suppressed()) })
 	gauge(`log_lines_left_out_total{class="resends"}`, func() float64 { return float64(g.requests.resends.Suppressed()) })
 }
 
@@ -95,6 +96,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_answers_total{service=%q,whole=\"%t\",closed_by=%q}", service, e.Whole(), e.ClosedBy)).Inc()
 }
 
+// answerBrokenOff counts an answer that has begun and is broken off.
+func (m *gatewayMetrics) answerBrokenOff(service ids.Service, end attemptEnd, because stopCause) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_answers_broken_off_total{service=%q,ended_by=%q,not_resumed_by=%q}", service, end, because)).Inc()
+}
+
 func (m *gatewayMetrics) classDone(service ids.Service, class int, outcome string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_class_requests_total{service=%q,class=\"%d\",outcome=%q}", service, class, outcome)).Inc()
 }
--- a/internal/node/gateway/pay.go
+++ b/internal/node/gateway/pay.go
@@ -5,9 +5,6 @@
 	"time"
 )
 
-// budgetUsedUp is why a request is not attempted again that no retry is left for.
-const budgetUsedUp = "the retry budget is used up"
-
 // reserveRetry reserves a retry for the next attempt. If this gateway has none left, it waits for a grant. It reports whether
 // there is one.
 func (n *run) reserveRetry(ctx context.Context) bool {
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -59,6 +59,10 @@
 	malformed httpclient.Defect
 	// relayedFailure is set if the caller received bufferedFailure.
 	relayedFailure bool
+	// answerEnd is how the attempt ended that sent the caller its latest events, at answerEndedAt; stoppedBy is why no attempt follows.
+	answerEnd     attemptEnd
+	answerEndedAt time.Time
+	stoppedBy     stopCause
 	// trace is the trace context for the next hop; empty if there is none.
 	trace string
 	// cachedFingerprint is the request's fingerprint; valid only if hasFingerprint is set.
@@ -115,7 +119,7 @@
 				continue
 			}
 			n.g.logRetryDenied(n, last)
-			return n.finalError(ctx, last, budgetUsedUp)
+			return n.finalError(ctx, last, stopBudget)
 		}
 		n.placedAt = time.Now()
 		if n.firstPlacedAt.IsZero() {
@@ -133,6 +137,7 @@
 			n.answering()
 			return nil
 		}
+		n.recordEnd(err, time.Now())
 		if proofOf(err) == notrun.NotWritten {
 			n.placeAgain(err)
 			continue
@@ -141,7 +146,7 @@
 		n.recordFailure(ticket.Upstream(), err)
 		n.checkCrash(ticket.Upstream(), err)
 		n.reject(ticket.Upstream(), err)
-		if reason := n.stopReason(attemptCtx, err); reason != "" {
+		if reason := n.stopReason(attemptCtx, err); reason != stopNone {
 			return n.finalError(ctx, err, reason)
 		}
 		n.g.logRetry(n, err)
@@ -292,49 +297,50 @@
 	}
 }
 
-// stopReason returns why the request must not be attempted again, or "".
+// stopReason returns why the request must not be attempted again, or stopNone.
 //
 // A request that may run once is sent again only with a proof that none of its attempts has run or will; see package notrun.
-func (n *run) stopReason(ctx context.Context, err error) string {
+func (n *run) stopReason(ctx context.Context, err error) stopCause {
 	var closed *httpserver.ConnectionClosedError
 	var moved *MovedError
 	var long *LongBodyError
 	var refused *PartRefusedError
 	switch {
 	case stopping(ctx):
-		return "the gateway stops"
+		return stopStopping
 	case errors.As(err, &closed) || context.Cause(ctx) == context.Canceled:
-		return "the caller disconnected"
+		return stopCaller
 	case ctx.Err() != nil:
-		return "the deadline passed"
+		return stopDeadline
 	case n.mayHaveRun && !n.r.route.Repeatable():
 		n.g.metrics.outcomeUnproven(n.r.service.Name)
-		return "it may have run"
+		return stopMayHaveRun
 	case n.x.Responded() && !n.r.route.Resumable:
-		return "the response has begun"
+		return stopBegun
 	case n.sent >= n.r.route.Attempts:
-		return "no attempt is left"
+		return stopAttempts
 	case n.mustStop():
-		return "two upstreams crashed while they ran it"
+		return stopCrashes
 	case errors.As(err, &refused):
-		return "a part of its prompt is refused"
+		return stopPartRefused
 	case n.trial != nil && n.sent > 0:
-		return "it was let through once"
+		return stopTrialEnded
 	case n.unreached >= maxUnreached:
-		return "no upstream can be reached"
+		return stopUnreached
 	case errors.As(err, &moved) || errors.As(err, &long):
-		return "" // the retry is already reserved
+		return stopNone // the retry is already reserved
 	case n.mayHaveRun && !n.x.Responded() && n.suspected(ctx):
-		return "upstreams may crash under a part of its prompt"
+		return stopPartsSuspected
 	case n.arrived && !n.reserveRetry(ctx):
 		n.g.logRetryDenied(n, err)
-		return budgetUsedUp
+		return stopBudget
 	}
-	return ""
+	return stopNone
 }
 
 // finalError turns the error of the last attempt into the response to the caller.
-func (n *run) finalError(ctx context.Context, err error, reason string) error {
+func (n *run) finalError(ctx context.Context, err error, reason stopCause) error {
+	n.stoppedBy = reason
 	cause := fmt.Errorf("%s: %w", reason, err)
 	var closed *httpserver.ConnectionClosedError
 	switch {
@@ -367,7 +373,7 @@
 // refusedWhileWaiting returns the response to a request that was refused after it had been accepted.
 func (n *run) refusedWhileWaiting(ctx context.Context, refused *PartRefusedError) error {
 	if n.mayHaveRun || n.x.Responded() {
-		return n.finalError(ctx, refused, "a part of its prompt is refused")
+		return n.finalError(ctx, refused, stopPartRefused)
 	}
 	n.g.metrics.partRefused(n.r.service.Name)
 	return refused.asFailure(time.Now())
@@ -383,7 +389,7 @@
 	case context.Cause(ctx) == context.Canceled:
 		return failure.New(failure.CodeCancelled, err)
 	case n.mayHaveRun || n.x.Responded():
-		return n.finalError(ctx, err, "no upstream for another attempt")
+		return n.finalError(ctx, err, stopNoPlace)
 	}
 	var none *dispatch.NoRegisteredUpstreamError
 	var full *dispatch.OverloadedError
--- a/internal/node/gateway/stopreason_test.go
+++ b/internal/node/gateway/stopreason_test.go
@@ -19,7 +19,7 @@
 	defer cancelExpired()
 	for name, tc := range map[string]struct {
 		ctx    context.Context
-		reason string
+		reason stopCause
 		code   failure.Code
 	}{
 		"cancelled": {cancelled, "the caller disconnected", failure.CodeCancelled},
@@ -35,7 +35,7 @@
 				t.Errorf("got reason %q, want %q", reason, tc.reason)
 			}
 			final := n.finalError(tc.ctx, err, reason)
-			if failure.CodeOf(final) != tc.code || !strings.Contains(final.Error(), tc.reason) {
+			if failure.CodeOf(final) != tc.code || !strings.Contains(final.Error(), string(tc.reason)) {
 				t.Errorf("got %v, want %s", final, tc.code)
 			}
 		})
