A stream that two upstreams end after the same event is whole

Cause: a stream without a length ended unproven at a process that had not learned that its service ends streams so, and was resumed. The other upstream had nothing to add and closed its connection, too. Such an end counted as unproven as well, however often, so the answer broke off with 'no attempt is left' although its caller had every event and the upstreams agreed.

An attempt that is asked for what follows the last event, gets a success without a byte from an upstream that still accepts connections, and finds the stream ended unproven there before, now ends the stream. One that sends earlier events only, is reset, or comes from an upstream that is gone, does not. An upstream that is asked never is the one that ended it first: it is excluded.

Not mended: the answer still breaks off if no other attempt comes about, or it is refused.

--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -22,7 +22,9 @@
 	attemptEvents int
 	// untilClose is set if the caller's response ends with its connection, as that of the upstream.
 	untilClose bool
-	ids        idSequence
+	// unprovenEnd is set if an upstream ended the stream after lastEvent by closing its connection.
+	unprovenEnd bool
+	ids         idSequence
 }
 
 // recordEvents records a write of events; gap is the time since the previous one.
@@ -32,6 +34,7 @@
 	}
 	r.events++
 	r.attemptEvents++
+	r.unprovenEnd = false
 }
 
 // streamBufferBytes is the size of one read from an upstream; an event has some tens of bytes.
@@ -66,22 +69,25 @@
 		return &EventError{"contains no event"}
 	}
 	if res.CloseDelimited {
-		if err := n.checkStreamEnd(ctx, t.Upstream()); err != nil {
+		if err := n.checkStreamEnd(ctx, t.Upstream(), res.BodyBytes()); err != nil {
 			return err
 		}
 	}
 	return n.x.End()
 }
 
-// checkStreamEnd returns an error if the end of a stream that ended with its connection must not be passed on. A stream that
-// may be resumed is resumed after its last event, and the end that the other upstream gives it counts.
-func (n *run) checkStreamEnd(ctx context.Context, u *catalog.Upstream) error {
+// checkStreamEnd returns an error if the end of a stream that ended with its connection must not be passed on, given the size of the
+// attempt's body. A stream that may be resumed is resumed after its last event, and the end that the other upstream gives it counts.
+// One that ends in the same way and sends nothing ends the stream after the same event: no event has followed it anywhere.
+func (n *run) checkStreamEnd(ctx context.Context, u *catalog.Upstream, bodyBytes int64) error {
 	if err := n.checkAlive(ctx, u); err != nil {
 		return err
 	}
-	if n.stream.untilClose {
+	if n.stream.untilClose || n.stream.unprovenEnd && bodyBytes == 0 {
 		return nil
 	}
+	// An attempt that sent only events that the caller has may have ended before the last one.
+	n.stream.unprovenEnd = n.stream.unprovenEnd || bodyBytes == 0 || n.stream.attemptEvents > 0
 	return &UnprovenEndError{u.ID}
 }
 
