Gaps in the ids of streams are recorded also while they are usual

Cause: while gaps were usual for a service its streams were not checked, and each was recorded as one without a gap. A judged stream is resumed, which takes of the retry budget, or broken off if it may not be resumed or no other attempt comes about.

--- a/internal/node/gateway/soundstreams_test.go
+++ b/internal/node/gateway/soundstreams_test.go
@@ -55,7 +55,7 @@
 	for range streams {
 		n.stream = streamState{}
 		_, _, err := n.nextEvents(eventsWithIDs(1, 2, 3, 5, 6))
-		n.service.gaps.Record(err != nil)
+		n.service.gaps.Record(n.stream.ids.gap != nil) // as relayStream does at the end of an attempt
 		if err != nil {
 			judged++
 		}
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -58,10 +58,10 @@
 		res.Release(false)
 		return &ResponseError{t.Upstream().ID, res.Status, reason}
 	}
+	gapBefore := n.stream.ids.gap
 	err := n.copyEvents(ctx, t, res)
 	res.Release(err == nil)
-	var missing *MissingEventError
-	n.service.gaps.Record(errors.As(err, &missing))
+	n.service.gaps.Record(n.stream.ids.gap != gapBefore)
 	if err != nil {
 		return err
 	}
@@ -179,15 +179,17 @@
 }
 
 // nextEvents returns the events that the caller does not have yet, up to a missing one, and the id of the last. It returns
-// *MissingEventError if one is missing.
+// *MissingEventError if one is missing and gaps are not usual for the service. They are looked for in any case, or what is usual would
+// be forgotten.
 func (n *run) nextEvents(events []byte) ([]byte, string, error) {
 	events = eventsAfter(events, n.stream.lastEvent)
-	if n.service.gaps.Usual() {
-		return events, lastEventID(events, n.stream.lastEvent), nil
-	}
 	size, last, missing := n.stream.ids.check(events, n.stream.lastEvent)
-	if missing == nil {
+	switch {
+	case missing == nil:
 		return events, last, nil
+	case n.service.gaps.Usual():
+		n.stream.ids.irregular = true
+		return events, lastEventID(events, n.stream.lastEvent), nil
 	}
 	return events[:size], last, missing
 }
