The last attempt's stream without a length is relayed as the upstream sends it

Cause: whether the caller is told where a stream ends depended on whether another upstream may be asked, but not on whether an attempt is left for that. After a refusal or a broken connection the second of two attempts promised an end that nobody could confirm any more, and a whole stream was broken off after its last byte.

A stream whose response has no length is relayed in chunks only if another attempt may follow, and else ends where the upstream's connection does; if it is reset, cut within an event, or its upstream is gone, it is broken off as before.

The new row and all others of the table pass, and go test of internal/node/gateway and of the streams in platform.

--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -94,7 +94,7 @@
 // startStream sends the response header. The caller is told where the stream ends only if the upstream will tell, or another
 // one may be asked.
 func (n *run) startStream(res *httpclient.Response) error {
-	n.stream.untilClose = res.CloseDelimited && !n.mayConfirm()
+	n.stream.untilClose = res.CloseDelimited && !(n.mayConfirm() && n.mayGoElsewhere())
 	if n.stream.untilClose {
 		return n.x.StreamUntilClose(res.Status, responseHeaders(res.Header))
 	}
