Body without a length: a busy event loop is waited for, and its caller no longer reset

An answer without a length sets its connection to reset on close first, on the event loop. It waited for that for a second (loopTimeout). If the loop did not run it in time, on a busy or throttled host, the answer was given up: the caller was reset without a status, and the request's line said that the caller had disconnected.

Seen before, with an event loop that is busy for 1.5 s: 'connection cannot be set to reset on close', 'connection reset by peer', no byte of the answer. The bound stood for a server that stops; now the end of the server ends the wait.

--- a/internal/base/httpserver/untilclose.go
+++ b/internal/base/httpserver/untilclose.go
@@ -11,8 +11,6 @@
 	// untilClose is the content length of a body that ends with its connection. fasthttp's own value for that, -2, adds the
 	// obsolete coding "identity", which callers reject.
 	untilClose = -2
-	// loopTimeout bounds the wait for the event loop, which runs no more tasks once the server stops.
-	loopTimeout = time.Second
 	// resetOnClose and flushOnClose are values of SO_LINGER: close resets the connection, or delivers all bytes first.
 	resetOnClose = 0
 	flushOnClose = -1
@@ -61,7 +59,8 @@
 	return c.out.size() == 0 && gc.OutboundBuffered() == 0 && gc.SetLinger(flushOnClose) == nil
 }
 
-// onLoop runs f on the event loop and returns its result, or false if the connection is closed.
+// onLoop runs f on the event loop and returns its result, or false if the connection is closed. It waits for as long as the event loop is
+// busy: to give up would lose the answer of a caller that is still connected. The event loop runs no more tasks once the server has ended.
 func (c *conn) onLoop(f func(gnet.Conn) bool) bool {
 	result := make(chan bool, 1)
 	task := gnet.RunnableFunc(func(context.Context) error {
@@ -74,7 +73,7 @@
 	select {
 	case ok := <-result:
 		return ok
-	case <-time.After(loopTimeout):
+	case <-c.srv.ended:
 		return false
 	}
 }
--- a/internal/base/httpserver/untilclose_test.go
+++ b/internal/base/httpserver/untilclose_test.go
@@ -78,3 +78,30 @@
 		})
 	}
 }
+
+// Guards against an answer that is dropped, and reported as one whose caller disconnected, because the event loop is busy for over a second.
+func TestBodyUntilCloseWaitsForBusyEventLoop(t *testing.T) {
+	const busyFor = 1500 * time.Millisecond
+	busy := make(chan struct{})
+	_, address := start(t, httpserver.Limits{}, func(ctx context.Context, x *httpserver.Exchange) {
+		if string(x.Req.URI().Path()) == "/busy" {
+			x.OnEnd(func(httpserver.AnswerEnd) { // runs on the event loop
+				close(busy)
+				time.Sleep(busyFor)
+			})
+			_ = x.Respond(http.StatusOK, nil, nil)
+			return
+		}
+		<-busy
+		if err := x.RespondUntilClose(ctx, http.StatusOK, nil, []byte("body")); err != nil {
+			t.Error(err)
+		}
+	})
+	c := dial(t, address)
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	time.Sleep(100 * time.Millisecond) // until the request is read
+	_, _ = io.WriteString(dial(t, address), "GET /busy HTTP/1.1\r\nHost: a\r\n\r\n")
+	if text, err := io.ReadAll(c); err != nil || !strings.HasSuffix(string(text), "body") {
+		t.Fatalf("%q, %v", text, err)
+	}
+}
