Write timeout: a caller that reads more slowly than its answer comes is not disconnected

The write timeout restarted only when the number of unread bytes was lower than at the last look. An answer that comes faster than its caller reads grows that number for as long as it lasts, and the socket takes more only once a third of its buffer is free (some 1 MB), so that a caller was disconnected after the timeout although it read all the time. The timeout now restarts whenever the caller's host has acknowledged bytes.

Seen before, with a timeout of 400 ms and a caller that reads 3 MB/s of 25 MB/s: 'unexpected EOF' after 7.0 of 26.2 MB; the same with the bytes that the socket has accepted as the measure (7.2 MB).

--- a/internal/base/httpserver/conn.go
+++ b/internal/base/httpserver/conn.go
@@ -36,10 +36,14 @@
 	// partialSince is when the first bytes of an incomplete request arrived, by monotonic.Nanos; 0 if there is none.
 	partialSince atomic.Int64
 	idleSince    atomic.Int64
-	// unread is how many written bytes were not yet accepted by the socket when the event loop last checked.
-	unread       atomic.Int64
-	unreadSince  atomic.Int64
-	disconnected atomic.Bool
+	// unread is how many written bytes were not yet accepted by the socket when the event loop last checked. unreadSince is when they began
+	// to wait or the caller's host last acknowledged some, by monotonic.Nanos; 0 if there are none.
+	unread      atomic.Int64
+	unreadSince atomic.Int64
+	// passed is how many bytes the event loop has written, acknowledged how many of them the caller's host had acknowledged when it last
+	// checked.
+	passed, acknowledged int64
+	disconnected         atomic.Bool
 	// closeCause is what makes this server close the connection; empty for an idle or refused one.
 	closeCause atomic.Pointer[Closer]
 	answer     answer
@@ -127,6 +131,7 @@
 		if _, err := c.gc.Write(continueResponse); err != nil {
 			return gnet.Close
 		}
+		c.passed += int64(len(continueResponse))
 	}
 	return c.refuseIfExpired()
 }
@@ -263,17 +268,20 @@
 	return cancel != nil
 }
 
-// recordUnread stores the number of unread bytes. It runs on the event loop. The write timeout restarts whenever the
-// number falls.
+// recordUnread stores the number of unread bytes. It runs on the event loop. The write timeout restarts whenever the caller's host has
+// acknowledged some: their number may grow all the same, and a full socket accepts more only once a large part of it is free.
 func (c *conn) recordUnread(n int) {
 	previous := c.unread.Swap(int64(n))
 	c.srv.unread.Add(int64(n) - previous)
-	switch {
-	case n == 0:
+	if n == 0 {
 		c.unreadSince.Store(0)
-	case previous == 0 || int64(n) < previous:
+		return
+	}
+	acknowledged := c.passed - int64(n) - int64(unacknowledgedBytes(c.gc.Fd()))
+	if previous == 0 || acknowledged > c.acknowledged {
 		c.unreadSince.Store(monotonic.Nanos())
 	}
+	c.acknowledged = acknowledged
 }
 
 // enforceTimeouts closes the connection if a timeout has passed. What depends on bytes that the event loop may just have read or written
--- a/internal/base/httpserver/outbox.go
+++ b/internal/base/httpserver/outbox.go
@@ -134,6 +134,9 @@
 
 // send writes blocks to the socket. gnet copies the bytes that the socket does not accept.
 func (c *conn) send(list []*block) error {
+	for _, b := range list {
+		c.passed += int64(b.size)
+	}
 	if len(list) == 1 {
 		_, err := c.gc.Write(list[0].bytes())
 		return err
--- a/internal/base/httpserver/writetimeout_test.go
+++ b/internal/base/httpserver/writetimeout_test.go
@@ -89,3 +89,46 @@
 	}
 	t.Logf("%d served, %d closed before an answer, %d of them served", len(all), len(unanswered.all()), bad)
 }
+
+// Guards against a caller that reads, but more slowly than the answer is written, and whose connection is closed as if it read nothing.
+func TestReaderSlowerThanWriterIsNotDisconnected(t *testing.T) {
+	const (
+		pieces, pieceBytes = 100, 256 << 10
+		writePause         = 10 * time.Millisecond
+		readBytes          = 32 << 10
+		slowFor            = 1500 * time.Millisecond
+	)
+	limits := httpserver.Limits{WriteTimeout: settings.Duration(400 * time.Millisecond), MaxUnreadBytes: 2 * pieces * pieceBytes}
+	_, address := start(t, limits, func(ctx context.Context, x *httpserver.Exchange) {
+		_ = x.Stream(http.StatusOK, nil)
+		for range pieces {
+			if err := x.Write(ctx, make([]byte, pieceBytes)); err != nil {
+				t.Error(err)
+				return
+			}
+			time.Sleep(writePause)
+		}
+		_ = x.End()
+	})
+	c := dial(t, address)
+	_ = c.(*net.TCPConn).SetReadBuffer(readBytes)
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	read := int64(0)
+	for began := time.Now(); err == nil && time.Since(began) < slowFor; time.Sleep(writePause) {
+		var n int64
+		n, err = io.CopyN(io.Discard, res.Body, readBytes)
+		read += n
+	}
+	if err == nil {
+		var n int64
+		n, err = io.Copy(io.Discard, res.Body)
+		read += n
+	}
+	if err != nil || read != pieces*pieceBytes {
+		t.Fatalf("read %d of %d bytes, %v", read, pieces*pieceBytes, err)
+	}
+}
