A request that comes just after a process pause keeps the time that its caller gave it

What was read within 0.1 s after a pause counted as being as old as the pause was long, whether it had come during the pause or after it, and its deadline was that much earlier: a sound stream was broken off while its caller and its upstream went on. The kernel knows when a socket got its last bytes (TCP_INFO), and that is now the age, the pause at most. Where the system does not tell, or more bytes have come since, the pause counts as before.

Seen before, real processes frozen for 4 s three times, 36 requests sent 20 ms after they went on, timeout 8 s: 5 streams broken off after 3.97 to 4.00 s.

--- a/internal/node/gateway/handler.go
+++ b/internal/node/gateway/handler.go
@@ -46,12 +46,13 @@
 func (g *Gateway) serve(ctx context.Context, x *httpserver.Exchange) {
 	now := time.Now()
 	paused := g.pauses.Observe(now)
+	stood := stoodUnread(x, paused, now)
 	g.awaitStartup(ctx, x.Req)
 	v := g.view.Load()
 	ctx, span := g.tracer.Start(ctx, "gateway request", string(x.Req.Header.Peek(tracing.HeaderName)))
-	r, err := g.readRequest(v, x.Req, now.Add(-paused))
+	r, err := g.readRequest(v, x.Req, now.Add(-stood))
 	if paused > 0 {
-		g.logPaused(r, paused)
+		g.logPaused(r, paused, stood)
 	}
 	if err == nil {
 		span.SetAttributes(attribute.String("attempt", r.call.Attempt), attribute.String("service", string(r.service.Name)))
@@ -62,6 +63,19 @@
 	span.End(err)
 }
 
+// stoodUnread returns how long a request stood unread that was read at now, soon after this process was paused for a while. One that came
+// after the pause has all of its time left; if the system does not tell when it came, it counts as one that came when the pause began.
+func stoodUnread(x *httpserver.Exchange, paused time.Duration, now time.Time) time.Duration {
+	if paused == 0 {
+		return 0
+	}
+	age, known := x.SinceArrival()
+	if !known {
+		return paused
+	}
+	return min(paused, max(0, age-time.Since(now)))
+}
+
 // runRequest runs the attempts of an accepted request and responds to the caller; trace is the trace context for the
 // next hop.
 func (g *Gateway) runRequest(ctx context.Context, v *view, x *httpserver.Exchange, r *request, trace string) error {
--- a/internal/node/gateway/log.go
+++ b/internal/node/gateway/log.go
@@ -65,11 +65,10 @@
 	x.OnEnd(func(e httpserver.AnswerEnd) { g.logWithEnd(g.requests.failures, noService, e, fields) })
 }
 
-// logPaused logs that a request may have waited unread while this process was paused, and that the pause is added to
-// its age.
-func (g *Gateway) logPaused(r *request, paused time.Duration) {
-	_ = g.requests.failures.Log("msg", "request read after a process pause", "request", r.call.Attempt, "stood_ms", paused.Milliseconds(),
-		"told_left_ms", r.call.Remaining.Milliseconds())
+// logPaused logs that a request may have stood unread while this process was paused, and how long it stood, which is added to its age.
+func (g *Gateway) logPaused(r *request, paused, stood time.Duration) {
+	_ = g.requests.failures.Log("msg", "request read after a process pause", "request", r.call.Attempt, "paused_ms", paused.Milliseconds(),
+		"stood_ms", stood.Milliseconds(), "told_left_ms", r.call.Remaining.Milliseconds())
 }
 
 // logPlaced logs the upstream of an attempt and the values behind the decision.
--- a/internal/node/gateway/pause_test.go
+++ b/internal/node/gateway/pause_test.go
@@ -1,14 +1,20 @@
 package gateway
 
 import (
+	"context"
 	"errors"
+	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/loopback"
 )
 
 // timedDialect reads only the caller's remaining time.
@@ -44,3 +50,45 @@
 		}
 	}
 }
+
+// Guards against a sound stream that is cut before its caller's time is over, because the process had been paused before the request came.
+// One that came during the pause must still count as that old.
+func TestRequestAfterProcessPauseKeepsItsTime(t *testing.T) {
+	const paused, tolerance = 3 * time.Second, 300 * time.Millisecond
+	for name, tc := range map[string]struct{ unread, want time.Duration }{
+		"came after the pause":  {0, 0},
+		"came during the pause": {time.Second, time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			stood, busy := make(chan time.Duration, 1), make(chan struct{})
+			address := loopback.Address()
+			server, err := httpserver.Start(address, 1, httpserver.Limits{}, func(_ context.Context, x *httpserver.Exchange) {
+				if string(x.Req.URI().Path()) == "/busy" {
+					x.OnEnd(func(httpserver.AnswerEnd) { // runs on the event loop
+						close(busy)
+						time.Sleep(tc.unread)
+					})
+				} else {
+					stood <- stoodUnread(x, paused, time.Now())
+				}
+				_ = x.Respond(http.StatusOK, nil, nil)
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = server.Stop(context.Background()) }()
+			for _, path := range []string{"/busy", "/late"} {
+				c, err := net.Dial("tcp", address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer func() { _ = c.Close() }()
+				_, _ = io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: a\r\n\r\n")
+				<-busy
+			}
+			if got := <-stood; (got - tc.want).Abs() > tolerance {
+				t.Errorf("stood unread for %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
