--- a/internal/base/httpserver/arrival_test.go
+++ b/internal/base/httpserver/arrival_test.go
@@ -39,7 +39,7 @@
 			<-busy
 		}
 		_, _ = io.WriteString(c, request)
-		if got := <-arrivals; !got.known || (got.age - want).Abs() > tolerance {
+		if got := <-arrivals; !got.known || (got.age-want).Abs() > tolerance {
 			t.Errorf("%s: %+v, want %v", name, got, want)
 		}
 		time.Sleep(tolerance / 10)
