Callers that leave no longer displace the lines of answers that a gateway broke off

Both kinds of answers are not whole and shared one bound on lines. Callers may leave in large numbers, and then the few lines that say why a gateway broke an answer off were dropped. Those of callers that left have a bound of their own now.

--- a/internal/node/gateway/brokenoff_test.go
+++ b/internal/node/gateway/brokenoff_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"github.com/cardamomyoke/cardamomyoke/internal/base/failure"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpserver"
@@ -70,3 +72,16 @@
 		t.Errorf("metrics lack %s", want)
 	}
 }
+
+// Guards against callers that leave in large numbers and displace the line of an answer that this gateway broke off.
+func TestCallersThatLeaveDoNotDisplaceBrokenOffAnswers(t *testing.T) {
+	var text bytes.Buffer
+	g := &Gateway{metrics: newMetrics(), requests: newRequestLogs(log.NewLogfmtLogger(&text), LogBounds{Failures: 5})}
+	for range 100 {
+		g.logWithEnd(g.requests.failures, "s", httpserver.AnswerEnd{WrittenBytes: 2, ClosedBy: httpserver.ClosedByCaller}, nil)
+	}
+	g.logWithEnd(g.requests.ordinary, "s", httpserver.AnswerEnd{WrittenBytes: 2, ClosedBy: httpserver.ClosedByHandler}, nil)
+	if want := "closed_by=" + string(httpserver.ClosedByHandler); !strings.Contains(text.String(), want) {
+		t.Errorf("no line has %s", want)
+	}
+}
--- a/internal/node/gateway/log.go
+++ b/internal/node/gateway/log.go
@@ -19,18 +19,19 @@
 )
 
 // requestLogs are the rate-limited logs of decisions about requests. Lines about failed requests are fewer and more
-// important, so they have a limit of their own, and so have those about requests that may run once and of which an attempt has failed, and
-// those about answers that their callers did not get whole.
+// important, so they have a limit of their own, and so have those about requests that may run once and of which an attempt has failed,
+// those about answers that their callers did not get whole, and, of these, those whose callers have left: they may do so in large numbers.
 type requestLogs struct {
-	ordinary, failures, resends, brokenOff *logging.RateLimited
+	ordinary, failures, resends, brokenOff, callerLeft *logging.RateLimited
 }
 
 func newRequestLogs(l log.Logger, b LogBounds) *requestLogs {
 	return &requestLogs{
-		ordinary:  logging.NewRateLimited(level.Info(l), b.ordinary(), time.Now),
-		failures:  logging.NewRateLimited(level.Info(l), b.failures(), time.Now),
-		resends:   logging.NewRateLimited(level.Info(l), b.failures(), time.Now),
-		brokenOff: logging.NewRateLimited(level.Info(l), b.failures(), time.Now),
+		ordinary:   logging.NewRateLimited(level.Info(l), b.ordinary(), time.Now),
+		failures:   logging.NewRateLimited(level.Info(l), b.failures(), time.Now),
+		resends:    logging.NewRateLimited(level.Info(l), b.failures(), time.Now),
+		brokenOff:  logging.NewRateLimited(level.Info(l), b.failures(), time.Now),
+		callerLeft: logging.NewRateLimited(level.Info(l), b.failures(), time.Now),
 	}
 }
 
@@ -151,7 +152,11 @@
 // logWithEnd logs the outcome of a request and how its answer ended at the caller's connection.
 func (g *Gateway) logWithEnd(lines *logging.RateLimited, service ids.Service, e httpserver.AnswerEnd, fields []any) {
 	g.metrics.answerEnded(service, e)
-	if !e.Whole() {
+	switch {
+	case e.Whole():
+	case e.ClosedBy == httpserver.ClosedByCaller:
+		lines = g.requests.callerLeft
+	default:
 		lines = g.requests.brokenOff
 	}
 	_ = lines.Log(append(fields, "answer_whole", e.Whole(), "answer_bytes", e.WrittenBytes, "delivered_bytes", e.DeliveredBytes, "closed_by", e.ClosedBy)...)
