A server that loses its listener for want of descriptors accepts connections again

gnet ends an engine, with all its connections, when accept fails: with the last descriptor of the process gone, every answer of the gateway was broken off, its port refused connections for as long as the process ran, and readiness, on a server of its own, still said ready. Another engine now follows one that has ended by itself. A task that waits for the event loop of an ended engine ends with its connection, since the server goes on.

Seen before: 'Accept() failed due to error: too many open files', 'main reactor is exiting', the running stream 'unexpected EOF', then 'connection refused' for good.

--- a/internal/base/httpserver/drain.go
+++ b/internal/base/httpserver/drain.go
@@ -127,7 +127,7 @@
 // Stop closes the listener and every connection. Call Drain first, unless requests in progress may be lost.
 func (s *Server) Stop(ctx context.Context) error {
 	s.stopping.Store(true)
-	if err := gnetstop.Stop(ctx, s.eng, s.ended); err != nil {
+	if err := gnetstop.Stop(ctx, s.engine(), s.ended); err != nil {
 		return fmt.Errorf("stop listener: %w", err)
 	}
 	return nil
--- a/internal/base/httpserver/server.go
+++ b/internal/base/httpserver/server.go
@@ -23,15 +23,20 @@
 // sweepInterval is how often connections are checked against the timeouts of Limits.
 const sweepInterval = 250 * time.Millisecond
 
+// rerunPause is the pause before an engine follows one that has ended by itself, or that could not begin.
+const rerunPause = 50 * time.Millisecond
+
 // Server is an HTTP/1.1 listener. Create it with Start.
 type Server struct {
 	gnet.BuiltinEventEngine
 	handler Handler
 	limits  atomic.Pointer[Limits]
-	eng     gnet.Engine
-	booted  chan struct{}
-	runErr  chan error
-	// ended is closed once the event loops have ended.
+	// eng is the engine that runs, under mu; another one follows if it ends by itself.
+	mu     sync.Mutex
+	eng    gnet.Engine
+	booted chan struct{}
+	runErr chan error
+	// ended is closed once the event loops have ended and no engine follows.
 	ended     chan struct{}
 	conns     sync.Map // *conn → struct{}
 	connCount atomic.Int64
@@ -64,24 +69,51 @@
 		ended:   make(chan struct{}),
 	}
 	s.SetLimits(l)
-	go func() {
-		defer close(s.ended)
-		s.runErr <- gnet.Run(s, "tcp://"+address,
+	go s.runEngines(address, loops)
+	select {
+	case <-s.booted:
+		return s, nil
+	case err := <-s.runErr:
+		return nil, &ListenError{address, err}
+	}
+}
+
+// runEngines runs an engine, and another one if it ends although the server has not been stopped. An engine ends, with all its connections,
+// if it cannot accept a connection, as when the process is short of descriptors.
+func (s *Server) runEngines(address string, loops int) {
+	defer close(s.ended)
+	for {
+		err := gnet.Run(s, "tcp://"+address,
 			gnet.WithNumEventLoop(loops),
 			gnet.WithTicker(true),
 			gnet.WithReuseAddr(true),
 			gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 			gnet.WithLogger(gnetlog.New()),
 		)
-	}()
+		if s.stopping.Load() || !s.hasBooted() {
+			s.runErr <- err
+			return
+		}
+		time.Sleep(rerunPause)
+	}
+}
+
+func (s *Server) hasBooted() bool {
 	select {
 	case <-s.booted:
-		return s, nil
-	case err := <-s.runErr:
-		return nil, &ListenError{address, err}
+		return true
+	default:
+		return false
 	}
 }
 
+// engine returns the engine that runs.
+func (s *Server) engine() gnet.Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.eng
+}
+
 // SetLimits replaces the limits, also for open connections.
 func (s *Server) SetLimits(l Limits) {
 	l = l.withDefaults()
@@ -93,8 +125,15 @@
 
 // OnBoot implements gnet.EventHandler.
 func (s *Server) OnBoot(eng gnet.Engine) gnet.Action {
+	s.mu.Lock()
 	s.eng = eng
-	close(s.booted)
+	s.mu.Unlock()
+	if s.stopping.Load() { // Stop may have stopped the engine before this one
+		return gnet.Shutdown
+	}
+	if !s.hasBooted() {
+		close(s.booted)
+	}
 	return gnet.None
 }
 
--- a/internal/base/httpserver/untilclose.go
+++ b/internal/base/httpserver/untilclose.go
@@ -11,6 +11,8 @@
 	// untilClose is the content length of a body that ends with its connection. fasthttp's own value for that, -2, adds the
 	// obsolete coding "identity", which callers reject.
 	untilClose = -2
+	// loopPollInterval is how often a task that waits for the event loop looks whether its connection is closed.
+	loopPollInterval = 100 * time.Millisecond
 	// resetOnClose and flushOnClose are values of SO_LINGER: close resets the connection, or delivers all bytes first.
 	resetOnClose = 0
 	flushOnClose = -1
@@ -60,7 +62,8 @@
 }
 
 // onLoop runs f on the event loop and returns its result, or false if the connection is closed. It waits for as long as the event loop is
-// busy: to give up would lose the answer of a caller that is still connected. The event loop runs no more tasks once the server has ended.
+// busy: to give up would lose the answer of a caller that is still connected. An event loop that ends closes its connections first and runs
+// no more tasks.
 func (c *conn) onLoop(f func(gnet.Conn) bool) bool {
 	result := make(chan bool, 1)
 	task := gnet.RunnableFunc(func(context.Context) error {
@@ -70,10 +73,16 @@
 	if c.disconnected.Load() || c.gc.EventLoop().Execute(context.Background(), task) != nil {
 		return false
 	}
-	select {
-	case ok := <-result:
-		return ok
-	case <-c.srv.ended:
-		return false
+	ticker := time.NewTicker(loopPollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case ok := <-result:
+			return ok
+		case <-ticker.C:
+			if c.disconnected.Load() {
+				return false
+			}
+		}
 	}
 }
