Bytes that an ended event loop never fetched no longer count as unread

All callers together may leave a bounded number of bytes unread, and bytes count from when they are written until the event loop fetches them. An event loop that ends fetches none; now that the server goes on with another engine, these would count for good and hold back all callers' answers. They are given back when the connection is closed, or when the write finds the loop ended.

Seen before: 5 bytes are unread, 5 in the outbox, after the close.

--- a/internal/base/httpserver/conn.go
+++ b/internal/base/httpserver/conn.go
@@ -206,6 +206,7 @@
 	}
 	c.recordUnread(0)
 	c.disconnected.Store(true)
+	c.fetched(c.out.take())
 	c.cancelRequest(nil)
 	by := c.closedBy(err)
 	if err != nil && unsent > 0 {
--- a/internal/base/httpserver/outbox.go
+++ b/internal/base/httpserver/outbox.go
@@ -100,6 +100,7 @@
 		return nil
 	}
 	if err := c.gc.EventLoop().Execute(context.Background(), c); err != nil {
+		c.fetched(c.out.take())
 		return &ConnectionClosedError{err.Error()}
 	}
 	return nil
--- a/internal/base/httpserver/outbox_test.go
+++ b/internal/base/httpserver/outbox_test.go
@@ -214,3 +214,21 @@
 	}
 	waitForUnread(t, s, 0)
 }
+
+// socket is a connection of which the socket has accepted all bytes.
+type socket struct{ gnet.Conn }
+
+func (socket) OutboundBuffered() int { return 0 }
+
+// Guards against bytes that an event loop did not fetch before it ended, and that count as unread for as long as the server runs.
+func TestBytesOfClosedConnectionAreNotUnread(t *testing.T) {
+	s := &Server{}
+	c := &conn{srv: s, gc: socket{}}
+	piece := []byte("piece")
+	s.unread.Add(int64(len(piece)))
+	c.out.add(piece)
+	c.onClosed(nil)
+	if n := s.unread.Load(); n != 0 || c.out.size() != 0 {
+		t.Errorf("%d bytes are unread, %d in the outbox", n, c.out.size())
+	}
+}
