--- a/internal/base/httpserver/answerend_test.go
+++ b/internal/base/httpserver/answerend_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -71,3 +72,25 @@
 		})
 	}
 }
+
+// Guards against a caller that resets its connection in the middle of an answer, and leaves no trace in the logs.
+func TestEndOfResetAnswerIsReported(t *testing.T) {
+	ends := make(chan httpserver.AnswerEnd, 2)
+	_, address := start(t, httpserver.Limits{}, func(ctx context.Context, x *httpserver.Exchange) {
+		x.OnEnd(func(e httpserver.AnswerEnd) { ends <- e })
+		_ = x.Stream(http.StatusOK, nil)
+		for x.Write(ctx, []byte("event")) == nil && ctx.Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+	})
+	c := dial(t, address)
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	if _, err := bufio.NewReader(c).Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+	if e := <-ends; e.Whole() || e.ClosedBy != httpserver.ClosedByCaller {
+		t.Errorf("whole %t: %+v", e.Whole(), e)
+	}
+}
