--- a/internal/node/gateway/brokenoff.go
+++ b/internal/node/gateway/brokenoff.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -12,7 +13,7 @@
 // attemptEnd names how an attempt ended without a whole answer. It is a label of metrics.
 type attemptEnd string
 
-// The values of attemptEnd. All but the first four are judgements of this gateway, not ends that the upstream brought about.
+// The values of attemptEnd. All but endBroken, endUnreached and endRefused are ends that this gateway has brought about.
 const (
 	// endNone: no attempt has ended yet.
 	endNone attemptEnd = ""
@@ -36,6 +37,9 @@
 	endNotRelayed attemptEnd = "not-relayed"
 	// endCaller: the connection to the caller ended.
 	endCaller attemptEnd = "caller"
+	// endDeadline: the time for the request was over. endStopping: the gateway stops.
+	endDeadline attemptEnd = "deadline"
+	endStopping attemptEnd = "stopping"
 )
 
 // attemptEndOf returns how an attempt ended that failed with err.
@@ -66,12 +70,18 @@
 	return endBroken
 }
 
-// recordEnd records how an attempt ended that failed with err, unless it sent the caller nothing after an earlier one.
-func (n *run) recordEnd(err error, now time.Time) {
+// recordEnd records how an attempt ended that failed with err in a context, unless it sent the caller nothing after an earlier one.
+func (n *run) recordEnd(ctx context.Context, err error, now time.Time) {
 	if n.answerEnd != endNone && n.stream.attemptEvents == 0 {
 		return
 	}
 	n.answerEnd, n.answerEndedAt = attemptEndOf(err), now
+	switch {
+	case stopping(ctx):
+		n.answerEnd = endStopping
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		n.answerEnd = endDeadline
+	}
 }
 
 // brokenOff counts an answer that has begun and is broken off, and returns its log fields: how the attempt ended that sent the latest
--- a/internal/node/gateway/brokenoff_test.go
+++ b/internal/node/gateway/brokenoff_test.go
@@ -46,9 +46,9 @@
 func TestRefusalDoesNotHideHowAnswerEnded(t *testing.T) {
 	n := runOf("")
 	n.stream.attemptEvents = 2
-	n.recordEnd(&MovedError{}, time.Now())
+	n.recordEnd(t.Context(), &MovedError{}, time.Now())
 	n.stream.attemptEvents = 0
-	n.recordEnd(&RefusedError{}, time.Now())
+	n.recordEnd(t.Context(), &RefusedError{}, time.Now())
 	if n.answerEnd != endMoved {
 		t.Errorf("ended by %q, want %q", n.answerEnd, endMoved)
 	}
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -137,7 +137,7 @@
 			n.answering()
 			return nil
 		}
-		n.recordEnd(err, time.Now())
+		n.recordEnd(attemptCtx, err, time.Now())
 		if proofOf(err) == notrun.NotWritten {
 			n.placeAgain(err)
 			continue
