A begun answer is not broken off by an estimate of its wait

Cause: the pool refuses a request at once if it expects that it will start too late, by the rate at which requests finish. For a new request that is best: its caller asks elsewhere. For one whose caller has a part of the answer a refusal breaks the answer off, and nobody can give the rest.

Such a request now waits as long as it is worth starting, on arrival and when others are shed.

--- a/internal/policy/dispatch/pool.go
+++ b/internal/policy/dispatch/pool.go
@@ -245,7 +245,7 @@
 		t.refuse(err)
 		return t
 	}
-	if p.lost(now) || now.Add(wait).After(p.startBy(r)) {
+	if p.lost(now) || p.tooLate(r, now, wait) {
 		t.refuse(p.overloaded(r, wait, now))
 		return t
 	}
@@ -253,6 +253,15 @@
 	return t
 }
 
+// tooLate reports whether a request is expected to start too late after a wait. One whose caller has a part of the answer is not refused
+// by an estimate, since a refusal breaks the answer off: it waits as long as it is worth starting.
+func (p *Pool) tooLate(r Request, now time.Time, wait time.Duration) bool {
+	if r.Begun {
+		wait = 0
+	}
+	return now.Add(wait).After(p.startBy(r))
+}
+
 // overloaded returns the refusal of a request that cannot be started in time.
 func (p *Pool) overloaded(r Request, wait time.Duration, now time.Time) *OverloadedError {
 	err := &OverloadedError{
--- a/internal/policy/dispatch/shedding.go
+++ b/internal/policy/dispatch/shedding.go
@@ -18,7 +18,7 @@
 	rest := p.waiting[:0]
 	for _, t := range p.waiting {
 		wait := p.expectedWaitOf(t.request, rest, now)
-		if now.Add(wait).After(p.startBy(t.request)) {
+		if p.tooLate(t.request, now, wait) {
 			t.refuse(p.overloaded(t.request, wait, now))
 			out = append(out, t)
 			continue
