A refused attempt does not use up the attempts of an answer that has begun

A stream whose upstream broke off was broken off as soon as a second upstream refused it as not run, with a third one free ('no attempt is left').

Cause: every attempt that reached an upstream counted as one of the route's attempts. The users' bound is on the upstreams that run a request, and one that proves that it has not run it is none of them.

After the answer has begun such refusals are counted apart, four at most; each still takes a retry of the shared budget.

--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -27,8 +27,9 @@
 	x       *httpserver.Exchange
 	r       *request
 	service *service
-	// sent counts the attempts that may have reached an upstream, unreached those that cannot have.
-	sent, unreached int
+	// sent counts the attempts that may have reached an upstream, unreached those that cannot have. refusedResumes counts the refused ones after the
+	// answer had begun, which are not in sent.
+	sent, unreached, refusedResumes int
 	// arrived is set once an attempt may have arrived at an upstream, also if that refused it.
 	arrived bool
 	// token is reserved for the next attempt, paid was used for the latest one; nil if there is none.
@@ -78,8 +79,12 @@
 	return &run{g: g, x: x, r: r, service: v.services[r.service.Name], stream: streamState{lastEvent: r.call.LastEvent}}
 }
 
-// maxUnreached is how many attempts may fail to reach an upstream before the request is aborted.
-const maxUnreached = 4
+const (
+	// maxUnreached is how many attempts may fail to reach an upstream before the request is aborted.
+	maxUnreached = 4
+	// maxRefusedResumes is how many upstreams may refuse to go on with an answer before it is broken off.
+	maxRefusedResumes = 4
+)
 
 // runAttempts runs attempts until the caller has its full response or no further attempt is permitted. It returns
 // *failure.Error.
@@ -272,8 +277,12 @@
 		// The addressed upstream no longer has this address, so the request did not reach it.
 		n.unreached++
 	case notrun.Refused:
-		n.sent++
 		n.excludeAddress(u)
+		if n.x.Responded() {
+			n.refusedResumes++ // it has not run there, and a refusal at this point breaks the answer off
+			break
+		}
+		n.sent++
 	default:
 		n.sent++
 		n.mayHaveRun = true
@@ -317,7 +326,7 @@
 		return stopMayHaveRun
 	case n.x.Responded() && !n.r.route.Resumable:
 		return stopBegun
-	case n.sent >= n.r.route.Attempts:
+	case n.sent >= n.r.route.Attempts || n.refusedResumes >= maxRefusedResumes:
 		return stopAttempts
 	case n.mustStop():
 		return stopCrashes
