An answer that has begun waits for a retry while the store grants none

Cause: a failed request for a grant is followed by a pause of a second, in which a request that needs a retry is refused one at once. A new process, which has earned none, is the most exposed.

A begun answer asks again until 0.9 of the time for which its caller waits. The sum of all retries is bounded as before.

--- a/internal/node/gateway/pay.go
+++ b/internal/node/gateway/pay.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/base/monotonic"
 )
 
 // reserveRetry reserves a retry for the next attempt. If this gateway has none left, it waits for a grant. It reports whether
@@ -12,9 +14,36 @@
 		return true
 	}
 	limit := min(maxGrantWait, time.Duration(maxGrantWaitShare*float64(time.Until(n.r.deadline))))
+	if n.x.Responded() {
+		return n.awaitRetry(ctx, n.resumeBy())
+	}
 	return n.service.grants.await(ctx, limit) && n.takeRetry()
 }
 
+// retryPollInterval is how often a request whose answer has begun looks for a retry while none is granted.
+const retryPollInterval = 50 * time.Millisecond
+
+// awaitRetry waits for a retry until a time, also while the store grants none. Without one, an answer that has begun is broken off.
+func (n *run) awaitRetry(ctx context.Context, until time.Time) bool {
+	for ctx.Err() == nil && time.Now().Before(until) {
+		if n.service.grants.await(ctx, time.Until(until)) && n.takeRetry() || n.takeRetry() {
+			return true
+		}
+		monotonic.Sleep(ctx, retryPollInterval)
+	}
+	return false
+}
+
+// resumeShare is the part of the time for which the caller waits, for an event or at all, in which an answer that has begun waits for a
+// retry. The rest is left to the attempt.
+const resumeShare = 0.9
+
+// resumeBy returns until when an answer that has begun waits for a retry.
+func (n *run) resumeBy() time.Time {
+	patience := min(n.r.route.CallerTimeout(), n.r.deadline.Sub(n.lastEventAt))
+	return n.lastEventAt.Add(time.Duration(resumeShare * float64(patience)))
+}
+
 // maxRenewals is how many retries that expired while a request waited for an upstream are replaced; each takes one from all gateways.
 const maxRenewals = 2
 
