A whole stream without a length is not broken off because nobody can be asked for its end

Callers got every event of a resumable stream and then a broken connection.

Cause: such a stream ends with its connection, which proves no end, so another upstream is asked for it. If none could be asked (no retry, no place, all refuse, the gateway stops), the answer was broken off, although the upstream that had run it ended it after a whole event, without a reset, and still accepted connections. A process that has just started is more exposed: it has not learned that its service ends streams so, and has earned no retries.

Now that end stands, unless another upstream has gone on after it or failed when asked; streams that may not be resumed have always been relayed so. All rows of the tests of responses without a length stand as they were: one that both upstreams cut, or whose confirmation is reset, is broken off.

--- a/internal/node/gateway/metrics.go
+++ b/internal/node/gateway/metrics.go
@@ -101,6 +101,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_answers_broken_off_total{service=%q,ended_by=%q,not_resumed_by=%q}", service, end, because)).Inc()
 }
 
+// endNotConfirmed counts the streams that end where an upstream has closed its connection, since nobody could be asked for their end.
+func (m *gatewayMetrics) endNotConfirmed(service ids.Service, because stopCause) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_ends_not_confirmed_total{service=%q,because=%q}", service, because)).Inc()
+}
+
 func (m *gatewayMetrics) classDone(service ids.Service, class int, outcome string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_class_requests_total{service=%q,class=\"%d\",outcome=%q}", service, class, outcome)).Inc()
 }
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -23,6 +23,8 @@
 
 // run is the state of one request: its attempts and what the caller has received so far.
 type run struct {
+	// ctx ends with the request.
+	ctx     context.Context
 	g       *Gateway
 	x       *httpserver.Exchange
 	r       *request
@@ -103,6 +105,7 @@
 	n.service.budget.RecordFirst(n.r.arrived)
 	defer n.returnToken()
 	defer n.freeKept()
+	n.ctx = ctx
 	attemptCtx := ctx
 	var last error
 	for {
@@ -286,10 +289,20 @@
 	default:
 		n.sent++
 		n.mayHaveRun = true
+		n.contestEnd(err)
 	}
 	n.exclude = append(n.exclude, n.upstream)
 }
 
+// contestEnd records that an attempt may have run and failed with err, if it was to confirm the end of the stream. What the stop of this
+// gateway ends says nothing.
+func (n *run) contestEnd(err error) {
+	var unproven *UnprovenEndError
+	if n.stream.unprovenEnd && !errors.As(err, &unproven) && !stopping(n.ctx) {
+		n.stream.endContested = true
+	}
+}
+
 // recordMalformed counts a response that was refused for its form.
 func (n *run) recordMalformed(err error) {
 	if defect := httpclient.DefectOf(err); defect != "" {
@@ -358,6 +371,9 @@
 	case n.unproven != nil && !n.x.Responded():
 		n.recordFirstPiece()
 		return n.unproven.respond(ctx, n)
+	case n.endStands(reason):
+		n.g.metrics.endNotConfirmed(n.r.service.Name, reason)
+		return n.x.End()
 	case n.bufferedFailure != nil && !n.x.Responded():
 		n.relayedFailure = true
 		return n.bufferedFailure.respond(ctx, n)
