A move costs its caller nothing: a stream is given up only for a place that it has, or to an upstream that has answered

What callers saw: a stream on a slow rank, or in an evacuated data centre, ended with a broken connection although its upstream would have ended it.

Cause: a move cancelled the attempt first and looked for a place and an upstream afterwards. The next attempt found no place, was refused (one of two attempts), found its reserved retry expired, or was not answered. A gateway that has just started moves by its peers' word from its first tick on.

Change: a stream leaves a very slow rank only once a place at another one is reserved for it, with the retries for both ways. If nobody there goes on with it, it goes back to the rank that it has left, which has room, since nobody places requests at a very slow rank (leftplace.go). Shortly before the end of a stop nothing is moved.

Weighed: handing streams over from slow ranks, too.

Unit tests of moves are replaced, since a move no longer cancels by itself: which streams are moved (TestStreamsAreMovedFromVerySlowRank, TestMovesKeepWithinLimit, TestStreamsLeaveEvacuatedDataCentre), that no stream leaves without retries (TestSuccessorWithoutRetryIsNotSent), that one that has left needs no further one (TestMovedStreamIsRetriedWithoutBudget).

--- a/internal/node/gateway/evacuation.go
+++ b/internal/node/gateway/evacuation.go
@@ -157,7 +157,7 @@
 	g.evacuationStatus.Store(&list)
 }
 
-// moveEvacuated moves the streams that are left in an evacuated data centre after a part of the bound, as far as there is room
+// moveEvacuated begins to move the streams that are left in an evacuated data centre after a part of the bound, as far as there is room
 // elsewhere for a service's streams. It subtracts them from that room.
 func (g *Gateway) moveEvacuated(s evacuationStatus, room map[ids.Service]int, now time.Time) {
 	if now.Sub(s.Since) < time.Duration(moveAfterShare*float64(g.Settings().Bounds.Evacuate)) {
@@ -165,17 +165,21 @@
 	}
 	for name, busy := range s.busy {
 		for _, u := range busy {
-			moved := g.moves.moveFrom(u, moveEvacuated, room[name], now)
-			room[name] -= moved
-			g.metrics.evacuationMoved(name, moved)
+			room[name] -= g.moves.moveFrom(u, moveEvacuated, room[name], now)
 		}
 	}
 }
 
+// moveBeforeStop is the time before the end of a stop from which on streams stay where they are: a moved one would be cut in its new place.
+const moveBeforeStop = 2 * time.Second
+
 // mayMoveSlow reports whether streams may be moved away from slow upstreams of a service. While data centres are evacuated, there
-// may be no other upstream, and a moved stream would be cut off.
-func (g *Gateway) mayMoveSlow(s *service) bool {
-	return !g.disabled(mechanismMoves) && (g.control.evacuated.Len() == 0 || s.gate.MoveRoom() > 0)
+// may be no other upstream.
+func (g *Gateway) mayMoveSlow(s *service, now time.Time) bool {
+	if g.disabled(mechanismMoves) || !g.control.finishBy.IsZero() && now.Add(moveBeforeStop).After(g.control.finishBy) {
+		return false
+	}
+	return g.control.evacuated.Len() == 0 || s.gate.MoveRoom() > 0
 }
 
 // checkEvacuated returns *EvacuatedUpstreamError if a request must not be written to an upstream by the present view. The
--- a/internal/node/gateway/evacuation_test.go
+++ b/internal/node/gateway/evacuation_test.go
@@ -34,28 +34,23 @@
 		t.Run(name, func(t *testing.T) {
 			s := &service{budget: retryBudget(tc.budget)}
 			s.evacuable.Store(true)
-			m := newMoves()
-			var streams []context.Context
+			m, begun := newMoves(), 0
+			m.begin = func(n *run, _ *handovers, reason moveReason, _ time.Time) bool {
+				if _, err := n.payForSuccessor(); err != nil || reason != moveEvacuated {
+					return false
+				}
+				begun++
+				return true
+			}
 			for range 4 {
 				n := movableRun(s, true)
 				if !n.mayMove() {
 					t.Fatal("a resumable stream of a plain service may not be moved")
 				}
-				ctx, cancel := context.WithCancelCause(t.Context())
-				defer cancel(nil)
-				m.add(u, n, cancel)
-				streams = append(streams, ctx)
-			}
-			moved := m.moveFrom(u, moveEvacuated, tc.room, time.Now())
-			cancelled := 0
-			for _, ctx := range streams {
-				var cause *MovedError
-				if errors.As(context.Cause(ctx), &cause) && cause.Reason == moveEvacuated {
-					cancelled++
-				}
+				m.add(u, n, &handovers{})
 			}
-			if moved != tc.want || cancelled != tc.want {
-				t.Fatalf("moved %d, cancelled %d, want %d", moved, cancelled, tc.want)
+			if moved := m.moveFrom(u, moveEvacuated, tc.room, time.Now()); moved != tc.want || begun != tc.want {
+				t.Fatalf("reported %d, began to move %d, want %d", moved, begun, tc.want)
 			}
 		})
 	}
--- a/internal/node/gateway/groupwatch.go
+++ b/internal/node/gateway/groupwatch.go
@@ -200,7 +200,7 @@
 
 // reportGroupFailure closes the group if an attempt failed in a way that indicates a broken group: it was refused, or
 // its response was truncated, other than by this gateway.
-func (n *run) reportGroupFailure(u *catalog.Upstream, err error) {
+func (n *run) reportGroupFailure(u *catalog.Upstream, err error, begun bool) {
 	var refused *RefusedError
 	var broken *httpclient.BrokenError
 	var unfinished *UnfinishedBodyError
@@ -208,7 +208,7 @@
 	case n.service.group == nil || err == nil || errors.As(err, &unfinished):
 	case errors.As(err, &refused) && refused.concernsGroup():
 		n.service.group.closeGroup(n.g.ctx, u, "refused")
-	case errors.As(err, &broken) && n.x.Responded():
+	case errors.As(err, &broken) && begun:
 		n.service.group.closeGroup(n.g.ctx, u, "cut off")
 	}
 }
--- /dev/null
+++ b/internal/node/gateway/leftplace.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/retry"
+	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
+)
+
+// leftPlace is the upstream that a stream has left, and to which it goes back if no other one goes on with it. Nobody places requests at a
+// very slow rank, so that its place there is free.
+type leftPlace struct {
+	upstream *catalog.Upstream
+	// next is the place for which the stream has left; nil once it was used.
+	next *dispatch.Ticket
+	// token is the retry for going back.
+	token retry.Token
+	// until is when the stream goes back if no other upstream has gone on with it.
+	until time.Time
+	// timer ends an attempt that has not sent its first event by then; nil while there is none.
+	timer *time.Timer
+	// back is set once it goes back.
+	back bool
+}
+
+// takeUpShare is the part of the time for which the caller waits, for an event or at all, within which another upstream must go on with a
+// stream that has left one.
+const takeUpShare = 0.75
+
+// leave gives the attempt up for a place elsewhere, and reports whether it did. The place is reserved before, and so are the retries for both
+// ways, there and back.
+func (n *run) leave(h *handovers, reason moveReason, now time.Time) bool {
+	limit := time.Duration(takeUpShare * float64(min(n.r.route.CallerTimeout(), n.r.deadline.Sub(now))))
+	there, back, ok := n.service.budget.TakeTwo(now)
+	if !ok {
+		n.service.grants.request(now)
+		return false
+	}
+	next, ok := n.service.gate.PlaceMoved(h.request)
+	if !ok || !h.leave(reason) {
+		n.service.gate.Done(next, dispatch.OutcomeNone)
+		n.service.budget.Return(there, now)
+		n.service.budget.Return(back, now)
+		return false
+	}
+	h.left = &leftPlace{next: next, token: back, until: now.Add(limit)}
+	n.token = &there
+	return true
+}
+
+// recordLeft records that the stream has left an upstream, if it has.
+func (n *run) recordLeft(u *catalog.Upstream, h *handovers) {
+	if h.left != nil {
+		h.left.upstream = u
+		n.left = h.left
+	}
+}
+
+// forgetLeft records that the stream does not go back to the upstream that it has left: another one has gone on with it, or the request
+// has ended.
+func (n *run) forgetLeft(outcome string) {
+	if n.left == nil {
+		return
+	}
+	if n.left.timer != nil {
+		n.left.timer.Stop()
+	}
+	n.service.budget.Return(n.left.token, time.Now())
+	n.service.gate.Done(n.left.next, dispatch.OutcomeNone)
+	n.left = nil
+	n.g.metrics.handedOver(n.r.service.Name, moveSlow, outcome)
+}
+
+// goBack makes the stream go back to the upstream that it has left, since no other attempt follows for a reason, and reports whether it
+// does. A request that has ended does not.
+func (n *run) goBack(ctx context.Context, reason stopCause) bool {
+	k := n.left
+	if k == nil || k.back || ctx.Err() != nil || n.g.checkEvacuated(k.upstream) != nil {
+		return false
+	}
+	switch reason {
+	case stopAttempts, stopUnreached, stopBudget, stopNoPlace, stopCrashes:
+	default:
+		return false
+	}
+	k.back = true
+	return true
+}
+
+// placementContext returns the context in which the next attempt waits for its place.
+func (n *run) placementContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if n.left == nil {
+		return ctx, func() {}
+	}
+	return context.WithDeadline(ctx, n.left.until)
+}
+
+// NotTakenUpError reports that an upstream has not gone on in time with a stream that has left another one.
+type NotTakenUpError struct{ Upstream ids.Upstream }
+
+// Error implements error.
+func (e *NotTakenUpError) Error() string {
+	return fmt.Sprintf("%s has not gone on with the stream in time", e.Upstream)
+}
+
+// boundedAttempt runs an attempt that must send its first event in time if the stream can go back to the upstream that it has left.
+func (n *run) boundedAttempt(ctx context.Context, t *dispatch.Ticket) error {
+	left := n.left
+	if left == nil {
+		return n.attempt(ctx, t)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	late := &NotTakenUpError{t.Upstream().ID}
+	left.timer = time.AfterFunc(time.Until(left.until), func() { cancel(late) })
+	defer left.timer.Stop()
+	err := n.attempt(ctx, t)
+	if err != nil && context.Cause(ctx) == late {
+		return late
+	}
+	return err
+}
+
+// placeMoved returns the ticket of the place for which the stream has left its upstream.
+func (n *run) placeMoved(_ context.Context, last error) (*dispatch.Ticket, error) {
+	ticket := n.left.next
+	n.left.next = nil
+	if !n.payForRetry(time.Now()) {
+		n.service.gate.Done(ticket, dispatch.OutcomeNone)
+		n.g.logRetryDenied(n, last)
+		return nil, n.finalError(n.ctx, last, stopBudget)
+	}
+	n.recordPlaced(ticket, time.Now())
+	n.g.logPlaced(n, ticket.Upstream().Incarnation(), ticket.PlacementInputs())
+	return ticket, nil
+}
+
+// placeBack returns a ticket for the upstream that the stream has left.
+func (n *run) placeBack(last error) (*dispatch.Ticket, error) {
+	left := n.left
+	n.left = nil
+	n.returnToken()
+	n.token = &left.token
+	ticket, ok := n.service.gate.PlaceAt(n.dispatchRequest(n.x.Responded()), left.upstream.Incarnation())
+	if !ok {
+		return nil, n.finalError(n.ctx, last, stopNoPlace)
+	}
+	for !n.payForRetry(time.Now()) {
+		if !n.renewRetry(n.ctx) {
+			n.service.gate.Done(ticket, dispatch.OutcomeNone)
+			n.g.logRetryDenied(n, last)
+			return nil, n.finalError(n.ctx, last, stopBudget)
+		}
+	}
+	n.g.metrics.handedOver(n.r.service.Name, moveSlow, "went-back")
+	n.recordPlaced(ticket, time.Now())
+	n.g.logPlaced(n, ticket.Upstream().Incarnation(), ticket.PlacementInputs())
+	return ticket, nil
+}
--- a/internal/node/gateway/log.go
+++ b/internal/node/gateway/log.go
@@ -104,6 +104,48 @@
 	_ = g.requests.resent(n.r.route.Repeatable()).Log(append(fields, "left_ms", n.r.deadline.Sub(now).Milliseconds(), "err", err)...)
 }
 
+// handoverResult is how a handover ended.
+type handoverResult struct {
+	// to is the upstream that was to take over; empty if none had a place.
+	to       ids.Upstream
+	tookOver bool
+	// err is why there was no successor; nil if there was one.
+	err  error
+	took time.Duration
+}
+
+// outcome is a label of metrics.
+func (r handoverResult) outcome() string {
+	var place *NoPlaceError
+	var retry *NoRetryError
+	switch {
+	case r.tookOver:
+		return "taken-over"
+	case r.err == nil:
+		return "not-needed"
+	case errors.As(r.err, &place):
+		return "no-place"
+	case errors.As(r.err, &retry):
+		return "no-retry"
+	}
+	return string(attemptEndOf(r.err))
+}
+
+// recordHandover counts a handover, and logs it unless no upstream had a place again.
+func (g *Gateway) recordHandover(n *run, h *handovers, p *handover, r handoverResult) {
+	g.metrics.handedOver(n.r.service.Name, p.reason, r.outcome())
+	if r.tookOver && p.reason == moveEvacuated {
+		g.metrics.evacuationMoved(n.r.service.Name, 1)
+	}
+	if r.to == "" && !h.firstUnplaced() {
+		return
+	}
+	fields := []any{"msg", "handover", "request", n.r.call.Attempt, "route", n.r.route.Name, "from", h.from, "to", r.to, "reason", p.reason,
+		"outcome", r.outcome(), "took_ms", r.took.Milliseconds()}
+	fields = append(fields, budgetFields(n.service, time.Now())...)
+	_ = g.requests.failures.Log(append(fields, "left_ms", time.Until(n.r.deadline).Milliseconds(), "err", r.err)...)
+}
+
 // logRetryDenied logs that the retry budget does not allow another attempt.
 func (g *Gateway) logRetryDenied(n *run, err error) {
 	g.metrics.retryDenied(n.r.service.Name)
--- a/internal/node/gateway/metrics.go
+++ b/internal/node/gateway/metrics.go
@@ -106,6 +106,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_ends_not_confirmed_total{service=%q,because=%q}", service, because)).Inc()
 }
 
+// handedOver counts the handovers of a stream to another upstream by how they ended.
+func (m *gatewayMetrics) handedOver(service ids.Service, reason moveReason, outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_handovers_total{service=%q,reason=%q,outcome=%q}", service, reason, outcome)).Inc()
+}
+
 func (m *gatewayMetrics) classDone(service ids.Service, class int, outcome string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_class_requests_total{service=%q,class=\"%d\",outcome=%q}", service, class, outcome)).Inc()
 }
--- a/internal/node/gateway/move_test.go
+++ b/internal/node/gateway/move_test.go
@@ -1,12 +1,13 @@
 package gateway
 
 import (
-	"context"
 	"errors"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
+	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/retry"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
@@ -23,57 +24,41 @@
 	return b
 }
 
-// Guards against a very slow rank that delays all callers of its group: one rank is slowed down twelvefold, another
-// twofold, and all callers wait for the first in each pass. Its streams must be moved, as many as the retry budget
-// allows, and no others: a stream that could not be sent again would be truncated.
+// Guards against a very slow rank that delays all callers of its group, and moves from ranks that are not.
 func TestStreamsAreMovedFromVerySlowRank(t *testing.T) {
-	s := &service{group: &groupWatch{}, budget: retryBudget(2)}
+	moved := map[ids.Upstream]int{}
 	m := newMoves()
-	at := map[ids.Upstream][]context.Context{}
+	m.begin = func(_ *run, h *handovers, _ moveReason, _ time.Time) bool {
+		moved[h.from]++
+		return true
+	}
 	for _, u := range []ids.Upstream{"very-slow", "slow", "usual"} {
 		for range 3 {
-			ctx, cancel := context.WithCancelCause(t.Context())
-			defer cancel(nil)
-			m.add(ids.UpstreamIncarnation{Upstream: u}, movableRun(s, true), cancel)
-			at[u] = append(at[u], ctx)
+			m.add(ids.UpstreamIncarnation{Upstream: u}, &run{}, &handovers{from: u})
 		}
 	}
 	m.moveStreams(map[ids.UpstreamIncarnation]float64{{Upstream: "very-slow"}: 12, {Upstream: "slow"}: 2}, time.Now())
-	moved := map[ids.Upstream]int{}
-	for u, list := range at {
-		for _, ctx := range list {
-			var cause *MovedError
-			if errors.As(context.Cause(ctx), &cause) && cause.Upstream == u {
-				moved[u]++
-			}
-		}
-	}
-	if moved["very-slow"] != 2 || moved["slow"] != 0 || moved["usual"] != 0 {
-		t.Fatalf("moved %v, want two from very-slow", moved)
+	if moved["very-slow"] != 3 || moved["slow"] != 0 || moved["usual"] != 0 {
+		t.Fatalf("moved %v, want three from very-slow", moved)
 	}
 }
 
-// Guards against streams that stay on a very slow rank because the retry budget of another service is used up.
-func TestUsedUpBudgetDoesNotKeepStreamsOfOtherServices(t *testing.T) {
-	for range 32 { // the ranks are visited in random order
-		m := newMoves()
-		slowdowns := map[ids.UpstreamIncarnation]float64{}
-		add := func(u ids.Upstream, budget *retry.SharedBudget) context.Context {
-			ctx, cancel := context.WithCancelCause(t.Context())
-			t.Cleanup(func() { cancel(nil) })
-			m.add(ids.UpstreamIncarnation{Upstream: u}, movableRun(&service{group: &groupWatch{}, budget: budget}, true), cancel)
-			slowdowns[ids.UpstreamIncarnation{Upstream: u}] = 12
-			return ctx
-		}
-		used := retryBudget(0)
-		add("a", used)
-		add("b", used)
-		other := add("c", retryBudget(1))
-		m.moveStreams(slowdowns, time.Now())
-		var moved *MovedError
-		if !errors.As(context.Cause(other), &moved) {
-			t.Fatal("the stream of the other service was not moved")
+// Guards against moves beyond the room that there is elsewhere, and a stream that cannot be moved and counts against it.
+func TestMovesKeepWithinLimit(t *testing.T) {
+	begun := 0
+	m := newMoves()
+	m.begin = func(n *run, _ *handovers, _ moveReason, _ time.Time) bool {
+		if n.sent > 0 {
+			return false
 		}
+		begun++
+		return true
+	}
+	for i := range 6 {
+		m.add(ids.UpstreamIncarnation{Upstream: "u"}, &run{sent: i % 2}, &handovers{})
+	}
+	if got := m.moveFrom(ids.UpstreamIncarnation{Upstream: "u"}, moveEvacuated, 2, time.Now()); got != 2 || begun != 2 {
+		t.Errorf("began %d, reported %d, want 2", begun, got)
 	}
 }
 
@@ -99,15 +84,49 @@
 	}
 }
 
-// Guards against a moved stream that is truncated because the retry budget is used up. Moving it has already consumed
-// its share of the budget.
+// Guards against streams that stay on a very slow rank because those of another service cannot be moved.
+func TestUsedUpBudgetDoesNotKeepStreamsOfOtherServices(t *testing.T) {
+	used, other := &service{}, &service{}
+	for range 32 { // the ranks are visited in random order
+		moved := false
+		m := newMoves()
+		m.begin = func(n *run, _ *handovers, _ moveReason, _ time.Time) bool {
+			moved = moved || n.service == other
+			return n.service == other
+		}
+		slowdowns := map[ids.UpstreamIncarnation]float64{}
+		for u, s := range map[ids.Upstream]*service{"a": used, "b": used, "c": other} {
+			m.add(ids.UpstreamIncarnation{Upstream: u}, movableRun(s, true), &handovers{})
+			slowdowns[ids.UpstreamIncarnation{Upstream: u}] = 12
+		}
+		m.moveStreams(slowdowns, time.Now())
+		if !moved {
+			t.Fatal("the stream of the other service was not moved")
+		}
+	}
+}
+
+// Guards against a stream that is given up because no retry is left for its successor.
+func TestSuccessorWithoutRetryIsNotSent(t *testing.T) {
+	n := movableRun(&service{budget: retryBudget(0)}, true)
+	var none *NoRetryError
+	if _, err := n.payForSuccessor(); !errors.As(err, &none) {
+		t.Errorf("got %v, want *NoRetryError", err)
+	}
+}
+
+// Guards against a moved stream that is truncated because a second retry is wanted for its successor, which has paid.
 func TestMovedStreamIsRetriedWithoutBudget(t *testing.T) {
-	n := movableRun(&service{group: &groupWatch{}, budget: retryBudget(0)}, true)
-	n.r.route.Kind = catalog.KindStream
-	n.g = &Gateway{suspects: newSuspects("g", nil, newMetrics())}
-	n.x = runOf("").x
-	n.recordFailure(&catalog.Upstream{ID: "u"}, &MovedError{Upstream: "u"})
-	if reason := n.stopReason(t.Context(), &MovedError{Upstream: "u"}); reason != "" {
-		t.Fatalf("aborted: %s", reason)
+	pool := dispatch.NewPool(dispatch.Options{Fill: 1, LateFill: 1}, rand.New(rand.NewPCG(1, 1)))
+	pool.SetUpstreams([]*catalog.Upstream{{ID: "u", Slots: 1, State: catalog.StateReady}}, time.Now())
+	ticket, ok := pool.TryPlace(dispatch.Request{}, time.Now())
+	if !ok {
+		t.Fatal("no place")
+	}
+	n := movableRun(&service{budget: retryBudget(0)}, true)
+	n.g, n.r.service, n.arrived = &Gateway{metrics: newMetrics()}, &catalog.Service{Name: "s"}, true
+	n.successor = &successor{ticket: ticket}
+	if got, err := n.place(t.Context(), nil); err != nil || got != ticket {
+		t.Fatalf("got %v, %v, want the successor's ticket", got, err)
 	}
 }
--- a/internal/node/gateway/pay.go
+++ b/internal/node/gateway/pay.go
@@ -13,6 +13,9 @@
 	if n.token != nil || n.takeRetry() {
 		return true
 	}
+	if n.left != nil {
+		return false // the stream goes back to the upstream that it has left
+	}
 	limit := min(maxGrantWait, time.Duration(maxGrantWaitShare*float64(time.Until(n.r.deadline))))
 	if n.x.Responded() {
 		return n.awaitRetry(ctx, n.resumeBy())
--- a/internal/node/gateway/placement.go
+++ b/internal/node/gateway/placement.go
@@ -28,11 +28,11 @@
 //
 // Establishing a connection takes time, and this process may have been paused since. Gateways that are paused together would
 // otherwise write all that they had placed at a cold upstream in the same second.
-func (n *run) checkPlacement(u *catalog.Upstream, in dispatch.PlacementInputs) error {
+func (n *run) checkPlacement(u *catalog.Upstream, in dispatch.PlacementInputs, placedAt time.Time) error {
 	if err := n.g.checkEvacuated(u); err != nil {
 		return err
 	}
-	if age := time.Since(n.placedAt); in.ColdPart > 0 && age > coldstart.ValidFor {
+	if age := time.Since(placedAt); in.ColdPart > 0 && age > coldstart.ValidFor {
 		return &OutdatedPermitError{u.ID, age}
 	}
 	return nil
--- a/internal/node/gateway/placement_test.go
+++ b/internal/node/gateway/placement_test.go
@@ -25,7 +25,7 @@
 		"cold, slow to dial": {coldstart.ValidFor / 2, 0.95, false},
 	} {
 		n := &run{g: g, placedAt: time.Now().Add(-tc.age)}
-		err := n.checkPlacement(&catalog.Upstream{ID: "u"}, dispatch.PlacementInputs{ColdPart: tc.coldPart})
+		err := n.checkPlacement(&catalog.Upstream{ID: "u"}, dispatch.PlacementInputs{ColdPart: tc.coldPart}, n.placedAt)
 		if isUnwritten(err) != tc.outdated {
 			t.Errorf("%s: %v", name, err)
 		}
--- a/internal/node/gateway/plain.go
+++ b/internal/node/gateway/plain.go
@@ -52,6 +52,10 @@
 		res.Release(false)
 		return &LongBodyError{t.Upstream().ID}
 	}
+	if !n.handovers.complete() {
+		res.Release(false)
+		return &MovedError{Upstream: t.Upstream().ID}
+	}
 	n.service.gate.Responded(t)
 	if !body.whole {
 		n.recordFirstPiece()
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -62,6 +62,11 @@
 	malformed httpclient.Defect
 	// relayedFailure is set if the caller received bufferedFailure.
 	relayedFailure bool
+	// handovers passes the current attempt on; nil if it may not be. successor is the attempt that has taken over from it; nil if none has.
+	handovers *handovers
+	successor *successor
+	// left is the upstream that the stream has left for another one; nil if it has not.
+	left *leftPlace
 	// answerEnd is how the attempt ended that sent the caller its latest events, at answerEndedAt; stoppedBy is why no attempt follows.
 	answerEnd     attemptEnd
 	answerEndedAt time.Time
@@ -105,40 +110,17 @@
 	n.service.budget.RecordFirst(n.r.arrived)
 	defer n.returnToken()
 	defer n.freeKept()
+	defer n.forgetLeft("request-ended")
 	n.ctx = ctx
 	attemptCtx := ctx
 	var last error
 	for {
-		ticket, err := n.service.gate.Wait(attemptCtx, n.dispatchRequest())
-		if err != nil {
-			return n.unplacedError(ctx, err)
-		}
-		if err := attemptCtx.Err(); err != nil { // placed and ended at the same time
-			n.service.gate.Done(ticket, dispatch.OutcomeNone)
-			return n.unplacedError(ctx, err)
-		}
-		if refused := n.refusal(); refused != nil {
-			n.service.gate.Done(ticket, dispatch.OutcomeNone)
-			return n.refusedWhileWaiting(ctx, refused)
+		ticket, err := n.place(attemptCtx, last)
+		if ticket == nil {
+			return err
 		}
-		if !n.payForRetry(time.Now()) {
-			n.service.gate.Done(ticket, dispatch.OutcomeNone)
-			if n.renewRetry(attemptCtx) {
-				continue
-			}
-			n.g.logRetryDenied(n, last)
-			return n.finalError(ctx, last, stopBudget)
-		}
-		n.placedAt = time.Now()
-		if n.firstPlacedAt.IsZero() {
-			n.firstPlacedAt = n.placedAt
-		}
-		n.upstream, n.address = ticket.Upstream().ID, ticket.Upstream().Address
-		n.g.metrics.placedUnderOverload(n.r.service.Name, n.r.route.Priority, ticket.PlacementInputs())
-		n.g.metrics.coldSent(n.r.service.Name, ticket.PlacementInputs())
-		n.g.logPlaced(n, ticket.Upstream().Incarnation(), ticket.PlacementInputs())
 		err = n.tracedAttempt(attemptCtx, ticket)
-		n.reportGroupFailure(ticket.Upstream(), err)
+		n.reportGroupFailure(ticket.Upstream(), err, n.x.Responded())
 		n.service.gate.Done(ticket, outcomeOf(attemptCtx, err))
 		if err == nil {
 			n.g.suspects.completed(n, time.Now())
@@ -152,10 +134,12 @@
 		}
 		n.recordMalformed(err)
 		n.recordFailure(ticket.Upstream(), err)
-		n.checkCrash(ticket.Upstream(), err)
+		n.checkCrash(ticket.Upstream(), err, n.stream.attemptEvents)
 		n.reject(ticket.Upstream(), err)
-		if reason := n.stopReason(attemptCtx, err); reason != stopNone {
-			return n.finalError(ctx, err, reason)
+		if n.successor == nil {
+			if reason := n.stopReason(attemptCtx, err); reason != stopNone && !n.goBack(ctx, reason) {
+				return n.finalError(ctx, err, reason)
+			}
 		}
 		n.g.logRetry(n, err)
 		last = err
@@ -167,13 +151,75 @@
 	}
 }
 
-// dispatchRequest describes the next attempt for the service's pool.
-func (n *run) dispatchRequest() dispatch.Request {
+// place returns the ticket of the next attempt: that of the successor which has taken over, a new one, or one for the upstream that
+// the stream has left. It returns nil if the request has ended, with its error; last is the error of the attempt before.
+func (n *run) place(attemptCtx context.Context, last error) (*dispatch.Ticket, error) {
+	if n.successor != nil {
+		n.recordPlaced(n.successor.ticket, n.successor.placedAt)
+		return n.successor.ticket, nil
+	}
+	if n.left != nil && n.left.back {
+		return n.placeBack(last)
+	}
+	next := n.placeAnew
+	if n.left != nil && n.left.next != nil {
+		next = n.placeMoved
+	}
+	ticket, err := next(attemptCtx, last)
+	if err != nil && n.goBack(n.ctx, n.stoppedBy) {
+		return n.placeBack(last)
+	}
+	return ticket, err
+}
+
+// placeAnew returns a new ticket for the next attempt; nil if the request has ended.
+func (n *run) placeAnew(attemptCtx context.Context, last error) (*dispatch.Ticket, error) {
+	waitCtx, cancel := n.placementContext(attemptCtx)
+	defer cancel()
+	for {
+		ticket, err := n.service.gate.Wait(waitCtx, n.dispatchRequest(n.x.Responded()))
+		if err != nil {
+			return nil, n.unplacedError(n.ctx, err)
+		}
+		if err := waitCtx.Err(); err != nil { // placed and ended at the same time
+			n.service.gate.Done(ticket, dispatch.OutcomeNone)
+			return nil, n.unplacedError(n.ctx, err)
+		}
+		if refused := n.refusal(); refused != nil {
+			n.service.gate.Done(ticket, dispatch.OutcomeNone)
+			return nil, n.refusedWhileWaiting(n.ctx, refused)
+		}
+		if n.payForRetry(time.Now()) {
+			n.recordPlaced(ticket, time.Now())
+			n.g.logPlaced(n, ticket.Upstream().Incarnation(), ticket.PlacementInputs())
+			return ticket, nil
+		}
+		n.service.gate.Done(ticket, dispatch.OutcomeNone)
+		if !n.renewRetry(attemptCtx) {
+			n.g.logRetryDenied(n, last)
+			return nil, n.finalError(n.ctx, last, stopBudget)
+		}
+	}
+}
+
+// recordPlaced records the placement of the next attempt.
+func (n *run) recordPlaced(t *dispatch.Ticket, at time.Time) {
+	n.placedAt = at
+	if n.firstPlacedAt.IsZero() {
+		n.firstPlacedAt = at
+	}
+	n.upstream, n.address = t.Upstream().ID, t.Upstream().Address
+	n.g.metrics.placedUnderOverload(n.r.service.Name, n.r.route.Priority, t.PlacementInputs())
+	n.g.metrics.coldSent(n.r.service.Name, t.PlacementInputs())
+}
+
+// dispatchRequest describes the next attempt for the service's pool; begun is set if the caller has a part of the answer.
+func (n *run) dispatchRequest(begun bool) dispatch.Request {
 	r := n.r
 	latest := r.deadline
 	if r.route.Kind == catalog.KindStream {
 		since := r.arrived
-		if n.x.Responded() {
+		if begun {
 			since = n.lastEventAt
 		}
 		if callerTimeout := since.Add(r.route.CallerTimeout()); callerTimeout.Before(latest) {
@@ -190,7 +236,7 @@
 		Account:          fairshare.AccountOf(r.client),
 		Tokens:           r.call.work(r.service.Engine),
 		EndsBy:           r.deadline,
-		Begun:            n.x.Responded(),
+		Begun:            begun,
 		MayHaveRun:       n.mayHaveRun,
 		Once:             !r.route.Repeatable(),
 		Exclude:          n.exclude,
@@ -212,28 +258,18 @@
 // attempt sends the request to one upstream and relays the response.
 func (n *run) attempt(ctx context.Context, t *dispatch.Ticket) error {
 	n.stream.attemptEvents = 0
-	res, err := n.send(ctx, t)
+	if s := n.successor; s != nil {
+		n.successor = nil
+		return n.relaySuccessor(ctx, t, s)
+	}
+	res, err := n.send(ctx, t, sendInput{placedAt: n.placedAt, lastEvent: n.stream.lastEvent, elsewhere: n.mayGoElsewhere()})
 	if err != nil {
 		return err
 	}
-	info := n.g.dialect.ReadResponse(res.Header)
-	responder := n.responder(t.Upstream(), res.Status, info)
-	n.g.recordLimit(responder, res.Status, info, n.placedAt)
-	n.g.recordCold(responder, res.Status, info, n.placedAt)
-	n.recordRest(responder, info.Rest)
-	n.recordLeaving(responder, info.Leaving)
-	if res.Status/100 == 2 && !res.CloseDelimited {
-		n.service.habit.Record(false)
-	}
+	info := n.readStatements(t.Upstream(), res, n.placedAt)
 	switch {
 	case info.NotRun:
-		refused := newRefusedError(t.Upstream(), res, info)
-		if refused.Status == statusOtherInstance {
-			res.Release(false) // the process behind the connection is not the one that later requests are meant for
-		} else {
-			res.ReleaseUnread()
-		}
-		return refused
+		return refusalOf(t.Upstream(), res, info)
 	case isStream(res) && n.r.route.Kind == catalog.KindStream && res.Status/100 == 2:
 		err = n.relayStream(ctx, t, res, info)
 	case n.x.Responded():
@@ -248,6 +284,31 @@
 	return err
 }
 
+// readStatements reads what the header of a response to an attempt at u says, and records what it says of upstreams.
+func (n *run) readStatements(u *catalog.Upstream, res *httpclient.Response, placedAt time.Time) ResponseInfo {
+	info := n.g.dialect.ReadResponse(res.Header)
+	responder := n.responder(u, res.Status, info)
+	n.g.recordLimit(responder, res.Status, info, placedAt)
+	n.g.recordCold(responder, res.Status, info, placedAt)
+	n.recordRest(responder, info.Rest)
+	n.recordLeaving(responder, info.Leaving)
+	if res.Status/100 == 2 && !res.CloseDelimited {
+		n.service.habit.Record(false)
+	}
+	return info
+}
+
+// refusalOf returns the error of a response that promises that the attempt did not run, and frees the response.
+func refusalOf(u *catalog.Upstream, res *httpclient.Response, info ResponseInfo) error {
+	refused := newRefusedError(u, res, info)
+	if refused.Status == statusOtherInstance {
+		res.Release(false) // the process behind the connection is not the one that later requests are meant for
+	} else {
+		res.ReleaseUnread()
+	}
+	return refused
+}
+
 // responder returns the upstream that sent a response to an attempt at u; nil if it is not known.
 func (n *run) responder(u *catalog.Upstream, status int, info ResponseInfo) *catalog.Upstream {
 	switch {
@@ -303,6 +364,19 @@
 	}
 }
 
+// recordFailedSuccessors records what the successors of an attempt prove that were sent the request and failed.
+func (n *run) recordFailedSuccessors(h *handovers) {
+	for _, f := range h.failures {
+		n.exclude = append(n.exclude, f.upstream.ID)
+		n.arrived = true
+		n.recordMalformed(f.err)
+		if f.mayHaveRun() {
+			n.sent++
+			n.checkCrash(f.upstream, f.err, 0)
+		}
+	}
+}
+
 // recordMalformed counts a response that was refused for its form.
 func (n *run) recordMalformed(err error) {
 	if defect := httpclient.DefectOf(err); defect != "" {
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -25,23 +25,32 @@
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
+// sendInput is what an attempt is sent with.
+type sendInput struct {
+	placedAt time.Time
+	// lastEvent is the id of the event after which a stream is to go on; empty for all of it.
+	lastEvent string
+	// elsewhere is set if another attempt may take the place of this one.
+	elsewhere bool
+}
+
 // send writes the request to the upstream that it was placed at and reads the header of the response that carries the attempt's
 // id. It also returns the errors of checkPlacement.
-func (n *run) send(ctx context.Context, t *dispatch.Ticket) (*httpclient.Response, error) {
+func (n *run) send(ctx context.Context, t *dispatch.Ticket, in sendInput) (*httpclient.Response, error) {
 	to := t.Upstream()
 	req := &fasthttp.Request{} // not from the pool: a response may come before the request is written
-	n.writeRequest(req, to)
+	n.writeRequest(req, to, in.lastEvent)
 	return n.g.client.Do(ctx, to.Address, httpclient.Exchange{
 		Request:   req,
 		Instance:  to.Incarnation().String(),
 		ID:        n.r.call.Attempt,
 		ReadID:    n.g.dialect.ResponseAttempt,
 		MayLackID: n.mayLackAttemptID,
-		IsForeign: func(h *fasthttp.ResponseHeader) bool { return n.isForeign(to, h) },
+		IsForeign: func(h *fasthttp.ResponseHeader) bool { return n.isForeign(to, h, in.elsewhere) },
 		Single:    n.g.dialect.SingleResponseFields(),
-		MayWrite:  func() error { return n.checkPlacement(to, t.PlacementInputs()) },
+		MayWrite:  func() error { return n.checkPlacement(to, t.PlacementInputs(), in.placedAt) },
 		OnForeign: func(h *fasthttp.ResponseHeader) { n.g.logForeignResponse(n, to, h) },
-		Patience:  n.patience(time.Now()),
+		Patience:  n.patience(in.elsewhere, time.Now()),
 	})
 }
 
@@ -51,8 +60,8 @@
 
 // patience returns how long the attempt may wait for the rest of what has begun to arrive; 0 for as long as the caller waits, since
 // there is nothing better to do.
-func (n *run) patience(now time.Time) time.Duration {
-	if !n.mayGoElsewhere() {
+func (n *run) patience(elsewhere bool, now time.Time) time.Duration {
+	if !elsewhere {
 		return 0
 	}
 	return max(time.Millisecond, min(maxPatience, n.r.deadline.Sub(now)/2))
@@ -72,8 +81,8 @@
 
 // isForeign reports whether a response to an attempt at an upstream cannot be its answer, by what the response says. A request that may
 // be sent elsewhere does not wait for the answer after it.
-func (n *run) isForeign(to *catalog.Upstream, h *fasthttp.ResponseHeader) bool {
-	if h.StatusCode() != statusOtherInstance || n.mayGoElsewhere() {
+func (n *run) isForeign(to *catalog.Upstream, h *fasthttp.ResponseHeader, elsewhere bool) bool {
+	if h.StatusCode() != statusOtherInstance || elsewhere {
 		return false
 	}
 	info := n.g.dialect.ReadResponse(h)
@@ -82,7 +91,7 @@
 
 // writeRequest builds the request to the upstream: the caller's method, path, body and header without hop-by-hop
 // fields, and the fields that the gateway sets.
-func (n *run) writeRequest(req *fasthttp.Request, to *catalog.Upstream) {
+func (n *run) writeRequest(req *fasthttp.Request, to *catalog.Upstream, lastEvent string) {
 	in := n.x.Req
 	in.Header.CopyTo(&req.Header)
 	h := &req.Header
@@ -102,7 +111,7 @@
 		Client:    n.r.client,
 		Remaining: time.Until(n.r.deadline),
 		Priority:  n.r.priority,
-		LastEvent: n.stream.lastEvent,
+		LastEvent: lastEvent,
 	})
 }
 
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cardamomyoke/cardamomyoke/internal/base/httpclient"
+	"github.com/cardamomyoke/cardamomyoke/internal/base/monotonic"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
 )
@@ -75,6 +76,9 @@
 			return err
 		}
 	}
+	if !n.handovers.complete() {
+		return &MovedError{Upstream: t.Upstream().ID}
+	}
 	return n.x.End()
 }
 
@@ -155,24 +159,38 @@
 	}
 }
 
-// readEvents reads what has arrived of the events. The rest of an event that has begun may take half of the time for which the caller
-// waits, if another upstream may resume the stream.
+// readEvents reads what has arrived of the events. If the rest of an event that has begun takes longer than half of the time for which
+// the caller waits, the stream is handed over to another upstream, if one may resume it.
 func (n *run) readEvents(res *httpclient.Response, buf []byte, begunAt time.Time) (int, error) {
-	if begunAt.IsZero() || !n.mayGoElsewhere() {
+	if begunAt.IsZero() || n.handovers == nil {
 		return res.Body.Read(buf)
 	}
 	limit := min(n.r.route.CallerTimeout(), n.r.deadline.Sub(begunAt)) / 2
-	stop := res.AbortAfter(time.Until(begunAt.Add(limit)))
-	defer stop()
-	size, err := res.Body.Read(buf)
-	if err != nil && res.Aborted() {
-		err = &UnfinishedBodyError{limit}
-	}
-	return size, err
+	defer n.handOverAt(n.handovers, begunAt.Add(limit))()
+	return res.Body.Read(buf)
+}
+
+// handOverAt begins to hand the stream over at a time, and again while that comes to nothing, until stop is called.
+func (n *run) handOverAt(h *handovers, at time.Time) (stop func()) {
+	ctx, cancel := context.WithCancel(h.ctx)
+	go func() {
+		for wait := time.Until(at); ; wait = handoverPause {
+			monotonic.Sleep(ctx, wait)
+			if ctx.Err() != nil {
+				return
+			}
+			n.beginHandover(h, moveStalled, time.Now())
+		}
+	}()
+	return cancel
 }
 
 // writeEvents writes complete events to the caller, preceded by the response header if they are the first.
 func (n *run) writeEvents(ctx context.Context, t *dispatch.Ticket, res *httpclient.Response, events []byte) error {
+	if err := n.handovers.beginWrite(ctx); err != nil {
+		return err
+	}
+	defer n.handovers.endWrite()
 	events, last, err := n.nextEvents(events)
 	if len(events) == 0 {
 		return err
@@ -188,6 +206,7 @@
 		return err
 	}
 	n.stream.recordEvents(time.Since(n.lastEventAt))
+	n.forgetLeft("taken-over")
 	if n.stream.attemptEvents >= minAnsweredEvents {
 		n.answering()
 	}
--- a/internal/node/gateway/suspects.go
+++ b/internal/node/gateway/suspects.go
@@ -180,10 +180,10 @@
 	s.clearedInRow(n.fingerprint(), now)
 }
 
-// connectionBroken records that a run's connection to an upstream broke, and checks whether the upstream crashed. leaving is set if
-// its end was planned.
-func (s *suspects) connectionBroken(ctx context.Context, n *run, u *catalog.Upstream, leaving bool) {
-	running := brokenRun{quarantine.Running{Fingerprint: n.fingerprint(), Client: n.r.client}, n.r.call.Attempt, n.r.call.SharedParts, n.stream.attemptEvents, leaving}
+// connectionBroken records that a run's connection to an upstream broke after a number of writes of events, and checks whether the
+// upstream crashed. leaving is set if its end was planned.
+func (s *suspects) connectionBroken(ctx context.Context, n *run, u *catalog.Upstream, events int, leaving bool) {
+	running := brokenRun{quarantine.Running{Fingerprint: n.fingerprint(), Client: n.r.client}, n.r.call.Attempt, n.r.call.SharedParts, events, leaving}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_, pending := s.confirming[u.Incarnation()]
@@ -281,13 +281,13 @@
 	}
 }
 
-// checkCrash starts a check whether the upstream crashed, if the attempt's connection broke. Where only the close of the connection
+// checkCrash starts a check whether the upstream crashed, if the attempt's connection broke after a number of writes of events. Where only the close of the connection
 // ends a stream, one that ends without an event, or within one, was broken off.
-func (n *run) checkCrash(u *catalog.Upstream, err error) {
+func (n *run) checkCrash(u *catalog.Upstream, err error, events int) {
 	var broken *httpclient.BrokenError
 	var event *EventError
 	if (errors.As(err, &broken) || errors.As(err, &event)) && !n.g.disabled(mechanismSuspects) {
-		n.g.suspects.connectionBroken(n.g.ctx, n, u, n.g.isLeaving(u))
+		n.g.suspects.connectionBroken(n.g.ctx, n, u, events, n.g.isLeaving(u))
 	}
 }
 
--- a/internal/node/gateway/suspects_test.go
+++ b/internal/node/gateway/suspects_test.go
@@ -29,7 +29,7 @@
 }
 
 func breakConnectionAt(s *suspects, n *run, incarnation ids.UpstreamIncarnation) {
-	s.connectionBroken(context.Background(), n, &catalog.Upstream{ID: incarnation.Upstream, StartedAtMS: incarnation.StartedAtMS}, false)
+	s.connectionBroken(context.Background(), n, &catalog.Upstream{ID: incarnation.Upstream, StartedAtMS: incarnation.StartedAtMS}, n.stream.attemptEvents, false)
 	for pending := true; pending; time.Sleep(time.Millisecond) {
 		s.mu.Lock()
 		_, pending = s.confirming[incarnation]
@@ -184,7 +184,7 @@
 	n.g = &Gateway{suspects: s, ctx: t.Context()}
 	n.g.settings.Store(&Settings{})
 	n.g.view.Store(&view{upstreams: catalog.NewUpstreams(nil)})
-	n.checkCrash(&catalog.Upstream{ID: "a"}, &EventError{"ends within an event"})
+	n.checkCrash(&catalog.Upstream{ID: "a"}, &EventError{"ends within an event"}, n.stream.attemptEvents)
 	for end := time.Now().Add(time.Second); levelOf(s, n) == quarantine.Clear; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatal("the crash counts against no request")
--- a/internal/policy/dispatch/begun_test.go
+++ b/internal/policy/dispatch/begun_test.go
@@ -43,3 +43,20 @@
 	}
 	t.Error("waits beyond the time at which its caller gives up")
 }
+
+// Guards against a stream that takes a place for which requests wait, in order to leave one that works.
+func TestTryPlaceTakesNoPlaceForWhichOthersWait(t *testing.T) {
+	p := fullPool()
+	if _, ok := p.TryPlace(begunRequest(at(time.Second)), at(time.Second)); ok {
+		t.Error("placed beside waiting requests")
+	}
+	p = newPool(1, 1)
+	running := p.Submit(timedRequest(at(0)), at(0))
+	if _, ok := p.TryPlace(begunRequest(at(0)), at(0)); ok {
+		t.Error("placed at a full upstream")
+	}
+	p.Done(running, dispatch.OutcomeOK, at(0))
+	if _, ok := p.TryPlace(begunRequest(at(0)), at(0)); !ok {
+		t.Error("not placed at an idle upstream")
+	}
+}
--- a/internal/policy/dispatch/pool.go
+++ b/internal/policy/dispatch/pool.go
@@ -303,7 +303,7 @@
 
 // Done records the outcome of a placed request and returns the tickets that are decided as a result.
 func (p *Pool) Done(t *Ticket, o Outcome, now time.Time) []*Ticket {
-	if t.assigned == nil || t.done {
+	if t == nil || t.assigned == nil || t.done {
 		return nil
 	}
 	p.markPrefilled(t)
@@ -379,9 +379,14 @@
 	if len(candidates) == 0 {
 		return false
 	}
-	best := p.preferNear(t.request, candidates, p.leastLoaded(candidates, p.choices(len(candidates), now)), now)
+	p.assign(t, p.preferNear(t.request, candidates, p.leastLoaded(candidates, p.choices(len(candidates), now)), now), len(candidates), now)
+	return true
+}
+
+// assign places the ticket at the best of a number of usable upstreams.
+func (p *Pool) assign(t *Ticket, best *upstreamState, usable int, now time.Time) {
 	p.recordPlacement(now)
-	t.inputs = PlacementInputs{Load: p.load(best), Usable: len(candidates), Waiting: len(p.waiting)}
+	t.inputs = PlacementInputs{Load: p.load(best), Usable: usable, Waiting: len(p.waiting)}
 	if !p.othersAt.IsZero() {
 		t.inputs.OthersAge = now.Sub(p.othersAt)
 	}
@@ -405,7 +410,6 @@
 	t.upstream = best.listed
 	t.placedAt = now
 	t.state = placed
-	return true
 }
 
 // candidates returns the upstreams that may take the request now. The result is valid until the next call.
--- a/internal/policy/retry/shared.go
+++ b/internal/policy/retry/shared.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -25,6 +26,8 @@
 	grantedHoldDivisor = 10
 	// arrivalDivisor sets the time, as a fraction of Bound.Length, that a retry may take to arrive.
 	arrivalDivisor = 40
+	// lastingDivisor sets, as a fraction of how long a retry may be held, how long the retries of TakeTwo last.
+	lastingDivisor = 2
 	// minGrant is the least number of retries in a grant, unless the limit on all is lower: each grant costs calls to the store.
 	minGrant = 4
 )
@@ -120,6 +123,40 @@
 	return Token{}, false
 }
 
+// TakeTwo reserves two retries that can be held for a while; false if there are not two. Both must be sent, or returned.
+func (s *SharedBudget) TakeTwo(now time.Time) (a, b Token, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drop(now)
+	lasting := min(s.bound.earnedHold(), s.bound.grantedHold()) / lastingDivisor
+	if a, ok = s.takeLasting(now, lasting); ok {
+		if b, ok = s.takeLasting(now, lasting); !ok {
+			s.putBack(a, now)
+		}
+	}
+	if !ok {
+		s.missed += 2
+	}
+	return a, b, ok
+}
+
+// takeLasting is take for a retry that does not expire for a time.
+func (s *SharedBudget) takeLasting(now time.Time, lasting time.Duration) (Token, bool) {
+	for _, list := range []*[]Token{&s.earned, &s.granted} {
+		i := slices.IndexFunc(*list, func(t Token) bool { return t.valid(now.Add(lasting)) })
+		if i < 0 {
+			continue
+		}
+		t := (*list)[i]
+		*list = slices.Delete(*list, i, i+1)
+		if t.granted {
+			s.used = append(s.used, now)
+		}
+		return t, true
+	}
+	return Token{}, false
+}
+
 // Send records that a retry is sent now; false if it must not be. A reserved retry that has expired, because its request waited
 // for an upstream, is replaced by another one, which Send returns.
 func (s *SharedBudget) Send(t Token, now time.Time) (Token, bool) {
