Revert: an end that nobody can be asked for is not passed on for a whole answer

A whole stream and one that is cut so look the same, and an answer that ends early must not look whole.

--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -23,10 +23,9 @@
 	attemptEvents int
 	// untilClose is set if the caller's response ends with its connection, as that of the upstream.
 	untilClose bool
-	// unprovenEnd is set if an upstream ended the stream after lastEvent by closing its connection. endContested is set if another upstream
-	// has gone on after such an end, or was asked to and failed.
-	unprovenEnd, endContested bool
-	ids                       idSequence
+	// unprovenEnd is set if an upstream ended the stream after lastEvent by closing its connection.
+	unprovenEnd bool
+	ids         idSequence
 }
 
 // recordEvents records a write of events; gap is the time since the previous one.
@@ -36,7 +35,6 @@
 	}
 	r.events++
 	r.attemptEvents++
-	r.endContested = r.endContested || r.unprovenEnd
 	r.unprovenEnd = false
 }
 
@@ -97,22 +95,6 @@
 	return &UnprovenEndError{u.ID}
 }
 
-// endStands reports whether the end that an upstream gave the stream is passed on although it is not proven, since no further attempt is
-// made for a reason: nobody could be asked for it.
-//
-// The upstream closed its connection after a whole event and still accepts connections, which is all that it says of its end. If it is
-// doubted without an answer from another one, a whole stream is broken off.
-func (n *run) endStands(reason stopCause) bool {
-	if !n.stream.unprovenEnd || n.stream.endContested {
-		return false
-	}
-	switch reason {
-	case stopAttempts, stopBudget, stopNoPlace, stopUnreached, stopStopping:
-		return true
-	}
-	return false
-}
-
 // startStream sends the response header. The caller is told where the stream ends only if the upstream will tell, or another
 // one may be asked.
 func (n *run) startStream(res *httpclient.Response) error {
