--- a/internal/node/gateway/brokenoff.go
+++ b/internal/node/gateway/brokenoff.go
@@ -54,7 +54,7 @@
 		return endMissingEvent
 	case is(new(*UnprovenEndError)), is(new(*HeldHeaderError)), is(new(*httpclient.NotAliveError)):
 		return endUnproven
-	case is(new(*NotTakenUpError)), is(new(*UnfinishedBodyError)), is(new(*httpclient.UnansweredError)), is(new(*LongBodyError)):
+	case is(new(*UnfinishedBodyError)), is(new(*httpclient.UnansweredError)), is(new(*LongBodyError)):
 		return endUnfinished
 	case is(new(*EventError)):
 		return endInvalidEvent
--- a/internal/node/gateway/evacuation.go
+++ b/internal/node/gateway/evacuation.go
@@ -170,16 +170,10 @@
 	}
 }
 
-// moveBeforeStop is the time before the end of a stop from which on streams stay where they are: a moved one would be cut in its new place.
-const moveBeforeStop = 2 * time.Second
-
 // mayMoveSlow reports whether streams may be moved away from slow upstreams of a service. While data centres are evacuated, there
 // may be no other upstream.
-func (g *Gateway) mayMoveSlow(s *service, now time.Time) bool {
-	if g.disabled(mechanismMoves) || !g.control.finishBy.IsZero() && now.Add(moveBeforeStop).After(g.control.finishBy) {
-		return false
-	}
-	return g.control.evacuated.Len() == 0 || s.gate.MoveRoom() > 0
+func (g *Gateway) mayMoveSlow(s *service) bool {
+	return !g.disabled(mechanismMoves) && (g.control.evacuated.Len() == 0 || s.gate.MoveRoom() > 0)
 }
 
 // checkEvacuated returns *EvacuatedUpstreamError if a request must not be written to an upstream by the present view. The
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -289,7 +289,7 @@
 		s.budget.SetBound(g.sharedRetryBound())
 		slowdowns := g.peers.slowdowns(name, g.control.upstreams, now)
 		s.gate.SetSlowdowns(slowdowns)
-		if g.mayMoveSlow(s, now) {
+		if g.mayMoveSlow(s) {
 			g.moves.moveStreams(slowdowns, now)
 		}
 		s.gate.SetOthersWork(g.peers.work(name, g.control.upstreams, now))
--- a/internal/node/gateway/leftplace.go
+++ b/internal/node/gateway/leftplace.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
-	"github.com/cardamomyoke/cardamomyoke/internal/base/ids"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/retry"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
@@ -19,23 +17,16 @@
 	next *dispatch.Ticket
 	// token is the retry for going back.
 	token retry.Token
-	// until is when the stream goes back if no other upstream has gone on with it.
+	// until is when the stream goes back if it has found no other place: as long as token is valid.
 	until time.Time
-	// timer ends an attempt that has not sent its first event by then; nil while there is none.
-	timer *time.Timer
 	// back is set once it goes back.
 	back bool
 }
 
-// takeUpShare is the part of the time for which the caller waits, for an event or at all, within which another upstream must go on with a
-// stream that has left one.
-const takeUpShare = 0.75
-
 // leave gives the attempt up for a place elsewhere, and reports whether it did. The place is reserved before, and so are the retries for both
 // ways, there and back.
 func (n *run) leave(h *handovers, reason moveReason, now time.Time) bool {
-	limit := time.Duration(takeUpShare * float64(min(n.r.route.CallerTimeout(), n.r.deadline.Sub(now))))
-	there, back, ok := n.service.budget.TakeTwo(now)
+	there, back, lasting, ok := n.service.budget.TakeTwo(now)
 	if !ok {
 		n.service.grants.request(now)
 		return false
@@ -47,7 +38,7 @@
 		n.service.budget.Return(back, now)
 		return false
 	}
-	h.left = &leftPlace{next: next, token: back, until: now.Add(limit)}
+	h.left = &leftPlace{next: next, token: back, until: now.Add(lasting)}
 	n.token = &there
 	return true
 }
@@ -66,9 +57,6 @@
 	if n.left == nil {
 		return
 	}
-	if n.left.timer != nil {
-		n.left.timer.Stop()
-	}
 	n.service.budget.Return(n.left.token, time.Now())
 	n.service.gate.Done(n.left.next, dispatch.OutcomeNone)
 	n.left = nil
@@ -99,32 +87,6 @@
 	return context.WithDeadline(ctx, n.left.until)
 }
 
-// NotTakenUpError reports that an upstream has not gone on in time with a stream that has left another one.
-type NotTakenUpError struct{ Upstream ids.Upstream }
-
-// Error implements error.
-func (e *NotTakenUpError) Error() string {
-	return fmt.Sprintf("%s has not gone on with the stream in time", e.Upstream)
-}
-
-// boundedAttempt runs an attempt that must send its first event in time if the stream can go back to the upstream that it has left.
-func (n *run) boundedAttempt(ctx context.Context, t *dispatch.Ticket) error {
-	left := n.left
-	if left == nil {
-		return n.attempt(ctx, t)
-	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	late := &NotTakenUpError{t.Upstream().ID}
-	left.timer = time.AfterFunc(time.Until(left.until), func() { cancel(late) })
-	defer left.timer.Stop()
-	err := n.attempt(ctx, t)
-	if err != nil && context.Cause(ctx) == late {
-		return late
-	}
-	return err
-}
-
 // placeMoved returns the ticket of the place for which the stream has left its upstream.
 func (n *run) placeMoved(_ context.Context, last error) (*dispatch.Ticket, error) {
 	ticket := n.left.next
--- a/internal/node/gateway/move.go
+++ b/internal/node/gateway/move.go
@@ -128,7 +128,7 @@
 // movableAttempt runs an attempt that may be handed over to another upstream. If it is, n.successor is set.
 func (n *run) movableAttempt(ctx context.Context, t *dispatch.Ticket) error {
 	if !n.mayHandOver() {
-		return n.boundedAttempt(ctx, t)
+		return n.attempt(ctx, t)
 	}
 	u := t.Upstream().Incarnation()
 	attemptCtx, cancel := context.WithCancelCause(ctx)
@@ -141,7 +141,7 @@
 		n.g.moves.add(u, n, h)
 		defer n.g.moves.remove(u, n)
 	}
-	err := n.boundedAttempt(attemptCtx, t)
+	err := n.attempt(attemptCtx, t)
 	n.successor = h.end(awaitsSuccessor(ctx, err))
 	n.recordLeft(t.Upstream(), h)
 	n.handovers = nil
--- a/internal/policy/retry/shared.go
+++ b/internal/policy/retry/shared.go
@@ -123,12 +123,13 @@
 	return Token{}, false
 }
 
-// TakeTwo reserves two retries that can be held for a while; false if there are not two. Both must be sent, or returned.
-func (s *SharedBudget) TakeTwo(now time.Time) (a, b Token, ok bool) {
+// TakeTwo reserves two retries, and returns for how long both may be held at least; false if there are not two that last. Both must be
+// sent, or returned.
+func (s *SharedBudget) TakeTwo(now time.Time) (a, b Token, lasting time.Duration, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.drop(now)
-	lasting := min(s.bound.earnedHold(), s.bound.grantedHold()) / lastingDivisor
+	lasting = min(s.bound.earnedHold(), s.bound.grantedHold()) / lastingDivisor
 	if a, ok = s.takeLasting(now, lasting); ok {
 		if b, ok = s.takeLasting(now, lasting); !ok {
 			s.putBack(a, now)
@@ -137,7 +138,7 @@
 	if !ok {
 		s.missed += 2
 	}
-	return a, b, ok
+	return a, b, lasting, ok
 }
 
 // takeLasting is take for a retry that does not expire for a time.
