--- a/internal/base/httpserver/review_rerun_test.go
+++ b/internal/base/httpserver/review_rerun_test.go
@@ -48,7 +48,7 @@
 	}
 }
 
-// Guards against a drain that ends without an error although running answers were cut as the engine ended.
+// Guards against a drain that reports that all answers were delivered although its engine ended and cut one.
 func TestDrainReportsAnswersThatItsEngineCut(t *testing.T) {
 	running := make(chan struct{})
 	s, address := startAnywhere(t, func(ctx context.Context, x *Exchange) {
@@ -65,8 +65,7 @@
 	defer func() { _ = c.Close() }()
 	_, _ = c.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
 	<-running
-	s.closing.Store(true)
-	s.endEngine()
+	time.AfterFunc(100*time.Millisecond, s.endEngine)
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
 	if err := s.Drain(ctx); err == nil {
--- a/internal/node/gateway/review_moves_test.go
+++ b/internal/node/gateway/review_moves_test.go
@@ -21,6 +21,7 @@
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/completeness"
 	"github.com/cardamomyoke/cardamomyoke/internal/policy/dispatch"
 	"github.com/cardamomyoke/cardamomyoke/internal/state/catalog"
+	"github.com/cardamomyoke/cardamomyoke/internal/testing/loopback"
 )
 
 // signedDialect takes each response for a signed answer.
@@ -236,12 +237,7 @@
 func TestStreamThatWasTakenUpIsNotTakenBackFromSlowCaller(t *testing.T) {
 	to := startStreaming(t, "to", "id: 9\ndata: x\n\n")
 	result := make(chan error, 1)
-	probe, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := probe.Addr().String()
-	_ = probe.Close()
+	address := loopback.Address()
 	server, err := httpserver.Start(address, 1, httpserver.Limits{MaxUnreadBytes: 16 << 10}, func(ctx context.Context, x *httpserver.Exchange) {
 		result <- relayToSlowCaller(t, ctx, x, to)
 	})
@@ -280,3 +276,53 @@
 	defer cancel()
 	return n.boundedAttempt(ctx, ticket)
 }
+
+// Guards against retries that are requested from all gateways' share for streams that stay where they are because no upstream has room.
+func TestStreamWithoutRoomElsewhereAsksForNoRetries(t *testing.T) {
+	const ticks = 50
+	slow := startStreaming(t, "slow", "")
+	n := resumableRun(t, slow)
+	placeAtSlow(t, n, slow)
+	h := newHandovers(n.ctx, func(error) {}, slow.ID, time.Second)
+	h.request = dispatch.Request{Exclude: h.excluded()}
+	before := n.service.budget.Wanted(time.Now())
+	for range ticks {
+		if n.leave(h, moveSlow, time.Now()) {
+			t.Fatal("left without a place")
+		}
+	}
+	if wanted := n.service.budget.Wanted(time.Now()); wanted > before {
+		t.Errorf("%d retries are requested, %d before; none was sent", wanted, before)
+	}
+}
+
+// Guards against a stream that is broken off with seconds left, because the upstream to which it goes back permits no request for a moment.
+func TestStreamWaitsForUpstreamToWhichItGoesBack(t *testing.T) {
+	slow, other := startStreaming(t, "slow", ""), startStreaming(t, "other", "")
+	n := resumableRun(t, slow, other)
+	n.stream.events, n.lastEventAt = 1, time.Now()
+	token, _ := n.service.budget.Take(time.Now())
+	n.left = &leftPlace{upstream: slow, token: token, until: time.Now().Add(time.Second), back: true}
+	n.service.gate.Rest(slow.Incarnation(), 50*time.Millisecond)
+	if _, err := n.place(n.ctx, &NotTakenUpError{other.ID}); err != nil {
+		t.Errorf("%s left: %v", time.Until(n.r.deadline).Round(time.Second), err)
+	}
+}
+
+// Guards against a sound upstream that is held out because this gateway has given an attempt there up.
+func TestAttemptThatGatewayGaveUpIsNotCountedBroken(t *testing.T) {
+	if got := outcomeOf(t.Context(), &NotTakenUpError{"u"}); got == dispatch.OutcomeBroken {
+		t.Error("counted as broken")
+	}
+}
+
+// Guards against a long body of a sound upstream that is given up although no other upstream has a place.
+func TestLongBodyIsNotGivenUpWithoutPlaceElsewhere(t *testing.T) {
+	only := startStreaming(t, "only", "")
+	n := resumableRun(t, only)
+	n.r.route = &catalog.Route{Kind: catalog.KindSafe, Attempts: 2}
+	n.service.longBodies = &completeness.Habit{}
+	if n.asksElsewhere(t.Context(), bufferedBody{bytes: make([]byte, maxBufferedBytes+1)}) {
+		t.Error("given up, though the service has one upstream")
+	}
+}
