--- a/internal/node/gateway/review_moves_test.go
+++ b/internal/node/gateway/review_moves_test.go
@@ -326,3 +326,24 @@
 		t.Error("given up, though the service has one upstream")
 	}
 }
+
+// Guards against a successor that reads the caller's request while the attempt does: fasthttp's header keeps what was read last.
+func TestSuccessorAndAttemptDoNotShareRequestHeader(t *testing.T) {
+	for range 30 {
+		from, to := startStreaming(t, "from", "id: 1\ndata: x\n\n"), startStreaming(t, "to", "id: 2\ndata: x\n\n")
+		n := resumableRun(t, from, to)
+		n.x.Req.Header.Set("Connection", "x-a, x-b")
+		ticket, ok := n.service.gate.PlaceAt(dispatch.Request{}, from.Incarnation())
+		if !ok {
+			t.Fatal("no place")
+		}
+		h := newHandovers(n.ctx, func(error) {}, from.ID, time.Second)
+		n.beginHandover(h, moveEvacuated, time.Now())
+		if res, err := n.send(n.ctx, ticket, sendInput{placedAt: time.Now(), elsewhere: true}); err == nil {
+			res.Release(false)
+		}
+		if s := h.end(false); s != nil {
+			t.Fatal("not given up")
+		}
+	}
+}
