--- a/internal/node/gateway/review_moves_test.go
+++ b/internal/node/gateway/review_moves_test.go
@@ -347,3 +347,18 @@
 		}
 	}
 }
+
+// Guards against a stream that is ended as complete although its upstream broke off: all that tells of its end is an attempt that sent nothing.
+func TestEmptyResponseDoesNotEndStreamThatBrokeOff(t *testing.T) {
+	first, second := startStreaming(t, "first", ""), startStreaming(t, "second", "")
+	n := resumableRun(t, first, second)
+	n.stream.lastEvent, n.stream.events, n.stream.attemptEvents = "5", 5, 5
+	n.upstream = first.ID
+	n.recordFailure(first, &httpclient.BrokenError{Address: first.Address, Stage: "read events from", Cause: io.ErrUnexpectedEOF})
+	n.stream.attemptEvents, n.upstream = 0, second.ID
+	err := n.checkStreamEnd(t.Context(), second, 0)
+	n.recordFailure(second, err)
+	if reason := n.stopReason(n.ctx, err); n.endStands(reason) {
+		t.Errorf("ends after event %s (%s)", n.stream.lastEvent, reason)
+	}
+}
