--- a/internal/node/gateway/review_moves_test.go
+++ b/internal/node/gateway/review_moves_test.go
@@ -362,3 +362,27 @@
 		t.Errorf("ends after event %s (%s)", n.stream.lastEvent, reason)
 	}
 }
+
+// Guards against an answer that is broken off at once because its header was sent and its first event was not: it counts as one whose
+// caller has waited since the zero time.
+func TestAnswerWithoutEventMayBePlacedAgain(t *testing.T) {
+	n := resumableRun(t, startStreaming(t, "u", ""))
+	if latest := n.dispatchRequest(true).Deadline; latest.Before(time.Now()) {
+		t.Errorf("must start by %s", latest)
+	}
+}
+
+// Guards against a whole stream that is broken off because this gateway could not connect to its upstream in time: that does not tell that
+// the upstream has ended, as a refused connection does.
+func TestStreamEndStandsIfConfirmationTimesOut(t *testing.T) {
+	u := startStreaming(t, "u", "")
+	n := resumableRun(t, u)
+	n.g.client = httpclient.New(httpclient.Options{DialTimeout: time.Nanosecond})
+	n.stream.lastEvent, n.stream.events, n.stream.attemptEvents = "5", 5, 5
+	n.sent, n.upstream = 1, u.ID
+	err := n.checkStreamEnd(t.Context(), u, 100)
+	n.recordFailure(u, err)
+	if reason := n.stopReason(n.ctx, err); !n.endStands(reason) {
+		t.Errorf("broken off: %s: %v", reason, err)
+	}
+}
