--- a/internal/base/httpclient/client.go
+++ b/internal/base/httpclient/client.go
@@ -17,6 +17,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"syscall"
 	"time"
 )
 
@@ -140,12 +141,14 @@
 	return conn.Close()
 }
 
-// ConfirmAlive is Probe after a request was sent to address. Errors: *NotAliveError.
+// ConfirmAlive checks that the peer at address has not ended since it was sent a request. Only a refused connection shows that it has: one
+// that takes too long may be a busy host's. Errors: *NotAliveError, the error of ctx.
 func (c *Client) ConfirmAlive(ctx context.Context, address string) error {
-	if err := c.Probe(ctx, address); err != nil {
+	err := c.Probe(ctx, address)
+	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
 		return &NotAliveError{address, err.Error()}
 	}
-	return nil
+	return ctx.Err()
 }
 
 // NotAliveError reports that a peer accepts no connections after a request. It does not wrap the *DialError, which would prove
--- a/internal/node/gateway/body.go
+++ b/internal/node/gateway/body.go
@@ -145,5 +145,12 @@
 // asksElsewhere reports whether another upstream is asked because a body goes on after its buffered part: a request that may be repeated
 // need not wait for the end of a body that may have none, unless such bodies are usual for the service. The retry is then reserved.
 func (n *run) asksElsewhere(ctx context.Context, b bufferedBody) bool {
-	return len(b.bytes) > maxBufferedBytes && n.mayGoElsewhere() && !n.service.longBodies.Usual() && n.reserveRetry(ctx)
+	return len(b.bytes) > maxBufferedBytes && n.mayGoElsewhere() && !n.service.longBodies.Usual() && n.hasPlaceElsewhere() && n.reserveRetry(ctx)
+}
+
+// hasPlaceElsewhere reports whether another upstream has a place for the request.
+func (n *run) hasPlaceElsewhere() bool {
+	r := n.dispatchRequest(n.x.Responded())
+	r.Exclude = append([]ids.Upstream{n.upstream}, r.Exclude...)
+	return n.service.gate.HasPlaceForMoved(r)
 }
--- a/internal/node/gateway/handover.go
+++ b/internal/node/gateway/handover.go
@@ -69,8 +69,9 @@
 // handover is the passing of an attempt to one successor.
 type handover struct {
 	reason moveReason
-	// cancel gives the successor up.
-	cancel context.CancelFunc
+	// cancel gives the successor up; givenUp is set once that was done.
+	cancel  context.CancelFunc
+	givenUp bool
 	// holds is set once the successor has been told after which event it goes on.
 	holds bool
 	// decided is closed once successor is final: nil if the attempt goes on.
@@ -95,17 +96,24 @@
 }
 
 // leave gives the attempt up for a place elsewhere, and reports whether it did.
-func (h *handovers) leave(reason moveReason) bool {
+func (h *handovers) leave(reason moveReason, left *leftPlace) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.state != attemptRuns || h.pending != nil {
+	if h.state != attemptRuns || h.pending != nil || len(h.failures) > 0 {
 		return false
 	}
-	h.state = attemptLeft
+	h.state, h.left = attemptLeft, left
 	h.cancelAttempt(&MovedError{h.from, reason})
 	return true
 }
 
+// leftFor returns the place for which the attempt was given up; nil if it was not.
+func (h *handovers) leftFor() *leftPlace {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.left
+}
+
 // beginWrite waits until no handover holds the events of the attempt back. It returns *MovedError if a successor has taken over, or the
 // error of ctx. After nil, endWrite must be called.
 func (h *handovers) beginWrite(ctx context.Context) error {
@@ -151,7 +159,7 @@
 	case <-ctx.Done():
 		return context.Cause(ctx)
 	case <-limit.C:
-		p.cancel()
+		h.giveUp(p)
 		<-p.decided
 	}
 	if p.successor != nil {
@@ -160,6 +168,16 @@
 	return nil
 }
 
+// giveUp gives a successor up that has not answered in time.
+func (h *handovers) giveUp(p *handover) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p.givenUp = p.successor == nil
+	if p.givenUp {
+		p.cancel()
+	}
+}
+
 // hold makes the attempt hold its events back. While f runs, nothing is written to the caller.
 func (h *handovers) hold(p *handover, f func()) {
 	h.relay.Lock()
@@ -175,7 +193,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	defer close(p.decided)
-	if s == nil || h.state == attemptComplete {
+	if s == nil || p.givenUp || h.state == attemptComplete {
 		p.cancel()
 		h.pending, h.resumeAt = nil, now.Add(handoverPause)
 		return false
@@ -192,7 +210,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.state == attemptLeft || h.pending != nil && h.pending.successor != nil {
+	if h.pending != nil && h.pending.successor != nil {
 		return false
 	}
 	h.state = attemptComplete
--- a/internal/node/gateway/leftplace.go
+++ b/internal/node/gateway/leftplace.go
@@ -15,8 +15,8 @@
 	upstream *catalog.Upstream
 	// next is the place for which the stream has left; nil once it was used.
 	next *dispatch.Ticket
-	// token is the retry for going back.
-	token retry.Token
+	// there is the retry for that place, token the one for going back.
+	there, token retry.Token
 	// until is when the stream goes back if it has found no other place: as long as token is valid.
 	until time.Time
 	// back is set once it goes back.
@@ -26,29 +26,37 @@
 // leave gives the attempt up for a place elsewhere, and reports whether it did. The place is reserved before, and so are the retries for both
 // ways, there and back.
 func (n *run) leave(h *handovers, reason moveReason, now time.Time) bool {
+	if !n.service.gate.HasPlaceForMoved(h.request) {
+		return false
+	}
 	there, back, lasting, ok := n.service.budget.TakeTwo(now)
 	if !ok {
 		n.service.grants.request(now)
 		return false
 	}
 	next, ok := n.service.gate.PlaceMoved(h.request)
-	if !ok || !h.leave(reason) {
+	left := &leftPlace{next: next, there: there, token: back, until: now.Add(lasting)}
+	if !ok || !h.leave(reason, left) {
 		n.service.gate.Done(next, dispatch.OutcomeNone)
 		n.service.budget.Return(there, now)
 		n.service.budget.Return(back, now)
 		return false
 	}
-	h.left = &leftPlace{next: next, token: back, until: now.Add(lasting)}
-	n.token = &there
 	return true
 }
 
 // recordLeft records that the stream has left an upstream, if it has.
 func (n *run) recordLeft(u *catalog.Upstream, h *handovers) {
-	if h.left != nil {
-		h.left.upstream = u
-		n.left = h.left
+	left := h.leftFor()
+	if left == nil {
+		return
+	}
+	n.forgetLeft("left-again")
+	left.upstream = u
+	if n.stream.events > 0 && left.until.After(n.resumeBy()) {
+		left.until = n.resumeBy()
 	}
+	n.left, n.token = left, &left.there
 }
 
 // forgetLeft records that the stream does not go back to the upstream that it has left: another one has gone on with it, or the request
@@ -71,7 +79,7 @@
 		return false
 	}
 	switch reason {
-	case stopAttempts, stopUnreached, stopBudget, stopNoPlace, stopCrashes:
+	case stopAttempts, stopUnreached, stopBudget, stopNoPlace:
 	default:
 		return false
 	}
@@ -101,15 +109,16 @@
 	return ticket, nil
 }
 
-// placeBack returns a ticket for the upstream that the stream has left.
-func (n *run) placeBack(last error) (*dispatch.Ticket, error) {
+// placeBack returns a ticket for the upstream that the stream has left, or another one if that takes no requests.
+func (n *run) placeBack(attemptCtx context.Context, last error) (*dispatch.Ticket, error) {
 	left := n.left
 	n.left = nil
+	n.service.gate.Done(left.next, dispatch.OutcomeNone)
 	n.returnToken()
 	n.token = &left.token
 	ticket, ok := n.service.gate.PlaceAt(n.dispatchRequest(n.x.Responded()), left.upstream.Incarnation())
 	if !ok {
-		return nil, n.finalError(n.ctx, last, stopNoPlace)
+		return n.placeAnew(attemptCtx, last) // it rests or leaves; another place may come
 	}
 	for !n.payForRetry(time.Now()) {
 		if !n.renewRetry(n.ctx) {
--- a/internal/node/gateway/pay.go
+++ b/internal/node/gateway/pay.go
@@ -43,8 +43,12 @@
 
 // resumeBy returns until when an answer that has begun waits for a retry.
 func (n *run) resumeBy() time.Time {
-	patience := min(n.r.route.CallerTimeout(), n.r.deadline.Sub(n.lastEventAt))
-	return n.lastEventAt.Add(time.Duration(resumeShare * float64(patience)))
+	since := n.lastEventAt
+	if since.IsZero() {
+		since = n.r.arrived
+	}
+	patience := min(n.r.route.CallerTimeout(), n.r.deadline.Sub(since))
+	return since.Add(time.Duration(resumeShare * float64(patience)))
 }
 
 // maxRenewals is how many retries that expired while a request waited for an upstream are replaced; each takes one from all gateways.
--- a/internal/node/gateway/plain.go
+++ b/internal/node/gateway/plain.go
@@ -100,6 +100,8 @@
 
 // isEncoded reports whether a body has an encoding that the caller did not ask for, and so is not the upstream's answer to it.
 func (n *run) isEncoded(res *httpclient.Response) bool {
+	n.requestMu.Lock()
+	defer n.requestMu.Unlock()
 	return !isIdentity(res.Header.Peek("Content-Encoding")) && isIdentity(n.x.Req.Header.Peek("Accept-Encoding"))
 }
 
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -62,6 +63,8 @@
 	malformed httpclient.Defect
 	// relayedFailure is set if the caller received bufferedFailure.
 	relayedFailure bool
+	// requestMu guards the header of x.Req while an attempt runs.
+	requestMu sync.Mutex
 	// handovers passes the current attempt on; nil if it may not be. successor is the attempt that has taken over from it; nil if none has.
 	handovers *handovers
 	successor *successor
@@ -159,7 +162,7 @@
 		return n.successor.ticket, nil
 	}
 	if n.left != nil && n.left.back {
-		return n.placeBack(last)
+		return n.placeBack(attemptCtx, last)
 	}
 	next := n.placeAnew
 	if n.left != nil && n.left.next != nil {
@@ -167,7 +170,7 @@
 	}
 	ticket, err := next(attemptCtx, last)
 	if err != nil && n.goBack(n.ctx, n.stoppedBy) {
-		return n.placeBack(last)
+		return n.placeBack(attemptCtx, last)
 	}
 	return ticket, err
 }
@@ -219,7 +222,7 @@
 	latest := r.deadline
 	if r.route.Kind == catalog.KindStream {
 		since := r.arrived
-		if begun {
+		if begun && !n.lastEventAt.IsZero() {
 			since = n.lastEventAt
 		}
 		if callerTimeout := since.Add(r.route.CallerTimeout()); callerTimeout.Before(latest) {
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -92,6 +92,8 @@
 // writeRequest builds the request to the upstream: the caller's method, path, body and header without hop-by-hop
 // fields, and the fields that the gateway sets.
 func (n *run) writeRequest(req *fasthttp.Request, to *catalog.Upstream, lastEvent string) {
+	n.requestMu.Lock() // a successor and its attempt read the caller's request at the same time, and reading a header changes it
+	defer n.requestMu.Unlock()
 	in := n.x.Req
 	in.Header.CopyTo(&req.Header)
 	h := &req.Header
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -183,12 +183,15 @@
 		if err := n.startStream(res); err != nil {
 			return err
 		}
+		n.lastEventAt = time.Now()
 	}
 	if err := n.x.Write(ctx, events); err != nil {
 		return err
 	}
 	n.stream.recordEvents(time.Since(n.lastEventAt))
-	n.forgetLeft("taken-over")
+	if goesOn(events, n.stream.lastEvent) {
+		n.forgetLeft("taken-over")
+	}
 	if n.stream.attemptEvents >= minAnsweredEvents {
 		n.answering()
 	}
--- a/internal/node/gateway/successor.go
+++ b/internal/node/gateway/successor.go
@@ -103,7 +103,9 @@
 		s.cancel = p.cancel
 		return s, to, nil
 	}
-	n.reportGroupFailure(t.Upstream(), err, at.begun)
+	if ctx.Err() == nil { // what this gateway has ended says nothing of the group
+		n.reportGroupFailure(t.Upstream(), err, at.begun)
+	}
 	n.service.gate.Done(t, outcomeOf(ctx, err))
 	h.failed(t.Upstream(), err)
 	n.reject(t.Upstream(), err)
@@ -200,8 +202,11 @@
 // end.
 func (n *run) checkFirstEvent(s *successor, at resumePoint) error {
 	events := eventsAfter(s.received[:completeEvents(s.received)], at.lastEvent)
-	if len(s.received) == 0 && (s.res.CloseDelimited || !at.begun) {
-		return &EventError{"contains no event"}
+	switch {
+	case s.ended && len(s.received) == 0 && at.begun && !s.res.CloseDelimited:
+		return nil // the stream had no further event
+	case !goesOn(events, at.lastEvent):
+		return &EventError{"does not go on with the next event"}
 	}
 	if n.service.gaps.Usual() {
 		return nil
@@ -212,6 +217,11 @@
 	return nil
 }
 
+// goesOn reports whether events that follow the one with id last contain another one.
+func goesOn(events []byte, last string) bool {
+	return len(events) > 0 && (last == "" || lastEventID(events, last) != last)
+}
+
 // relaySuccessor relays the response of a successor that has taken over.
 func (n *run) relaySuccessor(ctx context.Context, t *dispatch.Ticket, s *successor) error {
 	defer s.cancel()
--- a/internal/policy/dispatch/move.go
+++ b/internal/policy/dispatch/move.go
@@ -33,21 +33,27 @@
 // PlaceMoved places a request that leaves a slow upstream, and reports whether an upstream that is not slow has a place. It goes ahead of those
 // that wait: as long as one request is at the slow rank of a group, none of the others is served faster.
 func (p *Pool) PlaceMoved(r Request, now time.Time) (*Ticket, bool) {
-	if p.closed {
+	candidates := p.candidatesForMoved(r, now)
+	if len(candidates) == 0 {
 		return nil, false
 	}
+	t := &Ticket{request: r}
+	p.assign(t, p.leastLoaded(candidates, len(candidates)), len(candidates), now)
+	return t, true
+}
+
+// candidatesForMoved returns the upstreams that have a place for a request that leaves a slow one. The result is valid until the next call.
+func (p *Pool) candidatesForMoved(r Request, now time.Time) []*upstreamState {
 	p.scratch = p.scratch[:0]
+	if p.closed {
+		return nil
+	}
 	for _, u := range p.order {
 		if u.usable(now) && p.permits(u, now) && u.slowdown <= 1 && !r.excludes(u.listed) && u.hasPlaceForMoved(p.opts.Fill) {
 			p.scratch = append(p.scratch, u)
 		}
 	}
-	if len(p.scratch) == 0 {
-		return nil, false
-	}
-	t := &Ticket{request: r}
-	p.assign(t, p.leastLoaded(p.scratch, len(p.scratch)), len(p.scratch), now)
-	return t, true
+	return p.scratch
 }
 
 // hasPlaceForMoved reports whether the upstream may get another request that is moved away from a slow one.
@@ -69,6 +75,13 @@
 	return g.pool.PlaceMoved(r, time.Now())
 }
 
+// HasPlaceForMoved reports whether an upstream that is not slow has a place for a request that leaves a slow one.
+func (g *Gate) HasPlaceForMoved(r Request) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.pool.candidatesForMoved(r, time.Now())) > 0
+}
+
 // PlaceAt places a request at an upstream, whether it has a free slot or not; false if it takes no requests.
 func (g *Gate) PlaceAt(r Request, i ids.UpstreamIncarnation) (*Ticket, bool) {
 	g.mu.Lock()
