An end that nobody can be asked for stands after all, where the upstream that gave it has sent the last event

The users' page says of an answer without a length that it is incomplete if it was reset; that the upstream closes cleanly in the middle, accepts connections, and nobody can be asked, all at once, is the case that remains.

--- a/internal/node/gateway/metrics.go
+++ b/internal/node/gateway/metrics.go
@@ -101,6 +101,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_answers_broken_off_total{service=%q,ended_by=%q,not_resumed_by=%q}", service, end, because)).Inc()
 }
 
+// endNotConfirmed counts the streams that end where an upstream has closed its connection, since nobody could be asked for their end.
+func (m *gatewayMetrics) endNotConfirmed(service ids.Service, because stopCause) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_ends_not_confirmed_total{service=%q,because=%q}", service, because)).Inc()
+}
+
 // handedOver counts the handovers of a stream to another upstream by how they ended.
 func (m *gatewayMetrics) handedOver(service ids.Service, reason moveReason, outcome string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("cardamomyoke_gateway_handovers_total{service=%q,reason=%q,outcome=%q}", service, reason, outcome)).Inc()
--- a/internal/node/gateway/run.go
+++ b/internal/node/gateway/run.go
@@ -353,10 +353,20 @@
 	default:
 		n.sent++
 		n.mayHaveRun = true
+		n.contestEnd(err)
 	}
 	n.exclude = append(n.exclude, n.upstream)
 }
 
+// contestEnd records that an attempt may have run and failed with err, if it was to confirm the end of the stream. What the stop of this
+// gateway ends says nothing.
+func (n *run) contestEnd(err error) {
+	var unproven *UnprovenEndError
+	if n.stream.unprovenEnd && !errors.As(err, &unproven) && !stopping(n.ctx) {
+		n.stream.endContested = true
+	}
+}
+
 // recordFailedSuccessors records what the successors of an attempt prove that were sent the request and failed.
 func (n *run) recordFailedSuccessors(h *handovers) {
 	for _, f := range h.failures {
@@ -438,6 +448,9 @@
 	case n.unproven != nil && !n.x.Responded():
 		n.recordFirstPiece()
 		return n.unproven.respond(ctx, n)
+	case n.endStands(reason):
+		n.g.metrics.endNotConfirmed(n.r.service.Name, reason)
+		return n.x.End()
 	case n.bufferedFailure != nil && !n.x.Responded():
 		n.relayedFailure = true
 		return n.bufferedFailure.respond(ctx, n)
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -23,9 +23,10 @@
 	attemptEvents int
 	// untilClose is set if the caller's response ends with its connection, as that of the upstream.
 	untilClose bool
-	// unprovenEnd is set if an upstream ended the stream after lastEvent by closing its connection.
-	unprovenEnd bool
-	ids         idSequence
+	// unprovenEnd is set if an upstream ended the stream after lastEvent by closing its connection, ownEnd if that upstream had sent lastEvent.
+	// endContested is set if another upstream has gone on after such an end, or was asked to and failed.
+	unprovenEnd, ownEnd, endContested bool
+	ids                               idSequence
 }
 
 // recordEvents records a write of events; gap is the time since the previous one.
@@ -35,7 +36,8 @@
 	}
 	r.events++
 	r.attemptEvents++
-	r.unprovenEnd = false
+	r.endContested = r.endContested || r.unprovenEnd
+	r.unprovenEnd, r.ownEnd = false, false
 }
 
 // streamBufferBytes is the size of one read from an upstream; an event has some tens of bytes.
@@ -92,9 +94,26 @@
 	}
 	// An attempt that sent only events that the caller has may have ended before the last one.
 	n.stream.unprovenEnd = n.stream.unprovenEnd || bodyBytes == 0 || n.stream.attemptEvents > 0
+	n.stream.ownEnd = n.stream.ownEnd || n.stream.attemptEvents > 0
 	return &UnprovenEndError{u.ID}
 }
 
+// endStands reports whether the end that an upstream gave the stream is passed on although it is not proven, since no further attempt is
+// made for a reason: nobody could be asked for it.
+//
+// The upstream closed its connection after a whole event and still accepts connections, which is all that it says of its end. If it is
+// doubted without an answer from another one, a whole stream is broken off.
+func (n *run) endStands(reason stopCause) bool {
+	if !n.stream.ownEnd || n.stream.endContested {
+		return false
+	}
+	switch reason {
+	case stopAttempts, stopBudget, stopNoPlace, stopUnreached, stopStopping:
+		return true
+	}
+	return false
+}
+
 // startStream sends the response header. The caller is told where the stream ends only if the upstream will tell, or another
 // one may be asked.
 func (n *run) startStream(res *httpclient.Response) error {
