--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -92,6 +92,8 @@
 	if n.stream.untilClose || n.stream.unprovenEnd && bodyBytes == 0 {
 		return nil
 	}
+	sentOld := n.stream.attemptEvents == 0 && bodyBytes > 0
+	n.stream.endContested = n.stream.endContested || n.stream.ownEnd && sentOld
 	// An attempt that sent only events that the caller has may have ended before the last one.
 	n.stream.unprovenEnd = n.stream.unprovenEnd || bodyBytes == 0 || n.stream.attemptEvents > 0
 	n.stream.ownEnd = n.stream.ownEnd || n.stream.attemptEvents > 0
